Set down the folders, the core types and the design page

The system needs one shape before any part is built: packages that mirror machines, zones, links and contracts, tasks that own their state, and decisions free of I/O and encoding. Weighed against one package per process role, this layout lets several instances be built in one process for tests.

The decisions that follow can be written and tested without sockets.

--- /dev/null
+++ b/src/siskinspool/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/src/siskinspool/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""What teams and calls are promised: rates, deadlines, idempotency."""
--- /dev/null
+++ b/src/siskinspool/core/__init__.py
@@ -0,0 +1,1 @@
+"""Building blocks: messages, decisions, tasks, outcomes and error codes."""
--- /dev/null
+++ b/src/siskinspool/core/task.py
@@ -0,0 +1,153 @@
+"""Tasks: greenlets that own their state and sockets.
+
+A task waits on its inbox with a deadline and handles one message at a time, so its
+state needs no lock. `DecisionTask` runs a `Decision`: it supplies the time and sends
+what the decision returns.
+"""
+
+from __future__ import annotations
+
+import logging
+from abc import ABC, abstractmethod
+from typing import Final
+
+import gevent
+from gevent.queue import Empty, Full, Queue
+
+from ..telemetry.logs import log_event
+from .clock import Clock
+from .decision import Decision
+from .dispatcher import Dispatcher, Inbox
+from .errors import InvariantError
+from .message import Address, Incoming
+
+logger = logging.getLogger(__name__)
+
+INBOX_CAPACITY_MESSAGES: Final = 10_000
+
+
+class Task(Inbox):
+    """A greenlet with a bounded inbox."""
+
+    def __init__(self, name: str, dispatcher: Dispatcher, clock: Clock) -> None:
+        self.name = name
+        self.dispatcher = dispatcher
+        self.clock = clock
+        self._queue: Queue[Incoming | None] = Queue(INBOX_CAPACITY_MESSAGES)
+        self._greenlet: gevent.Greenlet[..., None] | None = None
+        dispatcher.register(name, self)
+
+    @property
+    def address(self) -> Address:
+        """Return the address under which other tasks reach this one."""
+        return self.dispatcher.address(self.name)
+
+    def post(self, incoming: Incoming) -> bool:
+        """Queue a message; return False if the inbox is full."""
+        try:
+            self._queue.put_nowait(incoming)
+        except Full:
+            return False
+        return True
+
+    def start(self) -> None:
+        """Start the greenlet."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Let the task handle what is queued, then end it."""
+        if self._greenlet is None:
+            return
+        self._queue.put(None)
+        self._greenlet.join(timeout_s)
+        self._greenlet.kill()
+        self._greenlet = None
+
+    def _run(self) -> None:
+        while True:
+            try:
+                incoming = self._queue.get(timeout=self._wait_s())
+            except Empty:
+                self._guarded_time()
+                continue
+            if incoming is None:
+                return
+            self._guarded_handle(incoming)
+            wake_at = self.wake_at()
+            if wake_at is not None and wake_at <= self.clock.now():
+                self._guarded_time()
+
+    def _wait_s(self) -> float | None:
+        wake_at = self.wake_at()
+        if wake_at is None:
+            return None
+        # A wake-up time in the past that on_time does not move on would spin.
+        return max(wake_at - self.clock.now(), 0.001)
+
+    def _guarded_handle(self, incoming: Incoming) -> None:
+        try:
+            self.handle(incoming)
+        except InvariantError:
+            raise
+        except Exception:
+            self._log_failure(type(incoming.message).__name__)
+
+    def _guarded_time(self) -> None:
+        try:
+            self.on_time()
+        except InvariantError:
+            raise
+        except Exception:
+            self._log_failure("on_time")
+
+    def _log_failure(self, during: str) -> None:
+        log_event(logger, logging.ERROR, "task_failed", task=self.name, during=during)
+        logger.debug("task failure", exc_info=True)
+
+    @abstractmethod
+    def handle(self, incoming: Incoming) -> None:
+        """Handle one message."""
+
+    def on_time(self) -> None:
+        """Act on what has become due."""
+        return
+
+    def wake_at(self) -> float | None:
+        """Return when `on_time` is due next, in monotonic seconds."""
+        return None
+
+
+class DecisionTask(Task):
+    """Runs one decision."""
+
+    def __init__(
+        self, name: str, dispatcher: Dispatcher, clock: Clock, decision: Decision
+    ) -> None:
+        super().__init__(name, dispatcher, clock)
+        self.decision = decision
+
+    def handle(self, incoming: Incoming) -> None:
+        """Pass one message to the decision and send its output."""
+        batch = self.decision.handle(incoming, self.clock.now())
+        self.dispatcher.send_all(self.address, batch)
+
+    def on_time(self) -> None:
+        """Let the decision act on time and send its output."""
+        batch = self.decision.on_time(self.clock.now())
+        self.dispatcher.send_all(self.address, batch)
+
+    def wake_at(self) -> float | None:
+        """Return the decision's next deadline."""
+        return self.decision.wake_at()
+
+
+class Service(ABC):
+    """A part of an instance with its own greenlets, such as a server socket."""
+
+    @abstractmethod
+    def start(self) -> None:
+        """Start serving."""
+
+    @abstractmethod
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Stop serving; work under way may finish within the timeout."""
--- /dev/null
+++ b/src/siskinspool/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, peers and servers, and their encoding."""
--- /dev/null
+++ b/src/siskinspool/links/codec.py
@@ -0,0 +1,120 @@
+"""Encoding of messages between instances.
+
+A `Codec` turns an envelope into bytes and back. `MsgpackCodec` writes a msgpack array
+``[version, sender instance, sender task, recipient task, type name, body]`` and decodes
+the body into the attrs class registered under the type name. Bytes that do not decode
+give a `Malformed` outcome; they never raise.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import msgspec
+
+from ..core.message import Address, Incoming, Message, Outgoing
+
+PROTOCOL_VERSION: Final = 1
+
+_wire_class_by_name: Final[dict[str, type[Message]]] = {}
+
+_MessageT = TypeVar("_MessageT", bound=Message)
+
+
+def wire(cls: type[_MessageT]) -> type[_MessageT]:
+    """Class decorator: let a message travel between instances."""
+    name = cls.__name__
+    if name in _wire_class_by_name:
+        raise TypeError(f"two wire messages are named {name}")
+    _wire_class_by_name[name] = cls
+    return cls
+
+
+def wire_classes() -> dict[str, type[Message]]:
+    """Return a copy of the registered message classes by type name."""
+    return dict(_wire_class_by_name)
+
+
+@dataclass(frozen=True)
+class Decoded:
+    """A message for a task of this instance."""
+
+    recipient_task: str
+    incoming: Incoming
+
+
+@dataclass(frozen=True)
+class Malformed:
+    """Bytes that are no message of a known version and type."""
+
+    reason: str
+
+
+class Codec(ABC):
+    """Encodes messages for a peer link."""
+
+    @abstractmethod
+    def encode(self, sender: Address, outgoing: Outgoing) -> bytes:
+        """Return the bytes of a message; raise TypeError for a local-only class."""
+
+    @abstractmethod
+    def decode(self, data: bytes) -> Decoded | Malformed:
+        """Return the message in ``data`` or why it is malformed."""
+
+
+class MsgpackCodec(Codec):
+    """msgpack through msgspec."""
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelope_decoder = msgspec.msgpack.Decoder(
+            tuple[int, str, str, str, str, msgspec.Raw]
+        )
+        self._decoder_by_name: dict[str, msgspec.msgpack.Decoder[Message]] = {}
+
+    def encode(self, sender: Address, outgoing: Outgoing) -> bytes:
+        """Return the bytes of a message; raise TypeError for a local-only class."""
+        type_name = type(outgoing.message).__name__
+        if type_name not in _wire_class_by_name:
+            raise TypeError(f"{type_name} is not a wire message")
+        return self._encoder.encode(
+            (
+                PROTOCOL_VERSION,
+                sender.instance_id,
+                sender.task,
+                outgoing.recipient.task,
+                type_name,
+                outgoing.message,
+            )
+        )
+
+    def decode(self, data: bytes) -> Decoded | Malformed:
+        """Return the message in ``data`` or why it is malformed."""
+        try:
+            version, instance_id, task, recipient, type_name, body = (
+                self._envelope_decoder.decode(data)
+            )
+        except (msgspec.DecodeError, ValueError) as error:
+            return Malformed(f"envelope: {error}")
+        if version != PROTOCOL_VERSION:
+            return Malformed(f"protocol version {version}")
+        decoder = self._decoder(type_name)
+        if decoder is None:
+            return Malformed("unknown message type")
+        try:
+            message = decoder.decode(body)
+        except (msgspec.DecodeError, ValueError, TypeError) as error:
+            return Malformed(f"{type_name}: {error}")
+        return Decoded(recipient, Incoming(Address(instance_id, task), message))
+
+    def _decoder(self, type_name: str) -> msgspec.msgpack.Decoder[Message] | None:
+        decoder = self._decoder_by_name.get(type_name)
+        if decoder is None:
+            cls = _wire_class_by_name.get(type_name)
+            if cls is None:
+                return None
+            decoder = msgspec.msgpack.Decoder(cls)
+            self._decoder_by_name[type_name] = decoder
+        return decoder
--- /dev/null
+++ b/src/siskinspool/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Machines of the world: instances, servers, models and their replicas."""
--- /dev/null
+++ b/src/siskinspool/machines/messages.py
@@ -0,0 +1,246 @@
+"""Messages about instances, servers and replicas that several decisions use."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+from ..core.message import Message
+from ..links.codec import wire
+from ..manifest.model import Catalog, RequestClass
+
+
+class ReplicaState(StrEnum):
+    """State of a replica as its server reports it."""
+
+    LOADING = "loading"
+    LOADED = "loaded"
+    FAILED = "failed"
+
+
+class CheckpointTier(StrEnum):
+    """Where a server finds a checkpoint."""
+
+    MEMORY = "memory"
+    DISK = "disk"
+    REMOTE = "remote"
+
+
+@attrs.frozen
+class Member:
+    """An instance with a live session."""
+
+    instance_id: str
+    # Changes with every start of the process.
+    incarnation: str
+    zone: str
+    # Where the peer link listens.
+    host: str
+    port: int
+    draining: bool = False
+
+
+@attrs.frozen
+class MembershipChanged(Message):
+    """The instances with a live session, this one included."""
+
+    member_by_id: dict[str, Member]
+
+
+@attrs.frozen
+class OwnershipGained(Message):
+    """This instance owns a partition from now on."""
+
+    partition: str
+    epoch: int
+
+
+@attrs.frozen
+class OwnershipLost(Message):
+    """This instance no longer owns a partition."""
+
+    partition: str
+
+
+@attrs.frozen
+class OwnersChanged(Message):
+    """Who owns each partition, as far as this instance knows."""
+
+    owner_by_partition: dict[str, str]
+
+
+@attrs.frozen
+class ReleaseOwnership(Message):
+    """The process drains: release all partitions."""
+
+
+@attrs.frozen
+class CatalogChanged(Message):
+    """A manifest revision is in force at this instance."""
+
+    catalog: Catalog
+
+
+@attrs.frozen
+class CurrencyChanged(Message):
+    """Whether this instance may trust its configuration (freshness rule)."""
+
+    current: bool
+    # A majority of members cannot reach the key-value service.
+    outage: bool
+
+
+@attrs.frozen
+class LeavingChanged(Message):
+    """Servers and instances that the platform or a neighbour lists as leaving."""
+
+    server_ids: frozenset[str]
+    instance_ids: frozenset[str]
+    # Instances that the platform no longer lists at all.
+    gone_instance_ids: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class ReportedReplica:
+    """One replica in a server's report."""
+
+    replica_id: str
+    model: str
+    # Empty for the base model.
+    adapter: str
+    state: ReplicaState
+
+
+@wire
+@attrs.frozen
+class ServerReport(Message):
+    """A server's own report, as one instance read it."""
+
+    server_id: str
+    # Changes with every start of the server.
+    boot_id: str
+    capacity: int
+    running: int
+    queued: int
+    memory_mib: int
+    used_mib: int
+    replicas: tuple[ReportedReplica, ...] = ()
+    # Checkpoints held in host memory or on disk, by model id.
+    checkpoint_tier_by_model: dict[str, CheckpointTier] = attrs.field(factory=dict)
+    # Highest fencing number seen, 0 if the server does not check.
+    highest_fence: int = 0
+    # Age of the figures when the report was read.
+    age_s: float = 0.0
+
+
+@attrs.frozen
+class ServerUnreachable(Message):
+    """A report could not be read."""
+
+    server_id: str
+
+
+@wire
+@attrs.frozen
+class NeedReplica(Message):
+    """Requests wait for a model or adapter; sent to the placement owner."""
+
+    model: str
+    # Empty for the base model.
+    adapter: str
+    request_class: RequestClass
+    # Seconds left until the earliest deadline.
+    deadline_in_s: float
+    waiting: int
+
+
+@wire
+@attrs.frozen
+class ReplicaPlanned(Message):
+    """Answer to `NeedReplica`: where the replica will be and when, if known."""
+
+    model: str
+    adapter: str
+    server_id: str
+    expected_in_s: float
+
+
+@wire
+@attrs.frozen
+class ReplicaRefused(Message):
+    """Answer to `NeedReplica`: no replica can be placed now."""
+
+    model: str
+    adapter: str
+    reason: str
+
+
+@wire
+@attrs.frozen
+class ReplicaUsed(Message):
+    """How much an instance uses a replica; sent about once a second."""
+
+    model: str
+    adapter: str
+    server_id: str
+    running: int
+    requests_per_s: float
+
+
+@wire
+@attrs.frozen
+class RampSlots(Message):
+    """Concurrency that an instance may use on a ramping server until it expires."""
+
+    server_id: str
+    boot_id: str
+    epoch: int
+    # None: the ramp is over and the server's capacity applies.
+    slots: int | None
+    ttl_s: float
+
+
+class OrderKind(StrEnum):
+    """What an order tells a server to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    LOAD_ADAPTER = "load_adapter"
+    UNLOAD_ADAPTER = "unload_adapter"
+
+
+@attrs.frozen
+class SendOrder(Message):
+    """Send an order to a server; goes to the local task ``orders``."""
+
+    order_id: str
+    server_id: str
+    kind: OrderKind
+    replica_id: str
+    model: str
+    adapter: str
+    fence: int
+
+
+class OrderResult(StrEnum):
+    """How sending an order ended."""
+
+    ACCEPTED = "accepted"
+    STALE_FENCE = "stale_fence"
+    NO_MEMORY = "no_memory"
+    REFUSED = "refused"
+    # The connection could not be opened.
+    NOT_SENT = "not_sent"
+    # Sent, but no answer came.
+    LOST = "lost"
+
+
+@attrs.frozen
+class OrderSettled(Message):
+    """The result of an order, from the task ``orders``."""
+
+    order_id: str
+    server_id: str
+    replica_id: str
+    result: OrderResult
--- /dev/null
+++ b/src/siskinspool/manifest/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' manifest: classes, checks, differences, revisions."""
--- /dev/null
+++ b/src/siskinspool/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: key-value service and instance list."""
--- /dev/null
+++ b/src/siskinspool/platform/etcd.py
@@ -0,0 +1,231 @@
+"""Adapter to the JSON gateway of etcd v3.
+
+Keys and values travel in base64. One pooled HTTP client serves requests and renewals;
+each watch has a connection of its own. A request whose connection could not be opened
+raises `UnavailableError`; any failure after that raises `LostAnswerError`, because
+the service may have carried it out.
+
+The methods used are ``/v3/kv/range``, ``/v3/kv/txn``, ``/v3/lease/grant``,
+``/v3/lease/keepalive``, ``/v3/lease/revoke`` and ``/v3/watch``.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import math
+import socket
+from collections.abc import Iterator
+from typing import Any, Final
+
+from geventhttpclient import HTTPClient
+
+from .kv import (
+    KeyValueService,
+    KvItem,
+    LostAnswerError,
+    SwapResult,
+    UnavailableError,
+    WatchEvent,
+)
+
+CONNECT_TIMEOUT_S: Final = 1.0
+REQUEST_TIMEOUT_S: Final = 2.0
+# A watch is silent between changes; progress notifications arrive more often than this.
+WATCH_TIMEOUT_S: Final = 10.0
+CONNECTIONS: Final = 16
+
+Json = dict[str, Any]
+
+
+def _encode(raw: bytes) -> str:
+    return base64.b64encode(raw).decode("ascii")
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the end of the key range that covers all keys with a prefix."""
+    raw = bytearray(prefix.encode())
+    for index in reversed(range(len(raw))):
+        if raw[index] < 0xFF:
+            raw[index] += 1
+            return bytes(raw[: index + 1])
+    return b"\0"
+
+
+def _item(entry: Json) -> KvItem:
+    return KvItem(
+        key=_decode(entry["key"]).decode(),
+        value=_decode(entry.get("value", "")),
+        revision=int(entry["mod_revision"]),
+    )
+
+
+class EtcdGateway(KeyValueService):
+    """Key-value service behind the JSON gateway of etcd v3."""
+
+    def __init__(
+        self, host: str, port: int, request_timeout_s: float = REQUEST_TIMEOUT_S
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._client = HTTPClient(
+            host,
+            port=port,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=request_timeout_s,
+            concurrency=CONNECTIONS,
+        )
+
+    def get(self, key: str) -> KvItem | None:
+        """Return a key, or None if it does not exist."""
+        answer = self._call("/v3/kv/range", {"key": _encode(key.encode())})
+        items = answer.get("kvs", [])
+        return _item(items[0]) if items else None
+
+    def list(self, prefix: str) -> tuple[KvItem, ...]:
+        """Return the keys with a prefix, in key order."""
+        body = {
+            "key": _encode(prefix.encode()),
+            "range_end": _encode(prefix_end(prefix)),
+            "sort_target": "KEY",
+            "sort_order": "ASCEND",
+        }
+        answer = self._call("/v3/kv/range", body)
+        return tuple(_item(entry) for entry in answer.get("kvs", []))
+
+    def swap(
+        self, key: str, expected_revision: int, value: bytes, lease_id: int | None
+    ) -> SwapResult:
+        """Write a key if its revision is the expected one."""
+        put: Json = {"key": _encode(key.encode()), "value": _encode(value)}
+        if lease_id is not None:
+            put["lease"] = str(lease_id)
+        answer = self._transaction(key, expected_revision, {"request_put": put})
+        if not answer.get("succeeded", False):
+            return self._conflict(answer)
+        return SwapResult(True, value, int(answer["header"]["revision"]))
+
+    def delete(self, key: str, expected_revision: int) -> SwapResult:
+        """Delete a key if its revision is the expected one."""
+        remove = {"request_delete_range": {"key": _encode(key.encode())}}
+        answer = self._transaction(key, expected_revision, remove)
+        if not answer.get("succeeded", False):
+            return self._conflict(answer)
+        return SwapResult(True, None, int(answer["header"]["revision"]))
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Return the id of a new lease; the service counts whole seconds."""
+        answer = self._call("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s))})
+        return int(answer["ID"])
+
+    def keep_alive(self, lease_id: int) -> float | None:
+        """Renew a lease; return the time to live, or None if the lease is gone."""
+        answer = self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
+        ttl_s = float(answer.get("result", {}).get("TTL", 0))
+        return ttl_s if ttl_s > 0 else None
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete the keys attached to it."""
+        self._call("/v3/lease/revoke", {"ID": str(lease_id)})
+
+    def watch(self, prefix: str, from_revision: int) -> Iterator[WatchEvent]:
+        """Yield changes under a prefix, from a revision on, until the link fails."""
+        client = HTTPClient(
+            self._host,
+            port=self._port,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=WATCH_TIMEOUT_S,
+            concurrency=1,
+        )
+        request = {
+            "create_request": {
+                "key": _encode(prefix.encode()),
+                "range_end": _encode(prefix_end(prefix)),
+                "start_revision": str(from_revision),
+                "progress_notify": True,
+            }
+        }
+        try:
+            response = client.post(
+                "/v3/watch", body=json.dumps(request), headers=_JSON_HEADERS
+            )
+            for line in _lines(response):
+                yield from _watch_events(json.loads(line).get("result", {}))
+        except (OSError, ValueError) as error:
+            raise LostAnswerError(str(error)) from error
+        finally:
+            client.close()
+
+    def _transaction(self, key: str, expected_revision: int, success: Json) -> Json:
+        name = _encode(key.encode())
+        body = {
+            "compare": [
+                {
+                    "key": name,
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(expected_revision),
+                }
+            ],
+            "success": [success],
+            "failure": [{"request_range": {"key": name}}],
+        }
+        return self._call("/v3/kv/txn", body)
+
+    @staticmethod
+    def _conflict(answer: Json) -> SwapResult:
+        entries = answer["responses"][0]["response_range"].get("kvs", [])
+        if not entries:
+            return SwapResult(False, None, 0)
+        item = _item(entries[0])
+        return SwapResult(False, item.value, item.revision)
+
+    def _call(self, path: str, body: Json) -> Json:
+        try:
+            response = self._client.post(
+                path, body=json.dumps(body), headers=_JSON_HEADERS
+            )
+            status = response.status_code
+            data = bytes(response.read())
+        except ConnectionRefusedError as error:
+            raise UnavailableError(str(error)) from error
+        except socket.gaierror as error:
+            raise UnavailableError(str(error)) from error
+        except Exception as error:
+            raise LostAnswerError(str(error)) from error
+        if status == 503:
+            raise UnavailableError("the key-value service answers 503")
+        if status != 200:
+            raise LostAnswerError(f"the key-value service answers {status}")
+        try:
+            answer: Json = json.loads(data)
+        except ValueError as error:
+            raise LostAnswerError("the answer is not JSON") from error
+        return answer
+
+
+_JSON_HEADERS: Final = {"Content-Type": "application/json"}
+
+
+def _lines(response: Any) -> Iterator[bytes]:
+    while line := response.readline(b"\n"):
+        yield line
+
+
+def _watch_events(result: Json) -> Iterator[WatchEvent]:
+    revision = int(result.get("header", {}).get("revision", 0))
+    events = result.get("events", [])
+    if not events:
+        yield WatchEvent(None, None, revision)
+    for event in events:
+        entry = event["kv"]
+        deleted = event.get("type") == "DELETE"
+        yield WatchEvent(
+            key=_decode(entry["key"]).decode(),
+            value=None if deleted else _decode(entry.get("value", "")),
+            revision=int(entry["mod_revision"]),
+        )
--- /dev/null
+++ b/src/siskinspool/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
--- /dev/null
+++ b/src/siskinspool/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones: their state and the distance between them."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of siskinspool."""
