--- /dev/null
+++ b/src/siskinspool/standins/engine.py
@@ -0,0 +1,398 @@
+"""Stand-in for a model engine.
+
+The engine runs requests in one batch: each token takes ``token_s`` while at most
+``capacity`` requests run and longer in proportion beyond, up to a queue. It takes
+orders to load and unload models and adapters, fetches checkpoints from the weight
+store, and reports its state with a lag. A cold engine (just started) fails under full
+load: while it has served fewer than ``warm_after`` requests, more than
+``cold_limit`` requests at once make it drop everything and turn cold again.
+
+Faults (``POST /admin/faults``): ``turn_cold`` (once), ``lose_order_answers``,
+``cut_streams_after`` (tokens, 0 is off), ``stall_loads``. ``POST /admin/catalog`` with
+``{name: {"memory_mib": m, "load_s": s}}`` tells the sizes of models and adapters.
+``GET /admin/observed`` tells tests what the engine saw.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import time
+import uuid
+from collections import deque
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+import click
+import gevent
+from geventhttpclient import HTTPClient
+
+from .wsgi import App, CloseConnection, Json, Request, Response, serve
+
+REPORT_STEP_S: Final = 0.05
+STORE_TIMEOUT_S: Final = 120.0
+
+
+@attrs.define
+class EngineSettings:
+    """How this engine behaves."""
+
+    server_id: str
+    memory_mib: int
+    capacity: int
+    checks_fencing: bool
+    report_lag_s: float
+    token_s: float
+    cold_limit: int
+    warm_after: int
+    store_port: int
+
+
+@attrs.frozen
+class Size:
+    """Memory and load time of a model or adapter."""
+
+    memory_mib: int
+    load_s: float
+
+
+@attrs.define
+class Loaded:
+    """A replica in this engine's memory."""
+
+    replica_id: str
+    model: str
+    adapter: str
+    memory_mib: int
+    state: str = "loading"
+
+
+@attrs.define
+class EngineFaults:
+    """Faults in force."""
+
+    lose_order_answers: int = 0
+    cut_streams_after: int = 0
+    stall_loads: bool = False
+
+
+@attrs.define
+class Observed:
+    """What tests ask the engine about."""
+
+    loads: list[str] = attrs.field(factory=list)
+    orders: int = 0
+    requests: int = 0
+    cancelled: int = 0
+    max_running: int = 0
+    max_used_mib: int = 0
+    max_cold_running: int = 0
+    falls: int = 0
+    credentials_seen: int = 0
+    stale_orders: int = 0
+
+
+class Engine:
+    """State of one engine."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.faults = EngineFaults()
+        self.observed = Observed()
+        self._boot_ids = itertools.count(1)
+        self._boot_prefix = uuid.uuid4().hex[:8]
+        self.replica_by_target: dict[tuple[str, str], Loaded] = {}
+        self.tier_by_model: dict[str, str] = {}
+        self.size_by_name: dict[str, Size] = {}
+        self.running_ids: set[str] = set()
+        self.highest_fence = 0
+        self._reports: deque[tuple[float, Json]] = deque()
+        self.boot_id = ""
+        self._served = 0
+        self.turn_cold()
+
+    def turn_cold(self) -> None:
+        """Lose all replicas and requests, as a restart does."""
+        self.boot_id = f"{self._boot_prefix}-{next(self._boot_ids)}"
+        self.replica_by_target.clear()
+        self.running_ids.clear()
+        self._served = 0
+        self.highest_fence = 0
+
+    @property
+    def is_cold(self) -> bool:
+        """Tell whether the engine still has to warm up."""
+        return self._served < self.settings.warm_after
+
+    def used_mib(self) -> int:
+        """Return the memory of all replicas, loading ones included."""
+        return sum(replica.memory_mib for replica in self.replica_by_target.values())
+
+    def begin(self, request_id: str) -> bool:
+        """Take a request into the batch; False if the engine fell over."""
+        self.observed.requests += 1
+        self.running_ids.add(request_id)
+        running = len(self.running_ids)
+        self.observed.max_running = max(self.observed.max_running, running)
+        if self.is_cold:
+            seen = self.observed.max_cold_running
+            self.observed.max_cold_running = max(seen, running)
+            if running > self.settings.cold_limit:
+                self.observed.falls += 1
+                self.turn_cold()
+                return False
+        return True
+
+    def end(self, request_id: str) -> None:
+        """Take a request out of the batch."""
+        if request_id in self.running_ids:
+            self.running_ids.discard(request_id)
+            self._served += 1
+
+    def step_s(self) -> float:
+        """Return the time of the next token at the present batch size."""
+        excess = len(self.running_ids) / self.settings.capacity
+        return self.settings.token_s * max(1.0, excess)
+
+    def take_order(self, order: Json) -> Response:
+        """Carry out an order to load or unload."""
+        self.observed.orders += 1
+        fence = int(order.get("fence", 0))
+        if self.settings.checks_fencing:
+            if fence < self.highest_fence:
+                self.observed.stale_orders += 1
+                return Response.from_json({"error": "stale_fence"}, 409)
+            self.highest_fence = fence
+        if order["kind"].startswith("unload"):
+            return self._unload(order)
+        return self._load(order)
+
+    def _unload(self, order: Json) -> Response:
+        model, adapter = order["model"], order.get("adapter", "")
+        for target in list(self.replica_by_target):
+            if target == (model, adapter) or (not adapter and target[0] == model):
+                del self.replica_by_target[target]
+        if not adapter:
+            self.tier_by_model[model] = "memory"
+        return Response.from_json({"accepted": True}, 202)
+
+    def _load(self, order: Json) -> Response:
+        target = (order["model"], order.get("adapter", ""))
+        if target in self.replica_by_target:
+            return Response.from_json({"accepted": True}, 202)
+        size = self.size_by_name[target[1] or target[0]]
+        memory_mib = size.memory_mib
+        if self.used_mib() + memory_mib > self.settings.memory_mib:
+            # Engines run out of memory when too much is loaded; the stand-in counts it.
+            self.observed.max_used_mib = self.used_mib() + memory_mib
+            return Response.from_json({"error": "no_memory"}, 507)
+        replica = Loaded(order["replica_id"], *target, memory_mib)
+        self.replica_by_target[target] = replica
+        self.observed.max_used_mib = max(self.observed.max_used_mib, self.used_mib())
+        self.observed.loads.append(target[1] or target[0])
+        gevent.spawn(self._fetch, replica, size.load_s, self.boot_id)
+        return Response.from_json({"accepted": True}, 202)
+
+    def _fetch(self, replica: Loaded, load_s: float, boot_id: str) -> None:
+        if replica.adapter:
+            path = f"/v1/adapters/{replica.adapter}?load_s={load_s}"
+        else:
+            tier = self.tier_by_model.get(replica.model, "remote")
+            share = {"memory": 0.05, "disk": 0.3}.get(tier, 1.0)
+            path = f"/v1/checkpoints/{replica.model}?load_s={load_s * share}"
+        ok = self._ask_store(path)
+        if self.boot_id != boot_id or self.faults.stall_loads:
+            return
+        replica.state = "loaded" if ok else "failed"
+        if ok and not replica.adapter:
+            self.tier_by_model[replica.model] = "memory"
+
+    def _ask_store(self, path: str) -> bool:
+        client = HTTPClient(
+            "127.0.0.1",
+            port=self.settings.store_port,
+            network_timeout=STORE_TIMEOUT_S,
+            concurrency=1,
+        )
+        try:
+            return bool(client.get(path).status_code == 200)
+        except OSError:
+            return False
+        finally:
+            client.close()
+
+    def run_reports(self) -> None:
+        """Take a snapshot at a fixed interval; runs in a greenlet of its own."""
+        while True:
+            now = time.monotonic()
+            self._reports.append((now, self.snapshot()))
+            limit = now - self.settings.report_lag_s
+            while len(self._reports) > 1 and self._reports[1][0] <= limit:
+                self._reports.popleft()
+            gevent.sleep(REPORT_STEP_S)
+
+    def lagged_report(self) -> Json:
+        """Return the oldest snapshot inside the lag, with its age."""
+        taken_at, snapshot = self._reports[0]
+        return {**snapshot, "age_ms": int((time.monotonic() - taken_at) * 1000)}
+
+    def snapshot(self) -> Json:
+        """Return the engine's state as a report."""
+        running = len(self.running_ids)
+        return {
+            "server_id": self.settings.server_id,
+            "boot_id": self.boot_id,
+            "capacity": self.settings.capacity,
+            "running": min(running, self.settings.capacity),
+            "queued": max(0, running - self.settings.capacity),
+            "memory_mib": self.settings.memory_mib,
+            "used_mib": self.used_mib(),
+            "replicas": [
+                {
+                    "model": replica.model,
+                    "adapter": replica.adapter,
+                    "state": replica.state,
+                    "replica_id": replica.replica_id,
+                }
+                for replica in self.replica_by_target.values()
+            ],
+            "checkpoints": dict(self.tier_by_model),
+            "highest_fence": self.highest_fence,
+        }
+
+
+class EngineApp(App):
+    """HTTP interface of the engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+        self._request_ids = itertools.count(1)
+
+    def answer(self, request: Request) -> Response:
+        """Return the response to a request."""
+        if request.path == "/v1/report":
+            return Response.from_json(self._engine.lagged_report())
+        if request.path == "/v1/orders":
+            return self._order(request)
+        if request.path.startswith("/v1/cancel/"):
+            return self._cancel(request.path.rsplit("/", 1)[1])
+        if request.path.startswith("/admin/"):
+            return self._admin(request)
+        if request.path in ("/v1/chat/completions", "/v1/completions"):
+            return self._complete(request)
+        return Response.from_json({"error": "not found"}, 404)
+
+    def _order(self, request: Request) -> Response:
+        response = self._engine.take_order(request.json())
+        if self._engine.faults.lose_order_answers > 0:
+            self._engine.faults.lose_order_answers -= 1
+            raise CloseConnection
+        return response
+
+    def _cancel(self, request_id: str) -> Response:
+        if request_id in self._engine.running_ids:
+            self._engine.observed.cancelled += 1
+            self._engine.end(request_id)
+        return Response.from_json({})
+
+    def _admin(self, request: Request) -> Response:
+        if request.path == "/admin/faults":
+            for name, value in request.json().items():
+                if name == "turn_cold":
+                    self._engine.turn_cold()
+                else:
+                    setattr(self._engine.faults, name, value)
+            return Response.from_json({})
+        if request.path == "/admin/catalog":
+            for name, size in request.json().items():
+                self._engine.size_by_name[name] = Size(**size)
+            return Response.from_json({})
+        return Response.from_json(attrs.asdict(self._engine.observed))
+
+    def _complete(self, request: Request) -> Response:
+        engine = self._engine
+        if "authorization" in request.headers:
+            engine.observed.credentials_seen += 1
+        body = request.json()
+        target = self._target(body)
+        replica = engine.replica_by_target.get(target)
+        if replica is None or replica.state != "loaded":
+            return Response.from_json({"error": "model is not loaded"}, 404)
+        request_id = request.headers.get("x-request-id") or str(next(self._request_ids))
+        if not engine.begin(request_id):
+            raise CloseConnection
+        tokens = int(body.get("max_tokens", 16))
+        headers = (("X-Request-Id", request_id),)
+        if body.get("stream"):
+            lines = self._stream(request_id, tokens)
+            return Response(200, lines, "text/event-stream", headers)
+        return self._whole(request_id, tokens, headers)
+
+    def _target(self, body: Json) -> tuple[str, str]:
+        name = body["model"]
+        for model, adapter in self._engine.replica_by_target:
+            if adapter == name:
+                return (model, adapter)
+        return (name, "")
+
+    def _tokens(self, request_id: str, tokens: int) -> Iterator[str]:
+        engine, boot_id = self._engine, self._engine.boot_id
+        cut_after = engine.faults.cut_streams_after
+        for number in range(tokens):
+            gevent.sleep(engine.step_s())
+            if engine.boot_id != boot_id or (cut_after and number >= cut_after):
+                raise CloseConnection
+            if request_id not in engine.running_ids:
+                return
+            yield f"{request_id}:{number} "
+
+    def _stream(self, request_id: str, tokens: int) -> Iterator[bytes]:
+        try:
+            for text in self._tokens(request_id, tokens):
+                yield _event({"choices": [{"index": 0, "delta": {"content": text}}]})
+            usage = {"prompt_tokens": 1, "completion_tokens": tokens}
+            final = {"index": 0, "delta": {}, "finish_reason": "stop"}
+            yield _event({"choices": [final], "usage": usage})
+            yield b"data: [DONE]\n\n"
+        finally:
+            self._engine.end(request_id)
+
+    def _whole(
+        self, request_id: str, tokens: int, headers: tuple[tuple[str, str], ...]
+    ) -> Response:
+        try:
+            text = "".join(self._tokens(request_id, tokens))
+        finally:
+            self._engine.end(request_id)
+        message = {"role": "assistant", "content": text}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        usage = {"prompt_tokens": 1, "completion_tokens": tokens}
+        answer = {"id": request_id, "choices": [choice], "usage": usage}
+        return Response(200, json.dumps(answer).encode(), headers=headers)
+
+
+def _event(data: Json) -> bytes:
+    return b"data: " + json.dumps(data).encode() + b"\n\n"
+
+
+@click.command()
+@click.option("--port", default=0, help="Port to bind; 0 lets the kernel choose.")
+@click.option("--server-id", required=True)
+@click.option("--store-port", required=True, type=int)
+@click.option("--memory-mib", default=1000)
+@click.option("--capacity", default=16)
+@click.option("--checks-fencing/--ignores-fencing", default=True)
+@click.option("--report-lag-s", default=0.3)
+@click.option("--token-s", default=0.005)
+@click.option("--cold-limit", default=4)
+@click.option("--warm-after", default=8)
+def main(port: int, **options: object) -> None:
+    """Run the engine stand-in."""
+    engine = Engine(EngineSettings(**options))  # type: ignore[arg-type]
+    gevent.spawn(engine.run_reports)
+    serve(EngineApp(engine), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/siskinspool/standins/wsgi.py
@@ -0,0 +1,160 @@
+"""A small WSGI base for the stand-ins.
+
+A stand-in binds to a port chosen by the kernel, prints one JSON line
+``{"ready": true, "port": N}`` and serves until SIGTERM or SIGINT.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import struct
+import sys
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import attrs
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+Json = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+_REASON_BY_STATUS: Final = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    507: "Insufficient Storage",
+}
+
+
+@attrs.frozen
+class Request:
+    """One HTTP request with its whole body."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Json:
+        """Return the body as a JSON object; raise ValueError if it is none."""
+        value = json.loads(self.body or b"{}")
+        if not isinstance(value, dict):
+            raise ValueError("the body is not a JSON object")
+        return value
+
+
+@attrs.frozen
+class Response:
+    """An HTTP response; the body may be produced while it is sent."""
+
+    status: int = 200
+    body: bytes | Iterable[bytes] = b""
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @classmethod
+    def from_json(cls, value: object, status: int = 200) -> Response:
+        """Return a JSON response."""
+        return cls(status, json.dumps(value).encode() + b"\n")
+
+
+class CloseConnection(Exception):  # noqa: N818 - a signal, not an error
+    """Raised by an application to reset the connection without an answer."""
+
+
+class _Handler(WSGIHandler):
+    """Gives the application access to the socket of the connection."""
+
+    def get_environ(self) -> Json:
+        environ: Json = super().get_environ()
+        environ["siskinspool.socket"] = self.socket
+        return environ
+
+    def log_error(self, msg: str, *args: object) -> None:
+        """Drop messages about connections that the other side closed."""
+
+
+def reset_connection(sock: socket.socket) -> None:
+    """Close a connection so that the other side sees a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class App(ABC):
+    """A WSGI application with one method that answers requests."""
+
+    @abstractmethod
+    def answer(self, request: Request) -> Response:
+        """Return the response to a request."""
+
+    def __call__(self, environ: Json, start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one request as WSGI asks for it."""
+        request = read_request(environ)
+        try:
+            response = self.answer(request)
+        except (ValueError, KeyError) as error:
+            response = Response.from_json({"error": str(error)}, 400)
+        except CloseConnection:
+            reset_connection(environ["siskinspool.socket"])
+            raise
+        reason = _REASON_BY_STATUS.get(response.status, "Status")
+        headers = [("Content-Type", response.content_type), *response.headers]
+        body = response.body
+        if isinstance(body, bytes):
+            headers.append(("Content-Length", str(len(body))))
+            body = [body]
+        start_response(f"{response.status} {reason}", headers)
+        return body
+
+
+def read_request(environ: Json) -> Request:
+    """Return the request of a WSGI environment, body included."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+    )
+
+
+def serve(app: App, port: int) -> None:
+    """Serve an application on loopback until a signal asks to stop."""
+    server = WSGIServer(
+        ("127.0.0.1", port), app, log=None, error_log=None, handler_class=_Handler
+    )
+    server.start()
+    announce(int(server.server_port or 0))
+    wait_for_stop()
+    server.stop(timeout=0.2)
+
+
+def announce(port: int, **more: int) -> None:
+    """Tell the process that started this one which port was bound."""
+    print(json.dumps({"ready": True, "port": port, **more}), flush=True)
+
+
+def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    stopped.wait()
+    sys.stdout.flush()
