Add the key-value task with session keeper and shared watch

Decisions reach the key-value service only by messages, so one task owns the adapter. KvTask carries requests out in 16 greenlets behind a queue of 1,000 and answers each once. The session keeper reports renewals by send time, the watch follows the shared prefix (platform/keys.py) and lists again after a break. A read of config/head, sent when membership asks, is the evidence of freshness: a renewal succeeds as well while a broken watch hides changes.

--- /dev/null
+++ b/src/siskinspool/platform/kv_task.py
@@ -0,0 +1,272 @@
+"""The ``kv`` task: the only user of the key-value service's adapter.
+
+Requests are carried out by a bounded pool of greenlets behind a bounded queue, each
+answered by exactly one reply. Three more greenlets wait on the service: one keeps the
+session, one keeps the watch on the shared prefix, one reads the configuration's head
+when membership asks for evidence. They share no state with the task and report by
+messages to its inbox or to the registered tasks.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import gevent
+from gevent.event import Event
+from gevent.queue import Full, Queue
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.task import Task
+from ..machines.messages import Member
+from ..telemetry.logs import log_event
+from .keys import CONFIG_HEAD
+from .kv import (
+    KeyValueService,
+    KvConflict,
+    KvDelete,
+    KvDeleted,
+    KvGet,
+    KvList,
+    KvListing,
+    KvLost,
+    KvReply,
+    KvRequest,
+    KvSwap,
+    KvSwapped,
+    KvUnavailable,
+    KvValue,
+    LostAnswerError,
+    SwapResult,
+    UnavailableError,
+)
+from .kv_events import (
+    EndSession,
+    KvReachable,
+    ProbeHead,
+    SessionEnded,
+    SessionGone,
+    SessionRenewed,
+)
+from .kv_watch import SharedWatch
+from .leases import SharedLeases
+from .session_keeper import RENEW_INTERVAL_S, SESSION_TTL_S, SessionKeeper
+
+logger = logging.getLogger(__name__)
+
+KV_TASK: Final = "kv"
+WORKERS: Final = 16
+QUEUE_CAPACITY_REQUESTS: Final = 1_000
+# A probe has to fail early enough for neighbours to hear of an outage within 4 s.
+PROBE_TIMEOUT_S: Final = 1.0
+# A session is not used for the last second of its time to live.
+SESSION_MARGIN_S: Final = 1.0
+
+
+@attrs.frozen
+class _Job:
+    """A request with what the task decided about it."""
+
+    sender: Address
+    request: KvRequest
+    session_lease_id: int | None
+
+
+class KvTask(Task):
+    """Owns the adapter of the key-value service."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        service: KeyValueService,
+        member: Member,
+        *,
+        watchers: tuple[str, ...] = ("membership", "ownership", "revisions"),
+        health_watchers: tuple[str, ...] = ("membership", "ownership"),
+        workers: int = WORKERS,
+        queue_capacity: int = QUEUE_CAPACITY_REQUESTS,
+        session_ttl_s: float = SESSION_TTL_S,
+        renew_interval_s: float = RENEW_INTERVAL_S,
+    ) -> None:
+        """Take the tasks that get `KvChanged` and those that get health messages."""
+        super().__init__(KV_TASK, dispatcher, clock)
+        self._service = service
+        self._watchers = watchers
+        self._health_watchers = health_watchers
+        self._worker_count = workers
+        self._jobs: Queue[_Job | None] = Queue(queue_capacity)
+        self._leases = SharedLeases(service, clock)
+        self._session: SessionRenewed | None = None
+        self._ending: list[Address] = []
+        self._probe_wanted = Event()
+        self._keeper = SessionKeeper(
+            service, clock, member, self._from_keeper, session_ttl_s, renew_interval_s
+        )
+        self._watch = SharedWatch(service, self._publish)
+        self._greenlets: list[gevent.Greenlet[..., None]] = []
+
+    def start(self) -> None:
+        """Start the task and the greenlets that wait on the service."""
+        super().start()
+        loops: list[Callable[[], None]] = [self._work] * self._worker_count
+        loops += [self._keeper.run, self._watch.run, self._probe]
+        self._greenlets = [gevent.spawn(loop) for loop in loops]
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """End the task and its greenlets; `EndSession` revokes the session before."""
+        super().stop(timeout_s)
+        gevent.killall(self._greenlets, block=True, timeout=timeout_s)
+        self._greenlets = []
+
+    def handle(self, incoming: Incoming) -> None:
+        """Queue a request, or follow the session."""
+        match incoming.message:
+            case KvRequest() as request:
+                self._queue_request(incoming.sender, request)
+            case ProbeHead():
+                self._probe_wanted.set()
+            case SessionRenewed() as renewed:
+                self._session = renewed
+            case SessionGone():
+                self._session = None
+            case SessionEnded():
+                for sender in self._ending:
+                    self._send(sender, SessionEnded())
+                self._ending.clear()
+            case EndSession():
+                self._ending.append(incoming.sender)
+                self._keeper.end()
+
+    def _queue_request(self, sender: Address, request: KvRequest) -> None:
+        lease_id = None
+        if isinstance(request, KvSwap) and request.with_session:
+            lease_id = self._valid_lease()
+            if lease_id is None:
+                self._send(sender, KvUnavailable(request.request_id, request.key))
+                return
+        try:
+            self._jobs.put_nowait(_Job(sender, request, lease_id))
+        except Full:
+            log_event(logger, logging.WARNING, "kv_queue_full")
+            self._send(sender, KvUnavailable(request.request_id, _subject(request)))
+
+    def _valid_lease(self) -> int | None:
+        session = self._session
+        if session is None:
+            return None
+        valid_until = session.sent_at + session.ttl_s - SESSION_MARGIN_S
+        return session.lease_id if self.clock.now() < valid_until else None
+
+    def _work(self) -> None:
+        for job in self._jobs:
+            if job is not None:
+                self._send(job.sender, self._answer(job))
+
+    def _answer(self, job: _Job) -> KvReply:
+        request = job.request
+        sent_at = self.clock.now()
+        try:
+            reply = self._carry_out(job)
+        except UnavailableError:
+            self._report_health(KvReachable(False, sent_at))
+            return KvUnavailable(request.request_id, _subject(request))
+        except Exception as error:
+            # Anything else than "not sent" leaves the effect unknown.
+            if not isinstance(error, LostAnswerError):
+                log_event(logger, logging.ERROR, "kv_failed", error=repr(error))
+            self._report_health(KvReachable(False, sent_at))
+            return KvLost(request.request_id, _subject(request))
+        self._report_health(KvReachable(True, sent_at))
+        return reply
+
+    def _carry_out(self, job: _Job) -> KvReply:
+        match job.request:
+            case KvGet(request_id, key):
+                item = self._service.get(key)
+                if item is None:
+                    return KvValue(request_id, key, None, 0)
+                return KvValue(request_id, key, item.value, item.revision)
+            case KvList(request_id, prefix):
+                return KvListing(request_id, prefix, self._service.list(prefix))
+            case KvSwap() as swap:
+                return self._swap(swap, job.session_lease_id)
+            case KvDelete(request_id, key, expected):
+                result = self._service.delete(key, expected)
+                if result.succeeded:
+                    return KvDeleted(request_id, key)
+                return _conflict(request_id, key, result)
+            case _:
+                raise UnavailableError("unknown request")
+
+    def _swap(self, swap: KvSwap, lease_id: int | None) -> KvReply:
+        if swap.ttl_s is not None and lease_id is None:
+            try:
+                lease_id = self._leases.lease_id(swap.key, swap.ttl_s)
+            except LostAnswerError as error:
+                # The write itself was not sent.
+                raise UnavailableError(str(error)) from error
+        try:
+            result = self._service.swap(
+                swap.key, swap.expected_revision, swap.value, lease_id
+            )
+        except LostAnswerError:
+            if swap.ttl_s is not None:
+                self._leases.forget(swap.key, swap.ttl_s)
+            raise
+        if result.succeeded:
+            return KvSwapped(swap.request_id, swap.key, result.revision)
+        return _conflict(swap.request_id, swap.key, result)
+
+    def _probe(self) -> None:
+        while True:
+            self._probe_wanted.wait()
+            self._probe_wanted.clear()
+            sent_at = self.clock.now()
+            try:
+                with gevent.Timeout(PROBE_TIMEOUT_S):
+                    item = self._service.get(CONFIG_HEAD)
+            except (gevent.Timeout, Exception):
+                # Any failure counts: nothing was proved.
+                self._report_health(KvReachable(False, sent_at))
+                continue
+            if item is not None:
+                self._watch.offer(item)
+            self._report_health(KvReachable(True, sent_at, head_read=True))
+
+    def _from_keeper(self, message: Message) -> None:
+        """Pass a message of the session keeper on; runs in its greenlet."""
+        self._report_health(message)
+        if not isinstance(message, KvReachable):
+            self._send(self.address, message)
+
+    def _report_health(self, message: Message) -> None:
+        for task in self._health_watchers:
+            self._send(self.dispatcher.address(task), message)
+
+    def _publish(self, message: Message) -> None:
+        for task in self._watchers:
+            self._send(self.dispatcher.address(task), message)
+
+    def _send(self, recipient: Address, message: Message) -> None:
+        self.dispatcher.send(self.address, Outgoing(recipient, message))
+
+
+def _subject(request: KvRequest) -> str:
+    match request:
+        case KvGet(_, key) | KvDelete(_, key, _):
+            return key
+        case KvSwap() as swap:
+            return swap.key
+        case KvList(_, prefix):
+            return prefix
+        case _:
+            return ""
+
+
+def _conflict(request_id: str, key: str, result: SwapResult) -> KvConflict:
+    return KvConflict(request_id, key, result.value, result.revision)
--- /dev/null
+++ b/src/siskinspool/platform/kv_watch.py
@@ -0,0 +1,85 @@
+"""The watch on the shared prefix.
+
+The watch lists the prefix, publishes what differs from what it published before
+(deletions too) and then follows changes. When the link fails it lists again. A key
+that arrives twice, by a listing and by an event, is published once: `_known` holds the
+newest revision of each key, and older ones are dropped.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+
+from ..telemetry.logs import log_event
+from .keys import SHARED_PREFIX
+from .kv import (
+    KeyValueService,
+    KvChanged,
+    KvItem,
+    WatchEvent,
+)
+
+logger = logging.getLogger(__name__)
+
+RETRY_INTERVAL_S: Final = 0.5
+
+Publish = Callable[[KvChanged], None]
+
+
+class SharedWatch:
+    """Follows the keys under one prefix."""
+
+    def __init__(
+        self, service: KeyValueService, publish: Publish, prefix: str = SHARED_PREFIX
+    ) -> None:
+        self._service = service
+        self._publish = publish
+        self._prefix = prefix
+        self._known: dict[str, int] = {}
+        # Revision of the newest event or listing entry seen.
+        self._revision = 0
+
+    def run(self) -> None:
+        """Follow the prefix for ever."""
+        while True:
+            try:
+                self._list()
+                for event in self._service.watch(self._prefix, self._revision + 1):
+                    self._take_event(event)
+            except Exception as error:
+                # Also an answer that the adapter cannot read must not end the watch.
+                log_event(logger, logging.WARNING, "watch_broken", reason=repr(error))
+            gevent.sleep(RETRY_INTERVAL_S)
+
+    def offer(self, item: KvItem) -> None:
+        """Publish a key read elsewhere, if it is newer than what was published."""
+        if item.revision > self._known.get(item.key, 0):
+            self._known[item.key] = item.revision
+            self._publish(KvChanged(item.key, item.value, item.revision))
+
+    def _list(self) -> None:
+        known_before = dict(self._known)
+        items = self._service.list(self._prefix)
+        listed = {item.key for item in items}
+        for item in items:
+            self.offer(item)
+            self._revision = max(self._revision, item.revision)
+        for key, revision in known_before.items():
+            # A key published while the listing was under way is newer than it.
+            if key not in listed and self._known.get(key) == revision:
+                del self._known[key]
+                self._publish(KvChanged(key, None, revision))
+
+    def _take_event(self, event: WatchEvent) -> None:
+        self._revision = max(self._revision, event.revision)
+        if event.key is None or event.revision <= self._known.get(event.key, 0):
+            return
+        if event.value is None:
+            self._known.pop(event.key, None)
+            self._publish(KvChanged(event.key, None, event.revision))
+        else:
+            self.offer(KvItem(event.key, event.value, event.revision))
--- /dev/null
+++ b/src/siskinspool/platform/session_keeper.py
@@ -0,0 +1,176 @@
+"""The instance's session: one lease and one key that lives with it.
+
+A greenlet grants the lease, writes the session key and renews the lease every 3 s. It
+reports each success with the time at which the call was sent, because the service
+counts the time to live from a later moment.
+
+The key is written only if it is absent or is this incarnation's own. A session that an
+earlier process of the same name left behind has to expire first: its holder may be
+paused and would otherwise lose the partitions that it still believes to own.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from ..core.clock import Clock
+from ..core.message import Message
+from ..machines.messages import Member
+from ..telemetry.logs import log_event
+from .keys import session_key
+from .kv import KeyValueService, LostAnswerError, UnavailableError
+from .kv_events import KvReachable, SessionEnded, SessionGone, SessionRenewed
+
+logger = logging.getLogger(__name__)
+
+SESSION_TTL_S: Final = 10.0
+RENEW_INTERVAL_S: Final = 3.0
+# A failed renewal is repeated sooner, so that one lost answer does not end a session.
+RETRY_INTERVAL_S: Final = 1.0
+
+Report = Callable[[Message], None]
+
+
+class SessionRecord(msgspec.Struct, frozen=True):
+    """Value of a session key."""
+
+    incarnation: str
+    zone: str
+    host: str
+    port: int
+    # Tells a write of this session from one of an earlier lease.
+    lease_id: int
+
+
+def encode_session(member: Member, lease_id: int) -> bytes:
+    """Return the value of a session key."""
+    return msgspec.json.encode(
+        SessionRecord(
+            member.incarnation, member.zone, member.host, member.port, lease_id
+        )
+    )
+
+
+def decode_session(instance_id: str, value: bytes) -> Member | None:
+    """Return the member that a session key stands for, or None if malformed."""
+    try:
+        record = msgspec.json.decode(value, type=SessionRecord)
+    except (msgspec.DecodeError, ValueError):
+        return None
+    return Member(
+        instance_id, record.incarnation, record.zone, record.host, record.port
+    )
+
+
+class SessionKeeper:
+    """Owns the session's lease; reports to the ``kv`` task by messages."""
+
+    def __init__(
+        self,
+        service: KeyValueService,
+        clock: Clock,
+        member: Member,
+        report: Report,
+        ttl_s: float = SESSION_TTL_S,
+        renew_interval_s: float = RENEW_INTERVAL_S,
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._member = member
+        self._report = report
+        self._ttl_s = ttl_s
+        self._renew_interval_s = renew_interval_s
+        self._lease_id: int | None = None
+        self._ended = Event()
+
+    def run(self) -> None:
+        """Keep a session until `end` is called."""
+        while not self._ended.is_set():
+            started_at = self._clock.now()
+            interval_s = self._renew_interval_s if self._step() else RETRY_INTERVAL_S
+            elapsed_s = self._clock.now() - started_at
+            self._ended.wait(max(interval_s - elapsed_s, 0.05))
+        self._revoke()
+
+    def end(self) -> None:
+        """Let `run` revoke the lease and return."""
+        self._ended.set()
+
+    def _step(self) -> bool:
+        sent_at = self._clock.now()
+        try:
+            alive = self._open() if self._lease_id is None else self._renew(sent_at)
+        except Exception as error:
+            # Also an answer that the adapter cannot read must not end the keeper.
+            if not isinstance(error, LostAnswerError | UnavailableError):
+                log_event(logger, logging.ERROR, "session_failed", error=repr(error))
+            self._report(KvReachable(False, sent_at))
+            return False
+        self._report(KvReachable(True, sent_at))
+        return alive
+
+    def _open(self) -> bool:
+        """Grant a lease and write the key; return False if the key is in use."""
+        sent_at = self._clock.now()
+        lease_id = self._service.grant_lease(self._ttl_s)
+        if not self._write_key(lease_id):
+            log_event(logger, logging.INFO, "session_waits", reason="key_in_use")
+            # Without this, each attempt would leave a lease behind.
+            self._service.revoke_lease(lease_id)
+            return False
+        self._lease_id = lease_id
+        log_event(logger, logging.INFO, "session_opened", lease=lease_id)
+        self._report_renewed(lease_id, sent_at)
+        return True
+
+    def _write_key(self, lease_id: int) -> bool:
+        key = session_key(self._member.instance_id)
+        value = encode_session(self._member, lease_id)
+        current = self._service.get(key)
+        if current is not None:
+            holder = decode_session(self._member.instance_id, current.value)
+            if holder is not None and holder.incarnation != self._member.incarnation:
+                return False
+        revision = current.revision if current is not None else 0
+        try:
+            return self._service.swap(key, revision, value, lease_id).succeeded
+        except LostAnswerError:
+            written = self._service.get(key)
+            return written is not None and written.value == value
+
+    def _renew(self, sent_at: float) -> bool:
+        lease_id = self._lease_id
+        assert lease_id is not None
+        if self._service.keep_alive(lease_id) is None:
+            log_event(logger, logging.WARNING, "session_lost", lease=lease_id)
+            self._lease_id = None
+            self._report(SessionGone())
+            return self._open()
+        self._report_renewed(lease_id, sent_at)
+        return True
+
+    def _report_renewed(self, lease_id: int, sent_at: float) -> None:
+        self._report(
+            SessionRenewed(self._member.incarnation, lease_id, sent_at, self._ttl_s)
+        )
+
+    def _revoke(self) -> None:
+        # A drain has released the partitions before; whoever still uses the session
+        # hears that it is gone before the service forgets it.
+        self._report(SessionGone())
+        gevent.sleep(0)
+        if self._lease_id is not None:
+            try:
+                self._service.revoke_lease(self._lease_id)
+            except Exception as error:
+                log_event(
+                    logger, logging.WARNING, "session_not_revoked", error=repr(error)
+                )
+            self._lease_id = None
+        self._report(SessionEnded())
