Add the manifest, its checks and differences, and revisions

Operators change the configuration during traffic, and every instance needs it within 10 s and must never go back (R13).

Adds the checked manifest with all faults at once, changes of single entities, an incremental digest, chained change records under a small head that moves by compare-and-swap, and the Revisions decision.

--- /dev/null
+++ b/src/siskinspool/contracts/call.py
@@ -0,0 +1,312 @@
+"""Calls: what a caller asked for, checked against the manifest.
+
+`parse_call` turns an HTTP request into a `Call` or a `Refusal`. It does no I/O. A call
+names its target (a model, an adapter or the route of a plain service), its team, its
+class, its deadline and whether it may run more than once. The headers and the query
+that go on to a server never hold the caller's key (R4).
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+from urllib.parse import parse_qsl, urlencode
+
+import attrs
+import msgspec
+
+from ..core.errors import ErrorCode
+from ..core.outcome import Refusal
+from ..manifest.model import Catalog, RequestClass, Route, Team
+from .key import KEY_PREFIX, key_id_of, verify_key
+
+MODEL_PATHS: Final = ("/v1/chat/completions", "/v1/completions")
+DEFAULT_MAX_TOKENS: Final = 256
+# A rough size of a token, for the estimate before the engine has counted.
+BYTES_PER_TOKEN: Final = 4
+MAX_DEADLINE_MS: Final = 24 * 3600 * 1000
+MAX_IDEMPOTENCY_KEY_CHARS: Final = 255
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and headers in
+# which clients are known to put credentials.
+_DROPPED_HEADERS: Final = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "cookie",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-api-key",
+        "api-key",
+    }
+)
+_KEY_QUERY_NAMES: Final = frozenset({"api_key", "apikey", "api-key", "key", "token"})
+
+
+@attrs.frozen
+class HttpRequest:
+    """A request as the front end received it; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes = attrs.field(repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """A checked request."""
+
+    id: str
+    # Empty on a route open to all.
+    team: str
+    # Id of the key that came with the request; empty on an open route.
+    key_id: str
+    # Model, adapter or route id.
+    target: str
+    # Base model of the target; empty for a plain service.
+    model: str
+    route: Route | None
+    request_class: RequestClass
+    # Monotonic seconds.
+    deadline_at: float
+    idempotent: bool
+    idempotency_key: str
+    # Tokens charged at admission.
+    estimate_tokens: int
+    streamed: bool
+    method: str
+    # Path and query without any key.
+    uri: str
+    # Headers that go on to the server.
+    headers: dict[str, str]
+    body: bytes = attrs.field(repr=False)
+
+    @property
+    def idempotency_key_digest(self) -> str:
+        """Hex digest of the idempotency key, which may hold private data."""
+        text = self.idempotency_key.encode("utf-8", "surrogateescape")
+        return hashlib.blake2b(text, digest_size=16).hexdigest()
+
+    @property
+    def body_digest(self) -> str:
+        """Hex digest of method, path and body, to tell a reused idempotency key."""
+        digest = hashlib.blake2b(digest_size=16)
+        digest.update(f"{self.method} {self.uri}\n".encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
+
+class _ModelBody(msgspec.Struct):
+    """The fields of a completion request that the system reads."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+
+_body_decoder: Final = msgspec.json.Decoder(_ModelBody)
+
+
+def parse_call(
+    request: HttpRequest, catalog: Catalog, call_id: str, now: float
+) -> Call | Refusal:
+    """Return the call that a request makes, or why it is refused."""
+    if request.path in MODEL_PATHS:
+        return _parse_model_call(request, catalog, call_id, now)
+    route = find_route(catalog, request.path)
+    if route is None:
+        return Refusal(404, ErrorCode.UNKNOWN_ROUTE, "no route has this path")
+    return _parse_service_call(request, catalog, route, call_id, now)
+
+
+def find_route(catalog: Catalog, path: str) -> Route | None:
+    """Return the route with the longest path prefix that matches, or None."""
+    best: Route | None = None
+    for route in catalog.manifest.routes:
+        base = route.path.rstrip("/")
+        matches = path == base or path.startswith(base + "/")
+        if matches and (best is None or len(route.path) > len(best.path)):
+            best = route
+    return best
+
+
+def authenticate(request: HttpRequest, catalog: Catalog) -> Team | Refusal:
+    """Return the team whose key came with the request, or why there is none."""
+    text = bearer_key(request)
+    if text is None:
+        if _key_elsewhere(request):
+            return Refusal(
+                401,
+                ErrorCode.KEY_MISPLACED,
+                "send the key as 'Authorization: Bearer <key>'",
+            )
+        return Refusal(401, ErrorCode.KEY_MISSING, "no key came with the request")
+    team = verify_key(catalog, text)
+    if team is None:
+        return Refusal(401, ErrorCode.KEY_REJECTED, "the key is not valid")
+    return team
+
+
+def bearer_key(request: HttpRequest) -> str | None:
+    """Return the key of the Authorization header, or None."""
+    scheme, _, text = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not text.strip():
+        return None
+    return text.strip()
+
+
+def is_allowed(team: Team, target: str) -> bool:
+    """Tell whether a team may use a model, adapter or route."""
+    return "*" in team.allow or target in team.allow
+
+
+def forwarded_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers that may go on to a server."""
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    return {
+        name: value
+        for name, value in headers.items()
+        if name not in _DROPPED_HEADERS
+        and name not in named
+        and not name.startswith("x-siskin-")
+        and KEY_PREFIX not in value
+    }
+
+
+def forwarded_uri(path: str, query: str) -> str:
+    """Return path and query without parameters that carry a key."""
+    pairs = parse_qsl(query, keep_blank_values=True)
+    kept = [pair for pair in pairs if not _carries_key(*pair)]
+    if kept == pairs:
+        return f"{path}?{query}" if query else path
+    return f"{path}?{urlencode(kept)}" if kept else path
+
+
+def _carries_key(name: str, value: str) -> bool:
+    return name.lower() in _KEY_QUERY_NAMES or value.startswith(KEY_PREFIX)
+
+
+def _key_elsewhere(request: HttpRequest) -> bool:
+    if any(_carries_key(*pair) for pair in parse_qsl(request.query)):
+        return True
+    if "x-api-key" in request.headers or "api-key" in request.headers:
+        return True
+    return any(KEY_PREFIX in value for value in request.headers.values())
+
+
+def _parse_model_call(
+    request: HttpRequest, catalog: Catalog, call_id: str, now: float
+) -> Call | Refusal:
+    team = authenticate(request, catalog)
+    if isinstance(team, Refusal):
+        return team
+    try:
+        body = _body_decoder.decode(request.body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Refusal(400, ErrorCode.BAD_REQUEST, f"body: {error}")
+    model = catalog.base_model(body.model)
+    if model is None or not is_allowed(team, body.model):
+        # One answer for both, so that a team cannot list other teams' models.
+        return Refusal(404, ErrorCode.UNKNOWN_MODEL, "no such model for this team")
+    limit = body.max_tokens or body.max_completion_tokens or DEFAULT_MAX_TOKENS
+    if limit < 1:
+        return Refusal(400, ErrorCode.BAD_REQUEST, "max_tokens must be positive")
+    terms = _terms(request, RequestClass.URGENT, team.deadline_ms, now)
+    if isinstance(terms, Refusal):
+        return terms
+    return Call(
+        id=call_id,
+        team=team.id,
+        key_id=key_id_of(bearer_key(request) or ""),
+        target=body.model,
+        model=model.id,
+        route=None,
+        request_class=terms.request_class,
+        deadline_at=terms.deadline_at,
+        idempotent=True,
+        idempotency_key="",
+        estimate_tokens=len(request.body) // BYTES_PER_TOKEN + limit,
+        streamed=body.stream,
+        method=request.method,
+        uri=request.path,
+        headers=forwarded_headers(request.headers),
+        body=request.body,
+    )
+
+
+def _parse_service_call(
+    request: HttpRequest, catalog: Catalog, route: Route, call_id: str, now: float
+) -> Call | Refusal:
+    team_id, key_id = "", ""
+    if not route.open:
+        team = authenticate(request, catalog)
+        if isinstance(team, Refusal):
+            return team
+        if not is_allowed(team, route.id):
+            return Refusal(
+                403, ErrorCode.ROUTE_FORBIDDEN, "the team may not use this route"
+            )
+        team_id, key_id = team.id, key_id_of(bearer_key(request) or "")
+    terms = _terms(request, route.request_class, route.deadline_ms, now)
+    if isinstance(terms, Refusal):
+        return terms
+    idempotency_key = request.headers.get("idempotency-key", "")
+    if len(idempotency_key) > MAX_IDEMPOTENCY_KEY_CHARS:
+        return Refusal(400, ErrorCode.BAD_REQUEST, "Idempotency-Key is too long")
+    return Call(
+        id=call_id,
+        team=team_id,
+        key_id=key_id,
+        target=route.id,
+        model="",
+        route=route,
+        request_class=terms.request_class,
+        deadline_at=terms.deadline_at,
+        idempotent=route.idempotent,
+        idempotency_key="" if route.idempotent else idempotency_key,
+        estimate_tokens=route.cost_tokens,
+        streamed=False,
+        method=request.method,
+        uri=forwarded_uri(request.path, request.query),
+        headers=forwarded_headers(request.headers),
+        body=request.body,
+    )
+
+
+@attrs.frozen
+class _Terms:
+    request_class: RequestClass
+    deadline_at: float
+
+
+def _terms(
+    request: HttpRequest, default_class: RequestClass, default_ms: int, now: float
+) -> _Terms | Refusal:
+    class_name = request.headers.get("x-siskin-class", default_class.value)
+    try:
+        request_class = RequestClass(class_name.strip().lower())
+    except ValueError:
+        return Refusal(
+            400, ErrorCode.BAD_REQUEST, "X-Siskin-Class must be urgent or patient"
+        )
+    text = request.headers.get("x-siskin-deadline-ms", str(default_ms)).strip()
+    deadline_ms = int(text) if text.isascii() and text.isdigit() else 0
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        return Refusal(
+            400,
+            ErrorCode.BAD_REQUEST,
+            f"X-Siskin-Deadline-Ms must be from 1 to {MAX_DEADLINE_MS}",
+        )
+    return _Terms(request_class, now + deadline_ms / 1000)
--- /dev/null
+++ b/src/siskinspool/core/converter.py
@@ -0,0 +1,51 @@
+"""Strict conversion of JSON documents to attrs classes.
+
+Unknown fields and wrong types are faults. `describe_faults` lists all faults of a
+document at once, each with its path.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cattrs
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a strict converter: unknown fields and wrong types are faults."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (str, int, float, bool):
+        converter.register_structure_hook(kind, _strict_hook(kind))
+    return converter
+
+
+def describe_faults(error: Exception, root: str) -> list[str]:
+    """Return one line per fault of a document that did not convert."""
+    return [
+        line.replace("invalid value for type, expected", "wrong type, expected")
+        for line in cattrs.transform_error(error, path=root, format_exception=_describe)
+    ]
+
+
+def _describe(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, KeyError):
+        return f"the field {error.args[0]} is missing"
+    if isinstance(error, cattrs.errors.ForbiddenExtraKeysError):
+        return "unknown fields: " + ", ".join(sorted(error.extra_fields))
+    if isinstance(error, (TypeError, ValueError)) and error.args:
+        return str(error)
+    return cattrs.v.format_exception(error, kind)
+
+
+def _strict_hook(kind: type) -> Any:
+    names = {str: "a string", int: "a whole number", float: "a number"}
+    wanted = names.get(kind, "true or false")
+
+    def structure(value: object, _: object) -> object:
+        accepted = (int, float) if kind is float else (kind,)
+        is_bool = isinstance(value, bool)
+        if not isinstance(value, accepted) or (is_bool and kind is not bool):
+            raise TypeError(f"{value!r} is not {wanted}")
+        return kind(value)
+
+    return structure
--- /dev/null
+++ b/src/siskinspool/links/backend.py
@@ -0,0 +1,174 @@
+"""HTTP to servers and services.
+
+Every call opens a connection of its own and closes it at the end. A pooled connection
+saves one round trip of about a millisecond, but the HTTP client may send a request
+again when a pooled connection went stale, and a stream that was cut could leave bytes
+behind for the next call. With one connection per call neither can happen (R8, R10).
+
+`open_call` sends once. `NotSent` means that no byte of the request left; after that,
+every failure is `Lost`: the server may have run the call.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+import attrs
+from gevent import socket
+from geventhttpclient.response import HTTPSocketResponse
+
+CONNECT_TIMEOUT_S: Final = 1.0
+EVENT_END: Final = b"\n\n"
+
+
+@attrs.frozen
+class ServerRequest:
+    """A request as it goes to a server."""
+
+    host: str
+    port: int
+    method: str
+    uri: str
+    headers: dict[str, str]
+    body: bytes = attrs.field(repr=False)
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """No byte of the request left this instance."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Lost:
+    """The request may have reached the server, but its answer did not come whole."""
+
+    reason: str
+
+
+class Answer(ABC):
+    """An answer whose head has arrived."""
+
+    status: int
+    headers: dict[str, str]
+
+    @abstractmethod
+    def read_all(self) -> bytes | Lost:
+        """Return the whole body, or Lost if it ended early."""
+
+    @abstractmethod
+    def events(self) -> Iterator[bytes | Lost]:
+        """Yield server-sent events; a Lost, if any, is the last item."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection; the server sees that the call is cancelled."""
+
+
+class HttpAnswer(Answer):
+    """An answer on a connection of its own."""
+
+    def __init__(self, sock: socket.socket, response: HTTPSocketResponse) -> None:
+        self._sock = sock
+        self._response = response
+        self.status = int(response.status_code)
+        self.headers = {
+            str(name).lower(): value if isinstance(value, str) else ", ".join(value)
+            for name, value in response.items()
+        }
+
+    def read_all(self) -> bytes | Lost:
+        """Return the whole body, or Lost if it ended early."""
+        if not self._is_framed():
+            # Without a length the end of the connection may be a truncation.
+            return Lost("the answer has neither a length nor chunks")
+        try:
+            body = bytes(self._response.read())
+        except Exception as error:
+            return Lost(_reason(error))
+        if not self._response.message_complete:
+            return Lost("the answer ended early")
+        return body
+
+    def events(self) -> Iterator[bytes | Lost]:
+        """Yield server-sent events; a Lost, if any, is the last item."""
+        try:
+            while event := self._response.readline(EVENT_END):
+                yield bytes(event)
+        except Exception as error:
+            yield Lost(_reason(error))
+            return
+        if not self._response.message_complete:
+            yield Lost("the answer ended early")
+
+    def _is_framed(self) -> bool:
+        if self.status in (204, 304) or self._response.method == "HEAD":
+            return True
+        chunked = "chunked" in self.headers.get("transfer-encoding", "").lower()
+        return chunked or "content-length" in self.headers
+
+    def close(self) -> None:
+        """Close the connection; the server sees that the call is cancelled."""
+        self._sock.close()
+
+
+class ServerLink(ABC):
+    """Sends calls to servers."""
+
+    @abstractmethod
+    def open_call(
+        self, request: ServerRequest, timeout_s: float
+    ) -> Answer | NotSent | Lost:
+        """Send a request once and return the answer's head."""
+
+
+class HttpServerLink(ServerLink):
+    """HTTP/1.1 over TCP."""
+
+    def open_call(
+        self, request: ServerRequest, timeout_s: float
+    ) -> Answer | NotSent | Lost:
+        """Send a request once and return the answer's head."""
+        try:
+            sock = socket.create_connection(
+                (request.host, request.port), min(CONNECT_TIMEOUT_S, timeout_s)
+            )
+        except OSError as error:
+            return NotSent(_reason(error))
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(timeout_s)
+            sock.sendall(encode_request(request))
+            response = HTTPSocketResponse(sock, method=request.method)
+        except Exception as error:
+            sock.close()
+            return Lost(_reason(error))
+        except BaseException:
+            # The call was cancelled while it waited for the answer's head.
+            sock.close()
+            raise
+        return HttpAnswer(sock, response)
+
+
+def encode_request(request: ServerRequest) -> bytes:
+    """Return the bytes of a request; header values must not hold line ends."""
+    lines = [
+        f"{request.method} {request.uri} HTTP/1.1",
+        f"Host: {request.host}:{request.port}",
+        f"Content-Length: {len(request.body)}",
+        "Connection: close",
+    ]
+    for name, value in request.headers.items():
+        if "\r" in value or "\n" in value:
+            raise ValueError(f"header {name} holds a line end")
+        lines.append(f"{name}: {value}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1", "replace") + request.body
+
+
+def _reason(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"[:200]
--- /dev/null
+++ b/src/siskinspool/manifest/head.py
@@ -0,0 +1,135 @@
+"""Records of the configuration in the key-value service.
+
+``config/head`` is the only record that changes, by compare-and-swap. It is small, since
+every instance reads it every few seconds. It names the latest `ChangeRecord`; each
+change record names the one before it, back to a base: the whole manifest in parts.
+Change records and parts are written before the head, under keys with a unique token,
+and never change.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+import msgspec
+
+from ..platform.keys import CONFIG_BODY_PREFIX
+from .changes import EntityChange, diff
+from .document import manifest_digest, write_manifest
+from .model import Manifest
+
+MAX_PART_BYTES: Final = 512 * 1024
+# Length of the chain of change records after which a new base is written.
+MAX_CHAIN: Final = 64
+
+
+@attrs.frozen(kw_only=True)
+class Head:
+    """The record that says which configuration is in force."""
+
+    revision: int
+    # Unique for each attempt to publish; tells whose write took effect.
+    token: str
+    digest: str
+    # Key of the change record that leads to this revision; empty at a base.
+    change_key: str
+    base_revision: int
+    # Keys of the parts of the base.
+    base_parts: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ChangeRecord:
+    """The changes from one revision to the next."""
+
+    revision: int
+    # Key of the record before; empty if the base comes before.
+    previous_key: str
+    changes: tuple[EntityChange, ...]
+
+
+@attrs.frozen
+class Record:
+    """A key with its value."""
+
+    key: str
+    value: bytes
+
+
+@attrs.frozen
+class Publication:
+    """What an operator's client writes: the records first, then the head."""
+
+    records: tuple[Record, ...]
+    head: Head
+
+
+def encode_head(head: Head) -> bytes:
+    """Return a head as JSON."""
+    return msgspec.json.encode(head)
+
+
+def decode_head(data: bytes) -> Head:
+    """Return the head in JSON; raise msgspec.DecodeError if it is malformed."""
+    return msgspec.json.decode(data, type=Head)
+
+
+def encode_change(record: ChangeRecord) -> bytes:
+    """Return a change record as msgpack."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_change(data: bytes) -> ChangeRecord:
+    """Return a change record; raise msgspec.DecodeError if it is malformed."""
+    return msgspec.msgpack.decode(data, type=ChangeRecord)
+
+
+def digest_text(digest: int) -> str:
+    """Return a digest as the head holds it."""
+    return f"{digest:032x}"
+
+
+def plan_publication(
+    head: Head | None, old: Manifest | None, new: Manifest, token: str
+) -> Publication:
+    """Return what to write to bring a manifest into force.
+
+    ``head`` and ``old`` are what is in force; None if there is nothing yet.
+    """
+    revision = 1 if head is None else head.revision + 1
+    digest = digest_text(manifest_digest(new))
+    chain = MAX_CHAIN if head is None else revision - head.base_revision
+    if head is None or old is None or chain >= MAX_CHAIN:
+        return _base(revision, new, token, digest)
+    record = ChangeRecord(
+        revision=revision, previous_key=head.change_key, changes=diff(old, new)
+    )
+    data = encode_change(record)
+    if len(data) > MAX_PART_BYTES:
+        return _base(revision, new, token, digest)
+    key = f"{CONFIG_BODY_PREFIX}{revision:012d}-{token}"
+    following = attrs.evolve(
+        head, revision=revision, token=token, digest=digest, change_key=key
+    )
+    return Publication((Record(key, data),), following)
+
+
+def _base(revision: int, new: Manifest, token: str, digest: str) -> Publication:
+    data = write_manifest(new)
+    records = tuple(
+        Record(
+            f"{CONFIG_BODY_PREFIX}{revision:012d}-{token}-{number}",
+            data[start : start + MAX_PART_BYTES],
+        )
+        for number, start in enumerate(range(0, len(data), MAX_PART_BYTES))
+    )
+    head = Head(
+        revision=revision,
+        token=token,
+        digest=digest,
+        change_key="",
+        base_revision=revision,
+        base_parts=tuple(record.key for record in records),
+    )
+    return Publication(records, head)
--- a/src/siskinspool/manifest/model.py
+++ b/src/siskinspool/manifest/model.py
@@ -2,7 +2,8 @@
 
 The operators' build pipeline writes the manifest as one JSON document. Each entity has
 an id that is unique in its kind. References between entities are by id and are checked
-in `siskinspool.manifest.checks`. Field names carry their units.
+in `siskinspool.manifest.checks`. Field names carry their units. Numbers with a fraction
+are converted to float, so that 10 and 10.0 give one digest.
 """
 
 from __future__ import annotations
@@ -32,7 +33,7 @@
 
     id: str
     # Loads of models that the weight store allows per second.
-    store_loads_per_s: float = 1.5
+    store_loads_per_s: float = attrs.field(default=1.5, converter=float)
     # Loads of models at once before the weight store slows.
     store_parallel_loads: int = 4
     # Loads of adapters at once over all servers before they slow.
@@ -84,7 +85,7 @@
     memory_mib: int
     version: str = "1"
     # Expected time of a load from the weight store at full speed.
-    load_s: float = 5.0
+    load_s: float = attrs.field(default=5.0, converter=float)
     # Upper bound of replicas at once.
     max_replicas: int = 2
 
@@ -98,7 +99,7 @@
     memory_mib: int
     version: str = "1"
     # Expected time of a load while few are in flight.
-    load_s: float = 0.015
+    load_s: float = attrs.field(default=0.015, converter=float)
 
 
 @attrs.frozen(kw_only=True)
@@ -124,6 +125,8 @@
     request_class: RequestClass = RequestClass.URGENT
     deadline_ms: int = 10_000
     idempotent: bool = True
+    # Tokens that one call costs its team.
+    cost_tokens: int = 1
     # Open to callers without a key.
     open: bool = False
 
@@ -134,11 +137,11 @@
 
     id: str
     # Tokens per second over all instances together.
-    rate: float
+    rate: float = attrs.field(converter=float)
     # Tokens that may be spent at once over all instances together.
-    burst: float
+    burst: float = attrs.field(converter=float)
     # Share of a server's capacity relative to other teams.
-    weight: float = 1.0
+    weight: float = attrs.field(default=1.0, converter=float)
     # Ids of models, adapters and routes that the team may use; "*" stands for all.
     allow: tuple[str, ...] = ("*",)
     # Waiting patient requests of the team.
--- /dev/null
+++ b/src/siskinspool/manifest/revisions.py
@@ -0,0 +1,294 @@
+"""Which configuration is in force at this instance.
+
+`Revisions` learns of a new revision in three ways: the watch on the head, a read of
+the head every `HEAD_INTERVAL_S`, and a neighbour's heartbeat. It then fetches what it
+lacks: change records from the newest back to its own revision, or to the base; or,
+when a neighbour told it, the neighbour's changes. The result must have the digest that
+the head names. A revision lower than the one in force is never applied (R13), whatever
+a lagging read or a neighbour says.
+
+A read of the head whose revision is in force confirms that the configuration is current
+(`HeadConfirmed`); see the freshness rule of `siskinspool.machines.membership`.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from typing import Final
+
+import attrs
+import msgspec
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..machines.messages import CatalogChanged
+from ..platform.keys import CONFIG_HEAD
+from ..platform.kv import (
+    KvChanged,
+    KvGet,
+    KvReply,
+    KvValue,
+)
+from .changes import EntityChange, apply_changes
+from .document import Faults, manifest_digest, read_manifest, write_manifest
+from .head import ChangeRecord, Head, decode_change, decode_head, digest_text
+from .model import Catalog, Manifest, empty_manifest
+from .revision_messages import (
+    AskChanges,
+    ChangesSince,
+    HeadConfirmed,
+    RevisionApplied,
+    RevisionHeard,
+)
+
+HEAD_INTERVAL_S: Final = 2.0
+# A fetch without an answer is started again after this time.
+FETCH_TIMEOUT_S: Final = 3.0
+# A neighbour is asked again only after this time.
+NEIGHBOUR_INTERVAL_S: Final = 0.5
+KEPT_CHANGES: Final = 256
+
+
+@attrs.define
+class _Fetch:
+    """What has been read on the way from a head back to the revision in force."""
+
+    head: Head
+    started_at: float
+    # Newest first.
+    records: list[ChangeRecord] = attrs.field(factory=list)
+    part_by_key: dict[str, bytes] = attrs.field(factory=dict)
+    wants_base: bool = False
+
+
+@attrs.frozen
+class _Kept:
+    """The changes that led to a revision, kept for neighbours."""
+
+    revision: int
+    changes: tuple[EntityChange, ...]
+
+
+class Revisions(Decision):
+    """Keeps the newest accepted configuration; task name ``revisions``."""
+
+    def __init__(self, instance_id: str, listeners: tuple[str, ...]) -> None:
+        self._instance_id = instance_id
+        self._listeners = listeners
+        self._manifest: Manifest = empty_manifest()
+        self._revision = 0
+        self._digest = manifest_digest(self._manifest)
+        self._kept: deque[_Kept] = deque(maxlen=KEPT_CHANGES)
+        self._fetch: _Fetch | None = None
+        self._numbers = itertools.count(1)
+        self._head_sent_at_by_request: dict[str, float] = {}
+        self._next_head_at = 0.0
+        self._next_neighbour_at = 0.0
+
+    @property
+    def revision(self) -> int:
+        """The revision in force, 0 if none."""
+        return self._revision
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in the head, fetched records and neighbours' messages."""
+        match incoming.message:
+            case KvChanged(key=key, value=value) if key == CONFIG_HEAD:
+                return self._take_head(value, now)
+            case KvValue() as reply:
+                return self._take_value(reply, now)
+            case KvReply(request_id=request_id):
+                self._head_sent_at_by_request.pop(request_id, None)
+            case RevisionHeard(revision=revision, instance_id=instance_id):
+                return self._ask_neighbour(revision, instance_id, now)
+            case AskChanges(after_revision=after):
+                return self._answer_neighbour(after, incoming.sender)
+            case ChangesSince() as since:
+                return self._take_since(since)
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Read the head and start a stalled fetch again."""
+        batch: list[Outgoing] = []
+        if now >= self._next_head_at:
+            self._next_head_at = now + HEAD_INTERVAL_S
+            batch.append(self._read_head(now))
+        fetch = self._fetch
+        if fetch is not None and now >= fetch.started_at + FETCH_TIMEOUT_S:
+            self._fetch = None
+            batch += self._start(fetch.head, now)
+        return batch
+
+    def wake_at(self) -> float | None:
+        """Return when the head is read next or the fetch is too old."""
+        if self._fetch is None:
+            return self._next_head_at
+        return min(self._next_head_at, self._fetch.started_at + FETCH_TIMEOUT_S)
+
+    def _read_head(self, now: float) -> Outgoing:
+        request_id = f"head:{next(self._numbers)}"
+        # Answers that never came are forgotten with the next few reads.
+        while len(self._head_sent_at_by_request) > 8:
+            oldest = next(iter(self._head_sent_at_by_request))
+            del self._head_sent_at_by_request[oldest]
+        self._head_sent_at_by_request[request_id] = now
+        return self._to("kv", KvGet(request_id, CONFIG_HEAD))
+
+    def _take_head(self, value: bytes | None, now: float) -> list[Outgoing]:
+        head = _decode_head(value)
+        if head is None or head.revision <= self._revision:
+            return []
+        if self._fetch is not None and self._fetch.head.revision >= head.revision:
+            return []
+        return self._start(head, now)
+
+    def _take_value(self, reply: KvValue, now: float) -> list[Outgoing]:
+        sent_at = self._head_sent_at_by_request.pop(reply.request_id, None)
+        if sent_at is None:
+            return self._take_record(reply, now)
+        batch = self._take_head(reply.value, now)
+        head = _decode_head(reply.value)
+        revision = 0 if head is None else head.revision
+        if revision <= self._revision:
+            batch.append(self._to("membership", HeadConfirmed(sent_at)))
+        return batch
+
+    def _start(self, head: Head, now: float) -> list[Outgoing]:
+        self._fetch = _Fetch(head, now)
+        self._fetch.wants_base = self._revision < head.base_revision
+        return self._continue(now)
+
+    def _continue(self, now: float) -> list[Outgoing]:
+        """Ask for the next missing record, or apply what is complete."""
+        fetch = self._fetch
+        assert fetch is not None
+        last = fetch.records[-1] if fetch.records else None
+        next_key = fetch.head.change_key if last is None else last.previous_key
+        oldest = fetch.head.revision if last is None else last.revision - 1
+        floor = fetch.head.base_revision if fetch.wants_base else self._revision
+        if oldest > floor:
+            return [self._get(next_key)]
+        if fetch.wants_base:
+            missing = [
+                key for key in fetch.head.base_parts if key not in fetch.part_by_key
+            ]
+            if missing:
+                return [self._get(missing[0])]
+        return self._complete(fetch)
+
+    def _get(self, key: str) -> Outgoing:
+        return self._to("kv", KvGet(f"record:{next(self._numbers)}", key))
+
+    def _take_record(self, reply: KvValue, now: float) -> list[Outgoing]:
+        fetch = self._fetch
+        if fetch is None or reply.value is None:
+            return []
+        if reply.key in fetch.head.base_parts:
+            fetch.part_by_key[reply.key] = reply.value
+            return self._continue(now)
+        last = fetch.records[-1] if fetch.records else None
+        expected = fetch.head.change_key if last is None else last.previous_key
+        if reply.key != expected:
+            return []
+        try:
+            fetch.records.append(decode_change(reply.value))
+        except msgspec.DecodeError:
+            return []
+        return self._continue(now)
+
+    def _complete(self, fetch: _Fetch) -> list[Outgoing]:
+        self._fetch = None
+        records = list(reversed(fetch.records))
+        if fetch.wants_base:
+            data = b"".join(fetch.part_by_key[key] for key in fetch.head.base_parts)
+            return self._replace(data, records, fetch.head.revision, fetch.head.digest)
+        wanted = [record for record in records if record.revision > self._revision]
+        return self._apply(wanted, fetch.head.digest)
+
+    def _replace(
+        self, data: bytes, records: list[ChangeRecord], revision: int, digest: str
+    ) -> list[Outgoing]:
+        base = read_manifest(data)
+        if isinstance(base, Faults):
+            return []
+        manifest, total = base, manifest_digest(base)
+        for record in records:
+            manifest, total = apply_changes(manifest, total, record.changes)
+        if digest_text(total) != digest or revision <= self._revision:
+            return []
+        self._kept.clear()
+        return self._put_in_force(manifest, total, revision)
+
+    def _apply(self, records: list[ChangeRecord], digest: str) -> list[Outgoing]:
+        manifest, total = self._manifest, self._digest
+        for record in records:
+            manifest, total = apply_changes(manifest, total, record.changes)
+        if not records or digest_text(total) != digest:
+            return []
+        self._kept.extend(_Kept(record.revision, record.changes) for record in records)
+        return self._put_in_force(manifest, total, records[-1].revision)
+
+    def _put_in_force(
+        self, manifest: Manifest, digest: int, revision: int
+    ) -> list[Outgoing]:
+        self._manifest, self._digest, self._revision = manifest, digest, revision
+        if self._fetch is not None and self._fetch.head.revision <= revision:
+            self._fetch = None
+        changed = CatalogChanged(Catalog.from_manifest(revision, manifest))
+        batch = [self._to(task, changed) for task in self._listeners]
+        batch.append(self._to("membership", RevisionApplied(revision)))
+        return batch
+
+    def _ask_neighbour(
+        self, revision: int, instance_id: str, now: float
+    ) -> list[Outgoing]:
+        if revision <= self._revision or now < self._next_neighbour_at:
+            return []
+        self._next_neighbour_at = now + NEIGHBOUR_INTERVAL_S
+        address = Address(instance_id, "revisions")
+        return [Outgoing(address, AskChanges(self._revision))]
+
+    def _answer_neighbour(self, after: int, asker: Address) -> list[Outgoing]:
+        if after >= self._revision:
+            return []
+        newer = [kept for kept in self._kept if kept.revision > after]
+        is_whole = not newer or newer[0].revision != after + 1
+        answer = ChangesSince(
+            from_revision=after,
+            to_revision=self._revision,
+            digest=digest_text(self._digest),
+            changes=()
+            if is_whole
+            else tuple(change for kept in newer for change in kept.changes),
+            manifest=write_manifest(self._manifest) if is_whole else b"",
+        )
+        return [Outgoing(asker, answer)]
+
+    def _take_since(self, since: ChangesSince) -> list[Outgoing]:
+        if since.to_revision <= self._revision:
+            return []
+        if since.manifest:
+            return self._replace(since.manifest, [], since.to_revision, since.digest)
+        if since.from_revision != self._revision:
+            return []
+        record = ChangeRecord(
+            revision=since.to_revision, previous_key="", changes=since.changes
+        )
+        batch = self._apply([record], since.digest)
+        if batch and since.to_revision > since.from_revision + 1:
+            # Several revisions came as one; a neighbour in between gets the whole.
+            self._kept.clear()
+        return batch
+
+    def _to(self, task: str, message: Message) -> Outgoing:
+        return Outgoing(Address(self._instance_id, task), message)
+
+
+def _decode_head(value: bytes | None) -> Head | None:
+    if value is None:
+        return None
+    try:
+        return decode_head(value)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/tests/test_manifest.py
@@ -0,0 +1,81 @@
+"""The manifest: all faults at once, differences, publication."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinspool.manifest.changes import apply_changes, diff
+from siskinspool.manifest.document import (
+    Faults,
+    manifest_digest,
+    read_manifest,
+    write_manifest,
+)
+from siskinspool.manifest.head import MAX_CHAIN
+
+from .builders_manifest import ConfigurationStore, manifest
+
+rates = st.dictionaries(
+    st.sampled_from(["t1", "t2", "t3", "t4"]), st.floats(1, 1000), max_size=4
+)
+
+
+def test_written_manifest_reads_back() -> None:
+    """Guards against a field that is lost between writing and reading."""
+    assert read_manifest(write_manifest(manifest())) == manifest()
+
+
+def test_all_faults_are_reported_at_once_with_their_paths() -> None:
+    """Guards against a check that stops at the first fault."""
+    document = msgspec.json.decode(write_manifest(manifest()))
+    document["servers"][0]["zone"] = "nowhere"
+    document["servers"][0]["memory_mib"] = 0
+    document["teams"][0]["allow"] = ["ghost"]
+    faults = read_manifest(msgspec.json.encode(document))
+    assert isinstance(faults, Faults)
+    text = "\n".join(faults.lines)
+    assert "$.servers[0].zone: no entry of zones is 'nowhere'" in text
+    assert "$.servers[0].memory_mib: must be above 0" in text
+    assert "$.teams[0].allow: 'ghost'" in text
+    assert "no server or service is in zone 'a'" in text
+
+
+def test_unknown_fields_and_wrong_types_are_faults() -> None:
+    """Guards against a misspelt field that is silently dropped."""
+    document = msgspec.json.decode(write_manifest(manifest()))
+    document["teams"][0]["rte"] = 5
+    document["servers"][0]["capacity"] = "four"
+    faults = read_manifest(msgspec.json.encode(document))
+    assert isinstance(faults, Faults)
+    text = "\n".join(faults.lines)
+    assert "rte" in text and "teams[0]" in text
+    assert "'four' is not a whole number" in text
+
+
+@given(rates, rates)
+def test_changes_lead_from_one_manifest_to_the_other(
+    old_rates: dict[str, float], new_rates: dict[str, float]
+) -> None:
+    """Guards against a difference that loses, keeps or alters an entity."""
+    old, new = manifest(old_rates), manifest(new_rates)
+    result, digest = apply_changes(old, manifest_digest(old), diff(old, new))
+    assert {team.id: team for team in result.teams} == {
+        team.id: team for team in new.teams
+    }
+    assert digest == manifest_digest(new)
+
+
+def test_chain_of_changes_ends_in_a_new_base() -> None:
+    """Guards against a chain that grows without bound for instances that join."""
+    store = ConfigurationStore()
+    for number in range(2 * MAX_CHAIN):
+        head = store.publish(manifest({"t1": 1.0 + number}))
+        assert head.revision - head.base_revision < MAX_CHAIN
+
+
+@given(st.binary(max_size=300))
+def test_fuzz_random_documents_are_faults(data: bytes) -> None:
+    """Guards against an exception on bytes that are no manifest."""
+    assert isinstance(read_manifest(data), Faults)
