--- /dev/null
+++ b/src/siskinspool/manifest/publisher.py
@@ -0,0 +1,250 @@
+"""Bringing a manifest into force, for operators' clients.
+
+`Publisher.publish` writes the records and then moves the head by compare-and-swap. Of
+two racing operators one wins; the other gets a `PublishConflict` that shows what the
+winner changed. A lost answer is resolved by reading the head back and looking for the
+own token. Nothing is written when the manifest is in force already.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+import gevent
+
+from ..platform.keys import CONFIG_HEAD
+from ..platform.kv import (
+    KeyValueService,
+    KvItem,
+    LostAnswerError,
+    SwapResult,
+    UnavailableError,
+)
+from .changes import EntityChange, apply_changes, diff
+from .document import Faults, manifest_digest, read_manifest
+from .head import Head, decode_change, decode_head, encode_head, plan_publication
+from .model import Manifest
+
+READ_ATTEMPTS: Final = 5
+READ_PAUSE_S: Final = 0.2
+
+
+@dataclass(frozen=True)
+class InForce:
+    """The configuration that the service holds."""
+
+    head: Head
+    manifest: Manifest
+    # Revision of the head's key, for the next compare-and-swap.
+    key_revision: int
+
+
+@dataclass(frozen=True)
+class NothingInForce:
+    """The service holds no configuration yet."""
+
+
+@dataclass(frozen=True)
+class Unreadable:
+    """The configuration could not be read."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Published:
+    """The manifest is accepted."""
+
+    revision: int
+    changes: tuple[EntityChange, ...]
+
+
+@dataclass(frozen=True)
+class Unchanged:
+    """The manifest was in force before."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class PublishConflict:
+    """Another operator was first; ``changes`` lead to what is in force now."""
+
+    revision: int
+    changes: tuple[EntityChange, ...]
+
+
+@dataclass(frozen=True)
+class PublishFailed:
+    """The manifest is not accepted, or ``unknown``: it may be."""
+
+    reason: str
+    unknown: bool
+
+
+PublishOutcome = Published | Unchanged | PublishConflict | PublishFailed
+Edit = Callable[[Manifest], Manifest]
+
+
+class Publisher:
+    """Reads and changes the configuration in the key-value service."""
+
+    def __init__(self, service: KeyValueService) -> None:
+        self._service = service
+
+    def read(self) -> InForce | NothingInForce | Unreadable:
+        """Return the configuration in force."""
+        try:
+            item = self._get(CONFIG_HEAD)
+            if item is None:
+                return NothingInForce()
+            head = decode_head(item.value)
+            return InForce(head, self._manifest(head), item.revision)
+        except (LostAnswerError, UnavailableError, ValueError, KeyError) as error:
+            return Unreadable(str(error))
+
+    def publish(
+        self, new: Manifest, expected_revision: int | None = None
+    ) -> PublishOutcome:
+        """Bring a manifest into force.
+
+        ``expected_revision`` is the revision that the operator started from; None means
+        whatever is in force now.
+        """
+        base = self.read()
+        if isinstance(base, Unreadable):
+            return PublishFailed(base.reason, unknown=False)
+        if isinstance(base, InForce):
+            if expected_revision not in (None, base.head.revision):
+                return PublishConflict(base.head.revision, diff(new, base.manifest))
+            if manifest_digest(base.manifest) == manifest_digest(new):
+                return Unchanged(base.head.revision)
+        return self._swap(base, new)
+
+    def edit(self, change: Edit, attempts: int = READ_ATTEMPTS) -> PublishOutcome:
+        """Apply a change to whatever is in force, again if another one comes first."""
+        outcome: PublishOutcome = PublishFailed("no attempt", unknown=False)
+        for _ in range(attempts):
+            base = self.read()
+            if not isinstance(base, InForce):
+                reason = getattr(base, "reason", "no configuration is in force")
+                return PublishFailed(reason, unknown=False)
+            new = change(base.manifest)
+            if new == base.manifest:
+                return Unchanged(base.head.revision)
+            outcome = self._swap(base, new)
+            if not isinstance(outcome, PublishConflict):
+                return outcome
+        return outcome
+
+    def _swap(self, base: InForce | NothingInForce, new: Manifest) -> PublishOutcome:
+        head = base.head if isinstance(base, InForce) else None
+        old = base.manifest if isinstance(base, InForce) else None
+        key_revision = base.key_revision if isinstance(base, InForce) else 0
+        token = secrets.token_hex(8)
+        plan = plan_publication(head, old, new, token)
+        try:
+            for record in plan.records:
+                self._service.swap(record.key, 0, record.value, None)
+        except (LostAnswerError, UnavailableError) as error:
+            # Without the head nobody reads the records.
+            return PublishFailed(str(error), unknown=False)
+        changes = diff(old, new) if old is not None else ()
+        done = Published(plan.head.revision, changes)
+        try:
+            result = self._service.swap(
+                CONFIG_HEAD, key_revision, encode_head(plan.head), None
+            )
+        except UnavailableError as error:
+            return PublishFailed(str(error), unknown=False)
+        except LostAnswerError:
+            return self._resolve(plan.head, old, done)
+        if result.succeeded:
+            return done
+        return self._conflict(old, result, token, done)
+
+    def _conflict(
+        self, old: Manifest | None, result: SwapResult, token: str, done: Published
+    ) -> PublishOutcome:
+        if result.value is not None and decode_head(result.value).token == token:
+            # An earlier copy of this very write took effect.
+            return done
+        now = self.read()
+        if not isinstance(now, InForce):
+            return PublishFailed("another operator was first", unknown=False)
+        changes = diff(old, now.manifest) if old is not None else ()
+        return PublishConflict(now.head.revision, changes)
+
+    def _resolve(
+        self, head: Head, old: Manifest | None, done: Published
+    ) -> PublishOutcome:
+        """Find out whether a write whose answer was lost took effect."""
+        for _ in range(READ_ATTEMPTS):
+            now = self.read()
+            if isinstance(now, InForce):
+                return self._judge(head, old, now, done)
+            gevent.sleep(READ_PAUSE_S)
+        return PublishFailed("the answer was lost and cannot be read", unknown=True)
+
+    def _judge(
+        self, head: Head, old: Manifest | None, now: InForce, done: Published
+    ) -> PublishOutcome:
+        if now.head.token == head.token:
+            return done
+        if now.head.revision < head.revision:
+            # The write may still be on its way to the service.
+            return PublishFailed("the write has not taken effect", unknown=True)
+        if self._chain_has(now.head, head.token):
+            return done
+        changes = diff(old, now.manifest) if old is not None else ()
+        return PublishConflict(now.head.revision, changes)
+
+    def _chain_has(self, head: Head, token: str) -> bool:
+        """Tell whether a later head was built on the write with this token."""
+        if any(token in key for key in head.base_parts):
+            return True
+        key = head.change_key
+        while key:
+            if key.endswith(token):
+                return True
+            item = self._get(key)
+            if item is None:
+                return False
+            key = decode_change(item.value).previous_key
+        return False
+
+    def _manifest(self, head: Head) -> Manifest:
+        data = b"".join(self._value(key) for key in head.base_parts)
+        base = read_manifest(data)
+        if isinstance(base, Faults):
+            raise ValueError("; ".join(base.lines))
+        records = []
+        key = head.change_key
+        while key:
+            record = decode_change(self._value(key))
+            records.append(record)
+            key = record.previous_key
+        manifest, digest = base, manifest_digest(base)
+        for record in reversed(records):
+            manifest, digest = apply_changes(manifest, digest, record.changes)
+        return manifest
+
+    def _value(self, key: str) -> bytes:
+        item = self._get(key)
+        if item is None:
+            raise KeyError(f"{key} is missing")
+        return item.value
+
+    def _get(self, key: str) -> KvItem | None:
+        """Read a key; a read may be repeated when its answer was lost."""
+        for attempt in range(READ_ATTEMPTS):
+            try:
+                return self._service.get(key)
+            except LostAnswerError:
+                if attempt == READ_ATTEMPTS - 1:
+                    raise
+                gevent.sleep(READ_PAUSE_S)
+        return None
--- a/src/siskinspool/settings.py
+++ b/src/siskinspool/settings.py
@@ -35,6 +35,8 @@
     """All settings of an entry instance."""
 
     instance_id: str
+    # Id of the site in the manifest.
+    site: str
     # Id of the availability zone in the manifest.
     zone: str
     # Where callers connect.
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -79,3 +82,10 @@
 def test_fuzz_random_documents_are_faults(data: bytes) -> None:
     """Guards against an exception on bytes that are no manifest."""
     assert isinstance(read_manifest(data), Faults)
+
+
+@pytest.mark.parametrize("name", ["tinware-lagos", "baul-andina"])
+def test_example_manifests_have_no_faults(name: str) -> None:
+    """Guards against examples that the checks of today refuse."""
+    path = Path(__file__).parent.parent / "examples" / f"{name}.json"
+    assert not isinstance(read_manifest(path.read_bytes()), Faults)
