--- /dev/null
+++ b/src/siskinspool/machines/drain.py
@@ -0,0 +1,143 @@
+"""Planned stop of an instance (R12).
+
+The stop runs through phases in a fixed order, each entered when the one before is
+complete or its time is up:
+
+1. report not ready and wait 2 s, during which the balancer may still send calls;
+2. release partitions, hand over waiting work, then wait until no call runs, but at most
+   the longest deadline plus 60 s;
+3. surrender shares and give the peer links time to carry them;
+4. end the session, then report `Drained`.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from .drain_messages import (
+    CallsRunning,
+    Drained,
+    DrainStarted,
+    EndSession,
+    HandOverWaiting,
+    SessionEnded,
+    StartDrain,
+    SurrenderShares,
+)
+from .messages import ReleaseOwnership
+
+BALANCER_WAIT_S: Final = 2.0
+# A stream that began before its deadline may go on for this long.
+FINISH_MARGIN_S: Final = 60.0
+# Shares that are not handed back in time expire by themselves after 10 s.
+SURRENDER_WAIT_S: Final = 0.5
+# Without an answer the session expires by itself.
+SESSION_END_WAIT_S: Final = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class DrainRecipients:
+    """Names of the local tasks that take part in each step."""
+
+    readiness: tuple[str, ...] = ("frontend", "membership")
+    ownership: tuple[str, ...] = ("ownership",)
+    waiting: tuple[str, ...] = ("frontend", "patient")
+    shares: tuple[str, ...] = ("limits",)
+    session: str = "membership"
+
+
+class DrainPhase(IntEnum):
+    """How far the stop has come."""
+
+    SERVING = 0
+    BALANCER = 1
+    FINISHING = 2
+    SURRENDERING = 3
+    ENDING = 4
+    DRAINED = 5
+
+
+class Drain(Decision):
+    """Sends the steps of a planned stop in order."""
+
+    def __init__(
+        self, instance_id: str, recipients: DrainRecipients | None = None
+    ) -> None:
+        self._instance_id = instance_id
+        self._recipients = recipients or DrainRecipients()
+        self._phase = DrainPhase.SERVING
+        self._phase_ends_at: float | None = None
+        self._longest_deadline_s = 0.0
+        # None until the front end has reported. Only counts after `HandOverWaiting`
+        # matter, because before it a count of 0 can be followed by a new call.
+        self._running: int | None = None
+        self._asker: Address | None = None
+
+    @property
+    def phase(self) -> DrainPhase:
+        """Return how far the stop has come."""
+        return self._phase
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in the start, the count of running calls or the end of the session."""
+        match incoming.message:
+            case StartDrain() as start if self._phase is DrainPhase.SERVING:
+                self._asker = incoming.sender
+                self._longest_deadline_s = start.longest_deadline_s
+                self._enter(DrainPhase.BALANCER, now + BALANCER_WAIT_S)
+                return self._to(self._recipients.readiness, DrainStarted())
+            case CallsRunning(count=count):
+                self._running = count
+                if self._phase is DrainPhase.FINISHING and count == 0:
+                    return self._surrender(now)
+            case SessionEnded() if self._phase is DrainPhase.ENDING:
+                return self._finish()
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Leave the phase whose time is up."""
+        if self._phase_ends_at is None or now < self._phase_ends_at:
+            return []
+        match self._phase:
+            case DrainPhase.BALANCER:
+                return self._release(now)
+            case DrainPhase.FINISHING:
+                return self._surrender(now)
+            case DrainPhase.SURRENDERING:
+                self._enter(DrainPhase.ENDING, now + SESSION_END_WAIT_S)
+                return self._to((self._recipients.session,), EndSession())
+            case _:
+                return self._finish()
+
+    def wake_at(self) -> float | None:
+        """Return when the current phase ends at the latest."""
+        return self._phase_ends_at
+
+    def _release(self, now: float) -> list[Outgoing]:
+        limit_s = self._longest_deadline_s + FINISH_MARGIN_S
+        self._enter(DrainPhase.FINISHING, now + limit_s)
+        self._running = None
+        batch = self._to(self._recipients.ownership, ReleaseOwnership())
+        return batch + self._to(self._recipients.waiting, HandOverWaiting())
+
+    def _surrender(self, now: float) -> list[Outgoing]:
+        self._enter(DrainPhase.SURRENDERING, now + SURRENDER_WAIT_S)
+        return self._to(self._recipients.shares, SurrenderShares())
+
+    def _finish(self) -> list[Outgoing]:
+        self._enter(DrainPhase.DRAINED, None)
+        if self._asker is None:
+            return []
+        return [Outgoing(self._asker, Drained(self._running or 0))]
+
+    def _enter(self, phase: DrainPhase, ends_at: float | None) -> None:
+        self._phase = phase
+        self._phase_ends_at = ends_at
+
+    def _to(self, tasks: tuple[str, ...], message: Message) -> list[Outgoing]:
+        return [Outgoing(Address(self._instance_id, task), message) for task in tasks]
--- /dev/null
+++ b/src/siskinspool/machines/ramp_grant.py
@@ -0,0 +1,55 @@
+"""What an instance may send to a server that is or was ramping (R6).
+
+The placement owner leases slots with `RampSlots`, per start (boot id) of a server. An
+instance without a valid lease for the current boot id sends nothing. A lease with
+slots None ends the ramp: the server's capacity applies until it becomes cold again.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from .messages import RampSlots
+
+
+@attrs.frozen
+class RampGrant:
+    """A lease of slots; slots None lifts the limit and does not expire."""
+
+    slots: int | None
+    expires_at: float
+
+
+@attrs.define
+class RampGrants:
+    """Leases for the current boot id and for one that no report has shown yet."""
+
+    _grant_by_boot: dict[str, RampGrant] = attrs.field(factory=dict, init=False)
+
+    def take(self, message: RampSlots, current_boot: str, now: float) -> None:
+        """Record a lease; a lease can arrive before the report of its boot id."""
+        kept = self._grant_by_boot.get(current_boot)
+        self._grant_by_boot = {} if kept is None else {current_boot: kept}
+        self._grant_by_boot[message.boot_id] = RampGrant(
+            message.slots, now + message.ttl_s
+        )
+
+    def enter_boot(self, boot_id: str) -> None:
+        """Keep only what was leased for a new boot id."""
+        grant = self._grant_by_boot.get(boot_id)
+        self._grant_by_boot = {} if grant is None else {boot_id: grant}
+
+    def became_cold(self, boot_id: str) -> None:
+        """Withdraw an unlimited grant; leased slots of a running ramp stay valid."""
+        grant = self._grant_by_boot.get(boot_id)
+        if grant is not None and grant.slots is None:
+            del self._grant_by_boot[boot_id]
+
+    def limit(self, boot_id: str, now: float) -> int | None:
+        """Return the calls allowed at once; None if only the capacity limits them."""
+        grant = self._grant_by_boot.get(boot_id)
+        if grant is None:
+            return 0
+        if grant.slots is None:
+            return None
+        return grant.slots if now < grant.expires_at else 0
--- /dev/null
+++ b/src/siskinspool/machines/server_state.py
@@ -0,0 +1,173 @@
+"""What one instance knows about one server, and how much it may send there.
+
+Instances dispatch independently on the same reports, so each keeps to its part of the
+free capacity that a report shows: half of it is divided equally over all instances,
+half by what each already runs there. The parts add up to the free capacity, an idle
+instance can start at once, and a single busy one gets nearly all within a few reports.
+Parts of a slot are given at random, so that many instances do not all round up. On a
+full server an instance above its equal part gives up one slot per report, so that
+another one gets in.
+"""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from typing import Final
+
+import attrs
+
+from .breaker import Breaker
+from .messages import RampSlots, ReplicaState, ReportedReplica, ServerReport
+from .own_calls import OwnCalls
+from .ramp_grant import RampGrants
+
+# Without a report for this long a server gets no new work (R7, R11).
+REPORT_MAX_AGE_S: Final = 3.0
+
+
+@attrs.define
+class BackendState(ABC):
+    """Common part of model servers and plain services."""
+
+    calls: OwnCalls = attrs.field(factory=OwnCalls, init=False)
+    breaker: Breaker = attrs.field(factory=Breaker, init=False)
+
+    @property
+    @abstractmethod
+    def boot_id(self) -> str:
+        """Return the start of the server that calls go to; empty if unknown."""
+
+    @abstractmethod
+    def load_ratio(self) -> float:
+        """Return the estimated load as a part of capacity."""
+
+    @abstractmethod
+    def has_room(self, now: float) -> bool:
+        """Return whether one more call may be sent."""
+
+    def accepts(self, now: float) -> bool:
+        """Return whether capacity and breaker allow a call."""
+        return self.has_room(now) and self.breaker.allows(now)
+
+    def sent(self, call_id: str, now: float) -> None:
+        """Record a dispatched call."""
+        self.calls.sent(call_id, now)
+        self.breaker.sent(call_id)
+
+    def ended(self, call_id: str, failed: bool | None, now: float) -> None:
+        """Record an end; ``failed`` is None if it says nothing about the server."""
+        self.calls.ended(call_id, now, keep=self.boot_id != "")
+        if failed is None:
+            self.breaker.cancelled(call_id)
+        else:
+            self.breaker.ended(call_id, failed, now)
+
+
+@attrs.define
+class ServiceState(BackendState):
+    """A plain service: no reports, so only own calls are known."""
+
+    # Own part of the service's capacity, in calls at once.
+    limit: int = 1
+
+    @property
+    def boot_id(self) -> str:
+        """Return the empty string: plain services have no boot id."""
+        return ""
+
+    def load_ratio(self) -> float:
+        """Return own calls as a part of the own limit."""
+        return len(self.calls) / self.limit
+
+    def has_room(self, now: float) -> bool:
+        """Return whether one more call stays within the limit."""
+        return len(self.calls) < self.limit
+
+
+@attrs.define
+class ServerState(BackendState):
+    """A model server with its last report."""
+
+    _report: ServerReport | None = attrs.field(default=None, init=False)
+    _measured_at: float = attrs.field(default=0.0, init=False)
+    # Own calls at once until the next report, once the ramp is over.
+    _ceiling: int = attrs.field(default=0, init=False)
+    _grants: RampGrants = attrs.field(factory=RampGrants, init=False)
+
+    @property
+    def boot_id(self) -> str:
+        """Return the boot id of the last report."""
+        return "" if self._report is None else self._report.boot_id
+
+    def loaded(self) -> frozenset[ReportedReplica]:
+        """Return the replicas that the last report shows as loaded."""
+        if self._report is None:
+            return frozenset()
+        return frozenset(
+            replica
+            for replica in self._report.replicas
+            if replica.state is ReplicaState.LOADED
+        )
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the last report is recent enough to send work."""
+        return self._report is not None and now - self._measured_at <= REPORT_MAX_AGE_S
+
+    def take_report(
+        self, report: ServerReport, instances: int, rng: random.Random, now: float
+    ) -> bool:
+        """Take in a report; return False if a later one is known."""
+        measured_at = now - report.age_s
+        if self._report is not None and measured_at < self._measured_at:
+            return False
+        loaded_before = self.loaded()
+        rebooted = report.boot_id != self.boot_id
+        self._report = report
+        self._measured_at = measured_at
+        self.calls.forget_ended(measured_at)
+        if rebooted:
+            self._grants.enter_boot(report.boot_id)
+        elif not loaded_before <= self.loaded():
+            self._grants.became_cold(report.boot_id)
+        self._ceiling = self._new_ceiling(report, instances, rng)
+        return True
+
+    def take_slots(self, message: RampSlots, now: float) -> None:
+        """Take in leased ramp slots."""
+        self._grants.take(message, self.boot_id, now)
+
+    def load_ratio(self) -> float:
+        """Return reported load plus own changes since, as a part of capacity."""
+        if self._report is None:
+            return 1.0
+        return self._load(self._report) / max(1, self._report.capacity)
+
+    def has_room(self, now: float) -> bool:
+        """Return whether report, ramp and own part allow one more call."""
+        if self._report is None or not self.is_current(now):
+            return False
+        if self._load(self._report) >= self._report.capacity:
+            return False
+        slots = self._grants.limit(self._report.boot_id, now)
+        return len(self.calls) < (self._ceiling if slots is None else slots)
+
+    def _load(self, report: ServerReport) -> int:
+        reported = report.running + report.queued
+        changed = reported + self.calls.change_since(self._measured_at)
+        return max(changed, len(self.calls))
+
+    def _new_ceiling(
+        self, report: ServerReport, instances: int, rng: random.Random
+    ) -> int:
+        reported = report.running + report.queued
+        own = min(self.calls.at_measurement(self._measured_at), reported)
+        free = report.capacity - reported
+        if free <= 0:
+            over_part = own < reported and own * instances > report.capacity
+            return own - 1 if over_part else own
+        part = 1 / instances
+        if reported > 0:
+            part = (part + own / reported) / 2
+        whole, rest = divmod(free * part, 1.0)
+        return own + int(whole) + (1 if rng.random() < rest else 0)
--- /dev/null
+++ b/src/siskinspool/zones/zone.py
@@ -0,0 +1,42 @@
+"""Which zones and servers take new work (R7, R11)."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..machines.messages import LeavingChanged
+from ..manifest.model import Catalog, ZoneState
+
+
+@attrs.frozen
+class WorkPermits:
+    """Zones that are open and servers that are leaving.
+
+    A zone that the catalog does not name takes no work.
+    """
+
+    open_zone_ids: frozenset[str] = frozenset()
+    leaving_server_ids: frozenset[str] = frozenset()
+
+    def with_catalog(self, catalog: Catalog) -> WorkPermits:
+        """Return the permits under another manifest."""
+        open_ids = (
+            zone.id
+            for zone in catalog.zone_by_id.values()
+            if zone.state is ZoneState.OPEN
+        )
+        return attrs.evolve(self, open_zone_ids=frozenset(open_ids))
+
+    def with_leaving(self, change: LeavingChanged) -> WorkPermits:
+        """Return the permits under another list of leaving servers."""
+        return attrs.evolve(self, leaving_server_ids=change.server_ids)
+
+    def zone_takes_work(self, zone_id: str) -> bool:
+        """Return whether a zone takes new work."""
+        return zone_id in self.open_zone_ids
+
+    def server_takes_work(self, server_id: str, zone_id: str) -> bool:
+        """Return whether a server or plain service in a zone takes new work."""
+        return self.zone_takes_work(zone_id) and (
+            server_id not in self.leaving_server_ids
+        )
