Add the routing decision

Request handlers need one place that gives each call a server or a refusal. The change adds Routing with its fleet view, waiting calls, demands for replicas, usage reports and the estimate for early refusal. Queues are served again whenever something frees or opens a server, so that the choice rests on what is known at dispatch.

--- /dev/null
+++ b/src/siskinspool/machines/expected_wait.py
@@ -0,0 +1,58 @@
+"""When a waiting call can expect a server, for refusing early (R3).
+
+The time is that of the planned load plus the queue after it, or the queue alone when a
+replica is loaded. What is not known counts as no wait, so that no call is refused on a
+guess: before the placement owner has answered, and before a call has been measured.
+"""
+
+from __future__ import annotations
+
+from .fleet import Fleet
+from .replica_demand import ReplicaDemand, ReplicaDemands
+from .targets import ReplicaTarget, Target
+from .waiting import RoutedCall, WaitingCalls, group_of, rank
+
+
+class ExpectedWait:
+    """Estimates from the state of routing; changes nothing."""
+
+    def __init__(
+        self, fleet: Fleet, waiting: WaitingCalls, demands: ReplicaDemands
+    ) -> None:
+        self._fleet = fleet
+        self._waiting = waiting
+        self._demands = demands
+
+    def server_at(self, call: RoutedCall, now: float) -> float:
+        """Return when a waiting call can expect a server, in monotonic seconds."""
+        demand = self._demands.for_target(call.target)
+        if demand is None or self._fleet.has_replica(demand.key, now):
+            return now + self._queue_s(call, now)
+        if demand.planned_server_id is None:
+            return now
+        return max(now, demand.ready_at) + self._after_load_s(call, demand)
+
+    def _queue_s(self, call: RoutedCall, now: float) -> float:
+        def competes(target: Target) -> bool:
+            if not isinstance(target, ReplicaTarget):
+                return True
+            # Calls that wait for a load take no server before it ends.
+            return self._fleet.has_replica(target.key, now)
+
+        line = self._waiting.line(call.target)
+        return line.wait_s(group_of(call), self._weight, competes)
+
+    def _after_load_s(self, call: RoutedCall, demand: ReplicaDemand) -> float:
+        server = self._fleet.catalog.server_by_id.get(demand.planned_server_id or "")
+        mean_s = self._waiting.line(call.target).mean_service_s
+        if server is None or mean_s is None:
+            return 0.0
+        waiting = (self._waiting.get(call_id) for call_id in demand.call_ids)
+        ahead = sum(1 for other in waiting if rank(other) < rank(call))
+        # The server takes the first calls, as many as its capacity, at once.
+        capacity = max(1, server.capacity)
+        return max(0, ahead - capacity + 1) * mean_s / capacity
+
+    def _weight(self, team_id: str) -> float:
+        team = self._fleet.catalog.team_by_id.get(team_id)
+        return team.weight if team is not None and team.weight > 0 else 1.0
--- /dev/null
+++ b/src/siskinspool/machines/fleet.py
@@ -0,0 +1,199 @@
+"""Servers and plain services as one instance sees them.
+
+`Fleet` keeps the state of each server and answers which of them may take a call now:
+those that hold the replica, take new work (zone open, not leaving), have a recent
+report, are not set aside by the breaker and have free concurrency within the ramp.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from ..manifest.model import Catalog, Server, Service, empty_manifest
+from ..zones.preference import ZonePreference
+from ..zones.zone import WorkPermits
+from .candidate import Candidate
+from .messages import LeavingChanged, MembershipChanged, RampSlots, ServerReport
+from .prefix_index import PrefixIndex
+from .routing_messages import PrefixHint, RouteCall
+from .server_state import BackendState, ServerState, ServiceState
+from .targets import ReplicaKey, ReplicaTarget, RouteTarget, Target
+
+
+@attrs.frozen
+class Backend:
+    """A server or plain service of the catalog with its state."""
+
+    entity: Server | Service
+    state: BackendState
+
+
+class Fleet:
+    """State of all servers; times are monotonic seconds."""
+
+    def __init__(self, own_zone: str, rng: random.Random) -> None:
+        self.catalog = Catalog.from_manifest(0, empty_manifest())
+        self._preference = ZonePreference(own_zone)
+        self._rng = rng
+        self._permits = WorkPermits()
+        self._instances = 1
+        # Highest epoch of the placement owner seen in `RampSlots`.
+        self._ramp_epoch = 0
+        # Also holds servers that the catalog does not name yet: a ramp lease can
+        # arrive before the revision that adds its server.
+        self._server_by_id: dict[str, ServerState] = {}
+        self._service_by_id: dict[str, ServiceState] = {}
+        self._holders_by_key: dict[ReplicaKey, set[str]] = {}
+        self._prefixes = PrefixIndex()
+
+    def take_catalog(self, catalog: Catalog) -> None:
+        """Take in a manifest revision."""
+        for server_id in self.catalog.server_by_id.keys() - catalog.server_by_id.keys():
+            self._forget_server(server_id)
+        self.catalog = catalog
+        self._permits = self._permits.with_catalog(catalog)
+        self._service_by_id = {
+            service_id: self._service_by_id.get(service_id) or ServiceState()
+            for service_id in catalog.service_by_id
+        }
+        self._limit_services()
+
+    def take_leaving(self, change: LeavingChanged) -> None:
+        """Take in which servers leave."""
+        self._permits = self._permits.with_leaving(change)
+
+    def take_members(self, change: MembershipChanged) -> None:
+        """Take in the instances that share the servers."""
+        members = change.member_by_id.values()
+        self._instances = max(1, sum(1 for member in members if not member.draining))
+        self._limit_services()
+
+    def take_report(self, report: ServerReport, now: float) -> None:
+        """Take in a server's report."""
+        state = self._server(report.server_id)
+        boot_before, loaded_before = state.boot_id, state.loaded()
+        if not state.take_report(report, self._instances, self._rng, now):
+            return
+        if boot_before not in ("", report.boot_id):
+            self._prefixes.forget_server(report.server_id)
+        for replica in loaded_before - state.loaded():
+            self._drop_holder(
+                ReplicaKey(replica.model, replica.adapter), state, report.server_id
+            )
+        for replica in state.loaded() - loaded_before:
+            key = ReplicaKey(replica.model, replica.adapter)
+            self._holders_by_key.setdefault(key, set()).add(report.server_id)
+
+    def take_slots(self, message: RampSlots, now: float) -> None:
+        """Take in a ramp lease; one of an older epoch is ignored (R6)."""
+        if message.epoch < self._ramp_epoch:
+            return
+        self._ramp_epoch = message.epoch
+        self._server(message.server_id).take_slots(message, now)
+
+    def take_hint(self, hint: PrefixHint, now: float) -> None:
+        """Take in a prefix hint of a server in the catalog."""
+        if hint.server_id in self.catalog.server_by_id:
+            self._prefixes.take(hint, now)
+
+    def has_replica(self, key: ReplicaKey, now: float) -> bool:
+        """Return whether a server that takes work holds the replica, busy or not."""
+        return any(
+            isinstance(backend.state, ServerState) and backend.state.is_current(now)
+            for backend in self._permitted(self._holders(key))
+        )
+
+    def candidates(
+        self, target: Target, request: RouteCall, now: float
+    ) -> list[Candidate]:
+        """Return the servers that may take a call now."""
+        found = [
+            self._candidate(backend, request, now)
+            for backend in self._permitted(self._backends(target))
+            if backend.entity.id not in request.excluded_server_ids
+            and backend.state.accepts(now)
+        ]
+        if not request.idempotent:
+            # A probe often fails, and such a call cannot be tried again (R10).
+            proven = [candidate for candidate in found if not candidate.is_probe]
+            return proven or found
+        return found
+
+    def backend(self, target: Target, backend_id: str) -> Backend:
+        """Return a candidate's server or service with its state."""
+        if isinstance(target, RouteTarget):
+            service = self.catalog.service_by_id[backend_id]
+            return Backend(service, self._service_by_id[backend_id])
+        server = self.catalog.server_by_id[backend_id]
+        return Backend(server, self._server_by_id[backend_id])
+
+    def next_probe_at(self, target: Target, now: float) -> float | None:
+        """Return when a breaker next lets a probe through; None if none is due."""
+        times = (b.state.breaker.next_probe_at() for b in self._backends(target))
+        return min((at for at in times if at is not None and at > now), default=None)
+
+    def _backends(self, target: Target) -> Iterator[Backend]:
+        if isinstance(target, ReplicaTarget):
+            yield from self._holders(target.key)
+        elif isinstance(target, RouteTarget):
+            for service_id in target.service_ids:
+                if service_id in self.catalog.service_by_id:
+                    yield self.backend(target, service_id)
+
+    def _holders(self, key: ReplicaKey) -> Iterator[Backend]:
+        # Sorted, because the order of a set of strings differs between processes.
+        for server_id in sorted(self._holders_by_key.get(key, ())):
+            server = self.catalog.server_by_id.get(server_id)
+            if server is not None:
+                yield Backend(server, self._server_by_id[server_id])
+
+    def _permitted(self, backends: Iterable[Backend]) -> Iterator[Backend]:
+        for backend in backends:
+            entity = backend.entity
+            if self._permits.server_takes_work(entity.id, entity.zone):
+                yield backend
+
+    def _candidate(self, backend: Backend, request: RouteCall, now: float) -> Candidate:
+        entity = backend.entity
+        return Candidate(
+            server_id=entity.id,
+            zone_rank=self._preference.rank(entity.zone),
+            load_ratio=backend.state.load_ratio(),
+            prefix_bonus=self._prefixes.bonus(entity.id, request.prefix_hashes, now),
+            is_probe=backend.state.breaker.is_open,
+        )
+
+    def _server(self, server_id: str) -> ServerState:
+        return self._server_by_id.setdefault(server_id, ServerState())
+
+    def _forget_server(self, server_id: str) -> None:
+        state = self._server_by_id.pop(server_id, None)
+        self._prefixes.forget_server(server_id)
+        for replica in state.loaded() if state else ():
+            key = ReplicaKey(replica.model, replica.adapter)
+            self._discard_holder(key, server_id)
+
+    def _drop_holder(self, key: ReplicaKey, state: ServerState, server_id: str) -> None:
+        # A replica that was loaded again under another id is still held.
+        still_held = any(
+            ReplicaKey(replica.model, replica.adapter) == key
+            for replica in state.loaded()
+        )
+        if not still_held:
+            self._discard_holder(key, server_id)
+
+    def _discard_holder(self, key: ReplicaKey, server_id: str) -> None:
+        holders = self._holders_by_key.get(key, set())
+        holders.discard(server_id)
+        if not holders:
+            self._holders_by_key.pop(key, None)
+
+    def _limit_services(self) -> None:
+        # Without reports the only fair bound is an equal part of the capacity.
+        for service_id, state in self._service_by_id.items():
+            capacity = self.catalog.service_by_id[service_id].capacity
+            state.limit = max(1, math.ceil(capacity / self._instances))
--- /dev/null
+++ b/src/siskinspool/machines/routing.py
@@ -0,0 +1,398 @@
+"""Routing of calls to servers and plain services (R3, R6, R7, R11).
+
+A call gets a server at once if one is free and no earlier call in its queue can use
+it; otherwise it waits. Whenever something frees or opens a server, the queues are
+served again, so that the choice is always made on what is known at dispatch. A waiting
+call ends in exactly one way: dispatched, refused early because its deadline cannot be
+met, refused at its deadline, or cancelled by its caller.
+
+Calls that wait for a model or adapter make a demand, which goes to the placement owner.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import attrs
+
+from ..contracts.call_queue import QueuedCall
+from ..core.decision import Decision
+from ..core.errors import ErrorCode, InvariantError
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..manifest.model import Catalog, RequestClass
+from .candidate import CandidateChooser, TwoRandomChoices
+from .expected_wait import ExpectedWait
+from .fleet import Backend, Fleet
+from .messages import (
+    CatalogChanged,
+    LeavingChanged,
+    MembershipChanged,
+    NeedReplica,
+    OwnersChanged,
+    RampSlots,
+    ReplicaPlanned,
+    ReplicaRefused,
+    ServerReport,
+)
+from .replica_demand import ReplicaDemand, ReplicaDemands
+from .replica_usage import ReplicaUsage, UsageKey
+from .routing_messages import (
+    CallCancelled,
+    CallDispatched,
+    CallEnded,
+    CallRefused,
+    CallResult,
+    PrefixHint,
+    RouteCall,
+)
+from .targets import ReplicaTarget, Target, resolve_target
+from .waiting import QueueFactory, RoutedCall, WaitingCalls, rank
+
+# A request ends at most this long after its deadline. A call without `CallEnded` by
+# then has lost its handler, and its concurrency is freed.
+FINISH_MARGIN_S: Final = 60.0
+SWEEP_INTERVAL_S: Final = 5.0
+
+
+@attrs.frozen
+class RunningCall:
+    """A dispatched call."""
+
+    call: RoutedCall
+    backend: Backend
+    sent_at: float
+
+
+@attrs.frozen
+class Need:
+    """What decides whether a call has a candidate; calls that agree share it."""
+
+    target: Target
+    excluded_server_ids: frozenset[str]
+
+
+class Routing(Decision):
+    """Routes the calls of one instance."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        zone: str,
+        queue_factory: QueueFactory,
+        rng: random.Random,
+        chooser: CandidateChooser | None = None,
+    ) -> None:
+        self._instance_id = instance_id
+        self._fleet = Fleet(zone, rng)
+        self._chooser = chooser or TwoRandomChoices(rng)
+        self._waiting = WaitingCalls(queue_factory)
+        self._running_by_id: dict[str, RunningCall] = {}
+        self._demands = ReplicaDemands()
+        self._usage = ReplicaUsage()
+        self._owner_by_partition: dict[str, str] = {}
+        self._expected = ExpectedWait(self._fleet, self._waiting, self._demands)
+        self._sweep_at = 0.0
+        # Time of the last step, against which breakers' times are compared.
+        self._now = 0.0
+
+    @property
+    def open_calls(self) -> int:
+        """Return the number of waiting and running calls."""
+        return len(self._waiting) + len(self._running_by_id)
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no call, demand or use of a replica is recorded."""
+        return not (self.open_calls or len(self._demands) or len(self._usage))
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a message of a request handler, a peer or another task."""
+        self._now = now
+        message = incoming.message
+        match message:
+            case RouteCall():
+                return self._route(message, incoming.sender, now)
+            case CallEnded():
+                return self._end(message, now)
+            case CallCancelled():
+                return self._cancel(message, now)
+            case CatalogChanged():
+                return self._take_catalog(message.catalog, now)
+            case OwnersChanged():
+                return self._take_owners(message, now)
+            case ReplicaPlanned():
+                return self._take_plan(message, now)
+            case ReplicaRefused():
+                self._demands.refused(message, now)
+                return []
+            case PrefixHint():
+                self._fleet.take_hint(message, now)
+                return []
+        if self._take_fleet_change(message, now):
+            return self._serve_all(now)
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Refuse what is due, serve queues, repeat demands, report use."""
+        self._now = now
+        batch = self._sweep(now) + self._refuse_expired(now) + self._serve_all(now)
+        return batch + self._ask(now) + self._report_use(now)
+
+    def wake_at(self) -> float | None:
+        """Return when `on_time` is due next."""
+        times = [self._waiting.next_deadline(), self._demands.next_at()]
+        times.append(self._usage.next_at())
+        times.append(self._sweep_at if self._running_by_id else None)
+        times.append(self._next_probe_at())
+        return min((at for at in times if at is not None), default=None)
+
+    # Calls
+
+    def _route(self, request: RouteCall, asker: Address, now: float) -> list[Outgoing]:
+        call_id = request.call_id
+        if call_id in self._waiting or call_id in self._running_by_id:
+            return [_refusal(asker, call_id, ErrorCode.INTERNAL, "call id in use")]
+        target = resolve_target(self._fleet.catalog, request.target)
+        if target is None:
+            return [self._refuse_unknown(asker, call_id)]
+        if request.deadline_in_s <= 0:
+            detail = "the deadline passed before routing"
+            return [_refusal(asker, call_id, ErrorCode.DEADLINE_PASSED, detail)]
+        call = RoutedCall(request, asker, target, now + request.deadline_in_s)
+        self._waiting.add(call, now)
+        batch: list[Outgoing] = []
+        if self._fleet.candidates(target, request, now):
+            batch = self._serve(target.queue_name, now)
+        if call_id in self._waiting:
+            batch += self._keep_waiting(call, now)
+        return batch
+
+    def _keep_waiting(self, call: RoutedCall, now: float) -> list[Outgoing]:
+        self._demands.add(call.target, call.request.call_id, now)
+        # Asked before an early refusal, because the next call may have more time.
+        return self._ask(now) + self._refuse_unreachable(call, now)
+
+    def _refuse_unknown(self, asker: Address, call_id: str) -> Outgoing:
+        if self._fleet.catalog.revision == 0:
+            detail = "no configuration yet"
+            return _refusal(asker, call_id, ErrorCode.NOT_CURRENT, detail, 1.0)
+        detail = "no such model, adapter or route"
+        return _refusal(asker, call_id, ErrorCode.UNKNOWN_MODEL, detail)
+
+    def _end(self, message: CallEnded, now: float) -> list[Outgoing]:
+        failed = {
+            CallResult.OK: False,
+            CallResult.CANCELLED: None,
+            CallResult.FAILED: True,
+            CallResult.FAILED_BEFORE_SEND: True,
+        }[message.result]
+        return self._free(message.call_id, failed, now)
+
+    def _cancel(self, message: CallCancelled, now: float) -> list[Outgoing]:
+        call = self._waiting.cancel(message.call_id)
+        if call is not None:
+            self._demands.remove(call.target, call.request.call_id)
+            return []
+        # The answer and the cancellation may have crossed.
+        return self._free(message.call_id, None, now)
+
+    def _free(self, call_id: str, failed: bool | None, now: float) -> list[Outgoing]:
+        running = self._running_by_id.pop(call_id, None)
+        if running is None:
+            return []
+        target = running.call.target
+        running.backend.state.ended(call_id, failed, now)
+        line = self._waiting.line(target)
+        line.running -= 1
+        if failed is False:
+            line.served(now - running.sent_at)
+        if isinstance(target, ReplicaTarget):
+            self._usage.ended(UsageKey(target.key, running.backend.entity.id))
+        return self._serve(target.queue_name, now)
+
+    def _sweep(self, now: float) -> list[Outgoing]:
+        if now < self._sweep_at:
+            return []
+        self._sweep_at = now + SWEEP_INTERVAL_S
+        lost = [
+            call_id
+            for call_id, running in self._running_by_id.items()
+            if running.call.deadline_at + FINISH_MARGIN_S <= now
+        ]
+        return [out for call_id in lost for out in self._free(call_id, None, now)]
+
+    # Queues
+
+    def _serve_all(self, now: float) -> list[Outgoing]:
+        names = self._waiting.busy_names()
+        return [outgoing for name in names for outgoing in self._serve(name, now)]
+
+    def _serve(self, name: str, now: float) -> list[Outgoing]:
+        """Dispatch calls of a queue while one of them has a candidate."""
+        batch = self._refuse_expired(now)
+        # Dispatching only takes concurrency, so a need without a candidate stays so.
+        unmet: set[Need] = set()
+
+        def admit(entry: QueuedCall) -> bool:
+            call = self._waiting.get(entry.call_id)
+            need = Need(call.target, call.request.excluded_server_ids)
+            if need in unmet:
+                return False
+            if self._fleet.candidates(call.target, call.request, now):
+                return True
+            unmet.add(need)
+            return False
+
+        while (call := self._waiting.pop(name, now, admit)) is not None:
+            self._demands.remove(call.target, call.request.call_id)
+            batch.append(self._dispatch(call, now))
+        return batch
+
+    def _dispatch(self, call: RoutedCall, now: float) -> Outgoing:
+        candidates = self._fleet.candidates(call.target, call.request, now)
+        chosen = self._chooser.choose(candidates)
+        if chosen is None:
+            raise InvariantError(f"call {call.request.call_id} has no candidate")
+        backend = self._fleet.backend(call.target, chosen.server_id)
+        call_id = call.request.call_id
+        backend.state.sent(call_id, now)
+        self._waiting.line(call.target).running += 1
+        self._running_by_id[call_id] = RunningCall(call, backend, now)
+        if isinstance(call.target, ReplicaTarget):
+            self._usage.sent(UsageKey(call.target.key, chosen.server_id), now)
+        entity = backend.entity
+        answer = CallDispatched(
+            call_id, entity.id, entity.host, entity.port, backend.state.boot_id
+        )
+        return Outgoing(call.asker, answer)
+
+    def _refuse_expired(self, now: float) -> list[Outgoing]:
+        batch: list[Outgoing] = []
+        for call in self._waiting.expire(now):
+            reason = self._reason(call)
+            self._demands.remove(call.target, call.request.call_id)
+            detail = f"no server was free before the deadline{reason}"
+            code = ErrorCode.DEADLINE_PASSED
+            batch.append(_refusal(call.asker, call.request.call_id, code, detail))
+        return batch
+
+    def _reason(self, call: RoutedCall) -> str:
+        demand = self._demands.for_target(call.target)
+        if demand is None or not demand.refusal_reason:
+            return ""
+        return f"; no replica: {demand.refusal_reason}"
+
+    def _refuse_unreachable(self, call: RoutedCall, now: float) -> list[Outgoing]:
+        """Refuse a waiting call now if it cannot have a server by its deadline."""
+        expected_at = self._expected.server_at(call, now)
+        if expected_at <= call.deadline_at:
+            return []
+        self._waiting.cancel(call.request.call_id)
+        self._demands.remove(call.target, call.request.call_id)
+        wait_s = expected_at - now
+        detail = f"a server is expected to be free in {wait_s:.1f} s"
+        code = ErrorCode.DEADLINE_UNREACHABLE
+        return [_refusal(call.asker, call.request.call_id, code, detail, wait_s)]
+
+    # Replicas
+
+    def _take_plan(self, answer: ReplicaPlanned, now: float) -> list[Outgoing]:
+        demand = self._demands.planned(answer, now)
+        if demand is None:
+            return []
+        # The last in order goes first: without it the others wait less.
+        calls = sorted((self._waiting.get(c) for c in demand.call_ids), key=rank)
+        return [
+            outgoing
+            for call in reversed(calls)
+            for outgoing in self._refuse_unreachable(call, now)
+        ]
+
+    def _placement(self) -> Address | None:
+        partition = f"placement/{self._fleet.catalog.manifest.site.id}"
+        owner = self._owner_by_partition.get(partition)
+        return None if owner is None else Address(owner, "placement")
+
+    def _ask(self, now: float) -> list[Outgoing]:
+        due = self._demands.take_due(now)
+        placement = self._placement()
+        if placement is None:
+            return []
+        return [Outgoing(placement, self._need(demand, now)) for demand in due]
+
+    def _need(self, demand: ReplicaDemand, now: float) -> NeedReplica:
+        calls = [self._waiting.get(call_id) for call_id in demand.call_ids]
+        urgent = any(c.request.request_class is RequestClass.URGENT for c in calls)
+        return NeedReplica(
+            demand.key.model,
+            demand.key.adapter,
+            RequestClass.URGENT if urgent else RequestClass.PATIENT,
+            max(0.0, min(call.deadline_at for call in calls) - now),
+            len(calls),
+        )
+
+    def _report_use(self, now: float) -> list[Outgoing]:
+        batch = self._usage.take_due(now)
+        placement = self._placement()
+        return [Outgoing(placement, used) for used in batch] if placement else []
+
+    # Changes of the surroundings
+
+    def _take_fleet_change(self, message: Message, now: float) -> bool:
+        match message:
+            case ServerReport():
+                self._fleet.take_report(message, now)
+            case RampSlots():
+                self._fleet.take_slots(message, now)
+            case LeavingChanged():
+                self._fleet.take_leaving(message)
+            case MembershipChanged():
+                self._fleet.take_members(message)
+            case _:
+                return False
+        return True
+
+    def _take_owners(self, change: OwnersChanged, now: float) -> list[Outgoing]:
+        before = self._placement()
+        self._owner_by_partition = change.owner_by_partition
+        if self._placement() != before:
+            self._demands.owner_changed(now)
+        return self._ask(now)
+
+    def _take_catalog(self, catalog: Catalog, now: float) -> list[Outgoing]:
+        self._fleet.take_catalog(catalog)
+        batch: list[Outgoing] = []
+        for call in self._waiting.all_calls():
+            target = resolve_target(catalog, call.request.target)
+            if target == call.target:
+                continue
+            self._waiting.cancel(call.request.call_id)
+            self._demands.remove(call.target, call.request.call_id)
+            if target is None:
+                batch.append(self._refuse_unknown(call.asker, call.request.call_id))
+                continue
+            moved = attrs.evolve(call, target=target)
+            self._waiting.add(moved, now)
+            self._demands.add(target, call.request.call_id, now)
+        pools = {f"pool:{pool.id}" for pool in catalog.manifest.pools}
+        routes = {f"route:{route_id}" for route_id in catalog.route_by_id}
+        self._waiting.forget_lines(pools | routes)
+        return batch + self._serve_all(now) + self._ask(now)
+
+    def _next_probe_at(self) -> float | None:
+        probes = (
+            self._fleet.next_probe_at(target, self._now)
+            for target in self._waiting.targets()
+        )
+        return min((at for at in probes if at is not None), default=None)
+
+
+def _refusal(
+    asker: Address,
+    call_id: str,
+    code: ErrorCode,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> Outgoing:
+    return Outgoing(asker, CallRefused(call_id, code, detail, retry_after_s))
--- /dev/null
+++ b/src/siskinspool/machines/waiting.py
@@ -0,0 +1,218 @@
+"""Calls that wait for a server, with their queues and expected waiting times.
+
+Calls for the models of one pool share a queue, since they compete for its servers; a
+route of plain services has a queue of its own.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Set
+from typing import Final
+
+import attrs
+
+from ..contracts.call_queue import Admit, CallQueue, QueuedCall
+from ..core.message import Address
+from ..manifest.model import RequestClass
+from .routing_messages import RouteCall
+from .targets import Target
+
+QueueFactory = Callable[[], CallQueue]
+# Weight of the newest call in the mean time that a call takes.
+SERVICE_TIME_WEIGHT: Final = 0.1
+
+
+@attrs.frozen
+class RoutedCall:
+    """A call with its asker and resolved target."""
+
+    request: RouteCall
+    asker: Address
+    target: Target
+    # Monotonic seconds.
+    deadline_at: float
+
+
+@attrs.frozen
+class WaitingGroup:
+    """Waiting calls that count alike in the estimate of waiting times."""
+
+    request_class: RequestClass
+    team: str
+    target: Target
+
+
+@attrs.frozen(order=True)
+class Deadline:
+    """An entry of the heap of deadlines."""
+
+    at: float
+    call_id: str
+
+
+@attrs.define
+class Line:
+    """One queue with the figures for its estimate."""
+
+    queue: CallQueue
+    waiting: Counter[WaitingGroup] = attrs.field(factory=Counter, init=False)
+    running: int = attrs.field(default=0, init=False)
+    # Mean time of a call at a server; None before the first has ended.
+    mean_service_s: float | None = attrs.field(default=None, init=False)
+
+    def add(self, group: WaitingGroup, change: int) -> None:
+        """Count waiting calls; groups without a call are dropped."""
+        self.waiting[group] += change
+        if self.waiting[group] <= 0:
+            del self.waiting[group]
+
+    def served(self, service_s: float) -> None:
+        """Take the time of a finished call into the mean."""
+        mean = service_s if self.mean_service_s is None else self.mean_service_s
+        self.mean_service_s = mean + SERVICE_TIME_WEIGHT * (service_s - mean)
+
+    def wait_s(
+        self,
+        group: WaitingGroup,
+        weight: Callable[[str], float],
+        counts: Callable[[Target], bool],
+    ) -> float:
+        """Return how long a call of this group waits, as far as can be told.
+
+        ``group`` counts the call itself. ``counts`` says whether calls for a target
+        compete for servers now. Under fair queueing a team waits for its own calls at
+        its part of the weights, and at most for all calls.
+        """
+        if self.mean_service_s is None or not self.running:
+            return 0.0
+        count_by_team: Counter[str] = Counter()
+        for other, count in self.waiting.items():
+            if other.request_class in _not_after(group) and counts(other.target):
+                count_by_team[other.team] += count
+        own_ahead = max(0, count_by_team[group.team] - 1)
+        all_weights = sum(weight(team) for team in count_by_team)
+        fair = own_ahead * all_weights / weight(group.team)
+        ahead = min(fair, count_by_team.total() - 1)
+        return max(0.0, ahead) * self.mean_service_s / self.running
+
+
+def _not_after(group: WaitingGroup) -> tuple[RequestClass, ...]:
+    if group.request_class is RequestClass.URGENT:
+        return (RequestClass.URGENT,)
+    return (RequestClass.URGENT, RequestClass.PATIENT)
+
+
+def rank(call: RoutedCall) -> tuple[bool, float]:
+    """Return a key that orders calls by class, then by deadline."""
+    return call.request.request_class is RequestClass.PATIENT, call.deadline_at
+
+
+def group_of(call: RoutedCall) -> WaitingGroup:
+    """Return the group in which a call counts."""
+    request = call.request
+    return WaitingGroup(request.request_class, request.team, call.target)
+
+
+class WaitingCalls:
+    """All waiting calls of an instance."""
+
+    def __init__(self, queue_factory: QueueFactory) -> None:
+        self._queue_factory = queue_factory
+        self._line_by_name: dict[str, Line] = {}
+        self._call_by_id: dict[str, RoutedCall] = {}
+        # May hold calls that wait no more; they are skipped.
+        self._deadlines: list[Deadline] = []
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+        return len(self._call_by_id)
+
+    def __contains__(self, call_id: str) -> bool:
+        """Return whether a call waits."""
+        return call_id in self._call_by_id
+
+    def get(self, call_id: str) -> RoutedCall:
+        """Return a waiting call."""
+        return self._call_by_id[call_id]
+
+    def all_calls(self) -> list[RoutedCall]:
+        """Return the waiting calls in order of arrival."""
+        return list(self._call_by_id.values())
+
+    def line(self, target: Target) -> Line:
+        """Return the queue of a target."""
+        name = target.queue_name
+        if name not in self._line_by_name:
+            self._line_by_name[name] = Line(self._queue_factory())
+        return self._line_by_name[name]
+
+    def targets(self) -> set[Target]:
+        """Return the targets for which calls wait."""
+        lines = self._line_by_name.values()
+        return {group.target for line in lines for group in line.waiting}
+
+    def busy_names(self) -> list[str]:
+        """Return the names of the queues in which calls wait."""
+        return [name for name, line in self._line_by_name.items() if line.waiting]
+
+    def forget_lines(self, valid_names: Set[str]) -> None:
+        """Drop unused queues of pools and routes that the catalog lacks."""
+        self._line_by_name = {
+            name: line
+            for name, line in self._line_by_name.items()
+            if name in valid_names or line.waiting or line.running
+        }
+
+    def add(self, call: RoutedCall, now: float) -> None:
+        """Add a call."""
+        request = call.request
+        entry = QueuedCall(
+            request.call_id, request.team, request.request_class, call.deadline_at
+        )
+        line = self.line(call.target)
+        line.queue.push(entry, now)
+        line.add(group_of(call), 1)
+        self._call_by_id[request.call_id] = call
+        heapq.heappush(self._deadlines, Deadline(call.deadline_at, request.call_id))
+
+    def pop(self, name: str, now: float, admit: Admit) -> RoutedCall | None:
+        """Remove and return the next call of a queue that ``admit`` accepts."""
+        entry = self._line_by_name[name].queue.pop(now, admit)
+        return None if entry is None else self._forget(entry.call_id)
+
+    def cancel(self, call_id: str) -> RoutedCall | None:
+        """Remove and return a call; None if it does not wait."""
+        call = self._call_by_id.get(call_id)
+        if call is None:
+            return None
+        self.line(call.target).queue.cancel(call_id)
+        return self._forget(call_id)
+
+    def expire(self, now: float) -> list[RoutedCall]:
+        """Remove and return calls whose deadline has come."""
+        due_at = self.next_deadline()
+        if due_at is None or due_at > now:
+            return []
+        return [
+            self._forget(entry.call_id)
+            for name in self.busy_names()
+            for entry in self._line_by_name[name].queue.expire(now, 0.0)
+        ]
+
+    def next_deadline(self) -> float | None:
+        """Return the earliest deadline of a waiting call."""
+        while self._deadlines and self._deadlines[0].call_id not in self._call_by_id:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0].at if self._deadlines else None
+
+    def _forget(self, call_id: str) -> RoutedCall:
+        call = self._call_by_id.pop(call_id)
+        self.line(call.target).add(group_of(call), -1)
+        if len(self._deadlines) > 2 * len(self._call_by_id) + 16:
+            self._deadlines = [
+                item for item in self._deadlines if item.call_id in self._call_by_id
+            ]
+            heapq.heapify(self._deadlines)
+        return call
