Name the routing view of servers KnownServers

Placement and routing each had a module named fleet with a class Fleet, which cannot both exist in one package. The routing one holds what one instance knows of the servers, so it is named for that; behaviour is unchanged and the routing tests pass as before (make test).

--- a/src/siskinspool/machines/expected_wait.py
+++ b/src/siskinspool/machines/expected_wait.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from .fleet import Fleet
+from .known_servers import KnownServers
 from .replica_demand import ReplicaDemand, ReplicaDemands
 from .targets import ReplicaTarget, Target
 from .waiting import RoutedCall, WaitingCalls, group_of, rank
@@ -17,16 +17,16 @@
     """Estimates from the state of routing; changes nothing."""
 
     def __init__(
-        self, fleet: Fleet, waiting: WaitingCalls, demands: ReplicaDemands
+        self, servers: KnownServers, waiting: WaitingCalls, demands: ReplicaDemands
     ) -> None:
-        self._fleet = fleet
+        self._servers = servers
         self._waiting = waiting
         self._demands = demands
 
     def server_at(self, call: RoutedCall, now: float) -> float:
         """Return when a waiting call can expect a server, in monotonic seconds."""
         demand = self._demands.for_target(call.target)
-        if demand is None or self._fleet.has_replica(demand.key, now):
+        if demand is None or self._servers.has_replica(demand.key, now):
             return now + self._queue_s(call, now)
         if demand.planned_server_id is None:
             return now
@@ -37,13 +37,13 @@
             if not isinstance(target, ReplicaTarget):
                 return True
             # Calls that wait for a load take no server before it ends.
-            return self._fleet.has_replica(target.key, now)
+            return self._servers.has_replica(target.key, now)
 
         line = self._waiting.line(call.target)
         return line.wait_s(group_of(call), self._weight, competes)
 
     def _after_load_s(self, call: RoutedCall, demand: ReplicaDemand) -> float:
-        server = self._fleet.catalog.server_by_id.get(demand.planned_server_id or "")
+        server = self._servers.catalog.server_by_id.get(demand.planned_server_id or "")
         mean_s = self._waiting.line(call.target).mean_service_s
         if server is None or mean_s is None:
             return 0.0
@@ -54,5 +54,5 @@
         return max(0, ahead - capacity + 1) * mean_s / capacity
 
     def _weight(self, team_id: str) -> float:
-        team = self._fleet.catalog.team_by_id.get(team_id)
+        team = self._servers.catalog.team_by_id.get(team_id)
         return team.weight if team is not None and team.weight > 0 else 1.0
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -23,7 +23,7 @@
 from ..manifest.model import Catalog, RequestClass
 from .candidate import CandidateChooser, TwoRandomChoices
 from .expected_wait import ExpectedWait
-from .fleet import Backend, Fleet
+from .known_servers import Backend, KnownServers
 from .messages import (
     CatalogChanged,
     LeavingChanged,
@@ -84,14 +84,14 @@
         chooser: CandidateChooser | None = None,
     ) -> None:
         self._instance_id = instance_id
-        self._fleet = Fleet(zone, rng)
+        self._servers = KnownServers(zone, rng)
         self._chooser = chooser or TwoRandomChoices(rng)
         self._waiting = WaitingCalls(queue_factory)
         self._running_by_id: dict[str, RunningCall] = {}
         self._demands = ReplicaDemands()
         self._usage = ReplicaUsage()
         self._owner_by_partition: dict[str, str] = {}
-        self._expected = ExpectedWait(self._fleet, self._waiting, self._demands)
+        self._expected = ExpectedWait(self._servers, self._waiting, self._demands)
         self._sweep_at = 0.0
         # Time of the last step, against which breakers' times are compared.
         self._now = 0.0
@@ -127,7 +127,7 @@
                 self._demands.refused(message, now)
                 return []
             case PrefixHint():
-                self._fleet.take_hint(message, now)
+                self._servers.take_hint(message, now)
                 return []
         if self._take_fleet_change(message, now):
             return self._serve_all(now)
@@ -153,7 +153,7 @@
         call_id = request.call_id
         if call_id in self._waiting or call_id in self._running_by_id:
             return [_refusal(asker, call_id, ErrorCode.INTERNAL, "call id in use")]
-        target = resolve_target(self._fleet.catalog, request.target)
+        target = resolve_target(self._servers.catalog, request.target)
         if target is None:
             return [self._refuse_unknown(asker, call_id)]
         if request.deadline_in_s <= 0:
@@ -162,7 +162,7 @@
         call = RoutedCall(request, asker, target, now + request.deadline_in_s)
         self._waiting.add(call, now)
         batch: list[Outgoing] = []
-        if self._fleet.candidates(target, request, now):
+        if self._servers.candidates(target, request, now):
             batch = self._serve(target.queue_name, now)
         if call_id in self._waiting:
             batch += self._keep_waiting(call, now)
@@ -174,7 +174,7 @@
         return self._ask(now) + self._refuse_unreachable(call, now)
 
     def _refuse_unknown(self, asker: Address, call_id: str) -> Outgoing:
-        if self._fleet.catalog.revision == 0:
+        if self._servers.catalog.revision == 0:
             detail = "no configuration yet"
             return _refusal(asker, call_id, ErrorCode.NOT_CURRENT, detail, 1.0)
         detail = "no such model, adapter or route"
@@ -239,7 +239,7 @@
             need = Need(call.target, call.request.excluded_server_ids)
             if need in unmet:
                 return False
-            if self._fleet.candidates(call.target, call.request, now):
+            if self._servers.candidates(call.target, call.request, now):
                 return True
             unmet.add(need)
             return False
@@ -250,11 +250,11 @@
         return batch
 
     def _dispatch(self, call: RoutedCall, now: float) -> Outgoing:
-        candidates = self._fleet.candidates(call.target, call.request, now)
+        candidates = self._servers.candidates(call.target, call.request, now)
         chosen = self._chooser.choose(candidates)
         if chosen is None:
             raise InvariantError(f"call {call.request.call_id} has no candidate")
-        backend = self._fleet.backend(call.target, chosen.server_id)
+        backend = self._servers.backend(call.target, chosen.server_id)
         call_id = call.request.call_id
         backend.state.sent(call_id, now)
         self._waiting.line(call.target).running += 1
@@ -310,7 +310,7 @@
         ]
 
     def _placement(self) -> Address | None:
-        partition = f"placement/{self._fleet.catalog.manifest.site.id}"
+        partition = f"placement/{self._servers.catalog.manifest.site.id}"
         owner = self._owner_by_partition.get(partition)
         return None if owner is None else Address(owner, "placement")
 
@@ -342,13 +342,13 @@
     def _take_fleet_change(self, message: Message, now: float) -> bool:
         match message:
             case ServerReport():
-                self._fleet.take_report(message, now)
+                self._servers.take_report(message, now)
             case RampSlots():
-                self._fleet.take_slots(message, now)
+                self._servers.take_slots(message, now)
             case LeavingChanged():
-                self._fleet.take_leaving(message)
+                self._servers.take_leaving(message)
             case MembershipChanged():
-                self._fleet.take_members(message)
+                self._servers.take_members(message)
             case _:
                 return False
         return True
@@ -361,7 +361,7 @@
         return self._ask(now)
 
     def _take_catalog(self, catalog: Catalog, now: float) -> list[Outgoing]:
-        self._fleet.take_catalog(catalog)
+        self._servers.take_catalog(catalog)
         batch: list[Outgoing] = []
         for call in self._waiting.all_calls():
             target = resolve_target(catalog, call.request.target)
@@ -382,7 +382,7 @@
 
     def _next_probe_at(self) -> float | None:
         probes = (
-            self._fleet.next_probe_at(target, self._now)
+            self._servers.next_probe_at(target, self._now)
             for target in self._waiting.targets()
         )
         return min((at for at in probes if at is not None), default=None)
