--- /dev/null
+++ b/src/siskinspool/machines/fleet.py
@@ -0,0 +1,149 @@
+"""The servers of the site as the placement owner sees them.
+
+`Fleet` joins the manifest, the reports, the list of leaving servers and the instances
+with a live session, and keeps an index of reservations by target.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..manifest.model import Catalog, Server, ZoneState, empty_manifest
+from .messages import CheckpointTier, LeavingChanged, Member
+from .reservations import IssuedOrder, ServerEvidence, ServerRecord, Target
+
+# The age after which a server's report no longer stands for its present state.
+REPORT_MAX_AGE_S: Final = 3.0
+
+
+class Fleet:
+    """Servers, their evidence and who may still send orders; private state."""
+
+    def __init__(self) -> None:
+        self.catalog = Catalog.from_manifest(0, empty_manifest())
+        self.leaving = LeavingChanged(frozenset(), frozenset())
+        self.member_by_id: dict[str, Member] = {}
+        self._evidence_by_server: dict[str, ServerEvidence] = {}
+        self._servers_by_target: dict[Target, set[str]] = {}
+        self._targets_by_server: dict[str, set[Target]] = {}
+        self._loaded_since: dict[str, float] = {}
+
+    def forget(self) -> None:
+        """Drop what the last ownership has learnt."""
+        self._evidence_by_server.clear()
+        self._servers_by_target.clear()
+        self._targets_by_server.clear()
+        self._loaded_since.clear()
+
+    def evidence(self, server_id: str) -> ServerEvidence:
+        """Return what is known about a server."""
+        return self._evidence_by_server.setdefault(server_id, ServerEvidence())
+
+    def server(self, server_id: str) -> Server | None:
+        """Return a server of the manifest."""
+        return self.catalog.server_by_id.get(server_id)
+
+    def is_open(self, server_id: str) -> bool:
+        """Return whether a server's zone is open and it is not leaving (R7, R11)."""
+        server = self.server(server_id)
+        if server is None or server_id in self.leaving.server_ids:
+            return False
+        zone = self.catalog.zone_by_id.get(server.zone)
+        return zone is not None and zone.state is ZoneState.OPEN
+
+    def is_reporting(self, server_id: str, now: float) -> bool:
+        """Return whether a server has reported lately."""
+        evidence = self.evidence(server_id)
+        return not evidence.unreachable and now - evidence.report_at <= REPORT_MAX_AGE_S
+
+    def is_usable(self, server_id: str, now: float) -> bool:
+        """Return whether a server is open and has reported lately."""
+        return self.is_open(server_id) and self.is_reporting(server_id, now)
+
+    def checks_fencing(self, server_id: str) -> bool:
+        """Return whether a server refuses orders with an old fence."""
+        server = self.server(server_id)
+        return server is not None and server.checks_fencing
+
+    def is_sender_gone(self, order: IssuedOrder) -> bool:
+        """Return whether the process that issued an order certainly does not exist.
+
+        A missing session is not enough: a paused process loses its session and may
+        still send. The platform must have dropped the instance, or a new process must
+        have taken its name.
+        """
+        member = self.member_by_id.get(order.sender)
+        if member is not None:
+            return member.incarnation != order.incarnation
+        return order.sender in self.leaving.gone_instance_ids
+
+    def free_mib(self, server_id: str, record: ServerRecord) -> int:
+        """Return memory that is neither reserved nor used by anything else (R2)."""
+        server = self.server(server_id)
+        report = self.evidence(server_id).report
+        if server is None or report is None:
+            return 0
+        memory = server.memory_mib
+        if report.memory_mib > 0:
+            memory = min(memory, report.memory_mib)
+        mib_by_replica = {r.replica_id: r.memory_mib for r in record.reservations}
+        shown = {r.replica_id for r in report.replicas}
+        accounted = sum(mib_by_replica.get(replica_id, 0) for replica_id in shown)
+        foreign = max(report.used_mib - accounted, 0)
+        return memory - record.charged_mib - foreign
+
+    def tier(self, server_id: str, model: str) -> CheckpointTier:
+        """Return where a server finds a model's checkpoint."""
+        report = self.evidence(server_id).report
+        if report is None:
+            return CheckpointTier.REMOTE
+        return report.checkpoint_tier_by_model.get(model, CheckpointTier.REMOTE)
+
+    def memory_mib(self, target: Target) -> int | None:
+        """Return the memory that a target needs, None if it is not in the manifest."""
+        if target.adapter:
+            adapter = self.catalog.adapter_by_id.get(target.adapter)
+            if adapter is None or adapter.model != target.model:
+                return None
+            return adapter.memory_mib
+        model = self.catalog.model_by_id.get(target.model)
+        return model.memory_mib if model is not None else None
+
+    def nominal_load_s(self, target: Target) -> float:
+        """Return the manifest's load time of a target, 0 if it is unknown."""
+        if target.adapter:
+            adapter = self.catalog.adapter_by_id.get(target.adapter)
+            return adapter.load_s if adapter is not None else 0.0
+        model = self.catalog.model_by_id.get(target.model)
+        return model.load_s if model is not None else 0.0
+
+    def max_replicas(self, target: Target) -> int:
+        """Return the most replicas that a target may have."""
+        model = self.catalog.model_by_id.get(target.model)
+        return model.max_replicas if model is not None else 0
+
+    def index(self, server_id: str, record: ServerRecord) -> None:
+        """Note which targets a server's record names."""
+        targets = {entry.target for entry in record.reservations}
+        before = self._targets_by_server.get(server_id, set())
+        for target in before - targets:
+            self._servers_by_target[target].discard(server_id)
+        for target in targets - before:
+            self._servers_by_target.setdefault(target, set()).add(server_id)
+        self._targets_by_server[server_id] = targets
+
+    def servers_of(self, target: Target) -> list[str]:
+        """Return the servers whose records name a target, in order."""
+        return sorted(self._servers_by_target.get(target, ()))
+
+    def targets(self) -> list[Target]:
+        """Return all targets that some record names."""
+        return [t for t, servers in self._servers_by_target.items() if servers]
+
+    def loaded_since(self, replica_id: str, now: float) -> float:
+        """Return since when a replica is known to be loaded."""
+        return self._loaded_since.setdefault(replica_id, now)
+
+    def forget_replica(self, replica_id: str) -> None:
+        """Drop what is kept for a released replica."""
+        self._loaded_since.pop(replica_id, None)
--- /dev/null
+++ b/src/siskinspool/machines/load_planner.py
@@ -0,0 +1,370 @@
+"""Decides which queued load goes to which server.
+
+Each request is checked against what is there already, then a server is chosen. When
+memory has to be made free first, the planner orders the unloads and keeps the freed
+memory for the request; the load is decided only when the reservations are released.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from ..core.message import Outgoing
+from .eviction import EvictionGroup, EvictionPolicy
+from .fleet import Fleet
+from .flights import Flights
+from .loads import Flight, LoadEstimates, LoadLimits, LoadQueue, LoadRequest
+from .messages import (
+    CheckpointTier,
+    OrderKind,
+    ReplicaPlanned,
+    ReplicaRefused,
+    SendOrder,
+)
+from .order_ledger import OrderLedger
+from .ramp import RampPlan
+from .record_store import RecordStore
+from .replica_view import ReplicaView
+from .reservations import Reservation, ReservationState, ServerRecord, Target
+from .server_choice import ServerCandidate, ServerChooser
+from .usage import UsageTable
+
+# Unloads that do not free the memory within this time are given up for the request.
+ROOM_TIMEOUT_S: Final = 10.0
+
+
+class LoadPlanner:
+    """Turns queued loads into writes of server records; private state."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        usage: UsageTable,
+        store: RecordStore,
+        ledger: OrderLedger,
+        ramp: RampPlan,
+        chooser: ServerChooser,
+    ) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._ledger = ledger
+        self._ramp = ramp
+        self._chooser = chooser
+        self.queue = LoadQueue()
+        self.estimates = LoadEstimates()
+        self.flights = Flights(fleet, usage, self.queue, self.estimates)
+        self.limits = LoadLimits(fleet.catalog.manifest.site)
+        self.eviction = EvictionPolicy(fleet, usage)
+        self.view = ReplicaView(fleet, store, self.flights)
+
+    def plan(self, now: float) -> list[Outgoing]:
+        """Decide what can be decided now; return answers to waiting instances."""
+        out = self.expire(now)
+        requests = self.queue.in_order()
+        for ahead, request in enumerate(requests):
+            out += self._plan_request(request, ahead, now)
+        # Base models that adapters have asked for just now.
+        for request in self.queue.in_order():
+            if request not in requests:
+                out += self._plan_request(request, len(requests), now)
+        return out
+
+    def expire(self, now: float) -> list[Outgoing]:
+        """Refuse waiters whose deadline has passed; drop loads nobody needs (R3)."""
+        out: list[Outgoing] = []
+        for request in self.queue.in_order():
+            out += self._expire_request(request, now)
+        return out
+
+    def _plan_request(
+        self, request: LoadRequest, ahead: int, now: float
+    ) -> list[Outgoing]:
+        if self._is_satisfied(request, now):
+            return self._answer_from_present(request, now)
+        if self._decide(request, now):
+            return []
+        return self._refuse_hopeless(request, ahead, now)
+
+    def unload(
+        self, server_id: str, record: ServerRecord, entries: list[Reservation]
+    ) -> tuple[ServerRecord, tuple[SendOrder, ...]]:
+        """Return a record in which replicas are being released, and the orders."""
+        orders: list[SendOrder] = []
+        for entry in entries:
+            kind = (
+                OrderKind.UNLOAD_ADAPTER if entry.target.adapter else OrderKind.UNLOAD
+            )
+            issued, order = self._ledger.create(
+                kind, server_id, entry.replica_id, entry.target
+            )
+            loads = tuple(o for o in entry.orders if o.is_load)
+            record = record.replacing(
+                attrs.evolve(
+                    entry, state=ReservationState.RELEASING, orders=(*loads, issued)
+                )
+            )
+            orders.append(order)
+        return record, tuple(orders)
+
+    def wake_at(self, now: float) -> float | None:
+        """Return when a queued load may become possible or expires."""
+        if not len(self.queue):
+            return None
+        times = [self.queue.next_deadline(), self.limits.next_token_at(now)]
+        return min((at for at in times if at is not None), default=None)
+
+    def _expire_request(self, request: LoadRequest, now: float) -> list[Outgoing]:
+        late = [a for a, w in request.waiter_by_address.items() if w.deadline_at <= now]
+        for address in late:
+            del request.waiter_by_address[address]
+        if request.deadline_at <= now and not request.waiter_by_address:
+            self.queue.remove(request.target)
+        refusal = self._refusal(request, "deadline_unreachable")
+        return [Outgoing(address, refusal) for address in late]
+
+    def _refuse_hopeless(
+        self, request: LoadRequest, ahead: int, now: float
+    ) -> list[Outgoing]:
+        """Refuse waiters early whom the store cannot serve in time."""
+        if request.target.adapter:
+            return []
+        if self.limits.admits_store_load(self.flights.all(), now):
+            return []
+        nominal_s = self._fleet.nominal_load_s(request.target)
+        # The cheapest tier is a bound, since the server is not chosen yet.
+        load_s = min(
+            self.estimates.estimate_s(nominal_s, tier, adapter=False)
+            for tier in CheckpointTier
+        )
+        ready_at = now + self.limits.wait_s(ahead) + load_s
+        late = [
+            a for a, w in request.waiter_by_address.items() if w.deadline_at < ready_at
+        ]
+        for address in late:
+            del request.waiter_by_address[address]
+        refusal = self._refusal(request, "deadline_unreachable")
+        return [Outgoing(address, refusal) for address in late]
+
+    def _is_satisfied(self, request: LoadRequest, now: float) -> bool:
+        most = self._fleet.max_replicas(request.target)
+        wanted = min(request.replicas_wanted, most)
+        return self.view.count(request.target, now) >= wanted
+
+    def _answer_from_present(self, request: LoadRequest, now: float) -> list[Outgoing]:
+        """Join a request to the replica or load that there is."""
+        target = request.target
+        loaded = self.view.loaded_on(target, now)
+        if loaded:
+            self.queue.remove(target)
+            planned = ReplicaPlanned(target.model, target.adapter, loaded[0], 0.0)
+            return [Outgoing(a, planned) for a in request.waiter_by_address]
+        flights = self.flights.active(target)
+        if flights:
+            self.queue.remove(target)
+            if flights[0].committed:
+                return self.flights.answer(request, flights[0], now)
+            flights[0].request.join(request)
+        return []
+
+    def _decide(self, request: LoadRequest, now: float) -> bool:
+        """Start a load or the unloads before it; return False if neither."""
+        memory_mib = self._fleet.memory_mib(request.target)
+        if memory_mib is None:
+            return False
+        if request.target.adapter and not self._base_is_ready(request, now):
+            return False
+        if request.room_on:
+            return self._use_room(request, memory_mib, now)
+        if not self._adapter_may_start(request):
+            return False
+        candidates = [
+            candidate
+            for server_id in self._servers_for(request, now)
+            if (candidate := self._candidate(server_id, request, memory_mib, now))
+        ]
+        chosen = self._chooser.choose(candidates)
+        if chosen is None:
+            return False
+        if chosen.victims:
+            self._make_room(request, chosen.server_id, chosen.victims, now)
+        else:
+            self._start(request, chosen.server_id, memory_mib, now)
+        return True
+
+    def _base_is_ready(self, request: LoadRequest, now: float) -> bool:
+        """Ask for the base model if no server can take the adapter."""
+        base = Target(request.target.model)
+        servers = self.view.loaded_on(base, now)
+        without = [
+            s
+            for s in servers
+            if (record := self._store.planned(s)) and not record.find(request.target)
+        ]
+        if without:
+            return True
+        base_request = LoadRequest(
+            base,
+            request.request_class,
+            max(request.deadline_at, now),
+            replicas_wanted=len(servers) + 1,
+        )
+        self.queue.add(base_request)
+        return False
+
+    def _servers_for(self, request: LoadRequest, now: float) -> list[str]:
+        if request.target.adapter:
+            return self.view.loaded_on(Target(request.target.model), now)
+        model = self._fleet.catalog.model_by_id[request.target.model]
+        return [
+            server.id
+            for server in self._fleet.catalog.server_by_id.values()
+            if server.pool == model.pool and self._fleet.is_usable(server.id, now)
+        ]
+
+    def _adapter_may_start(self, request: LoadRequest) -> bool:
+        if not request.target.adapter:
+            return True
+        return self.limits.admits_adapter(self.flights.all())
+
+    def _candidate(
+        self, server_id: str, request: LoadRequest, memory_mib: int, now: float
+    ) -> ServerCandidate | None:
+        record = self._store.record(server_id)
+        server = self._fleet.server(server_id)
+        report = self._fleet.evidence(server_id).report
+        if record is None or server is None or report is None:
+            return None
+        if self._store.is_busy(server_id) or request.avoids(server_id, now):
+            return None
+        if record.find(request.target) is not None:
+            return None
+        tier = self._tier(server_id, request)
+        if not self._tier_is_admitted(tier, request, now):
+            return None
+        free_mib = self._fleet.free_mib(server_id, record) - self._kept_mib(
+            server_id, request
+        )
+        victims: tuple[EvictionGroup, ...] | None = ()
+        if free_mib < memory_mib:
+            keep = Target(request.target.model) if request.target.adapter else None
+            victims = self.eviction.select(
+                server_id, record, memory_mib - free_mib, keep, now
+            )
+        if victims is None:
+            return None
+        return ServerCandidate(
+            server_id,
+            server.zone,
+            tier,
+            self._estimate_s(request.target, tier),
+            free_mib - memory_mib,
+            server.memory_mib,
+            victims,
+            (report.running + report.queued) / max(server.capacity, 1),
+            self._replicas_in_zone(request.target, server.zone),
+            self._ramp.is_ramping(server_id),
+        )
+
+    def _tier(self, server_id: str, request: LoadRequest) -> CheckpointTier:
+        if request.target.adapter:
+            return CheckpointTier.REMOTE
+        return self._fleet.tier(server_id, request.target.model)
+
+    def _tier_is_admitted(
+        self, tier: CheckpointTier, request: LoadRequest, now: float
+    ) -> bool:
+        if request.target.adapter or tier is not CheckpointTier.REMOTE:
+            return True
+        return self.limits.admits_store_load(self.flights.all(), now)
+
+    def _estimate_s(self, target: Target, tier: CheckpointTier) -> float:
+        nominal_s = self._fleet.nominal_load_s(target)
+        return self.estimates.estimate_s(nominal_s, tier, bool(target.adapter))
+
+    def _replicas_in_zone(self, target: Target, zone: str) -> int:
+        servers = (self._fleet.server(s) for s in self._fleet.servers_of(target))
+        return sum(server is not None and server.zone == zone for server in servers)
+
+    def _kept_mib(self, server_id: str, request: LoadRequest) -> int:
+        """Return memory that is being made free for other requests."""
+        return sum(
+            self._fleet.memory_mib(other.target) or 0
+            for other in self.queue.in_order()
+            if other is not request and other.room_on == server_id
+        )
+
+    def _make_room(
+        self,
+        request: LoadRequest,
+        server_id: str,
+        victims: tuple[EvictionGroup, ...],
+        now: float,
+    ) -> None:
+        record = self._store.record(server_id)
+        if record is None:
+            return
+        entries = [entry for group in victims for entry in group.replicas]
+        record, orders = self.unload(server_id, record, entries)
+        self._store.write(server_id, record, orders)
+        request.room_on = server_id
+        request.room_until = now + ROOM_TIMEOUT_S
+
+    def _use_room(self, request: LoadRequest, memory_mib: int, now: float) -> bool:
+        """Load where memory was made free, once it is released."""
+        server_id = request.room_on
+        record = self._store.record(server_id)
+        usable = self._fleet.is_usable(server_id, now) and now < request.room_until
+        if record is None or not usable or record.find(request.target) is not None:
+            request.room_on = ""
+            return False
+        if self._store.is_busy(server_id):
+            return False
+        free_mib = self._fleet.free_mib(server_id, record)
+        if free_mib >= memory_mib + self._kept_mib(server_id, request):
+            tier = self._tier(server_id, request)
+            if not self._tier_is_admitted(tier, request, now):
+                return False
+            self._start(request, server_id, memory_mib, now)
+            return True
+        states = {entry.state for entry in record.reservations}
+        if ReservationState.RELEASING not in states:
+            request.room_on = ""
+        return False
+
+    def _start(
+        self, request: LoadRequest, server_id: str, memory_mib: int, now: float
+    ) -> None:
+        """Write the decision; the order follows when the write has succeeded."""
+        record = self._store.record(server_id)
+        if record is None:
+            return
+        target = request.target
+        replica_id = self._ledger.replica_id()
+        kind = OrderKind.LOAD_ADAPTER if target.adapter else OrderKind.LOAD
+        issued, order = self._ledger.create(kind, server_id, replica_id, target)
+        entry = Reservation(
+            replica_id, target, memory_mib, ReservationState.LOADING, (issued,)
+        )
+        tier = self._tier(server_id, request)
+        if tier is CheckpointTier.REMOTE and not target.adapter:
+            self.limits.take_store_token(now)
+        self.queue.remove(target)
+        request.room_on = ""
+        self.flights.add(
+            Flight(
+                replica_id,
+                server_id,
+                tier,
+                request,
+                self._fleet.nominal_load_s(target),
+                self._estimate_s(target, tier),
+                now,
+            )
+        )
+        self._store.write(server_id, record.with_reservation(entry), (order,))
+
+    @staticmethod
+    def _refusal(request: LoadRequest, reason: str) -> ReplicaRefused:
+        return ReplicaRefused(request.target.model, request.target.adapter, reason)
--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -186,6 +186,8 @@
     server_id: str
     running: int
     requests_per_s: float
+    # The sender's monotonic clock at sending; bounds the slots granted in answer.
+    sent_at: float | None = None
 
 
 @wire
@@ -199,6 +201,8 @@
     # None: the ramp is over and the server's capacity applies.
     slots: int | None
     ttl_s: float
+    # End on the recipient's monotonic clock; None: ``ttl_s`` after receipt.
+    valid_until: float | None = None
 
 
 class OrderKind(StrEnum):
@@ -236,9 +240,10 @@
     LOST = "lost"
 
 
+@wire
 @attrs.frozen
 class OrderSettled(Message):
-    """The result of an order, from the task ``orders``."""
+    """The result of an order, from ``orders``; a former owner passes it on."""
 
     order_id: str
     server_id: str
--- /dev/null
+++ b/src/siskinspool/machines/order_ledger.py
@@ -0,0 +1,92 @@
+"""The orders that this process has issued.
+
+An order is sent only after the record that holds it is known to be written. The write
+of a decision that was given up may still take effect; its orders are then in the record
+but were never sent. The ledger tells them from sent ones, over all ownerships of this
+process. An order that it does not know counts as sent with unknown outcome.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import OrderedDict
+from typing import Final
+
+from .messages import OrderKind, OrderResult, OrderSettled, SendOrder
+from .reservations import IssuedOrder, Target
+
+# Far more than can be open at once; what is dropped is treated as unknown, which is
+# safe.
+_LIMIT: Final = 20_000
+
+
+class OrderLedger:
+    """Orders of this process, unsent or settled; private state."""
+
+    def __init__(self, instance_id: str, incarnation: str) -> None:
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._numbers = itertools.count(1)
+        self._unsent: OrderedDict[str, SendOrder] = OrderedDict()
+        self._results: OrderedDict[str, OrderResult] = OrderedDict()
+        self._open: set[str] = set()
+
+    def replica_id(self) -> str:
+        """Return a new replica id, unique over all instances and time."""
+        return f"{self._instance_id}:{self._incarnation}:r{next(self._numbers)}"
+
+    def create(
+        self, kind: OrderKind, server_id: str, replica_id: str, target: Target
+    ) -> tuple[IssuedOrder, SendOrder]:
+        """Return a new order as the record holds it and as it is sent."""
+        order_id = f"{self._instance_id}:{self._incarnation}:o{next(self._numbers)}"
+        issued = IssuedOrder(order_id, kind, self._instance_id, self._incarnation)
+        order = SendOrder(
+            order_id, server_id, kind, replica_id, target.model, target.adapter, 0
+        )
+        self._unsent[order_id] = order
+        if len(self._unsent) > _LIMIT:
+            self._unsent.popitem(last=False)
+        return issued, order
+
+    def mark_sent(self, order_id: str) -> None:
+        """Note that an order goes out now."""
+        self._unsent.pop(order_id, None)
+        self._open.add(order_id)
+
+    def settle(self, order_id: str, result: OrderResult) -> None:
+        """Note how sending an order ended."""
+        self._open.discard(order_id)
+        self._results[order_id] = result
+        if len(self._results) > _LIMIT:
+            self._results.popitem(last=False)
+
+    def is_own(self, issued: IssuedOrder) -> bool:
+        """Return whether this process issued an order."""
+        return (issued.sender, issued.incarnation) == (
+            self._instance_id,
+            self._incarnation,
+        )
+
+    def is_open(self, order_id: str) -> bool:
+        """Return whether an order of this process is being sent."""
+        return order_id in self._open
+
+    def result(self, issued: IssuedOrder) -> OrderResult | None:
+        """Return the result of an order of this process, None if it is unknown."""
+        if not self.is_own(issued):
+            return None
+        if issued.order_id in self._unsent:
+            return OrderResult.NOT_SENT
+        return self._results.get(issued.order_id)
+
+    def unsent_results(self) -> list[OrderSettled]:
+        """Settle the orders that will not be sent any more; return their results."""
+        unsent = [
+            OrderSettled(o.order_id, o.server_id, o.replica_id, OrderResult.NOT_SENT)
+            for o in self._unsent.values()
+        ]
+        self._unsent.clear()
+        for settled in unsent:
+            self.settle(settled.order_id, settled.result)
+        return unsent
--- /dev/null
+++ b/src/siskinspool/machines/orders_task.py
@@ -0,0 +1,174 @@
+"""The task ``orders``: sends orders to servers.
+
+Each order uses a connection of its own and is written at most once; nothing repeats it,
+because a second copy could be carried out after the first was settled. Orders to one
+server are sent one after the other, so that a server that checks fencing does not meet
+a higher fence before a lower one. Over all servers a bounded pool of greenlets sends.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+import attrs
+import gevent
+import msgspec
+from gevent import socket
+from gevent.pool import Pool
+from geventhttpclient.response import HTTPSocketResponse
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.message import Address, Incoming, Outgoing
+from ..core.task import Task
+from .messages import CatalogChanged, OrderResult, OrderSettled, SendOrder
+
+TASK_NAME: Final = "orders"
+POOL_GREENLETS: Final = 64
+CONNECT_TIMEOUT_S: Final = 1.0
+# A server answers once it has noted the order, not once it is carried out.
+ANSWER_TIMEOUT_S: Final = 5.0
+
+
+@attrs.frozen
+class _Endpoint:
+    """Where a server takes orders."""
+
+    host: str
+    port: int
+
+
+@attrs.frozen
+class OrderBody:
+    """The body of ``POST /v1/orders``."""
+
+    order_id: str
+    fence: int
+    kind: str
+    model: str
+    adapter: str
+    sender: str
+    replica_id: str
+
+
+class OrdersTask(Task):
+    """Sends orders and reports their results to whoever asked."""
+
+    def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
+        super().__init__(TASK_NAME, dispatcher, clock)
+        self._endpoint_by_server: dict[str, _Endpoint] = {}
+        # Orders that wait, for each server that a greenlet is serving.
+        self._waiting_by_server: dict[str, deque[tuple[Address, SendOrder]]] = {}
+        self._ready: deque[str] = deque()
+        self._pool = Pool(POOL_GREENLETS)
+
+    def handle(self, incoming: Incoming) -> None:
+        """Take in an order or the addresses of the servers."""
+        message = incoming.message
+        if isinstance(message, CatalogChanged):
+            self._endpoint_by_server = {
+                server.id: _Endpoint(server.host, server.port)
+                for server in message.catalog.server_by_id.values()
+            }
+        elif isinstance(message, SendOrder):
+            self._queue_order(incoming.sender, message)
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Let the orders under way finish within the timeout."""
+        super().stop(timeout_s)
+        self._pool.join(timeout_s)
+        self._pool.kill()
+
+    def _queue_order(self, asker: Address, order: SendOrder) -> None:
+        waiting = self._waiting_by_server.get(order.server_id)
+        if waiting is not None:
+            waiting.append((asker, order))
+            return
+        self._waiting_by_server[order.server_id] = deque([(asker, order)])
+        self._ready.append(order.server_id)
+        self._start_greenlets()
+
+    def _start_greenlets(self) -> None:
+        while self._ready and self._pool.free_count() > 0:
+            self._pool.spawn(self._serve, self._ready.popleft())
+
+    def _serve(self, server_id: str) -> None:
+        """Send the waiting orders of one server in turn."""
+        waiting = self._waiting_by_server[server_id]
+        while waiting:
+            asker, order = waiting.popleft()
+            result = self._send(order)
+            settled = OrderSettled(
+                order.order_id, order.server_id, order.replica_id, result
+            )
+            self.dispatcher.send(self.address, Outgoing(asker, settled))
+        del self._waiting_by_server[server_id]
+        # This greenlet frees its place only after it returns.
+        gevent.spawn(self._start_greenlets)
+
+    def _send(self, order: SendOrder) -> OrderResult:
+        endpoint = self._endpoint_by_server.get(order.server_id)
+        if endpoint is None:
+            return OrderResult.NOT_SENT
+        try:
+            connection = socket.create_connection(
+                (endpoint.host, endpoint.port), timeout=CONNECT_TIMEOUT_S
+            )
+        except OSError:
+            return OrderResult.NOT_SENT
+        try:
+            # One deadline for the whole exchange; a slow trickle does not extend it.
+            with gevent.Timeout(ANSWER_TIMEOUT_S):
+                connection.settimeout(ANSWER_TIMEOUT_S)
+                connection.sendall(self._request(endpoint, order))
+                return result_of(self._read_status(connection))
+        except (Exception, gevent.Timeout):
+            # Whatever went wrong, the server may have taken the order.
+            return OrderResult.LOST
+        finally:
+            connection.close()
+
+    def _request(self, endpoint: _Endpoint, order: SendOrder) -> bytes:
+        body = msgspec.json.encode(
+            OrderBody(
+                order.order_id,
+                order.fence,
+                order.kind,
+                order.model,
+                order.adapter,
+                self.dispatcher.instance_id,
+                order.replica_id,
+            )
+        )
+        head = (
+            "POST /v1/orders HTTP/1.1\r\n"
+            f"Host: {endpoint.host}:{endpoint.port}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        return head.encode("ascii") + body
+
+    @staticmethod
+    def _read_status(connection: socket.socket) -> int:
+        response = HTTPSocketResponse(connection, method="POST")
+        try:
+            response.read()
+            return int(response.status_code)
+        finally:
+            response.release()
+
+
+def result_of(status: int) -> OrderResult:
+    """Return what a status of ``POST /v1/orders`` says about the order.
+
+    A server error leaves open whether the order was taken.
+    """
+    if 200 <= status < 300:
+        return OrderResult.ACCEPTED
+    if status == 409:
+        return OrderResult.STALE_FENCE
+    if status == 507:
+        return OrderResult.NO_MEMORY
+    return OrderResult.REFUSED if 400 <= status < 500 else OrderResult.LOST
--- /dev/null
+++ b/src/siskinspool/machines/placement.py
@@ -0,0 +1,379 @@
+"""Replica decisions, load orders and memory of a site (R1, R2).
+
+The task ``placement`` runs on every instance and is active only while its instance owns
+the partition ``placement/<site>``. A takeover seals every server record before any
+decision. A decision is one compare-and-swap on a server's record, and its order goes
+out only after that write succeeded, with the record's revision as fence. See
+docs/decisions/load-records.md for the safety argument.
+
+This module ties the parts together: records (`record_store`), evidence (`reservations`,
+`fleet`), the queue of loads (`load_planner`), reconciliation, scaling and ramps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..platform.kv import KvReply
+from .fleet import Fleet
+from .load_planner import LoadPlanner
+from .loads import LoadRequest, Waiter
+from .messages import (
+    CatalogChanged,
+    LeavingChanged,
+    MembershipChanged,
+    NeedReplica,
+    OrderResult,
+    OrderSettled,
+    OwnersChanged,
+    OwnershipGained,
+    OwnershipLost,
+    ReplicaRefused,
+    ReplicaUsed,
+    ServerReport,
+    ServerUnreachable,
+)
+from .order_ledger import OrderLedger
+from .ramp import RampPlan
+from .reconciliation import Reconciler
+from .record_encoding import RecordEncoding
+from .record_store import RecordStore
+from .reservations import Target
+from .result_forwarding import ResultForwarding
+from .scaling import Scaling
+from .server_choice import ServerChooser, WeightedChooser
+from .site_ramps import SiteRamps
+from .usage import UsageTable
+
+TASK_NAME: Final = "placement"
+REVIEW_PERIOD_S: Final = 1.0
+
+
+class Placement(Decision):
+    """The placement owner's decisions; inactive on all other instances."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: str,
+        site_id: str,
+        encoding: RecordEncoding,
+        chooser: ServerChooser | None = None,
+    ) -> None:
+        self._instance_id = instance_id
+        self.partition = f"placement/{site_id}"
+        self._active = False
+        self.fleet = Fleet()
+        self.usage = UsageTable()
+        self.ramp = RampPlan()
+        self._ledger = OrderLedger(instance_id, incarnation)
+        self.store = RecordStore(encoding, f"{instance_id}:{incarnation}")
+        self.planner = LoadPlanner(
+            self.fleet,
+            self.usage,
+            self.store,
+            self._ledger,
+            self.ramp,
+            chooser or WeightedChooser(),
+        )
+        self._reconciler = Reconciler(
+            self.fleet, self.store, self._ledger, self.ramp, self.planner
+        )
+        self._ramps = SiteRamps(self.fleet, self.usage, self.store, self.ramp)
+        self._scaling = Scaling(self.fleet, self.usage, self.store, self.planner)
+        self._dirty: set[str] = set()
+        self._forwarding = ResultForwarding(instance_id, TASK_NAME)
+        # Records of new servers have to be sealed.
+        self._ensure_due = False
+        self._next_review_at = 0.0
+        self._now = 0.0
+        self._handlers: dict[type[Message], Callable[..., list[Outgoing]]] = {
+            CatalogChanged: self._on_catalog,
+            OwnershipGained: self._on_gained,
+            OwnershipLost: self._on_lost,
+            OwnersChanged: self._on_owners,
+            NeedReplica: self._on_need,
+            ReplicaUsed: self._on_used,
+            ServerReport: self._on_report,
+            ServerUnreachable: self._on_unreachable,
+            LeavingChanged: self._on_leaving,
+            MembershipChanged: self._on_membership,
+            OrderSettled: self._on_settled,
+        }
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether this instance owns the partition."""
+        return self._active
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in one message and return the messages to send."""
+        self._now = now
+        message = incoming.message
+        if isinstance(message, KvReply):
+            out = self._on_kv(message, now)
+        else:
+            handler = self._handlers.get(type(message))
+            out = handler(incoming.sender, message, now) if handler else []
+        return out + self._work(now)
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Act on what has become due."""
+        self._now = now
+        return self._work(now)
+
+    def wake_at(self) -> float | None:
+        """Return when something is due next."""
+        times: list[float | None] = [self._forwarding.wake_at()]
+        if self._active:
+            times += [
+                self.store.wake_at(),
+                self.planner.wake_at(self._now),
+                self.planner.flights.next_stall_at(),
+                self.ramp.wake_at(),
+            ]
+        if self._active and self.store.is_ready():
+            times.append(self._next_review_at)
+        return min((at for at in times if at is not None), default=None)
+
+    # -- Configuration and membership --------------------------------------------
+
+    def _on_catalog(
+        self, sender: Address, message: CatalogChanged, now: float
+    ) -> list[Outgoing]:
+        was_open = self._open_servers()
+        self.fleet.catalog = message.catalog
+        self._ensure_due = True
+        self.planner.limits.set_site(message.catalog.manifest.site)
+        self._note_openings(was_open, now)
+        return []
+
+    def _on_leaving(
+        self, sender: Address, message: LeavingChanged, now: float
+    ) -> list[Outgoing]:
+        was_open = self._open_servers()
+        self.fleet.leaving = message
+        self._note_openings(was_open, now)
+        return []
+
+    def _open_servers(self) -> set[str]:
+        servers = self.fleet.catalog.server_by_id
+        return {server_id for server_id in servers if self.fleet.is_open(server_id)}
+
+    def _note_openings(self, was_open: set[str], now: float) -> None:
+        """Start ramps of servers that came back from leaving or a closed zone."""
+        is_open = self._open_servers()
+        self._dirty |= was_open ^ is_open
+        for server_id in sorted(is_open - was_open):
+            if self._active:
+                self._ramps.begin(server_id, now)
+
+    def _on_membership(
+        self, sender: Address, message: MembershipChanged, now: float
+    ) -> list[Outgoing]:
+        self.fleet.member_by_id = dict(message.member_by_id)
+        self.ramp.set_instances(set(message.member_by_id))
+        return []
+
+    # -- Ownership ----------------------------------------------------------------
+
+    def _on_gained(
+        self, sender: Address, message: OwnershipGained, now: float
+    ) -> list[Outgoing]:
+        if message.partition != self.partition or message.epoch <= self.store.epoch:
+            return []
+        self._active = True
+        out = self._refuse_waiters()
+        self._forwarding.set_owner(self._instance_id, now)
+        self._ensure_due = True
+        self._forget()
+        self.store.take_over(message.epoch)
+        self.ramp.start(message.epoch, now)
+        self.planner.view.set_owner_since(now)
+        self._next_review_at = now + REVIEW_PERIOD_S
+        return out
+
+    def _on_lost(
+        self, sender: Address, message: OwnershipLost, now: float
+    ) -> list[Outgoing]:
+        if message.partition != self.partition or not self._active:
+            return []
+        return self._deactivate(now)
+
+    def _deactivate(self, now: float) -> list[Outgoing]:
+        self._active = False
+        self._forwarding.set_owner("", now)
+        self.store.drop()
+        out = self._refuse_waiters()
+        self._forget()
+        for settled in self._ledger.unsent_results():
+            self._forwarding.add(settled, now)
+        return out
+
+    def _forget(self) -> None:
+        self.fleet.forget()
+        self.planner.queue.clear()
+        self.planner.flights.clear()
+        self._reconciler.clear()
+        self._scaling.clear()
+        self._dirty.clear()
+
+    def _refuse_waiters(self) -> list[Outgoing]:
+        requests = self.planner.queue.in_order()
+        requests += [flight.request for flight in self.planner.flights.all()]
+        return [
+            Outgoing(
+                address,
+                ReplicaRefused(
+                    request.target.model, request.target.adapter, "not_owner"
+                ),
+            )
+            for request in requests
+            for address in request.waiter_by_address
+        ]
+
+    def _on_owners(
+        self, sender: Address, message: OwnersChanged, now: float
+    ) -> list[Outgoing]:
+        if not self._active:
+            owner = message.owner_by_partition.get(self.partition, "")
+            self._forwarding.set_owner(owner, now)
+        return []
+
+    # -- Needs and use ------------------------------------------------------------
+
+    def _on_need(
+        self, sender: Address, message: NeedReplica, now: float
+    ) -> list[Outgoing]:
+        refused = ReplicaRefused(message.model, message.adapter, "not_owner")
+        if not self._active:
+            return [Outgoing(sender, refused)]
+        target = Target(message.model, message.adapter)
+        if self.fleet.memory_mib(target) is None:
+            refused = attrs.evolve(refused, reason="unknown_model")
+            return [Outgoing(sender, refused)]
+        deadline_at = now + message.deadline_in_s
+        self.usage.note_waiting(target, deadline_at)
+        waiter = Waiter(deadline_at, message.waiting)
+        self.planner.queue.add(
+            LoadRequest(
+                target,
+                message.request_class,
+                deadline_at,
+                waiter_by_address={sender: waiter},
+            )
+        )
+        return []
+
+    def _on_used(
+        self, sender: Address, message: ReplicaUsed, now: float
+    ) -> list[Outgoing]:
+        if self._active:
+            self.usage.note_use(sender.instance_id, message, now)
+            self.ramp.hear(sender.instance_id, message.sent_at, now)
+        return []
+
+    # -- Servers ------------------------------------------------------------------
+
+    def _on_report(
+        self, sender: Address, message: ServerReport, now: float
+    ) -> list[Outgoing]:
+        server_id = message.server_id
+        if not self._active or self.fleet.server(server_id) is None:
+            return []
+        evidence = self.fleet.evidence(server_id)
+        if not evidence.accept_report(message, now):
+            return []
+        self.ramp.note_report(message, now)
+        self._reconciler.count_report(server_id, now)
+        self.planner.flights.on_report(server_id, now)
+        self._ramps.check_boot(server_id, now)
+        self._dirty.add(server_id)
+        return []
+
+    def _on_unreachable(
+        self, sender: Address, message: ServerUnreachable, now: float
+    ) -> list[Outgoing]:
+        if self._active:
+            self.fleet.evidence(message.server_id).unreachable = True
+            self.ramp.note_failure(message.server_id, now)
+        return []
+
+    # -- Orders and records -------------------------------------------------------
+
+    def _on_settled(
+        self, sender: Address, message: OrderSettled, now: float
+    ) -> list[Outgoing]:
+        if sender.instance_id == self._instance_id:
+            self._ledger.settle(message.order_id, message.result)
+            if not self._active and message.result is not OrderResult.LOST:
+                self._forwarding.add(message, now)
+        if self._active:
+            evidence = self.fleet.evidence(message.server_id)
+            evidence.note_result(message.order_id, message.result, now)
+            self._dirty.add(message.server_id)
+        return []
+
+    def _on_kv(self, reply: KvReply, now: float) -> list[Outgoing]:
+        if self._active:
+            self.store.handle(reply, now)
+        return []
+
+    # -- One step -----------------------------------------------------------------
+
+    def _work(self, now: float) -> list[Outgoing]:
+        out = self._forwarding.due(now)
+        if not self._active:
+            return out
+        if self.store.superseded:
+            return out + self._deactivate(now)
+        if self._ensure_due and self.store.is_listed():
+            self._ensure_due = False
+            self.store.ensure(set(self.fleet.catalog.server_by_id))
+        self.store.on_time(now)
+        out += self._take_committed(now)
+        self.planner.flights.find_stalled(now)
+        if self.store.is_ready():
+            out += self._decide(now)
+        else:
+            out += self.planner.expire(now)
+        out += self._ramps.slots(now)
+        self._dirty.update(self.ramp.awaiting_end())
+        kv = Address(self._instance_id, "kv")
+        out += [Outgoing(kv, request) for request in self.store.requests]
+        self.store.requests.clear()
+        return out
+
+    def _decide(self, now: float) -> list[Outgoing]:
+        if now >= self._next_review_at:
+            self._next_review_at = now + REVIEW_PERIOD_S
+            self._dirty.update(f.server_id for f in self.planner.flights.all())
+            self.usage.expire(now)
+            self._scaling.review(now)
+        dirty, self._dirty = self._dirty, set()
+        for server_id in sorted(dirty):
+            self._reconciler.reconcile(server_id, now)
+        return self._ramps.with_end_notices(self.planner.plan(now))
+
+    def _take_committed(self, now: float) -> list[Outgoing]:
+        out: list[Outgoing] = []
+        orders_task = Address(self._instance_id, "orders")
+        for committed in self.store.committed:
+            record = self.store.record(committed.server_id)
+            if record is None:
+                continue
+            for order in committed.orders:
+                self._ledger.mark_sent(order.order_id)
+                out.append(Outgoing(orders_task, order))
+            self.fleet.index(committed.server_id, record)
+            out += self.planner.flights.on_record(committed.server_id, record, now)
+            if record.warm_boot_id:
+                self.ramp.end(committed.server_id, record.warm_boot_id, now)
+            self._dirty.add(committed.server_id)
+        self.store.committed.clear()
+        return out
--- /dev/null
+++ b/src/siskinspool/machines/ramp.py
@@ -0,0 +1,306 @@
+"""Ramps of cold servers, shared out over all instances (R6).
+
+A cold server takes 10% of its capacity at first, twice as much every 5 s while its
+reports show no failure. `RampPlan` leases the planned concurrency to instances as
+slots. What an instance may use at a moment is the largest grant that can still be valid
+there, whichever of the grants have arrived; the sum of these over all instances never
+exceeds the plan. A grant ends a fixed time after the instance sent the message that it
+answers (`ReplicaUsed.sent_at`), so neither a delayed grant nor a paused instance
+stretches it. The end of a ramp is announced only after the server's record names its
+boot as warm, so that a new owner does not start the ramp again. `HeldSlots` is the
+counterpart at an instance.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from .messages import RampSlots, ReplicaState, ServerReport
+
+START_SHARE: Final = 0.1
+DOUBLING_S: Final = 5.0
+SLOT_TTL_S: Final = 2.0
+# Allowance for the delivery of a grant whose end the instance counts from receipt.
+DELIVERY_MARGIN_S: Final = 1.0
+GRANT_PERIOD_S: Final = 0.5
+# The end of a ramp is repeated, because a message to a peer may be lost.
+END_REPEAT_S: Final = 10.0
+
+
+@attrs.frozen
+class _Grant:
+    """Slots that an instance may use until a time on the owner's clock."""
+
+    slots: int
+    until: float
+
+
+@attrs.define
+class _Ramp:
+    """The ramp of one server."""
+
+    boot_id: str
+    capacity: int
+    limit: int
+    doubles_at: float
+    grants_by_instance: dict[str, list[_Grant]] = attrs.field(factory=dict)
+    # Instances that were told of the ramp.
+    told: set[str] = attrs.field(factory=set)
+    # The whole capacity was in use without failures.
+    is_complete: bool = False
+    ended_at: float | None = None
+
+
+@attrs.frozen
+class SlotGrant:
+    """Slots for one instance."""
+
+    instance_id: str
+    slots: RampSlots
+
+
+@attrs.frozen
+class _Heard:
+    """The last message of an instance that carried its clock."""
+
+    sent_at: float
+    received_at: float
+
+
+class RampPlan:
+    """Ramps of all cold servers under one ownership epoch."""
+
+    def __init__(self) -> None:
+        self._ramp_by_server: dict[str, _Ramp] = {}
+        self._heard_by_instance: dict[str, _Heard] = {}
+        self._instance_ids: tuple[str, ...] = ()
+        self._epoch = 0
+        self._grants_from = 0.0
+        self._next_grant_at = 0.0
+
+    def start(self, epoch: int, now: float) -> None:
+        """Begin an ownership; slots of the former owner run out first."""
+        self._ramp_by_server.clear()
+        self._heard_by_instance.clear()
+        self._epoch = epoch
+        self._grants_from = now + SLOT_TTL_S + DELIVERY_MARGIN_S
+        self._next_grant_at = self._grants_from
+
+    def set_instances(self, instance_ids: set[str]) -> None:
+        """Set which instances share the slots."""
+        self._instance_ids = tuple(sorted(instance_ids))
+
+    def hear(self, instance_id: str, sent_at: float | None, now: float) -> None:
+        """Note an instance's clock in a message that arrived now."""
+        if sent_at is None:
+            return
+        last = self._heard_by_instance.get(instance_id)
+        if last is None or sent_at > last.sent_at:
+            self._heard_by_instance[instance_id] = _Heard(sent_at, now)
+
+    def begin(self, server_id: str, boot_id: str, capacity: int, now: float) -> None:
+        """Start the ramp of a cold server from the beginning."""
+        limit = min(max(int(capacity * START_SHARE), 1), max(capacity, 0))
+        ramp = _Ramp(boot_id, capacity, limit, self._later(now) + DOUBLING_S)
+        former = self._ramp_by_server.get(server_id)
+        if former is not None and former.boot_id == boot_id:
+            ramp.grants_by_instance = former.grants_by_instance
+        self._ramp_by_server[server_id] = ramp
+
+    def boot_id(self, server_id: str) -> str | None:
+        """Return the boot whose ramp is under way or has just ended."""
+        ramp = self._ramp_by_server.get(server_id)
+        return ramp.boot_id if ramp is not None else None
+
+    def is_ramping(self, server_id: str) -> bool:
+        """Return whether a server is still limited."""
+        ramp = self._ramp_by_server.get(server_id)
+        return ramp is not None and ramp.ended_at is None
+
+    def limit(self, server_id: str) -> int | None:
+        """Return the planned concurrency, None if the server is not limited."""
+        ramp = self._ramp_by_server.get(server_id)
+        return ramp.limit if ramp is not None and ramp.ended_at is None else None
+
+    def complete_boot(self, server_id: str) -> str | None:
+        """Return the boot that went through its whole ramp."""
+        ramp = self._ramp_by_server.get(server_id)
+        return ramp.boot_id if ramp is not None and ramp.is_complete else None
+
+    def awaiting_end(self) -> list[str]:
+        """Return the servers whose ramp is complete and not yet recorded."""
+        return [
+            server_id
+            for server_id, ramp in self._ramp_by_server.items()
+            if ramp.is_complete and ramp.ended_at is None
+        ]
+
+    def end(self, server_id: str, boot_id: str, now: float) -> None:
+        """Lift the limit, once the record names the boot as warm."""
+        ramp = self._ramp_by_server.get(server_id)
+        if ramp is None or ramp.boot_id != boot_id:
+            return
+        if ramp.is_complete and ramp.ended_at is None:
+            ramp.ended_at = now
+
+    def note_report(self, report: ServerReport, now: float) -> None:
+        """Hold the ramp while a report shows failures."""
+        if any(r.state is ReplicaState.FAILED for r in report.replicas):
+            self.note_failure(report.server_id, now)
+
+    def note_failure(self, server_id: str, now: float) -> None:
+        """Count the time to the next doubling anew."""
+        ramp = self._ramp_by_server.get(server_id)
+        if ramp is not None:
+            ramp.doubles_at = now + DOUBLING_S
+
+    def grant(
+        self, running_by_server: dict[str, dict[str, int]], now: float
+    ) -> list[SlotGrant]:
+        """Advance the ramps and return the slots that are due."""
+        if now < self._next_grant_at:
+            return []
+        self._next_grant_at = now + GRANT_PERIOD_S
+        grants: list[SlotGrant] = []
+        for server_id, ramp in list(self._ramp_by_server.items()):
+            self._advance(ramp, now)
+            if ramp.ended_at is None:
+                running = running_by_server.get(server_id, {})
+                grants += self._lease(server_id, ramp, running, now)
+                continue
+            grants += [
+                SlotGrant(instance_id, self.end_notice(server_id, ramp.boot_id))
+                for instance_id in self._instance_ids
+            ]
+            if now - ramp.ended_at >= END_REPEAT_S:
+                del self._ramp_by_server[server_id]
+        return grants
+
+    def end_notice(self, server_id: str, boot_id: str) -> RampSlots:
+        """Return the message that lifts a server's limit."""
+        return RampSlots(server_id, boot_id, self._epoch, None, SLOT_TTL_S)
+
+    def ramping_servers(self) -> list[str]:
+        """Return the servers with a ramp."""
+        return list(self._ramp_by_server)
+
+    def wake_at(self) -> float | None:
+        """Return when grants are due next."""
+        return self._next_grant_at if self._ramp_by_server else None
+
+    def _later(self, now: float) -> float:
+        return max(now, self._grants_from)
+
+    def _advance(self, ramp: _Ramp, now: float) -> None:
+        if ramp.ended_at is not None or now < ramp.doubles_at:
+            return
+        if ramp.limit >= ramp.capacity:
+            ramp.is_complete = True
+            return
+        ramp.limit = min(ramp.limit * 2, ramp.capacity)
+        ramp.doubles_at = now + DOUBLING_S
+
+    def _lease(
+        self, server_id: str, ramp: _Ramp, running: dict[str, int], now: float
+    ) -> list[SlotGrant]:
+        held = self._held(ramp, now)
+        shares = share_out(ramp.limit, self._instance_ids, running)
+        grants = []
+        # Reductions first; a raise may use only what no other instance can still use.
+        for instance_id in sorted(shares, key=lambda i: shares[i]):
+            others = sum(slots for i, slots in held.items() if i != instance_id)
+            slots = min(shares[instance_id], ramp.limit - others)
+            if slots <= 0:
+                if instance_id not in ramp.told:
+                    # The instance may still take the server for a warm one.
+                    _, refusal = self._make(server_id, ramp, instance_id, 0, now)
+                    grants.append(SlotGrant(instance_id, refusal))
+                    ramp.told.add(instance_id)
+                continue
+            grant, message = self._make(server_id, ramp, instance_id, slots, now)
+            if grant.until <= now:
+                continue
+            ramp.told.add(instance_id)
+            ramp.grants_by_instance.setdefault(instance_id, []).append(grant)
+            held[instance_id] = max(held.get(instance_id, 0), slots)
+            grants.append(SlotGrant(instance_id, message))
+        return grants
+
+    def _make(
+        self, server_id: str, ramp: _Ramp, instance_id: str, slots: int, now: float
+    ) -> tuple[_Grant, RampSlots]:
+        heard = self._heard_by_instance.get(instance_id)
+        valid_until: float | None
+        if heard is None:
+            # An instance that uses nothing yet has sent no clock.
+            until, valid_until = now + SLOT_TTL_S + DELIVERY_MARGIN_S, None
+        else:
+            until = heard.received_at + SLOT_TTL_S
+            valid_until = heard.sent_at + SLOT_TTL_S
+        message = RampSlots(
+            server_id, ramp.boot_id, self._epoch, slots, SLOT_TTL_S, valid_until
+        )
+        return _Grant(slots, until), message
+
+    def _held(self, ramp: _Ramp, now: float) -> dict[str, int]:
+        """Return the slots that each instance may still be using."""
+        held: dict[str, int] = {}
+        for instance_id, grants in list(ramp.grants_by_instance.items()):
+            valid = [grant for grant in grants if grant.until > now]
+            if valid:
+                ramp.grants_by_instance[instance_id] = valid
+                held[instance_id] = max(grant.slots for grant in valid)
+            else:
+                del ramp.grants_by_instance[instance_id]
+        return held
+
+
+def share_out(
+    limit: int, instance_ids: tuple[str, ...], running: dict[str, int]
+) -> dict[str, int]:
+    """Split slots by demand with one more for each instance, largest remainder first.
+
+    The extra one lets an instance without slots, which therefore runs nothing, get
+    some as the ramp grows; without any demand the split is even.
+    """
+    if not instance_ids:
+        return {}
+    weights = {i: running.get(i, 0) + 1 for i in instance_ids}
+    total = sum(weights.values())
+    exact = {i: limit * weight / total for i, weight in weights.items()}
+    shares = {i: int(value) for i, value in exact.items()}
+    rest = limit - sum(shares.values())
+    by_remainder = sorted(instance_ids, key=lambda i: (shares[i] - exact[i], i))
+    for instance_id in by_remainder[:rest]:
+        shares[instance_id] += 1
+    return shares
+
+
+class HeldSlots:
+    """The slots that one instance holds, by server."""
+
+    def __init__(self) -> None:
+        self._slots_by_server: dict[str, tuple[RampSlots, float]] = {}
+
+    def accept(self, message: RampSlots, now: float) -> bool:
+        """Take in a grant; return False for one of an older epoch."""
+        last = self._slots_by_server.get(message.server_id)
+        if last is not None and message.epoch < last[0].epoch:
+            return False
+        until = message.valid_until
+        if until is None:
+            until = now + message.ttl_s
+        self._slots_by_server[message.server_id] = (message, until)
+        return True
+
+    def usable(self, server_id: str, boot_id: str, now: float) -> int | None:
+        """Return the slots in force, 0 without a valid grant, None without limit."""
+        held = self._slots_by_server.get(server_id)
+        if held is None or held[0].boot_id != boot_id:
+            return 0
+        message, until = held
+        if message.slots is None:
+            return None
+        return message.slots if now < until else 0
--- /dev/null
+++ b/src/siskinspool/machines/record_encoding.py
@@ -0,0 +1,44 @@
+"""Encoding of server records for the key-value service.
+
+`JsonRecordEncoding` writes one JSON object per record, so that operators can read it.
+The decision gets the encoding as an argument and never sees bytes itself.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+from .reservations import ServerRecord
+
+
+class RecordEncoding(ABC):
+    """Turns server records into values of the key-value service and back."""
+
+    @abstractmethod
+    def encode(self, record: ServerRecord) -> bytes:
+        """Return the stored form of a record."""
+
+    @abstractmethod
+    def decode(self, value: bytes) -> ServerRecord | None:
+        """Return the record, or None if the value is none."""
+
+
+class JsonRecordEncoding(RecordEncoding):
+    """JSON through msgspec."""
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.json.Encoder()
+        self._decoder = msgspec.json.Decoder(ServerRecord)
+
+    def encode(self, record: ServerRecord) -> bytes:
+        """Return the record as JSON."""
+        return self._encoder.encode(record)
+
+    def decode(self, value: bytes) -> ServerRecord | None:
+        """Return the record, or None if the value does not decode."""
+        try:
+            return self._decoder.decode(value)
+        except (msgspec.DecodeError, ValueError, TypeError):
+            return None
--- /dev/null
+++ b/src/siskinspool/machines/scaling.py
@@ -0,0 +1,116 @@
+"""How many replicas a target should have.
+
+One more is queued when the running requests per place of its replicas stay above a high
+mark for a while, one is unloaded when those left would stay under a low mark for much
+longer. The gap between the marks is the hysteresis. Replicas on servers that take no
+new work are replaced elsewhere while requests come.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..manifest.model import RequestClass
+from .fleet import Fleet
+from .load_planner import LoadPlanner
+from .loads import LoadRequest
+from .record_store import RecordStore
+from .reservations import Target
+from .usage import UsageTable
+
+HIGH_LOAD: Final = 0.8
+LOW_LOAD: Final = 0.4
+HIGH_FOR_S: Final = 3.0
+LOW_FOR_S: Final = 60.0
+# A queued extra replica that cannot be placed is given up after this time.
+EXTRA_DEADLINE_S: Final = 30.0
+
+
+class Scaling:
+    """Watches the demand per replica; private state."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        usage: UsageTable,
+        store: RecordStore,
+        planner: LoadPlanner,
+    ) -> None:
+        self._fleet = fleet
+        self._usage = usage
+        self._store = store
+        self._planner = planner
+        self._high_since: dict[Target, float] = {}
+        self._low_since: dict[Target, float] = {}
+
+    def clear(self) -> None:
+        """Begin a new ownership."""
+        self._high_since.clear()
+        self._low_since.clear()
+
+    def review(self, now: float) -> None:
+        """Queue or unload replicas; called about once a second."""
+        self._replace_unusable(now)
+        for target in self._fleet.targets():
+            servers = self._planner.view.loaded_on(target, now)
+            if servers:
+                self._review_target(target, servers, now)
+
+    def _replace_unusable(self, now: float) -> None:
+        for server_id, target in self._usage.targets_in_use(now):
+            if self._fleet.is_open(server_id):
+                continue
+            if self._planner.view.count(target, now) == 0:
+                self._queue(target, 1, now)
+
+    def _review_target(self, target: Target, servers: list[str], now: float) -> None:
+        running = sum(self._usage.running(s, target, now) for s in servers)
+        places = sum(self._places(s) for s in servers)
+        most = self._fleet.max_replicas(target)
+        if running >= HIGH_LOAD * places:
+            self._low_since.pop(target, None)
+            since = self._high_since.setdefault(target, now)
+            if now - since >= HIGH_FOR_S and len(servers) < most:
+                del self._high_since[target]
+                self._queue(target, len(servers) + 1, now)
+            return
+        self._high_since.pop(target, None)
+        left = places - max(self._places(s) for s in servers)
+        if len(servers) > max(most, 1):
+            self._unload_one(target, servers, now)
+        elif len(servers) > 1 and running <= LOW_LOAD * left:
+            since = self._low_since.setdefault(target, now)
+            if now - since >= LOW_FOR_S and self._unload_one(target, servers, now):
+                del self._low_since[target]
+        else:
+            self._low_since.pop(target, None)
+
+    def _places(self, server_id: str) -> int:
+        server = self._fleet.server(server_id)
+        return server.capacity if server is not None else 0
+
+    def _queue(self, target: Target, replicas_wanted: int, now: float) -> None:
+        self._planner.queue.add(
+            LoadRequest(
+                target,
+                RequestClass.PATIENT,
+                now + EXTRA_DEADLINE_S,
+                replicas_wanted=replicas_wanted,
+            )
+        )
+
+    def _unload_one(self, target: Target, servers: list[str], now: float) -> bool:
+        """Unload the least used replica that is idle; return whether there was one."""
+        for server_id in sorted(
+            servers, key=lambda s: (self._usage.last_used_at(s, target), s)
+        ):
+            record = self._store.record(server_id)
+            entry = record.find(target) if record is not None else None
+            if record is None or entry is None or self._store.is_busy(server_id):
+                continue
+            members = self._planner.eviction.members(server_id, record, entry, now)
+            if members:
+                changed, orders = self._planner.unload(server_id, record, members)
+                self._store.write(server_id, changed, orders)
+                return True
+        return False
--- /dev/null
+++ b/src/siskinspool/machines/server_choice.py
@@ -0,0 +1,72 @@
+"""Choice of the server for a load.
+
+`ServerChooser` is the interface; `WeightedChooser` adds up seconds: the expected load
+time, the value of what would be unloaded, and penalties for load, little free memory, a
+zone that already has a replica, and a ramp.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import Final
+
+import attrs
+
+from .eviction import EvictionGroup
+from .messages import CheckpointTier
+
+# Waiting for the unloads of victims takes a few reports.
+_EVICTION_S: Final = 2.0
+_FULL_LOAD_S: Final = 4.0
+_FULL_MEMORY_S: Final = 0.5
+_SAME_ZONE_S: Final = 1.0
+# A ramping server takes about this long to full capacity.
+_RAMP_S: Final = 10.0
+
+
+@attrs.frozen
+class ServerCandidate:
+    """A server on which a load is possible."""
+
+    server_id: str
+    zone: str
+    tier: CheckpointTier
+    expected_load_s: float
+    # Memory left after the load, before any unload; negative with victims.
+    left_mib: int
+    memory_mib: int
+    victims: tuple[EvictionGroup, ...]
+    # Running and queued requests per place of the server's capacity.
+    load: float
+    replicas_in_zone: int
+    is_ramping: bool
+
+
+class ServerChooser(ABC):
+    """Chooses among servers on which a load is possible."""
+
+    @abstractmethod
+    def choose(self, candidates: Sequence[ServerCandidate]) -> ServerCandidate | None:
+        """Return the best candidate, None if there are none."""
+
+
+class WeightedChooser(ServerChooser):
+    """The lowest sum of costs in seconds; the server id breaks ties."""
+
+    def choose(self, candidates: Sequence[ServerCandidate]) -> ServerCandidate | None:
+        """Return the candidate of least cost."""
+        return min(
+            candidates, key=lambda c: (self.cost_s(c), c.server_id), default=None
+        )
+
+    def cost_s(self, candidate: ServerCandidate) -> float:
+        """Return the cost of a load on a server in seconds."""
+        cost = candidate.expected_load_s + _FULL_LOAD_S * candidate.load
+        cost += _SAME_ZONE_S * candidate.replicas_in_zone
+        cost += _RAMP_S if candidate.is_ramping else 0.0
+        if candidate.victims:
+            lost = sum(group.value for group in candidate.victims)
+            cost += _EVICTION_S * (1.0 + lost)
+        used = 1.0 - max(candidate.left_mib, 0) / max(candidate.memory_mib, 1)
+        return cost + _FULL_MEMORY_S * used
--- /dev/null
+++ b/src/siskinspool/machines/site_ramps.py
@@ -0,0 +1,67 @@
+"""Connects the ramps with reports, records and use (R6)."""
+
+from __future__ import annotations
+
+from ..core.message import Address, Outgoing
+from .fleet import Fleet
+from .messages import ReplicaPlanned
+from .ramp import RampPlan
+from .record_store import RecordStore
+from .usage import UsageTable
+
+
+class SiteRamps:
+    """Starts ramps and sends slots."""
+
+    def __init__(
+        self, fleet: Fleet, usage: UsageTable, store: RecordStore, ramp: RampPlan
+    ) -> None:
+        self._fleet = fleet
+        self._usage = usage
+        self._store = store
+        self._ramp = ramp
+
+    def begin(self, server_id: str, now: float) -> None:
+        """Start the ramp of a server from the beginning."""
+        server = self._fleet.server(server_id)
+        report = self._fleet.evidence(server_id).report
+        if server is not None and report is not None:
+            self._ramp.begin(server_id, report.boot_id, server.capacity, now)
+
+    def check_boot(self, server_id: str, now: float) -> None:
+        """Start the ramp of a server that no record names as warm."""
+        record = self._store.planned(server_id)
+        report = self._fleet.evidence(server_id).report
+        if record is None or report is None or not self._fleet.is_open(server_id):
+            return
+        if report.boot_id in (record.warm_boot_id, self._ramp.boot_id(server_id)):
+            return
+        self.begin(server_id, now)
+
+    def slots(self, now: float) -> list[Outgoing]:
+        """Return the slots that are due, for the instances' routing tasks."""
+        running: dict[str, dict[str, int]] = {
+            server_id: self._usage.running_by_instance(server_id, now)
+            for server_id in self._ramp.ramping_servers()
+        }
+        return [
+            Outgoing(Address(grant.instance_id, "routing"), grant.slots)
+            for grant in self._ramp.grant(running, now)
+        ]
+
+    def with_end_notices(self, answers: list[Outgoing]) -> list[Outgoing]:
+        """Tell an asker that a server is warm, in case it missed the ramp's end."""
+        out = list(answers)
+        for answer in answers:
+            message = answer.message
+            if not isinstance(message, ReplicaPlanned) or message.expected_in_s > 0:
+                continue
+            record = self._store.record(message.server_id)
+            if record is None or not record.warm_boot_id:
+                continue
+            if self._ramp.is_ramping(message.server_id):
+                continue
+            notice = self._ramp.end_notice(message.server_id, record.warm_boot_id)
+            routing = Address(answer.recipient.instance_id, "routing")
+            out.append(Outgoing(routing, notice))
+        return out
--- /dev/null
+++ b/src/siskinspool/machines/usage.py
@@ -0,0 +1,117 @@
+"""What instances say about the use of replicas.
+
+`UsageTable` keeps the last `ReplicaUsed` of each instance per replica and the requests
+that `NeedReplica` names as waiting. Eviction, scaling and ramps read it.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from .messages import ReplicaUsed
+from .reservations import Target
+
+# `ReplicaUsed` comes about once a second; a paused sender gets the benefit of the
+# doubt for as long as its session may last.
+USAGE_TTL_S: Final = 10.0
+
+
+@attrs.frozen
+class _Use:
+    """The last statement of one instance."""
+
+    running: int
+    requests_per_s: float
+    at: float
+
+
+@attrs.define
+class _ReplicaUse:
+    """Use of one replica by all instances."""
+
+    use_by_instance: dict[str, _Use] = attrs.field(factory=dict)
+    last_used_at: float = float("-inf")
+
+
+class UsageTable:
+    """Use of replicas and waiting requests, by server and target."""
+
+    def __init__(self) -> None:
+        self._by_server: dict[str, dict[Target, _ReplicaUse]] = {}
+        self._wanted_until: dict[Target, float] = {}
+
+    def note_use(self, instance_id: str, used: ReplicaUsed, now: float) -> None:
+        """Take in one instance's use of a replica."""
+        target = Target(used.model, used.adapter)
+        replica = self._by_server.setdefault(used.server_id, {}).setdefault(
+            target, _ReplicaUse()
+        )
+        use = _Use(used.running, used.requests_per_s, now)
+        replica.use_by_instance[instance_id] = use
+        if used.running > 0 or used.requests_per_s > 0:
+            replica.last_used_at = now
+
+    def note_waiting(self, target: Target, until: float) -> None:
+        """Remember that requests wait for a target until their deadline."""
+        self._wanted_until[target] = max(self._wanted_until.get(target, until), until)
+        if target.adapter:
+            self.note_waiting(Target(target.model), until)
+
+    def is_wanted(self, target: Target, now: float) -> bool:
+        """Return whether requests may still wait for a target."""
+        return self._wanted_until.get(target, float("-inf")) > now
+
+    def running(self, server_id: str, target: Target, now: float) -> int:
+        """Return the requests that run on a replica; a base model counts its own."""
+        return sum(use.running for use in self._live(server_id, target, now))
+
+    def requests_per_s(self, server_id: str, target: Target, now: float) -> float:
+        """Return the request rate of a replica over all instances."""
+        return sum(use.requests_per_s for use in self._live(server_id, target, now))
+
+    def is_known(self, server_id: str) -> bool:
+        """Return whether any instance has spoken about a server."""
+        return server_id in self._by_server
+
+    def last_used_at(self, server_id: str, target: Target) -> float:
+        """Return when a replica was used last, minus infinity if never."""
+        replica = self._by_server.get(server_id, {}).get(target)
+        return replica.last_used_at if replica is not None else float("-inf")
+
+    def running_by_instance(self, server_id: str, now: float) -> dict[str, int]:
+        """Return how much each instance runs on a server."""
+        totals: dict[str, int] = {}
+        for replica in self._by_server.get(server_id, {}).values():
+            for instance_id, use in replica.use_by_instance.items():
+                if now - use.at < USAGE_TTL_S:
+                    totals[instance_id] = totals.get(instance_id, 0) + use.running
+        return totals
+
+    def targets_in_use(self, now: float) -> list[tuple[str, Target]]:
+        """Return server and target of all replicas with recent requests."""
+        return [
+            (server_id, target)
+            for server_id, replicas in self._by_server.items()
+            for target, replica in replicas.items()
+            if now - replica.last_used_at < USAGE_TTL_S
+        ]
+
+    def expire(self, now: float) -> None:
+        """Drop waiting requests whose deadline has passed, and old statements."""
+        for replicas in self._by_server.values():
+            for replica in replicas.values():
+                replica.use_by_instance = {
+                    instance_id: use
+                    for instance_id, use in replica.use_by_instance.items()
+                    if now - use.at < USAGE_TTL_S
+                }
+        self._wanted_until = {t: u for t, u in self._wanted_until.items() if u > now}
+
+    def _live(self, server_id: str, target: Target, now: float) -> list[_Use]:
+        replica = self._by_server.get(server_id, {}).get(target)
+        if replica is None:
+            return []
+        uses = replica.use_by_instance.values()
+        return [use for use in uses if now - use.at < USAGE_TTL_S]
