--- /dev/null
+++ b/tests/builders_placement.py
@@ -0,0 +1,453 @@
+"""Models around `Placement`: servers, the key-value service and a site of instances.
+
+Time is a number that the test moves on. Nothing sleeps, and no socket is opened.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from siskinspool.core.message import Address, Incoming, Message, Outgoing
+from siskinspool.machines.messages import (
+    CatalogChanged,
+    LeavingChanged,
+    Member,
+    MembershipChanged,
+    NeedReplica,
+    OrderKind,
+    OrderResult,
+    OrderSettled,
+    OwnersChanged,
+    OwnershipGained,
+    OwnershipLost,
+    RampSlots,
+    ReplicaPlanned,
+    ReplicaRefused,
+    ReplicaState,
+    ReplicaUsed,
+    ReportedReplica,
+    SendOrder,
+    ServerReport,
+    ServerUnreachable,
+)
+from siskinspool.machines.placement import Placement
+from siskinspool.machines.ramp import HeldSlots
+from siskinspool.machines.record_encoding import JsonRecordEncoding
+from siskinspool.machines.reservations import Reservation, ServerRecord
+from siskinspool.manifest.model import Catalog, RequestClass, Server
+from siskinspool.platform.kv import (
+    KvConflict,
+    KvDelete,
+    KvGet,
+    KvItem,
+    KvList,
+    KvListing,
+    KvLost,
+    KvReply,
+    KvRequest,
+    KvSwap,
+    KvSwapped,
+    KvUnavailable,
+    KvValue,
+)
+
+PARTITION = "placement/lagos"
+ENCODING = JsonRecordEncoding()
+
+
+class KeyValueModel:
+    """The service in memory; answers can be lost and the service can be down."""
+
+    def __init__(self) -> None:
+        self.item_by_key: dict[str, KvItem] = {}
+        self.revision = 0
+        self.down = False
+        # How many of the next writes take effect without an answer.
+        self.lose_answers = 0
+        # How many of the next writes are held back and take effect later.
+        self.delay_writes = 0
+        self.delayed: list[KvSwap] = []
+
+    def call(self, request: KvRequest) -> KvReply:
+        """Carry out a request and return the answer that arrives."""
+        key = request.key if isinstance(request, (KvGet, KvSwap, KvDelete)) else ""
+        if self.down:
+            return KvUnavailable(request.request_id, key)
+        match request:
+            case KvList():
+                items = sorted(self.item_by_key.items())
+                found = tuple(i for k, i in items if k.startswith(request.prefix))
+                return KvListing(request.request_id, request.prefix, found)
+            case KvGet():
+                item = self.item_by_key.get(key)
+                if item is None:
+                    return KvValue(request.request_id, key, None, 0)
+                return KvValue(request.request_id, key, item.value, item.revision)
+            case KvSwap():
+                if self.delay_writes > 0:
+                    self.delay_writes -= 1
+                    self.delayed.append(request)
+                    return KvLost(request.request_id, key)
+                reply = self.swap(request)
+                if self.lose_answers > 0:
+                    self.lose_answers -= 1
+                    return KvLost(request.request_id, key)
+                return reply
+        raise AssertionError(request)
+
+    def swap(self, request: KvSwap) -> KvReply:
+        """Compare and swap one key."""
+        item = self.item_by_key.get(request.key)
+        revision = item.revision if item is not None else 0
+        if revision != request.expected_revision:
+            value = item.value if item is not None else None
+            return KvConflict(request.request_id, request.key, value, revision)
+        self.revision += 1
+        stored = KvItem(request.key, request.value, self.revision)
+        self.item_by_key[request.key] = stored
+        return KvSwapped(request.request_id, request.key, self.revision)
+
+    def record(self, server_id: str) -> ServerRecord:
+        """Return a server's record as stored."""
+        item = self.item_by_key.get(f"servers/{server_id}")
+        record = ENCODING.decode(item.value) if item is not None else None
+        return record or ServerRecord(0)
+
+
+@attrs.define
+class _Held:
+    """A replica on a model server."""
+
+    target: tuple[str, str]
+    memory_mib: int
+    loaded_at: float
+    failed: bool = False
+
+
+class ServerModel:
+    """An engine that does what orders say and never refuses for lack of memory.
+
+    So an overcommitted decision shows as memory in use above the server's memory.
+    """
+
+    def __init__(self, server: Server, load_s: float = 1.0) -> None:
+        self.server = server
+        self.load_s = load_s
+        self.boots = 1
+        self.highest_fence = 0
+        self.held: dict[str, _Held] = {}
+        self.started: list[tuple[str, tuple[str, str]]] = []
+        self.reachable = True
+        self.fail_loads = False
+
+    @property
+    def used_mib(self) -> int:
+        """Return the memory of replicas loaded and loading."""
+        return sum(held.memory_mib for held in self.held.values() if not held.failed)
+
+    def restart(self) -> None:
+        """Come back cold; the fence of a server that checks it is durable."""
+        self.boots += 1
+        self.held.clear()
+
+    def take(self, order: SendOrder, memory_mib: int, now: float) -> OrderResult:
+        """Carry out an order."""
+        if self.server.checks_fencing:
+            if order.fence < self.highest_fence:
+                return OrderResult.STALE_FENCE
+            self.highest_fence = order.fence
+        if order.kind in (OrderKind.UNLOAD, OrderKind.UNLOAD_ADAPTER):
+            self.held.pop(order.replica_id, None)
+        elif order.replica_id not in self.held:
+            target = (order.model, order.adapter)
+            held = _Held(target, memory_mib, now + self.load_s, self.fail_loads)
+            self.held[order.replica_id] = held
+            self.started.append((order.replica_id, target))
+        return OrderResult.ACCEPTED
+
+    def report(self, now: float) -> ServerReport:
+        """Return what the server says about itself."""
+        return ServerReport(
+            self.server.id,
+            f"b{self.boots}",
+            self.server.capacity,
+            0,
+            0,
+            self.server.memory_mib,
+            self.used_mib,
+            tuple(
+                ReportedReplica(replica_id, *held.target, self._state(held, now))
+                for replica_id, held in sorted(self.held.items())
+            ),
+            highest_fence=self.highest_fence,
+        )
+
+    def loaded(self, now: float) -> list[tuple[str, str]]:
+        """Return the targets that are loaded."""
+        held = self.held.values()
+        return [h.target for h in held if h.loaded_at <= now and not h.failed]
+
+    @staticmethod
+    def _state(held: _Held, now: float) -> ReplicaState:
+        if held.failed:
+            return ReplicaState.FAILED
+        loaded = held.loaded_at <= now
+        return ReplicaState.LOADED if loaded else ReplicaState.LOADING
+
+
+@attrs.define
+class InstanceModel:
+    """One instance: its decision, its messages under way, and its slots."""
+
+    instance_id: str
+    placement: Placement
+    slots: HeldSlots = attrs.field(factory=HeldSlots)
+    inbox: list[Incoming] = attrs.field(factory=list)
+    # Orders that its task ``orders`` has taken and not yet sent.
+    orders: list[SendOrder] = attrs.field(factory=list)
+    frozen: bool = False
+    alive: bool = True
+
+
+class SiteModel:
+    """Instances, servers and the key-value service, driven step by step."""
+
+    def __init__(self, catalog: Catalog, instances: int = 2) -> None:
+        self.catalog = catalog
+        self.now = 100.0
+        self.kv = KeyValueModel()
+        self.epoch = 0
+        self.owner = ""
+        self.server_by_id = {
+            s.id: ServerModel(s) for s in catalog.server_by_id.values()
+        }
+        self.instance_by_id: dict[str, InstanceModel] = {}
+        self.answers: list[tuple[str, Message]] = []
+        self.ever_decided: set[str] = set()
+        self.gone: set[str] = set()
+        self.leaving: set[str] = set()
+        # What becomes of the next orders: "lost" (carried out, answer lost), "late"
+        # (answer lost, carried out when released) or "refused" (no connection).
+        self.order_faults: list[str] = []
+        self.late_orders: list[SendOrder] = []
+        self.on_change: Callable[[], None] = lambda: None
+        for number in range(1, instances + 1):
+            self._add(f"i{number}")
+        self.tell_members()
+
+    def _add(self, instance_id: str) -> None:
+        placement = Placement(instance_id, f"{instance_id}-1", "lagos", ENCODING)
+        self.instance_by_id[instance_id] = InstanceModel(instance_id, placement)
+        self.post(instance_id, CatalogChanged(self.catalog))
+
+    def post(self, instance_id: str, message: Message, sender: str = "") -> None:
+        """Queue a message for an instance's placement task."""
+        address = Address(sender or instance_id, "test")
+        self.instance_by_id[instance_id].inbox.append(Incoming(address, message))
+
+    def tell_members(self) -> None:
+        """Tell the instances which of them have a session, and who is gone."""
+        live = [i for i in self.instance_by_id.values() if i.alive and not i.frozen]
+        members = {
+            i.instance_id: Member(i.instance_id, f"{i.instance_id}-1", "a", "", 1)
+            for i in live
+        }
+        leaving = LeavingChanged(
+            frozenset(self.leaving), frozenset(), frozenset(self.gone)
+        )
+        for instance in live:
+            self.post(instance.instance_id, MembershipChanged(members))
+            self.post(instance.instance_id, leaving)
+
+    def give_ownership(self, instance_id: str) -> None:
+        """Let an instance own the partition; a live former owner is told."""
+        former, self.owner = self.owner, instance_id
+        self.epoch += 1
+        if former and former != instance_id:
+            self.post(former, OwnershipLost(PARTITION))
+        self.post(instance_id, OwnershipGained(PARTITION, self.epoch))
+        for other in self.instance_by_id:
+            self.post(other, OwnersChanged({PARTITION: instance_id}))
+
+    def change_catalog(self, catalog: Catalog) -> None:
+        """Put another manifest in force."""
+        self.catalog = catalog
+        for instance_id in self.instance_by_id:
+            self.post(instance_id, CatalogChanged(catalog))
+
+    def freeze(self, instance_id: str) -> None:
+        """Pause a process: it handles and sends nothing."""
+        self.instance_by_id[instance_id].frozen = True
+        self.tell_members()
+
+    def thaw(self, instance_id: str) -> None:
+        """Let a paused process go on with what it has."""
+        self.instance_by_id[instance_id].frozen = False
+        self.tell_members()
+
+    def kill(self, instance_id: str) -> None:
+        """End a process; the platform lists it as gone."""
+        instance = self.instance_by_id[instance_id]
+        instance.alive = False
+        instance.inbox.clear()
+        instance.orders.clear()
+        self.gone.add(instance_id)
+        self.tell_members()
+
+    def need(
+        self,
+        model: str,
+        adapter: str = "",
+        asker: str = "i1",
+        deadline_s: float = 30.0,
+    ) -> None:
+        """Let an instance ask the owner for a replica."""
+        message = NeedReplica(model, adapter, RequestClass.URGENT, deadline_s, 1)
+        self.post(self.owner, message, asker)
+
+    def use(
+        self, model: str, server_id: str, running: int, instance: str = "i1"
+    ) -> None:
+        """Let an instance tell the owner what it uses."""
+        used = ReplicaUsed(model, "", server_id, running, float(running), self.now)
+        self.post(self.owner, used, instance)
+
+    def settle(self) -> None:
+        """Handle messages until no running instance has any left."""
+        for _ in range(1000):
+            busy = [
+                i
+                for i in self.instance_by_id.values()
+                if i.inbox and i.alive and not i.frozen
+            ]
+            if not busy:
+                return
+            for instance in busy:
+                self.step(instance)
+        raise AssertionError("messages do not come to an end")
+
+    def step(self, instance: InstanceModel) -> None:
+        """Let one instance handle one message and send its orders."""
+        incoming = instance.inbox.pop(0)
+        self._deliver(instance, instance.placement.handle(incoming, self.now))
+        self.send_orders(instance)
+
+    def run(self, seconds: float, step_s: float = 0.25, report: bool = True) -> None:
+        """Move time on, with reports every second step."""
+        for number in range(round(seconds / step_s)):
+            self.now += step_s
+            if report and number % 2 == 0:
+                self.report_all()
+            for instance in self.instance_by_id.values():
+                wake_at = instance.placement.wake_at()
+                if instance.frozen or not instance.alive:
+                    continue
+                if wake_at is not None and wake_at <= self.now:
+                    out = instance.placement.on_time(self.now)
+                    self._deliver(instance, out)
+                self.send_orders(instance)
+            self.settle()
+            self.on_change()
+
+    def report_all(self) -> None:
+        """Let the owner hear each server's report."""
+        for server in self.server_by_id.values():
+            message: Message = ServerUnreachable(server.server.id)
+            if server.reachable:
+                message = server.report(self.now)
+            if self.owner:
+                self.post(self.owner, message)
+
+    def send_orders(self, instance: InstanceModel) -> None:
+        """Let the task ``orders`` of a running instance send what it has."""
+        while instance.orders and instance.alive and not instance.frozen:
+            order = instance.orders.pop(0)
+            fault = self.order_faults.pop(0) if self.order_faults else ""
+            result = OrderResult.LOST
+            if fault == "refused":
+                result = OrderResult.NOT_SENT
+            elif fault == "late":
+                self.late_orders.append(order)
+            else:
+                answer = self.carry_out(order)
+                result = answer if fault != "lost" else result
+            settled = OrderSettled(
+                order.order_id, order.server_id, order.replica_id, result
+            )
+            address = Address(instance.instance_id, "orders")
+            instance.inbox.append(Incoming(address, settled))
+
+    def carry_out(self, order: SendOrder) -> OrderResult:
+        """Let an order arrive at its server."""
+        result = self.server_by_id[order.server_id].take(
+            order, self.memory_mib(order.model, order.adapter), self.now
+        )
+        self.on_change()
+        return result
+
+    def memory_mib(self, model: str, adapter: str) -> int:
+        """Return the memory of a target."""
+        if adapter:
+            return self.catalog.adapter_by_id[adapter].memory_mib
+        return self.catalog.model_by_id[model].memory_mib
+
+    def reservations(self) -> list[Reservation]:
+        """Return all stored reservations."""
+        return [
+            entry
+            for server_id in self.server_by_id
+            for entry in self.kv.record(server_id).reservations
+        ]
+
+    def loads_started(self, model: str, adapter: str = "") -> int:
+        """Return how many loads of a target have reached servers."""
+        return sum(
+            target == (model, adapter)
+            for server in self.server_by_id.values()
+            for _, target in server.started
+        )
+
+    def loaded_on(self, model: str) -> list[str]:
+        """Return the servers on which a model is loaded."""
+        return [
+            server.server.id
+            for server in self.server_by_id.values()
+            if (model, "") in server.loaded(self.now)
+        ]
+
+    def refusals(self) -> list[str]:
+        """Return the reasons of all refusals so far."""
+        return [m.reason for _, m in self.answers if isinstance(m, ReplicaRefused)]
+
+    def plans(self) -> list[ReplicaPlanned]:
+        """Return all answers with a server so far."""
+        return [m for _, m in self.answers if isinstance(m, ReplicaPlanned)]
+
+    def _deliver(self, instance: InstanceModel, batch: list[Outgoing]) -> None:
+        own = Address(instance.instance_id, "placement")
+        for outgoing in batch:
+            message = outgoing.message
+            recipient = outgoing.recipient
+            if isinstance(message, KvRequest):
+                reply = self.kv.call(message)
+                instance.inbox.append(
+                    Incoming(Address(instance.instance_id, "kv"), reply)
+                )
+                self._note_decided()
+            elif isinstance(message, SendOrder):
+                instance.orders.append(message)
+            elif isinstance(message, RampSlots):
+                holder = self.instance_by_id[recipient.instance_id]
+                if holder.alive and not holder.frozen:
+                    holder.slots.accept(message, self.now)
+            elif recipient.task == "placement":
+                self.instance_by_id[recipient.instance_id].inbox.append(
+                    Incoming(own, message)
+                )
+            else:
+                self.answers.append((recipient.instance_id, message))
+
+    def _note_decided(self) -> None:
+        self.ever_decided |= {entry.replica_id for entry in self.reservations()}
