--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -331,7 +331,7 @@
     def step(self, instance: InstanceModel) -> None:
         """Let one instance handle one message and send its orders."""
         incoming = instance.inbox.pop(0)
-        self._deliver(instance, instance.placement.handle(incoming, self.now))
+        self.deliver(instance, instance.placement.handle(incoming, self.now))
         self.send_orders(instance)
 
     def run(self, seconds: float, step_s: float = 0.25, report: bool = True) -> None:
@@ -346,7 +346,7 @@
                     continue
                 if wake_at is not None and wake_at <= self.now:
                     out = instance.placement.on_time(self.now)
-                    self._deliver(instance, out)
+                    self.deliver(instance, out)
                 self.send_orders(instance)
             self.settle()
             self.on_change()
@@ -425,7 +425,8 @@
         """Return all answers with a server so far."""
         return [m for _, m in self.answers if isinstance(m, ReplicaPlanned)]
 
-    def _deliver(self, instance: InstanceModel, batch: list[Outgoing]) -> None:
+    def deliver(self, instance: InstanceModel, batch: list[Outgoing]) -> None:
+        """Carry the output of an instance's decision to where it goes."""
         own = Address(instance.instance_id, "placement")
         for outgoing in batch:
             message = outgoing.message
@@ -435,7 +436,7 @@
                 instance.inbox.append(
                     Incoming(Address(instance.instance_id, "kv"), reply)
                 )
-                self._note_decided()
+                self.note_decided()
             elif isinstance(message, SendOrder):
                 instance.orders.append(message)
             elif isinstance(message, RampSlots):
@@ -449,5 +450,6 @@
             else:
                 self.answers.append((recipient.instance_id, message))
 
-    def _note_decided(self) -> None:
+    def note_decided(self) -> None:
+        """Remember the replicas that the stored records name."""
         self.ever_decided |= {entry.replica_id for entry in self.reservations()}
--- /dev/null
+++ b/tests/test_orders_task.py
@@ -0,0 +1,140 @@
+"""The task that sends orders: what each kind of failure counts as (R1, R2)."""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+import pytest
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from siskinspool.core.clock import MonotonicClock
+from siskinspool.core.dispatcher import Dispatcher, Inbox
+from siskinspool.core.message import Address, Incoming
+from siskinspool.machines.messages import (
+    CatalogChanged,
+    OrderKind,
+    OrderResult,
+    OrderSettled,
+    SendOrder,
+)
+from siskinspool.machines.orders_task import OrdersTask
+from tests.builders import catalog, server
+
+
+class OneAnswerServer:
+    """Takes connections and gives each the same bytes, or closes without any."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.requests: list[bytes] = []
+        self.open_now = 0
+        self.most_open = 0
+        self._answer = answer
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def port(self) -> int:
+        return int(self._server.address[1])
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def _serve(self, connection: socket.socket, _: object) -> None:
+        self.open_now += 1
+        self.most_open = max(self.most_open, self.open_now)
+        data = b""
+        while b"}" not in data:
+            data += connection.recv(4096)
+        self.requests.append(data)
+        self.open_now -= 1
+        connection.sendall(self._answer)
+        connection.close()
+
+
+def send(port: int, count: int = 1) -> list[OrderSettled]:
+    """Send orders to one server and return what the task says about them."""
+    dispatcher = Dispatcher("i1")
+    task = OrdersTask(dispatcher, MonotonicClock())
+    settled: list[OrderSettled] = []
+    done = Event()
+
+    class Asker(Inbox):
+        def post(self, incoming: Incoming) -> bool:
+            assert isinstance(incoming.message, OrderSettled)
+            settled.append(incoming.message)
+            if len(settled) == count:
+                done.set()
+            return True
+
+    dispatcher.register("placement", Asker())
+    target = attrs.evolve(server("s1"), port=port)
+    asker = Address("i1", "placement")
+    task.post(Incoming(asker, CatalogChanged(catalog(servers=(target,)))))
+    for number in range(count):
+        order = SendOrder(f"o{number}", "s1", OrderKind.LOAD, "r1", "m1", "", number)
+        task.post(Incoming(asker, order))
+    task.start()
+    assert done.wait(10.0)
+    task.stop()
+    return settled
+
+
+@pytest.mark.parametrize(
+    ("status", "result"),
+    [
+        ("202 Accepted", OrderResult.ACCEPTED),
+        ("409 Conflict", OrderResult.STALE_FENCE),
+        ("507 Insufficient Storage", OrderResult.NO_MEMORY),
+        ("400 Bad Request", OrderResult.REFUSED),
+        ("500 Internal Server Error", OrderResult.LOST),
+    ],
+)
+def test_status_decides_the_result(status: str, result: OrderResult) -> None:
+    """Guards R2: a server error, after which a load may go on, frees its memory."""
+    answer = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"
+    backend = OneAnswerServer(answer.encode())
+    (settled,) = send(backend.port)
+    backend.stop()
+    assert settled.result is result
+    (request,) = backend.requests
+    head, body = request.split(b"\r\n\r\n")
+    assert head.startswith(b"POST /v1/orders HTTP/1.1")
+    assert json.loads(body) == {
+        "order_id": "o0",
+        "fence": 0,
+        "kind": "load",
+        "model": "m1",
+        "adapter": "",
+        "sender": "i1",
+        "replica_id": "r1",
+    }
+
+
+def test_closed_port_is_not_sent() -> None:
+    """Guards against memory that stays reserved for an order that never left."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        (settled,) = send(unused.getsockname()[1])
+    assert settled.result is OrderResult.NOT_SENT
+
+
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 20", b"no http\r\n\r\n"])
+def test_order_without_answer_is_lost_and_not_repeated(answer: bytes) -> None:
+    """Guards R1: an order is sent again after the first copy may have arrived."""
+    backend = OneAnswerServer(answer)
+    (settled,) = send(backend.port)
+    backend.stop()
+    assert settled.result is OrderResult.LOST
+    assert len(backend.requests) == 1
+
+
+def test_orders_to_one_server_keep_their_sequence() -> None:
+    """Guards M1: a higher fence overtakes a lower one, whose order is then refused."""
+    backend = OneAnswerServer(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+    settled = send(backend.port, count=20)
+    backend.stop()
+    assert [s.order_id for s in settled] == [f"o{n}" for n in range(20)]
+    assert backend.most_open == 1
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -105,7 +105,7 @@
     made.need("m1")
     while not made.instance_by_id["i1"].orders:
         incoming = made.instance_by_id["i1"].inbox.pop(0)
-        made._deliver(
+        made.deliver(
             made.instance_by_id["i1"],
             made.instance_by_id["i1"].placement.handle(incoming, made.now),
         )
--- /dev/null
+++ b/tests/test_ramp.py
@@ -0,0 +1,187 @@
+"""Ramps of cold servers over all instances together (R6)."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+
+from siskinspool.machines.messages import (
+    RampSlots,
+    ReplicaState,
+    ReportedReplica,
+)
+from siskinspool.machines.ramp import HeldSlots, RampPlan, share_out
+from tests.builders import catalog, model, report, server
+from tests.builders_placement import SiteModel
+
+
+def started(instances: int = 3, capacity: int = 40, epoch: int = 1) -> RampPlan:
+    """Return a plan with the ramp of one server, owned since time 0."""
+    plan = RampPlan()
+    plan.set_instances({f"i{n}" for n in range(instances)})
+    plan.start(epoch, 0.0)
+    plan.begin("s1", "b1", capacity, 0.0)
+    return plan
+
+
+def test_limit_doubles_every_five_seconds() -> None:
+    """Guards R6: a cold server gets its full load at once, or never."""
+    plan = started()
+    limits = []
+    for step in range(80):
+        plan.grant({}, step * 0.5)
+        limits.append(plan.limit("s1"))
+    assert sorted({limit for limit in limits if limit}) == [4, 8, 16, 32, 40]
+    assert plan.complete_boot("s1") == "b1"
+
+
+def test_failures_hold_the_ramp() -> None:
+    """Guards R6: a server that fails under its load gets twice as much."""
+    plan = started()
+    failed = ReportedReplica("r", "m1", "", ReplicaState.FAILED)
+    for step in range(80):
+        plan.note_report(attrs.evolve(report(), replicas=(failed,)), step * 0.5)
+        plan.grant({}, step * 0.5)
+    assert plan.limit("s1") == 4
+
+
+def test_new_owner_waits_before_it_hands_out_slots() -> None:
+    """Guards R6: slots of two owners add up to more than the plan."""
+    plan = started()
+    assert plan.grant({}, 2.0) == []
+    assert plan.grant({}, 3.0) != []
+
+
+def test_end_is_announced_only_after_it_is_recorded() -> None:
+    """Guards R6: an owner that dies at the end of a ramp has it started again."""
+    plan = started()
+    for step in range(80):
+        assert all(g.slots.slots is not None for g in plan.grant({}, step * 0.5))
+    plan.end("s1", "b1", 40.0)
+    assert {g.slots.slots for g in plan.grant({}, 40.0)} == {None}
+
+
+def test_new_ramp_of_the_same_boot_is_not_ended_by_an_old_record() -> None:
+    """Guards R6: a write under way lifts the limit of a server that is cold again."""
+    plan = started()
+    for step in range(80):
+        plan.grant({}, step * 0.5)
+    plan.begin("s1", "b1", 40, 41.0)
+    plan.end("s1", "b1", 41.0)
+    assert plan.is_ramping("s1")
+
+
+def test_slots_follow_demand() -> None:
+    """Guards M1: slots lie idle at one instance while another queues."""
+    shares = share_out(20, ("a", "b", "c"), {"a": 17})
+    assert sum(shares.values()) == 20
+    assert shares["a"] > 10
+    assert min(shares["b"], shares["c"]) >= 1
+    assert share_out(9, ("a", "b", "c"), {}) == {"a": 3, "b": 3, "c": 3}
+
+
+def test_older_epoch_is_ignored() -> None:
+    """Guards R6: a former owner's late grant counts beside the new owner's."""
+    held = HeldSlots()
+    held.accept(RampSlots("s1", "b1", 2, 3, 2.0), 0.0)
+    assert not held.accept(RampSlots("s1", "b1", 1, 9, 2.0), 0.1)
+    assert held.usable("s1", "b1", 0.2) == 3
+    assert held.usable("s1", "b2", 0.2) == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_valid_slots_never_exceed_the_plan(seed: int) -> None:
+    """Guards R6: delays, frozen instances and takeovers add slots to the plan.
+
+    Grants arrive up to 8 s late and out of order, owners are replaced while their last
+    grants are under way, and a frozen instance handles its grants after it resumes.
+    """
+    rng = random.Random(seed)
+    names = [f"i{n}" for n in range(4)]
+    # Each instance's clock has an offset of its own.
+    offset = {name: rng.uniform(0.0, 1000.0) for name in names}
+    holders = {name: HeldSlots() for name in names}
+    under_way: list[tuple[float, str, RampSlots]] = []
+    plan, epoch, owned_at = started(4), 1, 0.0
+    for name in names:
+        plan.hear(name, offset[name], 0.0)
+    now = 0.0
+    while now < 60.0:
+        now += 0.1
+        if rng.random() < 0.01:
+            epoch += 1
+            plan, owned_at = RampPlan(), now
+            plan.set_instances(set(names))
+            plan.start(epoch, now)
+            plan.begin("s1", "b1", 40, now)
+        for name in names:
+            if rng.random() < 0.1:
+                delay = rng.choice([0.0, 0.1, 3.0])
+                plan.hear(name, now - min(delay, now - owned_at) + offset[name], now)
+        running = {"s1": {name: rng.randrange(20) for name in names}}
+        for grant in plan.grant(running, now):
+            late = rng.choice([0.0, 0.05, 0.5, 8.0])
+            if grant.slots.valid_until is None:
+                # The end counts from receipt; the margin covers a second.
+                late = min(late, 0.9)
+            under_way.append((now + late, grant.instance_id, grant.slots))
+        rng.shuffle(under_way)
+        for arrival in [entry for entry in under_way if entry[0] <= now]:
+            under_way.remove(arrival)
+            _, name, slots = arrival
+            holders[name].accept(slots, now + offset[name])
+        usable = [
+            holders[name].usable("s1", "b1", now + offset[name]) or 0 for name in names
+        ]
+        limit = plan.limit("s1")
+        # Right after a takeover the former owner's larger plan still runs out.
+        if limit is not None and now >= owned_at + 3.0:
+            assert sum(usable) <= limit
+        assert sum(usable) <= 40
+
+
+def test_server_ramps_after_a_restart_and_over_a_takeover() -> None:
+    """Guards R6: a new owner takes a server that was ramping for a warm one."""
+    site = SiteModel(
+        catalog(servers=(server("s1", capacity=40),), models=(model(),)), instances=2
+    )
+    site.give_ownership("i1")
+    site.settle()
+
+    def usable() -> list[int | None]:
+        boot = f"b{site.server_by_id['s1'].boots}"
+        instances = site.instance_by_id.values()
+        return [i.slots.usable("s1", boot, site.now) for i in instances]
+
+    site.run(40.0)
+    assert usable() == [None, None]
+    site.give_ownership("i2")
+    site.run(10.0)
+    assert usable() == [None, None]
+    site.server_by_id["s1"].restart()
+    site.run(3.0)
+    assert 0 < sum(slots or 0 for slots in usable()) <= 4
+    assert None not in usable()
+    site.give_ownership("i1")
+    site.run(6.0)
+    assert None not in usable()
+    assert 0 < sum(slots or 0 for slots in usable()) <= 8
+
+
+def test_server_ramps_when_it_comes_back_from_leaving() -> None:
+    """Guards R6: a server that comes back gets its full load at once."""
+    site = SiteModel(
+        catalog(servers=(server("s1", capacity=40),), models=(model(),)), instances=2
+    )
+    site.give_ownership("i1")
+    site.run(40.0)
+    site.leaving = {"s1"}
+    site.tell_members()
+    site.run(2.0)
+    assert site.kv.record("s1").warm_boot_id == ""
+    site.leaving = set()
+    site.tell_members()
+    site.run(4.0)
+    assert site.instance_by_id["i1"].placement.ramp.limit("s1") == 4
