Add the claim log for non-idempotent calls

Non-idempotent calls must run at most once over all instances (R10). Claims are records in an append-only log per shard, written with "must not exist"; the log alone decides who holds a key. A write whose answer was lost is repeated under the same number until the number is taken.

--- /dev/null
+++ b/src/siskinspool/contracts/answer_parts.py
@@ -0,0 +1,106 @@
+"""Large answers and bodies, kept in parts under keys of their own.
+
+`PartUpload` writes the parts before the record that names them; `PartFetch` reads
+them back. The keys contain a unique token, so a part that exists already is one's own.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..platform.kv import (
+    KvConflict,
+    KvGet,
+    KvReply,
+    KvRequest,
+    KvSwap,
+    KvSwapped,
+    KvValue,
+)
+from .kv_caller import IdSource, KeyValueCaller
+
+# The service takes values of up to 1 MB.
+PART_MAX_BYTES: Final = 512 * 1024
+
+
+def split_parts(body: bytes) -> tuple[bytes, ...]:
+    """Return a body in parts of at most `PART_MAX_BYTES`."""
+    starts = range(0, len(body), PART_MAX_BYTES)
+    return tuple(body[start : start + PART_MAX_BYTES] for start in starts)
+
+
+class PartUpload(KeyValueCaller):
+    """Writes a body in parts."""
+
+    def __init__(
+        self, prefix: str, body: bytes, ttl_s: float | None, ids: IdSource
+    ) -> None:
+        super().__init__(ids)
+        self.parts = split_parts(body)
+        self._prefix = prefix
+        self._ttl_s = ttl_s
+        self._written = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether all parts are written."""
+        return self._written == len(self.parts)
+
+    def next_request(self, now: float) -> KvRequest | None:
+        """Return the write of the next part."""
+        if self.is_done:
+            return None
+        key = f"{self._prefix}{self._written}"
+        part = self.parts[self._written]
+        return KvSwap(self.ids.next_id(), key, 0, part, ttl_s=self._ttl_s)
+
+    def take(self, call: KvRequest, reply: KvReply, sent_at: float, now: float) -> None:
+        """Go on to the next part, or write this one again."""
+        if isinstance(reply, KvSwapped) or (
+            isinstance(reply, KvConflict) and reply.value is not None
+        ):
+            self._written += 1
+
+    def due_at(self) -> float | None:
+        """Return 0 while parts are left."""
+        return None if self.is_done else 0.0
+
+
+class PartFetch(KeyValueCaller):
+    """Reads a body in parts."""
+
+    def __init__(self, prefix: str, parts: int, ids: IdSource) -> None:
+        super().__init__(ids)
+        self.is_missing = False
+        self._prefix = prefix
+        self._parts = parts
+        self._read: list[bytes] = []
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether all parts are read."""
+        return len(self._read) == self._parts
+
+    @property
+    def body(self) -> bytes:
+        """Return what was read."""
+        return b"".join(self._read)
+
+    def next_request(self, now: float) -> KvRequest | None:
+        """Return the read of the next part."""
+        if self.is_done or self.is_missing:
+            return None
+        return KvGet(self.ids.next_id(), f"{self._prefix}{len(self._read)}")
+
+    def take(self, call: KvRequest, reply: KvReply, sent_at: float, now: float) -> None:
+        """Keep the part that was read."""
+        if not isinstance(reply, KvValue):
+            return
+        if reply.value is None:
+            self.is_missing = True
+        else:
+            self._read.append(reply.value)
+
+    def due_at(self) -> float | None:
+        """Return 0 while parts are left."""
+        return None if self.is_done or self.is_missing else 0.0
--- /dev/null
+++ b/src/siskinspool/contracts/claim_encoding.py
@@ -0,0 +1,31 @@
+"""msgpack encoding of claim log entries."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from .claim_log import Entry, EntryCodec
+
+ENTRY_VERSION: Final = 1
+
+
+class MsgpackEntryCodec(EntryCodec):
+    """Writes ``[version, entry]``."""
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(tuple[int, Entry])
+
+    def encode(self, entry: Entry) -> bytes:
+        """Return the bytes of an entry."""
+        return self._encoder.encode((ENTRY_VERSION, entry))
+
+    def decode(self, data: bytes) -> Entry | None:
+        """Return the entry in ``data``, or None if it cannot be read."""
+        try:
+            version, entry = self._decoder.decode(data)
+        except (msgspec.DecodeError, ValueError, TypeError):
+            return None
+        return entry if version == ENTRY_VERSION else None
--- /dev/null
+++ b/src/siskinspool/contracts/claim_remote.py
@@ -0,0 +1,146 @@
+"""Claims and records that other instances forward to the owner of a shard.
+
+Each request is acknowledged at once, so that a slow key-value service does not look
+like an owner that cannot be reached, and answered when the log has settled it. Requests
+may be repeated. Nothing here depends on owning the shard: safety comes from the log.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from ..core.message import Address, Outgoing
+from .claim_jobs import RECORD_RETRY_S
+from .claim_log import Claimed, Finished, Released
+from .claim_messages import (
+    Claimant,
+    ClaimPending,
+    ClaimSettled,
+    ForwardClaim,
+    ForwardRecord,
+    RecordSettled,
+    Verdict,
+)
+from .claim_writer import ShardWriter
+
+
+@attrs.define
+class RemoteAsk:
+    """A forwarded claim."""
+
+    claim: Claimed
+    shard: int
+    requester: Address
+    deadline: float
+    # The requester was told that another token is running.
+    told_running: bool = False
+
+
+@attrs.define
+class RemoteRecord:
+    """A forwarded release or answer."""
+
+    shard: int
+    requester: Address
+    expires_at: float
+
+
+class RemoteClaims:
+    """What this instance settles for others."""
+
+    def __init__(self, writer_by_shard: dict[int, ShardWriter]) -> None:
+        self._writer_by_shard = writer_by_shard
+        self._ask_by_token: dict[str, RemoteAsk] = {}
+        self._record_by_token: dict[str, RemoteRecord] = {}
+
+    def take_claim(
+        self, sender: Address, message: ForwardClaim, now: float
+    ) -> list[Outgoing]:
+        """Take in a forwarded claim, or its repetition."""
+        writer = self._writer_by_shard.get(message.shard)
+        if writer is None:
+            return []
+        claim = Claimed(
+            message.scope,
+            message.key_digest,
+            message.body_digest,
+            message.token,
+            message.claimant,
+        )
+        deadline = now + message.deadline_in_s
+        ask = RemoteAsk(claim, message.shard, sender, deadline)
+        self._ask_by_token[message.token] = ask
+        writer.add_claim(claim, now)
+        return [Outgoing(sender, ClaimPending(message.token))]
+
+    def take_record(
+        self, sender: Address, message: ForwardRecord, now: float
+    ) -> list[Outgoing]:
+        """Take in a forwarded release or answer, or its repetition."""
+        writer = self._writer_by_shard.get(message.shard)
+        if writer is None:
+            return []
+        token, answer = message.token, message.answer
+        record = Released(token) if answer is None else Finished(token, answer)
+        self._record_by_token[token] = RemoteRecord(
+            message.shard, sender, now + RECORD_RETRY_S
+        )
+        writer.add_record(record, now)
+        return [Outgoing(sender, ClaimPending(token))]
+
+    def settle(self, is_gone: Callable[[Claimant], bool]) -> list[Outgoing]:
+        """Return answers to what the log has settled."""
+        return self._settle_asks(is_gone) + self._settle_records()
+
+    def expire(self, now: float) -> None:
+        """Drop what nobody waits for any more."""
+        for token, ask in list(self._ask_by_token.items()):
+            if now >= ask.deadline:
+                self._drop_ask(token, ask)
+        for token, record in list(self._record_by_token.items()):
+            if now >= record.expires_at:
+                self._drop_record(token, record)
+
+    def wake_at(self) -> float:
+        """Return when `expire` is due next; infinity if nothing is under way."""
+        due = [ask.deadline for ask in self._ask_by_token.values()]
+        due += [record.expires_at for record in self._record_by_token.values()]
+        return min(due, default=float("inf"))
+
+    def _settle_asks(self, is_gone: Callable[[Claimant], bool]) -> list[Outgoing]:
+        out: list[Outgoing] = []
+        for token, ask in list(self._ask_by_token.items()):
+            writer = self._writer_by_shard[ask.shard]
+            judgement = writer.settle(writer.want_by_token[token], is_gone)
+            if judgement is None:
+                continue
+            if judgement.verdict is Verdict.RUNNING:
+                if not ask.told_running:
+                    ask.told_running = True
+                    pending = ClaimPending(token, running=True)
+                    out.append(Outgoing(ask.requester, pending))
+                continue
+            settled = ClaimSettled(
+                token, ask.claim.claimant, judgement.verdict, judgement.answer
+            )
+            out.append(Outgoing(ask.requester, settled))
+            self._drop_ask(token, ask)
+        return out
+
+    def _settle_records(self) -> list[Outgoing]:
+        out: list[Outgoing] = []
+        for token, record in list(self._record_by_token.items()):
+            if self._writer_by_shard[record.shard].is_recorded(token):
+                out.append(Outgoing(record.requester, RecordSettled(token)))
+                self._drop_record(token, record)
+        return out
+
+    def _drop_ask(self, token: str, ask: RemoteAsk) -> None:
+        del self._ask_by_token[token]
+        self._writer_by_shard[ask.shard].drop_claim(token)
+
+    def _drop_record(self, token: str, record: RemoteRecord) -> None:
+        del self._record_by_token[token]
+        self._writer_by_shard[record.shard].drop_record(token)
--- /dev/null
+++ b/src/siskinspool/contracts/claim_writer.py
@@ -0,0 +1,285 @@
+"""Reader and writer of one shard's claim log.
+
+`ShardWriter` keeps the claims and records that are wanted and brings the log to the
+point where each is settled. An entry is created under the next number with "must not
+exist", so a successful write proves that all entries before it were read (R10).
+
+A write whose answer was lost is sent again unchanged under the same number until the
+number is taken: by the write itself, by its first copy, or by another writer. Reading
+the number as absent would not do, since the lost write can still take effect.
+What was written is then judged by the log alone (`ShardLog.judge`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from ..platform.kv import (
+    KvConflict,
+    KvGet,
+    KvList,
+    KvListing,
+    KvLost,
+    KvReply,
+    KvRequest,
+    KvSwap,
+    KvSwapped,
+    KvUnavailable,
+    KvValue,
+)
+from .claim_log import (
+    RETENTION_S,
+    Claimed,
+    Entry,
+    EntryCodec,
+    Finished,
+    Judgement,
+    Released,
+    ShardLog,
+)
+from .claim_messages import Claimant, Verdict
+from .kv_caller import IdSource, KeyValueCaller
+
+BATCH_WINDOW_S: Final = 0.003
+# Keeps an entry with inline answers under the service's value limit of 1 MB.
+BATCH_MAX_BYTES: Final = 512 * 1024
+BATCH_MAX_RECORDS: Final = 500
+# Older entries may have expired and the numbers may have started again.
+RELIST_AFTER_S: Final = 3600.0
+# How often the log is read on while a request waits for another token.
+POLL_S: Final = 1.0
+# A new instance may hold a claim before its session is known here.
+MEMBERSHIP_LAG_S: Final = 2.0
+
+Record = Released | Finished
+
+
+@attrs.define
+class Want:
+    """A claim that is to be settled."""
+
+    claim: Claimed
+    added_at: float
+
+
+@attrs.frozen
+class _Batch:
+    """An entry under the number for which it was built."""
+
+    seq: int
+    entry: Entry
+    value: bytes
+
+
+class ShardWriter(KeyValueCaller):
+    """Settles claims and records of one shard through its log."""
+
+    def __init__(self, shard: int, codec: EntryCodec, ids: IdSource) -> None:
+        super().__init__(ids)
+        self.shard = shard
+        self.log: ShardLog | None = None
+        self.want_by_token: dict[str, Want] = {}
+        self.record_by_token: dict[str, Record] = {}
+        # When the last change of the members was noticed.
+        self.members_at = 0.0
+        self._codec = codec
+        self._prefix = f"claims/{shard}/"
+        # The log was read to its end by a call sent at this time.
+        self._synced_at = 0.0
+        self._flush_at = 0.0
+        self._batch: _Batch | None = None
+        # The first sending of the batch has not been answered, or was lost.
+        self._batch_was_lost = False
+        self._unreadable = False
+
+    def add_claim(self, claim: Claimed, now: float) -> None:
+        """Want a claim settled."""
+        if claim.token not in self.want_by_token:
+            self.want_by_token[claim.token] = Want(claim, now)
+            self._schedule_flush(now)
+
+    def drop_claim(self, token: str) -> bool:
+        """Stop wanting a claim; return whether it may be or get into the log."""
+        self.want_by_token.pop(token, None)
+        in_batch = self._batch is not None and any(
+            claimed.token == token for claimed in self._batch.entry.claimed
+        )
+        return in_batch or (self.log is not None and self.log.has_claim(token))
+
+    def add_record(self, record: Record, now: float) -> None:
+        """Want a release or an answer written."""
+        if record.token not in self.record_by_token:
+            self.record_by_token[record.token] = record
+            self._schedule_flush(now)
+
+    def drop_record(self, token: str) -> None:
+        """Stop wanting a record written."""
+        self.record_by_token.pop(token, None)
+
+    def is_recorded(self, token: str) -> bool:
+        """Return whether the log holds the end of a token."""
+        return self.log is not None and self.log.has_ended(token)
+
+    def settle(
+        self, want: Want, is_gone: Callable[[Claimant], bool]
+    ) -> Judgement | None:
+        """Return how a claim ended, or None while it is open.
+
+        RUNNING is returned while another token holds the key and must be waited for.
+        """
+        if self.log is None:
+            return None
+        judgement = self.log.judge(want.claim)
+        match judgement.verdict:
+            case Verdict.FREE:
+                return None
+            case Verdict.MISMATCH:
+                # The holder may have been released in an entry not read yet.
+                return judgement if self._synced_at >= want.added_at else None
+            case Verdict.RUNNING if judgement.holder is not None:
+                # The holder may have finished in an entry written before it went.
+                if is_gone(judgement.holder) and self._is_fresh(want):
+                    return Judgement(Verdict.UNKNOWN)
+        return judgement
+
+    def next_request(self, now: float) -> KvRequest | None:
+        """Return the next read or write."""
+        if self._unreadable or not self._has_work():
+            return None
+        if self.log is None or now > self._synced_at + RELIST_AFTER_S:
+            return KvList(self.ids.next_id(), self._prefix)
+        if self._batch is None and now >= self._flush_at:
+            self._batch = self._build_batch(self.log)
+            self._batch_was_lost = False
+        if self._batch is not None:
+            return self._swap(self._batch)
+        if now >= self._read_due_at(self.log):
+            key = self._key(self.log.next_seq)
+            return KvGet(self.ids.next_id(), key)
+        return None
+
+    def take(self, call: KvRequest, reply: KvReply, sent_at: float, now: float) -> None:
+        """Take in the answer to a read or write."""
+        match reply:
+            case KvListing():
+                self._read_listing(reply, now)
+                self._synced_at = sent_at
+            case KvValue(value=None) if self.log is not None:
+                self._synced_at = sent_at
+                self.log.expire(now)
+            case KvValue() if self.log is not None and reply.value is not None:
+                self._apply(self.log.next_seq, reply.value, now)
+            case KvSwapped() | KvConflict() | KvLost() | KvUnavailable():
+                if isinstance(call, KvSwap):
+                    self._end_write(reply, sent_at, now)
+
+    def due_at(self) -> float | None:
+        """Return when there will be something to read or write."""
+        if self._unreadable or not self._has_work():
+            return None
+        if self.log is None or self._batch is not None:
+            return 0.0
+        due_at = self._read_due_at(self.log)
+        if self._build_batch(self.log) is not None:
+            due_at = min(due_at, self._flush_at)
+        return min(due_at, self._synced_at + RELIST_AFTER_S)
+
+    def _has_work(self) -> bool:
+        return bool(self.want_by_token or self.record_by_token or self._batch)
+
+    def _schedule_flush(self, now: float) -> None:
+        if self._flush_at <= now:
+            self._flush_at = now + BATCH_WINDOW_S
+
+    def _key(self, seq: int) -> str:
+        # Fixed width keeps the key order equal to the numeric order.
+        return f"{self._prefix}{seq:012d}"
+
+    def _swap(self, batch: _Batch) -> KvSwap:
+        return KvSwap(
+            self.ids.next_id(), self._key(batch.seq), 0, batch.value, ttl_s=RETENTION_S
+        )
+
+    def _is_fresh(self, want: Want) -> bool:
+        needed = max(want.added_at, self.members_at) + MEMBERSHIP_LAG_S
+        return self._synced_at >= needed
+
+    def _read_due_at(self, log: ShardLog) -> float:
+        """Return when to read on for requests that wait for another token."""
+        due_at = float("inf")
+        for want in self.want_by_token.values():
+            if log.judge(want.claim).verdict in (Verdict.RUNNING, Verdict.MISMATCH):
+                if self._synced_at < want.added_at:
+                    return 0.0
+                due_at = self._synced_at + POLL_S
+        return due_at
+
+    def _build_batch(self, log: ShardLog) -> _Batch | None:
+        claimed: dict[tuple[str, str], Claimed] = {}
+        for want in self.want_by_token.values():
+            if log.judge(want.claim).verdict is Verdict.FREE:
+                key = (want.claim.scope, want.claim.key_digest)
+                claimed.setdefault(key, want.claim)
+        records = [
+            record
+            for record in self.record_by_token.values()
+            if not log.has_ended(record.token)
+        ]
+        entry = _bounded_entry(list(claimed.values()), records)
+        if entry == Entry():
+            return None
+        return _Batch(log.next_seq, entry, self._codec.encode(entry))
+
+    def _end_write(self, reply: KvReply, sent_at: float, now: float) -> None:
+        batch = self._batch
+        if batch is None or self.log is None:
+            return
+        match reply:
+            case KvSwapped():
+                self.log.apply(batch.seq, batch.entry, now)
+                self._synced_at = sent_at
+                self._batch = None
+            case KvConflict(value=value) if value is not None:
+                self._apply(batch.seq, value, now)
+                self._batch = None
+            case KvUnavailable() if not self._batch_was_lost:
+                # Certainly not written: the next batch is built afresh.
+                self._batch = None
+            case _:
+                self._batch_was_lost = True
+
+    def _read_listing(self, listing: KvListing, now: float) -> None:
+        self.log = ShardLog()
+        for item in listing.items:
+            seq = int(item.key.removeprefix(self._prefix))
+            self._apply(seq, item.value, now)
+        # A lost write stays open only while its number is the next one.
+        if self._batch is not None and self._batch.seq != self.log.next_seq:
+            self._batch = None
+
+    def _apply(self, seq: int, value: bytes, now: float) -> None:
+        entry = self._codec.decode(value)
+        if entry is None or self.log is None:
+            # Without this entry no later claim can be judged.
+            self._unreadable = True
+            return
+        self.log.apply(seq, entry, now)
+
+
+def _bounded_entry(claimed: list[Claimed], records: list[Record]) -> Entry:
+    """Return an entry with as many records as fit."""
+    released: list[Released] = []
+    finished: list[Finished] = []
+    size = 0
+    for record in records[:BATCH_MAX_RECORDS]:
+        if isinstance(record, Released):
+            released.append(record)
+            continue
+        size += len(record.answer.body)
+        if size > BATCH_MAX_BYTES and finished:
+            break
+        finished.append(record)
+    return Entry(tuple(claimed[:BATCH_MAX_RECORDS]), tuple(released), tuple(finished))
--- /dev/null
+++ b/src/siskinspool/contracts/claims.py
@@ -0,0 +1,400 @@
+"""Decision `Claims`: the right to send a non-idempotent call (R9, R10).
+
+A request handler asks for a claim with a token of its own. The claim goes to the
+``claims`` task of the shard's owner, or straight into the log when this instance owns
+the shard or the owner is not reached. Both ways may be taken for one token: the log
+holds a token once, and only this instance tells its handler, once.
+
+A call is granted only here and only while its handler waits. So when the deadline has
+passed, `ClaimUnavailable` is true at once; a token that may have got into the log is
+released there afterwards. A release also voids a claim of the token that comes later.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import xxhash
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..machines.messages import (
+    Member,
+    MembershipChanged,
+    OwnersChanged,
+    OwnershipGained,
+    OwnershipLost,
+)
+from ..platform.kv import KvReply
+from .answer_parts import PartFetch, PartUpload
+from .claim_jobs import RECORD_RETRY_S, Ask, RecordJob, Route
+from .claim_log import RETENTION_S, Claimed, EntryCodec, Finished, Released
+from .claim_messages import (
+    Claimant,
+    ClaimCall,
+    ClaimGranted,
+    ClaimMismatch,
+    ClaimPending,
+    ClaimRecorded,
+    ClaimReplayed,
+    ClaimSettled,
+    ClaimUnavailable,
+    ClaimUnknown,
+    FinishClaim,
+    ForwardClaim,
+    ForwardRecord,
+    KeptAnswer,
+    RecordSettled,
+    ReleaseClaim,
+    Verdict,
+)
+from .claim_remote import RemoteClaims
+from .claim_writer import Record, ShardWriter
+from .kv_caller import IdSource, KeyValueCaller
+
+TASK: Final = "claims"
+SHARDS: Final = 16
+# Larger answers are kept outside the log.
+INLINE_MAX_BYTES: Final = 32 * 1024
+# Parts of an answer outlast the entry that names them.
+ANSWER_TTL_S: Final = RETENTION_S + 600.0
+# An owner that did not answer is passed over for this time.
+AVOID_OWNER_S: Final = 2.0
+
+
+def shard_of(scope: str, key_digest: str, shards: int = SHARDS) -> int:
+    """Return the shard of a key."""
+    return xxhash.xxh64_intdigest(f"{scope}\0{key_digest}".encode()) % shards
+
+
+class Claims(Decision):
+    """The claims of one instance, and of the shards that it owns."""
+
+    def __init__(
+        self, claimant: Claimant, codec: EntryCodec, shards: int = SHARDS
+    ) -> None:
+        self._self = claimant
+        self._shards = shards
+        name = f"{TASK}-{claimant.instance_id}-{claimant.incarnation}"
+        self._ids = IdSource(name)
+        self._writer_by_shard = {
+            shard: ShardWriter(shard, codec, self._ids) for shard in range(shards)
+        }
+        self._kv = Address(claimant.instance_id, "kv")
+        self._member_by_id: dict[str, Member] | None = None
+        self._owner_by_partition: dict[str, str] = {}
+        self._avoid_until: dict[str, float] = {}
+        self._ask_by_token: dict[str, Ask] = {}
+        self._record_by_token: dict[str, RecordJob] = {}
+        self._remote = RemoteClaims(self._writer_by_shard)
+        # Shards of the tokens that handlers hold.
+        self._granted: dict[str, int] = {}
+        self._out: list[Outgoing] = []
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a request, an answer of the service or a message of a peer."""
+        # A grant that arrives after the deadline must not be used.
+        self._expire(now)
+        self._take(incoming.sender, incoming.message, now)
+        return self._advance(now)
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Repeat, give up or write what has become due."""
+        self._expire(now)
+        return self._advance(now)
+
+    def wake_at(self) -> float | None:
+        """Return the earliest deadline, repeat or write."""
+        times = [caller.wake_at() for caller in self._callers()]
+        due = [time for time in times if time is not None]
+        for ask in self._ask_by_token.values():
+            due += [ask.deadline, ask.route.wake_at()]
+        for job in self._record_by_token.values():
+            due += [job.expires_at, job.route.wake_at()]
+        due.append(self._remote.wake_at())
+        earliest = min(due)
+        return None if earliest == float("inf") else earliest
+
+    def _take(self, sender: Address, message: Message, now: float) -> None:
+        match message:
+            case ClaimCall():
+                self._take_call(sender, message, now)
+            case ReleaseClaim():
+                self._take_release(message.token, now)
+            case FinishClaim():
+                self._take_finish(sender, message, now)
+            case KvReply():
+                for caller in self._callers():
+                    caller.on_reply(message, now)
+            case ForwardClaim():
+                self._out += self._remote.take_claim(sender, message, now)
+            case ForwardRecord():
+                self._out += self._remote.take_record(sender, message, now)
+            case ClaimPending():
+                self._take_pending(message, now)
+            case ClaimSettled():
+                self._take_settled(message, now)
+            case RecordSettled():
+                self._end_record(message.token)
+            case MembershipChanged():
+                self._member_by_id = dict(message.member_by_id)
+                for writer in self._writer_by_shard.values():
+                    writer.members_at = now
+            case OwnersChanged():
+                self._owner_by_partition = dict(message.owner_by_partition)
+            case OwnershipGained():
+                self._owner_by_partition[message.partition] = self._self.instance_id
+            case OwnershipLost():
+                self._owner_by_partition.pop(message.partition, None)
+
+    # Requests of local handlers.
+
+    def _take_call(self, sender: Address, call: ClaimCall, now: float) -> None:
+        if call.token in self._ask_by_token or call.token in self._granted:
+            return
+        claim = Claimed(
+            call.scope, call.key_digest, call.body_digest, call.token, self._self
+        )
+        # A token whose release is under way must not be granted again.
+        if call.deadline_in_s <= 0 or call.token in self._record_by_token:
+            self._send(sender, ClaimUnavailable())
+            return
+        shard = shard_of(call.scope, call.key_digest, self._shards)
+        deadline = now + call.deadline_in_s
+        ask = Ask(claim, shard, sender, deadline, self._route(shard, now))
+        self._ask_by_token[call.token] = ask
+
+    def _take_release(self, token: str, now: float) -> None:
+        ask = self._ask_by_token.get(token)
+        if ask is not None:
+            self._end_ask(ask, None, now)
+        shard = self._granted.pop(token, None)
+        if shard is not None:
+            self._start_record(shard, Released(token), None, now)
+
+    def _take_finish(self, sender: Address, finish: FinishClaim, now: float) -> None:
+        shard = self._granted.pop(finish.token, None)
+        if shard is None:
+            return
+        if len(finish.body) <= INLINE_MAX_BYTES:
+            answer = KeptAnswer(finish.status, finish.content_type, finish.body)
+            self._start_record(shard, Finished(finish.token, answer), sender, now)
+            return
+        prefix = f"answers/{finish.token}/"
+        upload = PartUpload(prefix, finish.body, ANSWER_TTL_S, self._ids)
+        parts = len(upload.parts)
+        answer = KeptAnswer(finish.status, finish.content_type, b"", parts, prefix)
+        record = Finished(finish.token, answer)
+        self._start_record(shard, record, sender, now, upload)
+
+    def _start_record(
+        self,
+        shard: int,
+        record: Record,
+        reply_to: Address | None,
+        now: float,
+        upload: PartUpload | None = None,
+    ) -> None:
+        route = self._route(shard, now)
+        expires_at = now + RECORD_RETRY_S
+        job = RecordJob(shard, record, reply_to, expires_at, route, upload)
+        self._record_by_token[record.token] = job
+
+    def _route(self, shard: int, now: float) -> Route:
+        owner = self._owner_by_partition.get(f"claims/{shard}")
+        is_unreachable = (
+            owner == self._self.instance_id
+            or (self._member_by_id is not None and owner not in self._member_by_id)
+            or (owner is not None and self._avoid_until.get(owner, now) > now)
+        )
+        return Route(None if is_unreachable else owner, now)
+
+    # Messages between instances.
+
+    def _take_pending(self, message: ClaimPending, now: float) -> None:
+        ask = self._ask_by_token.get(message.token)
+        if ask is not None:
+            ask.route.acknowledge(now)
+            ask.is_behind |= message.running
+        job = self._record_by_token.get(message.token)
+        if job is not None:
+            job.route.acknowledge(now)
+
+    def _take_settled(self, message: ClaimSettled, now: float) -> None:
+        ask = self._ask_by_token.get(message.token)
+        if ask is not None and message.claimant == self._self:
+            self._settle_ask(ask, message.verdict, message.answer, now)
+
+    # Progress.
+
+    def _advance(self, now: float) -> list[Outgoing]:
+        self._settle_asks(now)
+        self._out += self._remote.settle(self._is_gone)
+        self._settle_records(now)
+        self._follow_routes(now)
+        for caller in self._callers():
+            request = caller.poll(now)
+            if request is not None:
+                self._send(self._kv, request)
+        out, self._out = self._out, []
+        return out
+
+    def _settle_asks(self, now: float) -> None:
+        for ask in list(self._ask_by_token.values()):
+            writer = self._writer_by_shard[ask.shard]
+            want = writer.want_by_token.get(ask.claim.token)
+            if ask.fetch is not None:
+                self._settle_fetch(ask, ask.fetch, now)
+            elif want is not None:
+                judgement = writer.settle(want, self._is_gone)
+                if judgement is not None:
+                    self._settle_ask(ask, judgement.verdict, judgement.answer, now)
+
+    def _settle_ask(
+        self, ask: Ask, verdict: Verdict, answer: KeptAnswer | None, now: float
+    ) -> None:
+        match verdict:
+            case Verdict.GRANTED:
+                self._granted[ask.claim.token] = ask.shard
+                self._end_ask(ask, ClaimGranted(ask.claim.token), now)
+            case Verdict.REPLAYED if answer is not None:
+                self._replay(ask, answer, now)
+            case Verdict.MISMATCH:
+                self._end_ask(ask, ClaimMismatch(), now)
+            case Verdict.UNKNOWN:
+                self._end_ask(ask, ClaimUnknown(), now)
+            case Verdict.RELEASED:
+                self._end_ask(ask, ClaimUnavailable(), now)
+            case Verdict.RUNNING:
+                ask.is_behind = True
+
+    def _replay(self, ask: Ask, answer: KeptAnswer, now: float) -> None:
+        if answer.parts == 0:
+            reply = ClaimReplayed(answer.status, answer.content_type, answer.body)
+            self._end_ask(ask, reply, now)
+        elif ask.fetch is None:
+            # The key is taken for good, so the log needs no further look.
+            self._writer_by_shard[ask.shard].drop_claim(ask.claim.token)
+            ask.route = Route(None)
+            ask.answer = answer
+            ask.fetch = PartFetch(answer.parts_prefix, answer.parts, self._ids)
+
+    def _settle_fetch(self, ask: Ask, fetch: PartFetch, now: float) -> None:
+        if fetch.is_missing:
+            self._end_ask(ask, ClaimUnknown(), now)
+        elif fetch.is_done and ask.answer is not None:
+            kept = ask.answer
+            reply = ClaimReplayed(kept.status, kept.content_type, fetch.body)
+            self._end_ask(ask, reply, now)
+
+    def _end_ask(self, ask: Ask, reply: Message | None, now: float) -> None:
+        """Answer a handler; void the token unless it was granted."""
+        token = ask.claim.token
+        del self._ask_by_token[token]
+        may_be_logged = self._writer_by_shard[ask.shard].drop_claim(token)
+        if reply is not None:
+            self._send(ask.reply_to, reply)
+        if isinstance(reply, ClaimGranted | ClaimReplayed):
+            return
+        if may_be_logged or ask.was_forwarded:
+            self._start_record(ask.shard, Released(token), None, now)
+
+    def _settle_records(self, now: float) -> None:
+        for token, job in list(self._record_by_token.items()):
+            if job.upload is not None and job.upload.is_done:
+                job.upload = None
+            if self._writer_by_shard[job.shard].is_recorded(token):
+                self._end_record(token)
+
+    def _end_record(self, token: str) -> None:
+        job = self._record_by_token.pop(token, None)
+        if job is None:
+            return
+        self._writer_by_shard[job.shard].drop_record(token)
+        if job.reply_to is not None:
+            self._send(job.reply_to, ClaimRecorded(token))
+
+    def _follow_routes(self, now: float) -> None:
+        for ask in self._ask_by_token.values():
+            if self._is_due(ask.route, now):
+                self._send_claim(ask, now)
+            if ask.route.owner_id is None and ask.fetch is None:
+                self._writer_by_shard[ask.shard].add_claim(ask.claim, now)
+        for job in self._record_by_token.values():
+            if job.upload is not None:
+                continue
+            if self._is_due(job.route, now):
+                self._send_record(job, now)
+            if job.route.owner_id is None:
+                self._writer_by_shard[job.shard].add_record(job.record, now)
+
+    def _is_due(self, route: Route, now: float) -> bool:
+        """Return whether to send to the owner; give up one that is silent."""
+        if route.owner_id is None or now < route.due_at:
+            return False
+        if not route.is_acknowledged:
+            self._avoid_until[route.owner_id] = now + AVOID_OWNER_S
+            route.owner_id = None
+            return False
+        return True
+
+    def _send_claim(self, ask: Ask, now: float) -> None:
+        claim = ask.claim
+        forward = ForwardClaim(
+            ask.shard,
+            claim.scope,
+            claim.key_digest,
+            claim.body_digest,
+            claim.token,
+            claim.claimant,
+            ask.deadline - now,
+        )
+        ask.was_forwarded = True
+        self._send_to_owner(ask.route, forward, now)
+
+    def _send_record(self, job: RecordJob, now: float) -> None:
+        record = job.record
+        answer = record.answer if isinstance(record, Finished) else None
+        forward = ForwardRecord(job.shard, record.token, self._self, answer)
+        self._send_to_owner(job.route, forward, now)
+
+    def _send_to_owner(self, route: Route, message: Message, now: float) -> None:
+        if route.owner_id is not None:
+            self._send(Address(route.owner_id, TASK), message)
+            route.sent(now)
+
+    # Time.
+
+    def _expire(self, now: float) -> None:
+        for ask in list(self._ask_by_token.values()):
+            if now >= ask.deadline:
+                is_known = ask.is_behind or ask.fetch is not None
+                reply = ClaimUnknown() if is_known else ClaimUnavailable()
+                self._end_ask(ask, reply, now)
+        for token, job in list(self._record_by_token.items()):
+            if now >= job.expires_at:
+                del self._record_by_token[token]
+                self._writer_by_shard[job.shard].drop_record(token)
+        self._remote.expire(now)
+
+    def _is_gone(self, claimant: Claimant) -> bool:
+        """Return whether a claimant's session is certainly gone."""
+        if claimant.instance_id == self._self.instance_id:
+            return claimant != self._self
+        if self._member_by_id is None:
+            return False
+        member = self._member_by_id.get(claimant.instance_id)
+        return member is None or member.incarnation != claimant.incarnation
+
+    def _callers(self) -> list[KeyValueCaller]:
+        callers: list[KeyValueCaller] = list(self._writer_by_shard.values())
+        for ask in self._ask_by_token.values():
+            if ask.fetch is not None:
+                callers.append(ask.fetch)
+        for job in self._record_by_token.values():
+            if job.upload is not None:
+                callers.append(job.upload)
+        return callers
+
+    def _send(self, recipient: Address, message: Message) -> None:
+        self._out.append(Outgoing(recipient, message))
--- /dev/null
+++ b/tests/test_claims_machine.py
@@ -0,0 +1,125 @@
+"""State machine of claims on three instances under faults (R9, R10)."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.builders_claims import ClaimsCluster, Fate
+
+INSTANCES = st.sampled_from(["a", "b", "c"])
+KEYS = st.sampled_from(["k", "k", "k", "l"])
+BODIES = st.sampled_from(["b", "b", "b", "b", "other"])
+WAITS_S = st.sampled_from([1.0, 5.0, 20.0])
+STEPS_S = st.sampled_from([0.004, 0.06, 0.6, 1.2, 3.0, 12.0])
+FAILURES = st.sampled_from([fate for fate in Fate if fate is not Fate.ANSWERED])
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Guards against a key that two tokens hold, and against a false "not run"."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster = ClaimsCluster()
+        self.sim = self.cluster.sim
+        for observer in ("a", "b", "c"):
+            self.cluster.set_owner(observer, "a")
+
+    @rule(instances=st.sets(INSTANCES, min_size=1), key=KEYS, body=BODIES, wait=WAITS_S)
+    def ask(self, instances: set[str], key: str, body: str, wait: float) -> None:
+        for instance in sorted(instances - self.sim.frozen):
+            self.cluster.ask(instance, key, body, wait)
+
+    @precondition(lambda self: self.cluster.holders())
+    @rule(pick=st.integers(0, 9), size=st.sampled_from([1, 30_000]))
+    def finish(self, pick: int, size: int) -> None:
+        holders = self.cluster.holders()
+        holder = holders[pick % len(holders)]
+        if holder.instance not in self.sim.frozen:
+            self.cluster.finish(holder, size)
+
+    @precondition(lambda self: self.cluster.holders())
+    @rule(pick=st.integers(0, 9))
+    def release(self, pick: int) -> None:
+        holders = self.cluster.holders()
+        holder = holders[pick % len(holders)]
+        if holder.instance not in self.sim.frozen:
+            self.cluster.release(holder)
+
+    @precondition(lambda self: self.sim.parcels)
+    @rule(index=st.integers(0, 9), fate=st.sampled_from(Fate), copy=st.booleans())
+    def deliver(self, index: int, fate: Fate, copy: bool) -> None:
+        self.sim.deliver(index, fate, copy and fate is Fate.ANSWERED)
+
+    @precondition(lambda self: self.sim.parcels)
+    @rule(count=st.integers(1, 8))
+    def deliver_some(self, count: int) -> None:
+        for _ in range(min(count, len(self.sim.parcels))):
+            self.sim.deliver(0)
+
+    @rule(fate=FAILURES, apply_late=st.booleans(), count=st.integers(1, 3))
+    def fail_writes(self, fate: Fate, apply_late: bool, count: int) -> None:
+        """Let the next writes fail in one way."""
+        for _ in range(count):
+            write = self.sim.run_to_write()
+            if write is not None:
+                self.sim.deliver(self.sim.parcels.index(write), fate)
+                self.cluster.check()
+        if apply_late and self.sim.kv.late:
+            self.sim.kv.apply_late()
+
+    @precondition(lambda self: self.sim.kv.late)
+    @rule()
+    def apply_late(self) -> None:
+        self.sim.kv.apply_late()
+
+    @rule(seconds=STEPS_S)
+    def advance(self, seconds: float) -> None:
+        self.sim.advance(seconds)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 4.0]))
+    def run(self, seconds: float) -> None:
+        self.sim.run(seconds)
+
+    @rule(owner=INSTANCES, observers=st.sets(INSTANCES, min_size=1))
+    def change_owner(self, owner: str, observers: set[str]) -> None:
+        for observer in sorted(observers - self.sim.frozen):
+            self.cluster.set_owner(observer, owner)
+
+    @rule(instance=INSTANCES)
+    def freeze_or_resume(self, instance: str) -> None:
+        self.sim.frozen ^= {instance}
+
+    @rule(instance=INSTANCES, announce=st.booleans())
+    def kill(self, instance: str, announce: bool) -> None:
+        self.cluster.kill(instance)
+        if announce:
+            self.cluster.announce()
+
+    @rule()
+    def announce(self) -> None:
+        self.cluster.announce()
+
+    @invariant()
+    def answers_hold(self) -> None:
+        self.cluster.check()
+
+    def teardown(self) -> None:
+        """Without faults, every request of a live handler is answered in time."""
+        self.sim.frozen.clear()
+        while self.sim.kv.late:
+            self.sim.kv.apply_late()
+        self.sim.run(25.0, step=0.25)
+        self.cluster.check()
+        for arrival in self.cluster.arrivals:
+            assert arrival.instance == "dead" or arrival.reply is not None, arrival
+
+
+TestClaimsMachine = ClaimsMachine.TestCase
+TestClaimsMachine.settings = settings(max_examples=150)
