Test single schedules of claims; add the retry budget

The state machine does not see a key that stays taken after a refusal, so tests/test_claims.py checks one failure each.

--- /dev/null
+++ b/src/siskinspool/contracts/retry.py
@@ -0,0 +1,58 @@
+"""Retry budget of each route.
+
+Retries stay under a tenth of the requests of the last 10 s, so that a failing pool does
+not get twice the load. A small floor lets quiet routes retry at all. Which calls may be
+repeated is for the caller of the budget to know (R10).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+import attrs
+
+WINDOW_S: Final = 10.0
+RETRY_SHARE: Final = 0.1
+# Retries per window that are allowed however few requests there are.
+RETRY_FLOOR: Final = 3
+# Counts are kept per slice of the window, so memory does not grow with the load.
+SLICE_S: Final = 0.5
+
+
+@attrs.define
+class _Slice:
+    started_at: float
+    requests: int = 0
+    retries: int = 0
+
+
+class RetryBudget:
+    """Counts requests and retries by route id; times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._slices_by_route: dict[str, deque[_Slice]] = {}
+
+    def count_request(self, route: str, now: float) -> None:
+        """Count a first attempt."""
+        self._current(route, now).requests += 1
+
+    def take_retry(self, route: str, now: float) -> bool:
+        """Return whether a retry is allowed now, and count it if so."""
+        current = self._current(route, now)
+        slices = self._slices_by_route[route]
+        requests = sum(item.requests for item in slices)
+        retries = sum(item.retries for item in slices)
+        if retries + 1 > max(RETRY_FLOOR, requests * RETRY_SHARE):
+            return False
+        current.retries += 1
+        return True
+
+    def _current(self, route: str, now: float) -> _Slice:
+        slices = self._slices_by_route.setdefault(route, deque())
+        # A slice counts until all of it is older than the window.
+        while slices and slices[0].started_at + SLICE_S <= now - WINDOW_S:
+            slices.popleft()
+        if not slices or now >= slices[-1].started_at + SLICE_S:
+            slices.append(_Slice(now))
+        return slices[-1]
--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -174,7 +174,7 @@
                     break
                 self.deliver(self.parcels.index(open_[0]))
 
-    def run_to_write(self, steps: int = 20) -> Parcel | None:
+    def run_to_write(self, steps: int = 60) -> Parcel | None:
         """Run without faults until a write is on its way; return it."""
         for _ in range(steps):
             while self.parcels:
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,34 @@
+"""Tests of the retry budget."""
+
+from __future__ import annotations
+
+from siskinspool.contracts.retry import RETRY_FLOOR, RetryBudget
+
+
+def allowed(budget: RetryBudget, now: float, route: str = "r") -> int:
+    """Return how many of 1,000 retries are allowed."""
+    return sum(budget.take_retry(route, now) for _ in range(1000))
+
+
+def test_retries_are_a_tenth_of_requests() -> None:
+    """Guards against retries that multiply the load on a failing pool."""
+    budget = RetryBudget()
+    for number in range(500):
+        budget.count_request("r", number * 0.01)
+    assert allowed(budget, 5.0) == 50
+    assert allowed(budget, 9.0) == 0
+
+
+def test_quiet_route_keeps_a_floor() -> None:
+    """Guards against a quiet route that can never retry, and a floor that refills."""
+    budget = RetryBudget()
+    assert allowed(budget, 0.0) == RETRY_FLOOR
+    assert allowed(budget, 9.9) == 0
+    assert allowed(budget, 11.0) == RETRY_FLOOR
+
+
+def test_routes_have_budgets_of_their_own() -> None:
+    """Guards against one failing route that uses up the retries of another."""
+    budget = RetryBudget()
+    allowed(budget, 0.0, "x")
+    assert allowed(budget, 0.0, "y") == RETRY_FLOOR
