--- /dev/null
+++ b/src/siskinspool/contracts/patient.py
@@ -0,0 +1,255 @@
+"""Decision `PatientQueue`: durable requests that run when there is room (R3, R10).
+
+Requests of a team belong to one shard, so that its owner sees them all and can hold
+them to the team's bound. Each instance forwards what its handlers submit to the owner
+and reads states from the key-value service itself. `PatientShard` does the owner's
+part.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+import xxhash
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..machines.messages import (
+    CatalogChanged,
+    Member,
+    MembershipChanged,
+    OwnersChanged,
+    OwnershipGained,
+    OwnershipLost,
+)
+from ..manifest.model import Catalog
+from ..platform.kv import KvReply
+from .claim_messages import Claimant
+from .kv_caller import IdSource, KeyValueCaller
+from .patient_messages import (
+    AskPatient,
+    PatientAccepted,
+    PatientFinished,
+    PatientRefusal,
+    PatientRefused,
+    PatientStarted,
+    PatientState,
+    PatientStatus,
+    SubmitPatient,
+)
+from .patient_record import HeadCodec
+from .patient_shard import PatientShard
+from .patient_status import StatusReader
+
+TASK: Final = "patient"
+SHARDS: Final = 16
+SUBMIT_TIMEOUT_S: Final = 5.0
+FORWARD_REPEAT_S: Final = 1.0
+STATUS_TIMEOUT_S: Final = 5.0
+
+
+def shard_of(team: str, shards: int = SHARDS) -> int:
+    """Return the shard of a team."""
+    return xxhash.xxh64_intdigest(team.encode()) % shards
+
+
+@attrs.define
+class _Submission:
+    """A local request on its way to the owner."""
+
+    message: SubmitPatient
+    reply_to: Address
+    deadline: float
+    send_at: float
+    # The processes that have received a copy, by instance and incarnation.
+    sent_to: set[tuple[str, str]] = attrs.field(factory=set)
+
+
+class PatientQueue(Decision):
+    """The patient requests of one instance, and of the shards that it owns."""
+
+    def __init__(
+        self, claimant: Claimant, codec: HeadCodec, shards: int = SHARDS
+    ) -> None:
+        self._self = claimant
+        self._codec = codec
+        self._shards = shards
+        name = f"{TASK}-{claimant.instance_id}-{claimant.incarnation}"
+        self._ids = IdSource(name)
+        self._kv = Address(claimant.instance_id, "kv")
+        self._catalog: Catalog | None = None
+        self._member_by_id: dict[str, Member] | None = None
+        self._owner_by_partition: dict[str, str] = {}
+        self._owned: dict[int, PatientShard] = {}
+        self._submission_by_id: dict[str, _Submission] = {}
+        # Kept over losses of ownership, see `PatientShard`.
+        self._refusal_by_id: dict[str, PatientRefusal] = {}
+        self._readers: list[StatusReader] = []
+        self._out: list[Outgoing] = []
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a request, an answer of the service or a message of a peer."""
+        self._take(incoming.sender, incoming.message, now)
+        return self._advance(now)
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Repeat, assign or give up what has become due."""
+        return self._advance(now)
+
+    def wake_at(self) -> float | None:
+        """Return the earliest deadline, repeat or call."""
+        times = [caller.wake_at() for caller in self._callers()]
+        due = [time for time in times if time is not None]
+        for submission in self._submission_by_id.values():
+            due += [submission.deadline, submission.send_at]
+        due += [shard.wake_at() for shard in self._owned.values()]
+        due += [reader.deadline for reader in self._readers]
+        earliest = min(due, default=float("inf"))
+        return None if earliest == float("inf") else earliest
+
+    def _take(self, sender: Address, message: Message, now: float) -> None:
+        match message:
+            case SubmitPatient():
+                self._take_submit(sender, message, now)
+            case PatientAccepted():
+                self._end_submission(message.request_id, message)
+            case PatientRefused():
+                self._take_refused(message)
+            case AskPatient():
+                self._take_ask(sender, message, now)
+            case PatientStarted():
+                for shard in self._owned.values():
+                    shard.started(message.request_id, message.token)
+            case PatientFinished():
+                for shard in self._owned.values():
+                    shard.finished(sender, message)
+            case KvReply():
+                for caller in self._callers():
+                    caller.on_reply(message, now)
+            case MembershipChanged():
+                self._member_by_id = dict(message.member_by_id)
+            case CatalogChanged():
+                self._catalog = message.catalog
+            case OwnersChanged():
+                self._owner_by_partition = dict(message.owner_by_partition)
+            case OwnershipGained() | OwnershipLost():
+                self._take_ownership(message)
+
+    def _take_ownership(self, message: OwnershipGained | OwnershipLost) -> None:
+        kind, _, number = message.partition.partition("/")
+        if kind != TASK:
+            return
+        self._owned.pop(int(number), None)
+        if isinstance(message, OwnershipGained):
+            self._owned[int(number)] = PatientShard(
+                int(number), self._shards, self._codec, self._ids, self._refusal_by_id
+            )
+
+    def _take_submit(self, sender: Address, message: SubmitPatient, now: float) -> None:
+        if sender.task != TASK:
+            submission = _Submission(message, sender, now + SUBMIT_TIMEOUT_S, now)
+            self._submission_by_id[message.request_id] = submission
+            return
+        # A peer took this instance for the owner; it repeats until one answers.
+        self._submit_here(message, sender, now)
+
+    def _submit_here(self, message: SubmitPatient, waiter: Address, now: float) -> bool:
+        shard = self._owned.get(shard_of(message.team, self._shards))
+        if shard is None or not shard.is_loaded or self._catalog is None:
+            return False
+        shard.submit(message, waiter, self._catalog, now)
+        return True
+
+    def _take_refused(self, message: PatientRefused) -> None:
+        submission = self._submission_by_id.get(message.request_id)
+        if submission is not None and len(submission.sent_to) > 1:
+            # Another copy may have reached another owner, which accepted it.
+            message = attrs.evolve(message, reason=PatientRefusal.OUTCOME_UNKNOWN)
+        self._end_submission(message.request_id, message)
+
+    def _end_submission(self, request_id: str, reply: Message) -> None:
+        submission = self._submission_by_id.pop(request_id, None)
+        if submission is not None:
+            self._send(submission.reply_to, reply)
+
+    def _take_ask(self, sender: Address, message: AskPatient, now: float) -> None:
+        shard = shard_of(message.team, self._shards)
+        reader = StatusReader(
+            f"patient/{shard}/{message.request_id}",
+            message.team,
+            sender,
+            now + STATUS_TIMEOUT_S,
+            self._codec,
+            self._ids,
+        )
+        self._readers.append(reader)
+
+    def _advance(self, now: float) -> list[Outgoing]:
+        for submission in list(self._submission_by_id.values()):
+            self._advance_submission(submission, now)
+        for shard in self._owned.values():
+            self._deliver(shard.advance(self._member_by_id, now))
+        self._advance_readers(now)
+        for caller in self._callers():
+            request = caller.poll(now)
+            if request is not None:
+                self._send(self._kv, request)
+        out, self._out = self._out, []
+        return out
+
+    def _deliver(self, batch: list[Outgoing]) -> None:
+        """Send what a shard says; answers to this instance's handlers go direct."""
+        own = Address(self._self.instance_id, TASK)
+        for outgoing in batch:
+            message = outgoing.message
+            if outgoing.recipient != own:
+                self._out.append(outgoing)
+            elif isinstance(message, PatientRefused):
+                self._take_refused(message)
+            elif isinstance(message, PatientAccepted):
+                self._end_submission(message.request_id, message)
+
+    def _advance_submission(self, submission: _Submission, now: float) -> None:
+        message = submission.message
+        if now >= submission.deadline:
+            was_sent = bool(submission.sent_to)
+            unknown = PatientRefusal.OUTCOME_UNKNOWN
+            reason = unknown if was_sent else PatientRefusal.STORE_UNAVAILABLE
+            refused = PatientRefused(message.request_id, reason)
+            self._end_submission(message.request_id, refused)
+            return
+        if now < submission.send_at:
+            return
+        submission.send_at = now + FORWARD_REPEAT_S
+        own = Address(self._self.instance_id, TASK)
+        if self._submit_here(message, own, now):
+            submission.sent_to.add((own.instance_id, self._self.incarnation))
+            return
+        shard = shard_of(message.team, self._shards)
+        owner = self._owner_by_partition.get(f"{TASK}/{shard}")
+        if owner is not None and owner != self._self.instance_id:
+            member = (self._member_by_id or {}).get(owner)
+            incarnation = "" if member is None else member.incarnation
+            submission.sent_to.add((owner, incarnation))
+            self._send(Address(owner, TASK), message)
+
+    def _advance_readers(self, now: float) -> None:
+        for reader in list(self._readers):
+            if reader.result is None and now >= reader.deadline:
+                reader.result = PatientStatus(PatientState.UNAVAILABLE)
+                reader.is_done = True
+            if reader.result is not None and not reader.is_answered:
+                reader.is_answered = True
+                self._send(reader.reply_to, reader.result)
+            if reader.is_done or now >= reader.deadline:
+                self._readers.remove(reader)
+
+    def _callers(self) -> list[KeyValueCaller]:
+        callers: list[KeyValueCaller] = list(self._readers)
+        for shard in self._owned.values():
+            callers += shard.callers()
+        return callers
+
+    def _send(self, recipient: Address, message: Message) -> None:
+        self._out.append(Outgoing(recipient, message))
--- /dev/null
+++ b/src/siskinspool/contracts/patient_record.py
@@ -0,0 +1,139 @@
+"""The durable record of one patient request, and the call that changes it.
+
+The head ``patient/<shard>/<id>`` is changed by compare-and-swap only. A write whose
+answer was lost is repeated with the same revision; a conflict with the very value that
+was to be written means that the first copy took effect.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import attrs
+
+from ..platform.kv import (
+    KvConflict,
+    KvReply,
+    KvRequest,
+    KvSwap,
+    KvSwapped,
+    KvUnavailable,
+)
+from .answer_parts import PartUpload
+from .claim_messages import Claimant
+from .kv_caller import IdSource, KeyValueCaller
+from .patient_messages import PatientFailure, PatientState, SubmitPatient
+
+
+@attrs.frozen
+class Head:
+    """A patient request as it is kept; large bodies lie in parts."""
+
+    request: SubmitPatient
+    body_parts: int = 0
+    state: PatientState = PatientState.ACCEPTED
+    runner: Claimant | None = None
+    # Unique for each run.
+    token: str = ""
+    status: int = 0
+    content_type: str = ""
+    answer: bytes = b""
+    answer_parts: int = 0
+    failure: PatientFailure = PatientFailure.NONE
+    fetched: bool = False
+
+    @property
+    def body_prefix(self) -> str:
+        """Return the key prefix of the parts of the request's body."""
+        return f"answers/patient-{self.request.request_id}/body/"
+
+    @property
+    def answer_prefix(self) -> str:
+        """Return the key prefix of the parts of the answer of the run."""
+        return f"answers/patient-{self.request.request_id}/{self.token}/"
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the request will not run any more."""
+        return self.state in (PatientState.DONE, PatientState.FAILED)
+
+
+class HeadCodec(ABC):
+    """Encoding of heads as values of the key-value service."""
+
+    @abstractmethod
+    def encode(self, head: Head) -> bytes:
+        """Return the bytes of a head."""
+
+    @abstractmethod
+    def decode(self, data: bytes) -> Head | None:
+        """Return the head in ``data``, or None if it cannot be read."""
+
+
+class HeadWriter(KeyValueCaller):
+    """Brings one head to a wanted value, after the parts that it names."""
+
+    def __init__(self, key: str, codec: HeadCodec, ids: IdSource) -> None:
+        super().__init__(ids)
+        # What the service holds, as far as known; None before the first write.
+        self.head: Head | None = None
+        self.revision = 0
+        self.wanted: Head | None = None
+        # A copy of the wanted write may have taken effect or still do.
+        self.may_be_written = False
+        # Another instance changed the record: this one is not its owner any more.
+        self.is_overtaken = False
+        self._key = key
+        self._codec = codec
+        self._value = b""
+        self._ttl_s: float | None = None
+        self._upload: PartUpload | None = None
+
+    def want(
+        self, head: Head, ttl_s: float | None = None, upload: PartUpload | None = None
+    ) -> None:
+        """Write a head; one at a time."""
+        self.wanted, self._ttl_s, self._upload = head, ttl_s, upload
+        self._value = self._codec.encode(head)
+        self.may_be_written = False
+
+    def next_request(self, now: float) -> KvRequest | None:
+        """Return the write of the next part or of the head."""
+        if self.wanted is None:
+            return None
+        if self._upload is not None and not self._upload.is_done:
+            return self._upload.next_request(now)
+        request_id = self.ids.next_id()
+        return KvSwap(
+            request_id, self._key, self.revision, self._value, ttl_s=self._ttl_s
+        )
+
+    def take(self, call: KvRequest, reply: KvReply, sent_at: float, now: float) -> None:
+        """Note whether the head was written."""
+        if self._upload is not None and not self._upload.is_done:
+            self._upload.take(call, reply, sent_at, now)
+            return
+        match reply:
+            case KvSwapped(revision=revision):
+                self._written(revision)
+            case KvConflict(value=value, revision=revision) if value == self._value:
+                self._written(revision)
+            case KvConflict():
+                self.is_overtaken = True
+                self.wanted = None
+            case KvUnavailable():
+                pass
+            case _:
+                self.may_be_written = True
+
+    def due_at(self) -> float | None:
+        """Return 0 while something is to be written."""
+        return None if self.wanted is None else 0.0
+
+    def is_certainly_unwritten(self) -> bool:
+        """Return whether the wanted head was not and will not be written."""
+        is_out = isinstance(self.call, KvSwap) and self.call.key == self._key
+        return not self.may_be_written and not is_out
+
+    def _written(self, revision: int) -> None:
+        self.head, self.revision, self.wanted = self.wanted, revision, None
--- /dev/null
+++ b/src/siskinspool/contracts/patient_status.py
@@ -0,0 +1,101 @@
+"""Reading how a patient request stands, at any instance.
+
+The head of a team's request is read from the key-value service. When an answer is
+handed out for the first time, the head is rewritten with a short time to live.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from ..core.message import Address
+from ..platform.kv import KvGet, KvReply, KvRequest, KvSwap, KvValue
+from .answer_parts import PartFetch
+from .kv_caller import IdSource, KeyValueCaller
+from .patient_messages import PatientState, PatientStatus
+from .patient_record import Head, HeadCodec
+
+# How long an answer is kept once it was fetched.
+FETCHED_TTL_S: Final = 600.0
+
+
+class StatusReader(KeyValueCaller):
+    """Answers one `AskPatient`."""
+
+    def __init__(
+        self,
+        key: str,
+        team: str,
+        reply_to: Address,
+        deadline: float,
+        codec: HeadCodec,
+        ids: IdSource,
+    ) -> None:
+        super().__init__(ids)
+        self.reply_to = reply_to
+        self.deadline = deadline
+        # Set once the answer is known.
+        self.result: PatientStatus | None = None
+        self.is_answered = False
+        self.is_done = False
+        self._key = key
+        self._team = team
+        self._codec = codec
+        self._head: Head | None = None
+        self._revision = 0
+        self._fetch: PartFetch | None = None
+
+    def next_request(self, now: float) -> KvRequest | None:
+        """Return the read of the head or of a part, then the note of the fetch."""
+        if self.is_done:
+            return None
+        if self._head is None:
+            return KvGet(self.ids.next_id(), self._key)
+        if self._fetch is not None and self.result is None:
+            return self._fetch.next_request(now)
+        value = self._codec.encode(attrs.evolve(self._head, fetched=True))
+        request_id = self.ids.next_id()
+        return KvSwap(request_id, self._key, self._revision, value, ttl_s=FETCHED_TTL_S)
+
+    def take(self, call: KvRequest, reply: KvReply, sent_at: float, now: float) -> None:
+        """Take in the head, a part or the end of the note."""
+        if isinstance(call, KvSwap):
+            # Only the time to live depends on the note, so it is not repeated.
+            self.is_done = True
+        elif self._fetch is not None and self._head is not None:
+            self._fetch.take(call, reply, sent_at, now)
+            if self._fetch.is_missing:
+                self._end(PatientStatus(PatientState.UNAVAILABLE))
+            elif self._fetch.is_done:
+                self._hand_out(self._head, self._fetch.body)
+        elif isinstance(reply, KvValue):
+            self._take_head(reply)
+
+    def due_at(self) -> float | None:
+        """Return 0 until all is done."""
+        return None if self.is_done else 0.0
+
+    def _take_head(self, reply: KvValue) -> None:
+        head = None if reply.value is None else self._codec.decode(reply.value)
+        if head is None or head.request.team != self._team:
+            self._end(PatientStatus(PatientState.NOT_FOUND))
+        elif not head.has_ended:
+            self._end(PatientStatus(head.state))
+        else:
+            self._head, self._revision = head, reply.revision
+            if head.answer_parts:
+                parts = head.answer_parts
+                self._fetch = PartFetch(head.answer_prefix, parts, self.ids)
+            else:
+                self._hand_out(head, head.answer)
+
+    def _hand_out(self, head: Head, body: bytes) -> None:
+        self.result = PatientStatus(
+            head.state, head.status, head.content_type, body, head.failure
+        )
+        self.is_done = head.fetched
+
+    def _end(self, result: PatientStatus) -> None:
+        self.result, self.is_done = result, True
