Add conserved team shares, the mint and their network of tests

A team's rate and burst hold over all instances together (R5), so every instance spends from a leased share and the mint owns the rest.

Adds the decisions TeamLimits and Mint, their messages, and a simulated network with independent clocks, loss, duplication, delay, freezes, crashes, cuts, drains, takeovers and outages.

A successor that mints at once is not caught yet.

--- /dev/null
+++ b/src/siskinspool/contracts/fair_queue.py
@@ -0,0 +1,243 @@
+"""Fair sharing of a pool's capacity between teams (M3, R3).
+
+Start-time weighted fair queueing: each team has a start tag, the virtual time at which
+its next entry may start. Popping an entry of cost c moves the tag by c / weight, and
+the team with the lowest tag is next. A team that was idle starts at the current
+virtual time, so it neither saves up capacity nor waits for what others queued before.
+
+Urgent entries go before patient ones, but while patient entries wait at least every
+tenth pop is patient. Within a team and class the earliest deadline goes first.
+
+A full queue refuses the team that fills it: an entry of a team below its weighted part
+of the capacity displaces the latest entry of the team furthest above its own part.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+import attrs
+
+from ..manifest.model import RequestClass
+
+# While patient entries wait, one pop in this many is patient.
+PATIENT_EVERY_POPS: Final = 10
+
+
+@attrs.frozen
+class QueueEntry:
+    """A request that waits for a server of the pool."""
+
+    id: str
+    team: str
+    request_class: RequestClass
+    # Own monotonic seconds.
+    deadline: float
+    # Expected use of the servers, in any unit that is the same for all entries.
+    cost: float = 1.0
+
+
+@dataclass(frozen=True)
+class Queued:
+    """The entry waits; ``displaced`` lost its place and has to be refused."""
+
+    displaced: QueueEntry | None = None
+
+
+@dataclass(frozen=True)
+class QueueFull:
+    """The entry is refused: the queue is full and the team has its part of it."""
+
+    waiting: int
+    waiting_of_team: int
+
+
+@attrs.define
+class _TeamQueue:
+    """Entries of one team and class in order of deadline."""
+
+    start_tag: float = 0.0
+    # (deadline, arrival number, entry)
+    entries: list[tuple[float, int, QueueEntry]] = attrs.field(factory=list)
+
+
+class _ClassQueue:
+    """Start-time weighted fair queueing of one class."""
+
+    def __init__(self, weight_of: Callable[[str], float]) -> None:
+        self._weight_of = weight_of
+        self._virtual_time = 0.0
+        self._queue_by_team: dict[str, _TeamQueue] = {}
+        self.length = 0
+
+    def add(self, entry: QueueEntry, number: int) -> None:
+        queue = self._queue_by_team.setdefault(entry.team, _TeamQueue())
+        if not queue.entries:
+            queue.start_tag = max(queue.start_tag, self._virtual_time)
+        insort(queue.entries, (entry.deadline, number, entry))
+        self.length += 1
+
+    def pop(
+        self, now: float, admit: Callable[[QueueEntry], bool]
+    ) -> tuple[int, QueueEntry] | None:
+        busy = [item for item in self._queue_by_team.items() if item[1].entries]
+        for team, queue in sorted(busy, key=lambda item: (item[1].start_tag, item[0])):
+            for index, (deadline, number, entry) in enumerate(queue.entries):
+                if deadline < now or not admit(entry):
+                    continue
+                del queue.entries[index]
+                self.length -= 1
+                self._virtual_time = max(self._virtual_time, queue.start_tag)
+                queue.start_tag += entry.cost / self._weight_of(team)
+                self._forget_idle()
+                return number, entry
+        return None
+
+    def _forget_idle(self) -> None:
+        """Drop teams whose tag has no effect any more."""
+        for team, queue in list(self._queue_by_team.items()):
+            if not queue.entries and queue.start_tag <= self._virtual_time:
+                del self._queue_by_team[team]
+
+    def remove(self, entry: QueueEntry, number: int) -> None:
+        queue = self._queue_by_team[entry.team]
+        index = bisect_left(queue.entries, (entry.deadline, number))
+        del queue.entries[index]
+        self.length -= 1
+
+    def latest(self, team: str) -> QueueEntry | None:
+        """Return the team's entry with the latest deadline."""
+        queue = self._queue_by_team.get(team)
+        return queue.entries[-1][2] if queue and queue.entries else None
+
+    def entries(self) -> Iterator[QueueEntry]:
+        for queue in self._queue_by_team.values():
+            for _, _, entry in queue.entries:
+                yield entry
+
+
+class FairQueue:
+    """The waiting requests of one pool; a plain class of the routing decision."""
+
+    def __init__(
+        self, capacity: int, weight_by_team: Mapping[str, float] | None = None
+    ) -> None:
+        self._capacity = capacity
+        self._weight_by_team = dict(weight_by_team or {})
+        self._queue_by_class = {
+            request_class: _ClassQueue(self._weight)
+            for request_class in (RequestClass.URGENT, RequestClass.PATIENT)
+        }
+        self._numbered_by_id: dict[str, tuple[int, QueueEntry]] = {}
+        self._waiting_by_team: dict[str, int] = {}
+        self._next_number = 1
+        self._pops_since_patient = 0
+
+    def __len__(self) -> int:
+        return len(self._numbered_by_id)
+
+    def set_weights(self, weight_by_team: Mapping[str, float]) -> None:
+        """Use other weights from now on; a team without one has weight 1."""
+        self._weight_by_team = dict(weight_by_team)
+
+    def _weight(self, team: str) -> float:
+        return max(self._weight_by_team.get(team, 1.0), 1e-6)
+
+    def push(self, entry: QueueEntry, now: float) -> Queued | QueueFull:
+        """Add an entry; raises ValueError if its id already waits."""
+        if entry.id in self._numbered_by_id:
+            raise ValueError(f"entry {entry.id} already waits")
+        displaced: QueueEntry | None = None
+        if len(self) >= self._capacity:
+            displaced = self._displaceable(entry.team)
+            if displaced is None:
+                return QueueFull(len(self), self._waiting_by_team.get(entry.team, 0))
+            self.cancel(displaced.id)
+        number = self._next_number
+        self._next_number += 1
+        self._numbered_by_id[entry.id] = (number, entry)
+        waiting = self._waiting_by_team.get(entry.team, 0)
+        self._waiting_by_team[entry.team] = waiting + 1
+        if entry.request_class is RequestClass.PATIENT and not self._patient_waits():
+            # The guarantee counts from the moment at which patient work waits.
+            self._pops_since_patient = 0
+        self._queue_by_class[entry.request_class].add(entry, number)
+        return Queued(displaced)
+
+    def _displaceable(self, team: str) -> QueueEntry | None:
+        """Return what makes room for a team below its part, None if it is not."""
+        load_by_team = {
+            other: waiting / self._weight(other)
+            for other, waiting in self._waiting_by_team.items()
+        }
+        worst = max(load_by_team, key=lambda other: (load_by_team[other], other))
+        own = (self._waiting_by_team.get(team, 0) + 1) / self._weight(team)
+        if worst == team or own >= load_by_team[worst]:
+            return None
+        for request_class in (RequestClass.PATIENT, RequestClass.URGENT):
+            entry = self._queue_by_class[request_class].latest(worst)
+            if entry is not None:
+                return entry
+        return None
+
+    def _patient_waits(self) -> bool:
+        return self._queue_by_class[RequestClass.PATIENT].length > 0
+
+    def pop(
+        self, now: float, admit: Callable[[QueueEntry], bool] = lambda entry: True
+    ) -> QueueEntry | None:
+        """Remove and return the next entry that ``admit`` accepts.
+
+        Entries past their deadline stay until `expire` hands them out for refusal.
+        """
+        order = [RequestClass.URGENT, RequestClass.PATIENT]
+        if self._pops_since_patient >= PATIENT_EVERY_POPS - 1:
+            order.reverse()
+        for request_class in order:
+            popped = self._queue_by_class[request_class].pop(now, admit)
+            if popped is None:
+                continue
+            entry = popped[1]
+            self._forget(entry)
+            if request_class is RequestClass.PATIENT:
+                self._pops_since_patient = 0
+            elif self._patient_waits():
+                self._pops_since_patient += 1
+            return entry
+        return None
+
+    def _forget(self, entry: QueueEntry) -> None:
+        del self._numbered_by_id[entry.id]
+        self._waiting_by_team[entry.team] -= 1
+        if self._waiting_by_team[entry.team] == 0:
+            del self._waiting_by_team[entry.team]
+
+    def expire(
+        self, now: float, service_estimate: Callable[[QueueEntry], float]
+    ) -> list[QueueEntry]:
+        """Remove and return the entries that cannot be met, to be refused (R3).
+
+        ``service_estimate`` returns the seconds that an entry takes if it starts now.
+        """
+        hopeless = [
+            entry
+            for queue in self._queue_by_class.values()
+            for entry in queue.entries()
+            if now + service_estimate(entry) > entry.deadline
+        ]
+        for entry in hopeless:
+            self.cancel(entry.id)
+        return hopeless
+
+    def cancel(self, entry_id: str) -> QueueEntry | None:
+        """Remove an entry whose caller has gone; None if it does not wait."""
+        numbered = self._numbered_by_id.get(entry_id)
+        if numbered is None:
+            return None
+        number, entry = numbered
+        self._queue_by_class[entry.request_class].remove(entry, number)
+        self._forget(entry)
+        return entry
--- /dev/null
+++ b/src/siskinspool/contracts/mint.py
@@ -0,0 +1,405 @@
+"""The mint: owner of the teams' contracts in the partitions ``limits/<n>`` (R5, M4).
+
+The mint answers `ShareReport` with `ShareGrant`. It creates nothing that another holder
+may still use:
+
+- it acts only while the session under which it gained the partition is valid;
+- it takes a silent instance's share back only after the share has expired there;
+- after a takeover it mints the remainder only after every older share has expired.
+
+Both waits are 11 s if a majority of members answers, after the moment from which it
+matters, that there was no outage in the last hour; otherwise an hour, because shares
+do not expire in outage mode. In outage mode a mint whose session has lapsed goes on
+moving what exists, and creates nothing.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Outgoing
+from ..machines.messages import (
+    CatalogChanged,
+    CurrencyChanged,
+    MembershipChanged,
+    OwnershipGained,
+    OwnershipLost,
+    ReleaseOwnership,
+    SessionConfirmed,
+)
+from .limits_partition import PREFIX, limits_partition
+from .mint_ledger import Holder, Lease, TeamLedger
+from .outage_inquiry import OutageInquiry
+from .share_messages import (
+    EXPIRY_MARGIN_S,
+    MILLI,
+    OUTAGE_HOLD_S,
+    SHARE_TTL_S,
+    OutageAnswer,
+    Piece,
+    ShareGrant,
+    ShareRecall,
+    ShareReport,
+)
+
+TICK_S: Final = 0.25
+# A shortage that lasts would otherwise call in the same levels with every report.
+RECALL_INTERVAL_S: Final = 0.1
+EXPIRED_S: Final = SHARE_TTL_S + EXPIRY_MARGIN_S
+EXPIRED_AFTER_OUTAGE_S: Final = OUTAGE_HOLD_S + EXPIRY_MARGIN_S
+# By then an instance that runs has learnt that an outage is over.
+OUTAGE_NEWS_S: Final = 60.0
+
+
+@attrs.define
+class _Partition:
+    """A partition that this instance owns or, in an outage, still looks after."""
+
+    epoch: int
+    gained_at: float
+    # The session under which the partition was gained; None: not known yet.
+    session_id: str | None
+    lost: bool = False
+    minted: bool = False
+    ledger_by_team: dict[str, TeamLedger] = attrs.field(factory=dict)
+    recalled_at_by_team: dict[str, float] = attrs.field(factory=dict)
+    inquiry: OutageInquiry = attrs.field(factory=OutageInquiry)
+
+
+class Mint(Decision):
+    """Decision of the task ``mint``."""
+
+    def __init__(self) -> None:
+        self._partition_by_name: dict[str, _Partition] = {}
+        self._contract_by_team: dict[str, tuple[int, int]] = {}
+        self._members: frozenset[str] = frozenset()
+        self._session_id: str | None = None
+        self._valid_until = float("-inf")
+        self._outage = False
+        # When this or another instance was last in outage mode.
+        self._outage_at = float("-inf")
+        self._next_tick_at: float | None = None
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in one message."""
+        match incoming.message:
+            case ShareReport() as report:
+                return self._take_report(incoming.sender, report, now)
+            case OutageAnswer() as answer:
+                self._take_answer(incoming.sender.instance_id, answer, now)
+            case SessionConfirmed() as confirmed:
+                self._confirm_session(confirmed)
+            case OwnershipGained(partition, epoch):
+                self._gain(partition, epoch, now)
+            case OwnershipLost(partition):
+                self._lose(partition)
+            case MembershipChanged(members):
+                self._members = frozenset(members)
+            case CurrencyChanged(outage=outage):
+                self._set_outage(outage, now)
+            case CatalogChanged() as changed:
+                return self._set_contracts(changed, now)
+            case ReleaseOwnership():
+                return self._release(now)
+            case _:
+                pass
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Take back expired shares, mint the remainder, ask about outages."""
+        if self._next_tick_at is None or now < self._next_tick_at:
+            return []
+        self._next_tick_at = now + TICK_S if self._partition_by_name else None
+        if self._outage:
+            self._outage_at = now
+        if self._outage or now >= self._valid_until:
+            return []
+        out: list[Outgoing] = []
+        for name, partition in self._partition_by_name.items():
+            if self._is_active(partition, now):
+                out += self._tend(name, partition, now)
+        return out
+
+    def wake_at(self) -> float | None:
+        """Return the next tick."""
+        return self._next_tick_at
+
+    def _is_active(self, partition: _Partition, now: float) -> bool:
+        if partition.session_id is None or partition.session_id != self._session_id:
+            return False
+        if now < self._valid_until:
+            return not partition.lost
+        # The successor counts its hour from the takeover, which is not before
+        # `valid_until`; a grant made later than this could outlive that hour.
+        return self._outage and now < self._valid_until + OUTAGE_HOLD_S - EXPIRED_S
+
+    def _confirm_session(self, confirmed: SessionConfirmed) -> None:
+        if confirmed.session_id == self._session_id:
+            self._valid_until = max(self._valid_until, confirmed.valid_until)
+            return
+        self._session_id = confirmed.session_id
+        self._valid_until = confirmed.valid_until
+        # A new session: whatever was gained under the old one may have a successor.
+        for name, partition in list(self._partition_by_name.items()):
+            if partition.session_id is None:
+                partition.session_id = confirmed.session_id
+            elif partition.session_id != confirmed.session_id:
+                del self._partition_by_name[name]
+
+    def _gain(self, name: str, epoch: int, now: float) -> None:
+        if not name.startswith(PREFIX):
+            return
+        known = self._partition_by_name.get(name)
+        if known is not None and known.epoch >= epoch:
+            known.lost = known.lost and known.epoch > epoch
+            return
+        partition = _Partition(epoch, now, self._session_id)
+        self._partition_by_name[name] = partition
+        self._open_ledgers(name, partition, now)
+        self._next_tick_at = now
+
+    def _lose(self, name: str) -> None:
+        partition = self._partition_by_name.get(name)
+        if partition is None:
+            return
+        if self._outage:
+            partition.lost = True
+        else:
+            del self._partition_by_name[name]
+
+    def _set_outage(self, outage: bool, now: float) -> None:
+        if outage or self._outage:
+            self._outage_at = now
+        self._outage = outage
+        if not outage:
+            for name, partition in list(self._partition_by_name.items()):
+                if partition.lost:
+                    del self._partition_by_name[name]
+
+    def _set_contracts(self, changed: CatalogChanged, now: float) -> list[Outgoing]:
+        self._contract_by_team = {
+            team.id: (int(team.rate * MILLI), int(team.burst * MILLI))
+            for team in changed.catalog.team_by_id.values()
+        }
+        out: list[Outgoing] = []
+        for name, partition in self._partition_by_name.items():
+            self._open_ledgers(name, partition, now)
+            for team, ledger in partition.ledger_by_team.items():
+                contract = self._contract_by_team.get(team, (0, 0))
+                if contract == (ledger.rate, ledger.cap):
+                    continue
+                ledger.set_contract(*contract, now)
+                if self._is_active(partition, now):
+                    # At once, so that a lower contract holds soon everywhere.
+                    for lease in ledger.lease_by_holder.values():
+                        out.append(self._grant(partition, team, ledger, lease, now))
+        return out
+
+    def _release(self, now: float) -> list[Outgoing]:
+        """Hand the reserve to the instances, which register it with the successor."""
+        out: list[Outgoing] = []
+        for partition in self._partition_by_name.values():
+            if not self._is_active(partition, now):
+                continue
+            for team, ledger in partition.ledger_by_team.items():
+                for lease in ledger.give_all(now):
+                    out.append(self._grant(partition, team, ledger, lease, now))
+        self._partition_by_name.clear()
+        return out
+
+    def _take_answer(self, instance_id: str, answer: OutageAnswer, now: float) -> None:
+        partition = self._partition_by_name.get(answer.partition)
+        if partition is None or partition.epoch != answer.epoch:
+            return
+        if not partition.inquiry.take_answer(instance_id, answer):
+            return
+        if answer.outage_age_s is not None:
+            self._outage_at = max(self._outage_at, now - answer.outage_age_s)
+
+    def _open_ledgers(self, name: str, partition: _Partition, now: float) -> None:
+        """Start the reserves, so that they fill before the first request."""
+        for team in self._contract_by_team:
+            if limits_partition(team) == name:
+                self._ledger(partition, team, now)
+
+    def _ledger(self, partition: _Partition, team: str, now: float) -> TeamLedger:
+        ledger = partition.ledger_by_team.get(team)
+        if ledger is None:
+            ledger = TeamLedger(now)
+            ledger.set_contract(*self._contract_by_team.get(team, (0, 0)), now)
+            if partition.minted:
+                ledger.mint_remainder(now)
+            partition.ledger_by_team[team] = ledger
+        return ledger
+
+    def _take_report(
+        self, sender: Address, report: ShareReport, now: float
+    ) -> list[Outgoing]:
+        partition = self._partition_by_name.get(limits_partition(report.team))
+        if partition is None or not self._is_active(partition, now):
+            return []
+        if report.epoch > partition.epoch or report.closed_epoch > partition.epoch:
+            return []
+        ledger = self._ledger(partition, report.team, now)
+        lease = self._lease(partition, ledger, sender, report, now)
+        if lease is None:
+            return []
+        out = []
+        if not lease.surrendering:
+            ledger.give_by_target(lease)
+            if ledger.give_wanted(lease) > 0:
+                out += self._recall(partition, report.team, ledger, lease, now)
+        out.append(self._grant(partition, report.team, ledger, lease, now))
+        if lease.surrendering and lease.rate_out == 0 and lease.cap_out == 0:
+            ledger.close_lease((sender.instance_id, report.incarnation), now)
+        return out + self._serve_waiting(partition, report.team, ledger, lease, now)
+
+    def _lease(
+        self,
+        partition: _Partition,
+        ledger: TeamLedger,
+        sender: Address,
+        report: ShareReport,
+        now: float,
+    ) -> Lease | None:
+        """Return the reporter's lease with the report booked; None if overtaken."""
+        holder: Holder = (sender.instance_id, report.incarnation)
+        lease = ledger.lease_by_holder.get(holder)
+        if lease is not None and report.request_no <= lease.request_no:
+            return None
+        if (
+            lease is not None
+            and report.closed_epoch == partition.epoch
+            and report.closed_lease_no >= lease.lease_no
+        ):
+            ledger.close_lease(holder, now)
+            lease = None
+        if lease is None:
+            # After the remainder is minted, an older share would count twice.
+            keeps = report.epoch < partition.epoch and not ledger.minted
+            held = Piece(report.holding.rate, report.holding.cap)
+            base = held if keeps else Piece()
+            lease = ledger.open_lease(holder, sender.task, base, now)
+        same = (report.epoch, report.lease_no) == (partition.epoch, lease.lease_no)
+        if not same:
+            # Its totals belong to another lease.
+            report = attrs.evolve(
+                report, applied=lease.applied, returned=lease.returned
+            )
+        ledger.take_report(lease, report, now)
+        return lease
+
+    def _serve_waiting(
+        self,
+        partition: _Partition,
+        team: str,
+        ledger: TeamLedger,
+        served: Lease,
+        now: float,
+    ) -> list[Outgoing]:
+        """Give returned level to instances whose requests wait."""
+        out: list[Outgoing] = []
+        if ledger.level <= 0:
+            return out
+        for lease in ledger.lease_by_holder.values():
+            if lease is not served and lease.missing() > 0 and ledger.level > 0:
+                ledger.give_wanted(lease)
+                out.append(self._grant(partition, team, ledger, lease, now))
+        return out
+
+    def _recall(
+        self,
+        partition: _Partition,
+        team: str,
+        ledger: TeamLedger,
+        needy: Lease,
+        now: float,
+    ) -> list[Outgoing]:
+        recalled_at = partition.recalled_at_by_team.get(team)
+        if recalled_at is not None and now < recalled_at + RECALL_INTERVAL_S:
+            return []
+        others = [
+            lease
+            for lease in ledger.lease_by_holder.values()
+            if lease is not needy and lease.level > 0 and lease.wanted == 0
+        ]
+        total = sum(lease.level for lease in others)
+        if total == 0:
+            return []
+        partition.recalled_at_by_team[team] = now
+        fraction = min(1.0, needy.missing() / total)
+        return [
+            Outgoing(
+                Address(lease.instance_id, lease.task),
+                ShareRecall(team, partition.epoch, lease.lease_no, fraction),
+            )
+            for lease in others
+        ]
+
+    def _grant(
+        self,
+        partition: _Partition,
+        team: str,
+        ledger: TeamLedger,
+        lease: Lease,
+        now: float,
+    ) -> Outgoing:
+        lease.granted_at = now
+        target_rate, target_cap = ledger.targets(lease)
+        hold_s = min(OUTAGE_HOLD_S, self._valid_until + OUTAGE_HOLD_S - now)
+        grant = ShareGrant(
+            team=team,
+            epoch=partition.epoch,
+            lease_no=lease.lease_no,
+            request_no=lease.request_no,
+            base=lease.base,
+            given=lease.given,
+            target_rate=target_rate,
+            target_cap=target_cap,
+            hold_s=max(0.0, hold_s),
+        )
+        return Outgoing(Address(lease.instance_id, lease.task), grant)
+
+    def _tend(self, name: str, partition: _Partition, now: float) -> list[Outgoing]:
+        self._take_back(partition, now)
+        if not partition.minted and self._is_remainder_free(partition, now):
+            partition.minted = True
+            for ledger in partition.ledger_by_team.values():
+                ledger.mint_remainder(now)
+        if partition.minted and not any(
+            now >= lease.granted_at + SHARE_TTL_S
+            for ledger in partition.ledger_by_team.values()
+            for lease in ledger.lease_by_holder.values()
+        ):
+            return []
+        return partition.inquiry.ask(name, partition.epoch, self._members, now)
+
+    def _take_back(self, partition: _Partition, now: float) -> None:
+        for ledger in partition.ledger_by_team.values():
+            for holder, lease in list(ledger.lease_by_holder.items()):
+                since = lease.granted_at
+                if now < since + EXPIRED_S:
+                    continue
+                no_outage = self._outage_at < since - OUTAGE_NEWS_S
+                if now >= since + EXPIRED_AFTER_OUTAGE_S or (
+                    no_outage
+                    and partition.inquiry.has_majority(
+                        self._members, since + SHARE_TTL_S
+                    )
+                ):
+                    ledger.close_lease(holder, now)
+
+    def _is_remainder_free(self, partition: _Partition, now: float) -> bool:
+        """Whether every share of an older epoch has expired or is registered here."""
+        since = partition.gained_at
+        if now >= since + EXPIRED_AFTER_OUTAGE_S:
+            return True
+        no_outage = now >= self._outage_at + OUTAGE_HOLD_S
+        return (
+            now >= since + EXPIRED_S
+            and no_outage
+            and partition.inquiry.has_majority(self._members, since)
+        )
--- /dev/null
+++ b/src/siskinspool/contracts/outage_inquiry.py
@@ -0,0 +1,69 @@
+"""What the members tell a mint about outages of the key-value service.
+
+Outage mode needs the statements of a majority of members. If a majority, asked after
+some moment, reports when it last saw an outage, an outage before that moment cannot
+stay unnoticed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Set
+from typing import Final
+
+import attrs
+
+from ..core.message import Address, Outgoing
+from .share_messages import OutageAnswer, OutageQuestion
+
+QUESTION_INTERVAL_S: Final = 1.0
+# Younger instances cannot tell whether an outage ended just before they started.
+MIN_WITNESS_UPTIME_S: Final = 30.0
+_REMEMBERED_QUESTIONS: Final = 10
+
+
+@attrs.define
+class OutageInquiry:
+    """Questions and answers of one partition's mint."""
+
+    _question_no: int = 0
+    _asked_at: float | None = None
+    _asked_at_by_no: dict[int, float] = attrs.field(factory=dict)
+    # When the question was asked that an instance answered last, and whether it has
+    # been up for long enough to know of an outage.
+    _answer_by_instance: dict[str, tuple[float, bool]] = attrs.field(factory=dict)
+
+    def ask(
+        self, partition: str, epoch: int, members: Set[str], now: float
+    ) -> list[Outgoing]:
+        """Return the questions to all members, at most once per interval."""
+        if self._asked_at is not None and now < self._asked_at + QUESTION_INTERVAL_S:
+            return []
+        self._asked_at = now
+        self._question_no += 1
+        self._asked_at_by_no[self._question_no] = now
+        self._asked_at_by_no.pop(self._question_no - _REMEMBERED_QUESTIONS, None)
+        question = OutageQuestion(partition, epoch, self._question_no)
+        return [
+            Outgoing(Address(instance_id, "limits"), question)
+            for instance_id in sorted(members)
+        ]
+
+    def take_answer(self, instance_id: str, answer: OutageAnswer) -> bool:
+        """Note an answer; False if its question is forgotten."""
+        asked_at = self._asked_at_by_no.get(answer.number)
+        if asked_at is None:
+            return False
+        known = self._answer_by_instance.get(instance_id)
+        if known is None or known[0] < asked_at:
+            competent = answer.uptime_s >= MIN_WITNESS_UPTIME_S
+            self._answer_by_instance[instance_id] = (asked_at, competent)
+        return True
+
+    def has_majority(self, members: Set[str], asked_from: float) -> bool:
+        """Whether a majority, asked from a time on, told when it saw an outage."""
+        answers = [
+            competent
+            for instance_id, (asked_at, competent) in self._answer_by_instance.items()
+            if instance_id in members and asked_at >= asked_from
+        ]
+        return 2 * sum(answers) > len(members)
--- /dev/null
+++ b/src/siskinspool/contracts/team_state.py
@@ -0,0 +1,114 @@
+"""What an instance knows of one team: its share, waiting requests and demand."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from ..core.message import Address
+from .share_messages import SHARE_TTL_S
+from .team_share import TeamShare
+
+REPORT_INTERVAL_S: Final = 0.25
+IDLE_REPORT_INTERVAL_S: Final = 2.0
+# Without a request for this long a team counts as idle.
+IDLE_AFTER_S: Final = 2.0
+# Time constant of the demand estimate.
+DEMAND_TIME_S: Final = 0.5
+# A mint that has not answered for this long is silent.
+MINT_SILENT_S: Final = 1.0
+
+
+@attrs.define
+class Waiting:
+    """A request that waits for a larger share."""
+
+    asker: Address
+    # Millitokens.
+    amount: int
+    deadline: float
+
+
+@attrs.define
+class TeamState:
+    """What this instance knows of one team."""
+
+    share: TeamShare = attrs.field(factory=TeamShare)
+    waiting: deque[Waiting] = attrs.field(factory=deque)
+    demand: float = 0.0
+    # Millitokens asked for since the last report.
+    asked: int = 0
+    used_at: float = -math.inf
+    reported_at: float = -math.inf
+    report_at: float | None = None
+    # Send time by report number, while an answer may still be of use.
+    sent_at_by_no: dict[int, float] = attrs.field(factory=dict)
+    granted_at: float = -math.inf
+    granted_by: str = ""
+    # Number of the first report that surrendered everything; None: not surrendering.
+    surrender_no: int | None = None
+    peer_ask_at: float | None = None
+    peer_asked_at_by_no: dict[int, float] = attrs.field(factory=dict)
+    # Highest ask answered, by peer and incarnation.
+    answered_ask_by_peer: dict[tuple[str, str], int] = attrs.field(factory=dict)
+
+    @property
+    def wanted(self) -> int:
+        """Return the millitokens that waiting requests lack."""
+        if not self.waiting:
+            return 0
+        total = sum(waiting.amount for waiting in self.waiting)
+        return max(0, total + math.ceil(self.share.debt - self.share.level))
+
+    def note_sent(self, number: int, now: float) -> None:
+        """Remember when a report was sent, for as long as its answer is of use."""
+        for old, sent_at in list(self.sent_at_by_no.items()):
+            if now <= sent_at + SHARE_TTL_S:
+                break
+            del self.sent_at_by_no[old]
+        self.sent_at_by_no[number] = now
+
+    def wake_times(self) -> Iterator[float]:
+        """Yield the times at which something is due."""
+        if self.report_at is not None:
+            yield self.report_at
+        if self.peer_ask_at is not None:
+            yield self.peer_ask_at
+        if not self.waiting:
+            return
+        yield min(waiting.deadline for waiting in self.waiting)
+        share = self.share
+        if share.held and share.rate and share.cap >= self.waiting[0].amount:
+            lacking = self.waiting[0].amount + share.debt - share.level
+            yield share.at + max(lacking, 1.0) / share.rate
+
+    def measure_demand(self, now: float) -> None:
+        """Update the demand estimate; called with every report."""
+        elapsed = now - self.reported_at
+        if math.isinf(elapsed):
+            # The first request: assume that it comes once in the time constant.
+            self.demand = self.asked / DEMAND_TIME_S
+        else:
+            decay = math.exp(-elapsed / DEMAND_TIME_S)
+            sample = self.asked * (1 - decay) / elapsed if elapsed > 0 else 0.0
+            self.demand = self.demand * decay + sample
+            if elapsed <= 0:
+                return
+        self.asked = 0
+        self.reported_at = now
+
+    def next_report_at(self, now: float) -> float | None:
+        """Return when the next report is due, None if the team is not in use."""
+        if self.waiting or now < self.used_at + IDLE_AFTER_S:
+            return now + REPORT_INTERVAL_S
+        if self.surrender_no is not None:
+            return now + REPORT_INTERVAL_S
+        if not self.share.held:
+            return None
+        # A share that the mint does not renew looks for a new mint.
+        silent = now > self.granted_at + IDLE_REPORT_INTERVAL_S + MINT_SILENT_S
+        return now + (REPORT_INTERVAL_S if silent else IDLE_REPORT_INTERVAL_S)
--- /dev/null
+++ b/tests/builders_shares.py
@@ -0,0 +1,381 @@
+"""A deterministic network of instances and mints for the tests of team limits.
+
+Time is simulated. Each instance has a clock with its own origin. The network stands in
+for membership and ownership: it renews sessions, hands partitions to a successor when
+a session has run out, and announces an outage once the service is down for 4 s.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import Final
+
+import attrs
+
+from siskinspool.contracts.limits_partition import limits_partition
+from siskinspool.contracts.mint import Mint
+from siskinspool.contracts.share_messages import (
+    SettleTokens,
+    SpendGranted,
+    SpendRefused,
+    SpendTokens,
+)
+from siskinspool.contracts.shares import TeamLimits
+from siskinspool.core.decision import Decision
+from siskinspool.core.message import Address, Incoming, Message, Outgoing
+from siskinspool.machines.messages import (
+    CatalogChanged,
+    CurrencyChanged,
+    MembershipChanged,
+    OwnersChanged,
+    OwnershipGained,
+    OwnershipLost,
+    ReleaseOwnership,
+    SessionConfirmed,
+)
+
+from .builders import catalog, member, team
+
+TEAM: Final = "t1"
+PARTITION: Final = limits_partition(TEAM)
+SESSION_TTL_S: Final = 10.0
+RENEWAL_S: Final = 3.0
+OUTAGE_AFTER_S: Final = 4.0
+CALLER: Final = "reply:"
+
+
+@attrs.define
+class Charge:
+    """Tokens spent at a time; a settlement lowers them to what was used."""
+
+    at: float
+    tokens: float
+
+
+def worst_burst(charges: list[Charge], rate: float) -> float:
+    """Return the largest excess over ``rate`` of any window, in tokens.
+
+    R5 holds for every window exactly if this is at most the burst: the sum of a window
+    from before charge i to after charge j is (S_j - rate t_j) - (S_i- - rate t_i).
+    """
+    total, lowest, worst = 0.0, float("inf"), 0.0
+    for charge in sorted(charges, key=lambda charge: charge.at):
+        lowest = min(lowest, total - rate * charge.at)
+        total += charge.tokens
+        worst = max(worst, total - rate * charge.at - lowest)
+    return worst
+
+
+@attrs.define
+class Node:
+    """An instance with its decisions and its clock."""
+
+    instance_id: str
+    incarnation: int
+    origin: float
+    limits: TeamLimits
+    mint: Mint
+    session_id: str = ""
+    renewed_at: float = float("-inf")
+    frozen: bool = False
+    # Cut off from peers and from the key-value service.
+    cut: bool = False
+    told_outage: bool = False
+    # Messages that arrived during a freeze.
+    backlog: list[tuple[str, Incoming]] = attrs.field(factory=list)
+
+    def decision(self, task: str) -> Decision:
+        return self.limits if task == "limits" else self.mint
+
+
+class Network:
+    """Instances ``i1`` .. ``iN``; all times are global seconds."""
+
+    def __init__(
+        self,
+        count: int,
+        rate: float = 100.0,
+        burst: float = 200.0,
+        seed: int = 1,
+        warm: bool = True,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.rate, self.burst = rate, burst
+        self.node_by_id: dict[str, Node] = {}
+        self.loss = self.duplication = 0.0
+        self.delay_s = (0.001, 0.003)
+        self.service_up = True
+        self.service_down_at = 0.0
+        self.owner: str | None = None
+        self.owner_session = ""
+        self.epoch = 0
+        self.charges: list[Charge] = []
+        self.charge_by_spend: dict[tuple[str, int, int], Charge] = {}
+        self.refusals: list[tuple[float, str]] = []
+        self._asked: dict[str, float] = {}
+        self._queue: list[tuple[float, int, str, int, str, Incoming]] = []
+        self._numbers = itertools.count(1)
+        self._next_tick = 0.0
+        for index in range(count):
+            self.start(f"i{index + 1}")
+        if warm:
+            # Long enough for the first mint to hear competent witnesses and to fill
+            # its reserve.
+            self.run(45.0)
+
+    # -- faults -------------------------------------------------------------------
+
+    def start(self, instance_id: str) -> None:
+        """Start an instance, or start it again after a crash."""
+        number = next(self._numbers)
+        origin = self.random.uniform(-1e5, 1e5)
+        limits = TeamLimits(instance_id, str(number), self.now + origin)
+        node = Node(instance_id, number, origin, limits, Mint())
+        self.node_by_id[instance_id] = node
+        if self.service_up:
+            self._renew(node)
+        self._inform(node)
+        self._announce()
+
+    def crash(self, instance_id: str) -> None:
+        self.node_by_id.pop(instance_id, None)
+
+    def freeze(self, instance_id: str) -> None:
+        self.node_by_id[instance_id].frozen = True
+
+    def wake(self, instance_id: str) -> None:
+        """Resume; what arrived during the freeze is handled before any news."""
+        node = self.node_by_id[instance_id]
+        node.frozen = False
+        backlog, node.backlog = node.backlog, []
+        for task, incoming in backlog:
+            self._handle(node, task, incoming)
+
+    def drain(self, instance_id: str) -> None:
+        """Release the partition, then surrender the shares."""
+        node = self.node_by_id[instance_id]
+        self._local(node, "mint", ReleaseOwnership())
+        if self.owner == instance_id:
+            self._elect(exclude=instance_id)
+        self._local(node, "limits", ReleaseOwnership())
+
+    def set_service(self, up: bool) -> None:
+        if self.service_up and not up:
+            self.service_down_at = self.now
+        self.service_up = up
+
+    def set_contract(self, rate: float, burst: float) -> None:
+        self.rate, self.burst = rate, burst
+        for node in self.node_by_id.values():
+            self._local(node, "mint", self._catalog())
+            self._local(node, "limits", self._catalog())
+
+    # -- load ---------------------------------------------------------------------
+
+    def spend(self, instance_id: str, tokens: float, wait_s: float = 0.15) -> None:
+        """Ask for tokens; an instance that is frozen gets the request on waking."""
+        node = self.node_by_id.get(instance_id)
+        if node is None:
+            return
+        task = f"{CALLER}{next(self._numbers)}"
+        self._asked[task] = tokens
+        incoming = Incoming(
+            Address(instance_id, task), SpendTokens(TEAM, tokens, wait_s)
+        )
+        self._handle(node, "limits", incoming)
+
+    def settle(self, spend: tuple[str, int, int], used: float) -> None:
+        """End a request that was granted."""
+        charge = self.charge_by_spend.pop(spend)
+        instance_id, incarnation, spend_id = spend
+        node = self.node_by_id.get(instance_id)
+        if node is None or node.incarnation != incarnation:
+            return
+        charge.tokens = min(charge.tokens, used)
+        self._local(node, "limits", SettleTokens(spend_id, used))
+
+    @property
+    def granted_tokens(self) -> float:
+        return sum(charge.tokens for charge in self.charges)
+
+    def is_conserved(self) -> bool:
+        """Whether no window breaks the contract (R5)."""
+        return worst_burst(self.charges, self.rate) <= self.burst + 1e-6 * (
+            1 + self.granted_tokens
+        )
+
+    # -- running ------------------------------------------------------------------
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end = self.now + duration_s
+        while True:
+            at, node = self._next_wake()
+            message_at = self._queue[0][0] if self._queue else float("inf")
+            first = min(at, message_at, self._next_tick)
+            if first > end:
+                break
+            self.now = max(self.now, first)
+            if first == self._next_tick:
+                self._tick()
+            elif first == message_at:
+                self._deliver()
+            elif node is not None:
+                for task in ("limits", "mint"):
+                    self._on_time(node, task)
+        self.now = end
+
+    def _next_wake(self) -> tuple[float, Node | None]:
+        best: tuple[float, Node | None] = (float("inf"), None)
+        for node in self.node_by_id.values():
+            if node.frozen:
+                continue
+            for decision in (node.limits, node.mint):
+                wake_at = decision.wake_at()
+                # The same pause as `Task` makes at least between two activations.
+                if wake_at is not None and wake_at - node.origin < best[0]:
+                    best = (max(wake_at - node.origin, self.now + 0.001), node)
+        return best
+
+    def _on_time(self, node: Node, task: str) -> None:
+        decision = node.decision(task)
+        wake_at = decision.wake_at()
+        if wake_at is not None and wake_at <= self.now + node.origin + 1e-9:
+            self._send(node, task, decision.on_time(self.now + node.origin))
+
+    def _deliver(self) -> None:
+        _, _, instance_id, incarnation, task, incoming = heapq.heappop(self._queue)
+        node = self.node_by_id.get(instance_id)
+        if node is not None and incarnation in (0, node.incarnation):
+            self._handle(node, task, incoming)
+
+    def _handle(self, node: Node, task: str, incoming: Incoming) -> None:
+        if node.frozen:
+            node.backlog.append((task, incoming))
+            return
+        if task.startswith(CALLER):
+            self._take_reply(node, task, incoming.message)
+            return
+        decision = node.decision(task)
+        self._send(node, task, decision.handle(incoming, self.now + node.origin))
+
+    def _take_reply(self, node: Node, task: str, message: Message) -> None:
+        tokens = self._asked.pop(task)
+        if isinstance(message, SpendGranted):
+            charge = Charge(self.now, tokens)
+            self.charges.append(charge)
+            key = (node.instance_id, node.incarnation, message.spend_id)
+            self.charge_by_spend[key] = charge
+        elif isinstance(message, SpendRefused):
+            self.refusals.append((self.now, node.instance_id))
+
+    def _send(self, node: Node, task: str, batch: list[Outgoing]) -> None:
+        for outgoing in batch:
+            target = outgoing.recipient
+            incoming = Incoming(Address(node.instance_id, task), outgoing.message)
+            if target.instance_id == node.instance_id:
+                if target.task.startswith(CALLER):
+                    self._take_reply(node, target.task, outgoing.message)
+                else:
+                    self._post(0.0, node.incarnation, target, incoming)
+                continue
+            peer = self.node_by_id.get(target.instance_id)
+            if node.cut or peer is None or peer.cut:
+                continue
+            copies = 1 + (self.random.random() < self.duplication)
+            for _ in range(copies):
+                if self.random.random() >= self.loss:
+                    delay = self.random.uniform(*self.delay_s)
+                    self._post(delay, 0, target, incoming)
+
+    def _post(
+        self, delay: float, incarnation: int, target: Address, incoming: Incoming
+    ) -> None:
+        number = next(self._numbers)
+        item = (
+            self.now + delay,
+            number,
+            target.instance_id,
+            incarnation,
+            target.task,
+            incoming,
+        )
+        heapq.heappush(self._queue, item)
+
+    def _local(self, node: Node, task: str, message: Message) -> None:
+        incoming = Incoming(Address(node.instance_id, "membership"), message)
+        self._handle(node, task, incoming)
+
+    # -- membership and ownership --------------------------------------------------
+
+    def _catalog(self) -> CatalogChanged:
+        return CatalogChanged(
+            catalog(teams=(team(TEAM, rate=self.rate, burst=self.burst),))
+        )
+
+    def _tick(self) -> None:
+        self._next_tick = self.now + 0.25
+        for node in self.node_by_id.values():
+            if node.frozen or node.cut:
+                continue
+            self._tell_outage(node)
+            if self.service_up and self.now >= node.renewed_at + RENEWAL_S:
+                self._renew(node)
+        if self.service_up:
+            owner = self.node_by_id.get(self.owner or "")
+            if owner is None or not self._has_session(owner, self.owner_session):
+                self._elect(exclude=self.owner)
+
+    def _tell_outage(self, node: Node) -> None:
+        outage = not self.service_up and (
+            self.now >= self.service_down_at + OUTAGE_AFTER_S
+        )
+        if outage != node.told_outage:
+            node.told_outage = outage
+            for task in ("limits", "mint"):
+                self._local(node, task, CurrencyChanged(True, outage))
+
+    def _has_session(self, node: Node, session_id: str) -> bool:
+        lapsed = self.now >= node.renewed_at + SESSION_TTL_S
+        return node.session_id == session_id and not lapsed
+
+    def _renew(self, node: Node) -> None:
+        if not self._has_session(node, node.session_id):
+            node.session_id = f"{node.incarnation}-{next(self._numbers)}"
+            if self.epoch and node.renewed_at > float("-inf"):
+                self._local(node, "mint", OwnershipLost(PARTITION))
+        node.renewed_at = self.now
+        until = self.now + node.origin + SESSION_TTL_S - 1.0
+        self._local(node, "mint", SessionConfirmed(node.session_id, until))
+
+    def _elect(self, exclude: str | None) -> None:
+        ready = [
+            node
+            for node in self.node_by_id.values()
+            if self._has_session(node, node.session_id) and not node.cut
+        ]
+        others = [node for node in ready if node.instance_id != exclude]
+        if not ready:
+            self.owner = None
+            return
+        node = self.random.choice(others or ready)
+        self.owner, self.owner_session = node.instance_id, node.session_id
+        self.epoch += 1
+        self._local(node, "mint", OwnershipGained(PARTITION, self.epoch))
+        self._announce()
+
+    def _announce(self) -> None:
+        for node in list(self.node_by_id.values()):
+            if not node.cut:
+                self._inform(node)
+
+    def _inform(self, node: Node) -> None:
+        members = {name: member(name) for name in self.node_by_id}
+        owners = {PARTITION: self.owner} if self.owner else {}
+        for task in ("limits", "mint"):
+            self._local(node, task, self._catalog())
+            self._local(node, task, MembershipChanged(members))
+            self._local(node, task, OwnersChanged(owners))
--- /dev/null
+++ b/tests/test_shares_safety.py
@@ -0,0 +1,329 @@
+"""R5: no window holds more than burst + rate * t, whatever fails."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from siskinspool.contracts.share_messages import Piece, ShareGrant
+from siskinspool.contracts.team_share import TeamShare
+
+from .builders_shares import TEAM, Charge, Network, worst_burst
+
+INSTANCES = st.sampled_from(["i1", "i2", "i3", "i4"])
+
+
+class SharesMachine(RuleBasedStateMachine):
+    """Random faults and spends; the trace of all instances is checked as one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.net = Network(4, rate=100.0, burst=200.0, seed=7)
+
+    @rule(instance=INSTANCES, tokens=st.sampled_from([5, 40, 120, 200]))
+    def spend(self, instance: str, tokens: int) -> None:
+        self.net.spend(instance, tokens)
+
+    @rule(tokens=st.sampled_from([40, 120]))
+    def spend_everywhere(self, tokens: int) -> None:
+        for instance in list(self.net.node_by_id):
+            self.net.spend(instance, tokens)
+        self.net.run(0.2)
+
+    @rule(instance=INSTANCES, seconds=st.sampled_from([0.5, 3.0]))
+    def stream(self, instance: str, seconds: float) -> None:
+        for _ in range(int(seconds / 0.1)):
+            self.net.spend(instance, 10)
+            self.net.run(0.1)
+
+    @rule(part=st.floats(0, 1), data=st.data())
+    def settle(self, part: float, data: Any) -> None:
+        if self.net.charge_by_spend:
+            spend = data.draw(st.sampled_from(sorted(self.net.charge_by_spend)))
+            self.net.settle(spend, self.net.charge_by_spend[spend].tokens * part)
+
+    @rule(seconds=st.sampled_from([0.05, 1.0, 5.0, 9.0, 10.5, 12.0, 40.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.net.run(seconds)
+
+    @rule(seconds=st.sampled_from([600.0, 3590.0, 3603.0]))
+    def pass_long_time(self, seconds: float) -> None:
+        # The mint's ticks make simulated hours slow; only what is due counts.
+        if not self.net.service_up:
+            self.net.run(seconds)
+
+    @rule(instance=INSTANCES)
+    def freeze_or_wake(self, instance: str) -> None:
+        node = self.net.node_by_id.get(instance)
+        if node is None:
+            return
+        if node.frozen:
+            self.net.wake(instance)
+            self.net.spend(instance, 60)
+        else:
+            self.net.freeze(instance)
+
+    @rule(instance=INSTANCES)
+    def spend_in_freeze(self, instance: str) -> None:
+        self.net.spend(instance, 50)
+
+    @rule(instance=INSTANCES)
+    def crash_or_start(self, instance: str) -> None:
+        if instance in self.net.node_by_id:
+            self.net.crash(instance)
+        else:
+            self.net.start(instance)
+
+    @rule(instance=INSTANCES)
+    def cut_or_join(self, instance: str) -> None:
+        node = self.net.node_by_id.get(instance)
+        if node is not None:
+            node.cut = not node.cut
+
+    @rule(instance=INSTANCES)
+    def drain(self, instance: str) -> None:
+        node = self.net.node_by_id.get(instance)
+        if node is not None and not node.frozen:
+            self.net.drain(instance)
+
+    @rule()
+    def toggle_service(self) -> None:
+        self.net.set_service(not self.net.service_up)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.3]),
+        duplication=st.sampled_from([0.0, 0.5]),
+        delay=st.sampled_from([(0.001, 0.003), (0.0, 2.0), (0.0, 15.0)]),
+    )
+    def set_links(
+        self, loss: float, duplication: float, delay: tuple[float, float]
+    ) -> None:
+        self.net.loss, self.net.duplication = loss, duplication
+        self.net.delay_s = delay
+
+    @invariant()
+    def bound_holds(self) -> None:
+        assert self.net.is_conserved(), worst_burst(self.net.charges, self.net.rate)
+
+
+TestShares = SharesMachine.TestCase
+
+
+def test_worst_burst_finds_the_window() -> None:
+    """Guards against a check that overlooks a window in the middle of the trace."""
+    charges = [Charge(0.0, 50), Charge(10.0, 120), Charge(10.5, 130), Charge(30.0, 10)]
+    assert worst_burst(charges, 100.0) == pytest.approx(200.0)
+
+
+def _loaded(net: Network, instances: list[str]) -> None:
+    for _ in range(20):
+        for instance in instances:
+            net.spend(instance, 5)
+        net.run(0.1)
+
+
+def test_frozen_instance_wakes_with_an_old_share_after_a_takeover() -> None:
+    """Guards against a share that is spent after the successor minted it again."""
+    net = Network(3, rate=100.0, burst=200.0, seed=3)
+    owner = net.owner or ""
+    frozen, other = sorted(set(net.node_by_id) - {owner})
+    _loaded(net, [frozen])
+    net.freeze(frozen)
+    net.crash(owner)
+    net.start(owner)
+    net.run(60.0)
+    assert net.owner in (other, owner)
+    before = net.granted_tokens
+    net.spend(other, 200)
+    net.run(0.3)
+    assert net.granted_tokens == before + 200
+    net.node_by_id[frozen].cut = True
+    net.wake(frozen)
+    for _ in range(20):
+        net.spend(frozen, 5)
+    net.run(0.3)
+    assert net.is_conserved()
+    assert net.granted_tokens == before + 200
+
+
+def test_frozen_mint_wakes_after_a_takeover() -> None:
+    """Guards against an old mint that hands out its reserve once more."""
+    net = Network(3, rate=100.0, burst=200.0, seed=4)
+    owner = net.owner or ""
+    others = sorted(set(net.node_by_id) - {owner})
+    # One instance hears nothing of the takeover and still asks the old mint.
+    stale = net.node_by_id[others[0]]
+    net.freeze(owner)
+    net._inform = lambda node: None  # type: ignore[method-assign]
+    net.run(60.0)
+    del net._inform
+    net._inform(net.node_by_id[others[1]])
+    net.run(0.1)
+    net.spend(others[1], 200)
+    net.run(0.3)
+    net.spend(stale.instance_id, 100)
+    net.wake(owner)
+    net.run(0.3)
+    assert net.granted_tokens > 0
+    assert net.is_conserved()
+
+
+def test_takeover_keeps_registered_shares_in_use() -> None:
+    """Guards against a takeover that stops a team although its shares live (M4)."""
+    net = Network(3, rate=100.0, burst=200.0, seed=5)
+    owner = net.owner or ""
+    busy = sorted(set(net.node_by_id) - {owner})
+    _loaded(net, busy)
+    net.crash(owner)
+    refused = len(net.refusals)
+    for _ in range(300):
+        for instance in busy:
+            net.spend(instance, 3)
+        net.run(0.1)
+    assert len(net.refusals) == refused
+    assert net.is_conserved()
+
+
+def test_lower_contract_holds_after_it_has_spread() -> None:
+    """Guards against shares of an old contract that stay in force."""
+    net = Network(4, rate=100.0, burst=200.0, seed=6)
+    _loaded(net, ["i1", "i2", "i3"])
+    net.freeze("i3")
+    net.set_contract(20.0, 50.0)
+    net.run(12.0)
+    net.wake("i3")
+    net.charges.clear()
+    for _ in range(100):
+        for instance in ("i1", "i2", "i3"):
+            net.spend(instance, 5)
+        net.run(0.1)
+    assert net.granted_tokens > 100
+    assert net.is_conserved()
+
+
+def test_drained_instance_gives_its_share_to_the_others() -> None:
+    """Guards against tokens that are lost for 11 s with every planned stop."""
+    net = Network(2, rate=100.0, burst=200.0, seed=8)
+    leaving = next(name for name in net.node_by_id if name != net.owner)
+    _loaded(net, [leaving])
+    net.drain(leaving)
+    net.run(0.1)
+    ledger = (
+        net.node_by_id[net.owner or ""]
+        .mint._partition_by_name.popitem()[1]
+        .ledger_by_team[TEAM]
+    )
+    assert ledger.free_cap == 200_000
+    assert ledger.free_rate == 100_000
+
+
+def test_mint_dies_in_an_outage() -> None:
+    """Guards against a team that stops, or doubles, while nobody can take over."""
+    net = Network(4, rate=100.0, burst=200.0, seed=9)
+    owner = net.owner or ""
+    first, second, third = sorted(set(net.node_by_id) - {owner})
+    _loaded(net, [first, second])
+    net.set_service(False)
+    net.run(5.0)
+    net.crash(owner)
+    held = sum(
+        node.limits._state_by_team[TEAM].share.rate / 1000
+        for node in net.node_by_id.values()
+        if TEAM in node.limits._state_by_team
+    )
+    net.run(20.0)
+    before = net.granted_tokens
+    net.spend(third, 30)
+    net.run(0.3)
+    assert net.granted_tokens == before + 30, "a peer gives part of its share"
+    net.run(600.0)
+    net.set_service(True)
+    _loaded(net, [first, second])
+    net.run(12.0)
+    before = net.granted_tokens
+    for _ in range(100):
+        for instance in (first, second):
+            net.spend(instance, held / 20)
+        net.run(0.1)
+    # What the instances held goes on under the successor, which must not mint yet.
+    assert held > 1
+    assert net.granted_tokens >= before + 0.8 * held * 10
+    net.run(3700.0)
+    net.spend(first, 200)
+    net.run(0.3)
+    net.spend(second, 200)
+    net.run(0.3)
+    assert net.is_conserved()
+
+
+def test_mint_without_session_renews_shares_in_an_outage() -> None:
+    """Guards against shares that run out because the session cannot be renewed."""
+    net = Network(3, rate=100.0, burst=200.0, seed=10)
+    busy = next(name for name in net.node_by_id if name != net.owner)
+    net.set_service(False)
+    net.run(30.0)
+    net.spend(busy, 150)
+    net.run(0.3)
+    assert net.granted_tokens == 150
+    assert net.is_conserved()
+
+
+def _held_share() -> TeamShare:
+    share = TeamShare()
+    grant = ShareGrant(
+        "t", 1, 1, 1, Piece(), Piece(10_000, 100_000, 100_000), 10_000, 100_000, 0.0
+    )
+    assert share.take_grant(grant, sent_at=0.0, now=0.0, outage=False)
+    return share
+
+
+def test_surplus_does_not_exceed_what_the_bucket_could_have_kept() -> None:
+    """Guards against tokens that come back after the level has grown over them."""
+    share = _held_share()
+    assert share.spend(1, 50_000)
+    share.advance(5.0, outage=False)
+    assert share.spend(2, 100_000)
+    share.settle(1, 0)
+    assert share.level == 0
+
+
+def test_surplus_returns_only_to_the_same_share() -> None:
+    """Guards against a surplus that is created in a later share."""
+    share = _held_share()
+    assert share.spend(1, 50_000)
+    share.advance(11.0, outage=False)
+    assert not share.held
+    grant = ShareGrant("t", 1, 2, 2, Piece(), Piece(0, 100_000, 0), 0, 100_000, 0.0)
+    assert share.take_grant(grant, sent_at=11.0, now=11.0, outage=False)
+    share.settle(1, 0)
+    assert share.level == 0
+
+
+def test_use_above_the_estimate_blocks_until_it_is_paid() -> None:
+    """Guards against estimates that are too low and so evade the limit."""
+    share = _held_share()
+    assert share.spend(1, 90_000)
+    share.settle(1, 120_000)
+    assert (share.level, share.debt) == (0, 20_000)
+    share.advance(1.0, outage=False)
+    assert not share.spend(2, 1_000)
+    share.advance(3.0, outage=False)
+    assert share.spend(3, 10_000)
+
+
+def test_repeated_and_overtaken_grants_change_nothing() -> None:
+    """Guards against level that is added once per copy of a message."""
+    share = _held_share()
+    old = ShareGrant(
+        "t", 1, 1, 1, Piece(), Piece(10_000, 100_000, 100_000), 10_000, 100_000, 0.0
+    )
+    new = attrs.evolve(old, given=Piece(10_000, 130_000, 130_000))
+    for grant in (new, old, new):
+        share.take_grant(grant, sent_at=0.0, now=0.0, outage=False)
+    assert share.holding == Piece(10_000, 130_000, 130_000)
+    share.void()
+    assert not share.take_grant(new, sent_at=0.0, now=0.0, outage=False)
