--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,116 @@
+"""Fair sharing between teams (M3) and the limits of waiting (R3)."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinspool.contracts.fair_queue import (
+    FairQueue,
+    Queued,
+    QueueEntry,
+    QueueFull,
+)
+from siskinspool.manifest.model import RequestClass
+
+URGENT, PATIENT = RequestClass.URGENT, RequestClass.PATIENT
+
+
+def entry(
+    entry_id: str,
+    team: str = "a",
+    request_class: RequestClass = URGENT,
+    deadline: float = 1e9,
+) -> QueueEntry:
+    return QueueEntry(entry_id, team, request_class, deadline)
+
+
+def _waits(flood_per_step: int, weight_by_team: dict[str, float]) -> list[int]:
+    """Return the waiting times of team b, which sends one entry every 4 steps."""
+    queue = FairQueue(100_000, weight_by_team)
+    pushed_at: dict[str, int] = {}
+    waits = []
+    for step in range(2_000):
+        for index in range(flood_per_step):
+            queue.push(entry(f"a{step}-{index}"), step)
+        if step % 4 == 0:
+            queue.push(entry(f"b{step}", "b"), step)
+            pushed_at[f"b{step}"] = step
+        popped = queue.pop(step)
+        if popped is not None and popped.team == "b":
+            waits.append(step - pushed_at[popped.id])
+    return waits
+
+
+@pytest.mark.parametrize(("weight", "bound"), [(1.0, 1), (1 / 3, 4)])
+def test_flood_of_one_team_does_not_delay_another(weight: float, bound: int) -> None:
+    """Guards against a team that takes the servers by sending ten times its share.
+
+    Team b sends a quarter of the capacity. Its part by weight is at least that much, so
+    an entry waits at most 1 / part steps, whatever team a sends.
+    """
+    weights = {"a": 1.0, "b": weight}
+    calm, flooded = _waits(0, weights), _waits(5, weights)
+    assert max(calm) == 0
+    assert len(flooded) >= 499
+    assert max(flooded) <= bound
+
+
+def test_capacity_is_shared_by_weight() -> None:
+    """Guards against weights without effect."""
+    queue = FairQueue(1_000, {"a": 3.0, "b": 1.0})
+    for index in range(200):
+        queue.push(entry(f"a{index}"), 0)
+        queue.push(entry(f"b{index}", "b"), 0)
+    popped = [queue.pop(0) for _ in range(80)]
+    assert sum(x is not None and x.team == "a" for x in popped) in (59, 60, 61)
+
+
+def test_patient_entries_are_not_starved() -> None:
+    """Guards against urgent traffic that keeps patient entries waiting for ever."""
+    queue = FairQueue(1_000)
+    for index in range(20):
+        queue.push(entry(f"p{index}", "a", PATIENT), 0)
+    classes = []
+    for step in range(100):
+        queue.push(entry(f"u{step}", "b"), step)
+        queue.push(entry(f"v{step}", "c"), step)
+        popped = queue.pop(step)
+        assert popped is not None
+        classes.append(popped.request_class)
+    for start in range(0, 100, 10):
+        assert classes[start : start + 10].count(PATIENT) == 1
+
+
+def test_earliest_deadline_first_inside_a_team_and_admission() -> None:
+    """Guards against urgent entries behind relaxed ones, or blocked by the first."""
+    queue = FairQueue(10)
+    for name, deadline in (("late", 30.0), ("soon", 10.0), ("mid", 20.0)):
+        queue.push(entry(name, deadline=deadline), 0)
+    first = queue.pop(0, admit=lambda waiting: waiting.id != "soon")
+    assert first is not None
+    assert first.id == "mid"
+    second = queue.pop(0)
+    assert second is not None
+    assert second.id == "soon"
+
+
+def test_hopeless_entries_are_handed_out_for_refusal() -> None:
+    """Guards against entries that wait until it is too late, or vanish (R3)."""
+    queue = FairQueue(10)
+    queue.push(entry("short", deadline=5.0), 0)
+    queue.push(entry("long", deadline=50.0), 0)
+    assert [x.id for x in queue.expire(1.0, lambda waiting: 4.5)] == ["short"]
+    assert queue.cancel("long") == entry("long", deadline=50.0)
+    assert queue.cancel("long") is None
+    assert len(queue) == 0
+
+
+def test_full_queue_refuses_the_team_that_fills_it() -> None:
+    """Guards against a flood that locks other teams out of a full queue."""
+    queue = FairQueue(4)
+    for index in range(4):
+        assert queue.push(entry(f"a{index}", deadline=index), 0) == Queued()
+    assert queue.push(entry("a4"), 0) == QueueFull(4, 4)
+    answer = queue.push(entry("b0", "b"), 0)
+    assert answer == Queued(entry("a3", deadline=3))
+    assert len(queue) == 4
--- a/tests/test_shares_safety.py
+++ b/tests/test_shares_safety.py
@@ -172,6 +172,34 @@
     assert net.is_conserved()
 
 
+def test_successor_waits_for_a_share_it_does_not_hear_of() -> None:
+    """Guards against a successor that mints while a cut-off share is still valid."""
+    net = Network(3, rate=100.0, burst=200.0, seed=11)
+    cut, other = sorted(set(net.node_by_id) - {net.owner or ""})
+    for _ in range(20):
+        net.spend(cut, 9)
+        net.run(0.1)
+    net.node_by_id[cut].cut = True
+    net.drain(net.owner or "")
+    before = net.granted_tokens
+    for _ in range(200):
+        net.spend(cut, 9)
+        net.spend(other, 9)
+        net.run(0.1)
+    assert net.granted_tokens > before
+    assert net.is_conserved()
+
+
+def test_grant_counts_from_the_send_time_of_its_report() -> None:
+    """Guards against a delayed grant that outlives the mint's own count."""
+    grant = ShareGrant("t", 1, 1, 1, Piece(), Piece(1, 9, 9), 1, 9, 0.0)
+    share = TeamShare()
+    assert not share.take_grant(grant, sent_at=0.0, now=10.0, outage=False)
+    assert share.take_grant(grant, sent_at=0.0, now=9.0, outage=False)
+    share.advance(10.0, outage=False)
+    assert not share.held
+
+
 def test_takeover_keeps_registered_shares_in_use() -> None:
     """Guards against a takeover that stops a team although its shares live (M4)."""
     net = Network(3, rate=100.0, burst=200.0, seed=5)
