Let routing share servers by the fair queue

Routing and the fair queue were written against two entry types, so the queue could not be plugged in. FairQueue now implements CallQueue: a full queue refuses or displaces a call, which routing answers with queue_full, and weights follow the manifest. The queue that ordered by deadline alone served only tests and is gone.

--- a/src/siskinspool/contracts/call_queue.py
+++ b/src/siskinspool/contracts/call_queue.py
@@ -1,14 +1,14 @@
 """Queue of calls that wait for a server.
 
-`CallQueue` is the interface that routing needs; `DeadlineQueue` orders by the earliest
-deadline alone, without regard to teams and classes.
+`CallQueue` is the interface that routing needs; `siskinspool.contracts.fair_queue` shares
+the servers between teams behind it.
 """
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from bisect import insort
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 import attrs
 
@@ -28,65 +28,54 @@
     cost: float = 1.0
 
 
+@dataclass(frozen=True)
+class Queued:
+    """The call waits; ``displaced`` lost its place and has to be refused."""
+
+    displaced: QueuedCall | None = None
+
+
+@dataclass(frozen=True)
+class QueueFull:
+    """The call is refused: the queue is full and the team has its part of it."""
+
+    waiting: int
+    waiting_of_team: int
+
+
 Admit = Callable[[QueuedCall], bool]
+Estimate = Callable[[QueuedCall], float]
 
 
 class CallQueue(ABC):
     """Decides which waiting call is dispatched next; times are monotonic seconds."""
 
     @abstractmethod
-    def push(self, entry: QueuedCall, now: float) -> None:
-        """Add a call."""
+    def push(self, entry: QueuedCall, now: float) -> Queued | QueueFull:
+        """Add a call; raise ValueError if its id already waits."""
 
     @abstractmethod
     def pop(self, now: float, admit: Admit) -> QueuedCall | None:
-        """Remove and return the first call in order that ``admit`` accepts."""
+        """Remove and return the first call in order that ``admit`` accepts.
 
-    @abstractmethod
-    def expire(self, now: float, service_estimate: float) -> list[QueuedCall]:
-        """Remove and return calls with a deadline up to ``now + service_estimate``."""
+        Calls past their deadline stay until `expire` hands them out for refusal.
+        """
 
     @abstractmethod
-    def cancel(self, call_id: str) -> bool:
-        """Remove a call; return False if it does not wait here."""
+    def expire(self, now: float, service_estimate: Estimate) -> list[QueuedCall]:
+        """Remove and return the calls that cannot be met, to be refused (R3).
 
-    @abstractmethod
-    def __len__(self) -> int:
-        """Return the number of waiting calls."""
-
-
-class DeadlineQueue(CallQueue):
-    """Earliest deadline first."""
-
-    def __init__(self) -> None:
-        self._entries: list[QueuedCall] = []
+        ``service_estimate`` returns the seconds that a call takes if it starts now.
+        """
 
-    def push(self, entry: QueuedCall, now: float) -> None:
-        """Add a call."""
-        insort(self._entries, entry, key=lambda item: item.deadline_at)
+    @abstractmethod
+    def cancel(self, call_id: str) -> QueuedCall | None:
+        """Remove a call whose caller has gone; None if it does not wait."""
 
-    def pop(self, now: float, admit: Admit) -> QueuedCall | None:
-        """Remove and return the first call in order that ``admit`` accepts."""
-        for index, entry in enumerate(self._entries):
-            if admit(entry):
-                return self._entries.pop(index)
-        return None
-
-    def expire(self, now: float, service_estimate: float) -> list[QueuedCall]:
-        """Remove and return calls with a deadline up to ``now + service_estimate``."""
-        limit = now + service_estimate
-        expired = [entry for entry in self._entries if entry.deadline_at <= limit]
-        self._entries = self._entries[len(expired) :]
-        return expired
-
-    def cancel(self, call_id: str) -> bool:
-        """Remove a call; return False if it does not wait here."""
-        for index, entry in enumerate(self._entries):
-            if entry.call_id == call_id:
-                del self._entries[index]
-                return True
-        return False
+    @abstractmethod
+    def set_weights(self, weight_by_team: Mapping[str, float]) -> None:
+        """Use other weights from now on; a team without one has weight 1."""
 
+    @abstractmethod
     def __len__(self) -> int:
         """Return the number of waiting calls."""
-        return len(self._entries)
--- a/src/siskinspool/contracts/fair_queue.py
+++ b/src/siskinspool/contracts/fair_queue.py
@@ -16,52 +16,24 @@
 
 from bisect import bisect_left, insort
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
 from typing import Final
 
 import attrs
 
 from ..manifest.model import RequestClass
+from .call_queue import Admit, CallQueue, Estimate, Queued, QueuedCall, QueueFull
 
 # While patient entries wait, one pop in this many is patient.
 PATIENT_EVERY_POPS: Final = 10
 
 
-@attrs.frozen
-class QueueEntry:
-    """A request that waits for a server of the pool."""
-
-    id: str
-    team: str
-    request_class: RequestClass
-    # Own monotonic seconds.
-    deadline: float
-    # Expected use of the servers, in any unit that is the same for all entries.
-    cost: float = 1.0
-
-
-@dataclass(frozen=True)
-class Queued:
-    """The entry waits; ``displaced`` lost its place and has to be refused."""
-
-    displaced: QueueEntry | None = None
-
-
-@dataclass(frozen=True)
-class QueueFull:
-    """The entry is refused: the queue is full and the team has its part of it."""
-
-    waiting: int
-    waiting_of_team: int
-
-
 @attrs.define
 class _TeamQueue:
     """Entries of one team and class in order of deadline."""
 
     start_tag: float = 0.0
     # (deadline, arrival number, entry)
-    entries: list[tuple[float, int, QueueEntry]] = attrs.field(factory=list)
+    entries: list[tuple[float, int, QueuedCall]] = attrs.field(factory=list)
 
 
 class _ClassQueue:
@@ -73,20 +45,20 @@
         self._queue_by_team: dict[str, _TeamQueue] = {}
         self.length = 0
 
-    def add(self, entry: QueueEntry, number: int) -> None:
+    def add(self, entry: QueuedCall, number: int) -> None:
         queue = self._queue_by_team.setdefault(entry.team, _TeamQueue())
         if not queue.entries:
             queue.start_tag = max(queue.start_tag, self._virtual_time)
-        insort(queue.entries, (entry.deadline, number, entry))
+        insort(queue.entries, (entry.deadline_at, number, entry))
         self.length += 1
 
     def pop(
-        self, now: float, admit: Callable[[QueueEntry], bool]
-    ) -> tuple[int, QueueEntry] | None:
+        self, now: float, admit: Callable[[QueuedCall], bool]
+    ) -> tuple[int, QueuedCall] | None:
         busy = [item for item in self._queue_by_team.items() if item[1].entries]
         for team, queue in sorted(busy, key=lambda item: (item[1].start_tag, item[0])):
             for index, (deadline, number, entry) in enumerate(queue.entries):
-                if deadline < now or not admit(entry):
+                if deadline <= now or not admit(entry):
                     continue
                 del queue.entries[index]
                 self.length -= 1
@@ -102,25 +74,25 @@
             if not queue.entries and queue.start_tag <= self._virtual_time:
                 del self._queue_by_team[team]
 
-    def remove(self, entry: QueueEntry, number: int) -> None:
+    def remove(self, entry: QueuedCall, number: int) -> None:
         queue = self._queue_by_team[entry.team]
-        index = bisect_left(queue.entries, (entry.deadline, number))
+        index = bisect_left(queue.entries, (entry.deadline_at, number))
         del queue.entries[index]
         self.length -= 1
 
-    def latest(self, team: str) -> QueueEntry | None:
+    def latest(self, team: str) -> QueuedCall | None:
         """Return the team's entry with the latest deadline."""
         queue = self._queue_by_team.get(team)
         return queue.entries[-1][2] if queue and queue.entries else None
 
-    def entries(self) -> Iterator[QueueEntry]:
+    def entries(self) -> Iterator[QueuedCall]:
         for queue in self._queue_by_team.values():
             for _, _, entry in queue.entries:
                 yield entry
 
 
-class FairQueue:
-    """The waiting requests of one pool; a plain class of the routing decision."""
+class FairQueue(CallQueue):
+    """The waiting calls of one pool or route; part of the routing decision."""
 
     def __init__(
         self, capacity: int, weight_by_team: Mapping[str, float] | None = None
@@ -131,7 +103,7 @@
             request_class: _ClassQueue(self._weight)
             for request_class in (RequestClass.URGENT, RequestClass.PATIENT)
         }
-        self._numbered_by_id: dict[str, tuple[int, QueueEntry]] = {}
+        self._numbered_by_id: dict[str, tuple[int, QueuedCall]] = {}
         self._waiting_by_team: dict[str, int] = {}
         self._next_number = 1
         self._pops_since_patient = 0
@@ -146,19 +118,19 @@
     def _weight(self, team: str) -> float:
         return max(self._weight_by_team.get(team, 1.0), 1e-6)
 
-    def push(self, entry: QueueEntry, now: float) -> Queued | QueueFull:
+    def push(self, entry: QueuedCall, now: float) -> Queued | QueueFull:
         """Add an entry; raises ValueError if its id already waits."""
-        if entry.id in self._numbered_by_id:
-            raise ValueError(f"entry {entry.id} already waits")
-        displaced: QueueEntry | None = None
+        if entry.call_id in self._numbered_by_id:
+            raise ValueError(f"entry {entry.call_id} already waits")
+        displaced: QueuedCall | None = None
         if len(self) >= self._capacity:
             displaced = self._displaceable(entry.team)
             if displaced is None:
                 return QueueFull(len(self), self._waiting_by_team.get(entry.team, 0))
-            self.cancel(displaced.id)
+            self.cancel(displaced.call_id)
         number = self._next_number
         self._next_number += 1
-        self._numbered_by_id[entry.id] = (number, entry)
+        self._numbered_by_id[entry.call_id] = (number, entry)
         waiting = self._waiting_by_team.get(entry.team, 0)
         self._waiting_by_team[entry.team] = waiting + 1
         if entry.request_class is RequestClass.PATIENT and not self._patient_waits():
@@ -167,7 +139,7 @@
         self._queue_by_class[entry.request_class].add(entry, number)
         return Queued(displaced)
 
-    def _displaceable(self, team: str) -> QueueEntry | None:
+    def _displaceable(self, team: str) -> QueuedCall | None:
         """Return what makes room for a team below its part, None if it is not."""
         load_by_team = {
             other: waiting / self._weight(other)
@@ -186,9 +158,7 @@
     def _patient_waits(self) -> bool:
         return self._queue_by_class[RequestClass.PATIENT].length > 0
 
-    def pop(
-        self, now: float, admit: Callable[[QueueEntry], bool] = lambda entry: True
-    ) -> QueueEntry | None:
+    def pop(self, now: float, admit: Admit = lambda entry: True) -> QueuedCall | None:
         """Remove and return the next entry that ``admit`` accepts.
 
         Entries past their deadline stay until `expire` hands them out for refusal.
@@ -209,15 +179,13 @@
             return entry
         return None
 
-    def _forget(self, entry: QueueEntry) -> None:
-        del self._numbered_by_id[entry.id]
+    def _forget(self, entry: QueuedCall) -> None:
+        del self._numbered_by_id[entry.call_id]
         self._waiting_by_team[entry.team] -= 1
         if self._waiting_by_team[entry.team] == 0:
             del self._waiting_by_team[entry.team]
 
-    def expire(
-        self, now: float, service_estimate: Callable[[QueueEntry], float]
-    ) -> list[QueueEntry]:
+    def expire(self, now: float, service_estimate: Estimate) -> list[QueuedCall]:
         """Remove and return the entries that cannot be met, to be refused (R3).
 
         ``service_estimate`` returns the seconds that an entry takes if it starts now.
@@ -226,13 +194,13 @@
             entry
             for queue in self._queue_by_class.values()
             for entry in queue.entries()
-            if now + service_estimate(entry) > entry.deadline
+            if now + service_estimate(entry) >= entry.deadline_at
         ]
         for entry in hopeless:
-            self.cancel(entry.id)
+            self.cancel(entry.call_id)
         return hopeless
 
-    def cancel(self, entry_id: str) -> QueueEntry | None:
+    def cancel(self, entry_id: str) -> QueuedCall | None:
         """Remove an entry whose caller has gone; None if it does not wait."""
         numbered = self._numbered_by_id.get(entry_id)
         if numbered is None:
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -160,14 +160,25 @@
             detail = "the deadline passed before routing"
             return [_refusal(asker, call_id, ErrorCode.DEADLINE_PASSED, detail)]
         call = RoutedCall(request, asker, target, now + request.deadline_in_s)
-        self._waiting.add(call, now)
-        batch: list[Outgoing] = []
+        batch = self._refuse_for_room(self._waiting.add(call, now))
+        if call_id not in self._waiting:
+            return batch
         if self._servers.candidates(target, request, now):
-            batch = self._serve(target.queue_name, now)
+            batch += self._serve(target.queue_name, now)
         if call_id in self._waiting:
             batch += self._keep_waiting(call, now)
         return batch
 
+    def _refuse_for_room(self, refused: RoutedCall | None) -> list[Outgoing]:
+        """Refuse the call that a full queue has no place for."""
+        if refused is None:
+            return []
+        call_id = refused.request.call_id
+        self._demands.remove(refused.target, call_id)
+        detail = "too many calls of this team wait"
+        code = ErrorCode.QUEUE_FULL
+        return [_refusal(refused.asker, call_id, code, detail, 1.0)]
+
     def _keep_waiting(self, call: RoutedCall, now: float) -> list[Outgoing]:
         self._demands.add(call.target, call.request.call_id, now)
         # Asked before an early refusal, because the next call may have more time.
@@ -362,6 +373,8 @@
 
     def _take_catalog(self, catalog: Catalog, now: float) -> list[Outgoing]:
         self._servers.take_catalog(catalog)
+        teams = catalog.manifest.teams
+        self._waiting.set_weights({team.id: team.weight for team in teams})
         batch: list[Outgoing] = []
         for call in self._waiting.all_calls():
             target = resolve_target(catalog, call.request.target)
--- a/src/siskinspool/machines/waiting.py
+++ b/src/siskinspool/machines/waiting.py
@@ -8,12 +8,12 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Set
+from collections.abc import Callable, Mapping, Set
 from typing import Final
 
 import attrs
 
-from ..contracts.call_queue import Admit, CallQueue, QueuedCall
+from ..contracts.call_queue import Admit, CallQueue, QueuedCall, QueueFull
 from ..core.message import Address
 from ..manifest.model import RequestClass
 from .routing_messages import RouteCall
@@ -120,6 +120,7 @@
 
     def __init__(self, queue_factory: QueueFactory) -> None:
         self._queue_factory = queue_factory
+        self._weight_by_team: Mapping[str, float] = {}
         self._line_by_name: dict[str, Line] = {}
         self._call_by_id: dict[str, RoutedCall] = {}
         # May hold calls that wait no more; they are skipped.
@@ -145,7 +146,9 @@
         """Return the queue of a target."""
         name = target.queue_name
         if name not in self._line_by_name:
-            self._line_by_name[name] = Line(self._queue_factory())
+            queue = self._queue_factory()
+            queue.set_weights(self._weight_by_team)
+            self._line_by_name[name] = Line(queue)
         return self._line_by_name[name]
 
     def targets(self) -> set[Target]:
@@ -165,17 +168,27 @@
             if name in valid_names or line.waiting or line.running
         }
 
-    def add(self, call: RoutedCall, now: float) -> None:
-        """Add a call."""
+    def set_weights(self, weight_by_team: Mapping[str, float]) -> None:
+        """Share by these weights from now on."""
+        self._weight_by_team = weight_by_team
+        for line in self._line_by_name.values():
+            line.queue.set_weights(weight_by_team)
+
+    def add(self, call: RoutedCall, now: float) -> RoutedCall | None:
+        """Add a call; return the call that a full queue refuses for it, if any."""
         request = call.request
         entry = QueuedCall(
             request.call_id, request.team, request.request_class, call.deadline_at
         )
         line = self.line(call.target)
-        line.queue.push(entry, now)
+        outcome = line.queue.push(entry, now)
+        if isinstance(outcome, QueueFull):
+            return call
         line.add(group_of(call), 1)
         self._call_by_id[request.call_id] = call
         heapq.heappush(self._deadlines, Deadline(call.deadline_at, request.call_id))
+        displaced = outcome.displaced
+        return None if displaced is None else self._forget(displaced.call_id)
 
     def pop(self, name: str, now: float, admit: Admit) -> RoutedCall | None:
         """Remove and return the next call of a queue that ``admit`` accepts."""
@@ -198,7 +211,7 @@
         return [
             self._forget(entry.call_id)
             for name in self.busy_names()
-            for entry in self._line_by_name[name].queue.expire(now, 0.0)
+            for entry in self._line_by_name[name].queue.expire(now, lambda _: 0.0)
         ]
 
     def next_deadline(self) -> float | None:
--- a/tests/builders_routing.py
+++ b/tests/builders_routing.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from siskinspool.contracts.call_queue import DeadlineQueue
+from siskinspool.contracts.fair_queue import FairQueue
 from siskinspool.core.message import Message, Outgoing
 from siskinspool.machines.candidate import Candidate, CandidateChooser
 from siskinspool.machines.messages import (
@@ -169,7 +169,7 @@
         configured: bool = True,
     ) -> None:
         rng = random.Random(seed)
-        self.routing = Routing("i1", "a", DeadlineQueue, rng, chooser)
+        self.routing = Routing("i1", "a", lambda: FairQueue(10_000), rng, chooser)
         self.now = 100.0
         self.sent: list[Outgoing] = []
         # Called with each message at the time at which it is sent.
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -4,12 +4,8 @@
 
 import pytest
 
-from siskinspool.contracts.fair_queue import (
-    FairQueue,
-    Queued,
-    QueueEntry,
-    QueueFull,
-)
+from siskinspool.contracts.call_queue import Queued, QueuedCall, QueueFull
+from siskinspool.contracts.fair_queue import FairQueue
 from siskinspool.manifest.model import RequestClass
 
 URGENT, PATIENT = RequestClass.URGENT, RequestClass.PATIENT
@@ -20,8 +16,8 @@
     team: str = "a",
     request_class: RequestClass = URGENT,
     deadline: float = 1e9,
-) -> QueueEntry:
-    return QueueEntry(entry_id, team, request_class, deadline)
+) -> QueuedCall:
+    return QueuedCall(entry_id, team, request_class, deadline)
 
 
 def _waits(flood_per_step: int, weight_by_team: dict[str, float]) -> list[int]:
@@ -37,7 +33,7 @@
             pushed_at[f"b{step}"] = step
         popped = queue.pop(step)
         if popped is not None and popped.team == "b":
-            waits.append(step - pushed_at[popped.id])
+            waits.append(step - pushed_at[popped.call_id])
     return waits
 
 
@@ -86,12 +82,12 @@
     queue = FairQueue(10)
     for name, deadline in (("late", 30.0), ("soon", 10.0), ("mid", 20.0)):
         queue.push(entry(name, deadline=deadline), 0)
-    first = queue.pop(0, admit=lambda waiting: waiting.id != "soon")
+    first = queue.pop(0, admit=lambda waiting: waiting.call_id != "soon")
     assert first is not None
-    assert first.id == "mid"
+    assert first.call_id == "mid"
     second = queue.pop(0)
     assert second is not None
-    assert second.id == "soon"
+    assert second.call_id == "soon"
 
 
 def test_hopeless_entries_are_handed_out_for_refusal() -> None:
@@ -99,7 +95,7 @@
     queue = FairQueue(10)
     queue.push(entry("short", deadline=5.0), 0)
     queue.push(entry("long", deadline=50.0), 0)
-    assert [x.id for x in queue.expire(1.0, lambda waiting: 4.5)] == ["short"]
+    assert [x.call_id for x in queue.expire(1.0, lambda waiting: 4.5)] == ["short"]
     assert queue.cancel("long") == entry("long", deadline=50.0)
     assert queue.cancel("long") is None
     assert len(queue) == 0
