Let the mint follow the session messages of the key-value task

The mint waited for a message of its own about the session, which nothing sends, so it never minted and every request was refused. It now takes SessionRenewed and SessionGone as ownership does. The first owner ever of a partition mints at once, since no predecessor can have left shares; before, a new site refused all teams for 11 s.

--- a/src/siskinspool/contracts/call_queue.py
+++ b/src/siskinspool/contracts/call_queue.py
@@ -1,7 +1,7 @@
 """Queue of calls that wait for a server.
 
-`CallQueue` is the interface that routing needs; `siskinspool.contracts.fair_queue` shares
-the servers between teams behind it.
+`CallQueue` is the interface that routing needs. The module
+`siskinspool.contracts.fair_queue` shares the servers between teams behind it.
 """
 
 from __future__ import annotations
--- a/src/siskinspool/contracts/mint.py
+++ b/src/siskinspool/contracts/mint.py
@@ -28,8 +28,9 @@
     OwnershipGained,
     OwnershipLost,
     ReleaseOwnership,
-    SessionConfirmed,
 )
+from ..machines.session import SESSION_MARGIN_S
+from ..platform.kv_events import SessionGone, SessionRenewed
 from .limits_partition import PREFIX, limits_partition
 from .mint_ledger import Holder, Lease, TeamLedger
 from .outage_inquiry import OutageInquiry
@@ -45,6 +46,8 @@
     ShareReport,
 )
 
+# Epoch of the first owner that a partition ever has.
+FIRST_EPOCH: Final = 1
 TICK_S: Final = 0.25
 # A shortage that lasts would otherwise call in the same levels with every report.
 RECALL_INTERVAL_S: Final = 0.1
@@ -61,7 +64,7 @@
     epoch: int
     gained_at: float
     # The session under which the partition was gained; None: not known yet.
-    session_id: str | None
+    session_id: int | None
     lost: bool = False
     minted: bool = False
     ledger_by_team: dict[str, TeamLedger] = attrs.field(factory=dict)
@@ -76,7 +79,8 @@
         self._partition_by_name: dict[str, _Partition] = {}
         self._contract_by_team: dict[str, tuple[int, int]] = {}
         self._members: frozenset[str] = frozenset()
-        self._session_id: str | None = None
+        # Lease of the own session.
+        self._session_id: int | None = None
         self._valid_until = float("-inf")
         self._outage = False
         # When this or another instance was last in outage mode.
@@ -90,8 +94,10 @@
                 return self._take_report(incoming.sender, report, now)
             case OutageAnswer() as answer:
                 self._take_answer(incoming.sender.instance_id, answer, now)
-            case SessionConfirmed() as confirmed:
-                self._confirm_session(confirmed)
+            case SessionRenewed() as renewed:
+                self._renew_session(renewed)
+            case SessionGone():
+                self._valid_until = float("-inf")
             case OwnershipGained(partition, epoch):
                 self._gain(partition, epoch, now)
             case OwnershipLost(partition):
@@ -136,17 +142,18 @@
         # `valid_until`; a grant made later than this could outlive that hour.
         return self._outage and now < self._valid_until + OUTAGE_HOLD_S - EXPIRED_S
 
-    def _confirm_session(self, confirmed: SessionConfirmed) -> None:
-        if confirmed.session_id == self._session_id:
-            self._valid_until = max(self._valid_until, confirmed.valid_until)
+    def _renew_session(self, renewed: SessionRenewed) -> None:
+        valid_until = renewed.sent_at + renewed.ttl_s - SESSION_MARGIN_S
+        if renewed.lease_id == self._session_id:
+            self._valid_until = max(self._valid_until, valid_until)
             return
-        self._session_id = confirmed.session_id
-        self._valid_until = confirmed.valid_until
+        self._session_id = renewed.lease_id
+        self._valid_until = valid_until
         # A new session: whatever was gained under the old one may have a successor.
         for name, partition in list(self._partition_by_name.items()):
             if partition.session_id is None:
-                partition.session_id = confirmed.session_id
-            elif partition.session_id != confirmed.session_id:
+                partition.session_id = renewed.lease_id
+            elif partition.session_id != renewed.lease_id:
                 del self._partition_by_name[name]
 
     def _gain(self, name: str, epoch: int, now: float) -> None:
@@ -157,6 +164,8 @@
             known.lost = known.lost and known.epoch > epoch
             return
         partition = _Partition(epoch, now, self._session_id)
+        # The first owner ever has no predecessor whose shares could still be out.
+        partition.minted = epoch == FIRST_EPOCH
         self._partition_by_name[name] = partition
         self._open_ledgers(name, partition, now)
         self._next_tick_at = now
--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -249,17 +249,3 @@
     server_id: str
     replica_id: str
     result: OrderResult
-
-
-@attrs.frozen
-class SessionConfirmed(Message):
-    """The key-value service confirmed this instance's session; local only.
-
-    Sent to the task ``mint`` after every renewal. A mint acts only while a session is
-    valid, also when it wakes from a pause before `OwnershipLost` reaches it.
-    """
-
-    # Changes when the session is created anew.
-    session_id: str
-    # Own monotonic time: send time of the renewal + TTL - 1 s.
-    valid_until: float
--- a/tests/builders_shares.py
+++ b/tests/builders_shares.py
@@ -33,8 +33,8 @@
     OwnershipGained,
     OwnershipLost,
     ReleaseOwnership,
-    SessionConfirmed,
 )
+from siskinspool.platform.kv_events import SessionRenewed
 
 from .builders import catalog, member, team
 
@@ -77,7 +77,7 @@
     origin: float
     limits: TeamLimits
     mint: Mint
-    session_id: str = ""
+    session_id: int = 0
     renewed_at: float = float("-inf")
     frozen: bool = False
     # Cut off from peers and from the key-value service.
@@ -110,7 +110,7 @@
         self.service_up = True
         self.service_down_at = 0.0
         self.owner: str | None = None
-        self.owner_session = ""
+        self.owner_session = 0
         self.epoch = 0
         self.charges: list[Charge] = []
         self.charge_by_spend: dict[tuple[str, int, int], Charge] = {}
@@ -338,18 +338,21 @@
             for task in ("limits", "mint"):
                 self._local(node, task, CurrencyChanged(True, outage))
 
-    def _has_session(self, node: Node, session_id: str) -> bool:
+    def _has_session(self, node: Node, session_id: int) -> bool:
         lapsed = self.now >= node.renewed_at + SESSION_TTL_S
         return node.session_id == session_id and not lapsed
 
     def _renew(self, node: Node) -> None:
         if not self._has_session(node, node.session_id):
-            node.session_id = f"{node.incarnation}-{next(self._numbers)}"
+            node.session_id = next(self._numbers)
             if self.epoch and node.renewed_at > float("-inf"):
                 self._local(node, "mint", OwnershipLost(PARTITION))
         node.renewed_at = self.now
-        until = self.now + node.origin + SESSION_TTL_S - 1.0
-        self._local(node, "mint", SessionConfirmed(node.session_id, until))
+        sent_at = self.now + node.origin
+        renewed = SessionRenewed(
+            node.incarnation, node.session_id, sent_at, SESSION_TTL_S
+        )
+        self._local(node, "mint", renewed)
 
     def _elect(self, exclude: str | None) -> None:
         ready = [
