Share what exists during a takeover, and round in favour of the asker

Targets were taken from the whole contract while a successor owns only a part, so the first instance took all of it. A recalled level was one millitoken short after rounding, and the request was refused. The demand estimate kept 13% of an old demand after a second.

Targets now divide what exists, a shortage asks for one token more, the time constant is 0.3 s, and an idle peer lends all of its level instead of half.

--- a/src/siskinspool/contracts/mint_ledger.py
+++ b/src/siskinspool/contracts/mint_ledger.py
@@ -168,13 +168,16 @@
             return 0, 0
         count = len(self.lease_by_holder)
         demand = self._demand
-        even = self.rate * EVEN_RATE / count
+        # Until the remainder is minted there is less to share than the contract.
+        usable_rate = min(self.rate, self.free_rate + self._rate_out)
+        usable_cap = min(self.cap, self.free_cap + self._cap_out)
+        even = usable_rate * EVEN_RATE / count
         total = demand * DEMAND_HEADROOM + even * count
         wanted = lease.demand * DEMAND_HEADROOM + even
-        rate = wanted * min(1.0, self.rate / total) if total else 0.0
-        cap = self.cap * EVEN_CAP / count
+        rate = wanted * min(1.0, usable_rate / total) if total else 0.0
+        cap = usable_cap * EVEN_CAP / count
         if demand:
-            cap += self.cap * DEMAND_CAP * lease.demand / demand
+            cap += usable_cap * DEMAND_CAP * lease.demand / demand
         return int(rate), int(cap)
 
     def give_by_target(self, lease: Lease) -> None:
--- a/src/siskinspool/contracts/peer_shares.py
+++ b/src/siskinspool/contracts/peer_shares.py
@@ -12,7 +12,7 @@
 
 from ..core.message import Address, Outgoing
 from .share_messages import OUTAGE_HOLD_S, PeerAsk, PeerGift
-from .team_state import MINT_SILENT_S, TeamState
+from .team_state import IDLE_AFTER_S, MINT_SILENT_S, TeamState
 
 PEER_ASK_INTERVAL_S: Final = 0.05
 
@@ -60,7 +60,8 @@
         if not share.held or ask.epoch not in (0, share.share_id[0]):
             return []
         hold_s = min(share.hold_until - now, OUTAGE_HOLD_S)
-        piece = share.lend(ask.wanted, now) if hold_s > 0 else None
+        idle = now > state.used_at + IDLE_AFTER_S
+        piece = share.lend(ask.wanted, idle) if hold_s > 0 else None
         if piece is None:
             return []
         state.answered_ask_by_peer[peer] = ask.ask_no
--- a/src/siskinspool/contracts/team_share.py
+++ b/src/siskinspool/contracts/team_share.py
@@ -223,9 +223,9 @@
         self.returned = self.returned.plus(piece)
         return True
 
-    def lend(self, wanted: int, now: float) -> Piece | None:
+    def lend(self, wanted: int, idle: bool) -> Piece | None:
         """Give part of the share to a peer; None if nothing can be spared."""
-        amount = min(wanted, int(self.level / 2))
+        amount = min(wanted, int(self.level if idle else self.level / 2))
         if not self.held or amount <= 0:
             return None
         piece = Piece(self.rate // 4, amount, amount)
--- a/src/siskinspool/contracts/team_state.py
+++ b/src/siskinspool/contracts/team_state.py
@@ -17,8 +17,10 @@
 IDLE_REPORT_INTERVAL_S: Final = 2.0
 # Without a request for this long a team counts as idle.
 IDLE_AFTER_S: Final = 2.0
-# Time constant of the demand estimate.
-DEMAND_TIME_S: Final = 0.5
+# Time constant of the demand estimate: one second leaves 4% of an old demand.
+DEMAND_TIME_S: Final = 0.3
+# Millitokens; one for each of the instances that a recall collects from.
+ROUNDING: Final = 1000
 # A mint that has not answered for this long is silent.
 MINT_SILENT_S: Final = 1.0
 
@@ -62,7 +64,10 @@
         if not self.waiting:
             return 0
         total = sum(waiting.amount for waiting in self.waiting)
-        return max(0, total + math.ceil(self.share.debt - self.share.level))
+        lacking = total + math.ceil(self.share.debt - self.share.level)
+        # Levels are rounded down when they move; without this a request could miss
+        # its tokens by one millitoken.
+        return lacking + ROUNDING if lacking > 0 else 0
 
     def note_sent(self, number: int, now: float) -> None:
         """Remember when a report was sent, for as long as its answer is of use."""
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -65,6 +65,19 @@
     assert sum(x is not None and x.team == "a" for x in popped) in (59, 60, 61)
 
 
+def test_idle_team_does_not_save_up_capacity() -> None:
+    """Guards against a team that comes back and blocks the one that kept working."""
+    queue = FairQueue(1_000)
+    for index in range(200):
+        queue.push(entry(f"a{index}"), 0)
+    for _ in range(100):
+        queue.pop(0)
+    for index in range(100):
+        queue.push(entry(f"b{index}", "b"), 0)
+    popped = [queue.pop(0) for _ in range(20)]
+    assert sum(x is not None and x.team == "a" for x in popped) in (9, 10, 11)
+
+
 def test_patient_entries_are_not_starved() -> None:
     """Guards against urgent traffic that keeps patient entries waiting for ever."""
     queue = FairQueue(1_000)
--- a/tests/test_shares_demand.py
+++ b/tests/test_shares_demand.py
@@ -58,6 +58,29 @@
     assert net.is_conserved()
 
 
+def test_shares_follow_unequal_demand() -> None:
+    """Guards against shares that ignore how much each instance needs."""
+    net, fixed = _network()
+    sent = 0
+    for heavy, light in (("i2", "i5"), ("i5", "i2")):
+        for step in range(200):
+            if step == 10:
+                rate_by_id = {
+                    name: net.node_by_id[name].limits._state_by_team[TEAM].share.rate
+                    for name in (heavy, light)
+                }
+                assert rate_by_id[heavy] > 2 * rate_by_id[light], "after 1 s"
+            for instance, tokens in ((heavy, 21), (light, 4)):
+                net.spend(instance, tokens)
+                fixed.spend(instance, tokens, net.now)
+                sent += 1
+            net.run(0.1)
+    print(f"unequal demand: {len(net.refusals)} and {fixed.refused} of {sent} refused")
+    assert len(net.refusals) <= 0.01 * sent
+    assert fixed.refused >= 0.2 * sent
+    assert net.is_conserved()
+
+
 def test_burst_at_one_instance_gets_the_reserve_in_one_round_trip() -> None:
     """Guards against a burst inside the contract that is refused (M4)."""
     net, fixed = _network()
--- a/tests/test_shares_safety.py
+++ b/tests/test_shares_safety.py
@@ -126,6 +126,13 @@
         net.run(0.1)
 
 
+def _overload(net: Network, instances: list[str], seconds: float) -> None:
+    for _ in range(int(seconds / 0.1)):
+        for instance in instances:
+            net.spend(instance, 20)
+        net.run(0.1)
+
+
 def test_frozen_instance_wakes_with_an_old_share_after_a_takeover() -> None:
     """Guards against a share that is spent after the successor minted it again."""
     net = Network(3, rate=100.0, burst=200.0, seed=3)
@@ -213,6 +220,7 @@
             net.spend(instance, 3)
         net.run(0.1)
     assert len(net.refusals) == refused
+    _overload(net, [*busy], 20.0)
     assert net.is_conserved()
 
 
@@ -268,6 +276,8 @@
     net.spend(third, 30)
     net.run(0.3)
     assert net.granted_tokens == before + 30, "a peer gives part of its share"
+    _overload(net, [third], 30.0)
+    assert net.is_conserved(), "a gift is subtracted at the giver"
     net.run(600.0)
     net.set_service(True)
     _loaded(net, [first, second])
@@ -288,6 +298,35 @@
     assert net.is_conserved()
 
 
+@pytest.mark.parametrize("mint_dies", [True, False])
+def test_share_held_through_an_outage_by_a_frozen_instance(mint_dies: bool) -> None:
+    """Guards against a share of outage mode that is minted again after 11 s."""
+    net = Network(4, rate=100.0, burst=200.0, seed=12)
+    owner = net.owner or ""
+    frozen, other, _ = sorted(set(net.node_by_id) - {owner})
+    _loaded(net, [frozen])
+    net.set_service(False)
+    # Long enough for outage mode, too short for the owner's session to end.
+    net.run(4.5)
+    net.freeze(frozen)
+    for _ in range(40):
+        # First in the inbox when the instance wakes.
+        net.spend(frozen, 5)
+    if mint_dies:
+        net.crash(owner)
+    net.set_service(True)
+    net.run(60.0)
+    for _ in range(20):
+        net.spend(other, 10)
+    net.run(0.3)
+    net.node_by_id[frozen].cut = True
+    before = net.granted_tokens
+    net.wake(frozen)
+    net.run(0.2)
+    assert net.granted_tokens > before, "the share is still in force there"
+    assert net.is_conserved()
+
+
 def test_mint_without_session_renews_shares_in_an_outage() -> None:
     """Guards against shares that run out because the session cannot be renewed."""
     net = Network(3, rate=100.0, burst=200.0, seed=10)
