Compute ramp demand only when slots are due

Cause: each message summed the use of every ramping server, so a report cost more the more servers ramped.

--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -342,8 +342,9 @@
             out += self._decide(now)
         else:
             out += self.planner.expire(now)
-        out += self._ramps.slots(now)
-        self._dirty.update(self.ramp.awaiting_end())
+        if self.ramp.is_due(now):
+            out += self._ramps.slots(now)
+            self._dirty.update(self.ramp.awaiting_end())
         kv = Address(self._instance_id, "kv")
         out += [Outgoing(kv, request) for request in self.store.requests]
         self.store.requests.clear()
--- a/src/siskinspool/machines/ramp.py
+++ b/src/siskinspool/machines/ramp.py
@@ -156,11 +156,15 @@
         if ramp is not None:
             ramp.doubles_at = now + DOUBLING_S
 
+    def is_due(self, now: float) -> bool:
+        """Return whether slots are due."""
+        return bool(self._ramp_by_server) and now >= self._next_grant_at
+
     def grant(
         self, running_by_server: dict[str, dict[str, int]], now: float
     ) -> list[SlotGrant]:
         """Advance the ramps and return the slots that are due."""
-        if now < self._next_grant_at:
+        if not self.is_due(now):
             return []
         self._next_grant_at = now + GRANT_PERIOD_S
         grants: list[SlotGrant] = []
