--- a/src/siskinspool/machines/load_planner.py
+++ b/src/siskinspool/machines/load_planner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 
 import attrs
@@ -35,6 +36,17 @@
 ROOM_TIMEOUT_S: Final = 10.0
 
 
+@attrs.frozen
+class _Offer:
+    """A request with what is the same for all servers."""
+
+    request: LoadRequest
+    memory_mib: int
+    admits_remote: bool
+    replicas_by_zone: Counter[str]
+    kept_mib_by_server: Counter[str]
+
+
 class LoadPlanner:
     """Turns queued loads into writes of server records; private state."""
 
@@ -179,10 +191,18 @@
             return self._use_room(request, memory_mib, now)
         if not self._adapter_may_start(request):
             return False
+        # The same for all servers, so taken once.
+        offer = _Offer(
+            request,
+            memory_mib,
+            self.limits.admits_store_load(self.flights.all(), now),
+            self._replicas_by_zone(request.target),
+            self._kept_by_server(request),
+        )
         candidates = [
             candidate
             for server_id in self._servers_for(request, now)
-            if (candidate := self._candidate(server_id, request, memory_mib, now))
+            if (candidate := self._candidate(server_id, offer, now))
         ]
         chosen = self._chooser.choose(candidates)
         if chosen is None:
@@ -229,8 +249,9 @@
         return self.limits.admits_adapter(self.flights.all())
 
     def _candidate(
-        self, server_id: str, request: LoadRequest, memory_mib: int, now: float
+        self, server_id: str, offer: _Offer, now: float
     ) -> ServerCandidate | None:
+        request, memory_mib = offer.request, offer.memory_mib
         record = self._store.record(server_id)
         server = self._fleet.server(server_id)
         report = self._fleet.evidence(server_id).report
@@ -241,11 +262,10 @@
         if record.find(request.target) is not None:
             return None
         tier = self._tier(server_id, request)
-        if not self._tier_is_admitted(tier, request, now):
+        if not (offer.admits_remote or self._is_local(tier, request)):
             return None
-        free_mib = self._fleet.free_mib(server_id, record) - self._kept_mib(
-            server_id, request
-        )
+        free_mib = self._fleet.free_mib(server_id, record)
+        free_mib -= offer.kept_mib_by_server.get(server_id, 0)
         victims: tuple[EvictionGroup, ...] | None = ()
         if free_mib < memory_mib:
             keep = Target(request.target.model) if request.target.adapter else None
@@ -263,7 +283,7 @@
             server.memory_mib,
             victims,
             (report.running + report.queued) / max(server.capacity, 1),
-            self._replicas_in_zone(request.target, server.zone),
+            offer.replicas_by_zone[server.zone],
             self._ramp.is_ramping(server_id),
         )
 
@@ -275,25 +295,30 @@
     def _tier_is_admitted(
         self, tier: CheckpointTier, request: LoadRequest, now: float
     ) -> bool:
-        if request.target.adapter or tier is not CheckpointTier.REMOTE:
+        if self._is_local(tier, request):
             return True
         return self.limits.admits_store_load(self.flights.all(), now)
 
+    @staticmethod
+    def _is_local(tier: CheckpointTier, request: LoadRequest) -> bool:
+        """Return whether a load does without the weight store's places."""
+        return bool(request.target.adapter) or tier is not CheckpointTier.REMOTE
+
     def _estimate_s(self, target: Target, tier: CheckpointTier) -> float:
         nominal_s = self._fleet.nominal_load_s(target)
         return self.estimates.estimate_s(nominal_s, tier, bool(target.adapter))
 
-    def _replicas_in_zone(self, target: Target, zone: str) -> int:
+    def _replicas_by_zone(self, target: Target) -> Counter[str]:
         servers = (self._fleet.server(s) for s in self._fleet.servers_of(target))
-        return sum(server is not None and server.zone == zone for server in servers)
-
-    def _kept_mib(self, server_id: str, request: LoadRequest) -> int:
-        """Return memory that is being made free for other requests."""
-        return sum(
-            self._fleet.memory_mib(other.target) or 0
-            for other in self.queue.in_order()
-            if other is not request and other.room_on == server_id
-        )
+        return Counter(server.zone for server in servers if server is not None)
+
+    def _kept_by_server(self, request: LoadRequest) -> Counter[str]:
+        """Return memory in MiB that is being made free for other requests."""
+        kept: Counter[str] = Counter()
+        for other in self.queue.in_order():
+            if other is not request and other.room_on:
+                kept[other.room_on] += self._fleet.memory_mib(other.target) or 0
+        return kept
 
     def _make_room(
         self,
@@ -322,7 +347,7 @@
         if self._store.is_busy(server_id):
             return False
         free_mib = self._fleet.free_mib(server_id, record)
-        if free_mib >= memory_mib + self._kept_mib(server_id, request):
+        if free_mib >= memory_mib + self._kept_by_server(request).get(server_id, 0):
             tier = self._tier(server_id, request)
             if not self._tier_is_admitted(tier, request, now):
                 return False
