--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -15,6 +15,7 @@
     Claimant,
     ClaimCall,
     ClaimGranted,
+    ClaimRecorded,
     ClaimReplayed,
     ClaimUnavailable,
     FinishClaim,
@@ -233,6 +234,8 @@
     def __init__(self, instances: tuple[str, ...] = ("a", "b", "c")) -> None:
         self.sim = Simulation()
         self.arrivals: list[Arrival] = []
+        # Tokens whose handler was told that the answer is kept.
+        self.recorded: set[str] = set()
         self.incarnation_by_id: dict[str, int] = {}
         for instance in instances:
             self.start(instance)
@@ -318,6 +321,8 @@
         for recipient, message in self.sim.received:
             name = recipient.task.removeprefix("reply:")
             if name.startswith("done-"):
+                assert message == ClaimRecorded(name.removeprefix("done-"))
+                self.recorded.add(message.token)
                 continue
             arrival = next(item for item in self.arrivals if item.token == name)
             assert arrival.reply is None, f"two answers to {arrival}: {message}"
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -137,6 +137,7 @@
     settled(cluster, first)
     cluster.finish(first, 600_000)
     reply = settled(cluster, cluster.ask("c"), 2.0)
+    assert cluster.recorded == {first.token}
     assert isinstance(reply, ClaimReplayed) and reply.body == first.answer
     sizes = [len(item.value) for item in cluster.sim.kv.item_by_key.values()]
     assert max(sizes) <= 512 * 1024
