Decide ownership of partitions without overlap

Each partition needs one owner at any time. Ownership changes a partition's record by compare-and-swap only, acts only under a session that is valid by send time, reads the former owner's session before a takeover and claims anew under a new session. The watch alone does not suffice: an answer can show a record before the watch shows its owner's session.

--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
 import attrs
@@ -89,6 +90,10 @@
     current: bool
     # A majority of members cannot reach the key-value service.
     outage: bool
+    # Monotonic seconds until which `current` holds without another message. Compare
+    # it with the time at every use: after a pause of the process, requests may be
+    # handled before the message that says that the instance is not current any more.
+    current_until: float = math.inf
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/siskinspool/machines/ownership.py
@@ -0,0 +1,396 @@
+"""Ownership of partitions: at most one valid owner at any time.
+
+The owner of a partition is written in the record ``owner/<partition>``, which changes
+only by compare-and-swap. Two rules keep owners from overlapping:
+
+- An owner acts only while its session is valid by its own clock, counted from the send
+  time of the last renewal. The service lets the session expire later than that.
+- A record that names another instance is taken over only after the session of its
+  owner (instance and incarnation) was *read* as gone, after the record was seen. The
+  watch alone is not enough: an answer may show a new record before the watch shows the
+  new owner's session.
+
+An instance whose session ended claims its partitions anew, also if the records still
+name it. A claim whose answer arrives under another session than it was sent under does
+not count, because in between the record may have been taken over.
+
+The rendezvous-hash winner among the members claims a free partition at once, the next
+ones after a delay each, so that an unresponsive winner does not keep it free. An owner
+that is not the winner hands over, one partition at a time.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..platform.keys import OWNER_PREFIX, owner_key, session_key
+from ..platform.kv import (
+    KvChanged,
+    KvConflict,
+    KvGet,
+    KvLost,
+    KvReply,
+    KvSwap,
+    KvSwapped,
+    KvValue,
+)
+from ..platform.kv_events import SessionGone, SessionRenewed
+from ..platform.session_keeper import decode_session
+from .messages import (
+    MembershipChanged,
+    OwnersChanged,
+    OwnershipGained,
+    OwnershipLost,
+    ReleaseOwnership,
+)
+from .ownership_records import (
+    NO_RECORD,
+    OwnerRecord,
+    decode_record,
+    encode_record,
+)
+from .ownership_state import Candidates, Partition, Request, Step
+from .session import Session
+
+OWNERSHIP_TASK: Final = "ownership"
+RETRY_INTERVAL_S: Final = 1.0
+# The task ``kv`` answers each request; this covers a refused message.
+ANSWER_TIMEOUT_S: Final = 10.0
+# Members have to be the same for this long before a partition is handed over.
+HANDOVER_SETTLE_S: Final = 3.0
+HANDOVER_INTERVAL_S: Final = 0.5
+# Keeps a winner that does not claim from getting the same partition again and again.
+HANDOVER_REPEAT_S: Final = 60.0
+
+
+class Ownership(Decision):
+    """Claims, keeps and hands over partitions."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: str,
+        partition_names: tuple[str, ...],
+        watchers: tuple[str, ...],
+    ) -> None:
+        """Take the partitions and the tasks that get the output."""
+        self._id = instance_id
+        self._incarnation = incarnation
+        self._watchers = watchers
+        self._partition_by_name = {name: Partition(name) for name in partition_names}
+        self._session = Session()
+        self._candidates = Candidates(self._id)
+        self._members_changed_at = 0.0
+        self._next_handover_at = 0.0
+        self._releasing = False
+        self._requests = 0
+        self._told_owners: dict[str, str] = {}
+        self._wake_at: float | None = None
+
+    def owns(self, partition: str, now: float) -> bool:
+        """Return whether this instance may act as the partition's owner now."""
+        lease_id = self._session.valid_lease(now)
+        owned_under = self._partition_by_name[partition].owned_under
+        return lease_id is not None and owned_under == lease_id
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Follow the session, the members, the records and answers."""
+        batch = self._lose_invalid(now)
+        match incoming.message:
+            case SessionRenewed() as renewed:
+                self._session.renew(renewed)
+                batch += self._lose_invalid(now)
+            case SessionGone():
+                self._session.end()
+                batch += self._lose_invalid(now)
+            case MembershipChanged(member_by_id):
+                self._candidates.update(member_by_id)
+                self._members_changed_at = now
+            case ReleaseOwnership():
+                self._releasing = True
+            case KvChanged(key, value, revision) if key.startswith(OWNER_PREFIX):
+                partition = self._partition_by_name.get(key[len(OWNER_PREFIX) :])
+                if partition is not None:
+                    batch += self._take_change(partition, value, revision)
+            case KvReply() as reply:
+                batch += self._take_reply(reply, now)
+            case _:
+                return batch
+        return batch + self._act(now)
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Give up what is no longer valid, and claim or hand over what is due."""
+        return self._lose_invalid(now) + self._act(now)
+
+    def wake_at(self) -> float | None:
+        """Return the end of the session's validity or the next action's time."""
+        return self._wake_at
+
+    # Records
+
+    def _take_change(
+        self, partition: Partition, value: bytes | None, revision: int
+    ) -> list[Outgoing]:
+        if value is None and revision >= partition.revision:
+            return self._set_record(partition, NO_RECORD, 0)
+        if revision > partition.revision:
+            return self._set_record(partition, decode_record(value), revision)
+        return []
+
+    def _set_record(
+        self, partition: Partition, record: OwnerRecord, revision: int
+    ) -> list[Outgoing]:
+        if (record.instance, record.incarnation) != (
+            partition.record.instance,
+            partition.record.incarnation,
+        ):
+            partition.free_since = None
+        partition.record = record
+        partition.revision = revision
+        partition.epoch = max(partition.epoch, record.epoch)
+        # Whoever else wrote the record, this instance's claim is over.
+        return self._lose(partition)
+
+    def _lose_invalid(self, now: float) -> list[Outgoing]:
+        lease_id = self._session.valid_lease(now)
+        batch = []
+        for partition in self._partition_by_name.values():
+            if partition.owned_under is not None and partition.owned_under != lease_id:
+                batch += self._lose(partition)
+        return batch
+
+    def _lose(self, partition: Partition) -> list[Outgoing]:
+        if partition.owned_under is None:
+            return []
+        partition.owned_under = None
+        return self._tell(OwnershipLost(partition.name))
+
+    # Answers
+
+    def _take_reply(self, reply: KvReply, now: float) -> list[Outgoing]:
+        name = reply.request_id.rpartition("#")[0]
+        partition = self._partition_by_name.get(name)
+        if partition is None or partition.request is None:
+            return []
+        request = partition.request
+        if request.request_id != reply.request_id:
+            return []
+        partition.request = None
+        match reply:
+            case KvSwapped(revision=revision):
+                return self._written(partition, request, revision, now)
+            case KvConflict(value=value, revision=revision):
+                return self._refresh(partition, value, revision)
+            case KvValue() if request.step is Step.CHECK_SESSION:
+                return self._session_read(partition, request, reply, now)
+            case KvValue(value=value, revision=revision):
+                if value == encode_record(request.written):
+                    return self._written(partition, request, revision, now)
+                return self._refresh(partition, value, revision)
+            case KvLost() if request.step in (Step.CLAIM, Step.RELEASE):
+                return [self._read_back(partition, request, now)]
+            case _:
+                if request.step is Step.READ_BACK:
+                    # What was written is still unknown.
+                    partition.request = request
+                partition.retry_at = now + RETRY_INTERVAL_S
+                return []
+
+    def _refresh(
+        self, partition: Partition, value: bytes | None, revision: int
+    ) -> list[Outgoing]:
+        if revision == 0:
+            return self._set_record(partition, NO_RECORD, 0)
+        return self._take_change(partition, value, revision)
+
+    def _written(
+        self, partition: Partition, request: Request, revision: int, now: float
+    ) -> list[Outgoing]:
+        if revision < partition.revision:
+            # The watch has already shown a later record.
+            return []
+        batch = self._set_record(partition, request.written, revision)
+        lease_id = self._session.valid_lease(now)
+        claimed = request.written.instance == self._id
+        if not claimed or lease_id is None or lease_id != request.lease_id:
+            return batch
+        partition.owned_under = lease_id
+        return batch + self._tell(
+            OwnershipGained(partition.name, request.written.epoch)
+        )
+
+    def _session_read(
+        self, partition: Partition, request: Request, reply: KvValue, now: float
+    ) -> list[Outgoing]:
+        if partition.revision != request.revision:
+            # The answer says nothing about whoever wrote the record since.
+            return []
+        owner = partition.record
+        if reply.value is not None:
+            holder = decode_session(owner.instance, reply.value)
+            if holder is None or holder.incarnation == owner.incarnation:
+                partition.retry_at = now + RETRY_INTERVAL_S
+                return []
+        return self._claim(partition, now)
+
+    # Requests
+
+    def _act(self, now: float) -> list[Outgoing]:
+        batch: list[Outgoing] = []
+        lease_id = self._session.valid_lease(now)
+        times = []
+        if lease_id is not None:
+            times.append(self._session.valid_until())
+        settled_at = self._members_changed_at + HANDOVER_SETTLE_S
+        for partition in self._partition_by_name.values():
+            if partition.request is not None:
+                batch += self._repeat(partition, partition.request, now)
+            elif self._releasing:
+                batch += self._release(partition, now)
+            elif partition.owned_under is not None:
+                batch += self._hand_over(partition, settled_at, now)
+            elif lease_id is not None and self._id in self._candidates:
+                batch += self._seek(partition, now)
+            times.append(self._due_at(partition, settled_at, now))
+        self._wake_at = min((at for at in times if at is not None), default=None)
+        return batch + self._tell_owners()
+
+    def _due_at(
+        self, partition: Partition, settled_at: float, now: float
+    ) -> float | None:
+        request = partition.request
+        if request is not None:
+            waits = request.step is Step.READ_BACK and partition.retry_at > 0
+            return partition.retry_at if waits else request.sent_at + ANSWER_TIMEOUT_S
+        if self._session.valid_lease(now) is None or self._releasing:
+            return partition.retry_at if partition.retry_at > now else None
+        if partition.owned_under is not None:
+            if not self._candidates.prefers_other(partition.name):
+                return None
+            return max(settled_at, self._next_handover_at, partition.hand_over_from)
+        if partition.free_since is None or self._id not in self._candidates:
+            return None
+        claim_at = partition.free_since + self._candidates.delay_s(partition.name)
+        return max(claim_at, partition.retry_at)
+
+    def _repeat(
+        self, partition: Partition, request: Request, now: float
+    ) -> list[Outgoing]:
+        due_at = self._due_at(partition, 0.0, now)
+        if due_at is None or now < due_at:
+            return []
+        if request.step is Step.CHECK_SESSION:
+            partition.request = None
+            return []
+        return [self._read_back(partition, request, now)]
+
+    def _seek(self, partition: Partition, now: float) -> list[Outgoing]:
+        record = partition.record
+        own = partition.names(self._id, self._incarnation)
+        if not own and self._candidates.has_session(
+            record.instance, record.incarnation
+        ):
+            partition.free_since = None
+            return []
+        if partition.free_since is None:
+            partition.free_since = now
+        if now < partition.retry_at:
+            return []
+        if own:
+            return self._claim(partition, now)
+        if now < partition.free_since + self._candidates.delay_s(partition.name):
+            return []
+        if record.is_free:
+            return self._claim(partition, now)
+        request_id = self._request_id(partition)
+        partition.request = Request(
+            request_id, Step.CHECK_SESSION, now, partition.revision
+        )
+        return [self._to_kv(KvGet(request_id, session_key(record.instance)))]
+
+    def _claim(self, partition: Partition, now: float) -> list[Outgoing]:
+        lease_id = self._session.valid_lease(now)
+        if lease_id is None or self._releasing:
+            return []
+        return [
+            self._write(
+                partition, self._id, self._incarnation, Step.CLAIM, lease_id, now
+            )
+        ]
+
+    def _release(self, partition: Partition, now: float) -> list[Outgoing]:
+        own = partition.names(self._id, self._incarnation)
+        if not own or now < partition.retry_at:
+            return []
+        # Whoever acts for the partition hears of the loss before the record changes.
+        batch = self._lose(partition)
+        return [*batch, self._write(partition, "", "", Step.RELEASE, None, now)]
+
+    def _hand_over(
+        self, partition: Partition, settled_at: float, now: float
+    ) -> list[Outgoing]:
+        due_at = self._due_at(partition, settled_at, now)
+        if due_at is None or now < due_at:
+            return []
+        self._next_handover_at = now + HANDOVER_INTERVAL_S
+        partition.hand_over_from = now + HANDOVER_REPEAT_S
+        return self._release(partition, now)
+
+    def _write(
+        self,
+        partition: Partition,
+        instance: str,
+        incarnation: str,
+        step: Step,
+        lease_id: int | None,
+        now: float,
+    ) -> Outgoing:
+        request_id = self._request_id(partition)
+        token = f"{self._id}:{self._incarnation}:{request_id}"
+        record = OwnerRecord(instance, incarnation, partition.epoch + 1, token)
+        partition.request = Request(
+            request_id, step, now, partition.revision, lease_id, record
+        )
+        key = owner_key(partition.name)
+        return self._to_kv(
+            KvSwap(request_id, key, partition.revision, encode_record(record))
+        )
+
+    def _read_back(
+        self, partition: Partition, request: Request, now: float
+    ) -> Outgoing:
+        request_id = self._request_id(partition)
+        partition.request = attrs.evolve(
+            request, request_id=request_id, step=Step.READ_BACK, sent_at=now
+        )
+        partition.retry_at = 0.0
+        return self._to_kv(KvGet(request_id, owner_key(partition.name)))
+
+    def _request_id(self, partition: Partition) -> str:
+        self._requests += 1
+        return f"{partition.name}#{self._requests}"
+
+    # Output
+
+    def _tell_owners(self) -> list[Outgoing]:
+        owners = {
+            partition.name: partition.record.instance
+            for partition in self._partition_by_name.values()
+            if not partition.record.is_free
+        }
+        if owners == self._told_owners:
+            return []
+        self._told_owners = owners
+        return self._tell(OwnersChanged(owners))
+
+    def _tell(self, message: Message) -> list[Outgoing]:
+        return [
+            Outgoing(Address(self._id, watcher), message) for watcher in self._watchers
+        ]
+
+    def _to_kv(self, message: Message) -> Outgoing:
+        return Outgoing(Address(self._id, "kv"), message)
--- /dev/null
+++ b/src/siskinspool/machines/ownership_records.py
@@ -0,0 +1,55 @@
+"""Partitions and their owner records."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+PARTITIONS_PER_KIND: Final = 16
+SHARDED_KINDS: Final = ("limits", "claims", "patient")
+
+
+def partitions(site_id: str) -> tuple[str, ...]:
+    """Return the names of all partitions of a site."""
+    sharded = (
+        f"{kind}/{number}"
+        for kind in SHARDED_KINDS
+        for number in range(PARTITIONS_PER_KIND)
+    )
+    return (f"placement/{site_id}", *sharded)
+
+
+class OwnerRecord(msgspec.Struct, frozen=True):
+    """Value of an owner key. A released partition has no instance."""
+
+    instance: str
+    incarnation: str
+    # Grows with every change of the record.
+    epoch: int
+    # Unique to one write, to recognize it after a lost answer.
+    token: str
+
+    @property
+    def is_free(self) -> bool:
+        """Whether the last owner released the partition."""
+        return not self.instance
+
+
+# Stands for a record that does not exist or cannot be read.
+NO_RECORD: Final = OwnerRecord("", "", 0, "")
+
+
+def encode_record(record: OwnerRecord) -> bytes:
+    """Return the value of an owner key."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(value: bytes | None) -> OwnerRecord:
+    """Return the record in a value; `NO_RECORD` if absent or malformed."""
+    if value is None:
+        return NO_RECORD
+    try:
+        return msgspec.json.decode(value, type=OwnerRecord)
+    except (msgspec.DecodeError, ValueError):
+        return NO_RECORD
--- a/src/siskinspool/platform/kv_task.py
+++ b/src/siskinspool/platform/kv_task.py
@@ -23,6 +23,7 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.task import Task
 from ..machines.messages import Member
+from ..machines.session import Session
 from ..telemetry.logs import log_event
 from .keys import CONFIG_HEAD
 from .kv import (
@@ -63,8 +64,6 @@
 QUEUE_CAPACITY_REQUESTS: Final = 1_000
 # A probe has to fail early enough for neighbours to hear of an outage within 4 s.
 PROBE_TIMEOUT_S: Final = 1.0
-# A session is not used for the last second of its time to live.
-SESSION_MARGIN_S: Final = 1.0
 
 
 @attrs.frozen
@@ -101,7 +100,7 @@
         self._worker_count = workers
         self._jobs: Queue[_Job | None] = Queue(queue_capacity)
         self._leases = SharedLeases(service, clock)
-        self._session: SessionRenewed | None = None
+        self._session = Session()
         self._ending: list[Address] = []
         self._probe_wanted = Event()
         self._keeper = SessionKeeper(
@@ -131,9 +130,9 @@
             case ProbeHead():
                 self._probe_wanted.set()
             case SessionRenewed() as renewed:
-                self._session = renewed
+                self._session.renew(renewed)
             case SessionGone():
-                self._session = None
+                self._session.end()
             case SessionEnded():
                 for sender in self._ending:
                     self._send(sender, SessionEnded())
@@ -145,7 +144,7 @@
     def _queue_request(self, sender: Address, request: KvRequest) -> None:
         lease_id = None
         if isinstance(request, KvSwap) and request.with_session:
-            lease_id = self._valid_lease()
+            lease_id = self._session.valid_lease(self.clock.now())
             if lease_id is None:
                 self._send(sender, KvUnavailable(request.request_id, request.key))
                 return
@@ -155,13 +154,6 @@
             log_event(logger, logging.WARNING, "kv_queue_full")
             self._send(sender, KvUnavailable(request.request_id, _subject(request)))
 
-    def _valid_lease(self) -> int | None:
-        session = self._session
-        if session is None:
-            return None
-        valid_until = session.sent_at + session.ttl_s - SESSION_MARGIN_S
-        return session.lease_id if self.clock.now() < valid_until else None
-
     def _work(self) -> None:
         for job in self._jobs:
             if job is not None:
