Make the scenario of a late claim reach the takeover

The scenario now waits for a swap of an existing record and loses the held answers. pytest tests/test_ownership_machine.py: 35 passed. On a scratch copy without the lease check in Ownership._written the scenario fails.

--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from siskinspool.platform.kv import KvGet, KvSwap
+from siskinspool.platform.kv import KvGet, KvRequest, KvSwap
 
 from .builders_ownership import PARTITIONS, World
 
@@ -196,6 +196,10 @@
     assert any(world.owners(name) not in ([], [first]) for name in PARTITIONS)
 
 
+def is_takeover(request: KvRequest) -> bool:
+    return isinstance(request, KvSwap) and request.expected_revision > 0
+
+
 def test_claim_does_not_count_under_a_later_session() -> None:
     """Guards against a claim that is confirmed after the session changed.
 
@@ -212,17 +216,19 @@
         world.request_arrives(first, 0)
     first.paused = True
     for step in range(200):
-        if any(isinstance(one, KvSwap) for one in other.requests):
+        if any(is_takeover(one) for one in other.requests):
             break
         if step % 30 == 0:
             world.renew(other)
         world.watch_shows(other, 100)
-        while other.requests and isinstance(other.requests[0], KvGet):
+        while other.requests and not is_takeover(other.requests[0]):
             world.request_arrives(other, 0)
             world.answer(other, 0, lost=False)
         world.advance(0.1)
-    assert any(isinstance(one, KvSwap) for one in other.requests)
+    assert any(is_takeover(one) for one in other.requests)
     first.paused = False
+    # The claim's answer is lost; the first instance reads its record back.
+    first.answers.clear()
     world.renew(first)
     world.renew(first)
     while first.requests and isinstance(first.requests[0], KvGet):
