--- /dev/null
+++ b/src/siskinspool/platform/instance_list.py
@@ -0,0 +1,152 @@
+"""The platform's list of live and leaving instances and servers.
+
+The task ``instance_list`` reads the list every second and reports what leaves to
+membership. The list lags and can be unavailable; then the last reading stays in force.
+"""
+
+from __future__ import annotations
+
+import logging
+from abc import ABC, abstractmethod
+from enum import StrEnum
+from typing import Final
+
+import attrs
+import msgspec
+from geventhttpclient import HTTPClient
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.message import Incoming, Outgoing
+from ..core.task import Task
+from ..machines.messages import LeavingChanged
+from ..telemetry.logs import log_event
+
+logger = logging.getLogger(__name__)
+
+INSTANCE_LIST_TASK: Final = "instance_list"
+POLL_INTERVAL_S: Final = 1.0
+REQUEST_TIMEOUT_S: Final = 2.0
+
+
+class ListedKind(StrEnum):
+    """What an entry of the list stands for."""
+
+    INSTANCE = "instance"
+    SERVER = "server"
+
+
+class ListedState(StrEnum):
+    """Whether the platform is about to take an entry away."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class ListedEntry:
+    """One entry of the list."""
+
+    id: str
+    kind: ListedKind
+    state: ListedState
+
+
+class ListUnavailableError(Exception):
+    """The list could not be read."""
+
+
+class InstanceList(ABC):
+    """Adapter to the platform's list."""
+
+    @abstractmethod
+    def read(self) -> tuple[ListedEntry, ...]:
+        """Return all entries; raises `ListUnavailableError`."""
+
+
+@attrs.frozen
+class _Listing:
+    """The JSON document of the list."""
+
+    instances: tuple[ListedEntry, ...]
+
+
+class HttpInstanceList(InstanceList):
+    """Reads ``GET /v1/instances``."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._client = HTTPClient(
+            host,
+            port=port,
+            connection_timeout=REQUEST_TIMEOUT_S,
+            network_timeout=REQUEST_TIMEOUT_S,
+            concurrency=1,
+        )
+
+    def read(self) -> tuple[ListedEntry, ...]:
+        """Return all entries; raises `ListUnavailableError`."""
+        try:
+            response = self._client.get("/v1/instances")
+            status, data = response.status_code, bytes(response.read())
+        except Exception as error:
+            # The client passes on many kinds of errors of sockets and parsing.
+            raise ListUnavailableError(repr(error)) from error
+        if status != 200:
+            raise ListUnavailableError(f"the list answers {status}")
+        try:
+            return msgspec.json.decode(data, type=_Listing).instances
+        except (msgspec.DecodeError, ValueError) as error:
+            raise ListUnavailableError(str(error)) from error
+
+
+class InstanceListTask(Task):
+    """Polls the list and reports each reading to membership."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        source: InstanceList,
+        watchers: tuple[str, ...] = ("membership",),
+    ) -> None:
+        super().__init__(INSTANCE_LIST_TASK, dispatcher, clock)
+        self._source = source
+        self._watchers = watchers
+        self._next_poll_at = clock.now()
+        # Every instance that was ever listed; a name that is not among them has not
+        # been listed yet, which does not mean that it is gone.
+        self._seen_instance_ids: frozenset[str] = frozenset()
+
+    def handle(self, incoming: Incoming) -> None:
+        """Ignore messages; the task only polls."""
+
+    def wake_at(self) -> float:
+        """Return the time of the next poll."""
+        return self._next_poll_at
+
+    def on_time(self) -> None:
+        """Read the list and report it."""
+        self._next_poll_at = self.clock.now() + POLL_INTERVAL_S
+        try:
+            entries = self._source.read()
+        except ListUnavailableError as error:
+            log_event(logger, logging.WARNING, "list_unavailable", reason=str(error))
+            return
+        message = self._leaving(entries)
+        for watcher in self._watchers:
+            recipient = self.dispatcher.address(watcher)
+            self.dispatcher.send(self.address, Outgoing(recipient, message))
+
+    def _leaving(self, entries: tuple[ListedEntry, ...]) -> LeavingChanged:
+        leaving = [one for one in entries if one.state is ListedState.LEAVING]
+        listed = {one.id for one in entries if one.kind is ListedKind.INSTANCE}
+        self._seen_instance_ids |= listed
+        return LeavingChanged(
+            _ids(leaving, ListedKind.SERVER),
+            _ids(leaving, ListedKind.INSTANCE),
+            self._seen_instance_ids - listed,
+        )
+
+
+def _ids(entries: list[ListedEntry], kind: ListedKind) -> frozenset[str]:
+    return frozenset(one.id for one in entries if one.kind is kind)
