--- /dev/null
+++ b/src/siskinspool/cli/connection.py
@@ -0,0 +1,118 @@
+"""How the client reaches the key-value service and the instances."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+import attrs
+import click
+from geventhttpclient import HTTPClient
+
+from ..machines.messages import Member
+from ..manifest.publisher import InForce, NothingInForce, Publisher, Unreadable
+from ..platform.etcd import EtcdGateway
+from ..platform.keys import SESSION_PREFIX
+from ..platform.kv import LostAnswerError, UnavailableError
+from ..platform.session_keeper import decode_session
+from .output import ExitStatus, fail
+
+INSTANCE_TIMEOUT_S: Final = 3.0
+Json = dict[str, Any]
+
+
+@dataclass(frozen=True)
+class NoAnswer:
+    """An instance did not answer."""
+
+    reason: str
+
+
+@attrs.frozen
+class Address(click.ParamType[tuple[str, int]]):
+    """The option type ``host:port``."""
+
+    name = "host:port"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[str, int]:
+        """Return host and port."""
+        host, _, port = str(value).rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+            self.fail(f"'{value}' is not host:port, such as 10.0.1.5:2379", param, ctx)
+        return host, int(port)
+
+
+@attrs.frozen
+class Connection:
+    """What the commands use to reach the system."""
+
+    kv: tuple[str, int]
+    operator_token: str
+
+    def gateway(self) -> EtcdGateway:
+        """Return the adapter of the key-value service."""
+        return EtcdGateway(*self.kv)
+
+    def publisher(self) -> Publisher:
+        """Return the publisher of manifests."""
+        return Publisher(self.gateway())
+
+    def in_force(self) -> InForce:
+        """Return the configuration in force; end the client if there is none."""
+        current = self.publisher().read()
+        if isinstance(current, Unreadable):
+            fail(ExitStatus.UNREACHABLE, "service_unreachable", current.reason)
+        if isinstance(current, NothingInForce):
+            fail(ExitStatus.REFUSED, "nothing_in_force", "apply a manifest first")
+        return current
+
+    def members(self) -> dict[str, Member]:
+        """Return the instances with a session, by id."""
+        try:
+            items = self.gateway().list(SESSION_PREFIX)
+        except (LostAnswerError, UnavailableError) as error:
+            fail(ExitStatus.UNREACHABLE, "service_unreachable", str(error))
+        members: dict[str, Member] = {}
+        for item in items:
+            instance_id = item.key[len(SESSION_PREFIX) :]
+            member = decode_session(instance_id, item.value)
+            if member is not None:
+                members[instance_id] = member
+        return members
+
+    def ask(self, member: Member, path: str) -> Json | NoAnswer:
+        """Return the JSON that an instance answers."""
+        client = HTTPClient(
+            member.listen_host,
+            port=member.listen_port,
+            connection_timeout=INSTANCE_TIMEOUT_S,
+            network_timeout=INSTANCE_TIMEOUT_S,
+            concurrency=1,
+        )
+        headers = {}
+        if self.operator_token:
+            headers["Authorization"] = f"Bearer {self.operator_token}"
+        try:
+            response = client.get(path, headers=headers)
+            data = bytes(response.read())
+            if response.status_code != 200:
+                return NoAnswer(f"status {response.status_code}")
+            answer: Json = json.loads(data)
+        except (OSError, ValueError) as error:
+            return NoAnswer(str(error) or type(error).__name__)
+        finally:
+            client.close()
+        return answer
+
+    def ask_all(self, path: str) -> dict[str, Json | NoAnswer]:
+        """Return what each instance with a session answers, by id."""
+        return {
+            instance_id: self.ask(member, path)
+            for instance_id, member in sorted(self.members().items())
+        }
+
+
+pass_connection = click.make_pass_decorator(Connection)
--- /dev/null
+++ b/src/siskinspool/cli/entity_commands.py
@@ -0,0 +1,108 @@
+"""Commands that change one entity: zones and keys."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import click
+
+from ..contracts.key import issue_key
+from ..manifest.model import Manifest, ZoneState
+from .connection import Connection, pass_connection
+from .output import ExitStatus, fail, print_table
+from .publishing import DEFAULT_WAIT_S, report_outcome, wait_in_force
+
+
+def _edit(
+    connection: Connection, change: Callable[[Manifest], Manifest], timeout_s: float
+) -> None:
+    revision = report_outcome(connection.publisher().edit(change))
+    wait_in_force(connection, revision, timeout_s)
+
+
+@click.group()
+def zone() -> None:
+    """Take availability zones out and bring them back."""
+
+
+def _set_zone(connection: Connection, zone_id: str, state: ZoneState) -> None:
+    known = {item.id for item in connection.in_force().manifest.zones}
+    if zone_id not in known:
+        fail(ExitStatus.REFUSED, "unknown_zone", f"no zone is '{zone_id}'")
+
+    def change(manifest: Manifest) -> Manifest:
+        zones = tuple(
+            attrs.evolve(item, state=state) if item.id == zone_id else item
+            for item in manifest.zones
+        )
+        return attrs.evolve(manifest, zones=zones)
+
+    _edit(connection, change, DEFAULT_WAIT_S)
+
+
+@zone.command("out")
+@click.argument("zone_id")
+@pass_connection
+def zone_out(connection: Connection, zone_id: str) -> None:
+    """Give zone ZONE_ID no new work; what runs there finishes."""
+    _set_zone(connection, zone_id, ZoneState.CLOSED)
+
+
+@zone.command("in")
+@click.argument("zone_id")
+@pass_connection
+def zone_in(connection: Connection, zone_id: str) -> None:
+    """Bring zone ZONE_ID back; its servers ramp up."""
+    _set_zone(connection, zone_id, ZoneState.OPEN)
+
+
+@click.group()
+def key() -> None:
+    """Issue, list and revoke API keys."""
+
+
+@key.command("issue")
+@click.argument("key_id")
+@click.option("--team", required=True, help="Id of the team.")
+@pass_connection
+def key_issue(connection: Connection, key_id: str, team: str) -> None:
+    """Issue a key named KEY_ID; its text is shown once and kept nowhere.
+
+    Example: siskinspool key issue web-2 --team tinhub-web
+    """
+    manifest = connection.in_force().manifest
+    if team not in {item.id for item in manifest.teams}:
+        fail(ExitStatus.REFUSED, "unknown_team", f"no team is '{team}'")
+    if key_id in {item.id for item in manifest.keys} or not key_id or "." in key_id:
+        fail(ExitStatus.REFUSED, "key_id_not_free", f"'{key_id}' cannot be used")
+    issued = issue_key(key_id, team)
+
+    def change(base: Manifest) -> Manifest:
+        return attrs.evolve(base, keys=(*base.keys, issued.entry))
+
+    _edit(connection, change, DEFAULT_WAIT_S)
+    click.echo(issued.text)
+
+
+@key.command("list")
+@pass_connection
+def key_list(connection: Connection) -> None:
+    """List the keys; only their ids and teams are known."""
+    keys = connection.in_force().manifest.keys
+    print_table(("KEY", "TEAM"), [(item.id, item.team) for item in keys])
+
+
+@key.command("revoke")
+@click.argument("key_id")
+@pass_connection
+def key_revoke(connection: Connection, key_id: str) -> None:
+    """Revoke the key KEY_ID; calls that came with it end within seconds."""
+    if key_id not in {item.id for item in connection.in_force().manifest.keys}:
+        fail(ExitStatus.REFUSED, "unknown_key", f"no key is '{key_id}'")
+
+    def change(manifest: Manifest) -> Manifest:
+        kept = tuple(item for item in manifest.keys if item.id != key_id)
+        return attrs.evolve(manifest, keys=kept)
+
+    _edit(connection, change, DEFAULT_WAIT_S)
--- /dev/null
+++ b/src/siskinspool/cli/main.py
@@ -0,0 +1,61 @@
+"""The operators' client ``siskinspool``.
+
+Commands that change the configuration talk to the key-value service; commands that
+show state ask the instances that have a session there.
+"""
+
+from __future__ import annotations
+
+import os
+
+import click
+
+from .connection import Address, Connection
+from .entity_commands import key, zone
+from .manifest_commands import apply, check, schema, show, show_diff
+from .status_commands import explain, histograms, patient, status
+
+# Read here and not by click, so that --help never shows the token.
+TOKEN_VARIABLE = "SISKINSPOOL_OPERATOR_TOKEN"
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="siskinspool")
+@click.option(
+    "--kv",
+    type=Address(),
+    default="127.0.0.1:2379",
+    envvar="SISKINSPOOL_KV",
+    show_default=True,
+    show_envvar=True,
+    help="JSON gateway of the key-value service.",
+)
+@click.pass_context
+def main(context: click.Context, kv: tuple[str, int]) -> None:
+    r"""Operate a siskinspool site.
+
+    \b
+    Exit statuses: 0 done, 1 refused, 2 wrong usage or a manifest with faults,
+    3 service unreachable and nothing changed, 4 outcome unknown,
+    5 accepted but not in force everywhere in time.
+
+    The operators' token is read from SISKINSPOOL_OPERATOR_TOKEN. Shell completion:
+    eval "$(_SISKINSPOOL_COMPLETE=bash_source siskinspool)"
+    """
+    context.obj = Connection(kv, os.environ.get(TOKEN_VARIABLE, ""))
+
+
+for command in (
+    apply,
+    check,
+    explain,
+    histograms,
+    key,
+    patient,
+    schema,
+    show,
+    show_diff,
+    status,
+    zone,
+):
+    main.add_command(command)
--- /dev/null
+++ b/src/siskinspool/cli/manifest_commands.py
@@ -0,0 +1,91 @@
+"""Commands for the manifest: check, diff, apply, show, schema."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from ..manifest.changes import describe, diff
+from ..manifest.document import Faults, read_manifest, write_manifest
+from ..manifest.model import Manifest
+from ..manifest.schema import schema_text
+from .connection import Connection, pass_connection
+from .output import ExitStatus, fail
+from .publishing import DEFAULT_WAIT_S, report_outcome, wait_in_force
+
+MANIFEST_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def load(path: Path) -> Manifest:
+    """Return the manifest in a file; print all faults and end if it has any."""
+    manifest = read_manifest(path.read_bytes())
+    if isinstance(manifest, Faults):
+        for line in manifest.lines:
+            click.echo(f"{path}: {line}", err=True)
+        count = len(manifest.lines)
+        fail(ExitStatus.USAGE, "manifest_faults", f"{count} fault(s) in {path}")
+    return manifest
+
+
+@click.command()
+@click.argument("manifest", type=MANIFEST_FILE)
+def check(manifest: Path) -> None:
+    """Check the file MANIFEST without reaching any service.
+
+    Example: siskinspool check examples/tinware-lagos.json
+    """
+    checked = load(manifest)
+    click.echo(
+        f"no faults: {len(checked.servers)} servers, {len(checked.models)} models, "
+        f"{len(checked.adapters)} adapters, {len(checked.teams)} teams"
+    )
+
+
+@click.command("diff")
+@click.argument("manifest", type=MANIFEST_FILE)
+@pass_connection
+def show_diff(connection: Connection, manifest: Path) -> None:
+    """Show what applying the file MANIFEST would change."""
+    new = load(manifest)
+    current = connection.in_force()
+    changes = diff(current.manifest, new)
+    for change in changes:
+        click.echo(describe(change))
+    click.echo(f"{len(changes)} change(s) to revision {current.head.revision}")
+
+
+@click.command()
+@click.argument("manifest", type=MANIFEST_FILE)
+@click.option("--expect", type=int, help="Refuse if another revision is in force.")
+@click.option("--wait/--no-wait", default=True, help="Wait until in force everywhere.")
+@click.option("--timeout", default=DEFAULT_WAIT_S, help="Seconds to wait.")
+@pass_connection
+def apply(
+    connection: Connection,
+    manifest: Path,
+    expect: int | None,
+    wait: bool,
+    timeout: float,
+) -> None:
+    """Bring the file MANIFEST into force.
+
+    Example: siskinspool apply manifest.json --expect 41
+    """
+    outcome = connection.publisher().publish(load(manifest), expect)
+    revision = report_outcome(outcome)
+    if wait:
+        wait_in_force(connection, revision, timeout)
+
+
+@click.command()
+@pass_connection
+def show(connection: Connection) -> None:
+    """Print the manifest in force."""
+    click.echo(write_manifest(connection.in_force().manifest))
+
+
+@click.command()
+def schema() -> None:
+    """Print the JSON Schema of the manifest."""
+    click.echo(schema_text())
--- a/src/siskinspool/contracts/claim_writer.py
+++ b/src/siskinspool/contracts/claim_writer.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from ..platform.keys import CLAIMS_PREFIX
 from ..platform.kv import (
     KvConflict,
     KvGet,
@@ -86,7 +87,7 @@
         # When the last change of the members was noticed.
         self.members_at = 0.0
         self._codec = codec
-        self._prefix = f"claims/{shard}/"
+        self._prefix = f"{CLAIMS_PREFIX}{shard}/"
         # The log was read to its end by a call sent at this time.
         self._synced_at = 0.0
         self._flush_at = 0.0
--- a/src/siskinspool/contracts/claims.py
+++ b/src/siskinspool/contracts/claims.py
@@ -25,6 +25,7 @@
     OwnershipGained,
     OwnershipLost,
 )
+from ..platform.keys import ANSWERS_PREFIX
 from ..platform.kv import KvReply
 from .answer_parts import PartFetch, PartUpload
 from .claim_jobs import RECORD_RETRY_S, Ask, RecordJob, Route
@@ -180,7 +181,7 @@
             answer = KeptAnswer(finish.status, finish.content_type, finish.body)
             self._start_record(shard, Finished(finish.token, answer), sender, now)
             return
-        prefix = f"answers/{finish.token}/"
+        prefix = f"{ANSWERS_PREFIX}{finish.token}/"
         upload = PartUpload(prefix, finish.body, ANSWER_TTL_S, self._ids)
         parts = len(upload.parts)
         answer = KeptAnswer(finish.status, finish.content_type, b"", parts, prefix)
--- a/src/siskinspool/contracts/patient.py
+++ b/src/siskinspool/contracts/patient.py
@@ -24,6 +24,7 @@
     OwnershipLost,
 )
 from ..manifest.model import Catalog
+from ..platform.keys import PATIENT_PREFIX
 from ..platform.kv import KvReply
 from .claim_messages import Claimant
 from .kv_caller import IdSource, KeyValueCaller
@@ -176,7 +177,7 @@
     def _take_ask(self, sender: Address, message: AskPatient, now: float) -> None:
         shard = shard_of(message.team, self._shards)
         reader = StatusReader(
-            f"patient/{shard}/{message.request_id}",
+            f"{PATIENT_PREFIX}{shard}/{message.request_id}",
             message.team,
             sender,
             now + STATUS_TIMEOUT_S,
--- a/src/siskinspool/contracts/patient_record.py
+++ b/src/siskinspool/contracts/patient_record.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from ..platform.keys import ANSWERS_PREFIX
 from ..platform.kv import (
     KvConflict,
     KvReply,
@@ -45,12 +46,12 @@
     @property
     def body_prefix(self) -> str:
         """Return the key prefix of the parts of the request's body."""
-        return f"answers/patient-{self.request.request_id}/body/"
+        return f"{ANSWERS_PREFIX}patient-{self.request.request_id}/body/"
 
     @property
     def answer_prefix(self) -> str:
         """Return the key prefix of the parts of the answer of the run."""
-        return f"answers/patient-{self.request.request_id}/{self.token}/"
+        return f"{ANSWERS_PREFIX}patient-{self.request.request_id}/{self.token}/"
 
     @property
     def has_ended(self) -> bool:
--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -15,6 +15,7 @@
 from ..core.message import Address, Message, Outgoing
 from ..machines.messages import Member
 from ..manifest.model import Catalog
+from ..platform.keys import PATIENT_PREFIX
 from ..platform.kv import KvList, KvListing, KvReply, KvRequest
 from .answer_parts import PartFetch, PartUpload
 from .claim_messages import Claimant
@@ -94,7 +95,7 @@
         refusal_by_id: dict[str, PatientRefusal],
     ) -> None:
         self.is_loaded = False
-        self._prefix = f"patient/{shard}/"
+        self._prefix = f"{PATIENT_PREFIX}{shard}/"
         # A shard may hold this part of the site's bound, so that all keep to it.
         self._shards = shards
         self._codec = codec
--- a/src/siskinspool/contracts/shares.py
+++ b/src/siskinspool/contracts/shares.py
@@ -17,12 +17,12 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..machines.drain_messages import SurrenderShares
 from ..machines.messages import (
     CatalogChanged,
     CurrencyChanged,
     MembershipChanged,
     OwnersChanged,
-    ReleaseOwnership,
 )
 from ..manifest.model import Team
 from .limits_partition import limits_partition
@@ -106,7 +106,7 @@
                 self._set_owners(owners, now)
             case MembershipChanged(members):
                 self._peer_shares.peers = sorted(set(members) - {self._instance_id})
-            case ReleaseOwnership():
+            case SurrenderShares():
                 return self._drain(now)
             case _:
                 pass
--- a/src/siskinspool/core/converter.py
+++ b/src/siskinspool/core/converter.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Any
 
 import cattrs
@@ -16,6 +17,8 @@
     converter = cattrs.Converter(forbid_extra_keys=True)
     for kind in (str, int, float, bool):
         converter.register_structure_hook(kind, _strict_hook(kind))
+    # Without a hook of their own, enums of strings would be taken for strings.
+    converter.register_structure_hook(StrEnum, _structure_enum)
     return converter
 
 
@@ -37,6 +40,13 @@
     return cattrs.v.format_exception(error, kind)
 
 
+def _structure_enum(value: object, kind: type[StrEnum]) -> StrEnum:
+    names = [member.value for member in kind]
+    if value not in names:
+        raise ValueError(f"{value!r} is not one of {', '.join(names)}")
+    return kind(value)
+
+
 def _strict_hook(kind: type) -> Any:
     names = {str: "a string", int: "a whole number", float: "a number"}
     wanted = names.get(kind, "true or false")
--- a/src/siskinspool/core/task.py
+++ b/src/siskinspool/core/task.py
@@ -9,6 +9,7 @@
 
 import logging
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Final
 
 import gevent
@@ -54,6 +55,16 @@
         """Start the greenlet."""
         self._greenlet = gevent.spawn(self._run)
 
+    def on_crash(self, callback: Callable[[BaseException], None]) -> None:
+        """Call ``callback`` if a broken invariant ends the running task."""
+
+        def report(greenlet: gevent.Greenlet[..., None]) -> None:
+            if greenlet.exception is not None:
+                callback(greenlet.exception)
+
+        if self._greenlet is not None:
+            self._greenlet.link_exception(report)
+
     def stop(self, timeout_s: float = 5.0) -> None:
         """Let the task handle what is queued, then end it."""
         if self._greenlet is None:
--- /dev/null
+++ b/src/siskinspool/entry.py
@@ -0,0 +1,261 @@
+"""One entry instance: its tasks and how they are connected.
+
+`EntryInstance` builds the tasks from the settings, gives each decision a task, and
+starts them in an order in which every recipient exists. It holds no policy. Several
+instances can be built in one process, since nothing is kept at module level.
+"""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Callable
+from typing import Final
+
+from .contracts.claim_encoding import MsgpackEntryCodec
+from .contracts.claim_messages import Claimant
+from .contracts.claims import Claims
+from .contracts.fair_queue import FairQueue
+from .contracts.mint import Mint
+from .contracts.patient import PatientQueue
+from .contracts.patient_encoding import MsgpackHeadCodec
+from .contracts.retry import RetryBudget
+from .contracts.shares import TeamLimits
+from .core.clock import Clock, MonotonicClock
+from .core.decision import Decision
+from .core.dispatcher import Dispatcher
+from .core.task import DecisionTask, Task
+from .links.backend import HttpServerLink
+from .links.call_task import CallContext
+from .links.codec import MsgpackCodec
+from .links.frontend import Frontend, FrontendSettings
+from .links.peer import PeerLink
+from .links.runner import Runner
+from .links.status import StatusPages
+from .machines.drain import Drain
+from .machines.drain_messages import StartDrain
+from .machines.membership import Membership, MembershipWatchers
+from .machines.messages import Member
+from .machines.orders_task import OrdersTask
+from .machines.ownership import Ownership
+from .machines.placement import Placement
+from .machines.record_encoding import JsonRecordEncoding
+from .machines.report_task import ReportPoller
+from .machines.reporting import Reporting
+from .machines.routing import Routing
+from .manifest.revisions import Revisions
+from .platform.etcd import EtcdGateway
+from .platform.instance_list import HttpInstanceList, InstanceListTask
+from .platform.kv_task import KvTask
+from .settings import Settings
+from .telemetry.metrics import Metrics
+from .telemetry.task import TelemetryTask
+
+INCARNATION_BYTES: Final = 6
+# Partitions of each kind besides the one placement partition of the site.
+PARTITIONS: Final = 16
+# Longest time that a stop may take after the deadlines of running calls.
+DRAIN_MARGIN_S: Final = 90.0
+# Calls that wait for a server at one instance before new ones are refused.
+QUEUE_CAPACITY_CALLS: Final = 2_000
+
+CATALOG_LISTENERS: Final = (
+    "membership",
+    "frontend",
+    "routing",
+    "placement",
+    "limits",
+    "mint",
+    "patient",
+    "reports",
+    "orders",
+    "runner",
+)
+OWNERSHIP_WATCHERS: Final = (
+    "placement",
+    "limits",
+    "mint",
+    "claims",
+    "patient",
+    "routing",
+    "reports",
+)
+STATUS_TASKS: Final = ("membership", "ownership", "routing", "limits", "patient")
+
+
+def partition_names(site: str) -> tuple[str, ...]:
+    """Return the names of all partitions of a site."""
+    kinds = ("limits", "claims", "patient")
+    numbered = [f"{kind}/{number}" for kind in kinds for number in range(PARTITIONS)]
+    return (f"placement/{site}", *numbered)
+
+
+class EntryInstance:
+    """The tasks of one instance."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._dispatcher = Dispatcher(settings.instance_id)
+        self._tasks: list[Task] = []
+        self._peers = PeerLink(
+            self._dispatcher,
+            clock,
+            MsgpackCodec(),
+            settings.peer.host,
+            settings.peer.port,
+        )
+        self._dispatcher.attach_carrier(self._peers)
+        self._retries = RetryBudget()
+        self._context = CallContext(
+            dispatcher=self._dispatcher,
+            clock=clock,
+            link=HttpServerLink(),
+            retries=self._retries,
+        )
+        self._frontend = self._build_frontend()
+        self._member = self._build_member()
+        self._tasks += [self._peers, *self._build_platform()]
+        self._tasks += self._build_decisions()
+        self._tasks += self._build_workers()
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> EntryInstance:
+        """Return an instance that reads the monotonic clock."""
+        return cls(settings, MonotonicClock())
+
+    @property
+    def port(self) -> int:
+        """The port for callers."""
+        return self._frontend.port
+
+    def start(self, on_crash: Callable[[BaseException], None]) -> None:
+        """Start all tasks; ``on_crash`` gets the exception that ended a task."""
+        for task in self._tasks:
+            task.start()
+            task.on_crash(on_crash)
+
+    def drain(self) -> None:
+        """Stop gracefully; returns when no call runs any more (R12)."""
+        longest_s = self._frontend.longest_remaining_s()
+        self._dispatcher.ask(
+            self._dispatcher.address("drain"),
+            StartDrain(longest_s),
+            longest_s + DRAIN_MARGIN_S,
+        )
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for task in reversed(self._tasks):
+            task.stop()
+
+    def _build_frontend(self) -> Frontend:
+        settings = self._settings
+        pages = StatusPages(
+            self._dispatcher, self._incarnation, settings.operator_token, STATUS_TASKS
+        )
+        frontend_settings = FrontendSettings(
+            host=settings.listen.host,
+            port=settings.listen.port,
+            instance_id=settings.instance_id,
+            incarnation=self._incarnation,
+        )
+        frontend = Frontend(
+            frontend_settings, self._dispatcher, self._clock, self._context, pages
+        )
+        frontend.listen()
+        return frontend
+
+    def _build_member(self) -> Member:
+        settings = self._settings
+        return Member(
+            instance_id=settings.instance_id,
+            incarnation=self._incarnation,
+            zone=settings.zone,
+            host=settings.peer.host,
+            port=self._peers.port,
+            listen_host=settings.listen.host,
+            listen_port=self._frontend.port,
+        )
+
+    def _build_platform(self) -> list[Task]:
+        settings = self._settings
+        gateway = EtcdGateway(settings.key_value.host, settings.key_value.port)
+        instances = HttpInstanceList(
+            settings.instance_list.host, settings.instance_list.port
+        )
+        return [
+            KvTask(
+                self._dispatcher,
+                self._clock,
+                gateway,
+                self._member,
+                health_watchers=("membership", "ownership", "mint"),
+                session_ttl_s=settings.session_ttl_s,
+                renew_interval_s=settings.session_renew_s,
+            ),
+            InstanceListTask(self._dispatcher, self._clock, instances),
+        ]
+
+    def _build_decisions(self) -> list[Task]:
+        settings = self._settings
+        instance_id, incarnation = settings.instance_id, self._incarnation
+        decision_by_name: dict[str, Decision] = {
+            "membership": Membership(
+                self._member,
+                MembershipWatchers(
+                    members=(
+                        "peers",
+                        "ownership",
+                        "routing",
+                        "placement",
+                        "mint",
+                        "limits",
+                        "claims",
+                        "patient",
+                        "reports",
+                    ),
+                    currency=("frontend", "limits", "mint"),
+                    leaving=("routing", "placement"),
+                ),
+            ),
+            "ownership": Ownership(
+                instance_id,
+                incarnation,
+                partition_names(settings.site),
+                OWNERSHIP_WATCHERS,
+            ),
+            "revisions": Revisions(instance_id, CATALOG_LISTENERS),
+            "claims": Claims(Claimant(instance_id, incarnation), MsgpackEntryCodec()),
+            "limits": TeamLimits(instance_id, incarnation, self._clock.now()),
+            "mint": Mint(),
+            "patient": PatientQueue(
+                Claimant(instance_id, incarnation), MsgpackHeadCodec()
+            ),
+            "placement": Placement(
+                instance_id, incarnation, settings.site, JsonRecordEncoding()
+            ),
+            "reports": Reporting(instance_id, settings.site),
+            "routing": Routing(
+                instance_id,
+                settings.zone,
+                lambda: FairQueue(QUEUE_CAPACITY_CALLS),
+                random.Random(secrets.randbits(64)),
+            ),
+            "drain": Drain(instance_id),
+        }
+        return [
+            DecisionTask(name, self._dispatcher, self._clock, decision)
+            for name, decision in decision_by_name.items()
+        ]
+
+    def _build_workers(self) -> list[Task]:
+        metrics = Metrics.from_settings(self._settings.statsd)
+        return [
+            ReportPoller(self._dispatcher, self._clock),
+            OrdersTask(self._dispatcher, self._clock),
+            TelemetryTask(self._dispatcher, self._clock, metrics),
+            Runner(self._dispatcher, self._clock, self._context, self._incarnation),
+            self._frontend,
+        ]
--- /dev/null
+++ b/src/siskinspool/links/call_task.py
@@ -0,0 +1,543 @@
+"""One call from admission to the end of its answer.
+
+A `CallTask` is a greenlet that owns the connection to the server. It asks the local
+tasks in turn: ``claims`` (calls with an idempotency key), ``limits`` (tokens) and
+``routing`` (a server), sends the request, and hands the answer to an `AnswerSink`. The
+sink belongs to the caller's connection or, for a patient request, to the runner.
+
+What may be sent again follows from two facts: whether a byte of the request may have
+left, and whether the call is idempotent. `NotSent` allows another server for any call;
+`Lost` allows one only for an idempotent call of which the caller has seen nothing yet.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import gevent
+
+from ..contracts.call import Call
+from ..contracts.claim_messages import (
+    ClaimCall,
+    ClaimGranted,
+    ClaimMismatch,
+    ClaimReplayed,
+    ClaimUnknown,
+    FinishClaim,
+    ReleaseClaim,
+)
+from ..contracts.retry import RetryBudget
+from ..contracts.share_messages import (
+    SettleTokens,
+    SpendGranted,
+    SpendRefused,
+    SpendTokens,
+)
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.errors import ErrorCode
+from ..core.message import Address, Message, Outgoing
+from ..core.outcome import Refusal, RunState
+from ..machines.routing_messages import (
+    CallCancelled,
+    CallDispatched,
+    CallEnded,
+    CallRefused,
+    CallResult,
+    RouteCall,
+)
+from ..telemetry.logs import log_event
+from ..telemetry.messages import CallMeasured
+from .backend import Answer, Lost, NotSent, ServerLink, ServerRequest
+from .prefix import prefix_hashes
+
+logger = logging.getLogger(__name__)
+
+# How long a call waits for a larger share before it is refused.
+SHARE_WAIT_S: Final = 0.15
+# Time that an ask may take beyond the deadline that was sent with it.
+ASK_MARGIN_S: Final = 0.25
+RECORD_TIMEOUT_S: Final = 5.0
+STREAM_IDLE_TIMEOUT_S: Final = 30.0
+MAX_ATTEMPTS: Final = 3
+STREAM_END: Final = b"data: [DONE]"
+
+_STATUS_BY_CODE: Final = {
+    ErrorCode.DEADLINE_UNREACHABLE: 503,
+    ErrorCode.DEADLINE_PASSED: 504,
+    ErrorCode.QUEUE_FULL: 503,
+    ErrorCode.NO_SERVER: 503,
+    ErrorCode.LOAD_FAILED: 503,
+    ErrorCode.UNKNOWN_MODEL: 404,
+}
+
+
+class AnswerSink(ABC):
+    """Takes the answer of one call; each method may block for back-pressure."""
+
+    @abstractmethod
+    def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head of a streamed answer."""
+
+    @abstractmethod
+    def event(self, data: bytes) -> None:
+        """Take one server-sent event."""
+
+    @abstractmethod
+    def end(self) -> None:
+        """Take the end of a complete streamed answer."""
+
+    @abstractmethod
+    def abort(self, refusal: Refusal) -> None:
+        """Take the end of a streamed answer that was cut."""
+
+    @abstractmethod
+    def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Take a whole answer."""
+
+    @abstractmethod
+    def refuse(self, refusal: Refusal) -> None:
+        """Take a refusal; an answer that has begun counts as cut."""
+
+    def close(self) -> None:
+        """Nobody takes the answer any more."""
+        return
+
+
+@attrs.frozen(kw_only=True)
+class CallContext:
+    """What all calls of an instance share."""
+
+    dispatcher: Dispatcher
+    clock: Clock
+    link: ServerLink
+    retries: RetryBudget
+
+    def address(self, task: str) -> Address:
+        """Return the address of a local task."""
+        return self.dispatcher.address(task)
+
+
+@attrs.frozen
+class _Passed:
+    """The answer went to the sink; whole or, if ``complete`` is False, cut."""
+
+    complete: bool
+    used_tokens: int | None
+
+
+class CallTask:
+    """Runs one call."""
+
+    def __init__(self, call: Call, context: CallContext, sink: AnswerSink) -> None:
+        self.call = call
+        self._context = context
+        self._sink = sink
+        self._excluded: set[str] = set()
+        self._sent = False
+        self._first_byte_at: float | None = None
+        self._attempts = 0
+        self._greenlet: gevent.Greenlet[..., None] | None = None
+
+    def start(self) -> None:
+        """Start the greenlet."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def on_end(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when the greenlet has ended."""
+        if self._greenlet is not None:
+            self._greenlet.rawlink(lambda _: callback())
+
+    def cancel(self) -> None:
+        """End the call, unless a non-idempotent request was sent.
+
+        Such a request goes on without its caller, so that its result is recorded.
+        """
+        may_end = self.call.idempotent or not self._sent
+        if self._greenlet is not None and may_end:
+            self._greenlet.kill(block=False)
+
+    def abandon(self) -> None:
+        """End the call of a caller that went away and release its handler."""
+        self.cancel()
+        self._sink.close()
+
+    def revoke(self) -> None:
+        """End the call with a refusal because its key was revoked (R4)."""
+        run = RunState.UNKNOWN if self._sent else RunState.NOT_RUN
+        self.cancel()
+        self._sink.refuse(
+            Refusal(401, ErrorCode.KEY_REJECTED, "the key was revoked", run)
+        )
+
+    def join(self, timeout_s: float | None = None) -> None:
+        """Wait for the end of the call."""
+        if self._greenlet is not None:
+            self._greenlet.join(timeout_s)
+
+    def _run(self) -> None:
+        started_at = self._context.clock.now()
+        refusal: Refusal | None = None
+        outcome = "cancelled"
+        try:
+            refusal = self._claim_and_run()
+            outcome = refusal.code if refusal else "ok"
+        except Exception as error:
+            logger.debug("call failed", exc_info=True)
+            refusal = Refusal(
+                500,
+                ErrorCode.INTERNAL,
+                type(error).__name__,
+                RunState.UNKNOWN if self._sent else RunState.NOT_RUN,
+            )
+            outcome = refusal.code
+        finally:
+            self._log(outcome, started_at)
+        if refusal is not None and refusal.code is not ErrorCode.ANSWER_INCOMPLETE:
+            self._sink.refuse(refusal)
+
+    def _log(self, outcome: str, started_at: float) -> None:
+        now = self._context.clock.now()
+        first = self._first_byte_at
+        log_event(
+            logger,
+            logging.INFO,
+            "call",
+            request=self.call.id,
+            team=self.call.team,
+            route=self.call.route.id if self.call.route else self.call.uri,
+            model=self.call.model,
+            target=self.call.target,
+            request_class=self.call.request_class,
+            outcome=outcome,
+            attempts=self._attempts,
+            first_byte_s=None if first is None else first - started_at,
+            duration_s=now - started_at,
+        )
+        self._tell(
+            "telemetry",
+            CallMeasured(
+                team=self.call.team,
+                request_class=self.call.request_class,
+                outcome=str(outcome),
+                duration_s=now - started_at,
+                first_byte_s=None if first is None else first - started_at,
+            ),
+        )
+
+    def _remaining_s(self) -> float:
+        return max(0.0, self.call.deadline_at - self._context.clock.now())
+
+    def _ask(self, task: str, message: Message, timeout_s: float) -> Message | None:
+        context = self._context
+        return context.dispatcher.ask(context.address(task), message, timeout_s)
+
+    def _tell(self, task: str, message: Message) -> None:
+        context = self._context
+        sender = context.address(f"call:{self.call.id}")
+        context.dispatcher.send(sender, Outgoing(context.address(task), message))
+
+    def _claim_and_run(self) -> Refusal | None:
+        if not self.call.idempotency_key:
+            return self._spend_and_run(None)
+        token = self.call.id
+        answer = self._ask(
+            "claims",
+            ClaimCall(
+                scope=self.call.team,
+                key_digest=self.call.idempotency_key_digest,
+                body_digest=self.call.body_digest,
+                token=token,
+                deadline_in_s=self._remaining_s(),
+            ),
+            self._remaining_s() + ASK_MARGIN_S,
+        )
+        match answer:
+            case ClaimGranted():
+                return self._run_claimed(token)
+            case ClaimReplayed(status=status, content_type=kind, body=body):
+                headers = {"content-type": kind, "idempotency-replayed": "true"}
+                self._sink.whole(status, headers, body)
+                return None
+            case ClaimMismatch():
+                return Refusal(
+                    422,
+                    ErrorCode.IDEMPOTENCY_KEY_REUSED,
+                    "the idempotency key was used with another request",
+                )
+            case ClaimUnknown():
+                return Refusal(
+                    409,
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    "an earlier request with this key may have run",
+                    RunState.UNKNOWN,
+                )
+            case _:
+                # No answer leaves the claim released: this call never sends.
+                self._tell("claims", ReleaseClaim(token))
+                return Refusal(
+                    503,
+                    ErrorCode.IDEMPOTENCY_UNAVAILABLE,
+                    "the idempotency key could not be recorded",
+                    retry_after_s=1.0,
+                )
+
+    def _run_claimed(self, token: str) -> Refusal | None:
+        refusal: Refusal | None = None
+        try:
+            refusal = self._spend_and_run(token)
+            return refusal
+        finally:
+            if not self._sent:
+                self._tell("claims", ReleaseClaim(token))
+            elif refusal is not None and refusal.run is RunState.UNKNOWN:
+                # Later requests with the key get the same "unknown" at once.
+                body = problem_body(refusal)
+                self._record(
+                    FinishClaim(token, refusal.status, PROBLEM_CONTENT_TYPE, body)
+                )
+
+    def _spend_and_run(self, token: str | None) -> Refusal | None:
+        if not self.call.team:
+            return self._route_and_run(token)[0]
+        answer = self._ask(
+            "limits",
+            SpendTokens(self.call.team, self.call.estimate_tokens, SHARE_WAIT_S),
+            SHARE_WAIT_S + ASK_MARGIN_S,
+        )
+        if not isinstance(answer, SpendGranted):
+            retry_after_s = (
+                answer.retry_after_s if isinstance(answer, SpendRefused) else 1.0
+            )
+            return Refusal(
+                429,
+                ErrorCode.RATE_EXCEEDED,
+                "the team's rate is used up",
+                retry_after_s=retry_after_s,
+            )
+        used = 0
+        try:
+            refusal, used = self._route_and_run(token)
+            return refusal
+        finally:
+            if self._sent and not used:
+                used = self.call.estimate_tokens
+            self._tell("limits", SettleTokens(answer.spend_id, used))
+
+    def _route_and_run(self, token: str | None) -> tuple[Refusal | None, int]:
+        """Try servers until one answers; return the refusal and the tokens used."""
+        while True:
+            self._attempts += 1
+            dispatched = self._route()
+            if isinstance(dispatched, Refusal):
+                return dispatched, 0
+            result = self._send(dispatched, token)
+            match result:
+                case _Passed(complete=True, used_tokens=used):
+                    return None, used or self.call.estimate_tokens
+                case _Passed():
+                    refusal = _incomplete()
+                    self._sink.abort(refusal)
+                    return refusal, self.call.estimate_tokens
+                case NotSent() | Lost() if self._may_retry(result):
+                    self._excluded.add(dispatched.server_id)
+                case _:
+                    return _failed(result), 0
+
+    def _route(self) -> CallDispatched | Refusal:
+        call = self.call
+        answer: Message | None = None
+        try:
+            answer = self._ask(
+                "routing",
+                RouteCall(
+                    call_id=call.id,
+                    team=call.team,
+                    target=call.target,
+                    request_class=call.request_class,
+                    deadline_in_s=self._remaining_s(),
+                    prefix_hashes=prefix_hashes(call.body) if call.model else (),
+                    idempotent=call.idempotent,
+                    excluded_server_ids=frozenset(self._excluded),
+                ),
+                self._remaining_s() + ASK_MARGIN_S,
+            )
+        finally:
+            if not isinstance(answer, CallDispatched | CallRefused):
+                self._tell("routing", CallCancelled(call.id))
+        if isinstance(answer, CallDispatched):
+            return answer
+        if isinstance(answer, CallRefused):
+            status = _STATUS_BY_CODE.get(answer.code, 503)
+            return Refusal(
+                status, answer.code, answer.detail, retry_after_s=answer.retry_after_s
+            )
+        return Refusal(504, ErrorCode.DEADLINE_PASSED, "no server in time")
+
+    def _may_retry(self, result: NotSent | Lost) -> bool:
+        if self._attempts >= MAX_ATTEMPTS or self._remaining_s() <= 0:
+            return False
+        if isinstance(result, Lost) and not self.call.idempotent:
+            return False
+        return self._context.retries.take_retry(
+            self.call.target, self._context.clock.now()
+        )
+
+    def _send(
+        self, dispatched: CallDispatched, token: str | None
+    ) -> _Passed | NotSent | Lost:
+        result = CallResult.CANCELLED
+        headers = {**self.call.headers, "x-request-id": self.call.id}
+        request = ServerRequest(
+            host=dispatched.host,
+            port=dispatched.port,
+            method=self.call.method,
+            uri=self.call.uri,
+            headers=headers,
+            body=self.call.body,
+        )
+        self._context.retries.count_request(self.call.target, self._context.clock.now())
+        try:
+            self._sent = True
+            opened = self._context.link.open_call(request, self._timeout_s())
+            if isinstance(opened, NotSent):
+                self._sent = False
+                result = CallResult.FAILED_BEFORE_SEND
+                return opened
+            passed = opened if isinstance(opened, Lost) else self._pass(opened, token)
+            complete = isinstance(passed, _Passed) and passed.complete
+            result = CallResult.OK if complete else CallResult.FAILED
+            return passed
+        finally:
+            self._tell("routing", CallEnded(self.call.id, result, None))
+
+    def _timeout_s(self) -> float:
+        if self.call.streamed:
+            return max(STREAM_IDLE_TIMEOUT_S, self._remaining_s())
+        return max(self._remaining_s(), 0.05)
+
+    def _pass(self, answer: Answer, token: str | None) -> _Passed | Lost:
+        try:
+            echoed = answer.headers.get("x-request-id", self.call.id)
+            if echoed != self.call.id:
+                # The answer belongs to another request (R8).
+                return Lost("the answer carries another request id")
+            if self._is_transient(answer.status):
+                return Lost(f"the server answers {answer.status}")
+            kind = answer.headers.get("content-type", "")
+            if kind.startswith("text/event-stream"):
+                return self._pass_events(answer)
+            return self._pass_whole(answer, token)
+        finally:
+            answer.close()
+
+    def _is_transient(self, status: int) -> bool:
+        """Tell whether another server may answer an idempotent call better.
+
+        An engine answers 404 when it unloaded the model after the call was routed.
+        """
+        if not self.call.idempotent:
+            return False
+        return status in (502, 503) or (bool(self.call.model) and status == 404)
+
+    def _pass_events(self, answer: Answer) -> _Passed | Lost:
+        used: int | None = None
+        ended = False
+        for event in answer.events():
+            if isinstance(event, Lost):
+                break
+            if self._first_byte_at is None:
+                self._first_byte_at = self._context.clock.now()
+                self._sink.begin(answer.status, answer_headers(answer.headers))
+            if b'"usage"' in event:
+                used = _usage(event) or used
+            ended = ended or event.startswith(STREAM_END)
+            self._sink.event(event)
+        if self._first_byte_at is None:
+            return Lost("the stream ended before its first event")
+        if ended:
+            self._sink.end()
+        return _Passed(ended, used)
+
+    def _pass_whole(self, answer: Answer, token: str | None) -> _Passed | Lost:
+        body = answer.read_all()
+        if isinstance(body, Lost):
+            return body
+        self._first_byte_at = self._context.clock.now()
+        if token is not None:
+            kind = answer.headers.get("content-type", "application/octet-stream")
+            self._record(FinishClaim(token, answer.status, kind, body))
+        self._sink.whole(answer.status, answer_headers(answer.headers), body)
+        return _Passed(True, _usage(body) if self.call.model else None)
+
+    def _record(self, finish: FinishClaim) -> None:
+        if self._ask("claims", finish, RECORD_TIMEOUT_S) is None:
+            log_event(
+                logger,
+                logging.WARNING,
+                "claim_result_not_recorded",
+                request=self.call.id,
+            )
+
+
+PROBLEM_CONTENT_TYPE: Final = "application/problem+json"
+
+
+def problem_body(refusal: Refusal) -> bytes:
+    """Return a refusal as a problem document (RFC 9457)."""
+    document = {
+        "type": f"urn:siskinspool:error:{refusal.code}",
+        "title": refusal.code.replace("_", " "),
+        "status": refusal.status,
+        "code": refusal.code,
+        "detail": refusal.detail,
+        "run": refusal.run,
+    }
+    return json.dumps(document).encode()
+
+
+_HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def answer_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers of a server's answer that go on to the caller."""
+    return {name: text for name, text in headers.items() if name not in _HOP_HEADERS}
+
+
+def _usage(data: bytes) -> int | None:
+    """Return the total of tokens that an answer or event reports, if any."""
+    try:
+        text = data.strip().removeprefix(b"data: ")
+        usage = json.loads(text).get("usage") or {}
+        return int(usage["prompt_tokens"]) + int(usage["completion_tokens"])
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def _incomplete() -> Refusal:
+    return Refusal(
+        502,
+        ErrorCode.ANSWER_INCOMPLETE,
+        "the answer ended before its end marker",
+        RunState.RUN,
+    )
+
+
+def _failed(result: NotSent | Lost) -> Refusal:
+    if isinstance(result, NotSent):
+        return Refusal(503, ErrorCode.SERVER_FAILED, result.reason, retry_after_s=1.0)
+    return Refusal(502, ErrorCode.SERVER_FAILED, result.reason, RunState.UNKNOWN)
--- /dev/null
+++ b/src/siskinspool/links/caller.py
@@ -0,0 +1,175 @@
+"""The caller's side of a call: the answer as WSGI sends it.
+
+`CallerSink` turns what the `CallTask` hands over into items of a bounded queue. The
+greenlet that serves the caller's connection takes them out and writes them, so a slow
+caller slows the reading from the server instead of filling memory.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+from gevent.queue import Queue
+
+from ..core.outcome import Refusal
+from .call_task import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
+
+QUEUED_EVENTS: Final = 64
+# A caller that takes no byte for this long is cut off.
+WRITE_TIMEOUT_S: Final = 30.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclass(frozen=True)
+class Head:
+    """The start of a streamed answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+@dataclass(frozen=True)
+class Event:
+    """One server-sent event."""
+
+    data: bytes
+
+
+@dataclass(frozen=True)
+class End:
+    """The end of a streamed answer; a refusal if it was cut."""
+
+    refusal: Refusal | None
+
+
+@dataclass(frozen=True)
+class Whole:
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+Item = Head | Event | End | Whole
+
+
+class CutStreamError(Exception):
+    """Ends the caller's connection without the closing chunk of the body."""
+
+
+class CallerSink(AnswerSink):
+    """Queues the answer for the greenlet of the caller's connection."""
+
+    def __init__(self) -> None:
+        self._items: Queue[Item] = Queue(QUEUED_EVENTS)
+        self._begun = False
+
+    def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head of a streamed answer."""
+        self._begun = True
+        self._items.put(Head(status, headers))
+
+    def event(self, data: bytes) -> None:
+        """Take one server-sent event."""
+        self._items.put(Event(data))
+
+    def end(self) -> None:
+        """Take the end of a complete streamed answer."""
+        self._items.put(End(None))
+
+    def abort(self, refusal: Refusal) -> None:
+        """Take the end of a streamed answer that was cut."""
+        self._items.put(End(refusal))
+
+    def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Take a whole answer."""
+        self._begun = True
+        self._items.put(Whole(status, headers, body))
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Take a refusal; a stream that has begun is cut instead."""
+        self._items.put(End(refusal) if self._begun else refusal_item(refusal))
+
+    def close(self) -> None:
+        """Wake the handler, whose caller has gone; no item fits a full queue."""
+        if not self._items.full():
+            self._items.put_nowait(End(None))
+
+    def next_item(self) -> Item:
+        """Wait for the next item."""
+        return self._items.get()
+
+
+def refusal_item(refusal: Refusal) -> Whole:
+    """Return a refusal as a whole answer."""
+    headers = {"content-type": PROBLEM_CONTENT_TYPE}
+    if refusal.retry_after_s is not None:
+        headers["retry-after"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    if refusal.status == 401:
+        headers["www-authenticate"] = "Bearer"
+    return Whole(refusal.status, headers, problem_body(refusal))
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+def respond_whole(item: Whole, start_response: StartResponse) -> list[bytes]:
+    """Send a whole answer."""
+    headers = [(name.title(), text) for name, text in item.headers.items()]
+    headers.append(("Content-Length", str(len(item.body))))
+    start_response(_status_line(item.status), headers)
+    return [item.body]
+
+
+def respond(sink: CallerSink, start_response: StartResponse) -> Iterator[bytes]:
+    """Send an answer as it arrives; raise CutStreamError if it was cut."""
+    item = sink.next_item()
+    if isinstance(item, Whole):
+        yield from respond_whole(item, start_response)
+        return
+    if not isinstance(item, Head):
+        raise CutStreamError
+    headers = [(name.title(), text) for name, text in item.headers.items()]
+    start_response(_status_line(item.status), headers)
+    while True:
+        item = sink.next_item()
+        if isinstance(item, Event):
+            yield item.data
+        elif isinstance(item, End):
+            if item.refusal is not None:
+                yield b"event: error\ndata: " + problem_body(item.refusal) + b"\n\n"
+                raise CutStreamError
+            return
+
+
+def watch_caller(
+    sock: socket.socket, on_gone: Callable[[], None]
+) -> gevent.Greenlet[..., None]:
+    """Call ``on_gone`` when the caller closes its connection.
+
+    Bytes of a following request end the watch: they cannot be told from a caller that
+    still waits.
+    """
+
+    def wait() -> None:
+        try:
+            socket.wait_read(sock.fileno())
+            gone = sock.recv(1, socket.MSG_PEEK) == b""
+        except OSError:
+            gone = True
+        if gone:
+            on_gone()
+
+    return gevent.spawn(wait)
--- /dev/null
+++ b/src/siskinspool/links/frontend.py
@@ -0,0 +1,330 @@
+"""The front end: HTTP towards callers.
+
+`Frontend` is a task that owns the listening socket and the calls that run. Each
+connection has a greenlet of gevent's WSGI server, which checks a request, starts a
+`CallTask` and writes what comes back. The task's inbox takes the manifest in force, the
+currency of the configuration and the drain state; a key that leaves the manifest ends
+the calls that came with it (R4).
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections.abc import Iterable
+from typing import Any, Final
+
+import attrs
+from gevent.pywsgi import WSGIServer
+
+from ..contracts.call import Call, HttpRequest, authenticate, is_allowed, parse_call
+from ..contracts.patient_messages import (
+    AskPatient,
+    PatientAccepted,
+    PatientRefusal,
+    PatientRefused,
+    PatientState,
+    PatientStatus,
+    SubmitPatient,
+)
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.errors import ErrorCode
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.outcome import Refusal
+from ..core.task import Task
+from ..machines.drain_messages import CallsRunning, DrainStarted, HandOverWaiting
+from ..machines.messages import CatalogChanged, CurrencyChanged
+from ..manifest.model import Catalog, RequestClass, empty_manifest
+from ..telemetry.logs import log_event
+from .call_task import CallContext, CallTask
+from .caller import (
+    CallerSink,
+    StartResponse,
+    Whole,
+    refusal_item,
+    respond,
+    respond_whole,
+    watch_caller,
+)
+from .frontend_messages import CallFinished
+from .http_server import SOCKET_TIMEOUT_S, CallerHandler, read_request
+from .patient_pages import accepted_page, patient_page, patient_refusal
+from .runner_messages import RunsInProgress
+from .status import InstanceState, StatusPages, model_list
+
+logger = logging.getLogger(__name__)
+
+# Longer than the patient task itself waits, so that it answers first.
+PATIENT_TIMEOUT_S: Final = 6.0
+REQUESTS_PATH: Final = "/v1/requests/"
+
+
+@attrs.frozen(kw_only=True)
+class FrontendSettings:
+    """Where the front end listens and how request ids begin."""
+
+    host: str
+    port: int
+    instance_id: str
+    incarnation: str
+
+
+class Frontend(Task):
+    """Serves callers of this instance; task name ``frontend``."""
+
+    def __init__(
+        self,
+        settings: FrontendSettings,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        context: CallContext,
+        pages: StatusPages,
+    ) -> None:
+        super().__init__("frontend", dispatcher, clock)
+        self._settings = settings
+        self._context = context
+        self._pages = pages
+        self._catalog = Catalog.from_manifest(0, empty_manifest())
+        # The configuration may be used until then, monotonic seconds.
+        self._current_until = 0.0
+        self._draining = False
+        # Set once no new calls are taken.
+        self._drain_asker: Address | None = None
+        self._call_numbers = itertools.count(1)
+        self._call_by_id: dict[str, CallTask] = {}
+        # Patient requests that run at this instance.
+        self._background_runs = 0
+        self._server = WSGIServer(
+            (settings.host, settings.port),
+            self._application,
+            handler_class=CallerHandler,
+            log=None,
+            error_log=None,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that the kernel or the settings chose."""
+        return int(self._server.server_port or 0)
+
+    def listen(self) -> None:
+        """Bind the socket, so that the port is known; raise OSError if it is taken."""
+        self._server.init_socket()
+
+    def start(self) -> None:
+        """Start the task and serve callers."""
+        super().start()
+        self._server.start()
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Stop listening and end the task."""
+        self._server.stop(timeout=timeout_s)
+        super().stop(timeout_s)
+
+    def handle(self, incoming: Incoming) -> None:
+        """Take in the manifest, the currency and the drain state."""
+        match incoming.message:
+            case CatalogChanged(catalog=catalog):
+                self._catalog = catalog
+                self._end_calls_without_right()
+            case CurrencyChanged() as currency:
+                self._current_until = currency.current_until if currency.current else 0
+            case RunsInProgress(count=count):
+                self._background_runs = count
+                self._report_running()
+            case DrainStarted():
+                self._draining = True
+            case HandOverWaiting():
+                self._drain_asker = incoming.sender
+                self._report_running()
+            case CallFinished(call_id=call_id):
+                self._call_by_id.pop(call_id, None)
+                self._report_running()
+
+    def _report_running(self) -> None:
+        """Tell the drain how many calls run, once no new ones are taken."""
+        if self._drain_asker is not None:
+            count = CallsRunning(len(self._call_by_id) + self._background_runs)
+            self.dispatcher.send(self.address, Outgoing(self._drain_asker, count))
+
+    def longest_remaining_s(self) -> float:
+        """Return the time until the last deadline of a running call."""
+        now = self.clock.now()
+        deadlines = [task.call.deadline_at for task in self._call_by_id.values()]
+        return max(0.0, max(deadlines, default=now) - now)
+
+    def _end_calls_without_right(self) -> None:
+        for call_id, task in list(self._call_by_id.items()):
+            if not self._has_right(task.call):
+                log_event(logger, logging.INFO, "key_revoked", request=call_id)
+                task.revoke()
+
+    def _has_right(self, call: Call) -> bool:
+        if not call.key_id:
+            return True
+        key = self._catalog.key_by_id.get(call.key_id)
+        team = self._catalog.team_by_id.get(call.team)
+        return (
+            key is not None
+            and key.team == call.team
+            and team is not None
+            and is_allowed(team, call.target)
+        )
+
+    def _application(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        environ["siskinspool.socket"].settimeout(SOCKET_TIMEOUT_S)
+        request = read_request(environ)
+        if isinstance(request, Refusal):
+            return respond_whole(refusal_item(request), start_response)
+        page = self._page(request)
+        if page is not None:
+            return respond_whole(page, start_response)
+        if request.path.startswith(REQUESTS_PATH):
+            return respond_whole(self._patient_status(request), start_response)
+        return self._serve_call(request, environ, start_response)
+
+    def _page(self, request: HttpRequest) -> Whole | None:
+        if request.path == "/healthz":
+            return Whole(200, {"content-type": "text/plain"}, b"alive\n")
+        if request.path == "/readyz":
+            return self._readiness()
+        if request.path == "/v1/models" and request.method == "GET":
+            return self._models(request)
+        if request.path == "/v1/status":
+            return self._pages.status(request, self._state())
+        if request.path == "/v1/histograms":
+            return self._pages.histograms(request)
+        return None
+
+    def _readiness(self) -> Whole:
+        reason = self._not_ready_reason()
+        if reason is None:
+            return Whole(200, {"content-type": "text/plain"}, b"ready\n")
+        return Whole(503, {"content-type": "text/plain"}, f"{reason}\n".encode())
+
+    def _state(self) -> InstanceState:
+        reason = self._not_ready_reason()
+        return InstanceState(
+            revision=self._catalog.revision,
+            not_ready=None if reason is None else str(reason),
+            running_calls=len(self._call_by_id),
+        )
+
+    def _not_ready_reason(self) -> ErrorCode | None:
+        if self._draining:
+            return ErrorCode.DRAINING
+        if not self._is_current() or self._catalog.revision == 0:
+            return ErrorCode.NOT_CURRENT
+        return None
+
+    def _is_current(self) -> bool:
+        # Compared at every use: after a pause of the process this request may be
+        # handled before the message that says that the configuration is too old.
+        return self.clock.now() < self._current_until
+
+    def _models(self, request: HttpRequest) -> Whole:
+        team = authenticate(request, self._catalog)
+        if isinstance(team, Refusal):
+            return refusal_item(team)
+        names = [*self._catalog.model_by_id, *self._catalog.adapter_by_id]
+        allowed = [name for name in names if is_allowed(team, name)]
+        return model_list(allowed)
+
+    def _serve_call(
+        self,
+        request: HttpRequest,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        settings = self._settings
+        number = next(self._call_numbers)
+        call_id = f"{settings.instance_id}-{settings.incarnation}-{number}"
+        call = parse_call(request, self._catalog, call_id, self.clock.now())
+        if isinstance(call, Call):
+            call = self._refusal_of_state(call) or call
+        if isinstance(call, Refusal):
+            log_event(
+                logger,
+                logging.INFO,
+                "refused",
+                request=call_id,
+                code=call.code,
+                path=request.path,
+            )
+            return respond_whole(refusal_item(call), start_response)
+        if call.request_class is RequestClass.PATIENT:
+            return respond_whole(self._submit(call), start_response)
+        return self._answer(call, environ, start_response)
+
+    def _refusal_of_state(self, call: Call) -> Refusal | None:
+        """Return why this instance takes no calls now, if so."""
+        if self._drain_asker is not None:
+            return Refusal(
+                503, ErrorCode.DRAINING, "the instance stops", retry_after_s=0.0
+            )
+        if call.key_id and not self._is_current():
+            return Refusal(
+                503,
+                ErrorCode.NOT_CURRENT,
+                "this instance cannot confirm that keys are still valid",
+                retry_after_s=1.0,
+            )
+        return None
+
+    def _answer(
+        self, call: Call, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        sink = CallerSink()
+        task = CallTask(call, self._context, sink)
+        watcher = watch_caller(environ["siskinspool.socket"], task.abandon)
+        self._call_by_id[call.id] = task
+        task.start()
+        # A non-idempotent call may outlive its caller; it counts until it has ended.
+        task.on_end(lambda: self._finish(call.id))
+        try:
+            yield from respond(sink, start_response)
+        finally:
+            watcher.kill(block=False)
+            task.cancel()
+
+    def _finish(self, call_id: str) -> None:
+        self.post(Incoming(self.address, CallFinished(call_id)))
+
+    def _submit(self, call: Call) -> Whole:
+        headers = dict(call.headers)
+        if call.idempotency_key:
+            headers["idempotency-key"] = call.idempotency_key
+        message = SubmitPatient(
+            request_id=call.id,
+            team=call.team,
+            method=call.method,
+            target=call.uri,
+            route=call.target,
+            headers=tuple(headers.items()),
+            body=call.body,
+            idempotent=call.idempotent,
+            deadline_in_s=call.deadline_at - self.clock.now(),
+        )
+        answer = self._ask("patient", message)
+        if isinstance(answer, PatientAccepted):
+            return accepted_page(f"{REQUESTS_PATH}{answer.request_id}", answer)
+        if isinstance(answer, PatientRefused):
+            return refusal_item(patient_refusal(answer.reason))
+        return refusal_item(patient_refusal(PatientRefusal.OUTCOME_UNKNOWN))
+
+    def _patient_status(self, request: HttpRequest) -> Whole:
+        team = authenticate(request, self._catalog)
+        if isinstance(team, Refusal):
+            return refusal_item(team)
+        request_id = request.path[len(REQUESTS_PATH) :]
+        answer = self._ask("patient", AskPatient(request_id, team.id))
+        if not isinstance(answer, PatientStatus):
+            answer = PatientStatus(PatientState.UNAVAILABLE)
+        return patient_page(request_id, answer)
+
+    def _ask(self, task: str, message: Message) -> Message | None:
+        address = self.dispatcher.address(task)
+        return self.dispatcher.ask(address, message, PATIENT_TIMEOUT_S)
--- /dev/null
+++ b/src/siskinspool/links/http_server.py
@@ -0,0 +1,131 @@
+"""Limits and clean-up of the connections from callers.
+
+`CallerHandler` extends gevent's WSGI handler: the header section has a limit, a cut
+answer ends without the closing chunk, and messages about broken connections go to the
+log. `read_request` reads a whole request within the body limit.
+"""
+
+from __future__ import annotations
+
+import logging
+from http import HTTPStatus
+from typing import Any, Final, cast
+
+from gevent.pywsgi import WSGIHandler
+
+from ..contracts.call import HttpRequest
+from ..core.errors import ErrorCode
+from ..core.outcome import Refusal, RunState
+from ..telemetry.logs import log_event
+from .caller import CutStreamError, refusal_item
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+MAX_HEADER_BYTES: Final = 16 * 1024
+# A caller must send its request, and take its answer, at least this fast.
+SOCKET_TIMEOUT_S: Final = 30.0
+
+
+class _HeadersTooLargeError(Exception):
+    """The header section exceeds the limit."""
+
+
+class _HeaderReader:
+    """Counts the bytes of a header section while it is read."""
+
+    def __init__(self, rfile: Any) -> None:
+        self._rfile = rfile
+        self._left = MAX_HEADER_BYTES
+
+    def readline(self, limit: int = -1) -> bytes:
+        line: bytes = self._rfile.readline(limit)
+        self._left -= len(line)
+        if self._left < 0:
+            raise _HeadersTooLargeError
+        return line
+
+
+class CallerHandler(WSGIHandler):
+    """Limits the header section and gives the application the socket."""
+
+    def read_request(self, raw_requestline: str) -> Any:
+        """Read the head of a request; False ends the connection."""
+        rfile = self.rfile
+        self.rfile = cast(Any, _HeaderReader(rfile))
+        try:
+            valid = super().read_request(raw_requestline)
+        except _HeadersTooLargeError:
+            self.rfile = rfile
+            refusal = Refusal(
+                431, ErrorCode.HEADERS_TOO_LARGE, "the headers exceed 16 KB"
+            )
+            self._refuse_early(refusal)
+            return False
+        self.rfile = rfile
+        return valid
+
+    def _refuse_early(self, refusal: Refusal) -> None:
+        self.close_connection = True
+        body = refusal_item(refusal).body
+        head = (
+            f"HTTP/1.1 {refusal.status} {HTTPStatus(refusal.status).phrase}\r\n"
+            "Content-Type: application/problem+json\r\nConnection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        self.socket.sendall(head.encode() + body)
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment."""
+        environ: dict[str, Any] = super().get_environ()
+        environ["siskinspool.socket"] = self.socket
+        return environ
+
+    def log_error(self, msg: str, *args: object) -> None:
+        """Log a connection error; broken connections are normal."""
+        log_event(logger, logging.DEBUG, "connection_error", detail=msg % args)
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """End the connection after an exception of the application."""
+        if isinstance(v, CutStreamError):
+            # Without the closing chunk the caller sees that the answer is cut (R8).
+            self.close_connection = True
+            return
+        if isinstance(v, OSError):
+            super().handle_error(t, v, tb)
+            return
+        log_event(logger, logging.ERROR, "request_failed", error=repr(v))
+        logger.debug("request failure", exc_info=(t, v, tb))
+        self.close_connection = True
+        if not self.headers_sent:
+            refusal = Refusal(
+                500, ErrorCode.INTERNAL, "internal error", RunState.UNKNOWN
+            )
+            self._refuse_early(refusal)
+
+
+def read_request(environ: dict[str, Any]) -> HttpRequest | Refusal:
+    """Return the request of a WSGI environment, body included."""
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+        return Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body exceeds 8 MB")
+    try:
+        body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    except OSError:
+        return Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
+    if len(body) > MAX_BODY_BYTES:
+        return Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body exceeds 8 MB")
+    headers = {
+        name[5:].replace("_", "-").lower(): text
+        for name, text in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return HttpRequest(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        body=body,
+    )
--- /dev/null
+++ b/src/siskinspool/links/runner.py
@@ -0,0 +1,260 @@
+"""Runs patient requests (R3).
+
+`Runner` is the task ``runner``. The owner of a patient shard sends `RunPatient`; the
+runner starts each token at most once, answers `PatientStarted`, and sends
+`PatientFinished` until `PatientRecorded` comes, so that a lost message loses no answer.
+A run that was certainly not carried out and may succeed later (no room, rate used up)
+starts again until the deadline.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+
+from ..contracts.call import DEFAULT_MAX_TOKENS, Call
+from ..contracts.patient_messages import (
+    PatientFinished,
+    PatientRecorded,
+    PatientStarted,
+    RunPatient,
+    SubmitPatient,
+)
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.errors import ErrorCode
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.outcome import Refusal, RunState
+from ..core.task import Task
+from ..machines.messages import CatalogChanged
+from ..manifest.model import Catalog, RequestClass, empty_manifest
+from .call_task import (
+    PROBLEM_CONTENT_TYPE,
+    AnswerSink,
+    CallContext,
+    CallTask,
+    problem_body,
+)
+from .runner_messages import RunEnded, RunsInProgress
+
+REPEAT_INTERVAL_S: Final = 1.0
+RETRY_PAUSE_S: Final = 2.0
+# Tokens of ended runs that are remembered, so that a late copy starts nothing.
+REMEMBERED_TOKENS: Final = 10_000
+
+_LATER_CODES: Final = frozenset(
+    {
+        ErrorCode.RATE_EXCEEDED,
+        ErrorCode.QUEUE_FULL,
+        ErrorCode.NO_SERVER,
+        ErrorCode.LOAD_FAILED,
+        ErrorCode.SERVER_FAILED,
+        ErrorCode.DEADLINE_UNREACHABLE,
+        ErrorCode.IDEMPOTENCY_UNAVAILABLE,
+    }
+)
+
+
+@attrs.define
+class _Run:
+    """One token and where its result goes."""
+
+    asker: Address
+    request: SubmitPatient
+    deadline_at: float
+    attempts: int = 0
+    # Set while no attempt runs but another one may follow.
+    retry_at: float | None = None
+    finished: PatientFinished | None = None
+    send_at: float = 0.0
+
+
+class _BufferSink(AnswerSink):
+    """Collects a whole answer and reports it to the runner's inbox."""
+
+    def __init__(self, runner: Runner, token: str) -> None:
+        self._runner = runner
+        self._token = token
+        self._status = 0
+        self._content_type = ""
+        self._events: list[bytes] = []
+
+    def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head of a streamed answer."""
+        self._status = status
+        self._content_type = headers.get("content-type", "")
+
+    def event(self, data: bytes) -> None:
+        """Take one server-sent event."""
+        self._events.append(data)
+
+    def end(self) -> None:
+        """Take the end of a complete streamed answer."""
+        self._report(self._status, self._content_type, b"".join(self._events), None)
+
+    def abort(self, refusal: Refusal) -> None:
+        """Take the end of a streamed answer that was cut."""
+        self.refuse(refusal)
+
+    def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Take a whole answer."""
+        self._report(status, headers.get("content-type", ""), body, None)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Take a refusal."""
+        body = problem_body(refusal)
+        self._report(refusal.status, PROBLEM_CONTENT_TYPE, body, refusal)
+
+    def _report(
+        self, status: int, content_type: str, body: bytes, refusal: Refusal | None
+    ) -> None:
+        ended = RunEnded(self._token, status, content_type, body, refusal)
+        self._runner.post(Incoming(self._runner.address, ended))
+
+
+class Runner(Task):
+    """Runs patient requests of the whole site at this instance."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        context: CallContext,
+        incarnation: str,
+    ) -> None:
+        super().__init__("runner", dispatcher, clock)
+        self._context = context
+        self._incarnation = incarnation
+        self._catalog = Catalog.from_manifest(0, empty_manifest())
+        self._run_by_token: dict[str, _Run] = {}
+        self._ended_tokens: OrderedDict[str, None] = OrderedDict()
+
+    def handle(self, incoming: Incoming) -> None:
+        """Start runs, take their results and forget recorded ones."""
+        match incoming.message:
+            case CatalogChanged(catalog=catalog):
+                self._catalog = catalog
+            case RunPatient() as run:
+                self._take(run, incoming.sender)
+            case RunEnded() as ended:
+                self._end(ended)
+            case PatientRecorded(token=token):
+                self._forget(token)
+
+    def on_time(self) -> None:
+        """Repeat results that are not recorded and attempts that may succeed."""
+        now = self.clock.now()
+        for token, run in list(self._run_by_token.items()):
+            if run.finished is not None and run.send_at <= now:
+                self._send_result(run)
+            elif run.retry_at is not None and run.retry_at <= now:
+                self._attempt(token, run)
+
+    def wake_at(self) -> float | None:
+        """Return when something is repeated next."""
+        times = [
+            run.send_at if run.finished is not None else run.retry_at
+            for run in self._run_by_token.values()
+        ]
+        return min((at for at in times if at is not None), default=None)
+
+    def _take(self, message: RunPatient, sender: Address) -> None:
+        if message.incarnation != self._incarnation:
+            return
+        if message.token in self._ended_tokens:
+            return
+        run = self._run_by_token.get(message.token)
+        if run is None:
+            deadline_at = self.clock.now() + message.request.deadline_in_s
+            run = _Run(sender, message.request, deadline_at)
+            self._run_by_token[message.token] = run
+            self._attempt(message.token, run)
+        run.asker = sender
+        started = PatientStarted(message.request.request_id, message.token)
+        self._tell(sender, started)
+        if run.finished is not None:
+            self._send_result(run)
+        self._count()
+
+    def _attempt(self, token: str, run: _Run) -> None:
+        run.attempts += 1
+        run.retry_at = None
+        sink = _BufferSink(self, token)
+        call = self._call(token, run)
+        if isinstance(call, Refusal):
+            sink.refuse(call)
+        else:
+            CallTask(call, self._context, sink).start()
+
+    def _call(self, token: str, run: _Run) -> Call | Refusal:
+        request = run.request
+        model = self._catalog.base_model(request.route)
+        route = self._catalog.route_by_id.get(request.route)
+        if model is None and route is None:
+            return Refusal(
+                404, ErrorCode.UNKNOWN_ROUTE, "the route or model no longer exists"
+            )
+        headers = dict(request.headers)
+        return Call(
+            id=f"{token}-{run.attempts}",
+            team=request.team,
+            key_id="",
+            target=request.route,
+            model=model.id if model else "",
+            route=route,
+            request_class=RequestClass.PATIENT,
+            deadline_at=run.deadline_at,
+            idempotent=request.idempotent,
+            idempotency_key=headers.pop("idempotency-key", ""),
+            estimate_tokens=route.cost_tokens if route else DEFAULT_MAX_TOKENS,
+            streamed=False,
+            method=request.method,
+            uri=request.target,
+            headers=headers,
+            body=request.body,
+        )
+
+    def _end(self, ended: RunEnded) -> None:
+        run = self._run_by_token.get(ended.token)
+        if run is None or run.finished is not None:
+            return
+        now = self.clock.now()
+        if self._may_try_later(ended.refusal) and now + RETRY_PAUSE_S < run.deadline_at:
+            run.retry_at = now + RETRY_PAUSE_S
+            return
+        run.finished = PatientFinished(
+            run.request.request_id,
+            ended.token,
+            ended.status,
+            ended.content_type,
+            ended.body,
+        )
+        self._send_result(run)
+
+    @staticmethod
+    def _may_try_later(refusal: Refusal | None) -> bool:
+        if refusal is None or refusal.run is not RunState.NOT_RUN:
+            return False
+        return refusal.code in _LATER_CODES
+
+    def _send_result(self, run: _Run) -> None:
+        run.send_at = self.clock.now() + REPEAT_INTERVAL_S
+        if run.finished is not None:
+            self._tell(run.asker, run.finished)
+
+    def _forget(self, token: str) -> None:
+        if self._run_by_token.pop(token, None) is None:
+            return
+        self._ended_tokens[token] = None
+        if len(self._ended_tokens) > REMEMBERED_TOKENS:
+            self._ended_tokens.popitem(last=False)
+        self._count()
+
+    def _count(self) -> None:
+        count = RunsInProgress(len(self._run_by_token))
+        self._tell(self.dispatcher.address("frontend"), count)
+
+    def _tell(self, recipient: Address, message: Message) -> None:
+        self.dispatcher.send(self.address, Outgoing(recipient, message))
--- /dev/null
+++ b/src/siskinspool/links/status.py
@@ -0,0 +1,96 @@
+"""Pages about this instance, for operators and callers.
+
+``/v1/status`` shows the instance, its revision and whether it is ready to anybody, and
+what the tasks report to whoever carries the operators' token. Tasks are asked by
+message, so that nothing reads their state.
+"""
+
+from __future__ import annotations
+
+import hmac
+import json
+from typing import Any, Final
+
+import attrs
+
+from ..contracts.call import HttpRequest
+from ..core.dispatcher import Dispatcher
+from ..core.errors import ErrorCode
+from ..core.outcome import Refusal
+from ..core.status import AskStatus, StatusShown
+from ..telemetry.messages import AskHistograms, Histograms
+from .caller import Whole, refusal_item
+
+ASK_TIMEOUT_S: Final = 0.5
+Json = dict[str, Any]
+
+
+@attrs.frozen(kw_only=True)
+class InstanceState:
+    """What the front end knows of its instance."""
+
+    revision: int
+    # None if ready, else the code of the reason.
+    not_ready: str | None
+    running_calls: int
+
+
+class StatusPages:
+    """Builds the pages."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        incarnation: str,
+        operator_token: str,
+        tasks: tuple[str, ...],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._incarnation = incarnation
+        self._operator_token = operator_token
+        self._tasks = tasks
+
+    def status(self, request: HttpRequest, state: InstanceState) -> Whole:
+        """Return the status page."""
+        page: Json = {
+            "instance": self._dispatcher.instance_id,
+            "incarnation": self._incarnation,
+            **attrs.asdict(state),
+        }
+        if self._is_operator(request):
+            page["tasks"] = {task: self._ask(task) for task in self._tasks}
+        return json_page(page)
+
+    def histograms(self, request: HttpRequest) -> Whole:
+        """Return the encoded histograms; they name teams, so operators only."""
+        if not self._is_operator(request):
+            return refusal_item(
+                Refusal(401, ErrorCode.KEY_REJECTED, "the operators' token is needed")
+            )
+        address = self._dispatcher.address("telemetry")
+        answer = self._dispatcher.ask(address, AskHistograms(), ASK_TIMEOUT_S)
+        encoded = answer.encoded_by_name if isinstance(answer, Histograms) else {}
+        return json_page(encoded)
+
+    def _ask(self, task: str) -> Json:
+        address = self._dispatcher.address(task)
+        answer = self._dispatcher.ask(address, AskStatus(), ASK_TIMEOUT_S)
+        return answer.fields if isinstance(answer, StatusShown) else {}
+
+    def _is_operator(self, request: HttpRequest) -> bool:
+        header = request.headers.get("authorization", "")
+        text = header.removeprefix("Bearer ").encode("utf-8", "surrogateescape")
+        expected = self._operator_token.encode()
+        return bool(expected) and hmac.compare_digest(text, expected)
+
+
+def model_list(names: list[str]) -> Whole:
+    """Return the list of models in the form that callers expect."""
+    data = [{"id": name, "object": "model"} for name in sorted(names)]
+    return json_page({"object": "list", "data": data})
+
+
+def json_page(value: object, status: int = 200) -> Whole:
+    """Return a JSON document as a whole answer."""
+    body = json.dumps(value, default=str).encode() + b"\n"
+    return Whole(status, {"content-type": "application/json"}, body)
--- a/src/siskinspool/machines/drain.py
+++ b/src/siskinspool/machines/drain.py
@@ -19,13 +19,12 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..platform.kv_events import EndSession, SessionEnded
 from .drain_messages import (
     CallsRunning,
     Drained,
     DrainStarted,
-    EndSession,
     HandOverWaiting,
-    SessionEnded,
     StartDrain,
     SurrenderShares,
 )
@@ -44,11 +43,12 @@
 class DrainRecipients:
     """Names of the local tasks that take part in each step."""
 
-    readiness: tuple[str, ...] = ("frontend", "membership")
-    ownership: tuple[str, ...] = ("ownership",)
-    waiting: tuple[str, ...] = ("frontend", "patient")
+    readiness: tuple[str, ...] = ("frontend",)
+    # The mint gives its reserve away while it still owns its partitions.
+    ownership: tuple[str, ...] = ("mint", "ownership", "membership")
+    waiting: tuple[str, ...] = ("frontend", "patient", "runner")
     shares: tuple[str, ...] = ("limits",)
-    session: str = "membership"
+    session: str = "kv"
 
 
 class DrainPhase(IntEnum):
--- a/src/siskinspool/machines/drain_messages.py
+++ b/src/siskinspool/machines/drain_messages.py
@@ -40,16 +40,6 @@
     """Return all shares of team limits."""
 
 
-@attrs.frozen
-class EndSession(Message):
-    """Revoke the session; answered by `SessionEnded`."""
-
-
-@attrs.frozen
-class SessionEnded(Message):
-    """The session is revoked."""
-
-
 @attrs.frozen
 class Drained(Message):
     """The process may exit."""
--- a/src/siskinspool/machines/known_servers.py
+++ b/src/siskinspool/machines/known_servers.py
@@ -1,6 +1,6 @@
 """Servers and plain services as one instance sees them.
 
-`KnownServers` keeps the state of each server and answers which of them may take a call now:
+`KnownServers` keeps the state of each server and says which may take a call now:
 those that hold the replica, take new work (zone open, not leaving), have a recent
 report, are not set aside by the breaker and have free concurrency within the ramp.
 """
--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -40,6 +40,9 @@
     host: str
     port: int
     draining: bool = False
+    # Where callers and operators connect.
+    listen_host: str = ""
+    listen_port: int = 0
 
 
 @attrs.frozen
--- a/src/siskinspool/machines/ramp_grant.py
+++ b/src/siskinspool/machines/ramp_grant.py
@@ -30,9 +30,10 @@
         """Record a lease; a lease can arrive before the report of its boot id."""
         kept = self._grant_by_boot.get(current_boot)
         self._grant_by_boot = {} if kept is None else {current_boot: kept}
-        self._grant_by_boot[message.boot_id] = RampGrant(
-            message.slots, now + message.ttl_s
-        )
+        expires_at = message.valid_until
+        if expires_at is None:
+            expires_at = now + message.ttl_s
+        self._grant_by_boot[message.boot_id] = RampGrant(message.slots, expires_at)
 
     def enter_boot(self, boot_id: str) -> None:
         """Keep only what was leased for a new boot id."""
--- a/src/siskinspool/machines/record_store.py
+++ b/src/siskinspool/machines/record_store.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from ..platform.keys import SERVERS_PREFIX
 from ..platform.kv import (
     KvConflict,
     KvGet,
@@ -35,7 +36,6 @@
 from .record_encoding import RecordEncoding
 from .reservations import Reservation, ServerRecord
 
-KEY_PREFIX: Final = "servers/"
 # An outage of the service is retried this often, so that it is not flooded on return.
 RETRY_S: Final = 0.5
 
@@ -191,7 +191,7 @@
     def _send_list(self) -> None:
         self._list_retry_at = None
         self._list_request = self._next_id()
-        self.requests.append(KvList(self._list_request, KEY_PREFIX))
+        self.requests.append(KvList(self._list_request, SERVERS_PREFIX))
 
     def _on_listing(self, reply: KvReply, now: float) -> None:
         self._list_request = ""
@@ -203,7 +203,7 @@
             self._take_item(item)
 
     def _take_item(self, item: KvItem) -> None:
-        server_id = item.key.removeprefix(KEY_PREFIX)
+        server_id = item.key.removeprefix(SERVERS_PREFIX)
         slot = self._slot_by_server.setdefault(server_id, _Slot())
         self._adopt(server_id, slot, item.value, item.revision)
 
@@ -219,14 +219,14 @@
         slot.pending = attrs.evolve(record, epoch=self.epoch, token=token)
         self._track(server_id, slot, token)
         value = self._encoding.encode(slot.pending)
-        key = KEY_PREFIX + server_id
+        key = SERVERS_PREFIX + server_id
         self.requests.append(KvSwap(token, key, slot.revision, value))
 
     def _retry(self, server_id: str, slot: _Slot) -> None:
         if slot.reading:
             request_id = self._next_id()
             self._track(server_id, slot, request_id)
-            self.requests.append(KvGet(request_id, KEY_PREFIX + server_id))
+            self.requests.append(KvGet(request_id, SERVERS_PREFIX + server_id))
         elif not slot.sealed:
             self._seal(server_id)
         else:
--- a/src/siskinspool/machines/replica_usage.py
+++ b/src/siskinspool/machines/replica_usage.py
@@ -68,6 +68,7 @@
                 key.server_id,
                 usage.running,
                 usage.sent / interval_s,
+                sent_at=now,
             )
             for key, usage in self._usage_by_key.items()
         ]
--- /dev/null
+++ b/src/siskinspool/machines/report_messages.py
@@ -0,0 +1,17 @@
+"""Messages of the polling of server reports."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..core.message import Message
+
+
+@attrs.frozen
+class PollServer(Message):
+    """Read a server's report; answered by `ServerReport` or `ServerUnreachable`."""
+
+    server_id: str
+    host: str
+    port: int
+    timeout_s: float
--- /dev/null
+++ b/src/siskinspool/machines/report_task.py
@@ -0,0 +1,98 @@
+"""Reads server reports over HTTP.
+
+`ReportPoller` is the task ``report_poller``. Each poll runs in a greenlet of a bounded
+pool, so that a server that does not answer delays no other.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+from gevent.pool import Pool
+from geventhttpclient import HTTPClient
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.task import Task
+from .messages import (
+    CheckpointTier,
+    ReplicaState,
+    ReportedReplica,
+    ServerReport,
+    ServerUnreachable,
+)
+from .report_messages import PollServer
+
+PARALLEL_POLLS: Final = 32
+
+
+class ReportPoller(Task):
+    """Polls servers when asked to."""
+
+    def __init__(self, dispatcher: Dispatcher, clock: Clock) -> None:
+        super().__init__("report_poller", dispatcher, clock)
+        self._pool = Pool(PARALLEL_POLLS)
+
+    def handle(self, incoming: Incoming) -> None:
+        """Start one poll."""
+        if isinstance(incoming.message, PollServer):
+            self._pool.spawn(self._poll, incoming.sender, incoming.message)
+
+    def _poll(self, sender: Address, poll: PollServer) -> None:
+        answer: Message
+        try:
+            answer = decode_report(poll.server_id, _read(poll))
+        except (OSError, ValueError, KeyError, TypeError, AttributeError):
+            answer = ServerUnreachable(poll.server_id)
+        self.dispatcher.send(self.address, Outgoing(sender, answer))
+
+
+def _read(poll: PollServer) -> bytes:
+    client = HTTPClient(
+        poll.host,
+        port=poll.port,
+        connection_timeout=poll.timeout_s,
+        network_timeout=poll.timeout_s,
+        concurrency=1,
+    )
+    try:
+        response = client.get("/v1/report")
+        if response.status_code != 200:
+            raise ValueError(f"status {response.status_code}")
+        return bytes(response.read())
+    finally:
+        client.close()
+
+
+def decode_report(server_id: str, data: bytes) -> ServerReport:
+    """Return a report; raise ValueError or KeyError if it is malformed."""
+    document: dict[str, Any] = msgspec.json.decode(data)
+    if document["server_id"] != server_id:
+        raise ValueError("the report is about another server")
+    return ServerReport(
+        server_id=server_id,
+        boot_id=str(document["boot_id"]),
+        capacity=int(document["capacity"]),
+        running=int(document["running"]),
+        queued=int(document["queued"]),
+        memory_mib=int(document["memory_mib"]),
+        used_mib=int(document["used_mib"]),
+        replicas=tuple(_replica(item) for item in document["replicas"]),
+        checkpoint_tier_by_model={
+            model: CheckpointTier(tier)
+            for model, tier in document.get("checkpoints", {}).items()
+        },
+        highest_fence=int(document.get("highest_fence", 0)),
+        age_s=int(document.get("age_ms", 0)) / 1000,
+    )
+
+
+def _replica(item: dict[str, Any]) -> ReportedReplica:
+    return ReportedReplica(
+        replica_id=str(item["replica_id"]),
+        model=str(item["model"]),
+        adapter=str(item.get("adapter", "")),
+        state=ReplicaState(item["state"]),
+    )
--- /dev/null
+++ b/src/siskinspool/machines/reporting.py
@@ -0,0 +1,133 @@
+"""Which server reports this instance reads, and who gets them.
+
+Each server has one reporter: the winner of rendezvous hashing among the members. It
+polls the server every `POLL_INTERVAL_S`. The placement owner gets every report, since
+it counts reports in a row; the routing task of every member gets it when it changed,
+and once every `REFRESH_INTERVAL_S` otherwise. Two instances that disagree about the
+members poll the same server twice for a moment, which does no harm.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..manifest.model import Catalog, Server, empty_manifest
+from .messages import (
+    CatalogChanged,
+    Member,
+    MembershipChanged,
+    OwnersChanged,
+    ServerReport,
+    ServerUnreachable,
+)
+from .rendezvous import winner
+from .report_messages import PollServer
+
+POLL_INTERVAL_S: Final = 0.5
+REFRESH_INTERVAL_S: Final = 1.0
+POLL_TIMEOUT_S: Final = 1.0
+
+
+@attrs.define
+class _Polled:
+    """What is known of a server that this instance reports."""
+
+    due_at: float
+    waiting: bool = False
+    last_sent: ServerReport | None = None
+    sent_at: float = 0.0
+
+
+class Reporting(Decision):
+    """Polls the servers of this instance and spreads their reports."""
+
+    def __init__(self, instance_id: str, site_id: str) -> None:
+        self._instance_id = instance_id
+        self._partition = f"placement/{site_id}"
+        self._catalog = Catalog.from_manifest(0, empty_manifest())
+        self._member_by_id: dict[str, Member] = {}
+        self._placement_owner: str | None = None
+        self._polled_by_id: dict[str, _Polled] = {}
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in the manifest, the members, owners and reports."""
+        match incoming.message:
+            case CatalogChanged(catalog=catalog):
+                self._catalog = catalog
+                self._assign(now)
+            case MembershipChanged(member_by_id=members):
+                self._member_by_id = members
+                self._assign(now)
+            case OwnersChanged(owner_by_partition=owners):
+                self._placement_owner = owners.get(self._partition)
+            case ServerReport() as report:
+                return self._spread(report, now)
+            case ServerUnreachable(server_id=server_id) as unreachable:
+                self._answered(server_id)
+                return self._to_placement(unreachable)
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Poll the servers that are due."""
+        batch = []
+        for server_id, polled in self._polled_by_id.items():
+            if polled.due_at > now:
+                continue
+            polled.due_at = now + POLL_INTERVAL_S
+            if not polled.waiting:
+                polled.waiting = True
+                batch.append(self._poll(self._catalog.server_by_id[server_id]))
+        return batch
+
+    def wake_at(self) -> float | None:
+        """Return when the next server is due."""
+        return min((item.due_at for item in self._polled_by_id.values()), default=None)
+
+    def _assign(self, now: float) -> None:
+        mine = {
+            server_id
+            for server_id in self._catalog.server_by_id
+            if winner(server_id, self._member_by_id) == self._instance_id
+        }
+        self._polled_by_id = {
+            server_id: self._polled_by_id.get(server_id, _Polled(due_at=now))
+            for server_id in sorted(mine)
+        }
+
+    def _poll(self, server: Server) -> Outgoing:
+        message = PollServer(server.id, server.host, server.port, POLL_TIMEOUT_S)
+        return self._local("report_poller", message)
+
+    def _answered(self, server_id: str) -> _Polled | None:
+        polled = self._polled_by_id.get(server_id)
+        if polled is not None:
+            polled.waiting = False
+        return polled
+
+    def _spread(self, report: ServerReport, now: float) -> list[Outgoing]:
+        polled = self._answered(report.server_id)
+        if polled is None:
+            return []
+        # The age changes with every report and says nothing new.
+        unchanged = polled.last_sent == attrs.evolve(report, age_s=0.0)
+        if unchanged and now - polled.sent_at < REFRESH_INTERVAL_S:
+            return self._to_placement(report)
+        polled.last_sent = attrs.evolve(report, age_s=0.0)
+        polled.sent_at = now
+        batch = [
+            Outgoing(Address(member_id, "routing"), report)
+            for member_id in self._member_by_id
+        ]
+        return batch + self._to_placement(report)
+
+    def _to_placement(self, message: Message) -> list[Outgoing]:
+        if self._placement_owner is None:
+            return []
+        return [Outgoing(Address(self._placement_owner, "placement"), message)]
+
+    def _local(self, task: str, message: Message) -> Outgoing:
+        return Outgoing(Address(self._instance_id, task), message)
--- a/src/siskinspool/manifest/revision_messages.py
+++ b/src/siskinspool/manifest/revision_messages.py
@@ -1,4 +1,4 @@
-"""Messages about configuration revisions."""
+"""Messages between the ``revisions`` tasks of neighbours."""
 
 from __future__ import annotations
 
@@ -9,33 +9,6 @@
 from .changes import EntityChange
 
 
-@attrs.frozen
-class RevisionHeard(Message):
-    """A neighbour has a revision; goes to the task ``revisions``."""
-
-    revision: int
-    instance_id: str
-
-
-@attrs.frozen
-class RevisionApplied(Message):
-    """This instance has a revision in force."""
-
-    revision: int
-
-
-@attrs.frozen
-class HeadConfirmed(Message):
-    """The service's head was read and its revision is in force here.
-
-    This, and not any answer of the service, shows that the configuration is current: a
-    watch may hang while other requests succeed.
-    """
-
-    # When the read was sent, monotonic seconds.
-    sent_at: float
-
-
 @wire
 @attrs.frozen
 class AskChanges(Message):
--- a/src/siskinspool/manifest/revisions.py
+++ b/src/siskinspool/manifest/revisions.py
@@ -1,14 +1,11 @@
 """Which configuration is in force at this instance.
 
-`Revisions` learns of a new revision in three ways: the watch on the head, a read of
-the head every `HEAD_INTERVAL_S`, and a neighbour's heartbeat. It then fetches what it
-lacks: change records from the newest back to its own revision, or to the base; or,
-when a neighbour told it, the neighbour's changes. The result must have the digest that
-the head names. A revision lower than the one in force is never applied (R13), whatever
-a lagging read or a neighbour says.
-
-A read of the head whose revision is in force confirms that the configuration is current
-(`HeadConfirmed`); see the freshness rule of `siskinspool.machines.membership`.
+`Revisions` learns of a new head from the task ``kv`` (its watch, and the reads that
+the freshness rule asks for) and of a new revision from a neighbour's heartbeat. It then
+fetches what it lacks: change records from the newest back to its own revision, or to
+the base; or, when a neighbour told it, the neighbour's changes. The result must have
+the digest that the head names. A revision lower than the one in force is never applied
+(R13), whatever a lagging read or a neighbour says.
 """
 
 from __future__ import annotations
@@ -22,12 +19,11 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
-from ..machines.messages import CatalogChanged
+from ..machines.messages import CatalogChanged, RevisionHeard
 from ..platform.keys import CONFIG_HEAD
 from ..platform.kv import (
     KvChanged,
     KvGet,
-    KvReply,
     KvValue,
 )
 from .changes import EntityChange, apply_changes
@@ -37,12 +33,8 @@
 from .revision_messages import (
     AskChanges,
     ChangesSince,
-    HeadConfirmed,
-    RevisionApplied,
-    RevisionHeard,
 )
 
-HEAD_INTERVAL_S: Final = 2.0
 # A fetch without an answer is started again after this time.
 FETCH_TIMEOUT_S: Final = 3.0
 # A neighbour is asked again only after this time.
@@ -82,8 +74,6 @@
         self._kept: deque[_Kept] = deque(maxlen=KEPT_CHANGES)
         self._fetch: _Fetch | None = None
         self._numbers = itertools.count(1)
-        self._head_sent_at_by_request: dict[str, float] = {}
-        self._next_head_at = 0.0
         self._next_neighbour_at = 0.0
 
     @property
@@ -97,9 +87,7 @@
             case KvChanged(key=key, value=value) if key == CONFIG_HEAD:
                 return self._take_head(value, now)
             case KvValue() as reply:
-                return self._take_value(reply, now)
-            case KvReply(request_id=request_id):
-                self._head_sent_at_by_request.pop(request_id, None)
+                return self._take_record(reply, now)
             case RevisionHeard(revision=revision, instance_id=instance_id):
                 return self._ask_neighbour(revision, instance_id, now)
             case AskChanges(after_revision=after):
@@ -109,31 +97,17 @@
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
-        """Read the head and start a stalled fetch again."""
-        batch: list[Outgoing] = []
-        if now >= self._next_head_at:
-            self._next_head_at = now + HEAD_INTERVAL_S
-            batch.append(self._read_head(now))
+        """Start a stalled fetch again."""
         fetch = self._fetch
-        if fetch is not None and now >= fetch.started_at + FETCH_TIMEOUT_S:
-            self._fetch = None
-            batch += self._start(fetch.head, now)
-        return batch
+        if fetch is None or now < fetch.started_at + FETCH_TIMEOUT_S:
+            return []
+        return self._start(fetch.head, now)
 
     def wake_at(self) -> float | None:
-        """Return when the head is read next or the fetch is too old."""
+        """Return when the fetch is too old."""
         if self._fetch is None:
-            return self._next_head_at
-        return min(self._next_head_at, self._fetch.started_at + FETCH_TIMEOUT_S)
-
-    def _read_head(self, now: float) -> Outgoing:
-        request_id = f"head:{next(self._numbers)}"
-        # Answers that never came are forgotten with the next few reads.
-        while len(self._head_sent_at_by_request) > 8:
-            oldest = next(iter(self._head_sent_at_by_request))
-            del self._head_sent_at_by_request[oldest]
-        self._head_sent_at_by_request[request_id] = now
-        return self._to("kv", KvGet(request_id, CONFIG_HEAD))
+            return None
+        return self._fetch.started_at + FETCH_TIMEOUT_S
 
     def _take_head(self, value: bytes | None, now: float) -> list[Outgoing]:
         head = _decode_head(value)
@@ -143,17 +117,6 @@
             return []
         return self._start(head, now)
 
-    def _take_value(self, reply: KvValue, now: float) -> list[Outgoing]:
-        sent_at = self._head_sent_at_by_request.pop(reply.request_id, None)
-        if sent_at is None:
-            return self._take_record(reply, now)
-        batch = self._take_head(reply.value, now)
-        head = _decode_head(reply.value)
-        revision = 0 if head is None else head.revision
-        if revision <= self._revision:
-            batch.append(self._to("membership", HeadConfirmed(sent_at)))
-        return batch
-
     def _start(self, head: Head, now: float) -> list[Outgoing]:
         self._fetch = _Fetch(head, now)
         self._fetch.wants_base = self._revision < head.base_revision
@@ -236,9 +199,7 @@
         if self._fetch is not None and self._fetch.head.revision <= revision:
             self._fetch = None
         changed = CatalogChanged(Catalog.from_manifest(revision, manifest))
-        batch = [self._to(task, changed) for task in self._listeners]
-        batch.append(self._to("membership", RevisionApplied(revision)))
-        return batch
+        return [self._to(task, changed) for task in self._listeners]
 
     def _ask_neighbour(
         self, revision: int, instance_id: str, now: float
--- a/src/siskinspool/platform/session_keeper.py
+++ b/src/siskinspool/platform/session_keeper.py
@@ -46,13 +46,22 @@
     port: int
     # Tells a write of this session from one of an earlier lease.
     lease_id: int
+    # Where callers and operators connect.
+    listen_host: str = ""
+    listen_port: int = 0
 
 
 def encode_session(member: Member, lease_id: int) -> bytes:
     """Return the value of a session key."""
     return msgspec.json.encode(
         SessionRecord(
-            member.incarnation, member.zone, member.host, member.port, lease_id
+            member.incarnation,
+            member.zone,
+            member.host,
+            member.port,
+            lease_id,
+            member.listen_host,
+            member.listen_port,
         )
     )
 
@@ -64,7 +73,13 @@
     except (msgspec.DecodeError, ValueError):
         return None
     return Member(
-        instance_id, record.incarnation, record.zone, record.host, record.port
+        instance_id,
+        record.incarnation,
+        record.zone,
+        record.host,
+        record.port,
+        listen_host=record.listen_host,
+        listen_port=record.listen_port,
     )
 
 
--- a/src/siskinspool/settings.py
+++ b/src/siskinspool/settings.py
@@ -49,6 +49,8 @@
     instance_list: Endpoint
     # Where metrics go; None sends none.
     statsd: Endpoint | None = None
+    # Bearer token of operators for the status pages; empty shows them to nobody.
+    operator_token: str = attrs.field(default="", repr=False)
     log_level: str = attrs.field(default="info")
     # Time to live of the session, and how often it is renewed.
     session_ttl_s: float = 10.0
--- /dev/null
+++ b/src/siskinspool/standins/site.py
@@ -0,0 +1,303 @@
+"""A whole site on loopback: stand-ins, entry instances and a manifest.
+
+`SitePlan` says what to build; `TrialSite` starts it in a `Bench`, brings the manifest
+into force and waits until the instances are ready. It is the common base of the demo,
+the integration tests and the load tool.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import gevent
+
+from ..contracts.key import IssuedKey, issue_key
+from ..manifest.model import (
+    Adapter,
+    Key,
+    Manifest,
+    Model,
+    Pool,
+    RequestClass,
+    Route,
+    Server,
+    Service,
+    Site,
+    Team,
+    Zone,
+)
+from ..manifest.publisher import Published, Publisher, Unchanged
+from ..platform.etcd import EtcdGateway
+from .processes import Bench, Process, ProcessError, call, call_json
+
+READY_TIMEOUT_S: Final = 30.0
+CHECK_INTERVAL_S: Final = 0.05
+POOL: Final = "engines"
+
+Json = dict[str, Any]
+
+
+@attrs.frozen(kw_only=True)
+class SitePlan:
+    """What a trial site consists of."""
+
+    zones: tuple[str, ...] = ("a", "b", "c")
+    instances: int = 3
+    servers: int = 3
+    models: tuple[Model, ...] = (
+        Model(id="quote", pool=POOL, memory_mib=400, load_s=0.5),
+        Model(id="estimate", pool=POOL, memory_mib=400, load_s=0.5),
+        Model(id="ledger", pool=POOL, memory_mib=400, load_s=0.5),
+    )
+    adapters: tuple[Adapter, ...] = (
+        Adapter(id="ilorin", model="quote", memory_mib=10),
+    )
+    teams: tuple[Team, ...] = (
+        Team(id="guild", rate=5_000, burst=20_000),
+        Team(id="visitor", rate=100, burst=500, allow=("ledger",)),
+    )
+    services: int = 1
+    server_memory_mib: int = 1000
+    server_capacity: int = 16
+    # Engines with an odd number ignore fencing numbers.
+    mixed_fencing: bool = True
+    store_rate: float = 4.0
+    token_s: float = 0.005
+    cold_limit: int = 4
+    list_lag_s: float = 0.5
+    session_ttl_s: float = 10.0
+    session_renew_s: float = 3.0
+    log_level: str = "info"
+
+
+@attrs.define
+class TrialSite:
+    """The running processes of a trial site."""
+
+    plan: SitePlan
+    bench: Bench
+    manifest: Manifest | None = None
+    key_by_team: dict[str, IssuedKey] = attrs.field(factory=dict)
+    engine_by_id: dict[str, Process] = attrs.field(factory=dict)
+    service_by_id: dict[str, Process] = attrs.field(factory=dict)
+    instance_by_id: dict[str, Process] = attrs.field(factory=dict)
+    # Where instances reach an outside system, by name; a test may put a proxy there.
+    port_by_name: dict[str, int] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_plan(cls, plan: SitePlan, folder: Path) -> TrialSite:
+        """Start a whole site and wait until all instances are ready."""
+        site = cls(plan, Bench(folder))
+        try:
+            site.start_surroundings()
+            site.publish(site.build_manifest())
+            for number in range(plan.instances):
+                site.start_instance(number)
+            site.wait_ready()
+        except BaseException:
+            site.stop()
+            raise
+        return site
+
+    def stop(self) -> None:
+        """End all processes."""
+        self.bench.stop()
+
+    @property
+    def platform(self) -> Process:
+        """The platform stand-in."""
+        return self.bench.process_by_name["platform"]
+
+    def start_surroundings(self) -> None:
+        """Start the platform, the weight store, the engines and the services."""
+        module = "siskinspool.standins"
+        plan = self.plan
+        platform = self.bench.start(
+            "platform", f"{module}.platform", "--list-lag-s", str(plan.list_lag_s)
+        )
+        self.port_by_name["platform"] = platform.port
+        store = self.bench.start(
+            "store", f"{module}.store", "--rate", str(plan.store_rate)
+        )
+        self.port_by_name["store"] = store.port
+        for number in range(plan.servers):
+            self._start_engine(number)
+        for number in range(plan.services):
+            name = f"service-{number}"
+            process = self.bench.start(name, f"{module}.service")
+            self.service_by_id[name] = process
+            self.port_by_name[name] = process.port
+
+    def _start_engine(self, number: int) -> None:
+        plan, name = self.plan, f"engine-{number}"
+        process = self.bench.start(
+            name,
+            "siskinspool.standins.engine",
+            "--server-id",
+            name,
+            "--store-port",
+            str(self.port_by_name["store"]),
+            "--memory-mib",
+            str(plan.server_memory_mib),
+            "--capacity",
+            str(plan.server_capacity),
+            "--token-s",
+            str(plan.token_s),
+            "--cold-limit",
+            str(plan.cold_limit),
+            "--checks-fencing" if self._checks_fencing(number) else "--ignores-fencing",
+        )
+        self.engine_by_id[name] = process
+        self.port_by_name[name] = process.port
+        sizes: Json = {}
+        sized: tuple[Model | Adapter, ...] = (*plan.models, *plan.adapters)
+        for entity in sized:
+            sizes[entity.id] = {
+                "memory_mib": entity.memory_mib,
+                "load_s": entity.load_s,
+            }
+        call_json(process.port, "POST", "/admin/catalog", sizes)
+
+    def _checks_fencing(self, number: int) -> bool:
+        return not self.plan.mixed_fencing or number % 2 == 0
+
+    def build_manifest(self) -> Manifest:
+        """Return the manifest of the plan, with a new key for each team."""
+        plan = self.plan
+        keys: list[Key] = []
+        for team in plan.teams:
+            issued = issue_key(f"{team.id}-1", team.id)
+            self.key_by_team[team.id] = issued
+            keys.append(issued.entry)
+        return Manifest(
+            site=Site(id="trial", store_loads_per_s=plan.store_rate),
+            zones=tuple(Zone(id=zone) for zone in plan.zones),
+            pools=(Pool(id=POOL),),
+            servers=tuple(self._server(number) for number in range(plan.servers)),
+            models=plan.models,
+            adapters=plan.adapters,
+            services=tuple(
+                Service(
+                    id=name,
+                    zone=self._zone(number),
+                    host="127.0.0.1",
+                    port=self.port_by_name[name],
+                )
+                for number, name in enumerate(self.service_by_id)
+            ),
+            routes=self._routes(),
+            teams=plan.teams,
+            keys=tuple(keys),
+        )
+
+    def _routes(self) -> tuple[Route, ...]:
+        names = tuple(self.service_by_id)
+        if not names:
+            return ()
+        return (
+            Route(id="deposits", path="/deposits", services=names, idempotent=False),
+            Route(id="stock", path="/stock", services=names, open=True, cost_tokens=0),
+            Route(
+                id="orders",
+                path="/orders",
+                services=names,
+                idempotent=False,
+                request_class=RequestClass.PATIENT,
+                deadline_ms=60_000,
+            ),
+        )
+
+    def _zone(self, number: int) -> str:
+        return self.plan.zones[number % len(self.plan.zones)]
+
+    def _server(self, number: int) -> Server:
+        name = f"engine-{number}"
+        return Server(
+            id=name,
+            zone=self._zone(number),
+            pool=POOL,
+            host="127.0.0.1",
+            port=self.port_by_name[name],
+            memory_mib=self.plan.server_memory_mib,
+            capacity=self.plan.server_capacity,
+            checks_fencing=self._checks_fencing(number),
+        )
+
+    def publish(self, manifest: Manifest) -> int:
+        """Bring a manifest into force and return its revision."""
+        gateway = EtcdGateway("127.0.0.1", self.platform.port)
+        outcome = Publisher(gateway).publish(manifest)
+        if not isinstance(outcome, Published | Unchanged):
+            raise ProcessError(f"the manifest was not accepted: {outcome}")
+        self.manifest = manifest
+        return outcome.revision
+
+    def start_instance(self, number: int) -> Process:
+        """Start one entry instance."""
+        name = f"instance-{number}"
+        platform = {"host": "127.0.0.1", "port": self.port_by_name["platform"]}
+        settings: Json = {
+            "instance_id": name,
+            "site": "trial",
+            "zone": self._zone(number),
+            "listen": {"host": "127.0.0.1", "port": 0},
+            "peer": {"host": "127.0.0.1", "port": 0},
+            "key_value": platform,
+            "instance_list": platform,
+            "log_level": self.plan.log_level,
+            "session_ttl_s": self.plan.session_ttl_s,
+            "session_renew_s": self.plan.session_renew_s,
+        }
+        path = self.bench.folder / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        process = self.bench.start(name, "siskinspool.daemon", str(path))
+        self.instance_by_id[name] = process
+        self.port_by_name[name] = process.port
+        return process
+
+    def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until all running instances are ready."""
+        for name, process in self.instance_by_id.items():
+            if process.alive:
+                wait_until(
+                    lambda port=process.port: is_ready(port),  # type: ignore[misc]
+                    f"{name} is ready",
+                    timeout_s,
+                )
+
+    def authorization(self, team: str) -> dict[str, str]:
+        """Return the header with a team's key."""
+        return {"Authorization": f"Bearer {self.key_by_team[team].text}"}
+
+    def observed(self, engine: str) -> Json:
+        """Return what an engine saw."""
+        return call_json(self.engine_by_id[engine].port, "GET", "/admin/observed")
+
+    def runs(self, service: str = "service-0") -> Json:
+        """Return how often each business call ran at a service."""
+        port = self.service_by_id[service].port
+        result: Json = call_json(port, "GET", "/admin/runs")["runs"]
+        return result
+
+
+def is_ready(port: int) -> bool:
+    """Tell whether an instance reports ready."""
+    try:
+        return call(port, "GET", "/readyz", timeout_s=2.0)[0] == 200
+    except OSError:
+        return False
+
+
+def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> float:
+    """Wait for a condition; return the seconds it took, or raise ProcessError."""
+    started_at = time.monotonic()
+    while not condition():
+        if time.monotonic() - started_at > timeout_s:
+            raise ProcessError(f"after {timeout_s:g} s it does not hold that {what}")
+        gevent.sleep(CHECK_INTERVAL_S)
+    return time.monotonic() - started_at
--- a/tests/builders_manifest.py
+++ b/tests/builders_manifest.py
@@ -95,8 +95,10 @@
         self.run(instance_id, decision.handle(event, self.now))
 
     def advance(self, seconds: float) -> None:
-        """Let time pass at all instances."""
+        """Let time pass at all instances, with a read of the head at each."""
         self.now += seconds
+        for instance_id in self.revisions_by_id.keys() - self.cut:
+            self.watch_event(instance_id)
         for instance_id, decision in self.revisions_by_id.items():
             wake_at = decision.wake_at()
             if wake_at is not None and wake_at <= self.now:
--- a/tests/builders_patient.py
+++ b/tests/builders_patient.py
@@ -31,6 +31,7 @@
     OwnershipLost,
 )
 from siskinspool.manifest.model import Catalog, Manifest, Site, Team
+from siskinspool.platform.keys import PATIENT_PREFIX
 from tests.builders_claims import Simulation
 
 RUN_S = 0.5
@@ -189,7 +190,7 @@
 
     def head(self, request_id: str) -> Head:
         """Return what the key-value service holds of a request."""
-        item = self.sim.kv.item_by_key[f"patient/0/{request_id}"]
+        item = self.sim.kv.item_by_key[f"{PATIENT_PREFIX}0/{request_id}"]
         head = MsgpackHeadCodec().decode(item.value)
         assert head is not None
         return head
--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -37,6 +37,7 @@
 from siskinspool.machines.record_encoding import JsonRecordEncoding
 from siskinspool.machines.reservations import Reservation, ServerRecord
 from siskinspool.manifest.model import Catalog, RequestClass, Server
+from siskinspool.platform.keys import SERVERS_PREFIX
 from siskinspool.platform.kv import (
     KvConflict,
     KvDelete,
@@ -114,7 +115,7 @@
 
     def record(self, server_id: str) -> ServerRecord:
         """Return a server's record as stored."""
-        item = self.item_by_key.get(f"servers/{server_id}")
+        item = self.item_by_key.get(SERVERS_PREFIX + server_id)
         record = ENCODING.decode(item.value) if item is not None else None
         return record or ServerRecord(0)
 
--- a/tests/builders_shares.py
+++ b/tests/builders_shares.py
@@ -25,6 +25,7 @@
 from siskinspool.contracts.shares import TeamLimits
 from siskinspool.core.decision import Decision
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
+from siskinspool.machines.drain_messages import SurrenderShares
 from siskinspool.machines.messages import (
     CatalogChanged,
     CurrencyChanged,
@@ -160,7 +161,7 @@
         self._local(node, "mint", ReleaseOwnership())
         if self.owner == instance_id:
             self._elect(exclude=instance_id)
-        self._local(node, "limits", ReleaseOwnership())
+        self._local(node, "limits", SurrenderShares())
 
     def set_service(self, up: bool) -> None:
         if self.service_up and not up:
@@ -350,7 +351,7 @@
         node.renewed_at = self.now
         sent_at = self.now + node.origin
         renewed = SessionRenewed(
-            node.incarnation, node.session_id, sent_at, SESSION_TTL_S
+            str(node.incarnation), node.session_id, sent_at, SESSION_TTL_S
         )
         self._local(node, "mint", renewed)
 
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+import jsonschema
 import msgspec
 import pytest
 from hypothesis import given
@@ -17,6 +18,8 @@
     write_manifest,
 )
 from siskinspool.manifest.head import MAX_CHAIN
+from siskinspool.manifest.model import Manifest, ZoneState
+from siskinspool.manifest.schema import schema_document, schema_text
 
 from .builders_manifest import ConfigurationStore, manifest
 
@@ -27,7 +30,9 @@
 
 def test_written_manifest_reads_back() -> None:
     """Guards against a field that is lost between writing and reading."""
-    assert read_manifest(write_manifest(manifest())) == manifest()
+    read = read_manifest(write_manifest(manifest()))
+    assert read == manifest()
+    assert isinstance(read, Manifest) and isinstance(read.zones[0].state, ZoneState)
 
 
 def test_all_faults_are_reported_at_once_with_their_paths() -> None:
@@ -50,11 +55,13 @@
     document = msgspec.json.decode(write_manifest(manifest()))
     document["teams"][0]["rte"] = 5
     document["servers"][0]["capacity"] = "four"
+    document["zones"][0]["state"] = "ajar"
     faults = read_manifest(msgspec.json.encode(document))
     assert isinstance(faults, Faults)
     text = "\n".join(faults.lines)
     assert "rte" in text and "teams[0]" in text
     assert "'four' is not a whole number" in text
+    assert "'ajar' is not one of open, closed" in text
 
 
 @given(rates, rates)
@@ -89,3 +96,16 @@
     """Guards against examples that the checks of today refuse."""
     path = Path(__file__).parent.parent / "examples" / f"{name}.json"
     assert not isinstance(read_manifest(path.read_bytes()), Faults)
+
+
+def test_committed_schema_is_the_generated_one() -> None:
+    """Guards against a schema that the users' pipeline checks but that is stale."""
+    path = Path(__file__).parent.parent / "schema" / "manifest.schema.json"
+    assert path.read_text(encoding="utf-8") == schema_text()
+
+
+@pytest.mark.parametrize("name", ["tinware-lagos", "baul-andina"])
+def test_example_manifests_match_the_schema(name: str) -> None:
+    """Guards against a schema that refuses what the checks accept."""
+    path = Path(__file__).parent.parent / "examples" / f"{name}.json"
+    jsonschema.validate(msgspec.json.decode(path.read_bytes()), schema_document())
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -6,7 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from siskinspool.core.message import Address, Incoming
-from siskinspool.manifest.revision_messages import RevisionHeard
+from siskinspool.machines.messages import RevisionHeard
 
 from .builders_manifest import Fleet, manifest
 
--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -14,14 +14,13 @@
     CallsRunning,
     Drained,
     DrainStarted,
-    EndSession,
     HandOverWaiting,
-    SessionEnded,
     StartDrain,
     SurrenderShares,
 )
 from siskinspool.machines.messages import ReleaseOwnership
 from siskinspool.machines.server_state import ServerState
+from siskinspool.platform.kv_events import EndSession, SessionEnded
 from tests.builders import incoming
 from tests.builders_routing import report, slots
 
