--- a/src/siskinspool/contracts/mint.py
+++ b/src/siskinspool/contracts/mint.py
@@ -32,7 +32,7 @@
 )
 from .limits_partition import PREFIX, limits_partition
 from .mint_ledger import Holder, Lease, TeamLedger
-from .outage_inquiry import OutageInquiry
+from .mint_partition import MintPartition
 from .share_messages import (
     EXPIRY_MARGIN_S,
     MILLI,
@@ -54,26 +54,11 @@
 OUTAGE_NEWS_S: Final = 60.0
 
 
-@attrs.define
-class _Partition:
-    """A partition that this instance owns or, in an outage, still looks after."""
-
-    epoch: int
-    gained_at: float
-    # The session under which the partition was gained; None: not known yet.
-    session_id: str | None
-    lost: bool = False
-    minted: bool = False
-    ledger_by_team: dict[str, TeamLedger] = attrs.field(factory=dict)
-    recalled_at_by_team: dict[str, float] = attrs.field(factory=dict)
-    inquiry: OutageInquiry = attrs.field(factory=OutageInquiry)
-
-
 class Mint(Decision):
     """Decision of the task ``mint``."""
 
     def __init__(self) -> None:
-        self._partition_by_name: dict[str, _Partition] = {}
+        self._partition_by_name: dict[str, MintPartition] = {}
         self._contract_by_team: dict[str, tuple[int, int]] = {}
         self._members: frozenset[str] = frozenset()
         self._session_id: str | None = None
@@ -127,7 +112,7 @@
         """Return the next tick."""
         return self._next_tick_at
 
-    def _is_active(self, partition: _Partition, now: float) -> bool:
+    def _is_active(self, partition: MintPartition, now: float) -> bool:
         if partition.session_id is None or partition.session_id != self._session_id:
             return False
         if now < self._valid_until:
@@ -156,7 +141,7 @@
         if known is not None and known.epoch >= epoch:
             known.lost = known.lost and known.epoch > epoch
             return
-        partition = _Partition(epoch, now, self._session_id)
+        partition = MintPartition(epoch, now, self._session_id)
         self._partition_by_name[name] = partition
         self._open_ledgers(name, partition, now)
         self._next_tick_at = now
@@ -219,13 +204,13 @@
         if answer.outage_age_s is not None:
             self._outage_at = max(self._outage_at, now - answer.outage_age_s)
 
-    def _open_ledgers(self, name: str, partition: _Partition, now: float) -> None:
+    def _open_ledgers(self, name: str, partition: MintPartition, now: float) -> None:
         """Start the reserves, so that they fill before the first request."""
         for team in self._contract_by_team:
             if limits_partition(team) == name:
                 self._ledger(partition, team, now)
 
-    def _ledger(self, partition: _Partition, team: str, now: float) -> TeamLedger:
+    def _ledger(self, partition: MintPartition, team: str, now: float) -> TeamLedger:
         ledger = partition.ledger_by_team.get(team)
         if ledger is None:
             ledger = TeamLedger(now)
@@ -259,7 +244,7 @@
 
     def _lease(
         self,
-        partition: _Partition,
+        partition: MintPartition,
         ledger: TeamLedger,
         sender: Address,
         report: ShareReport,
@@ -294,7 +279,7 @@
 
     def _serve_waiting(
         self,
-        partition: _Partition,
+        partition: MintPartition,
         team: str,
         ledger: TeamLedger,
         served: Lease,
@@ -312,7 +297,7 @@
 
     def _recall(
         self,
-        partition: _Partition,
+        partition: MintPartition,
         team: str,
         ledger: TeamLedger,
         needy: Lease,
@@ -341,7 +326,7 @@
 
     def _grant(
         self,
-        partition: _Partition,
+        partition: MintPartition,
         team: str,
         ledger: TeamLedger,
         lease: Lease,
@@ -363,7 +348,7 @@
         )
         return Outgoing(Address(lease.instance_id, lease.task), grant)
 
-    def _tend(self, name: str, partition: _Partition, now: float) -> list[Outgoing]:
+    def _tend(self, name: str, partition: MintPartition, now: float) -> list[Outgoing]:
         self._take_back(partition, now)
         if not partition.minted and self._is_remainder_free(partition, now):
             partition.minted = True
@@ -377,7 +362,7 @@
             return []
         return partition.inquiry.ask(name, partition.epoch, self._members, now)
 
-    def _take_back(self, partition: _Partition, now: float) -> None:
+    def _take_back(self, partition: MintPartition, now: float) -> None:
         for ledger in partition.ledger_by_team.values():
             for holder, lease in list(ledger.lease_by_holder.items()):
                 since = lease.granted_at
@@ -392,7 +377,7 @@
                 ):
                     ledger.close_lease(holder, now)
 
-    def _is_remainder_free(self, partition: _Partition, now: float) -> bool:
+    def _is_remainder_free(self, partition: MintPartition, now: float) -> bool:
         """Whether every share of an older epoch has expired or is registered here."""
         since = partition.gained_at
         if now >= since + EXPIRED_AFTER_OUTAGE_S:
