Give patient requests back when an instance stops

Waiting for the session to lapse was ruled out: it would end non-idempotent requests as unknown.

The runner now returns what it has certainly not run, until the owner has recorded it; the owner assigns it elsewhere and gives that runner nothing more.

--- a/src/siskinspool/contracts/patient.py
+++ b/src/siskinspool/contracts/patient.py
@@ -34,6 +34,7 @@
     PatientFinished,
     PatientRefusal,
     PatientRefused,
+    PatientReturned,
     PatientStarted,
     PatientState,
     PatientStatus,
@@ -122,6 +123,9 @@
             case PatientStarted():
                 for shard in self._owned.values():
                     shard.started(message.request_id, message.token)
+            case PatientReturned():
+                for shard in self._owned.values():
+                    shard.returned(sender, message)
             case PatientFinished():
                 for shard in self._owned.values():
                     shard.finished(sender, message)
--- a/src/siskinspool/contracts/patient_messages.py
+++ b/src/siskinspool/contracts/patient_messages.py
@@ -7,7 +7,9 @@
 - ignores a `RunPatient` for another incarnation;
 - starts a token at most once, however often the message comes;
 - answers the latest sender with `PatientStarted`, and with `PatientFinished` until
-  `PatientRecorded` comes.
+  `PatientRecorded` comes;
+- when its instance stops, gives back with `PatientReturned` what it has certainly not
+  run, also until `PatientRecorded` comes.
 """
 
 from __future__ import annotations
@@ -137,6 +139,15 @@
     body: bytes
 
 
+@wire
+@attrs.frozen
+class PatientReturned(Message):
+    """The runner stops; the request was not run and never will be under this token."""
+
+    request_id: str
+    token: str
+
+
 @wire
 @attrs.frozen
 class PatientRecorded(Message):
--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -27,6 +27,7 @@
     PatientRecorded,
     PatientRefusal,
     PatientRefused,
+    PatientReturned,
     PatientState,
     RunPatient,
     SubmitPatient,
@@ -104,6 +105,8 @@
         self._item_by_id: dict[str, Item] = {}
         # A repeated request must not be accepted after it was refused "not run".
         self._refusal_by_id = refusal_by_id
+        # Runners that gave a request back; they take no more.
+        self._stopping: set[Claimant] = set()
         self._knows_members = False
         self._out: list[Outgoing] = []
 
@@ -150,6 +153,17 @@
         if item is not None and head is not None and head.token == token:
             item.is_started = True
 
+    def returned(self, runner: Address, message: PatientReturned) -> None:
+        """Make a request that its runner gave back available to others (R12)."""
+        item = self._item_by_id.get(message.request_id)
+        head = None if item is None else item.writer.head
+        if item is None or head is None or head.token != message.token:
+            if self.is_loaded:
+                self._send(runner, PatientRecorded(message.token))
+        elif item.writer.wanted is None and head.runner is not None:
+            self._stopping.add(head.runner)
+            item.writer.want(_accepted_again(head))
+
     def finished(self, runner: Address, message: PatientFinished) -> None:
         """Keep the answer of a run."""
         item = self._item_by_id.get(message.request_id)
@@ -288,7 +302,12 @@
 
     def _count_runs(self, members: dict[str, Member]) -> dict[str, int]:
         """Return the running requests of each instance that takes new work."""
-        runs = {key: 0 for key, member in members.items() if not member.draining}
+        runs = {
+            key: 0
+            for key, member in members.items()
+            if not member.draining
+            and Claimant(key, member.incarnation) not in self._stopping
+        }
         for item in self._item_by_id.values():
             head = item.writer.wanted or item.writer.head
             if head and head.runner and head.runner.instance_id in runs:
@@ -327,10 +346,7 @@
         member = None if runner is None else members.get(runner.instance_id)
         if runner is None or member is None or member.incarnation != runner.incarnation:
             if head.request.idempotent:
-                accepted = attrs.evolve(
-                    head, state=PatientState.ACCEPTED, runner=None, token=""
-                )
-                item.writer.want(accepted)
+                item.writer.want(_accepted_again(head))
             else:
                 self._fail(item, head, PatientFailure.OUTCOME_UNKNOWN)
         elif not item.is_started and now >= item.run_at:
@@ -362,3 +378,7 @@
 
     def _send(self, recipient: Address, message: Message) -> None:
         self._out.append(Outgoing(recipient, message))
+
+
+def _accepted_again(head: Head) -> Head:
+    return attrs.evolve(head, state=PatientState.ACCEPTED, runner=None, token="")
--- a/src/siskinspool/links/runner.py
+++ b/src/siskinspool/links/runner.py
@@ -4,7 +4,7 @@
 runner starts each token at most once, answers `PatientStarted`, and sends
 `PatientFinished` until `PatientRecorded` comes, so that a lost message loses no answer.
 A run that was certainly not carried out and may succeed later (no room, rate used up)
-starts again until the deadline.
+starts again until the deadline. When the instance stops, such a run is given back.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from ..contracts.patient_messages import (
     PatientFinished,
     PatientRecorded,
+    PatientReturned,
     PatientStarted,
     RunPatient,
     SubmitPatient,
@@ -28,6 +29,7 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.outcome import Refusal, RunState
 from ..core.task import Task
+from ..machines.drain_messages import HandOverWaiting
 from ..machines.messages import CatalogChanged
 from ..manifest.model import Catalog, RequestClass, empty_manifest
 from .call_task import (
@@ -67,7 +69,8 @@
     attempts: int = 0
     # Set while no attempt runs but another one may follow.
     retry_at: float | None = None
-    finished: PatientFinished | None = None
+    # The answer, or that the request is given back.
+    finished: PatientFinished | PatientReturned | None = None
     send_at: float = 0.0
 
 
@@ -130,6 +133,7 @@
         self._catalog = Catalog.from_manifest(0, empty_manifest())
         self._run_by_token: dict[str, _Run] = {}
         self._ended_tokens: OrderedDict[str, None] = OrderedDict()
+        self._stopping = False
 
     def handle(self, incoming: Incoming) -> None:
         """Start runs, take their results and forget recorded ones."""
@@ -140,6 +144,8 @@
                 self._take(run, incoming.sender)
             case RunEnded() as ended:
                 self._end(ended)
+            case HandOverWaiting():
+                self._hand_over()
             case PatientRecorded(token=token):
                 self._forget(token)
 
@@ -170,7 +176,10 @@
             deadline_at = self.clock.now() + message.request.deadline_in_s
             run = _Run(sender, message.request, deadline_at)
             self._run_by_token[message.token] = run
-            self._attempt(message.token, run)
+            if self._stopping:
+                self._give_back(message.token, run)
+            else:
+                self._attempt(message.token, run)
         run.asker = sender
         started = PatientStarted(message.request.request_id, message.token)
         self._tell(sender, started)
@@ -223,6 +232,8 @@
         now = self.clock.now()
         if self._may_try_later(ended.refusal) and now + RETRY_PAUSE_S < run.deadline_at:
             run.retry_at = now + RETRY_PAUSE_S
+            if self._stopping:
+                self._give_back(ended.token, run)
             return
         run.finished = PatientFinished(
             run.request.request_id,
@@ -233,6 +244,17 @@
         )
         self._send_result(run)
 
+    def _hand_over(self) -> None:
+        """Give back what waits for a further attempt; what runs finishes."""
+        self._stopping = True
+        for token, run in list(self._run_by_token.items()):
+            if run.retry_at is not None and run.finished is None:
+                self._give_back(token, run)
+
+    def _give_back(self, token: str, run: _Run) -> None:
+        run.finished = PatientReturned(run.request.request_id, token)
+        self._send_result(run)
+
     @staticmethod
     def _may_try_later(refusal: Refusal | None) -> bool:
         if refusal is None or refusal.run is not RunState.NOT_RUN:
--- a/tests/builders_patient.py
+++ b/tests/builders_patient.py
@@ -14,6 +14,7 @@
     PatientRecorded,
     PatientRefusal,
     PatientRefused,
+    PatientReturned,
     PatientStarted,
     PatientStatus,
     RunPatient,
@@ -42,6 +43,7 @@
     message: RunPatient
     sender: Address
     finish_at: float
+    returned: bool = False
 
 
 class RunnerModel(Decision):
@@ -52,6 +54,8 @@
         self.starts = starts
         self.run_by_token: dict[str, _Run] = {}
         self.seen: set[str] = set()
+        # Gives back what arrives from now on, as the runner of a stopping instance.
+        self.stopping = False
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         message = incoming.message
@@ -64,18 +68,26 @@
         token, request_id = message.token, message.request.request_id
         if token not in self.seen:
             self.seen.add(token)
+            self.run_by_token[token] = _Run(
+                message, incoming.sender, now + RUN_S, self.stopping
+            )
+            if self.stopping:
+                return []
             self.starts.append(request_id)
-            self.run_by_token[token] = _Run(message, incoming.sender, now + RUN_S)
         elif token in self.run_by_token:
             self.run_by_token[token].sender = incoming.sender
         return [Outgoing(incoming.sender, PatientStarted(request_id, token))]
 
     def on_time(self, now: float) -> list[Outgoing]:
-        out = []
+        out: list[Outgoing] = []
         for token, run in self.run_by_token.items():
             if now >= run.finish_at:
                 run.finish_at = now + 1.0
                 request = run.message.request
+                if run.returned:
+                    returned = PatientReturned(request.request_id, token)
+                    out.append(Outgoing(run.sender, returned))
+                    continue
                 finished = PatientFinished(
                     request.request_id, token, 200, "text/plain", request.body
                 )
@@ -147,6 +159,13 @@
             self.sim.post(Address(instance, task), address, message)
             self.check()
 
+    def stop_runner(self, instance: str) -> RunnerModel:
+        """Let the runner of an instance take no more work."""
+        runner = self.sim.decision_by_address[Address(instance, "runner")]
+        assert isinstance(runner, RunnerModel)
+        runner.stopping = True
+        return runner
+
     def submit(
         self, instance: str = "b", idempotent: bool = False, size: int = 10
     ) -> str:
--- a/tests/test_patient.py
+++ b/tests/test_patient.py
@@ -155,6 +155,18 @@
     assert cluster.head(request_id).state is PatientState.DONE
 
 
+def test_returned_request_runs_elsewhere_once() -> None:
+    """Guards against a planned stop that loses or repeats a request (R10, R12)."""
+    cluster = PatientCluster()
+    cluster.sim.run(0.2)
+    runners = [cluster.stop_runner("a"), cluster.stop_runner("b")]
+    ids = [cluster.submit("c", idempotent=False) for _ in range(3)]
+    cluster.sim.run(30.0)
+    assert sorted(cluster.starts) == sorted(ids)
+    assert [cluster.head(name).state for name in ids] == [PatientState.DONE] * 3
+    assert [runner.run_by_token for runner in runners] == [{}, {}]
+
+
 def test_copy_of_refused_request_is_refused() -> None:
     """Guards against a late copy that runs after "not run" was said (R9)."""
     cluster = PatientCluster(max_waiting=1)
