--- a/src/siskinspool/core/dispatcher.py
+++ b/src/siskinspool/core/dispatcher.py
@@ -9,8 +9,10 @@
 
 import itertools
 import logging
+import secrets
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from typing import Final
 
 from gevent.event import AsyncResult
 from gevent.timeout import Timeout
@@ -20,6 +22,8 @@
 
 logger = logging.getLogger(__name__)
 
+REPLY_PREFIX_BYTES: Final = 4
+
 
 class Inbox(ABC):
     """Something that takes messages without blocking the sender."""
@@ -62,6 +66,9 @@
         self.instance_id = instance_id
         self._inbox_by_task: dict[str, Inbox] = {}
         self._carrier: Carrier | None = None
+        # Reply addresses of an earlier process with the same instance id must not be
+        # used again: a late answer to it would reach another asker (R8).
+        self._reply_prefix = f"reply:{secrets.token_hex(REPLY_PREFIX_BYTES)}"
         self._reply_numbers = itertools.count(1)
 
     def address(self, task: str) -> Address:
@@ -111,7 +118,7 @@
     ) -> Message | None:
         """Send a message and wait for one reply; None on timeout or refusal."""
         reply = _Reply()
-        sender = self.address(f"reply:{next(self._reply_numbers)}")
+        sender = self.address(f"{self._reply_prefix}-{next(self._reply_numbers)}")
         self._inbox_by_task[sender.task] = reply
         try:
             if not self.send(sender, Outgoing(recipient, message)):
