Release the claim of a caller that leaves, and refuse unusable manifests

A caller that went away while its claim was being written left the claim granted to nobody: the key stayed taken, and later requests with it waited until their deadline and got "unknown" although nothing had run (seen: status 409, 0 runs). The call now releases its token whenever it ends without an answer from the claims task.

Publisher accepted manifests that instances refuse to read, such as one with an unused zone: no instance became ready, and operators could not read the head back. It now checks the manifest before writing anything.

The stand-ins answered 500 where they were to reset the connection, since the handler's file kept the socket open; the handler now ends the connection without an answer.

--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -246,17 +246,7 @@
         if not self.call.idempotency_key:
             return self._spend_and_run(None)
         token = self.call.id
-        answer = self._ask(
-            "claims",
-            ClaimCall(
-                scope=self.call.team,
-                key_digest=self.call.idempotency_key_digest,
-                body_digest=self.call.body_digest,
-                token=token,
-                deadline_in_s=self._remaining_s(),
-            ),
-            self._remaining_s() + ASK_MARGIN_S,
-        )
+        answer = self._claim(token)
         match answer:
             case ClaimGranted():
                 return self._run_claimed(token)
@@ -278,8 +268,6 @@
                     RunState.UNKNOWN,
                 )
             case _:
-                # No answer leaves the claim released: this call never sends.
-                self._tell("claims", ReleaseClaim(token))
                 return Refusal(
                     503,
                     ErrorCode.IDEMPOTENCY_UNAVAILABLE,
@@ -287,6 +275,27 @@
                     retry_after_s=1.0,
                 )
 
+    def _claim(self, token: str) -> Message | None:
+        answer: Message | None = None
+        try:
+            answer = self._ask(
+                "claims",
+                ClaimCall(
+                    scope=self.call.team,
+                    key_digest=self.call.idempotency_key_digest,
+                    body_digest=self.call.body_digest,
+                    token=token,
+                    deadline_in_s=self._remaining_s(),
+                ),
+                self._remaining_s() + ASK_MARGIN_S,
+            )
+        finally:
+            if answer is None:
+                # The caller left or no answer came in time: this call never sends,
+                # and a claim that is granted later must not hold the key.
+                self._tell("claims", ReleaseClaim(token))
+        return answer
+
     def _run_claimed(self, token: str) -> Refusal | None:
         refusal: Refusal | None = None
         try:
--- a/src/siskinspool/manifest/publisher.py
+++ b/src/siskinspool/manifest/publisher.py
@@ -24,6 +24,7 @@
     UnavailableError,
 )
 from .changes import EntityChange, apply_changes, diff
+from .checks import check_manifest
 from .document import Faults, manifest_digest, read_manifest
 from .head import Head, decode_change, decode_head, encode_head, plan_publication
 from .model import Manifest
@@ -141,6 +142,10 @@
         return outcome
 
     def _swap(self, base: InForce | NothingInForce, new: Manifest) -> PublishOutcome:
+        faults = check_manifest(new)
+        if faults:
+            # Instances refuse such a document, and operators could not read it back.
+            return PublishFailed("; ".join(faults), unknown=False)
         head = base.head if isinstance(base, InForce) else None
         old = base.manifest if isinstance(base, InForce) else None
         key_revision = base.key_revision if isinstance(base, InForce) else 0
--- a/src/siskinspool/standins/wsgi.py
+++ b/src/siskinspool/standins/wsgi.py
@@ -80,6 +80,14 @@
         environ["siskinspool.socket"] = self.socket
         return environ
 
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """End the connection without an answer when the application resets it."""
+        if isinstance(v, CloseConnection):
+            # The socket closes with the handler's file, which still refers to it.
+            self.close_connection = True
+            return
+        super().handle_error(t, v, tb)
+
     def log_error(self, msg: str, *args: object) -> None:
         """Drop messages about connections that the other side closed."""
 
--- /dev/null
+++ b/tests/integration/builders_site.py
@@ -0,0 +1,134 @@
+"""Builders of trial sites and of requests for the tests with real processes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+import attrs
+import gevent
+from gevent import socket
+
+from siskinspool.standins.processes import call, call_json
+from siskinspool.standins.site import SitePlan, TrialSite, wait_until
+
+Json = dict[str, Any]
+T = TypeVar("T")
+
+
+@attrs.frozen
+class Reply:
+    """An answer that came back to a caller."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes = attrs.field(repr=False)
+
+    @property
+    def document(self) -> Json:
+        """The body as JSON; an empty object if it is none."""
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            return {}
+        return value if isinstance(value, dict) else {}
+
+    @property
+    def run(self) -> str:
+        """The field ``run`` of a refusal, empty if there is none."""
+        return str(self.document.get("run", ""))
+
+    @property
+    def code(self) -> str:
+        """The field ``code`` of a refusal, empty if there is none."""
+        return str(self.document.get("code", ""))
+
+
+@contextmanager
+def running_site(plan: SitePlan, folder: Path) -> Iterator[TrialSite]:
+    """Run a whole site and end it in any case."""
+    site = TrialSite.from_plan(plan, folder)
+    try:
+        yield site
+    finally:
+        site.stop()
+
+
+def ask(
+    site: TrialSite,
+    instance: int,
+    method: str,
+    path: str,
+    body: Json | bytes | None = None,
+    *,
+    team: str = "guild",
+    key: str = "",
+    deadline_ms: int = 0,
+    headers: Mapping[str, str] = MappingProxyType({}),
+    timeout_s: float = 30.0,
+) -> Reply:
+    """Send a request with a team's API key; ``key`` is the idempotency key."""
+    sent = dict(headers)
+    if team:
+        sent.update(site.authorization(team))
+    if key:
+        sent["Idempotency-Key"] = key
+    if deadline_ms:
+        sent["X-Siskin-Deadline-Ms"] = str(deadline_ms)
+    port = site.port_by_name[f"instance-{instance}"]
+    status, found, data = call(port, method, path, body, sent, timeout_s)
+    return Reply(status, found, data)
+
+
+def set_faults(port: int, **faults: object) -> None:
+    """Set the faults of a stand-in."""
+    call_json(port, "POST", "/admin/faults", dict(faults))
+
+
+def runs_of(site: TrialSite, ref: str) -> int:
+    """Return how often the plain service ran a business call."""
+    return int(site.runs().get(ref, 0))
+
+
+def agrees(reply: Reply, runs: int) -> bool:
+    """Tell whether what a refusal says about the run is true (R9)."""
+    if reply.status < 400:
+        return runs == 1
+    allowed = {"not_run": (0,), "run": (1,), "unknown": (0, 1)}
+    return runs in allowed[reply.run]
+
+
+def running_calls(site: TrialSite, instance: int) -> int:
+    """Return how many calls run at an instance."""
+    port = site.port_by_name[f"instance-{instance}"]
+    return int(call_json(port, "GET", "/v1/status")["running_calls"])
+
+
+def wait_idle(site: TrialSite, instance: int, timeout_s: float = 5.0) -> None:
+    """Wait until no call runs at an instance."""
+    wait_until(lambda: running_calls(site, instance) == 0, "no call runs", timeout_s)
+
+
+def at_once(works: Iterable[Callable[[], T]]) -> list[T]:
+    """Run callables at the same time and return their results in order."""
+    greenlets = [gevent.spawn(work) for work in works]
+    return [greenlet.get(timeout=60) for greenlet in greenlets]
+
+
+def raw_exchange(port: int, data: bytes, timeout_s: float = 5.0) -> bytes:
+    """Send bytes on one connection and return all that comes until it closes."""
+    with socket.create_connection(("127.0.0.1", port), timeout_s) as sock:
+        sock.settimeout(timeout_s)
+        received = b""
+        try:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            while block := sock.recv(65_536):
+                received += block
+        except OSError:
+            return received
+        return received
