Keep keys from servers, end calls whose key is unconfirmed, and judge retries truly

Found and changed: - A refusal of a second attempt said "not run" although the first attempt of an idempotent call had been sent and lost (R9). A call now remembers that an attempt may have run. Whole keys are now recognised by their form; a path with a key is refused and is not logged. - The decoded path was written into the request line to servers, so %0d%0a let a caller write headers and requests of its own. The path is encoded again; dot segments and methods that are not plain words are refused. - Ending a call of a revoked key put an item into the caller's bounded queue and could block the front end's task behind a caller that does not read. The cut now replaces what is queued and never blocks. - Calls that waited or streamed at an instance that lost its currency went on. They end now when the configuration is too old; model lists and patient answers need currency.

--- a/src/siskinspool/contracts/call.py
+++ b/src/siskinspool/contracts/call.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from typing import Final
-from urllib.parse import parse_qsl, urlencode
+from urllib.parse import parse_qsl, quote, urlencode
 
 import attrs
 import msgspec
@@ -18,7 +19,7 @@
 from ..core.errors import ErrorCode
 from ..core.outcome import Refusal
 from ..manifest.model import Catalog, RequestClass, Route, Team
-from .key import KEY_PREFIX, key_id_of, verify_key
+from .key import holds_key, key_id_of, verify_key
 
 MODEL_PATHS: Final = ("/v1/chat/completions", "/v1/completions")
 DEFAULT_MAX_TOKENS: Final = 256
@@ -49,6 +50,9 @@
         "api-key",
     }
 )
+# Characters that may stand in a path as they are (RFC 3986, section 3.3).
+_PATH_SAFE: Final = "/:@!$&'()*+,;=~"
+_METHOD: Final = re.compile(r"[A-Z]{1,20}")
 _KEY_QUERY_NAMES: Final = frozenset({"api_key", "apikey", "api-key", "key", "token"})
 
 
@@ -123,6 +127,9 @@
     request: HttpRequest, catalog: Catalog, call_id: str, now: float
 ) -> Call | Refusal:
     """Return the call that a request makes, or why it is refused."""
+    fault = _request_line_fault(request)
+    if fault is not None:
+        return fault
     if request.path in MODEL_PATHS:
         return _parse_model_call(request, catalog, call_id, now)
     route = find_route(catalog, request.path)
@@ -131,6 +138,23 @@
     return _parse_service_call(request, catalog, route, call_id, now)
 
 
+def _request_line_fault(request: HttpRequest) -> Refusal | None:
+    """Return what is wrong with method or path, if anything."""
+    is_known = _METHOD.fullmatch(request.method) and request.method != "CONNECT"
+    if not is_known or (request.path in MODEL_PATHS and request.method != "POST"):
+        return Refusal(
+            405, ErrorCode.METHOD_NOT_ALLOWED, "this method is not served here"
+        )
+    if any(segment in (".", "..") for segment in request.path.split("/")):
+        # A service may resolve them and run another route than the one checked here.
+        return Refusal(400, ErrorCode.BAD_REQUEST, "the path holds dot segments")
+    if holds_key(request.path):
+        return Refusal(
+            401, ErrorCode.KEY_MISPLACED, "the path holds a key; use Authorization"
+        )
+    return None
+
+
 def find_route(catalog: Catalog, path: str) -> Route | None:
     """Return the route with the longest path prefix that matches, or None."""
     best: Route | None = None
@@ -181,12 +205,18 @@
         if name not in _DROPPED_HEADERS
         and name not in named
         and not name.startswith("x-siskin-")
-        and KEY_PREFIX not in value
+        and not holds_key(value)
+        and not holds_key(name)
     }
 
 
 def forwarded_uri(path: str, query: str) -> str:
-    """Return path and query without parameters that carry a key."""
+    """Return path and query without parameters that carry a key.
+
+    ``path`` is decoded and is encoded again: a line end or a space in it would end the
+    request line and let a caller write headers or requests of its own.
+    """
+    path = quote(path, safe=_PATH_SAFE, encoding="latin-1")
     pairs = parse_qsl(query, keep_blank_values=True)
     kept = [pair for pair in pairs if not _carries_key(*pair)]
     if kept == pairs:
@@ -195,7 +225,8 @@
 
 
 def _carries_key(name: str, value: str) -> bool:
-    return name.lower() in _KEY_QUERY_NAMES or value.startswith(KEY_PREFIX)
+    is_key_name = name.lower() in _KEY_QUERY_NAMES
+    return is_key_name or holds_key(value) or holds_key(name)
 
 
 def _key_elsewhere(request: HttpRequest) -> bool:
@@ -203,7 +234,7 @@
         return True
     if "x-api-key" in request.headers or "api-key" in request.headers:
         return True
-    return any(KEY_PREFIX in value for value in request.headers.values())
+    return any(holds_key(value) for value in request.headers.values())
 
 
 def _parse_model_call(
--- a/src/siskinspool/contracts/key.py
+++ b/src/siskinspool/contracts/key.py
@@ -10,8 +10,10 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 from typing import Final
+from urllib.parse import unquote
 
 import attrs
 
@@ -21,6 +23,10 @@
 SECRET_BYTES: Final = 32
 SALT_BYTES: Final = 16
 HASH_BYTES: Final = 32
+# A whole key inside a longer text; a plain "sk-" occurs in words such as "desk-12".
+_KEY_PATTERN: Final = re.compile(r"sk-[^\s.]+\.[A-Za-z0-9_-]{16,}")
+# Percent-encoding may be applied twice on the way through a proxy.
+_DECODINGS: Final = 2
 
 
 def hash_key(text: str, salt: bytes) -> bytes:
@@ -63,3 +69,20 @@
 def key_id_of(text: str) -> str:
     """Return the public id inside a key's text."""
     return text.removeprefix(KEY_PREFIX).partition(".")[0]
+
+
+def holds_key(text: str) -> bool:
+    """Tell whether a text holds a whole key, percent-encoded or not."""
+    for _ in range(_DECODINGS + 1):
+        if _KEY_PATTERN.search(text):
+            return True
+        text = unquote(text)
+    return False
+
+
+def redact_keys(text: str) -> str:
+    """Return a text for a log line, without any key in it."""
+    if holds_key(text):
+        redacted = _KEY_PATTERN.sub(f"{KEY_PREFIX}***", text)
+        return "***" if holds_key(redacted) else redacted
+    return text
--- a/src/siskinspool/core/errors.py
+++ b/src/siskinspool/core/errors.py
@@ -14,6 +14,7 @@
     """What went wrong, as a stable identifier."""
 
     BAD_REQUEST = "bad_request"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     UNKNOWN_ROUTE = "unknown_route"
--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -16,6 +16,7 @@
 import logging
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 import attrs
@@ -104,6 +105,10 @@
     def refuse(self, refusal: Refusal) -> None:
         """Take a refusal; an answer that has begun counts as cut."""
 
+    def cut(self, refusal: Refusal) -> None:
+        """Take a refusal in place of what was not passed on yet; never blocks."""
+        self.refuse(refusal)
+
     def close(self) -> None:
         """Nobody takes the answer any more."""
         return
@@ -140,6 +145,8 @@
         self._sink = sink
         self._excluded: set[str] = set()
         self._sent = False
+        # An attempt was sent and its answer lost; a later one may be refused.
+        self._may_have_run = False
         self._first_byte_at: float | None = None
         self._attempts = 0
         self._greenlet: gevent.Greenlet[..., None] | None = None
@@ -167,13 +174,16 @@
         self.cancel()
         self._sink.close()
 
-    def revoke(self) -> None:
-        """End the call with a refusal because its key was revoked (R4)."""
-        run = RunState.UNKNOWN if self._sent else RunState.NOT_RUN
+    def revoke(self, refusal: Refusal) -> None:
+        """End the call with a refusal because its key is no longer valid (R4)."""
+        run = self._run_state()
         self.cancel()
-        self._sink.refuse(
-            Refusal(401, ErrorCode.KEY_REJECTED, "the key was revoked", run)
-        )
+        self._sink.cut(replace(refusal, run=run))
+
+    def _run_state(self) -> RunState:
+        """Return what is known when the call ends now without an answer."""
+        may_have_run = self._sent or self._may_have_run
+        return RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
 
     def join(self, timeout_s: float | None = None) -> None:
         """Wait for the end of the call."""
@@ -193,7 +203,7 @@
                 500,
                 ErrorCode.INTERNAL,
                 type(error).__name__,
-                RunState.UNKNOWN if self._sent else RunState.NOT_RUN,
+                self._run_state(),
             )
             outcome = refusal.code
         finally:
@@ -334,7 +344,7 @@
             refusal, used = self._route_and_run(token)
             return refusal
         finally:
-            if self._sent and not used:
+            if (self._sent or self._may_have_run) and not used:
                 used = self.call.estimate_tokens
             self._tell("limits", SettleTokens(answer.spend_id, used))
 
@@ -344,8 +354,9 @@
             self._attempts += 1
             dispatched = self._route()
             if isinstance(dispatched, Refusal):
-                return dispatched, 0
+                return self._judge(dispatched), 0
             result = self._send(dispatched, token)
+            self._may_have_run |= isinstance(result, Lost)
             match result:
                 case _Passed(complete=True, used_tokens=used):
                     return None, used or self.call.estimate_tokens
@@ -356,7 +367,13 @@
                 case NotSent() | Lost() if self._may_retry(result):
                     self._excluded.add(dispatched.server_id)
                 case _:
-                    return _failed(result), 0
+                    return self._judge(_failed(result)), 0
+
+    def _judge(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that is true for all attempts together (R9)."""
+        if self._may_have_run and refusal.run is RunState.NOT_RUN:
+            return replace(refusal, run=RunState.UNKNOWN)
+        return refusal
 
     def _route(self) -> CallDispatched | Refusal:
         call = self.call
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -17,6 +17,7 @@
 from gevent import socket
 from gevent.queue import Queue
 
+from ..core.errors import ErrorCode
 from ..core.outcome import Refusal
 from .call_task import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
 
@@ -24,6 +25,11 @@
 # A caller that takes no byte for this long is cut off.
 WRITE_TIMEOUT_S: Final = 30.0
 
+# A caller that closed only its sending side must not take a cut stream for whole.
+_CALLER_GONE: Final = Refusal(
+    400, ErrorCode.ANSWER_INCOMPLETE, "the caller closed its connection"
+)
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -71,37 +77,58 @@
     def __init__(self) -> None:
         self._items: Queue[Item] = Queue(QUEUED_EVENTS)
         self._begun = False
+        # Nothing more is taken: the caller has gone or its key was revoked.
+        self._closed = False
 
     def begin(self, status: int, headers: dict[str, str]) -> None:
         """Take the head of a streamed answer."""
         self._begun = True
-        self._items.put(Head(status, headers))
+        self._put(Head(status, headers))
 
     def event(self, data: bytes) -> None:
         """Take one server-sent event."""
-        self._items.put(Event(data))
+        self._put(Event(data))
 
     def end(self) -> None:
         """Take the end of a complete streamed answer."""
-        self._items.put(End(None))
+        self._put(End(None))
 
     def abort(self, refusal: Refusal) -> None:
         """Take the end of a streamed answer that was cut."""
-        self._items.put(End(refusal))
+        self._put(End(refusal))
 
     def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
         """Take a whole answer."""
         self._begun = True
-        self._items.put(Whole(status, headers, body))
+        self._put(Whole(status, headers, body))
 
     def refuse(self, refusal: Refusal) -> None:
         """Take a refusal; a stream that has begun is cut instead."""
-        self._items.put(End(refusal) if self._begun else refusal_item(refusal))
+        self._put(End(refusal) if self._begun else refusal_item(refusal))
+
+    def cut(self, refusal: Refusal) -> None:
+        """Take a refusal in place of the queued items; never blocks.
+
+        The front end ends calls from its own task, which a caller that does not read
+        must not hold up.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        first: Item | None = None
+        while not self._items.empty():
+            item = self._items.get_nowait()
+            first = first or item
+        begun = self._begun and not isinstance(first, Head | Whole)
+        self._items.put_nowait(End(refusal) if begun else refusal_item(refusal))
 
     def close(self) -> None:
-        """Wake the handler, whose caller has gone; no item fits a full queue."""
-        if not self._items.full():
-            self._items.put_nowait(End(None))
+        """Wake the handler, whose caller has gone, and drop what still comes."""
+        self.cut(_CALLER_GONE)
+
+    def _put(self, item: Item) -> None:
+        if not self._closed:
+            self._items.put(item)
 
     def next_item(self) -> Item:
         """Wait for the next item."""
--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -18,6 +18,7 @@
 from gevent.pywsgi import WSGIServer
 
 from ..contracts.call import Call, HttpRequest, authenticate, is_allowed, parse_call
+from ..contracts.key import redact_keys
 from ..contracts.patient_messages import (
     AskPatient,
     PatientAccepted,
@@ -35,7 +36,7 @@
 from ..core.task import Task
 from ..machines.drain_messages import CallsRunning, DrainStarted, HandOverWaiting
 from ..machines.messages import CatalogChanged, CurrencyChanged
-from ..manifest.model import Catalog, RequestClass, empty_manifest
+from ..manifest.model import Catalog, RequestClass, Team, empty_manifest
 from ..telemetry.logs import log_event
 from .call_task import CallContext, CallTask
 from .caller import (
@@ -58,6 +59,7 @@
 # Longer than the patient task itself waits, so that it answers first.
 PATIENT_TIMEOUT_S: Final = 6.0
 REQUESTS_PATH: Final = "/v1/requests/"
+_KEY_REVOKED: Final = Refusal(401, ErrorCode.KEY_REJECTED, "the key was revoked")
 
 
 @attrs.frozen(kw_only=True)
@@ -130,6 +132,7 @@
                 self._end_calls_without_right()
             case CurrencyChanged() as currency:
                 self._current_until = currency.current_until if currency.current else 0
+                self._end_unconfirmed_calls()
             case RunsInProgress(count=count):
                 self._background_runs = count
                 self._report_running()
@@ -158,7 +161,24 @@
         for call_id, task in list(self._call_by_id.items()):
             if not self._has_right(task.call):
                 log_event(logger, logging.INFO, "key_revoked", request=call_id)
-                task.revoke()
+                task.revoke(_KEY_REVOKED)
+
+    def on_time(self) -> None:
+        """End keyed calls once the configuration is too old."""
+        self._end_unconfirmed_calls()
+
+    def wake_at(self) -> float | None:
+        """Return when the configuration becomes too old."""
+        return self._current_until if self._is_current() else None
+
+    def _end_unconfirmed_calls(self) -> None:
+        """End keyed calls while it is unknown whether their keys are revoked (R4)."""
+        if self._is_current():
+            return
+        for call_id, task in list(self._call_by_id.items()):
+            if task.call.key_id:
+                log_event(logger, logging.INFO, "key_unconfirmed", request=call_id)
+                task.revoke(_not_current())
 
     def _has_right(self, call: Call) -> bool:
         if not call.key_id:
@@ -225,8 +245,13 @@
         # handled before the message that says that the configuration is too old.
         return self.clock.now() < self._current_until
 
+    def _authenticate(self, request: HttpRequest) -> Team | Refusal:
+        if not self._is_current():
+            return _not_current()
+        return authenticate(request, self._catalog)
+
     def _models(self, request: HttpRequest) -> Whole:
-        team = authenticate(request, self._catalog)
+        team = self._authenticate(request)
         if isinstance(team, Refusal):
             return refusal_item(team)
         names = [*self._catalog.model_by_id, *self._catalog.adapter_by_id]
@@ -252,7 +277,7 @@
                 "refused",
                 request=call_id,
                 code=call.code,
-                path=request.path,
+                path=redact_keys(request.path),
             )
             return respond_whole(refusal_item(call), start_response)
         if call.request_class is RequestClass.PATIENT:
@@ -266,12 +291,7 @@
                 503, ErrorCode.DRAINING, "the instance stops", retry_after_s=0.0
             )
         if call.key_id and not self._is_current():
-            return Refusal(
-                503,
-                ErrorCode.NOT_CURRENT,
-                "this instance cannot confirm that keys are still valid",
-                retry_after_s=1.0,
-            )
+            return _not_current()
         return None
 
     def _answer(
@@ -288,7 +308,7 @@
             yield from respond(sink, start_response)
         finally:
             watcher.kill(block=False)
-            task.cancel()
+            task.abandon()
 
     def _finish(self, call_id: str) -> None:
         self.post(Incoming(self.address, CallFinished(call_id)))
@@ -316,7 +336,7 @@
         return refusal_item(patient_refusal(PatientRefusal.OUTCOME_UNKNOWN))
 
     def _patient_status(self, request: HttpRequest) -> Whole:
-        team = authenticate(request, self._catalog)
+        team = self._authenticate(request)
         if isinstance(team, Refusal):
             return refusal_item(team)
         request_id = request.path[len(REQUESTS_PATH) :]
@@ -328,3 +348,12 @@
     def _ask(self, task: str, message: Message) -> Message | None:
         address = self.dispatcher.address(task)
         return self.dispatcher.ask(address, message, PATIENT_TIMEOUT_S)
+
+
+def _not_current() -> Refusal:
+    return Refusal(
+        503,
+        ErrorCode.NOT_CURRENT,
+        "this instance cannot confirm that keys are still valid",
+        retry_after_s=1.0,
+    )
--- a/src/siskinspool/standins/engine.py
+++ b/src/siskinspool/standins/engine.py
@@ -8,7 +8,8 @@
 ``cold_limit`` requests at once make it drop everything and turn cold again.
 
 Faults (``POST /admin/faults``): ``turn_cold`` (once), ``lose_order_answers``,
-``cut_streams_after`` (tokens, 0 is off), ``stall_loads``. ``POST /admin/catalog`` with
+``cut_streams_after`` (tokens, 0 is off), ``stall_loads``, ``cross_answers`` (echo
+another request's id in this many answers). ``POST /admin/catalog`` with
 ``{name: {"memory_mib": m, "load_s": s}}`` tells the sizes of models and adapters.
 ``GET /admin/observed`` tells tests what the engine saw.
 """
@@ -28,7 +29,15 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from .wsgi import App, CloseConnection, Json, Request, Response, serve
+from .wsgi import (
+    App,
+    CloseConnection,
+    Json,
+    Request,
+    Response,
+    carries_credential,
+    serve,
+)
 
 REPORT_STEP_S: Final = 0.05
 STORE_TIMEOUT_S: Final = 120.0
@@ -75,6 +84,8 @@
     lose_order_answers: int = 0
     cut_streams_after: int = 0
     stall_loads: bool = False
+    # Answer this many requests with the id of another one.
+    cross_answers: int = 0
 
 
 @attrs.define
@@ -312,7 +323,7 @@
 
     def _complete(self, request: Request) -> Response:
         engine = self._engine
-        if "authorization" in request.headers:
+        if carries_credential(request):
             engine.observed.credentials_seen += 1
         body = request.json()
         target = self._target(body)
@@ -323,12 +334,18 @@
         if not engine.begin(request_id):
             raise CloseConnection
         tokens = int(body.get("max_tokens", 16))
-        headers = (("X-Request-Id", request_id),)
+        headers = (("X-Request-Id", self._echoed(request_id)),)
         if body.get("stream"):
             lines = self._stream(request_id, tokens)
             return Response(200, lines, "text/event-stream", headers)
         return self._whole(request_id, tokens, headers)
 
+    def _echoed(self, request_id: str) -> str:
+        if self._engine.faults.cross_answers > 0:
+            self._engine.faults.cross_answers -= 1
+            return f"another-{request_id}"
+        return request_id
+
     def _target(self, body: Json) -> tuple[str, str]:
         name = body["model"]
         for model, adapter in self._engine.replica_by_target:
--- a/src/siskinspool/standins/service.py
+++ b/src/siskinspool/standins/service.py
@@ -17,7 +17,7 @@
 import click
 import gevent
 
-from .wsgi import App, CloseConnection, Request, Response, serve
+from .wsgi import App, CloseConnection, Request, Response, carries_credential, serve
 
 
 @attrs.define
@@ -46,7 +46,7 @@
             for name, value in request.json().items():
                 setattr(self._faults, name, value)
             return Response.from_json({})
-        if "authorization" in request.headers:
+        if carries_credential(request):
             self._credentials_seen += 1
         if request.method == "GET":
             return Response.from_json({"in_stock": 7})
--- a/src/siskinspool/standins/wsgi.py
+++ b/src/siskinspool/standins/wsgi.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 import socket
 import struct
@@ -14,6 +15,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from typing import Any, Final
+from urllib.parse import unquote
 
 import attrs
 import gevent
@@ -23,6 +25,11 @@
 Json = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
+_CREDENTIAL_HEADERS: Final = frozenset(
+    {"authorization", "proxy-authorization", "x-api-key", "api-key", "cookie"}
+)
+_KEY_PATTERN: Final = re.compile(r"sk-[^.\s]+\.[\w-]{16,}", re.IGNORECASE)
+
 _REASON_BY_STATUS: Final = {
     200: "OK",
     202: "Accepted",
@@ -125,6 +132,14 @@
         return body
 
 
+def carries_credential(request: Request) -> bool:
+    """Tell whether a request holds a credential or an API key outside its body."""
+    if _CREDENTIAL_HEADERS & request.headers.keys():
+        return True
+    texts = [request.path, request.query, *request.headers, *request.headers.values()]
+    return any(_KEY_PATTERN.search(unquote(unquote(text))) for text in texts)
+
+
 def read_request(environ: Json) -> Request:
     """Return the request of a WSGI environment, body included."""
     headers = {
--- a/tests/integration/builders_site.py
+++ b/tests/integration/builders_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from pathlib import Path
@@ -13,7 +14,9 @@
 import gevent
 from gevent import socket
 
-from siskinspool.standins.processes import call, call_json
+from siskinspool.manifest.publisher import Publisher
+from siskinspool.platform.etcd import EtcdGateway
+from siskinspool.standins.processes import Bench, call, call_json
 from siskinspool.standins.site import SitePlan, TrialSite, wait_until
 
 Json = dict[str, Any]
@@ -90,8 +93,14 @@
 
 
 def runs_of(site: TrialSite, ref: str) -> int:
-    """Return how often the plain service ran a business call."""
-    return int(site.runs().get(ref, 0))
+    """Return how often the plain services ran a business call together."""
+    return sum(int(site.runs(name).get(ref, 0)) for name in site.service_by_id)
+
+
+def set_service_faults(site: TrialSite, **faults: object) -> None:
+    """Set the faults of all plain services."""
+    for name in site.service_by_id:
+        set_faults(site.port_by_name[name], **faults)
 
 
 def agrees(reply: Reply, runs: int) -> bool:
@@ -132,3 +141,100 @@
         except OSError:
             return received
         return received
+
+
+@attrs.define
+class ProxiedSite:
+    """A site whose instances reach the platform through a proxy each."""
+
+    site: TrialSite
+    admin_port_by_instance: dict[int, int] = attrs.field(factory=dict)
+
+    def cut_off(self, instance: int) -> None:
+        """Cut an instance off from the key-value service."""
+        set_faults(self.admin_port_by_instance[instance], refuse=True, cut=True)
+
+    def reconnect(self, instance: int) -> None:
+        """Let an instance reach the key-value service again."""
+        set_faults(self.admin_port_by_instance[instance], refuse=False)
+
+    def publisher(self) -> Publisher:
+        """Return a publisher that reaches the key-value service directly."""
+        return Publisher(EtcdGateway("127.0.0.1", self.site.platform.port))
+
+    def revision_of(self, instance: int) -> int:
+        """Return the revision in force at an instance, -1 if it does not answer."""
+        port = self.site.port_by_name[f"instance-{instance}"]
+        try:
+            return int(call_json(port, "GET", "/v1/status")["revision"])
+        except OSError:
+            return -1
+
+
+@contextmanager
+def proxied_site(plan: SitePlan, folder: Path) -> Iterator[ProxiedSite]:
+    """Run a site with a fault proxy before the platform for each instance."""
+    site = TrialSite(plan, Bench(folder))
+    proxied = ProxiedSite(site)
+    try:
+        site.start_surroundings()
+        site.publish(site.build_manifest())
+        target = str(site.platform.port)
+        for number in range(plan.instances):
+            proxy = site.bench.start(
+                f"proxy-{number}",
+                "siskinspool.standins.fault_proxy",
+                "--target-port",
+                target,
+            )
+            proxied.admin_port_by_instance[number] = int(proxy.ready["admin_port"])
+            site.port_by_name["platform"] = proxy.port
+            site.start_instance(number)
+        site.wait_ready()
+        yield proxied
+    finally:
+        site.stop()
+
+
+@attrs.define
+class LiveStream:
+    """A streamed answer that is read in a greenlet of its own."""
+
+    body: bytearray = attrs.field(factory=bytearray)
+    status: int = 0
+    ended_at: float = 0.0
+    # Whether the closing chunk of the body came.
+    is_whole: bool = False
+
+
+def open_stream(
+    site: TrialSite, instance: int, team: str, model: str, tokens: int
+) -> LiveStream:
+    """Ask for a stream and return it once its first event has come."""
+    stream = LiveStream()
+    headers = {**site.authorization(team), "Connection": "close"}
+    body = json.dumps({"model": model, "stream": True, "max_tokens": tokens}).encode()
+    lines = ["POST /v1/chat/completions HTTP/1.1", "Host: x"]
+    lines += [f"{name}: {text}" for name, text in headers.items()]
+    head = "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode()
+    port = site.port_by_name[f"instance-{instance}"]
+
+    def read() -> None:
+        with socket.create_connection(("127.0.0.1", port), 5) as sock:
+            sock.settimeout(30)
+            sock.sendall(head + body)
+            try:
+                while block := sock.recv(65_536):
+                    stream.body += block
+                    if not stream.status:
+                        stream.status = int(block.split()[1])
+            except OSError:
+                pass
+        stream.is_whole = stream.body.endswith(b"\r\n0\r\n\r\n")
+        stream.ended_at = time.monotonic()
+
+    gevent.spawn(read)
+    wait_until(
+        lambda: bool(stream.ended_at) or b"data:" in stream.body, "it begins", 20.0
+    )
+    return stream
--- a/tests/integration/test_claims_site.py
+++ b/tests/integration/test_claims_site.py
@@ -20,10 +20,11 @@
     running_site,
     runs_of,
     set_faults,
+    set_service_faults,
     wait_idle,
 )
 
-PLAN = SitePlan(zones=("a",), instances=3, servers=1)
+PLAN = SitePlan(zones=("a",), instances=3, servers=1, services=2)
 
 
 @pytest.fixture(scope="module")
@@ -35,13 +36,13 @@
 @pytest.fixture(autouse=True)
 def _no_faults(site: TrialSite) -> Iterator[None]:
     yield
-    set_faults(site.port_by_name["service-0"], reset_after_run=0, delay_s=0)
+    set_service_faults(site, reset_after_run=0, delay_s=0)
     set_faults(site.platform.port, lose_answers=0, down=False, delay_s=0)
 
 
 def _keep_breaker_closed(site: TrialSite, instance: int) -> None:
     """Let calls succeed, so that failures in a row do not set the service aside."""
-    for _ in range(2):
+    for _ in range(6):
         assert ask(site, instance, "GET", "/stock", team="").status == 200
 
 
@@ -58,7 +59,7 @@
 ) -> None:
     """Guards against a second sending after a server ran a call and reset."""
     ref = f"reset-{method}-{key}-{size}"
-    set_faults(site.port_by_name["service-0"], reset_after_run=1)
+    set_service_faults(site, reset_after_run=1)
     idempotency_key = ref if key else ""
     body = {"ref": ref, "text": "x" * size}
     reply = ask(site, 0, method, "/deposits", body, key=idempotency_key)
@@ -71,9 +72,23 @@
     _keep_breaker_closed(site, 0)
 
 
+def test_refused_retry_is_not_called_not_run(site: TrialSite) -> None:
+    """Guards against "not run" after a first attempt that may have run (R9).
+
+    Both services run their attempt and reset, so no third server is left.
+    """
+    set_service_faults(site, reset_after_run=1)
+    reply = ask(
+        site, 0, "POST", "/stock", {"ref": "second"}, team="", deadline_ms=1_000
+    )
+    assert runs_of(site, "second") == 2
+    assert (reply.status, reply.run) == (504, "unknown")
+    _keep_breaker_closed(site, 0)
+
+
 def test_concurrent_requests_with_one_key_run_once(site: TrialSite) -> None:
     """Guards against two grants of one key through two instances."""
-    set_faults(site.port_by_name["service-0"], delay_s=0.1)
+    set_service_faults(site, delay_s=0.1)
     for number in range(8):
         ref = f"both-{number}"
         replies = at_once(
@@ -166,7 +181,7 @@
 
 def test_killed_claimant_is_unknown(site: TrialSite) -> None:
     """Guards against a second run after the holder of a claim was killed."""
-    set_faults(site.port_by_name["service-0"], delay_s=3.0)
+    set_service_faults(site, delay_s=3.0)
     body = {"ref": "killed"}
     lost = gevent.spawn(ask, site, 2, "POST", "/deposits", body, key="killed")
     wait_until(lambda: runs_of(site, "killed") == 1, "the deposit runs", 5.0)
