Restore long single faults in the state machine of team limits

Cause: replaced single faults by scenarios that heal within one step. Link delays up to 15 s, outages longer than 14 s and waits of about one hour were no longer reached.

SharesMachine stays as it is.

--- a/tests/test_shares_safety.py
+++ b/tests/test_shares_safety.py
@@ -124,6 +124,138 @@
 TestShares.settings = settings(max_examples=40, stateful_step_count=10)
 
 
+class LongFaultsMachine(RuleBasedStateMachine):
+    """Single faults that stay until a later rule ends them.
+
+    `SharesMachine` heals within one step and so does not reach delays and outages that
+    are longer than a share's time to live, nor waits of about `OUTAGE_HOLD_S`.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.net = Network(4, rate=100.0, burst=200.0, seed=7)
+
+    @rule(instance=INSTANCES, tokens=st.sampled_from([5, 40, 120, 200]))
+    def spend(self, instance: str, tokens: int) -> None:
+        self.net.spend(instance, tokens)
+
+    @rule(tokens=st.sampled_from([40, 120]))
+    def spend_everywhere(self, tokens: int) -> None:
+        for instance in list(self.net.node_by_id):
+            self.net.spend(instance, tokens)
+        self.net.run(0.2)
+
+    @rule(instance=INSTANCES, seconds=st.sampled_from([0.5, 3.0]))
+    def stream(self, instance: str, seconds: float) -> None:
+        for _ in range(int(seconds / 0.1)):
+            self.net.spend(instance, 10)
+            self.net.run(0.1)
+
+    @rule(part=st.floats(0, 1), data=st.data())
+    def settle(self, part: float, data: Any) -> None:
+        if self.net.charge_by_spend:
+            spend = data.draw(st.sampled_from(sorted(self.net.charge_by_spend)))
+            self.net.settle(spend, self.net.charge_by_spend[spend].tokens * part)
+
+    @rule(seconds=st.sampled_from([0.05, 1.0, 5.0, 9.0, 10.5, 12.0, 40.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.net.run(seconds)
+
+    @rule(seconds=st.sampled_from([600.0, 3590.0, 3603.0]))
+    def pass_long_time(self, seconds: float) -> None:
+        # The mint's ticks make simulated hours slow; only what is due counts.
+        if not self.net.service_up:
+            self.net.run(seconds)
+
+    @rule(instance=INSTANCES)
+    def freeze_or_wake(self, instance: str) -> None:
+        node = self.net.node_by_id.get(instance)
+        if node is None:
+            return
+        if node.frozen:
+            self.net.wake(instance)
+            self.net.spend(instance, 60)
+        else:
+            self.net.freeze(instance)
+
+    @rule(instance=INSTANCES)
+    def spend_in_freeze(self, instance: str) -> None:
+        self.net.spend(instance, 50)
+
+    @rule(instance=INSTANCES)
+    def crash_or_start(self, instance: str) -> None:
+        if instance in self.net.node_by_id:
+            self.net.crash(instance)
+        else:
+            self.net.start(instance)
+
+    @rule(instance=INSTANCES)
+    def cut_or_join(self, instance: str) -> None:
+        node = self.net.node_by_id.get(instance)
+        if node is not None:
+            node.cut = not node.cut
+
+    @rule(instance=INSTANCES)
+    def drain(self, instance: str) -> None:
+        node = self.net.node_by_id.get(instance)
+        if node is not None and not node.frozen:
+            self.net.drain(instance)
+
+    @rule()
+    def toggle_service(self) -> None:
+        self.net.set_service(not self.net.service_up)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.3]),
+        duplication=st.sampled_from([0.0, 0.5]),
+        delay=st.sampled_from([(0.001, 0.003), (0.0, 2.0), (0.0, 15.0)]),
+    )
+    def set_links(
+        self, loss: float, duplication: float, delay: tuple[float, float]
+    ) -> None:
+        self.net.loss, self.net.duplication = loss, duplication
+        self.net.delay_s = delay
+
+    @rule(
+        instance=INSTANCES | st.just("owner"),
+        fault=st.sampled_from(["freeze", "crash"]),
+        outage_s=st.sampled_from([5.0, 16.0, 45.0]),
+        wait_s=st.sampled_from([1.0, 13.0, 60.0]),
+    )
+    def outage_and_wake(
+        self, instance: str, fault: str, outage_s: float, wait_s: float
+    ) -> None:
+        """Stop an instance in an outage and let the service return before it wakes."""
+        net = self.net
+        name = net.owner or "" if instance == "owner" else instance
+        if name not in net.node_by_id:
+            return
+        net.set_service(False)
+        net.run(outage_s)
+        if fault == "crash":
+            net.crash(name)
+        else:
+            net.freeze(name)
+            for _ in range(12):
+                # First in the inbox when the instance wakes.
+                net.spend(name, 10)
+        net.set_service(True)
+        net.run(wait_s)
+        _overload(net, sorted(net.node_by_id), 1.0)
+        if fault == "crash":
+            net.start(name)
+        else:
+            net.wake(name)
+        _overload(net, sorted(net.node_by_id), 1.0)
+
+    @invariant()
+    def bound_holds(self) -> None:
+        assert self.net.is_conserved(), worst_burst(self.net.charges, self.net.rate)
+
+
+TestLongFaults = LongFaultsMachine.TestCase
+
+
 def test_worst_burst_finds_the_window() -> None:
     """Guards against a check that overlooks a window in the middle of the trace."""
     charges = [Charge(0.0, 50), Charge(10.0, 120), Charge(10.5, 130), Charge(30.0, 10)]
