Prove the bound of a team over real processes that fail

Change: each admission logs `tokens_spent`, and each settlement below the estimate `tokens_settled`, with microseconds of the monotonic clock, which all instances of a machine share; SpendGranted carries the time of the spend.

--- a/src/siskinspool/contracts/share_messages.py
+++ b/src/siskinspool/contracts/share_messages.py
@@ -79,6 +79,8 @@
     """The tokens are spent."""
 
     spend_id: int
+    # Time of the spend, monotonic seconds.
+    at: float = 0.0
 
 
 @attrs.frozen
--- a/src/siskinspool/contracts/shares.py
+++ b/src/siskinspool/contracts/shares.py
@@ -192,7 +192,7 @@
                 break
             state.waiting.popleft()
             self._team_by_spend[self._next_spend_id] = team_id
-            out.append(Outgoing(first.asker, SpendGranted(self._next_spend_id)))
+            out.append(Outgoing(first.asker, SpendGranted(self._next_spend_id, now)))
             self._next_spend_id += 1
         out += self._refuse(team_id, state, lambda x: x.deadline <= now)
         if not state.waiting:
--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -320,6 +320,7 @@
                 "the team's rate is used up",
                 retry_after_s=retry_after_s,
             )
+        self._log_tokens("tokens_spent", self.call.estimate_tokens, answer.at)
         used = 0
         try:
             refusal, used = self._route_and_run(token)
@@ -328,6 +329,22 @@
             if self._sent and not used:
                 used = self.call.estimate_tokens
             self._tell("limits", SettleTokens(answer.spend_id, used))
+            if used != self.call.estimate_tokens:
+                now = self._context.clock.now()
+                self._log_tokens("tokens_settled", used, now)
+
+    def _log_tokens(self, event: str, tokens: int, at: float) -> None:
+        # Microseconds of the machine's monotonic clock, which all instances on it
+        # share, so that their spends can be merged into one trace (R5).
+        log_event(
+            logger,
+            logging.INFO,
+            event,
+            request=self.call.id,
+            team=self.call.team,
+            tokens=tokens,
+            at_us=int(at * 1e6),
+        )
 
     def _route_and_run(self, token: str | None) -> tuple[Refusal | None, int]:
         """Try servers until one answers; return the refusal and the tokens used."""
--- /dev/null
+++ b/tests/integration/builders_machines.py
@@ -0,0 +1,271 @@
+"""Sites with faults, load and traces for the tests of machines, zones and shares."""
+
+from __future__ import annotations
+
+import json
+import re
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import gevent
+from gevent.pool import Pool as Greenlets
+from geventhttpclient import HTTPClient
+
+from siskinspool.contracts.limits_partition import limits_partition
+from siskinspool.machines.ownership_records import decode_record
+from siskinspool.machines.record_encoding import JsonRecordEncoding
+from siskinspool.machines.reservations import ServerRecord
+from siskinspool.manifest.model import Manifest
+from siskinspool.platform.etcd import EtcdGateway
+from siskinspool.platform.keys import SERVERS_PREFIX, owner_key
+from siskinspool.standins.processes import Bench, Process, call, call_json
+from siskinspool.standins.site import SitePlan, TrialSite, wait_until
+
+from ..builders_shares import Charge
+
+Json = dict[str, Any]
+PLATFORM_PROXY: Final = "platform-proxy"
+
+
+@contextmanager
+def running_site(
+    plan: SitePlan,
+    folder: Path,
+    change: Callable[[Manifest], Manifest] = lambda manifest: manifest,
+    proxied: tuple[int, ...] = (),
+) -> Iterator[TrialSite]:
+    """Start a site; instances in ``proxied`` reach the platform through a proxy."""
+    site = TrialSite(plan, Bench(folder))
+    try:
+        site.start_surroundings()
+        site.publish(change(site.build_manifest()))
+        direct = site.port_by_name["platform"]
+        if proxied:
+            proxy = site.bench.start(
+                PLATFORM_PROXY,
+                "siskinspool.standins.fault_proxy",
+                "--target-port",
+                str(direct),
+            )
+        for number in range(plan.instances):
+            through = proxy.port if number in proxied else direct
+            site.port_by_name["platform"] = through
+            site.start_instance(number)
+        site.port_by_name["platform"] = direct
+        site.wait_ready()
+        yield site
+    finally:
+        site.stop()
+
+
+def set_proxy(site: TrialSite, **faults: Any) -> None:
+    """Set faults of the proxy before the platform."""
+    admin_port = int(site.bench.process_by_name[PLATFORM_PROXY].ready["admin_port"])
+    call_json(admin_port, "POST", "/admin/faults", faults)
+
+
+def set_platform(site: TrialSite, **faults: Any) -> None:
+    """Set faults of the platform."""
+    call_json(site.platform.port, "POST", "/admin/faults", faults)
+
+
+def set_engine(site: TrialSite, engine: str, **faults: Any) -> None:
+    """Set faults of an engine."""
+    call_json(site.engine_by_id[engine].port, "POST", "/admin/faults", faults)
+
+
+def owner_of(site: TrialSite, partition: str) -> str:
+    """Return the recorded owner of a partition; empty without one."""
+    item = EtcdGateway("127.0.0.1", site.platform.port).get(owner_key(partition))
+    return decode_record(item.value if item else None).instance
+
+
+def mint_owner(site: TrialSite, team: str) -> str:
+    """Return the instance whose mint has a team's contract."""
+    wait_until(lambda: bool(owner_of(site, limits_partition(team))), "a mint", 10)
+    return owner_of(site, limits_partition(team))
+
+
+def placement_owner(site: TrialSite) -> str:
+    """Return the instance that decides on replicas."""
+    wait_until(lambda: bool(owner_of(site, "placement/trial")), "an owner", 10)
+    return owner_of(site, "placement/trial")
+
+
+def server_records(site: TrialSite) -> dict[str, ServerRecord]:
+    """Return the reservations of all servers."""
+    items = EtcdGateway("127.0.0.1", site.platform.port).list(SERVERS_PREFIX)
+    found = {}
+    for item in items:
+        record = JsonRecordEncoding().decode(item.value)
+        if record is not None:
+            found[item.key.removeprefix(SERVERS_PREFIX)] = record
+    return found
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got; times are monotonic seconds."""
+
+    instance: str
+    sent_at: float
+    ended_at: float
+    # 0 if the connection ended without a whole answer.
+    status: int
+    body: bytes
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer was served and is complete."""
+        if self.status != 200:
+            return False
+        return b"data:" not in self.body or self.body.endswith(b"data: [DONE]\n\n")
+
+    @property
+    def problem(self) -> Json:
+        """Return the refusal; empty if the answer is none."""
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            return {}
+        return value if isinstance(value, dict) and "code" in value else {}
+
+    @property
+    def outcome(self) -> str:
+        """Return one word for counting."""
+        return "whole" if self.whole else f"{self.status} {self.problem.get('code')}"
+
+
+@attrs.define
+class Load:
+    """Callers in greenlets; replies are kept in the order of their ends."""
+
+    site: TrialSite
+    replies: list[Reply] = attrs.field(factory=list)
+    _callers: Greenlets = attrs.field(factory=lambda: Greenlets(400))
+    _sources: list[gevent.Greenlet[..., None]] = attrs.field(factory=list)
+
+    def send(
+        self,
+        instance: str,
+        path: str,
+        body: Json,
+        team: str,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Send one request without waiting for its answer."""
+        self._callers.spawn(self._call, instance, path, body, team, headers or {})
+
+    def ask_model(
+        self,
+        instance: str,
+        model: str,
+        team: str = "guild",
+        tokens: int = 4,
+        deadline_ms: int = 20_000,
+    ) -> None:
+        """Send one streamed model request."""
+        body = {"model": model, "max_tokens": tokens, "stream": True, "messages": []}
+        headers = {"X-Siskin-Deadline-Ms": str(deadline_ms)}
+        self.send(instance, "/v1/chat/completions", body, team, headers)
+
+    def every(
+        self, interval_s: float, send: Callable[[], None]
+    ) -> gevent.Greenlet[..., None]:
+        """Send at fixed times until `finish` or the end of the greenlet."""
+
+        def run() -> None:
+            next_at = time.monotonic()
+            while True:
+                send()
+                next_at += interval_s
+                gevent.sleep(max(0.0, next_at - time.monotonic()))
+
+        source = gevent.spawn(run)
+        self._sources.append(source)
+        return source
+
+    def stop_sending(self) -> None:
+        """End all sources."""
+        gevent.killall(self._sources)
+        self._sources.clear()
+
+    def finish(self, timeout_s: float) -> None:
+        """Stop sending and wait for all answers."""
+        self.stop_sending()
+        assert self._callers.join(timeout_s), "some callers got no answer"
+
+    def outcomes(self) -> Counter[str]:
+        """Return the number of replies by outcome."""
+        return Counter(reply.outcome for reply in self.replies)
+
+    def _call(
+        self, instance: str, path: str, body: Json, team: str, headers: dict[str, str]
+    ) -> None:
+        sent_at = time.monotonic()
+        status, data = 0, b""
+        client = HTTPClient(
+            "127.0.0.1",
+            port=self.site.instance_by_id[instance].port,
+            network_timeout=90,
+            concurrency=1,
+        )
+        try:
+            response = client.post(
+                path,
+                body=json.dumps(body).encode(),
+                headers={**self.site.authorization(team), **headers},
+            )
+            status, data = int(response.status_code), bytes(response.read())
+        except Exception as error:
+            # The client passes on many kinds of errors; all mean "no whole answer".
+            status, data = 0, repr(error).encode()
+        finally:
+            client.close()
+        ended_at = time.monotonic()
+        self.replies.append(Reply(instance, sent_at, ended_at, status, data))
+
+
+_PAIR: Final = re.compile(r"(\w+)=(\S+)")
+
+
+def log_events(site: TrialSite, event: str) -> list[tuple[str, dict[str, str]]]:
+    """Return the events of one kind of all instances, with the instance."""
+    found = []
+    for instance in site.instance_by_id:
+        path = site.bench.folder / f"{instance}.log"
+        for line in path.read_text(errors="replace").splitlines():
+            if f"event={event} " in line:
+                found.append((instance, dict(_PAIR.findall(line))))
+    return found
+
+
+def charges(site: TrialSite, team: str) -> list[Charge]:
+    """Return what a team spent at all instances, by the common monotonic clock."""
+    charge_by_request = {
+        pairs["request"]: Charge(int(pairs["at_us"]) / 1e6, float(pairs["tokens"]))
+        for _, pairs in log_events(site, "tokens_spent")
+        if pairs["team"] == team
+    }
+    for _, pairs in log_events(site, "tokens_settled"):
+        charge = charge_by_request.get(pairs["request"])
+        if charge is not None:
+            charge.tokens = min(charge.tokens, float(pairs["tokens"]))
+    return list(charge_by_request.values())
+
+
+def wait_for(process: Process, path: str, status: int, timeout_s: float) -> float:
+    """Wait until a page of an instance answers with a status; return the time."""
+
+    def answers() -> bool:
+        try:
+            return call(process.port, "GET", path, timeout_s=2)[0] == status
+        except OSError:
+            return False
+
+    return wait_until(answers, f"{process.name}{path} answers {status}", timeout_s)
--- /dev/null
+++ b/tests/integration/conftest.py
@@ -0,0 +1,3 @@
+"""Configuration of tests with real processes."""
+
+from __future__ import annotations
