Answer operators' questions from every decision task

Cause: the status page asked the tasks with AskStatus, and no task answered, so operators saw only revision and readiness. Change: Decision has a status method, and DecisionTask answers AskStatus with it. Routing shows servers with the first reason for which they get no new work, limits shows shares, patient shows requests without content, ownership, membership and placement show partitions, members and loads. The trial site has an operators' token. Conclusion: one question serves all decisions; nothing reads a task's state.

--- a/src/siskinspool/contracts/patient.py
+++ b/src/siskinspool/contracts/patient.py
@@ -15,6 +15,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
 from ..machines.messages import (
     CatalogChanged,
     Member,
@@ -98,6 +99,14 @@
         """Repeat, assign or give up what has become due."""
         return self._advance(now)
 
+    def status(self, now: float) -> Status:
+        """Return the requests of the owned shards that have not ended."""
+        shards = self._owned.values()
+        return {
+            "requests": [row for shard in shards for row in shard.status()],
+            "loading": [n for n, shard in self._owned.items() if not shard.is_loaded],
+        }
+
     def wake_at(self) -> float | None:
         """Return the earliest deadline, repeat or call."""
         times = [caller.wake_at() for caller in self._callers()]
--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ..core.message import Address, Message, Outgoing
+from ..core.status import Status
 from ..machines.messages import Member
 from ..manifest.model import Catalog
 from ..platform.keys import PATIENT_PREFIX
@@ -116,6 +117,24 @@
                 callers.append(item.fetch)
         return callers
 
+    def status(self) -> list[Status]:
+        """Return the requests that have not ended, without their content."""
+        heads = [
+            (item.request_id, item.writer.head or item.writer.wanted)
+            for item in self._item_by_id.values()
+        ]
+        return [
+            {
+                "id": request_id,
+                "team": head.request.team,
+                "target": head.request.route,
+                "state": str(head.state),
+                "instance": head.runner.instance_id if head.runner else "",
+            }
+            for request_id, head in heads
+            if head is not None and not head.has_ended
+        ]
+
     def submit(
         self, request: SubmitPatient, waiter: Address, catalog: Catalog, now: float
     ) -> None:
--- a/src/siskinspool/contracts/shares.py
+++ b/src/siskinspool/contracts/shares.py
@@ -17,6 +17,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
 from ..machines.drain_messages import SurrenderShares
 from ..machines.messages import (
     CatalogChanged,
@@ -124,6 +125,13 @@
                 out += self._peer_shares.ask(team_id, state, self._outage, now)
         return out
 
+    def status(self, now: float) -> Status:
+        """Return the shares held here, in tokens and tokens per second."""
+        for state in self._state_by_team.values():
+            state.share.advance(now, self._outage)
+        teams = [state.show(team_id) for team_id, state in self._state_by_team.items()]
+        return {"teams": teams, "outage": self._outage}
+
     def wake_at(self) -> float | None:
         """Return the earliest deadline of all teams."""
         times = [
--- a/src/siskinspool/contracts/team_state.py
+++ b/src/siskinspool/contracts/team_state.py
@@ -10,7 +10,8 @@
 import attrs
 
 from ..core.message import Address
-from .share_messages import SHARE_TTL_S
+from ..core.status import Status
+from .share_messages import MILLI, SHARE_TTL_S
 from .team_share import TeamShare
 
 REPORT_INTERVAL_S: Final = 0.25
@@ -69,6 +70,17 @@
         # its tokens by one millitoken.
         return lacking + ROUNDING if lacking > 0 else 0
 
+    def show(self, team_id: str) -> Status:
+        """Return the share as operators see it, in tokens and tokens per second."""
+        share = self.share
+        return {
+            "id": team_id,
+            "rate": share.rate / MILLI,
+            "cap": share.cap / MILLI,
+            "level": share.level / MILLI,
+            "waiting": len(self.waiting),
+        }
+
     def note_sent(self, number: int, now: float) -> None:
         """Remember when a report was sent, for as long as its answer is of use."""
         for old, sent_at in list(self.sent_at_by_no.items()):
--- a/src/siskinspool/core/decision.py
+++ b/src/siskinspool/core/decision.py
@@ -12,6 +12,7 @@
 from abc import ABC, abstractmethod
 
 from .message import Incoming, Outgoing
+from .status import Status
 
 
 class Decision(ABC):
@@ -28,6 +29,10 @@
         """Act on what has become due; called once `wake_at` has come."""
         return []
 
+    def status(self, now: float) -> Status:
+        """Return what operators may see; never keys, prompts or answers."""
+        return {}
+
     def wake_at(self) -> float | None:
         """Return when `on_time` is due next, or None if only a message matters."""
         return None
--- a/src/siskinspool/core/status.py
+++ b/src/siskinspool/core/status.py
@@ -1,7 +1,7 @@
 """Status of tasks for operators.
 
 A task that has something to show answers `AskStatus` with `StatusShown`; the front end
-collects the answers into one page.
+collects the answers into one page. `DecisionTask` answers with `Decision.status`.
 """
 
 from __future__ import annotations
@@ -12,6 +12,9 @@
 
 from .message import Message
 
+# JSON-ready status of a task; never holds keys, prompts or answers.
+Status = dict[str, Any]
+
 
 @attrs.frozen
 class AskStatus(Message):
@@ -20,6 +23,6 @@
 
 @attrs.frozen
 class StatusShown(Message):
-    """JSON-ready status of a task; never holds keys, prompts or answers."""
+    """The status of a task."""
 
-    fields: dict[str, Any]
+    fields: Status
--- a/src/siskinspool/core/task.py
+++ b/src/siskinspool/core/task.py
@@ -20,7 +20,8 @@
 from .decision import Decision
 from .dispatcher import Dispatcher, Inbox
 from .errors import InvariantError
-from .message import Address, Incoming
+from .message import Address, Incoming, Outgoing
+from .status import AskStatus, StatusShown
 
 logger = logging.getLogger(__name__)
 
@@ -139,6 +140,10 @@
 
     def handle(self, incoming: Incoming) -> None:
         """Pass one message to the decision and send its output."""
+        if isinstance(incoming.message, AskStatus):
+            shown = StatusShown(self.decision.status(self.clock.now()))
+            self.dispatcher.send(self.address, Outgoing(incoming.sender, shown))
+            return
         batch = self.decision.handle(incoming, self.clock.now())
         self.dispatcher.send_all(self.address, batch)
 
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -80,7 +80,14 @@
     "routing",
     "reports",
 )
-STATUS_TASKS: Final = ("membership", "ownership", "routing", "limits", "patient")
+STATUS_TASKS: Final = (
+    "membership",
+    "ownership",
+    "routing",
+    "placement",
+    "limits",
+    "patient",
+)
 
 
 def partition_names(site: str) -> tuple[str, ...]:
--- a/src/siskinspool/machines/known_servers.py
+++ b/src/siskinspool/machines/known_servers.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from ..core.status import Status
 from ..manifest.model import Catalog, Server, Service, empty_manifest
 from ..zones.preference import ZonePreference
 from ..zones.zone import WorkPermits
@@ -21,6 +22,7 @@
 from .prefix_index import PrefixIndex
 from .routing_messages import PrefixHint, RouteCall
 from .server_state import BackendState, ServerState, ServiceState
+from .server_status import show_server, show_service
 from .targets import ReplicaKey, ReplicaTarget, RouteTarget, Target
 
 
@@ -131,6 +133,23 @@
         server = self.catalog.server_by_id[backend_id]
         return Backend(server, self._server_by_id[backend_id])
 
+    def status(self, now: float) -> Status:
+        """Return the servers and services of the catalog as operators see them."""
+        servers = [
+            show_server(
+                entity,
+                self._server_by_id.get(entity.id) or ServerState(),
+                self._permits,
+                now,
+            )
+            for entity in self.catalog.manifest.servers
+        ]
+        services = [
+            show_service(entity, self._service_by_id[entity.id], self._permits)
+            for entity in self.catalog.manifest.services
+        ]
+        return {"servers": servers, "services": services}
+
     def next_probe_at(self, target: Target, now: float) -> float | None:
         """Return when a breaker next lets a probe through; None if none is due."""
         times = (b.state.breaker.next_probe_at() for b in self._backends(target))
--- a/src/siskinspool/machines/membership.py
+++ b/src/siskinspool/machines/membership.py
@@ -16,6 +16,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
 from ..platform.keys import CONFIG_HEAD, SESSION_PREFIX
 from ..platform.kv import KvChanged
 from ..platform.kv_events import KvReachable, ProbeHead
@@ -129,6 +130,20 @@
             batch += self._probe(now)
         return batch + self._report(now)
 
+    def status(self, now: float) -> Status:
+        """Return members, freshness and who is leaving."""
+        age_s = self._freshness.evidence_age_s(now)
+        members = [
+            {"id": one.instance_id, "zone": one.zone, "draining": one.draining}
+            for one in self._told_members.values()
+        ]
+        return {
+            "members": sorted(members, key=lambda row: str(row["id"])),
+            "evidence_age_s": None if math.isinf(age_s) else round(age_s, 3),
+            "outage": self._freshness.outage_until(now) > now,
+            "leaving_servers": sorted(self._leaving_servers.ids()),
+        }
+
     def wake_at(self) -> float | None:
         """Return the next heartbeat, or the end of currency if it is earlier."""
         if self._told_currency.current:
--- a/src/siskinspool/machines/ownership.py
+++ b/src/siskinspool/machines/ownership.py
@@ -27,6 +27,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
 from ..platform.keys import OWNER_PREFIX, owner_key, session_key
 from ..platform.kv import (
     KvChanged,
@@ -53,7 +54,7 @@
     decode_record,
     encode_record,
 )
-from .ownership_state import Candidates, Partition, Request, Step
+from .ownership_state import Candidates, Partition, Request, Step, show_partitions
 from .session import Session
 
 OWNERSHIP_TASK: Final = "ownership"
@@ -126,6 +127,10 @@
         """Give up what is no longer valid, and claim or hand over what is due."""
         return self._lose_invalid(now) + self._act(now)
 
+    def status(self, now: float) -> Status:
+        """Return the owners as recorded, and what this instance owns."""
+        return show_partitions(list(self._partition_by_name.values()))
+
     def wake_at(self) -> float | None:
         """Return the end of the session's validity or the next action's time."""
         return self._wake_at
@@ -388,9 +393,7 @@
         return self._tell(OwnersChanged(owners))
 
     def _tell(self, message: Message) -> list[Outgoing]:
-        return [
-            Outgoing(Address(self._id, watcher), message) for watcher in self._watchers
-        ]
+        return [Outgoing(Address(self._id, name), message) for name in self._watchers]
 
     def _to_kv(self, message: Message) -> Outgoing:
         return Outgoing(Address(self._id, "kv"), message)
--- a/src/siskinspool/machines/ownership_state.py
+++ b/src/siskinspool/machines/ownership_state.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from ..core.status import Status
 from .messages import Member
 from .ownership_records import NO_RECORD, OwnerRecord
 from .rendezvous import score
@@ -106,3 +107,14 @@
             ranked = sorted(names, key=lambda name: (-score(partition, name), name))
             self._ranked_by_partition[partition] = ranked
         return ranked
+
+
+def show_partitions(partitions: list[Partition]) -> Status:
+    """Return recorded owners by partition, and the partitions owned here."""
+    owned = [each.name for each in partitions if each.owned_under is not None]
+    owners = {
+        each.name: {"instance": each.record.instance, "epoch": each.record.epoch}
+        for each in partitions
+        if not each.record.is_free
+    }
+    return {"owned": owned, "owners": owners}
--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -19,6 +19,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
 from ..platform.kv import KvReply
 from .fleet import Fleet
 from .load_planner import LoadPlanner
@@ -39,6 +40,7 @@
     ServerUnreachable,
 )
 from .order_ledger import OrderLedger
+from .placement_status import show_site
 from .ramp import RampPlan
 from .reconciliation import Reconciler
 from .record_encoding import RecordEncoding
@@ -127,6 +129,12 @@
         self._now = now
         return self._work(now)
 
+    def status(self, now: float) -> Status:
+        """Return records and loads; at other instances only who is not active."""
+        if not self._active:
+            return {"active": False}
+        return show_site(self.planner, self.store, self.ramp, now)
+
     def wake_at(self) -> float | None:
         """Return when something is due next."""
         times: list[float | None] = [self._forwarding.wake_at()]
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -20,6 +20,7 @@
 from ..core.decision import Decision
 from ..core.errors import ErrorCode, InvariantError
 from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
 from ..manifest.model import Catalog, RequestClass
 from .candidate import CandidateChooser, TwoRandomChoices
 from .expected_wait import ExpectedWait
@@ -139,6 +140,14 @@
         batch = self._sweep(now) + self._refuse_expired(now) + self._serve_all(now)
         return batch + self._ask(now) + self._report_use(now)
 
+    def status(self, now: float) -> Status:
+        """Return servers, queues and the number of running calls."""
+        return {
+            **self._servers.status(now),
+            "queues": self._waiting.counts(),
+            "running": len(self._running_by_id),
+        }
+
     def wake_at(self) -> float | None:
         """Return when `on_time` is due next."""
         times = [self._waiting.next_deadline(), self._demands.next_at()]
--- a/src/siskinspool/machines/server_state.py
+++ b/src/siskinspool/machines/server_state.py
@@ -100,6 +100,15 @@
         """Return the boot id of the last report."""
         return "" if self._report is None else self._report.boot_id
 
+    @property
+    def report(self) -> ServerReport | None:
+        """Return the last report, None before the first."""
+        return self._report
+
+    def slots(self, now: float) -> int | None:
+        """Return the ramp slots of this instance; None if the ramp is over."""
+        return self._grants.limit(self.boot_id, now)
+
     def loaded(self) -> frozenset[ReportedReplica]:
         """Return the replicas that the last report shows as loaded."""
         if self._report is None:
--- /dev/null
+++ b/src/siskinspool/machines/server_status.py
@@ -0,0 +1,83 @@
+"""What operators see of servers and plain services.
+
+The state names the first reason for which a server gets no new work, in the order in
+which routing excludes servers, or else how much it gets.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from ..core.status import Status
+from ..manifest.model import Server, Service
+from ..zones.zone import WorkPermits
+from .server_state import ServerState, ServiceState
+
+
+class ShownState(StrEnum):
+    """State of a server in one word or two."""
+
+    CLOSED_ZONE = "closed zone"
+    LEAVING = "leaving"
+    NO_REPORT = "no report"
+    STALE = "stale"
+    SET_ASIDE = "set aside"
+    RAMPING = "ramping"
+    OPEN = "open"
+
+
+def show_server(
+    server: Server, state: ServerState, permits: WorkPermits, now: float
+) -> Status:
+    """Return the status of a model server."""
+    report = state.report
+    return {
+        "id": server.id,
+        "zone": server.zone,
+        "state": server_state(server, state, permits, now),
+        "running": 0 if report is None else report.running,
+        "queued": 0 if report is None else report.queued,
+        "capacity": server.capacity if report is None else report.capacity,
+        "own_calls": len(state.calls),
+        "replicas": sorted(
+            replica.adapter or replica.model for replica in state.loaded()
+        ),
+    }
+
+
+def server_state(
+    server: Server, state: ServerState, permits: WorkPermits, now: float
+) -> ShownState:
+    """Return why a server gets no or little new work, or that it is open."""
+    excluded = _permission(server, permits)
+    if excluded is not None:
+        return excluded
+    if state.report is None:
+        return ShownState.NO_REPORT
+    if not state.is_current(now):
+        return ShownState.STALE
+    if state.breaker.is_open:
+        return ShownState.SET_ASIDE
+    return ShownState.OPEN if state.slots(now) is None else ShownState.RAMPING
+
+
+def show_service(service: Service, state: ServiceState, permits: WorkPermits) -> Status:
+    """Return the status of a plain service, of which only own calls are known."""
+    shown = _permission(service, permits)
+    if shown is None:
+        shown = ShownState.SET_ASIDE if state.breaker.is_open else ShownState.OPEN
+    return {
+        "id": service.id,
+        "zone": service.zone,
+        "state": shown,
+        "own_calls": len(state.calls),
+        "capacity": service.capacity,
+    }
+
+
+def _permission(entity: Server | Service, permits: WorkPermits) -> ShownState | None:
+    if not permits.zone_takes_work(entity.zone):
+        return ShownState.CLOSED_ZONE
+    if not permits.server_takes_work(entity.id, entity.zone):
+        return ShownState.LEAVING
+    return None
--- a/src/siskinspool/machines/waiting.py
+++ b/src/siskinspool/machines/waiting.py
@@ -160,6 +160,11 @@
         """Return the names of the queues in which calls wait."""
         return [name for name, line in self._line_by_name.items() if line.waiting]
 
+    def counts(self) -> dict[str, int]:
+        """Return the number of waiting calls by queue."""
+        lines = self._line_by_name.items()
+        return {name: line.waiting.total() for name, line in lines if line.waiting}
+
     def forget_lines(self, valid_names: Set[str]) -> None:
         """Drop unused queues of pools and routes that the catalog lacks."""
         self._line_by_name = {
--- a/src/siskinspool/standins/site.py
+++ b/src/siskinspool/standins/site.py
@@ -73,6 +73,9 @@
     session_ttl_s: float = 10.0
     session_renew_s: float = 3.0
     log_level: str = "info"
+    operator_token: str = "trial-operator-token"
+    # UDP port on loopback for metrics; None sends none.
+    statsd_port: int | None = None
 
 
 @attrs.define
@@ -250,9 +253,13 @@
             "key_value": platform,
             "instance_list": platform,
             "log_level": self.plan.log_level,
+            "operator_token": self.plan.operator_token,
             "session_ttl_s": self.plan.session_ttl_s,
             "session_renew_s": self.plan.session_renew_s,
         }
+        if self.plan.statsd_port is not None:
+            statsd = {"host": "127.0.0.1", "port": self.plan.statsd_port}
+            settings["statsd"] = statsd
         path = self.bench.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         process = self.bench.start(name, "siskinspool.daemon", str(path))
