Complete the operators' client and explain refusals

Cause: status and explain read fields that no task showed; errors of click took several lines; a key was lost when the wait after its issue failed; an unreachable service after an accepted change was reported as 'nothing changed'.

--- a/src/siskinspool/cli/connection.py
+++ b/src/siskinspool/cli/connection.py
@@ -8,6 +8,7 @@
 
 import attrs
 import click
+from gevent.pool import Pool
 from geventhttpclient import HTTPClient
 
 from ..machines.messages import Member
@@ -19,6 +20,8 @@
 from .output import ExitStatus, fail
 
 INSTANCE_TIMEOUT_S: Final = 3.0
+# Keeps the time of a command short when many instances do not answer.
+PARALLEL_ASKS: Final = 50
 Json = dict[str, Any]
 
 
@@ -27,6 +30,8 @@
     """An instance did not answer."""
 
     reason: str
+    # HTTP status, 0 if there was none.
+    status: int = 0
 
 
 @attrs.frozen
@@ -72,9 +77,13 @@
     def members(self) -> dict[str, Member]:
         """Return the instances with a session, by id."""
         try:
-            items = self.gateway().list(SESSION_PREFIX)
+            return self.find_members()
         except (LostAnswerError, UnavailableError) as error:
             fail(ExitStatus.UNREACHABLE, "service_unreachable", str(error))
+
+    def find_members(self) -> dict[str, Member]:
+        """Return the instances with a session; raise the service's errors."""
+        items = self.gateway().list(SESSION_PREFIX)
         members: dict[str, Member] = {}
         for item in items:
             instance_id = item.key[len(SESSION_PREFIX) :]
@@ -99,20 +108,30 @@
             response = client.get(path, headers=headers)
             data = bytes(response.read())
             if response.status_code != 200:
-                return NoAnswer(f"status {response.status_code}")
-            answer: Json = json.loads(data)
+                code = int(response.status_code)
+                return NoAnswer(f"status {code}", code)
+            answer = json.loads(data)
         except (OSError, ValueError) as error:
             return NoAnswer(str(error) or type(error).__name__)
         finally:
             client.close()
+        if not isinstance(answer, dict):
+            return NoAnswer("the answer is no JSON object")
         return answer
 
     def ask_all(self, path: str) -> dict[str, Json | NoAnswer]:
         """Return what each instance with a session answers, by id."""
-        return {
-            instance_id: self.ask(member, path)
-            for instance_id, member in sorted(self.members().items())
-        }
+        return self.ask_members(self.members(), path)
+
+    def ask_members(
+        self, member_by_id: dict[str, Member], path: str
+    ) -> dict[str, Json | NoAnswer]:
+        """Return what each of the instances answers, by id."""
+        members = sorted(member_by_id.items())
+        pool = Pool(PARALLEL_ASKS)
+        answers = pool.map(lambda item: self.ask(item[1], path), members)
+        names = [instance_id for instance_id, _ in members]
+        return dict(zip(names, answers, strict=True))
 
 
 pass_connection = click.make_pass_decorator(Connection)
--- a/src/siskinspool/cli/entity_commands.py
+++ b/src/siskinspool/cli/entity_commands.py
@@ -11,22 +11,33 @@
 from ..manifest.model import Manifest, ZoneState
 from .connection import Connection, pass_connection
 from .output import ExitStatus, fail, print_table
-from .publishing import DEFAULT_WAIT_S, report_outcome, wait_in_force
+from .publishing import report_outcome, wait_in_force, wait_options
+
+
+@attrs.frozen
+class Waiting:
+    """Whether and for how many seconds a command waits for all instances."""
+
+    wait: bool
+    timeout_s: float
 
 
 def _edit(
-    connection: Connection, change: Callable[[Manifest], Manifest], timeout_s: float
+    connection: Connection, change: Callable[[Manifest], Manifest], waiting: Waiting
 ) -> None:
     revision = report_outcome(connection.publisher().edit(change))
-    wait_in_force(connection, revision, timeout_s)
+    if waiting.wait:
+        wait_in_force(connection, revision, waiting.timeout_s)
 
 
-@click.group()
+@click.group(epilog="Example: siskinspool zone out lagos-b")
 def zone() -> None:
     """Take availability zones out and bring them back."""
 
 
-def _set_zone(connection: Connection, zone_id: str, state: ZoneState) -> None:
+def _set_zone(
+    connection: Connection, zone_id: str, state: ZoneState, waiting: Waiting
+) -> None:
     known = {item.id for item in connection.in_force().manifest.zones}
     if zone_id not in known:
         fail(ExitStatus.REFUSED, "unknown_zone", f"no zone is '{zone_id}'")
@@ -38,38 +49,43 @@
         )
         return attrs.evolve(manifest, zones=zones)
 
-    _edit(connection, change, DEFAULT_WAIT_S)
+    _edit(connection, change, waiting)
 
 
-@zone.command("out")
+@zone.command("out", epilog="Example: siskinspool zone out lagos-b")
 @click.argument("zone_id")
+@wait_options
 @pass_connection
-def zone_out(connection: Connection, zone_id: str) -> None:
+def zone_out(connection: Connection, zone_id: str, wait: bool, timeout: float) -> None:
     """Give zone ZONE_ID no new work; what runs there finishes."""
-    _set_zone(connection, zone_id, ZoneState.CLOSED)
+    _set_zone(connection, zone_id, ZoneState.CLOSED, Waiting(wait, timeout))
 
 
-@zone.command("in")
+@zone.command("in", epilog="Example: siskinspool zone in lagos-b")
 @click.argument("zone_id")
+@wait_options
 @pass_connection
-def zone_in(connection: Connection, zone_id: str) -> None:
+def zone_in(connection: Connection, zone_id: str, wait: bool, timeout: float) -> None:
     """Bring zone ZONE_ID back; its servers ramp up."""
-    _set_zone(connection, zone_id, ZoneState.OPEN)
+    _set_zone(connection, zone_id, ZoneState.OPEN, Waiting(wait, timeout))
 
 
-@click.group()
+@click.group(epilog="Example: siskinspool key list")
 def key() -> None:
     """Issue, list and revoke API keys."""
 
 
-@key.command("issue")
+@key.command("issue", epilog="Example: siskinspool key issue web-2 --team tinhub-web")
 @click.argument("key_id")
 @click.option("--team", required=True, help="Id of the team.")
+@wait_options
 @pass_connection
-def key_issue(connection: Connection, key_id: str, team: str) -> None:
+def key_issue(
+    connection: Connection, key_id: str, team: str, wait: bool, timeout: float
+) -> None:
     """Issue a key named KEY_ID; its text is shown once and kept nowhere.
 
-    Example: siskinspool key issue web-2 --team tinhub-web
+    Only the key goes to standard output.
     """
     manifest = connection.in_force().manifest
     if team not in {item.id for item in manifest.teams}:
@@ -81,11 +97,14 @@
     def change(base: Manifest) -> Manifest:
         return attrs.evolve(base, keys=(*base.keys, issued.entry))
 
-    _edit(connection, change, DEFAULT_WAIT_S)
+    revision = report_outcome(connection.publisher().edit(change), err=True)
+    # Before the wait, which may end the client: the key is valid from here on.
     click.echo(issued.text)
+    if wait:
+        wait_in_force(connection, revision, timeout, err=True)
 
 
-@key.command("list")
+@key.command("list", epilog="Example: siskinspool key list")
 @pass_connection
 def key_list(connection: Connection) -> None:
     """List the keys; only their ids and teams are known."""
@@ -93,10 +112,11 @@
     print_table(("KEY", "TEAM"), [(item.id, item.team) for item in keys])
 
 
-@key.command("revoke")
+@key.command("revoke", epilog="Example: siskinspool key revoke web-1")
 @click.argument("key_id")
+@wait_options
 @pass_connection
-def key_revoke(connection: Connection, key_id: str) -> None:
+def key_revoke(connection: Connection, key_id: str, wait: bool, timeout: float) -> None:
     """Revoke the key KEY_ID; calls that came with it end within seconds."""
     if key_id not in {item.id for item in connection.in_force().manifest.keys}:
         fail(ExitStatus.REFUSED, "unknown_key", f"no key is '{key_id}'")
@@ -105,4 +125,4 @@
         kept = tuple(item for item in manifest.keys if item.id != key_id)
         return attrs.evolve(manifest, keys=kept)
 
-    _edit(connection, change, DEFAULT_WAIT_S)
+    _edit(connection, change, Waiting(wait, timeout))
--- a/src/siskinspool/cli/main.py
+++ b/src/siskinspool/cli/main.py
@@ -10,6 +10,7 @@
 
 import click
 
+from .client import Client
 from .connection import Address, Connection
 from .entity_commands import key, zone
 from .manifest_commands import apply, check, schema, show, show_diff
@@ -19,7 +20,11 @@
 TOKEN_VARIABLE = "SISKINSPOOL_OPERATOR_TOKEN"
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(
+    cls=Client,
+    context_settings={"help_option_names": ["-h", "--help"]},
+    epilog="Example: siskinspool --kv 10.0.1.5:2379 status",
+)
 @click.version_option(package_name="siskinspool")
 @click.option(
     "--kv",
@@ -32,9 +37,8 @@
 )
 @click.pass_context
 def main(context: click.Context, kv: tuple[str, int]) -> None:
-    r"""Operate a siskinspool site.
+    """Operate a siskinspool site.
 
-    \b
     Exit statuses: 0 done, 1 refused, 2 wrong usage or a manifest with faults,
     3 service unreachable and nothing changed, 4 outcome unknown,
     5 accepted but not in force everywhere in time.
--- a/src/siskinspool/cli/manifest_commands.py
+++ b/src/siskinspool/cli/manifest_commands.py
@@ -12,7 +12,7 @@
 from ..manifest.schema import schema_text
 from .connection import Connection, pass_connection
 from .output import ExitStatus, fail
-from .publishing import DEFAULT_WAIT_S, report_outcome, wait_in_force
+from .publishing import report_outcome, wait_in_force, wait_options
 
 MANIFEST_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
@@ -28,13 +28,10 @@
     return manifest
 
 
-@click.command()
+@click.command(epilog="Example: siskinspool check examples/tinware-lagos.json")
 @click.argument("manifest", type=MANIFEST_FILE)
 def check(manifest: Path) -> None:
-    """Check the file MANIFEST without reaching any service.
-
-    Example: siskinspool check examples/tinware-lagos.json
-    """
+    """Check the file MANIFEST without reaching any service."""
     checked = load(manifest)
     click.echo(
         f"no faults: {len(checked.servers)} servers, {len(checked.models)} models, "
@@ -42,7 +39,7 @@
     )
 
 
-@click.command("diff")
+@click.command("diff", epilog="Example: siskinspool diff examples/tinware-lagos.json")
 @click.argument("manifest", type=MANIFEST_FILE)
 @pass_connection
 def show_diff(connection: Connection, manifest: Path) -> None:
@@ -55,11 +52,10 @@
     click.echo(f"{len(changes)} change(s) to revision {current.head.revision}")
 
 
-@click.command()
+@click.command(epilog="Example: siskinspool apply manifest.json --expect 41")
 @click.argument("manifest", type=MANIFEST_FILE)
 @click.option("--expect", type=int, help="Refuse if another revision is in force.")
-@click.option("--wait/--no-wait", default=True, help="Wait until in force everywhere.")
-@click.option("--timeout", default=DEFAULT_WAIT_S, help="Seconds to wait.")
+@wait_options
 @pass_connection
 def apply(
     connection: Connection,
@@ -70,7 +66,7 @@
 ) -> None:
     """Bring the file MANIFEST into force.
 
-    Example: siskinspool apply manifest.json --expect 41
+    With --wait the instances that have not confirmed it in time are named.
     """
     outcome = connection.publisher().publish(load(manifest), expect)
     revision = report_outcome(outcome)
@@ -78,14 +74,14 @@
         wait_in_force(connection, revision, timeout)
 
 
-@click.command()
+@click.command(epilog="Example: siskinspool show > manifest.json")
 @pass_connection
 def show(connection: Connection) -> None:
     """Print the manifest in force."""
     click.echo(write_manifest(connection.in_force().manifest))
 
 
-@click.command()
+@click.command(epilog="Example: siskinspool schema > manifest.schema.json")
 def schema() -> None:
     """Print the JSON Schema of the manifest."""
-    click.echo(schema_text())
+    click.echo(schema_text(), nl=False)
--- a/src/siskinspool/cli/output.py
+++ b/src/siskinspool/cli/output.py
@@ -32,7 +32,8 @@
 
 def fail(status: ExitStatus, code: str, text: str) -> NoReturn:
     """Print one line and end the client."""
-    click.secho(f"siskinspool: {code}: {text}", fg="red", err=True)
+    line = " ".join(text.split())
+    click.secho(f"siskinspool: {code}: {line}", fg="red", err=True)
     sys.exit(int(status))
 
 
--- a/src/siskinspool/cli/publishing.py
+++ b/src/siskinspool/cli/publishing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 import click
@@ -16,6 +17,7 @@
     PublishOutcome,
     Unchanged,
 )
+from ..platform.kv import LostAnswerError, UnavailableError
 from .connection import Connection, NoAnswer
 from .output import ExitStatus, fail
 
@@ -23,16 +25,30 @@
 DEFAULT_WAIT_S: Final = 10.0
 
 
-def report_outcome(outcome: PublishOutcome) -> int:
-    """Print what became of a change and return the revision, or end the client."""
+def wait_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options of commands that wait until a change is in force."""
+    wait = click.option(
+        "--wait/--no-wait", default=True, help="Wait until in force everywhere."
+    )
+    timeout = click.option(
+        "--timeout", default=DEFAULT_WAIT_S, show_default=True, help="Seconds to wait."
+    )
+    return wait(timeout(command))
+
+
+def report_outcome(outcome: PublishOutcome, err: bool = False) -> int:
+    """Print what became of a change and return the revision, or end the client.
+
+    ``err`` keeps standard output free for the result of the command.
+    """
     match outcome:
         case Published(revision=revision, changes=changes):
             for change in changes:
-                click.echo(f"  {describe(change)}")
-            click.echo(f"accepted as revision {revision}")
+                click.echo(f"  {describe(change)}", err=err)
+            click.echo(f"accepted as revision {revision}", err=err)
             return revision
         case Unchanged(revision=revision):
-            click.echo(f"no change; revision {revision} is in force")
+            click.echo(f"no change; revision {revision} is in force", err=err)
             return revision
         case PublishConflict(revision=revision, changes=changes):
             for change in changes:
@@ -48,13 +64,15 @@
             fail(ExitStatus.UNREACHABLE, "not_accepted", reason)
 
 
-def wait_in_force(connection: Connection, revision: int, timeout_s: float) -> None:
+def wait_in_force(
+    connection: Connection, revision: int, timeout_s: float, err: bool = False
+) -> None:
     """Wait until every instance confirms a revision; name those that do not."""
     ends_at = time.monotonic() + timeout_s
     while True:
         missing = unconfirmed(connection, revision)
         if not missing:
-            click.echo(f"revision {revision} is in force at all instances")
+            click.echo(f"revision {revision} is in force at all instances", err=err)
             return
         if time.monotonic() >= ends_at:
             text = ", ".join(f"{name} ({why})" for name, why in missing.items())
@@ -64,10 +82,15 @@
 
 def unconfirmed(connection: Connection, revision: int) -> dict[str, str]:
     """Return the instances without a revision and why, by id."""
+    try:
+        members = connection.find_members()
+    except (LostAnswerError, UnavailableError) as error:
+        # The change is accepted already, so this is not "nothing changed".
+        return {"any instance": f"the list of instances cannot be read: {error}"}
     missing = {}
-    for instance_id, answer in connection.ask_all("/v1/status").items():
+    for instance_id, answer in connection.ask_members(members, "/v1/status").items():
         if isinstance(answer, NoAnswer):
             missing[instance_id] = f"no answer: {answer.reason}"
-        elif int(answer["revision"]) < revision:
-            missing[instance_id] = f"has revision {answer['revision']}"
+        elif int(answer.get("revision", 0)) < revision:
+            missing[instance_id] = f"has revision {answer.get('revision', 0)}"
     return missing
--- a/src/siskinspool/cli/status_commands.py
+++ b/src/siskinspool/cli/status_commands.py
@@ -6,118 +6,152 @@
 
 import click
 
-from ..contracts.call import is_allowed
-from ..manifest.model import Catalog, Server, ZoneState
+from ..manifest.model import Catalog
 from ..telemetry.histograms import merge
 from .connection import Connection, NoAnswer, pass_connection
+from .explanation import explain_request, verdict
 from .output import ExitStatus, fail, print_json, print_table
+from .site_view import SiteView
 
 Json = dict[str, Any]
 JSON_OPTION = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+TOKEN_TEXT = "set SISKINSPOOL_OPERATOR_TOKEN to the token of the instances' settings"
 
 
 def _answers(connection: Connection, path: str) -> dict[str, Json]:
     """Return the answers of all instances; warn of those that do not answer."""
     answers: dict[str, Json] = {}
+    refused = False
     for instance_id, answer in connection.ask_all(path).items():
         if isinstance(answer, NoAnswer):
-            click.echo(f"{instance_id}: no answer: {answer.reason}", err=True)
+            refused = refused or answer.status == 401
+            text = f"siskinspool: no_answer: {instance_id}: {answer.reason}"
+            click.echo(text, err=True)
         else:
             answers[instance_id] = answer
+    if refused and not answers:
+        fail(ExitStatus.REFUSED, "token_rejected", TOKEN_TEXT)
     if not answers:
         fail(ExitStatus.UNREACHABLE, "no_instance", "no instance answers")
     return answers
 
 
-@click.command()
+def _view(connection: Connection) -> SiteView:
+    """Return the picture of the site; end the client without the token."""
+    view = SiteView(_answers(connection, "/v1/status"))
+    if not view.has_tasks:
+        fail(ExitStatus.REFUSED, "token_rejected", TOKEN_TEXT)
+    return view
+
+
+@click.command(epilog="Example: siskinspool status")
 @JSON_OPTION
 @pass_connection
 def status(connection: Connection, as_json: bool) -> None:
-    """Show instances, servers, replicas, teams and zones."""
-    answers = _answers(connection, "/v1/status")
+    """Show instances, servers, replicas, teams, zones and owners."""
+    view = SiteView(_answers(connection, "/v1/status"))
     if as_json:
-        print_json(answers)
+        print_json(view.page_by_instance)
         return
     print_table(
-        ("INSTANCE", "REVISION", "STATE", "CALLS"),
+        ("INSTANCE", "REVISION", "STATE", "CALLS", "OWNS"),
         [
             (
                 name,
                 page["revision"],
                 page["not_ready"] or "ready",
                 page["running_calls"],
+                view.owned(name),
             )
-            for name, page in answers.items()
+            for name, page in view.page_by_instance.items()
         ],
     )
-    tasks = next(iter(answers.values())).get("tasks")
-    if tasks is None:
-        click.echo("set SISKINSPOOL_OPERATOR_TOKEN to see servers, teams and zones")
+    if not view.has_tasks:
+        click.echo(f"{TOKEN_TEXT} to see servers, teams and zones")
         return
-    _print_site(connection, answers, tasks)
+    _print_site(connection, view)
 
 
-def _print_site(connection: Connection, answers: dict[str, Json], tasks: Json) -> None:
+def _print_site(connection: Connection, view: SiteView) -> None:
     click.echo()
     print_table(
         ("SERVER", "ZONE", "STATE", "RUNNING", "CAPACITY", "REPLICAS"),
         [
             (
-                server["id"],
-                server["zone"],
-                server["state"],
-                server["running"],
-                server["capacity"],
-                ",".join(server["replicas"]) or "-",
+                server.id,
+                server.zone,
+                server.state,
+                server.running,
+                server.capacity,
+                ",".join(server.replicas) or "-",
             )
-            for server in tasks.get("routing", {}).get("servers", [])
+            for server in [*view.servers(), *view.services()]
         ],
     )
+    if view.loads():
+        click.echo()
+        print_table(
+            ("LOAD", "STATE", "SERVER", "AGE S", "STALLED"),
+            [
+                (
+                    row["target"],
+                    row["state"],
+                    row.get("server", "-"),
+                    row.get("age_s", "-"),
+                    row.get("stalled", "-"),
+                )
+                for row in view.loads()
+            ],
+        )
     click.echo()
     zones = connection.in_force().manifest.zones
     print_table(("ZONE", "STATE"), [(zone.id, zone.state) for zone in zones])
     click.echo()
-    print_table(("TEAM", "RATE SHARE", "LEVEL"), _team_rows(answers))
-
-
-def _team_rows(answers: dict[str, Json]) -> list[tuple[Any, ...]]:
-    """Return the sum of the shares that the instances hold, by team."""
-    sums: dict[str, list[float]] = {}
-    for page in answers.values():
-        for team in page.get("tasks", {}).get("limits", {}).get("teams", []):
-            total = sums.setdefault(team["id"], [0.0, 0.0])
-            total[0] += team["rate"]
-            total[1] += team["level"]
-    return [
-        (name, f"{rate:.0f}", f"{level:.0f}") for name, (rate, level) in sums.items()
-    ]
+    print_table(
+        ("TEAM", "RATE SHARE", "LEVEL", "RESERVE", "WAITING"),
+        [
+            (
+                team.id,
+                f"{team.rate:.0f}",
+                f"{team.level:.0f}",
+                "?" if team.reserve_level is None else f"{team.reserve_level:.0f}",
+                team.waiting,
+            )
+            for team in view.teams()
+        ],
+    )
 
 
-@click.group()
+@click.group(epilog="Example: siskinspool patient list")
 def patient() -> None:
     """Show patient requests."""
 
 
-@patient.command("list")
+@patient.command("list", epilog="Example: siskinspool patient list --json")
 @JSON_OPTION
 @pass_connection
 def patient_list(connection: Connection, as_json: bool) -> None:
     """Show the patient requests that wait or run."""
-    rows = [
-        request
-        for page in _answers(connection, "/v1/status").values()
-        for request in page.get("tasks", {}).get("patient", {}).get("requests", [])
-    ]
+    rows = _view(connection).patient_requests()
     if as_json:
         print_json(rows)
         return
     print_table(
-        ("REQUEST", "TEAM", "STATE"),
-        [(row["id"], row["team"], row["state"]) for row in rows],
+        ("REQUEST", "TEAM", "TARGET", "STATE", "INSTANCE"),
+        [
+            (
+                row["id"],
+                row["team"],
+                row["target"],
+                row["state"],
+                row["instance"] or "-",
+            )
+            for row in rows
+        ],
     )
 
 
-@click.command()
+@click.command(epilog="Example: siskinspool histograms")
 @JSON_OPTION
 @pass_connection
 def histograms(connection: Connection, as_json: bool) -> None:
@@ -139,46 +173,24 @@
     print_table(header, rows)
 
 
-@click.command()
-@click.argument("team_id")
+@click.command(epilog="Example: siskinspool explain tinhub-web quote-07")
+@click.argument("team_id", metavar="TEAM")
 @click.argument("target")
 @pass_connection
 def explain(connection: Connection, team_id: str, target: str) -> None:
-    """Explain how a request of TEAM_ID for the model or route TARGET fares now.
+    """Explain why a request of TEAM for TARGET would be routed or refused now.
 
-    Example: siskinspool explain tinhub-web quote-07
+    TARGET is a model, an adapter or a route.
     """
     current = connection.in_force()
     catalog = Catalog.from_manifest(current.head.revision, current.manifest)
     team = catalog.team_by_id.get(team_id)
     if team is None:
         fail(ExitStatus.REFUSED, "unknown_team", f"no team is '{team_id}'")
-    route = catalog.route_by_id.get(target)
-    model = catalog.base_model(target)
-    if route is None and model is None:
-        fail(ExitStatus.REFUSED, "unknown_target", f"no model or route is '{target}'")
-    allowed = is_allowed(team, target) or (route is not None and route.open)
-    click.echo(f"team {team_id} may use {target}: {'yes' if allowed else 'no'}")
-    if model is None:
-        return
-    for server in current.manifest.servers:
-        if server.pool == model.pool:
-            _explain_server(connection, catalog, server, target)
-
-
-def _explain_server(
-    connection: Connection, catalog: Catalog, server: Server, target: str
-) -> None:
-    zone = catalog.zone_by_id[server.zone]
-    if zone.state is ZoneState.CLOSED:
-        click.echo(f"  {server.id}: no, zone {zone.id} is closed")
-        return
-    for instance_id, page in _answers(connection, "/v1/status").items():
-        servers = page.get("tasks", {}).get("routing", {}).get("servers", [])
-        for shown in servers:
-            if shown["id"] == server.id:
-                holds = target in shown["replicas"]
-                held = "holds it" if holds else "would have to load it"
-                click.echo(
-                    f"  {server.id} as {instance_id} sees it: {shown['state']}, {held}"
-                )
+    if target not in catalog.route_by_id and catalog.base_model(target) is None:
+        text = f"no model, adapter or route is '{target}'"
+        fail(ExitStatus.REFUSED, "unknown_target", text)
+    findings = explain_request(catalog, _view(connection), team, target)
+    rows = [(finding.subject, finding.text) for finding in findings]
+    print_table(("CHECK", "FINDING"), rows)
+    click.echo(verdict(findings))
--- a/src/siskinspool/contracts/mint.py
+++ b/src/siskinspool/contracts/mint.py
@@ -21,6 +21,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Outgoing
+from ..core.status import Status
 from ..machines.messages import (
     CatalogChanged,
     CurrencyChanged,
@@ -33,7 +34,7 @@
 from ..platform.kv_events import SessionGone, SessionRenewed
 from .limits_partition import PREFIX, limits_partition
 from .mint_ledger import Holder, Lease, TeamLedger
-from .mint_partition import MintPartition
+from .mint_partition import MintPartition, show_reserves
 from .share_messages import (
     EXPIRY_MARGIN_S,
     MILLI,
@@ -99,6 +100,10 @@
                 pass
         return []
 
+    def status(self, now: float) -> Status:
+        """Return the reserves of the teams in the partitions held here."""
+        return {"teams": show_reserves(self._partition_by_name.values(), now)}
+
     def on_time(self, now: float) -> list[Outgoing]:
         """Take back expired shares, mint the remainder, ask about outages."""
         if self._next_tick_at is None or now < self._next_tick_at:
--- a/src/siskinspool/contracts/mint_partition.py
+++ b/src/siskinspool/contracts/mint_partition.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
+from ..core.status import Status
 from .mint_ledger import TeamLedger
 from .outage_inquiry import OutageInquiry
+from .share_messages import MILLI
 
 
 @attrs.define
@@ -21,3 +25,22 @@
     ledger_by_team: dict[str, TeamLedger] = attrs.field(factory=dict)
     recalled_at_by_team: dict[str, float] = attrs.field(factory=dict)
     inquiry: OutageInquiry = attrs.field(factory=OutageInquiry)
+
+
+def show_reserves(partitions: Iterable[MintPartition], now: float) -> list[Status]:
+    """Return what is not handed out, in tokens and tokens per second."""
+    rows = []
+    for partition in partitions:
+        if partition.lost:
+            continue
+        for team_id, ledger in partition.ledger_by_team.items():
+            ledger.advance(now)
+            rows.append(
+                {
+                    "id": team_id,
+                    "reserve_rate": ledger.free_rate / MILLI,
+                    "reserve_level": ledger.level / MILLI,
+                    "holders": len(ledger.lease_by_holder),
+                }
+            )
+    return rows
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -86,6 +86,7 @@
     "routing",
     "placement",
     "limits",
+    "mint",
     "patient",
 )
 
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes."""
--- /dev/null
+++ b/tests/integration/test_operators_cli.py
@@ -0,0 +1,194 @@
+"""The operators' client against a trial site with real processes."""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from siskinspool.cli.output import ExitStatus
+from siskinspool.contracts.trace import trace_id
+from siskinspool.manifest.document import write_manifest
+from siskinspool.standins.processes import Json, call
+from siskinspool.standins.site import SitePlan, TrialSite, wait_until
+
+from ..builders_cli import run_at
+
+PROMPT = "marker-of-a-prompt-that-no-log-may-show"
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[TrialSite]:
+    """Return a trial site that has answered one call."""
+    folder = tmp_path_factory.mktemp("site")
+    trial = TrialSite.from_plan(SitePlan(log_level="debug"), folder)
+    try:
+        assert ask(trial, trial.key_by_team["guild"].text) == 200
+        yield trial
+    finally:
+        trial.stop()
+
+
+def ask(site: TrialSite, key: str, path: str = "/v1/chat/completions") -> int:
+    """Send a call with a marked prompt and return the status."""
+    body: Json = {
+        "model": "quote",
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": PROMPT}],
+    }
+    headers = {"Authorization": f"Bearer {key}"}
+    return call(site.port_by_name["instance-0"], "POST", path, body, headers)[0]
+
+
+def test_status_shows_the_whole_site(site: TrialSite) -> None:
+    """Guards against a status page whose fields the client does not find."""
+
+    def is_complete() -> bool:
+        output = run_at(site, "status").output
+        wanted = ("placement 1", "engine-0", "service-0", "quote", "guild", "RESERVE")
+        return all(word in output for word in wanted)
+
+    wait_until(is_complete, "status shows instances, servers, teams", 10.0)
+    result = run_at(site, "status", "--json")
+    page = json.loads(result.stdout)["instance-0"]["tasks"]
+    assert len(page["membership"]["members"]) == 3
+    assert len(page["ownership"]["owners"]) == 49
+
+
+def test_status_shows_no_key(site: TrialSite) -> None:
+    """Guards against keys or prompts on the operators' pages (R4)."""
+    output = run_at(site, "status", "--json").output + run_at(site, "show").output
+    assert site.key_by_team["guild"].text not in output and PROMPT not in output
+
+
+def test_pages_need_the_operators_token(site: TrialSite) -> None:
+    """Guards against state that is shown to anybody."""
+    status, _, body = call(site.port_by_name["instance-0"], "GET", "/v1/status")
+    assert status == 200 and "tasks" not in json.loads(body)
+    assert call(site.port_by_name["instance-0"], "GET", "/v1/histograms")[0] == 401
+
+
+def test_histograms_add_up_over_instances(site: TrialSite) -> None:
+    """Guards against percentiles of one instance shown as those of the fleet."""
+    rows = json.loads(run_at(site, "histograms", "--json").stdout)
+    before = {row["HISTOGRAM"]: row["COUNT"] for row in rows}
+    for name in ("instance-0", "instance-1", "instance-2"):
+        body = {"model": "quote", "max_tokens": 2, "messages": []}
+        headers = site.authorization("guild")
+        port = site.port_by_name[name]
+        assert call(port, "POST", "/v1/chat/completions", body, headers)[0] == 200
+    rows = json.loads(run_at(site, "histograms", "--json").stdout)
+    after = {row["HISTOGRAM"]: row["COUNT"] for row in rows}
+    name = "guild/urgent/duration"
+    assert after[name] == before[name] + 3
+
+
+def test_zone_goes_out_and_comes_back(site: TrialSite) -> None:
+    """Guards against a zone command that does not reach the instances (R7, R13)."""
+    assert run_at(site, "zone", "out", "b").exit_code == 0
+    wait_until(
+        lambda: "closed zone" in run_at(site, "status").output, "b is closed", 5.0
+    )
+    assert "closed: no new work" in run_at(site, "explain", "guild", "quote").output
+    assert run_at(site, "zone", "in", "b").exit_code == 0
+    wait_until(
+        lambda: "closed zone" not in run_at(site, "status").output, "b is open", 5.0
+    )
+    assert run_at(site, "zone", "out", "x").exit_code == ExitStatus.REFUSED
+
+
+def test_key_is_issued_used_and_revoked(site: TrialSite) -> None:
+    """Guards against a key that does not work, or works after its revocation (R4)."""
+    issued = run_at(site, "key", "issue", "extra", "--team", "guild")
+    assert issued.exit_code == 0
+    key = issued.stdout.strip()
+    assert ask(site, key) == 200
+    assert "extra" in run_at(site, "key", "list").output
+    assert run_at(site, "key", "revoke", "extra").exit_code == 0
+    assert ask(site, key) == 401
+    assert run_at(site, "key", "revoke", "extra").exit_code == ExitStatus.REFUSED
+
+
+def test_manifest_is_compared_and_applied(site: TrialSite, tmp_path: Path) -> None:
+    """Guards against an apply that overwrites a colleague's change (R13)."""
+    path = tmp_path / "manifest.json"
+    shown = run_at(site, "show").stdout
+    path.write_text(shown.replace('"rate":100.0', '"rate":120.0'), encoding="utf-8")
+    assert "set teams visitor" in run_at(site, "diff", str(path)).output
+    stale = run_at(site, "apply", str(path), "--expect", "1")
+    assert stale.exit_code == ExitStatus.REFUSED and "conflict" in stale.stderr
+    assert run_at(site, "apply", str(path)).exit_code == 0
+    assert "no change" in run_at(site, "apply", str(path)).output
+
+
+def test_explain_agrees_with_the_front_end(site: TrialSite) -> None:
+    """Guards against an explanation that disagrees with what callers get."""
+    refused = run_at(site, "explain", "visitor", "quote").output
+    assert "would be refused: unknown_model" in refused
+    assert ask(site, site.key_by_team["visitor"].text) == 404
+    routed = run_at(site, "explain", "guild", "deposits").output
+    assert "would be routed" in routed
+
+
+def test_patient_requests_are_listed(site: TrialSite) -> None:
+    """Guards against waiting requests that operators cannot see (R3)."""
+    assert run_at(site, "zone", "out", "a").exit_code == 0
+    headers = site.authorization("guild")
+    port = site.port_by_name["instance-1"]
+    body = {"ref": "listed", "note": PROMPT}
+    try:
+        assert call(port, "POST", "/orders", body, headers)[0] == 202
+        listed = run_at(site, "patient", "list").output
+        assert "guild" in listed and "orders" in listed and PROMPT not in listed
+    finally:
+        assert run_at(site, "zone", "in", "a").exit_code == 0
+
+
+def test_no_log_line_shows_a_key_or_a_prompt(site: TrialSite) -> None:
+    """Guards against secrets and prompts in logs, also on refusals (R4)."""
+    key = site.key_by_team["guild"].text
+    assert ask(site, key, f"/v1/chat/completions?api_key={key}") == 200
+    assert ask(site, f"{key}x") == 401
+    assert ask(site, key, f"/nothing/{key}") in (401, 404)
+    texts = [path.read_text() for path in site.bench.folder.glob("instance-*.log")]
+    log = "".join(texts)
+    assert "event=call" in log and "event=refused" in log
+    assert key not in log and PROMPT not in log
+    for line in log.splitlines():
+        assert line.startswith("ts=") and " level=" in line and " event=" in line
+
+
+def test_a_server_gets_the_trace_of_the_caller(site: TrialSite) -> None:
+    """Guards against a trace that ends at the instance."""
+    given = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+    headers = {**site.authorization("guild"), "traceparent": given}
+    body: Json = {"model": "quote", "max_tokens": 2, "messages": []}
+    port = site.port_by_name["instance-0"]
+    assert call(port, "POST", "/v1/chat/completions", body, headers)[0] == 200
+    seen = [site.observed(name)["last_traceparent"] for name in site.engine_by_id]
+    assert given in seen
+    del headers["traceparent"]
+    assert call(port, "POST", "/v1/chat/completions", body, headers)[0] == 200
+    seen = [site.observed(name)["last_traceparent"] for name in site.engine_by_id]
+    assert any(trace_id(text) and text != given for text in seen)
+
+
+def test_apply_names_an_instance_that_does_not_answer(
+    site: TrialSite, tmp_path: Path
+) -> None:
+    """Guards against a change reported as in force while an instance hangs (R13)."""
+    manifest = tmp_path / "manifest.json"
+    assert site.manifest is not None
+    manifest.write_bytes(write_manifest(site.manifest))
+    process = site.instance_by_id["instance-2"]
+    process.signal(signal.SIGSTOP)
+    try:
+        result = run_at(site, "apply", str(manifest), "--timeout", "0.5")
+    finally:
+        process.signal(signal.SIGCONT)
+    assert result.exit_code == ExitStatus.NOT_EVERYWHERE
+    assert "siskinspool: not_in_force: not confirmed by instance-2" in result.stderr
+    site.wait_ready()
