Keep keys and data out of all log lines, pass traces on, send gauges

Cause: a key in the path of a refused request was logged; uncaught exceptions and gevent's reports were tracebacks of many lines that can quote a prompt; traceparent was forwarded unchecked and not made; no gauges went to statsd. Change: whatever looks like a key is replaced in every line, exceptions are one line with frames and class, and text only where it is safe; a call has a valid traceparent for all attempts; the telemetry task sends revision, members, owned partitions, running and waiting calls, loads, token waits and patient requests every 5 s. Conclusion: a line in a log can be shown to anybody.

--- a/src/siskinspool/contracts/patient.py
+++ b/src/siskinspool/contracts/patient.py
@@ -107,6 +107,11 @@
             "loading": [n for n, shard in self._owned.items() if not shard.is_loaded],
         }
 
+    def gauges(self) -> dict[str, float]:
+        """Return the requests of the owned shards that have not ended."""
+        counts = (shard.open_requests for shard in self._owned.values())
+        return {"patient.open": sum(counts)}
+
     def wake_at(self) -> float | None:
         """Return the earliest deadline, repeat or call."""
         times = [caller.wake_at() for caller in self._callers()]
--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -117,6 +117,11 @@
                 callers.append(item.fetch)
         return callers
 
+    @property
+    def open_requests(self) -> int:
+        """Return how many requests are kept here."""
+        return len(self._item_by_id)
+
     def status(self) -> list[Status]:
         """Return the requests that have not ended, without their content."""
         heads = [
--- a/src/siskinspool/contracts/shares.py
+++ b/src/siskinspool/contracts/shares.py
@@ -132,6 +132,11 @@
         teams = [state.show(team_id) for team_id, state in self._state_by_team.items()]
         return {"teams": teams, "outage": self._outage}
 
+    def gauges(self) -> dict[str, float]:
+        """Return the requests that wait for tokens."""
+        states = self._state_by_team.values()
+        return {"tokens.waiting": sum(len(state.waiting) for state in states)}
+
     def wake_at(self) -> float | None:
         """Return the earliest deadline of all teams."""
         times = [
--- a/src/siskinspool/core/decision.py
+++ b/src/siskinspool/core/decision.py
@@ -33,6 +33,10 @@
         """Return what operators may see; never keys, prompts or answers."""
         return {}
 
+    def gauges(self) -> dict[str, float]:
+        """Return figures that go to the metrics every few seconds; cheap."""
+        return {}
+
     def wake_at(self) -> float | None:
         """Return when `on_time` is due next, or None if only a message matters."""
         return None
--- a/src/siskinspool/core/status.py
+++ b/src/siskinspool/core/status.py
@@ -21,6 +21,18 @@
     """Ask a task for its status."""
 
 
+@attrs.frozen
+class AskGauges(Message):
+    """Ask a task for the figures that go to the metrics."""
+
+
+@attrs.frozen
+class GaugesShown(Message):
+    """Figures by name."""
+
+    value_by_name: dict[str, float]
+
+
 @attrs.frozen
 class StatusShown(Message):
     """The status of a task."""
--- a/src/siskinspool/core/task.py
+++ b/src/siskinspool/core/task.py
@@ -20,8 +20,8 @@
 from .decision import Decision
 from .dispatcher import Dispatcher, Inbox
 from .errors import InvariantError
-from .message import Address, Incoming, Outgoing
-from .status import AskStatus, StatusShown
+from .message import Address, Incoming, Message, Outgoing
+from .status import AskGauges, AskStatus, GaugesShown, StatusShown
 
 logger = logging.getLogger(__name__)
 
@@ -140,13 +140,21 @@
 
     def handle(self, incoming: Incoming) -> None:
         """Pass one message to the decision and send its output."""
-        if isinstance(incoming.message, AskStatus):
-            shown = StatusShown(self.decision.status(self.clock.now()))
-            self.dispatcher.send(self.address, Outgoing(incoming.sender, shown))
+        answer = self._show(incoming.message)
+        if answer is not None:
+            self.dispatcher.send(self.address, Outgoing(incoming.sender, answer))
             return
         batch = self.decision.handle(incoming, self.clock.now())
         self.dispatcher.send_all(self.address, batch)
 
+    def _show(self, question: Message) -> Message | None:
+        match question:
+            case AskStatus():
+                return StatusShown(self.decision.status(self.clock.now()))
+            case AskGauges():
+                return GaugesShown(self.decision.gauges())
+        return None
+
     def on_time(self) -> None:
         """Let the decision act on time and send its output."""
         batch = self.decision.on_time(self.clock.now())
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -70,6 +70,7 @@
     "reports",
     "orders",
     "runner",
+    "telemetry",
 )
 OWNERSHIP_WATCHERS: Final = (
     "placement",
@@ -79,7 +80,9 @@
     "patient",
     "routing",
     "reports",
+    "telemetry",
 )
+GAUGE_TASKS: Final = ("routing", "placement", "limits", "patient")
 STATUS_TASKS: Final = (
     "membership",
     "ownership",
@@ -223,6 +226,7 @@
                         "claims",
                         "patient",
                         "reports",
+                        "telemetry",
                     ),
                     currency=("frontend", "limits", "mint"),
                     leaving=("routing", "placement"),
@@ -263,7 +267,7 @@
         return [
             ReportPoller(self._dispatcher, self._clock),
             OrdersTask(self._dispatcher, self._clock),
-            TelemetryTask(self._dispatcher, self._clock, metrics),
+            TelemetryTask(self._dispatcher, self._clock, metrics, GAUGE_TASKS),
             Runner(self._dispatcher, self._clock, self._context, self._incarnation),
             self._frontend,
         ]
--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -38,6 +38,7 @@
     SpendRefused,
     SpendTokens,
 )
+from ..contracts.trace import TRACEPARENT, trace_headers, trace_id
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher
 from ..core.errors import ErrorCode
@@ -136,6 +137,7 @@
 
     def __init__(self, call: Call, context: CallContext, sink: AnswerSink) -> None:
         self.call = call
+        self._headers = trace_headers(call.headers, call.id)
         self._context = context
         self._sink = sink
         self._excluded: set[str] = set()
@@ -209,6 +211,7 @@
             logging.INFO,
             "call",
             request=self.call.id,
+            trace=trace_id(self._headers[TRACEPARENT]),
             team=self.call.team,
             route=self.call.route.id if self.call.route else self.call.uri,
             model=self.call.model,
@@ -392,7 +395,7 @@
         self, dispatched: CallDispatched, token: str | None
     ) -> _Passed | NotSent | Lost:
         result = CallResult.CANCELLED
-        headers = {**self.call.headers, "x-request-id": self.call.id}
+        headers = {**self._headers, "x-request-id": self.call.id}
         request = ServerRequest(
             host=dispatched.host,
             port=dispatched.port,
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -83,7 +83,8 @@
 
     def log_error(self, msg: str, *args: object) -> None:
         """Log a connection error; broken connections are normal."""
-        log_event(logger, logging.DEBUG, "connection_error", detail=msg % args)
+        # The arguments can hold bytes of the request.
+        log_event(logger, logging.DEBUG, "connection_error", detail=msg)
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """End the connection after an exception of the application."""
@@ -94,7 +95,7 @@
         if isinstance(v, OSError):
             super().handle_error(t, v, tb)
             return
-        log_event(logger, logging.ERROR, "request_failed", error=repr(v))
+        log_event(logger, logging.ERROR, "request_failed", error=t.__name__)
         logger.debug("request failure", exc_info=(t, v, tb))
         self.close_connection = True
         if not self.headers_sent:
--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -135,6 +135,13 @@
             return {"active": False}
         return show_site(self.planner, self.store, self.ramp, now)
 
+    def gauges(self) -> dict[str, float]:
+        """Return queued loads and loads under way; 0 at other instances."""
+        return {
+            "loads.queued": len(self.planner.queue),
+            "loads.running": len(self.planner.flights.all()),
+        }
+
     def wake_at(self) -> float | None:
         """Return when something is due next."""
         times: list[float | None] = [self._forwarding.wake_at()]
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -148,6 +148,11 @@
             "running": len(self._running_by_id),
         }
 
+    def gauges(self) -> dict[str, float]:
+        """Return running and waiting calls."""
+        running, waiting = len(self._running_by_id), len(self._waiting)
+        return {"calls.running": running, "calls.waiting": waiting}
+
     def wake_at(self) -> float | None:
         """Return when `on_time` is due next."""
         times = [self._waiting.next_deadline(), self._demands.next_at()]
--- a/src/siskinspool/standins/engine.py
+++ b/src/siskinspool/standins/engine.py
@@ -91,6 +91,8 @@
     falls: int = 0
     credentials_seen: int = 0
     stale_orders: int = 0
+    # The header `traceparent` of the last request.
+    last_traceparent: str = ""
 
 
 class Engine:
@@ -314,6 +316,7 @@
         engine = self._engine
         if "authorization" in request.headers:
             engine.observed.credentials_seen += 1
+        engine.observed.last_traceparent = request.headers.get("traceparent", "")
         body = request.json()
         target = self._target(body)
         replica = engine.replica_by_target.get(target)
--- a/src/siskinspool/telemetry/logs.py
+++ b/src/siskinspool/telemetry/logs.py
@@ -2,7 +2,13 @@
 
 Each event is one line of key=value pairs: ``ts=... level=... event=... key=value``.
 Values with spaces, quotes or equals signs are JSON-quoted. API keys and prompts are
-never passed to `log_event`.
+never passed to `log_event`. As callers can put a key into a path or a header name,
+whatever looks like a key is replaced in every line. The text of an exception is logged
+only for classes whose text comes from this code or the operating system, because
+others, such as UnicodeDecodeError, quote the data that they failed on.
+
+`configure_logging` also sends uncaught exceptions, warnings and what gevent reports
+about failed greenlets through the same format.
 """
 
 from __future__ import annotations
@@ -11,9 +17,18 @@
 import logging
 import re
 import sys
+import threading
 import time
-from typing import Final
+import traceback
+from types import TracebackType
+from typing import Any, Final
+
+import gevent
 
+logger = logging.getLogger(__name__)
+
+# An id, a dot and the random part; see `siskinspool.contracts.key`.
+_KEY: Final = re.compile(r"sk-[^\s.\"/?&]+\.[A-Za-z0-9_-]{20,}")
 _PLAIN_VALUE: Final = re.compile(r"^[A-Za-z0-9_.:/@+\-\[\]%,]+$")
 
 
@@ -38,6 +53,10 @@
     logger.log(level, "%s", " ".join(pairs))
 
 
+# OSError: the text is the operating system's. AssertionError covers InvariantError.
+_EXCEPTIONS_WITH_SAFE_TEXT: Final = (AssertionError, OSError)
+
+
 class KeyValueFormatter(logging.Formatter):
     """Formats a record as one line of key=value pairs."""
 
@@ -53,7 +72,18 @@
         )
         if record.exc_info:
             line += f" traceback={json.dumps(self.formatException(record.exc_info))}"
-        return line
+        return _KEY.sub("[key]", line)
+
+    def formatException(self, ei: Any) -> str:  # noqa: N802 - name of the base class
+        """Return frames and class of an exception, and its text if it is safe."""
+        kind, error, trace = ei
+        frames = [
+            f"{frame.filename.rpartition('/')[2]}:{frame.lineno}:{frame.name}"
+            for frame in traceback.extract_tb(trace)
+        ]
+        name = getattr(kind, "__name__", "unknown")
+        text = f": {error}" if isinstance(error, _EXCEPTIONS_WITH_SAFE_TEXT) else ""
+        return " > ".join([*frames, name]) + text
 
 
 def configure_logging(level: str) -> None:
@@ -63,3 +93,43 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+    logging.captureWarnings(True)
+    sys.excepthook = _log_uncaught
+    threading.excepthook = lambda args: _log_uncaught(
+        args.exc_type, args.exc_value, args.exc_traceback
+    )
+    hub: Any = gevent.get_hub()
+    hub.print_exception = _log_failed_greenlet
+
+
+def _log_uncaught(
+    kind: type[BaseException],
+    error: BaseException | None,
+    trace: TracebackType | None,
+) -> None:
+    _log_exception("uncaught_exception", kind, error, trace)
+
+
+def _log_failed_greenlet(
+    context: object,
+    kind: type[BaseException] | None,
+    error: BaseException | None,
+    trace: TracebackType | None,
+) -> None:
+    """Take the place of gevent's own printing to standard error."""
+    name = getattr(context, "name", type(context).__name__)
+    if kind is not None:
+        _log_exception("greenlet_failed", kind, error, trace, greenlet=name)
+
+
+def _log_exception(
+    event: str,
+    kind: type[BaseException],
+    error: BaseException | None,
+    trace: TracebackType | None,
+    **fields: object,
+) -> None:
+    pairs = [f"event={event}", f"error={kind.__name__}"]
+    pairs += [f"{name}={format_value(value)}" for name, value in fields.items()]
+    found = error if error is not None else kind()
+    logger.error("%s", " ".join(pairs), exc_info=(kind, found, trace))
--- a/src/siskinspool/telemetry/task.py
+++ b/src/siskinspool/telemetry/task.py
@@ -1,32 +1,91 @@
-"""The telemetry task: owns the histograms and the connection to statsd."""
+"""The telemetry task: owns the histograms and the connection to statsd.
+
+Counters and timers go out with each call. Gauges are kept here and sent together every
+few seconds, because a single UDP packet may be lost: revision, members and owned
+partitions come as the messages that all watchers get, queue lengths by `AskGauges`.
+"""
 
 from __future__ import annotations
 
+from typing import Final
+
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher
-from ..core.message import Incoming, Outgoing
+from ..core.message import Incoming, Message, Outgoing
+from ..core.status import AskGauges, GaugesShown
 from ..core.task import Task
+from ..machines.messages import (
+    CatalogChanged,
+    MembershipChanged,
+    OwnershipGained,
+    OwnershipLost,
+)
 from .histograms import HistogramSet
 from .messages import AskHistograms, CallMeasured, Histograms
 from .metrics import Metrics
 
+GAUGE_INTERVAL_S: Final = 5.0
+
 
 class TelemetryTask(Task):
-    """Counts calls; task name ``telemetry``."""
+    """Counts calls and sends gauges; task name ``telemetry``."""
 
-    def __init__(self, dispatcher: Dispatcher, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        metrics: Metrics,
+        gauge_tasks: tuple[str, ...] = (),
+        gauge_interval_s: float = GAUGE_INTERVAL_S,
+    ) -> None:
+        """Take the sink and the tasks that are asked for gauges."""
         super().__init__("telemetry", dispatcher, clock)
         self._metrics = metrics
+        self._gauge_tasks = gauge_tasks
         self._histograms = HistogramSet()
+        self._value_by_gauge: dict[str, float] = {}
+        self._owned: set[str] = set()
+        self._gauge_interval_s = gauge_interval_s
+        self._next_gauges_at = clock.now() + gauge_interval_s
 
     def handle(self, incoming: Incoming) -> None:
-        """Record a call or answer with the histograms."""
+        """Record a call or a figure, or answer with the histograms."""
         match incoming.message:
             case CallMeasured() as measured:
                 self._record(measured)
             case AskHistograms():
                 answer = Histograms(self._histograms.encode())
                 self.dispatcher.send(self.address, Outgoing(incoming.sender, answer))
+            case GaugesShown(value_by_name):
+                self._value_by_gauge.update(value_by_name)
+            case other:
+                self._note_change(other)
+
+    def on_time(self) -> None:
+        """Send the gauges and ask for their next values."""
+        self._next_gauges_at = self.clock.now() + self._gauge_interval_s
+        instance = self.dispatcher.instance_id
+        for name, value in self._value_by_gauge.items():
+            self._metrics.gauge(f"instances.{instance}.{name}", value)
+        for task in self._gauge_tasks:
+            recipient = self.dispatcher.address(task)
+            self.dispatcher.send(self.address, Outgoing(recipient, AskGauges()))
+
+    def wake_at(self) -> float:
+        """Return when the gauges are due."""
+        return self._next_gauges_at
+
+    def _note_change(self, message: Message) -> None:
+        match message:
+            case CatalogChanged(catalog):
+                self._value_by_gauge["revision"] = catalog.revision
+            case MembershipChanged(member_by_id):
+                self._value_by_gauge["members"] = len(member_by_id)
+            case OwnershipGained(partition):
+                self._owned.add(partition)
+            case OwnershipLost(partition):
+                self._owned.discard(partition)
+        self._value_by_gauge["owned_partitions"] = len(self._owned)
 
     def _record(self, measured: CallMeasured) -> None:
         team = measured.team or "open"
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,182 @@
+"""Log lines, trace context, metrics and histograms."""
+
+from __future__ import annotations
+
+import io
+import logging
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import gevent
+import pytest
+
+from siskinspool.contracts.key import issue_key
+from siskinspool.contracts.trace import TRACEPARENT, trace_headers, trace_id
+from siskinspool.core.clock import MonotonicClock
+from siskinspool.core.dispatcher import Dispatcher
+from siskinspool.core.message import Outgoing
+from siskinspool.machines.messages import (
+    CatalogChanged,
+    MembershipChanged,
+    OwnershipGained,
+)
+from siskinspool.manifest.model import RequestClass
+from siskinspool.settings import Endpoint
+from siskinspool.telemetry.histograms import HistogramSet, merge
+from siskinspool.telemetry.logs import KeyValueFormatter, log_event
+from siskinspool.telemetry.messages import CallMeasured
+from siskinspool.telemetry.metrics import Metrics
+from siskinspool.telemetry.task import TelemetryTask
+
+from .builders import catalog, member
+
+GIVEN = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+# Fails in every way that could reach standard error without the project's logger.
+FAILING_PROGRAM = """
+import gevent, threading, warnings
+from siskinspool.telemetry.logs import configure_logging
+configure_logging("info")
+def fail():
+    b"prompt-in-data \\xff".decode()
+gevent.spawn(fail).join()
+thread = threading.Thread(target=fail)
+thread.start()
+thread.join()
+warnings.warn("two\\nlines")
+raise ValueError("prompt-in-data")
+"""
+
+
+@pytest.fixture
+def lines() -> Iterator[io.StringIO]:
+    """Return what a logger writes with the project's formatter."""
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(KeyValueFormatter())
+    logger = logging.getLogger("siskinspool.test")
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    yield stream
+    logger.removeHandler(handler)
+
+
+def test_an_event_is_one_line_without_keys(lines: io.StringIO) -> None:
+    """Guards against lines split by a caller's text, and keys in a path (R4)."""
+    key = issue_key("web-1", "t1").text
+    logger = logging.getLogger("siskinspool.test")
+    log_event(logger, logging.INFO, "refused", path=f"/a/{key}\nevent=x", team="desk-1")
+    text = lines.getvalue()
+    assert text.count("\n") == 1 and key not in text
+    assert "[key]" in text and "team=desk-1" in text
+
+
+def test_failures_outside_of_tasks_are_events() -> None:
+    """Guards against tracebacks of many lines, and data quoted by exceptions (R4)."""
+    program = [sys.executable, "-c", FAILING_PROGRAM]
+    ended = subprocess.run(program, capture_output=True, text=True, timeout=60)
+    found = ended.stderr.splitlines()
+    assert ended.returncode == 1 and "prompt-in-data" not in ended.stderr
+    assert all(line.startswith("ts=") and " event=" in line for line in found)
+    for event in ("greenlet_failed", "uncaught_exception", "log"):
+        assert any(f"event={event} " in line for line in found)
+    assert sum("event=uncaught_exception" in line for line in found) == 2
+
+
+def test_trace_context_is_kept_or_made() -> None:
+    """Guards against a trace that breaks at an instance."""
+    headers = {TRACEPARENT: GIVEN, "tracestate": "a=1"}
+    assert trace_headers(headers, "c1") == headers
+    made = trace_headers({"accept": "*/*"}, "c1")
+    assert trace_id(made[TRACEPARENT]) and made["accept"] == "*/*"
+    assert made == trace_headers(made, "c2")
+    assert made != trace_headers({"accept": "*/*"}, "c2")
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        "",
+        "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331",
+        f"{GIVEN}-more",
+        GIVEN.replace("00-", "ff-", 1),
+        GIVEN.upper(),
+        f"00-{'0' * 32}-b7ad6b7169203331-01",
+        f"00-0af7651916cd43dd8448eb211c80319c-{'0' * 16}-01",
+    ],
+)
+def test_wrong_trace_context_is_replaced(wrong: str) -> None:
+    """Guards against a malformed header that servers would get."""
+    made = trace_headers({TRACEPARENT: wrong, "tracestate": "a=1"}, "c1")
+    assert trace_id(made[TRACEPARENT]) and "tracestate" not in made
+
+
+def test_metrics_arrive_over_udp() -> None:
+    """Guards against counters, timers or gauges that statsd does not get."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(0.05)
+        metrics = Metrics.from_settings(
+            Endpoint(host="127.0.0.1", port=receiver.getsockname()[1])
+        )
+        dispatcher = Dispatcher("i1")
+        task = TelemetryTask(
+            dispatcher, MonotonicClock(), metrics, gauge_interval_s=0.2
+        )
+        measured = CallMeasured(
+            team="t1",
+            request_class=RequestClass.URGENT,
+            outcome="ok",
+            duration_s=0.25,
+            first_byte_s=0.125,
+        )
+        for message in (
+            CatalogChanged(catalog(revision=7)),
+            MembershipChanged({"i1": member()}),
+            OwnershipGained("limits/3", 1),
+            measured,
+        ):
+            dispatcher.send(task.address, Outgoing(task.address, message))
+        task.start()
+        try:
+            found = received(receiver, 6)
+        finally:
+            task.stop()
+    assert found == {
+        "siskinspool.calls.t1.urgent.ok:1|c",
+        "siskinspool.calls.t1.urgent.duration:250.000000|ms",
+        "siskinspool.calls.t1.urgent.first_byte:125.000000|ms",
+        "siskinspool.instances.i1.revision:7|g",
+        "siskinspool.instances.i1.members:1|g",
+        "siskinspool.instances.i1.owned_partitions:1|g",
+    }
+
+
+def received(receiver: socket.socket, count: int, timeout_s: float = 8.0) -> set[str]:
+    """Return packets until ``count`` have arrived or the time is over."""
+    found: set[str] = set()
+    ends_at = time.monotonic() + timeout_s
+    while len(found) < count and time.monotonic() < ends_at:
+        try:
+            found.add(receiver.recv(1024).decode())
+        except TimeoutError:
+            gevent.sleep(0.01)
+    return found
+
+
+def test_histograms_of_instances_add_up() -> None:
+    """Guards against percentiles that are means of instances' percentiles."""
+    fast, slow = HistogramSet(), HistogramSet()
+    for _ in range(90):
+        fast.record_s("t1/urgent/duration", 0.01)
+    for _ in range(10):
+        slow.record_s("t1/urgent/duration", 1.0)
+    slow.record_s("t2/urgent/duration", 0.5)
+    merged = merge([fast.encode(), slow.encode()])
+    both = merged["t1/urgent/duration"]
+    assert both.get_total_count() == 100
+    assert both.get_value_at_percentile(50) == 10
+    assert both.get_value_at_percentile(95) == pytest.approx(1000, rel=0.01)
+    assert merged["t2/urgent/duration"].get_total_count() == 1
