--- a/src/siskinspool/cli/manifest_commands.py
+++ b/src/siskinspool/cli/manifest_commands.py
@@ -10,6 +10,7 @@
 from ..manifest.document import Faults, read_manifest, write_manifest
 from ..manifest.model import Manifest
 from ..manifest.schema import schema_text
+from ..settings_schema import settings_schema_text
 from .connection import Connection, pass_connection
 from .output import ExitStatus, fail
 from .publishing import report_outcome, wait_in_force, wait_options
@@ -82,6 +83,9 @@
 
 
 @click.command(epilog="Example: siskinspool schema > manifest.schema.json")
-def schema() -> None:
-    """Print the JSON Schema of the manifest."""
-    click.echo(schema_text(), nl=False)
+@click.option(
+    "--settings", "of_settings", is_flag=True, help="That of an instance's settings."
+)
+def schema(of_settings: bool) -> None:
+    """Print the JSON Schema of the manifest or of the settings."""
+    click.echo(settings_schema_text() if of_settings else schema_text(), nl=False)
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -255,7 +255,7 @@
                 lambda: FairQueue(QUEUE_CAPACITY_CALLS),
                 random.Random(secrets.randbits(64)),
             ),
-            "drain": Drain(instance_id),
+            "drain": Drain(instance_id, balancer_wait_s=settings.balancer_wait_s),
         }
         return [
             DecisionTask(name, self._dispatcher, self._clock, decision)
--- a/src/siskinspool/machines/drain.py
+++ b/src/siskinspool/machines/drain.py
@@ -66,10 +66,14 @@
     """Sends the steps of a planned stop in order."""
 
     def __init__(
-        self, instance_id: str, recipients: DrainRecipients | None = None
+        self,
+        instance_id: str,
+        recipients: DrainRecipients | None = None,
+        balancer_wait_s: float = BALANCER_WAIT_S,
     ) -> None:
         self._instance_id = instance_id
         self._recipients = recipients or DrainRecipients()
+        self._balancer_wait_s = balancer_wait_s
         self._phase = DrainPhase.SERVING
         self._phase_ends_at: float | None = None
         self._longest_deadline_s = 0.0
@@ -89,7 +93,7 @@
             case StartDrain() as start if self._phase is DrainPhase.SERVING:
                 self._asker = incoming.sender
                 self._longest_deadline_s = start.longest_deadline_s
-                self._enter(DrainPhase.BALANCER, now + BALANCER_WAIT_S)
+                self._enter(DrainPhase.BALANCER, now + self._balancer_wait_s)
                 return self._to(self._recipients.readiness, DrainStarted())
             case CallsRunning(count=count):
                 self._running = count
