--- a/src/siskinspool/settings.py
+++ b/src/siskinspool/settings.py
@@ -64,6 +64,8 @@
         raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
     except msgspec.DecodeError as error:
         raise SettingsError(f"{path}: not JSON: {error}") from error
+    if not isinstance(document, dict):
+        raise SettingsError(f"{path}: settings: the document is not a JSON object")
     faults: list[str] = []
     settings: Settings | None = None
     try:
