--- a/src/siskinspool/core/status.py
+++ b/src/siskinspool/core/status.py
@@ -1,7 +1,7 @@
 """Status of tasks for operators.
 
 A task that has something to show answers `AskStatus` with `StatusShown`; the front end
-collects the answers into one page.
+collects the answers into one page. `DecisionTask` answers with `Decision.status`.
 """
 
 from __future__ import annotations
@@ -12,14 +12,29 @@
 
 from .message import Message
 
+# JSON-ready status of a task; never holds keys, prompts or answers.
+Status = dict[str, Any]
+
 
 @attrs.frozen
 class AskStatus(Message):
     """Ask a task for its status."""
 
 
+@attrs.frozen
+class AskGauges(Message):
+    """Ask a task for the figures that go to the metrics."""
+
+
+@attrs.frozen
+class GaugesShown(Message):
+    """Figures by name."""
+
+    value_by_name: dict[str, float]
+
+
 @attrs.frozen
 class StatusShown(Message):
-    """JSON-ready status of a task; never holds keys, prompts or answers."""
+    """The status of a task."""
 
-    fields: dict[str, Any]
+    fields: Status
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -70,6 +70,7 @@
     "reports",
     "orders",
     "runner",
+    "telemetry",
 )
 OWNERSHIP_WATCHERS: Final = (
     "placement",
@@ -79,8 +80,18 @@
     "patient",
     "routing",
     "reports",
+    "telemetry",
+)
+GAUGE_TASKS: Final = ("routing", "placement", "limits", "patient")
+STATUS_TASKS: Final = (
+    "membership",
+    "ownership",
+    "routing",
+    "placement",
+    "limits",
+    "mint",
+    "patient",
 )
-STATUS_TASKS: Final = ("membership", "ownership", "routing", "limits", "patient")
 
 
 def partition_names(site: str) -> tuple[str, ...]:
@@ -215,6 +226,7 @@
                         "claims",
                         "patient",
                         "reports",
+                        "telemetry",
                     ),
                     currency=("frontend", "limits", "mint"),
                     leaving=("routing", "placement"),
@@ -243,7 +255,7 @@
                 lambda: FairQueue(QUEUE_CAPACITY_CALLS),
                 random.Random(secrets.randbits(64)),
             ),
-            "drain": Drain(instance_id),
+            "drain": Drain(instance_id, balancer_wait_s=settings.balancer_wait_s),
         }
         return [
             DecisionTask(name, self._dispatcher, self._clock, decision)
@@ -255,7 +267,7 @@
         return [
             ReportPoller(self._dispatcher, self._clock),
             OrdersTask(self._dispatcher, self._clock),
-            TelemetryTask(self._dispatcher, self._clock, metrics),
+            TelemetryTask(self._dispatcher, self._clock, metrics, GAUGE_TASKS),
             Runner(self._dispatcher, self._clock, self._context, self._incarnation),
             self._frontend,
         ]
