--- /dev/null
+++ b/tests/test_load_tool.py
@@ -0,0 +1,123 @@
+"""Tests of the arithmetic of the load tool; no processes."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinspool.standins.load import LoadTarget, _Reading
+from siskinspool.standins.load_results import (
+    Result,
+    count_refusals,
+    goodput_tokens,
+    percentile,
+    summarize,
+)
+from siskinspool.standins.load_schedule import (
+    Arrival,
+    BurstFlow,
+    RequestKind,
+    SteadyFlow,
+    build_schedule,
+)
+from tests.builders_load import make_arrival, make_result, make_stream
+
+KIND = RequestKind(team="guild", targets=("quote", "ledger"), instances=(0, 1, 2))
+
+
+@pytest.mark.parametrize(
+    ("share", "expected"), [(0.5, 50), (0.95, 95), (0.99, 99), (1.0, 100)]
+)
+def test_percentile_of_hundred_values(share: float, expected: int) -> None:
+    """Guards against a percentile that is off by one rank."""
+    assert percentile([float(n) for n in range(100, 0, -1)], share) == expected
+
+
+def test_percentile_of_few_values_is_the_maximum() -> None:
+    """Guards against a tail that a small sample hides (M1)."""
+    assert percentile([1.0, 9.0, 2.0], 0.99) == 9.0
+
+
+def test_refusals_are_counted_by_code_and_run_state() -> None:
+    """Guards against refusals with different run states in one count (R9)."""
+    results = [
+        make_result(code="rate_exceeded", run="not_run"),
+        make_result(code="rate_exceeded", run="not_run"),
+        make_result(code="server_failed", run="unknown"),
+        make_result(),
+    ]
+    assert count_refusals(results) == {
+        "rate_exceeded/not_run": 2,
+        "server_failed/unknown": 1,
+    }
+    assert summarize(results).ok_share == 0.25
+
+
+def test_refused_requests_add_no_time_and_no_goodput() -> None:
+    """Guards against quick refusals that improve the times of a loaded system."""
+    results: list[Result] = [
+        make_result(first_token_s=2.0),
+        make_result(code="queue_full", run="not_run", first_token_s=0.001),
+    ]
+    summary = summarize(results)
+    assert summary.first_token_s is not None
+    assert summary.first_token_s.p50 == 2.0
+    assert goodput_tokens(results) == results[0].arrival.max_tokens
+
+
+def test_schedule_depends_on_the_seed_only() -> None:
+    """Guards against arms of a comparison that get different arrivals."""
+    flows = (
+        SteadyFlow(kind=KIND, per_s=50, duration_s=4),
+        BurstFlow(kind=KIND, at_s=1.0, per_instance=2),
+    )
+    assert build_schedule(flows, 7) == build_schedule(flows, 7)
+    assert build_schedule(flows, 7) != build_schedule(flows, 8)
+    # Another flow leaves the arrivals of the first one as they were.
+    steady: set[Arrival] = set(build_schedule(flows[:1], 7))
+    assert steady < set(build_schedule(flows, 7))
+
+
+def test_schedule_keeps_rate_and_order() -> None:
+    """Guards against load at another rate than stated."""
+    schedule = build_schedule([SteadyFlow(kind=KIND, per_s=100, duration_s=50)], 3)
+    times = [arrival.at_s for arrival in schedule]
+    assert times == sorted(times)
+    assert 4500 < len(schedule) < 5500
+
+
+def test_burst_reaches_every_instance() -> None:
+    """Guards against a cold-start burst that misses instances (M1)."""
+    burst = build_schedule([BurstFlow(kind=KIND, at_s=2.0, per_instance=3)], 1)
+    assert sorted(arrival.instance for arrival in burst) == [0] * 3 + [1] * 3 + [2] * 3
+    assert all(2.0 <= arrival.at_s <= 2.1 for arrival in burst)
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (make_stream(tokens=3, last_chunk=True), ""),
+        (make_stream(tokens=3, last_chunk=False), "incomplete"),
+        (make_stream(tokens=2, last_chunk=True), "incomplete"),
+        (b"", "no_answer"),
+        (b"HTTP/1.1 503 x\r\n\r\nnot json", "status_503"),
+    ],
+)
+def test_cut_streams_are_not_counted_as_answers(data: bytes, code: str) -> None:
+    """Guards against a cut stream that counts as a whole answer (R8)."""
+    reading = _Reading(make_arrival(max_tokens=3, streamed=True), 0.0, 0.0)
+    reading.add(data, 0.5)
+    assert reading.result(1.0).code == code
+
+
+def test_first_token_is_not_the_head() -> None:
+    """Guards against a head without a token that counts as the first token."""
+    reading = _Reading(make_arrival(max_tokens=3, streamed=True), 0.0, 0.0)
+    head, _, body = make_stream(tokens=3, last_chunk=True).partition(b"\r\n\r\n")
+    reading.add(head + b"\r\n\r\n", 0.5)
+    reading.add(body, 0.75)
+    assert reading.result(1.0).first_token_s == 0.75
+
+
+def test_load_goes_to_loopback_by_default() -> None:
+    """Guards against a default that sends load to a host other than loopback."""
+    assert LoadTarget(ports=(), key_by_team={}).host == "127.0.0.1"
