Add the measures against a plain baseline

The measures M1 to M5 run on two sites of the same size, one with the product and one with a baseline without common decisions, with the same arrivals.

--- /dev/null
+++ b/src/siskinspool/standins/arms.py
@@ -0,0 +1,235 @@
+"""The two arms of a comparison: the product and the plain baseline.
+
+Both run the same stand-ins with the same sizes; only the entry instances differ. The
+sizes come from the example manifests of the deployments and are scaled by `Scale`.
+"""
+
+from __future__ import annotations
+
+import json
+from abc import ABC, abstractmethod
+from pathlib import Path
+from typing import Final
+
+import attrs
+import gevent
+
+from ..manifest.document import Faults, read_manifest
+from ..manifest.model import Manifest, Zone, ZoneState
+from .load import LoadTarget
+from .processes import Bench, Json, Process, call_json
+from .site import POOL, SitePlan, TrialSite
+
+BASELINE_MODULE: Final = "siskinspool.standins.baseline"
+
+
+@attrs.frozen(kw_only=True)
+class Scale:
+    """By how much a trial differs from the deployment of the example manifest."""
+
+    instances: int = 6
+    # Load times are divided by this, the rate of the weight store multiplied.
+    time: float = 4.0
+    # Rates and bursts of the teams are multiplied by this.
+    team: float = 1.0
+    capacity: int = 16
+    token_s: float = 0.005
+    burst_s: float | None = None
+
+
+def plan_from_example(path: Path, scale: Scale) -> SitePlan:
+    """Return a plan with the sizes of an example manifest; one pool stands for all."""
+    manifest = read_manifest(path.read_bytes())
+    if isinstance(manifest, Faults):
+        raise ValueError(f"{path}: {manifest}")
+    return SitePlan(
+        zones=tuple(zone.id for zone in manifest.zones),
+        instances=scale.instances,
+        servers=len(manifest.servers),
+        models=tuple(
+            attrs.evolve(model, pool=POOL, load_s=model.load_s / scale.time)
+            for model in manifest.models
+        ),
+        adapters=(),
+        teams=tuple(
+            attrs.evolve(
+                team,
+                rate=team.rate * scale.team,
+                burst=(
+                    team.burst * scale.team
+                    if scale.burst_s is None
+                    else team.rate * scale.team * scale.burst_s
+                ),
+            )
+            for team in manifest.teams
+        ),
+        services=0,
+        server_memory_mib=manifest.servers[0].memory_mib,
+        server_capacity=scale.capacity,
+        store_rate=manifest.site.store_loads_per_s * scale.time,
+        token_s=scale.token_s,
+    )
+
+
+class Arm(ABC):
+    """A running site with its entry instances."""
+
+    name: str
+
+    def __init__(self, plan: SitePlan, folder: Path) -> None:
+        self.plan = plan
+        folder.mkdir(parents=True, exist_ok=True)
+        self.site = TrialSite(plan, Bench(folder))
+
+    @abstractmethod
+    def start(self) -> None:
+        """Start all processes and wait until the instances are ready."""
+
+    @abstractmethod
+    def close_zone(self, zone: str) -> None:
+        """Tell the system that a zone goes out of service, if it can be told."""
+
+    @abstractmethod
+    def open_zone(self, zone: str) -> None:
+        """Tell the system that a zone is back, if it can be told."""
+
+    @property
+    @abstractmethod
+    def entries(self) -> list[Process]:
+        """The entry processes."""
+
+    @property
+    def target(self) -> LoadTarget:
+        """Where load goes."""
+        keys = {team: key.text for team, key in self.site.key_by_team.items()}
+        return LoadTarget(
+            ports=tuple(process.port for process in self.entries), key_by_team=keys
+        )
+
+    def engines_of(self, zone: str) -> list[int]:
+        """Return the numbers of a zone's engines."""
+        zones = self.plan.zones
+        return [n for n in range(self.plan.servers) if zones[n % len(zones)] == zone]
+
+    def kill_engines(self, zone: str) -> None:
+        """End the engines of a zone."""
+        for number in self.engines_of(zone):
+            self.site.engine_by_id[f"engine-{number}"].kill()
+
+    def restart_engines(self, zone: str) -> None:
+        """Start the engines of a zone again, cold."""
+        for number in self.engines_of(zone):
+            self.site.restart_engine(number)
+
+    def reports(self) -> list[Json]:
+        """Return the reports of all engines that run."""
+        running = [p for p in self.site.engine_by_id.values() if p.alive]
+        return [call_json(process.port, "GET", "/v1/report") for process in running]
+
+    def observed(self) -> list[Json]:
+        """Return what all engines that run saw."""
+        names = [n for n, p in self.site.engine_by_id.items() if p.alive]
+        return [self.site.observed(name) for name in names]
+
+    def stop(self) -> None:
+        """End all processes."""
+        self.site.stop()
+
+
+class ProductArm(Arm):
+    """Entry instances of siskinspool."""
+
+    name = "product"
+
+    def start(self) -> None:
+        """Start all processes and wait until the instances are ready."""
+        site = self.site
+        site.start_surroundings()
+        site.publish(site.build_manifest())
+        numbers = range(self.plan.instances)
+        gevent.joinall(
+            [gevent.spawn(site.start_instance, n) for n in numbers], raise_error=True
+        )
+        site.wait_ready()
+
+    @property
+    def entries(self) -> list[Process]:
+        """The entry processes."""
+        instances = self.site.instance_by_id
+        return [instances[f"instance-{n}"] for n in range(self.plan.instances)]
+
+    def close_zone(self, zone: str) -> None:
+        """Publish a manifest in which the zone is closed."""
+        self._publish_zone(Zone(id=zone, state=ZoneState.CLOSED))
+
+    def open_zone(self, zone: str) -> None:
+        """Publish a manifest in which the zone is open."""
+        self._publish_zone(Zone(id=zone))
+
+    def _publish_zone(self, changed: Zone) -> None:
+        manifest: Manifest | None = self.site.manifest
+        if manifest is None:
+            raise ValueError("the site has no manifest")
+        zones = tuple(changed if z.id == changed.id else z for z in manifest.zones)
+        self.site.publish(attrs.evolve(manifest, zones=zones))
+
+
+class BaselineArm(Arm):
+    """Entry instances of the baseline."""
+
+    name = "baseline"
+
+    def __init__(
+        self, plan: SitePlan, folder: Path, *, limits: bool, idle_unload_s: float
+    ) -> None:
+        super().__init__(plan, folder)
+        self._limits = limits
+        self._idle_unload_s = idle_unload_s
+        self._entries: list[Process] = []
+
+    def start(self) -> None:
+        """Start all processes."""
+        self.site.start_surroundings()
+        self.site.build_manifest()
+        for number in range(self.plan.instances):
+            path = self.site.bench.folder / f"baseline-{number}.json"
+            path.write_text(json.dumps(self._settings(number)), encoding="utf-8")
+            self._entries.append(
+                self.site.bench.start(f"baseline-{number}", BASELINE_MODULE, str(path))
+            )
+
+    def _settings(self, number: int) -> Json:
+        return {
+            "instances": self.plan.instances,
+            "servers": [
+                {
+                    "id": name,
+                    "port": process.port,
+                    "capacity": self.plan.server_capacity,
+                }
+                for name, process in self.site.engine_by_id.items()
+            ],
+            "teams": [
+                {
+                    "id": team.id,
+                    "rate": team.rate,
+                    "burst": team.burst,
+                    "key": self.site.key_by_team[team.id].text,
+                }
+                for team in self.plan.teams
+            ],
+            "idle_unload_s": self._idle_unload_s,
+            "limits": self._limits,
+            "seed": number,
+        }
+
+    @property
+    def entries(self) -> list[Process]:
+        """The entry processes."""
+        return self._entries
+
+    def close_zone(self, zone: str) -> None:
+        """Do nothing: the baseline has no zone state."""
+
+    def open_zone(self, zone: str) -> None:
+        """Do nothing: the baseline has no zone state."""
--- /dev/null
+++ b/src/siskinspool/standins/measure_parts.py
@@ -0,0 +1,377 @@
+"""The measures M1 to M5, each against the baseline arm.
+
+Both arms get the same arrivals from the same seed, in turns. A measure returns one
+`Row` for each arm and case.
+"""
+
+from __future__ import annotations
+
+import time
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any, Final
+
+import attrs
+import gevent
+
+from ..manifest.model import Team
+from .arms import Arm
+from .baseline import Bucket
+from .load import encode_request, run_load
+from .load_results import (
+    Json,
+    Quantiles,
+    Result,
+    by_team,
+    count_refusals,
+    goodput_tokens,
+    quantiles,
+    summarize,
+)
+from .load_schedule import (
+    Arrival,
+    BurstFlow,
+    Flow,
+    RequestKind,
+    SteadyFlow,
+    build_schedule,
+)
+from .processes import ProcessError, call_json
+
+SAMPLE_S: Final = 0.25
+
+
+@attrs.frozen
+class Row:
+    """The figures of one arm in one case."""
+
+    measure: str
+    case: str
+    arm: str
+    figures: dict[str, Any]
+
+
+class Measure(ABC):
+    """One measure."""
+
+    @abstractmethod
+    def run(self, arm: Arm, seed: int) -> list[Row]:
+        """Send the load of one round to one arm and return its figures."""
+
+
+def _times(found: Quantiles | None) -> Json:
+    if found is None:
+        return {"p50_s": None, "p95_s": None, "p99_s": None, "max_s": None}
+    return {
+        "p50_s": round(found.p50, 3),
+        "p95_s": round(found.p95, 3),
+        "p99_s": round(found.p99, 3),
+        "max_s": round(found.maximum, 3),
+    }
+
+
+def _outcome(results: Sequence[Result]) -> Json:
+    summary = summarize(results)
+    return {
+        "sent": summary.sent,
+        "ok": summary.ok,
+        **_times(summary.first_token_s),
+        "refused": summary.refused_by_code,
+    }
+
+
+def preload(arm: Arm, models: Sequence[str], team: str) -> None:
+    """Have models loaded before a measure begins."""
+    everywhere = tuple(range(arm.plan.instances))
+    flows: list[Flow] = [
+        BurstFlow(
+            kind=RequestKind(team=team, targets=(m,), instances=everywhere[:1]), at_s=0
+        )
+        for m in models
+    ]
+    results = run_load(arm.target, build_schedule(flows, 0))
+    refused = count_refusals(results)
+    if refused:
+        print(f"  preload of {arm.name}: {refused}")
+
+
+@attrs.frozen(kw_only=True)
+class ColdStart(Measure):
+    """M1: first requests that arrive in bursts at all instances."""
+
+    case: str
+    team: str
+    models: tuple[str, ...]
+    models_per_burst: int = 2
+    gap_s: float = 4.0
+
+    def run(self, arm: Arm, seed: int) -> list[Row]:
+        """Ask models that are not loaded, some at a time."""
+        everywhere = tuple(range(arm.plan.instances))
+        flows: list[Flow] = [
+            BurstFlow(
+                kind=RequestKind(
+                    team=self.team, targets=(model,), instances=everywhere, max_tokens=8
+                ),
+                at_s=0.2 + self.gap_s * (number // self.models_per_burst),
+            )
+            for number, model in enumerate(self.models)
+        ]
+        before = sum(len(seen["loads"]) for seen in arm.observed())
+        falls = sum(seen["falls"] for seen in arm.observed())
+        results = run_load(arm.target, build_schedule(flows, seed))
+        after = sum(len(seen["loads"]) for seen in arm.observed())
+        figures = _outcome(results) | {
+            "models": len(self.models),
+            "loads": after - before,
+            "server_falls": sum(s["falls"] for s in arm.observed()) - falls,
+        }
+        return [Row("M1", self.case, arm.name, figures)]
+
+
+@attrs.frozen(kw_only=True)
+class RateRefusals(Measure):
+    """M4: requests refused although inside the team's rate."""
+
+    teams: tuple[str, ...]
+    models: tuple[str, ...]
+    phases: int = 4
+    phase_s: float = 8.0
+    # Part of the rate that arrives steadily, and of the burst at each phase's start.
+    steady_share: float = 0.6
+    spike_share: float = 0.4
+    max_tokens: int = 100
+
+    def run(self, arm: Arm, seed: int) -> list[Row]:
+        """Send each team's demand to one instance, which changes with each phase."""
+        team_by_id = {team.id: team for team in arm.plan.teams}
+        flows: list[Flow] = []
+        for number, name in enumerate(self.teams):
+            flows += self._flows(team_by_id[name], number, arm.plan.instances)
+        schedule = build_schedule(flows, seed)
+        results = run_load(arm.target, schedule)
+        tokens = [_estimate(arm, arrival) for arrival in schedule]
+        inside = admitted_centrally(schedule, tokens, team_by_id)
+        refused = [r for r, within in zip(results, inside, strict=True) if within]
+        wrong = [r for r in refused if r.code == "rate_exceeded"]
+        figures = {
+            "inside_rate": sum(inside),
+            "refused_inside": len(wrong),
+            "share": round(len(wrong) / max(1, sum(inside)), 4),
+            "other_refusals": count_refusals(
+                [r for r in results if r.code != "rate_exceeded"]
+            ),
+        }
+        return [Row("M4", "moving demand", arm.name, figures)]
+
+    def _flows(self, team: Team, number: int, instances: int) -> list[Flow]:
+        flows: list[Flow] = []
+        for phase in range(self.phases):
+            kind = RequestKind(
+                team=team.id,
+                targets=self.models,
+                instances=((2 * phase + number) % instances,),
+                max_tokens=self.max_tokens,
+                streamed_share=0.5,
+            )
+            start_s = phase * self.phase_s
+            spike = int(self.spike_share * team.burst / self.max_tokens)
+            flows.append(BurstFlow(kind=kind, at_s=start_s, per_instance=spike))
+            per_s = self.steady_share * team.rate / self.max_tokens
+            flows.append(
+                SteadyFlow(
+                    kind=kind, per_s=per_s, duration_s=self.phase_s, start_s=start_s
+                )
+            )
+        return flows
+
+
+def _estimate(arm: Arm, arrival: Arrival) -> int:
+    body = encode_request(arm.target, arrival).partition(b"\r\n\r\n")[2]
+    return len(body) // 4 + arrival.max_tokens
+
+
+def admitted_centrally(
+    schedule: Sequence[Arrival], tokens: Sequence[int], team_by_id: dict[str, Team]
+) -> list[bool]:
+    """Tell which arrivals one bucket for the whole site, full at first, admits."""
+    bucket_by_team = {
+        team.id: Bucket(team.rate, team.burst, team.burst, 0.0)
+        for team in team_by_id.values()
+    }
+    return [
+        bucket_by_team[arrival.team].take(count, arrival.at_s)
+        for arrival, count in zip(schedule, tokens, strict=True)
+    ]
+
+
+@attrs.frozen(kw_only=True)
+class WorstTeam(Measure):
+    """M3: the other teams while one sends ten times its rate."""
+
+    heavy: str
+    models: tuple[str, ...]
+    seconds: float = 20.0
+    share: float = 0.7
+    max_tokens: int = 20
+    deadline_ms: int = 5_000
+
+    def run(self, arm: Arm, seed: int) -> list[Row]:
+        """Send all teams' demand to all instances."""
+        everywhere = tuple(range(arm.plan.instances))
+        flows: list[Flow] = []
+        for team in arm.plan.teams:
+            kind = RequestKind(
+                team=team.id,
+                targets=self.models,
+                instances=everywhere,
+                max_tokens=self.max_tokens,
+                deadline_ms=self.deadline_ms,
+            )
+            factor = 10.0 if team.id == self.heavy else self.share
+            # About 22 tokens of each request's estimate are its prompt.
+            per_s = factor * team.rate / (self.max_tokens + 22)
+            flows.append(SteadyFlow(kind=kind, per_s=per_s, duration_s=self.seconds))
+        grouped = by_team(run_load(arm.target, build_schedule(flows, seed)))
+        shares = {
+            team: round(
+                goodput_tokens(part) / sum(r.arrival.max_tokens for r in part), 4
+            )
+            for team, part in grouped.items()
+        }
+        others = {team: part for team, part in grouped.items() if team != self.heavy}
+        worst = min(others, key=lambda team: shares[team])
+        figures = {
+            "worst_team": worst,
+            "worst_goodput_share": shares[worst],
+            "worst": _outcome(others[worst]),
+            "others_p95_s": {
+                team: _times(summarize(part).first_token_s)["p95_s"]
+                for team, part in others.items()
+            },
+            "goodput_share": shares,
+            "heavy_refused": count_refusals(grouped[self.heavy]),
+        }
+        return [Row("M3", f"{self.heavy} sends 10 times", arm.name, figures)]
+
+
+@attrs.frozen(kw_only=True)
+class ZoneLeaves(Measure):
+    """M5: a zone is closed, its servers end, come back cold, and it opens again."""
+
+    team: str
+    zone: str
+    models: tuple[str, ...]
+    per_s: float = 25.0
+    close_at_s: float = 6.0
+    end_at_s: float = 11.0
+    back_at_s: float = 18.0
+    open_at_s: float = 20.0
+    seconds: float = 36.0
+
+    def run(self, arm: Arm, seed: int) -> list[Row]:
+        """Send a steady load during the changes."""
+        kind = RequestKind(
+            team=self.team,
+            targets=self.models,
+            instances=tuple(range(arm.plan.instances)),
+            max_tokens=16,
+            deadline_ms=5_000,
+        )
+        flow = SteadyFlow(kind=kind, per_s=self.per_s, duration_s=self.seconds)
+        steps = (
+            (self.close_at_s, arm.close_zone),
+            (self.end_at_s, arm.kill_engines),
+            (self.back_at_s, arm.restart_engines),
+            (self.open_at_s, arm.open_zone),
+        )
+        changes = [gevent.spawn_later(at_s, do, self.zone) for at_s, do in steps]
+        results = run_load(arm.target, build_schedule([flow], seed))
+        gevent.joinall(changes, raise_error=True)
+        errors = Counter(int(r.arrival.at_s) for r in results if not r.ok)
+        figures = _outcome(results) | {
+            "answered_share": round(summarize(results).ok_share, 4),
+            "errors_per_s": round(sum(errors.values()) / self.seconds, 3),
+            "errors_by_second": dict(sorted(errors.items())),
+        }
+        return [Row("M5", f"zone {self.zone}", arm.name, figures)]
+
+
+@attrs.frozen(kw_only=True)
+class IdleReplicas(Measure):
+    """M2: replica-seconds loaded without a running request of the model."""
+
+    team: str
+    busy_models: tuple[str, ...]
+    rare_models: tuple[str, ...]
+    seconds: float = 45.0
+
+    def run(self, arm: Arm, seed: int) -> list[Row]:
+        """Send sparse requests and sample what the servers hold."""
+        everywhere = tuple(range(arm.plan.instances))
+        busy = RequestKind(
+            team=self.team, targets=self.busy_models, instances=everywhere
+        )
+        rare = RequestKind(
+            team=self.team, targets=self.rare_models, instances=everywhere
+        )
+        flows = [
+            SteadyFlow(kind=busy, per_s=4.0, duration_s=self.seconds),
+            SteadyFlow(kind=rare, per_s=0.3, duration_s=self.seconds),
+        ]
+        samples: list[tuple[float, list[str]]] = []
+        started_at = time.monotonic()
+        sampler = gevent.spawn(_sample, arm, started_at, samples)
+        results = run_load(arm.target, build_schedule(flows, seed))
+        sampler.kill()
+        first = quantiles([r.first_token_s for r in results if r.first_token_s])
+        held = sum(len(models) for _, models in samples) * SAMPLE_S
+        figures = {
+            "sent": len(results),
+            "replica_s": round(held, 1),
+            "idle_replica_s": round(idle_seconds(samples, results), 1),
+            **_times(first),
+            "refused": count_refusals(results),
+        }
+        return [Row("M2", "sparse requests", arm.name, figures)]
+
+
+def _sample(
+    arm: Arm, started_at: float, samples: list[tuple[float, list[str]]]
+) -> None:
+    due_at = started_at
+    while True:
+        try:
+            models = [
+                replica["model"]
+                for report in arm.reports()
+                for replica in report["replicas"]
+                if replica["state"] == "loaded"
+            ]
+            samples.append((time.monotonic() - started_at, models))
+        except (OSError, ProcessError):
+            pass
+        due_at += SAMPLE_S
+        gevent.sleep(max(0.0, due_at - time.monotonic()))
+
+
+def idle_seconds(
+    samples: Sequence[tuple[float, list[str]]], results: Sequence[Result]
+) -> float:
+    """Return the sampled replica-seconds without a request of the model under way."""
+    idle = 0.0
+    for at_s, models in samples:
+        running = {
+            r.arrival.target
+            for r in results
+            if r.arrival.at_s <= at_s <= r.arrival.at_s + r.total_s
+        }
+        idle += SAMPLE_S * sum(model not in running for model in models)
+    return idle
+
+
+def warm_up(arm: Arm) -> None:
+    """Make the engines warm, as on a site that has run for a while."""
+    for process in arm.site.engine_by_id.values():
+        call_json(process.port, "POST", "/admin/faults", {"warm_up": True})
--- a/src/siskinspool/standins/site.py
+++ b/src/siskinspool/standins/site.py
@@ -133,11 +133,17 @@
             self.service_by_id[name] = process
             self.port_by_name[name] = process.port
 
-    def _start_engine(self, number: int) -> None:
+    def restart_engine(self, number: int) -> None:
+        """Start an engine that was ended again, on its former port."""
+        self._start_engine(number, self.port_by_name[f"engine-{number}"])
+
+    def _start_engine(self, number: int, port: int = 0) -> None:
         plan, name = self.plan, f"engine-{number}"
         process = self.bench.start(
             name,
             "siskinspool.standins.engine",
+            "--port",
+            str(port),
             "--server-id",
             name,
             "--store-port",
