Measure the bytes of messages by size

Cause: the target of 2 KB/s of control per instance cannot be checked without the bytes of each message and their growth.

--- /dev/null
+++ b/src/siskinspool/standins/slopes/slope.py
@@ -0,0 +1,101 @@
+"""A measured quantity as a straight line through several sizes, and its file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Final
+
+import attrs
+import msgspec
+
+from ...core.errors import InvariantError
+
+MIN_SIZES: Final = 3
+SIGNIFICANT_DIGITS: Final = 4
+
+
+@attrs.frozen
+class Point:
+    """One measured size."""
+
+    size: float
+    value: float
+
+
+@attrs.frozen(kw_only=True)
+class Slope:
+    """A quantity by size, with the least-squares line through its points."""
+
+    name: str
+    # Unit of the value: ``bytes``, ``us`` (processor time), ``calls`` and so on.
+    unit: str
+    # What the size counts.
+    size_unit: str
+    # What was held fixed.
+    note: str = ""
+    at_zero: float
+    per_unit: float
+    points: tuple[Point, ...]
+
+    @classmethod
+    def through(
+        cls,
+        name: str,
+        unit: str,
+        size_unit: str,
+        points: list[Point],
+        note: str = "",
+    ) -> Slope:
+        """Fit the line; raise InvariantError for fewer than three sizes."""
+        count = len(points)
+        if len({point.size for point in points}) < MIN_SIZES:
+            raise InvariantError(f"{name} was measured at fewer than 3 sizes")
+        mean_size = sum(point.size for point in points) / count
+        mean_value = sum(point.value for point in points) / count
+        spread = sum((point.size - mean_size) ** 2 for point in points)
+        product = sum(
+            (point.size - mean_size) * (point.value - mean_value) for point in points
+        )
+        per_unit = product / spread
+        rounded = tuple(Point(p.size, significant(p.value)) for p in points)
+        return cls(
+            name=name,
+            unit=unit,
+            size_unit=size_unit,
+            note=note,
+            at_zero=significant(mean_value - per_unit * mean_size),
+            per_unit=significant(per_unit),
+            points=rounded,
+        )
+
+    def at(self, size: float) -> float:
+        """Return the value on the line; never below 0."""
+        return max(self.at_zero + self.per_unit * size, 0.0)
+
+
+@attrs.frozen(kw_only=True)
+class SlopeFile:
+    """All slopes, with the command that measured them."""
+
+    command: str
+    measured_on: str
+    slopes: tuple[Slope, ...]
+
+    def by_name(self) -> dict[str, Slope]:
+        """Return the slopes by name."""
+        return {slope.name: slope for slope in self.slopes}
+
+    def write(self, path: Path) -> None:
+        """Write the file as indented JSON."""
+        data = msgspec.json.format(msgspec.json.encode(self), indent=1)
+        path.write_bytes(data + b"\n")
+
+    @classmethod
+    def read(cls, path: Path) -> SlopeFile:
+        """Read the file; raise msgspec.DecodeError if it is malformed."""
+        return msgspec.json.decode(path.read_bytes(), type=cls)
+
+
+def significant(value: float) -> float:
+    """Return a value with as many digits as a measurement deserves."""
+    return float(f"{value:.{SIGNIFICANT_DIGITS}g}")
