Measure processor time, memory and live sites by size

Cause: the sums at the target size need the time and memory of each decision and the calls to the key-value service per instance.

Change: parts time, memory and live of python -m siskinspool.standins.slopes, and the sums per role in standins/capacity_roles.py.

--- /dev/null
+++ b/src/siskinspool/standins/capacity_roles.py
@@ -0,0 +1,331 @@
+"""What each role of a site costs, computed from the measured slopes.
+
+Each role lists its messages per second, its bytes per second (sent and received), its
+processor time as a share of a core, its memory and its calls to the key-value service.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import attrs
+
+from .capacity_target import (
+    HEARTBEATS_PER_S,
+    PARTITIONS_PER_KIND,
+    REPORTS_PER_S,
+    SESSION_RENEW_S,
+    SHARE_REPORTS_PER_S,
+    Site,
+)
+from .slopes.slope import Slope
+
+US: Final = 1e-6
+# Assigned, running and finished patient requests each cost about a message each way.
+PATIENT_MESSAGES: Final = 6
+DAY_S: Final = 86_400.0
+
+
+@attrs.frozen(kw_only=True)
+class Cost:
+    """What one role costs one instance."""
+
+    role: str
+    state: str
+    messages_per_s: float = 0.0
+    bytes_per_s: float = 0.0
+    core: float = 0.0
+    memory_bytes: float = 0.0
+    kv_reads_per_s: float = 0.0
+    kv_writes_per_s: float = 0.0
+    kv_lease_calls_per_s: float = 0.0
+    watches: float = 0.0
+
+
+class Roles:
+    """The roles of one site."""
+
+    def __init__(self, slopes: Mapping[str, Slope], site: Site) -> None:
+        self._slopes = slopes
+        self.site = site
+
+    def at(self, name: str, size: float = 0.0) -> float:
+        """Return a measured quantity at a size."""
+        return self._slopes[name].at(size)
+
+    def each(self, name: str) -> float:
+        """Return the increment of a measured quantity per unit."""
+        return self._slopes[name].per_unit
+
+    @property
+    def partners(self) -> float:
+        """Heartbeat partners; measured at the very sizes of the two sites."""
+        slope = self._slopes["count.partners"]
+        by_size = {point.size: point.value for point in slope.points}
+        return by_size[self.site.instances]
+
+    @property
+    def report_bytes(self) -> float:
+        """Bytes of one server report."""
+        return self.at("bytes.ServerReport", self.site.replicas_per_server)
+
+    @property
+    def reports_per_s(self) -> float:
+        """Reports of all servers; under load each differs from the one before."""
+        return self.site.servers * REPORTS_PER_S
+
+    def every_instance(self) -> list[Cost]:
+        """Return the control roles that every instance has."""
+        return [
+            self._membership(),
+            self._ownership(),
+            self._key_value_task(),
+            self._revisions(),
+            self._reporter(),
+            self._routing(),
+            self._usage(),
+            self._limits(),
+        ]
+
+    def owners(self) -> list[Cost]:
+        """Return the control roles that only owners have, on top of the others."""
+        return [self._placement(), self._mint(), self._claims(), self._patients()]
+
+    def carrying(self) -> list[Cost]:
+        """Return the work per request and token at every instance."""
+        site = self.site
+        requests = self.each("live.processor_request") * site.requests_per_instance
+        chunks = self.each("live.processor_chunk") * site.tokens_per_instance
+        claims = site.claims_per_s / site.instances
+        forwarded = self.each("bytes.ForwardClaim") + self.each("bytes.ClaimSettled")
+        forwarded += self.each("bytes.ClaimPending") + self.each("bytes.RecordSettled")
+        forwarded += self.at("bytes.ForwardRecord", site.answer_bytes)
+        running = f"{site.running_per_instance:.0f} calls at once"
+        return [
+            Cost(
+                role="front end and calls: requests",
+                state=running,
+                messages_per_s=site.requests_per_instance,
+                core=requests * US,
+            ),
+            Cost(
+                role="front end and calls: streamed tokens",
+                state="one chunk per token",
+                messages_per_s=site.tokens_per_instance,
+                core=chunks * US,
+            ),
+            Cost(
+                role="claims: forwarding to shard owners",
+                state="open claims",
+                messages_per_s=5 * claims,
+                bytes_per_s=forwarded * claims,
+            ),
+        ]
+
+    def _membership(self) -> Cost:
+        site = self.site
+        beats = self.partners * HEARTBEATS_PER_S
+        # Besides heartbeats: answers of the service and the platform's list.
+        others = self._reads_per_instance() + 1 / SESSION_RENEW_S + 1.0
+        busy = (beats + others) * self.at("time.Membership.heartbeat", site.instances)
+        busy += HEARTBEATS_PER_S * self.at("time.Membership.beat", site.instances)
+        return Cost(
+            role="membership",
+            state="sessions, echoes, evidence",
+            messages_per_s=2 * beats,
+            bytes_per_s=2 * beats * self.at("bytes.Heartbeat", 0),
+            core=busy * US,
+            memory_bytes=self.at("memory.Membership", site.instances),
+        )
+
+    def _ownership(self) -> Cost:
+        steps = self._reads_per_instance() + 2 / SESSION_RENEW_S
+        return Cost(
+            role="ownership",
+            state="49 owner records",
+            core=steps * self.at("time.Ownership.renewal", self.site.instances) * US,
+            memory_bytes=self.at("memory.Ownership", self.site.instances),
+        )
+
+    def _reads_per_instance(self) -> float:
+        return self.each("live.idle_reads")
+
+    def _key_value_task(self) -> Cost:
+        return Cost(
+            role="key-value task: session, head reads, watch",
+            state="one lease, one watch",
+            bytes_per_s=self.at("live.idle_kv_bytes", 0),
+            kv_reads_per_s=self._reads_per_instance(),
+            kv_lease_calls_per_s=1 / SESSION_RENEW_S,
+            watches=1,
+        )
+
+    def _revisions(self) -> Cost:
+        site = self.site
+        event = self.at("bytes.watch_event", self.at("bytes.head", 4))
+        # The record is read as base64 in JSON, as in an event.
+        record = self.at("bytes.watch_event", self.at("bytes.change_record", 1))
+        busy = self.at("time.Revisions.change", site.entities)
+        busy += self.at("time.Routing.catalog", site.servers)
+        busy += self._assign_us()
+        return Cost(
+            role="revisions, with the listeners' work per change",
+            state=f"{site.entities:,.0f} entities",
+            messages_per_s=site.changes_per_s,
+            bytes_per_s=site.changes_per_s * (event + record),
+            core=site.changes_per_s * busy * US,
+            memory_bytes=self.at("memory.manifest", site.entities),
+            kv_reads_per_s=site.changes_per_s,
+        )
+
+    def assign_s(self) -> float:
+        """Return the time in which one instance assigns all servers to reporters."""
+        return self._assign_us() * US
+
+    def _assign_us(self) -> float:
+        fleet = "59" if self.site.instances <= 59 else "410"
+        return self.at(f"time.Reporting.assign_{fleet}", self.site.servers)
+
+    def _reporter(self) -> Cost:
+        site = self.site
+        own = self.reports_per_s / site.instances
+        # One copy for each other instance and one for the placement owner.
+        copies = own * site.instances
+        encode = self.at("time.codec.encode_report", site.replicas_per_server)
+        busy = own * self.at("time.Reporting.spread", site.instances) + copies * encode
+        return Cost(
+            role="reporter: own servers' reports to all",
+            state=f"{site.servers / site.instances:.1f} servers polled",
+            messages_per_s=copies,
+            bytes_per_s=copies * self.report_bytes,
+            core=busy * US,
+            memory_bytes=self.at("memory.Reporting", site.servers),
+        )
+
+    def _routing(self) -> Cost:
+        decode = self.at("time.codec.decode_report", self.site.replicas_per_server)
+        one = self.at("time.Routing.report", self.site.servers) + decode
+        return Cost(
+            role="routing: reports of all servers",
+            state="last report and ramp of each server",
+            messages_per_s=self.reports_per_s,
+            bytes_per_s=self.reports_per_s * self.report_bytes,
+            core=self.reports_per_s * one * US,
+            memory_bytes=self.at("memory.Routing", self.site.servers),
+        )
+
+    def _usage(self) -> Cost:
+        used = self.site.replicas_in_use
+        return Cost(
+            role="routing: `ReplicaUsed` to the placement owner",
+            state=f"{used:.0f} replicas in use",
+            messages_per_s=used,
+            bytes_per_s=used * self.each("bytes.ReplicaUsed"),
+        )
+
+    def _limits(self) -> Cost:
+        teams = self.site.teams_in_use_per_instance
+        rate = teams * SHARE_REPORTS_PER_S
+        pair = self.each("bytes.ShareReport") + self.each("bytes.ShareGrant")
+        busy = SHARE_REPORTS_PER_S * self.at("time.TeamLimits.reports", teams)
+        return Cost(
+            role="limits: share reports and grants",
+            state=f"{teams:.0f} teams in use",
+            messages_per_s=2 * rate,
+            bytes_per_s=rate * pair,
+            core=busy * US,
+            memory_bytes=self.at("memory.TeamLimits", teams),
+        )
+
+    def _placement(self) -> Cost:
+        site = self.site
+        used = site.replicas_in_use * site.instances
+        reports = self.reports_per_s
+        decode = self.at("time.codec.decode_report", site.replicas_per_server)
+        busy = reports * (self.at("time.Placement.report", site.servers) + decode)
+        busy += used * self.at("time.Placement.used", site.servers)
+        busy += self.at("time.Placement.review", site.servers)
+        busy += site.wakes_per_s * self.at("time.Placement.need", site.servers)
+        busy += site.changes_per_s * self.at("time.Placement.catalog", site.servers)
+        size = reports * self.report_bytes + used * self.each("bytes.ReplicaUsed")
+        writes = site.wakes_per_s * max(self.each("live.load_writes"), 0.0)
+        return Cost(
+            role="placement owner (1 per site)",
+            state=f"{site.servers:.0f} records",
+            messages_per_s=reports + used,
+            bytes_per_s=size,
+            core=busy * US,
+            memory_bytes=self.at("memory.Placement", site.servers),
+            kv_writes_per_s=writes,
+        )
+
+    def _mint(self) -> Cost:
+        site = self.site
+        teams = site.teams_in_use_per_instance / PARTITIONS_PER_KIND
+        rate = site.instances * teams * SHARE_REPORTS_PER_S
+        pair = self.each("bytes.ShareReport") + self.each("bytes.ShareGrant")
+        memory = self.at("memory.Mint", site.instances)
+        return Cost(
+            role="mint owner (16 per site)",
+            state=f"{site.teams / PARTITIONS_PER_KIND:.1f} teams",
+            messages_per_s=2 * rate,
+            bytes_per_s=rate * pair,
+            core=rate * self.at("time.Mint.report", site.instances) * US,
+            # Measured with 10 teams.
+            memory_bytes=memory * site.teams / PARTITIONS_PER_KIND / 10,
+        )
+
+    def _claims(self) -> Cost:
+        site = self.site
+        rate = site.claims_per_s / PARTITIONS_PER_KIND
+        kept = rate * DAY_S
+        one = self.each("bytes.ForwardClaim") + self.each("bytes.ClaimSettled")
+        one += self.each("bytes.ClaimPending") + self.each("bytes.RecordSettled")
+        one += self.at("bytes.ForwardRecord", site.answer_bytes)
+        # A claim and its answer take a batch each, at most one batch in 3 ms.
+        busy = 2 * rate * self.at("time.Claims.kept", 100)
+        return Cost(
+            role="claim shard owner (16 per site)",
+            state=f"{kept:,.0f} claims kept for 24 h",
+            messages_per_s=5 * rate,
+            bytes_per_s=rate * one,
+            core=busy * US,
+            memory_bytes=self.at("memory.Claims", kept),
+            kv_writes_per_s=rate * self.each("live.claim_writes"),
+        )
+
+    def _patients(self) -> Cost:
+        site = self.site
+        rate = site.patients_per_s / PARTITIONS_PER_KIND
+        waiting = site.patient_waiting / PARTITIONS_PER_KIND
+        writes = rate * self.each("live.patient_writes")
+        steps = rate * PATIENT_MESSAGES + writes
+        return Cost(
+            role="patient shard owner (16 per site)",
+            state=f"{waiting:.0f} waiting",
+            messages_per_s=rate * PATIENT_MESSAGES,
+            core=steps * self.at("time.PatientQueue.step", waiting) * US,
+            memory_bytes=self.at("memory.PatientQueue", waiting),
+            kv_writes_per_s=writes,
+        )
+
+
+def total(role: str, costs: list[Cost]) -> Cost:
+    """Return the sum of several roles at one instance."""
+
+    def add(value: Callable[[Cost], float]) -> float:
+        return sum(value(cost) for cost in costs)
+
+    return Cost(
+        role=role,
+        state="",
+        messages_per_s=add(lambda c: c.messages_per_s),
+        bytes_per_s=add(lambda c: c.bytes_per_s),
+        core=add(lambda c: c.core),
+        memory_bytes=add(lambda c: c.memory_bytes),
+        kv_reads_per_s=add(lambda c: c.kv_reads_per_s),
+        kv_writes_per_s=add(lambda c: c.kv_writes_per_s),
+        kv_lease_calls_per_s=add(lambda c: c.kv_lease_calls_per_s),
+        watches=add(lambda c: c.watches),
+    )
--- a/src/siskinspool/standins/slopes/__main__.py
+++ b/src/siskinspool/standins/slopes/__main__.py
@@ -8,12 +8,15 @@
 
 import click
 
-from . import wire_bytes
+from . import live, memory, processor_time, wire_bytes
 from .slope import Slope, SlopeFile
 
 COMMAND = "python -m siskinspool.standins.slopes"
 PARTS: dict[str, Callable[[], Iterator[Slope]]] = {
     "bytes": wire_bytes.measure,
+    "time": processor_time.measure,
+    "memory": memory.measure,
+    "live": live.measure,
 }
 
 
--- /dev/null
+++ b/src/siskinspool/standins/slopes/decisions.py
@@ -0,0 +1,265 @@
+"""Decisions in a steady state of a chosen size, driven without tasks or sockets."""
+
+from __future__ import annotations
+
+import random
+
+from ...contracts.claim_encoding import MsgpackEntryCodec
+from ...contracts.claim_log import Claimed, Entry
+from ...contracts.claim_messages import Claimant, ClaimCall
+from ...contracts.claims import Claims
+from ...contracts.fair_queue import FairQueue
+from ...contracts.limits_partition import limits_partition
+from ...contracts.mint import Mint
+from ...contracts.patient import PatientQueue
+from ...contracts.patient_encoding import MsgpackHeadCodec
+from ...contracts.patient_messages import SubmitPatient
+from ...contracts.patient_record import Head
+from ...contracts.shares import TeamLimits
+from ...core.decision import Decision
+from ...core.message import Incoming, Message, Outgoing
+from ...entry import partition_names
+from ...machines.membership import Membership, MembershipWatchers
+from ...machines.messages import (
+    CatalogChanged,
+    OwnersChanged,
+    OwnershipGained,
+    RampSlots,
+)
+from ...machines.ownership import Ownership
+from ...machines.ownership_records import OwnerRecord, encode_record
+from ...machines.placement import Placement
+from ...machines.record_encoding import JsonRecordEncoding
+from ...machines.reporting import Reporting
+from ...machines.routing import Routing
+from ...manifest.model import Catalog
+from ...platform.keys import CLAIMS_PREFIX, PATIENT_PREFIX, owner_key, session_key
+from ...platform.kv import (
+    KvChanged,
+    KvGet,
+    KvItem,
+    KvList,
+    KvListing,
+    KvReply,
+    KvRequest,
+    KvSwap,
+    KvSwapped,
+    KvValue,
+)
+from ...platform.kv_events import SessionRenewed
+from ...platform.session_keeper import encode_session
+from . import samples
+
+START_S = 1_000.0
+PLACEMENT = f"placement/{samples.SITE}"
+INCARNATION = "0123456789ab"
+OWN = Claimant(samples.OWN, INCARNATION)
+HELD_REPLICAS = 4
+
+
+class Store:
+    """Answers requests of a decision to the key-value service at once."""
+
+    def __init__(self, items: tuple[KvItem, ...] = ()) -> None:
+        self.revision = 1
+        self.calls = 0
+        self._items = items
+
+    def drive(self, decision: Decision, batch: list[Outgoing], now: float) -> None:
+        """Answer until the decision asks for nothing more."""
+        while batch:
+            asked = [o.message for o in batch if isinstance(o.message, KvRequest)]
+            batch = []
+            for request in asked:
+                batch += decision.handle(samples.incoming(self._answer(request)), now)
+
+    def _answer(self, request: KvRequest) -> KvReply:
+        self.calls += 1
+        match request:
+            case KvList(request_id, prefix):
+                found = tuple(i for i in self._items if i.key.startswith(prefix))
+                return KvListing(request_id, prefix, found)
+            case KvGet(request_id, key):
+                return KvValue(request_id, key, None, 0)
+            case KvSwap() as swap:
+                self.revision += 1
+                return KvSwapped(swap.request_id, swap.key, self.revision)
+            case _:
+                raise NotImplementedError(type(request).__name__)
+
+
+def tell(decision: Decision, message: Message, now: float = START_S) -> list[Outgoing]:
+    """Hand a message of this instance to a decision."""
+    return decision.handle(samples.incoming(message), now)
+
+
+def renewal(now: float) -> SessionRenewed:
+    """Return the renewal of the own session."""
+    return SessionRenewed(INCARNATION, 7, now, 15.0)
+
+
+def membership(members: int) -> Membership:
+    """Return the decision after it has seen all sessions."""
+    watchers = MembershipWatchers(currency=("frontend",), leaving=("routing",))
+    decision = Membership(samples.member(0), watchers)
+    for name, one in samples.members(members).items():
+        tell(decision, KvChanged(session_key(name), encode_session(one, 7), 1))
+    return decision
+
+
+def ownership(members: int) -> Ownership:
+    """Return the decision of an instance that owns nothing."""
+    names = partition_names(samples.SITE)
+    decision = Ownership(samples.OWN, INCARNATION, names, ("routing",))
+    tell(decision, samples.membership(members))
+    owner = samples.member(1)
+    for number, name in enumerate(names):
+        record = OwnerRecord(owner.instance_id, owner.incarnation, 3, "token")
+        change = KvChanged(owner_key(name), encode_record(record), number + 1)
+        tell(decision, change)
+    tell(decision, renewal(START_S))
+    return decision
+
+
+def reporting(members: int, servers: int) -> Reporting:
+    """Return the decision with its servers assigned."""
+    decision = Reporting(samples.OWN, samples.SITE)
+    tell(decision, samples.membership(members))
+    tell(decision, CatalogChanged(samples.catalog(servers=servers, models=10)))
+    tell(decision, OwnersChanged({PLACEMENT: samples.instance_name(1)}))
+    return decision
+
+
+def serving_catalog(servers: int) -> Catalog:
+    """Return servers with a model for each of them, and some teams."""
+    return samples.catalog(servers=servers, models=servers + HELD_REPLICAS, teams=50)
+
+
+def routing(servers: int) -> Routing:
+    """Return the decision with a report of every server; none is ramping."""
+    decision = Routing(
+        samples.OWN, samples.ZONES[0], lambda: FairQueue(2_000), random.Random(1)
+    )
+    tell(decision, CatalogChanged(serving_catalog(servers)))
+    # With few instances each may use part of every server, so that calls find one.
+    tell(decision, samples.membership(3))
+    tell(decision, OwnersChanged({PLACEMENT: samples.instance_name(1)}))
+    for number in range(servers):
+        report = samples.report(number, HELD_REPLICAS, running=0)
+        tell(decision, report)
+        tell(decision, RampSlots(report.server_id, report.boot_id, 1, None, 2.0))
+    return decision
+
+
+def placement(servers: int) -> Placement:
+    """Return the decision of an owner that has sealed every record."""
+    decision = Placement(samples.OWN, INCARNATION, samples.SITE, JsonRecordEncoding())
+    tell(decision, CatalogChanged(serving_catalog(servers)))
+    tell(decision, samples.membership(59))
+    store = Store()
+    store.drive(decision, tell(decision, OwnershipGained(PLACEMENT, 1)), START_S)
+    store.drive(decision, decision.on_time(START_S), START_S)
+    for number in range(servers):
+        store.drive(decision, tell(decision, samples.report(number, 0)), START_S)
+    # The ramps of all servers have ended before this time.
+    for tenths in range(1, 61):
+        now = START_S + tenths
+        store.drive(decision, decision.on_time(now), now)
+    return decision
+
+
+def limits_owners() -> OwnersChanged:
+    """Return owners for the partitions of the mint."""
+    owner = samples.instance_name(1)
+    return OwnersChanged({f"limits/{number}": owner for number in range(16)})
+
+
+def team_limits(teams: int) -> TeamLimits:
+    """Return the decision before any request."""
+    decision = TeamLimits(samples.OWN, INCARNATION, START_S)
+    tell(decision, CatalogChanged(samples.catalog(teams=teams)))
+    tell(decision, limits_owners())
+    tell(decision, samples.membership(59))
+    return decision
+
+
+def mint(teams: int, members: int) -> Mint:
+    """Return the decision of an owner of all partitions."""
+    decision = Mint()
+    tell(decision, renewal(START_S))
+    tell(decision, CatalogChanged(samples.catalog(teams=teams)))
+    tell(decision, samples.membership(members))
+    names = {limits_partition(f"team-{number:04d}") for number in range(teams)}
+    for name in sorted(names):
+        tell(decision, OwnershipGained(name, 1))
+    return decision
+
+
+def claims(kept: int) -> Claims:
+    """Return the decision of the owner of one shard with claims in its log."""
+    codec = MsgpackEntryCodec()
+    claimed = (
+        Claimed("team-0001", f"{number:064x}", "0" * 64, f"{number:032x}", OWN)
+        for number in range(kept)
+    )
+    entries = (codec.encode(Entry((one,))) for one in claimed)
+    items = tuple(
+        KvItem(f"{CLAIMS_PREFIX}0/{seq:012d}", value, seq)
+        for seq, value in enumerate(entries, 1)
+    )
+    decision = Claims(OWN, codec, shards=1)
+    tell(decision, samples.membership(59))
+    tell(decision, OwnershipGained("claims/0", 1))
+    claim_batch(decision, Store(items), 1, START_S)
+    return decision
+
+
+def claim_batch(decision: Claims, store: Store, size: int, now: float) -> None:
+    """Claim a number of new keys, which become one entry."""
+    batch: list[Outgoing] = []
+    for number in range(size):
+        batch += decision.handle(_claim(number, now), now)
+    store.drive(decision, batch, now)
+    batch = decision.on_time(now + 0.004)
+    store.drive(decision, batch, now + 0.004)
+
+
+def _claim(number: int, now: float) -> Incoming:
+    token = f"{now:.6f}-{number}"
+    call = ClaimCall("team-0001", f"{token:>064}", "0" * 64, token, 10.0)
+    return samples.incoming(call, task=f"reply:{number}")
+
+
+def submission(number: int) -> SubmitPatient:
+    """Return a patient request."""
+    return SubmitPatient(
+        f"{number:032x}",
+        "team-0001",
+        "POST",
+        "/v1/chat/completions",
+        "",
+        (("content-type", "application/json"),),
+        b"x" * 500,
+        True,
+        80_000.0,
+    )
+
+
+def patients(waiting: int) -> PatientQueue:
+    """Return the decision of the owner of one shard without any free runner."""
+    codec = MsgpackHeadCodec()
+    items = tuple(
+        KvItem(
+            f"{PATIENT_PREFIX}0/{number:032x}",
+            codec.encode(Head(submission(number))),
+            number + 1,
+        )
+        for number in range(waiting)
+    )
+    decision = PatientQueue(OWN, codec, shards=1)
+    tell(decision, samples.membership(0))
+    tell(decision, CatalogChanged(samples.catalog(teams=2)))
+    Store(items).drive(
+        decision, tell(decision, OwnershipGained("patient/0", 1)), START_S
+    )
+    return decision
--- /dev/null
+++ b/src/siskinspool/standins/slopes/memory.py
@@ -0,0 +1,83 @@
+"""Memory of each decision's state by the size that drives it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any, Final
+
+import attrs
+
+from ...contracts.mint import Mint
+from ...contracts.share_messages import SpendTokens
+from ...manifest.model import Catalog
+from . import decisions, samples
+from .decisions import START_S
+from .gauge import retained_bytes
+from .slope import Point, Slope
+from .wire_bytes import heartbeat, share_report
+
+FLEETS: Final = (9, 59, 205, 410)
+SERVERS: Final = (100, 400, 914)
+
+
+def _manifest(entities: int) -> Catalog:
+    """Return a catalog whose entities are mostly keys and adapters."""
+    half = entities // 2
+    return samples.catalog(servers=3, models=8, teams=50, adapters=half, keys=half)
+
+
+def _outage(statements: int) -> object:
+    decision = decisions.membership(410)
+    sender = samples.instance_name(1)
+    decision.handle(samples.incoming(heartbeat(statements), sender), START_S)
+    return decision
+
+
+def _mint(holders: int) -> Mint:
+    """Return a mint in which each of 10 teams has a share at each instance."""
+    decision = decisions.mint(10, holders)
+    for number in range(10 * holders):
+        report = attrs.evolve(
+            share_report(),
+            team=f"team-{number % 10:04d}",
+            epoch=0,
+            lease_no=0,
+            closed_epoch=0,
+            closed_lease_no=0,
+        )
+        sender = samples.instance_name(number // 10)
+        decision.handle(samples.incoming(report, sender, "limits"), START_S)
+    return decision
+
+
+def _limits(teams: int) -> object:
+    decision = decisions.team_limits(teams)
+    for number in range(teams):
+        spend = SpendTokens(f"team-{number:04d}", 10.0)
+        decision.handle(samples.incoming(spend), START_S)
+    return decision
+
+
+MEASURES: dict[str, tuple[str, tuple[int, ...], Callable[[int], Any]]] = {
+    "manifest": ("entities", (1_000, 4_000, 16_000), _manifest),
+    "Membership": ("members", FLEETS, decisions.membership),
+    "Membership.outage": ("statements", FLEETS, _outage),
+    "Ownership": ("members", FLEETS, decisions.ownership),
+    "Reporting": ("servers", SERVERS, lambda n: decisions.reporting(59, n)),
+    "Routing": ("servers", SERVERS, decisions.routing),
+    "Placement": ("servers", SERVERS, decisions.placement),
+    "TeamLimits": ("teams in use", (5, 20, 80), _limits),
+    "Mint": ("instances with 10 teams each", FLEETS, _mint),
+    "Claims": ("kept claims", (100, 1_000, 4_000), decisions.claims),
+    "PatientQueue": ("waiting requests", (0, 100, 400), decisions.patients),
+}
+
+
+def measure() -> Iterator[Slope]:
+    """Yield the memory of each state; most include the members or a catalog."""
+    for name, (unit, sizes, build) in MEASURES.items():
+        # The first build also fills caches of the libraries.
+        build(sizes[0])
+        points = [Point(size, retained_bytes(partial(build, size))) for size in sizes]
+        yield Slope.through(f"memory.{name}", "bytes", unit, points)
--- /dev/null
+++ b/src/siskinspool/standins/slopes/processor_time.py
@@ -0,0 +1,413 @@
+"""Processor time of each decision per message or step, by the size that drives it.
+
+A step is what a task does with a message: it hands it to the decision and asks when
+the decision wants to be woken.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import attrs
+import msgspec
+
+from ...contracts.mint import Mint
+from ...contracts.patient_messages import PatientStarted
+from ...contracts.share_messages import SettleTokens, SpendGranted, SpendTokens
+from ...contracts.shares import TeamLimits
+from ...core.message import Address, Outgoing
+from ...links.codec import MsgpackCodec
+from ...machines.messages import (
+    CatalogChanged,
+    NeedReplica,
+    ReplicaUsed,
+)
+from ...machines.routing_messages import CallEnded, CallResult, RouteCall
+from ...manifest.changes import EntityChange
+from ...manifest.document import manifest_digest, write_manifest
+from ...manifest.head import ChangeRecord, Head, digest_text, encode_change, encode_head
+from ...manifest.model import RequestClass
+from ...manifest.revisions import Revisions
+from ...platform.keys import CONFIG_HEAD
+from ...platform.kv import KvChanged, KvGet, KvValue
+from . import decisions, samples
+from .decisions import START_S, Store, tell
+from .gauge import processor_us, step, tick
+from .slope import Point, Slope
+from .wire_bytes import heartbeat, share_report
+
+FLEETS: Final = (9, 59, 205, 410)
+SERVERS: Final = (100, 400, 914)
+ASSIGNED_SERVERS: Final = (100, 200, 400)
+ENTITIES: Final = (1_000, 4_000, 16_000)
+WAITING: Final = (0, 100, 400)
+Measure = Callable[[int], float]
+
+
+def _membership_heartbeat(members: int) -> float:
+    decision = decisions.membership(members)
+    beat = samples.incoming(heartbeat(0), samples.instance_name(1), "membership")
+    return processor_us(lambda n: step(decision, beat, START_S + n / 1000))
+
+
+def _membership_beat(members: int) -> float:
+    decision = decisions.membership(members)
+    return processor_us(lambda n: tick(decision, START_S + n * 0.5))
+
+
+def _membership_statements(statements: int) -> float:
+    decision = decisions.membership(410)
+    beat = samples.incoming(heartbeat(statements), samples.instance_name(1))
+    return processor_us(lambda n: step(decision, beat, START_S + n / 1000))
+
+
+def _ownership_members(members: int) -> float:
+    decision = decisions.ownership(members)
+    # One instance comes and goes.
+    changed = [samples.incoming(samples.membership(members - n)) for n in range(2)]
+    return processor_us(lambda n: step(decision, changed[n % 2], START_S + n / 1000))
+
+
+def _ownership_renewal(members: int) -> float:
+    decision = decisions.ownership(members)
+
+    def renew(number: int) -> None:
+        now = START_S + number / 1000
+        step(decision, samples.incoming(decisions.renewal(now)), now)
+
+    return processor_us(renew)
+
+
+def _revisions_change(entities: int) -> float:
+    """Return the time from a new head to the new catalog, for one changed key."""
+    old = samples.manifest(servers=3, models=8, teams=50, keys=entities)
+    decision = Revisions(samples.OWN, ("routing",))
+    values = [msgspec.json.encode(old.keys[0])]
+    other = json.loads(values[0]) | {"hash": "f" * 64}
+    values.append(json.dumps(other).encode())
+    base = Head(
+        revision=1,
+        token="t",
+        digest=digest_text(manifest_digest(old)),
+        change_key="",
+        base_revision=1,
+        base_parts=("part",),
+    )
+    batch = tell(decision, KvChanged(CONFIG_HEAD, encode_head(base), 1))
+    reply = KvValue(_request_id(batch), "part", write_manifest(old), 1)
+    tell(decision, reply)
+    digests = [base.digest, _changed_digest(old.keys[0].id, values[1], entities)]
+
+    def change(number: int) -> None:
+        record = ChangeRecord(
+            revision=number + 1,
+            previous_key=f"change-{number}",
+            changes=(EntityChange("keys", old.keys[0].id, values[number % 2]),),
+        )
+        head = Head(
+            revision=number + 1,
+            token="t",
+            digest=digests[number % 2],
+            change_key=f"change-{number + 1}",
+            base_revision=1,
+            base_parts=("part",),
+        )
+        batch = tell(decision, KvChanged(CONFIG_HEAD, encode_head(head), number + 1))
+        key, value = f"change-{number + 1}", encode_change(record)
+        tell(decision, KvValue(_request_id(batch), key, value, 1))
+
+    taken = processor_us(change)
+    assert decision.revision > 1
+    return taken
+
+
+def _changed_digest(key_id: str, value: bytes, entities: int) -> str:
+    old = samples.manifest(servers=3, models=8, teams=50, keys=entities)
+    key = attrs.evolve(old.keys[0], hash=json.loads(value)["hash"])
+    new = attrs.evolve(old, keys=(key, *old.keys[1:]))
+    return digest_text(manifest_digest(new))
+
+
+def _request_id(batch: list[Outgoing]) -> str:
+    return next(o.message.request_id for o in batch if isinstance(o.message, KvGet))
+
+
+def _reporting_spread(members: int) -> float:
+    decision = decisions.reporting(members, 400)
+    mine = next(
+        o.message.server_id  # type: ignore[attr-defined]
+        for o in decision.on_time(START_S + 1)
+    )
+    number = int(mine.rpartition("-")[2])
+    reports = [samples.report(number, 4, running) for running in range(2)]
+
+    def spread(count: int) -> None:
+        message = samples.incoming(reports[count % 2])
+        assert len(step(decision, message, START_S + count / 1000)) > 1
+
+    return processor_us(spread)
+
+
+def _reporting_assign(servers: int, members: int) -> float:
+    decision = decisions.reporting(members, servers)
+    changed = samples.incoming(
+        CatalogChanged(samples.catalog(servers=servers, models=10))
+    )
+    return processor_us(lambda n: step(decision, changed, START_S), repeats=1)
+
+
+def _routing_report(servers: int) -> float:
+    decision = decisions.routing(servers)
+    messages = [
+        samples.incoming(samples.report(n, decisions.HELD_REPLICAS))
+        for n in range(servers)
+    ]
+    return processor_us(lambda n: step(decision, messages[n % servers], START_S + 1))
+
+
+def _routing_call(servers: int) -> float:
+    decision = decisions.routing(servers)
+
+    def call(number: int) -> None:
+        model = f"model-{number % servers:04d}"
+        kind = RequestClass.URGENT
+        asked = RouteCall(f"c{number}", "team-0001", model, kind, 10.0)
+        assert step(decision, samples.incoming(asked), START_S + 1)
+        ended = CallEnded(f"c{number}", CallResult.OK)
+        step(decision, samples.incoming(ended), START_S + 1)
+
+    return processor_us(call)
+
+
+def _routing_report_waiting(waiting: int) -> float:
+    servers = 100
+    decision = decisions.routing(servers)
+    for number in range(waiting):
+        # No server holds these models.
+        model = f"model-{servers + 3:04d}"
+        asked = RouteCall(f"w{number}", "team-0001", model, RequestClass.PATIENT, 60.0)
+        step(decision, samples.incoming(asked), START_S + 1)
+    message = samples.incoming(samples.report(1, 0))
+    taken = processor_us(lambda n: step(decision, message, START_S + 2))
+    assert decision.open_calls == waiting
+    return taken
+
+
+def _catalog_at_routing(servers: int) -> float:
+    decision = decisions.routing(servers)
+    changed = samples.incoming(CatalogChanged(decisions.serving_catalog(servers)))
+    return processor_us(lambda n: step(decision, changed, START_S + 1))
+
+
+def _placement_report(servers: int) -> float:
+    decision, store = decisions.placement(servers), Store()
+
+    def report(number: int) -> None:
+        now = START_S + 100 + number * 0.5 / servers
+        message = samples.incoming(samples.report(number % servers, 0))
+        store.drive(decision, step(decision, message, now), now)
+
+    return processor_us(report)
+
+
+def _placement_review(servers: int) -> float:
+    """Return the time of the review each second, with one target in use per server."""
+    decision, store = decisions.placement(servers), Store()
+    at = START_S + 100
+    for number in range(servers):
+        name = samples.server_name(number)
+        used = ReplicaUsed(f"model-{number:04d}", "", name, 3, 1.0, 50.0)
+        step(decision, samples.incoming(used, task="routing"), at)
+
+    def review(number: int) -> None:
+        now = at + number * 1.01
+        store.drive(decision, tick(decision, now), now)
+
+    return processor_us(review, repeats=1)
+
+
+def _placement_used(servers: int) -> float:
+    decision = decisions.placement(servers)
+
+    def use(number: int) -> None:
+        now = START_S + 100 + number / 10_000
+        server = number % servers
+        name = samples.server_name(server)
+        used = ReplicaUsed(f"model-{server:04d}", "", name, 3, 1.0, 50.0)
+        sender = samples.instance_name(number % 59)
+        step(decision, samples.incoming(used, sender, "routing"), now)
+
+    return processor_us(use)
+
+
+def _placement_need(servers: int) -> float:
+    decision = decisions.placement(servers)
+    store = Store()
+    at = START_S + 100
+    for number in range(servers):
+        message = samples.incoming(samples.report(number, 0))
+        store.drive(decision, step(decision, message, at), at)
+
+    def need(number: int) -> None:
+        model = f"model-{number % servers:04d}"
+        asked = NeedReplica(model, "", RequestClass.URGENT, 30.0, 1)
+        sender = samples.instance_name(number % 59)
+        batch = step(decision, samples.incoming(asked, sender, "routing"), at)
+        store.drive(decision, batch, at)
+
+    return processor_us(need, repeats=2)
+
+
+def _catalog_at_placement(servers: int) -> float:
+    decision = decisions.placement(servers)
+    changed = samples.incoming(CatalogChanged(decisions.serving_catalog(servers)))
+    return processor_us(lambda n: step(decision, changed, START_S + 100), repeats=3)
+
+
+def _limits_spend(teams: int) -> float:
+    """Return the time of a charge and its settlement; other teams are in use too."""
+    decision, owner = decisions.team_limits(teams), decisions.mint(teams, 59)
+    now = _warm_limits(decision, owner, teams)
+
+    def spend(number: int) -> None:
+        message = SpendTokens(f"team-{number % teams:04d}", 10.0)
+        batch = step(decision, samples.incoming(message), now)
+        granted = next(o.message for o in batch if isinstance(o.message, SpendGranted))
+        step(decision, samples.incoming(SettleTokens(granted.spend_id, 10.0)), now)
+
+    return processor_us(spend)
+
+
+def _warm_limits(decision: TeamLimits, owner: Mint, teams: int) -> float:
+    now = START_S + 5
+    for number in range(teams):
+        batch = tell(decision, SpendTokens(f"team-{number:04d}", 1_000.0, 5.0), now)
+        for _ in range(4):
+            answers = [g for o in batch for g in tell(owner, o.message, now)]
+            batch = [r for o in answers for r in tell(decision, o.message, now)]
+            now += 0.001
+            batch += decision.on_time(now)
+    return now
+
+
+def _limits_report(teams: int) -> float:
+    """Return the time of the reports of all teams that an instance uses."""
+    decision, owner = decisions.team_limits(teams), decisions.mint(teams, 59)
+    start = _warm_limits(decision, owner, teams)
+
+    def reports(number: int) -> None:
+        now = start + number * 0.25
+        for team in range(teams):
+            decision._state_by_team[f"team-{team:04d}"].used_at = now
+        assert tick(decision, now)
+
+    return processor_us(reports, repeats=5)
+
+
+def _mint_report(teams: int, holders: int) -> float:
+    decision = decisions.mint(teams, 59)
+    base = share_report()
+
+    def report(number: int) -> None:
+        team = f"team-{number % teams:04d}"
+        holder = samples.instance_name((number // teams) % holders)
+        message = attrs.evolve(
+            base,
+            team=team,
+            request_no=number + 1,
+            epoch=0,
+            lease_no=0,
+            closed_epoch=0,
+            closed_lease_no=0,
+            demand=5_000,
+            wanted=0,
+        )
+        incoming = samples.incoming(message, holder, "limits")
+        assert step(decision, incoming, START_S + 5)
+
+    for number in range(teams * holders):
+        report(number)
+    return processor_us(lambda n: report(n + teams * holders))
+
+
+def _claim_batch(size: int) -> float:
+    decision, store = decisions.claims(100), Store()
+    return processor_us(
+        lambda n: decisions.claim_batch(decision, store, size, START_S + n), repeats=10
+    )
+
+
+def _claim_kept(kept: int) -> float:
+    decision, store = decisions.claims(kept), Store()
+    return processor_us(
+        lambda n: decisions.claim_batch(decision, store, 1, START_S + n), repeats=10
+    )
+
+
+def _patient_step(waiting: int) -> float:
+    decision = decisions.patients(waiting)
+    message = samples.incoming(PatientStarted("f" * 32, "token"))
+    return processor_us(lambda n: step(decision, message, START_S + 1))
+
+
+def _codec(replicas: int) -> float:
+    codec, report = MsgpackCodec(), samples.report(1, replicas)
+    sender = Address(samples.OWN, "reports")
+    outgoing = Outgoing(Address(samples.instance_name(1), "routing"), report)
+    return processor_us(lambda n: codec.encode(sender, outgoing))
+
+
+def _decode(replicas: int) -> float:
+    codec, report = MsgpackCodec(), samples.report(1, replicas)
+    sender = Address(samples.OWN, "reports")
+    outgoing = Outgoing(Address(samples.instance_name(1), "routing"), report)
+    data = codec.encode(sender, outgoing)
+    return processor_us(lambda n: codec.decode(data))
+
+
+MEASURES: dict[str, tuple[str, tuple[int, ...], Measure]] = {
+    "Membership.heartbeat": ("members", FLEETS, _membership_heartbeat),
+    "Membership.beat": ("members", FLEETS, _membership_beat),
+    "Membership.outage": ("statements", FLEETS, _membership_statements),
+    "Ownership.members": ("members", FLEETS, _ownership_members),
+    "Ownership.renewal": ("members", FLEETS, _ownership_renewal),
+    "Revisions.change": ("entities", ENTITIES, _revisions_change),
+    "Reporting.spread": ("members", FLEETS, _reporting_spread),
+    "Reporting.assign_59": (
+        "servers",
+        ASSIGNED_SERVERS,
+        lambda n: _reporting_assign(n, 59),
+    ),
+    "Reporting.assign_410": (
+        "servers",
+        ASSIGNED_SERVERS,
+        lambda n: _reporting_assign(n, 410),
+    ),
+    "Routing.report": ("servers", SERVERS, _routing_report),
+    "Routing.call": ("servers", SERVERS, _routing_call),
+    "Routing.report_waiting": ("waiting calls", WAITING, _routing_report_waiting),
+    "Routing.catalog": ("servers", SERVERS, _catalog_at_routing),
+    "Placement.report": ("servers", SERVERS, _placement_report),
+    "Placement.review": ("servers", SERVERS, _placement_review),
+    "Placement.used": ("servers", SERVERS, _placement_used),
+    "Placement.need": ("servers", SERVERS, _placement_need),
+    "Placement.catalog": ("servers", SERVERS, _catalog_at_placement),
+    "TeamLimits.spend": ("teams in use", (5, 20, 80), _limits_spend),
+    "TeamLimits.reports": ("teams in use", (5, 20, 80), _limits_report),
+    "Mint.report_teams": ("teams", (5, 20, 80), lambda n: _mint_report(n, 10)),
+    "Mint.report": ("instances", FLEETS, lambda n: _mint_report(5, n)),
+    "Claims.batch": ("claims in the batch", (1, 16, 64), _claim_batch),
+    "Claims.kept": ("kept claims", (100, 1_000, 4_000), _claim_kept),
+    "PatientQueue.step": ("waiting requests", (0, 100, 400), _patient_step),
+    "codec.encode_report": ("replicas", (0, 4, 16), _codec),
+    "codec.decode_report": ("replicas", (0, 4, 16), _decode),
+}
+
+
+def measure() -> Iterator[Slope]:
+    """Yield the processor time of each kind of step."""
+    for name, (unit, sizes, value) in MEASURES.items():
+        points = [Point(size, value(size)) for size in sizes]
+        yield Slope.through(f"time.{name}", "us", unit, points)
