--- a/tests/integration/test_machines_replicas.py
+++ b/tests/integration/test_machines_replicas.py
@@ -2,27 +2,8 @@
 
 from __future__ import annotations
 
-import itertools
-import signal
-import threading
-from collections import Counter
-from collections.abc import Iterator
-from pathlib import Path
-
-import gevent
-import pytest
-
 from siskinspool.manifest.model import Model
-from siskinspool.standins.site import POOL, SitePlan, TrialSite, wait_until
-
-from .builders_machines import (
-    Load,
-    owner_of,
-    placement_owner,
-    running_site,
-    server_records,
-    set_engine,
-)
+from siskinspool.standins.site import POOL, SitePlan
 
 MODELS = tuple(f"m{number}" for number in range(12))
 # Time that an answer may take beyond its deadline: a stream that began in time.
