Let tests start programs of this tree however pytest is run

Started without make, pytest had the package on its own path but not on that of the programs it starts, so 40 tests ended with errors. The configuration of the tests now sets PYTHONPATH.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,11 @@
 import pytest
 from hypothesis import HealthCheck, settings
 
-KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+ROOT = Path(__file__).parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+# Programs that tests start have to import this tree, however pytest was started.
+os.environ["PYTHONPATH"] = str(ROOT / "src")
 
 settings.register_profile(
     "ci",
