--- a/src/siskinspool/cli/site_view.py
+++ b/src/siskinspool/cli/site_view.py
@@ -112,7 +112,7 @@
         running = self._rows("placement", "loads")
         return [
             *({**row, "state": "queued"} for _, row in queued),
-            *({**row, "state": "loading"} for _, row in running),
+            *({**row, "state": _load_state(row)} for _, row in running),
         ]
 
     def _merged(self, kind: str) -> list[ServerView]:
@@ -142,3 +142,7 @@
     def _task(self, instance_id: str, task: str) -> Json:
         found: Json = self.page_by_instance[instance_id].get("tasks", {}).get(task, {})
         return found
+
+
+def _load_state(load: Json) -> str:
+    return "stalled" if load["stalled"] else "loading"
--- a/src/siskinspool/cli/status_commands.py
+++ b/src/siskinspool/cli/status_commands.py
@@ -91,14 +91,13 @@
     if view.loads():
         click.echo()
         print_table(
-            ("LOAD", "STATE", "SERVER", "AGE S", "STALLED"),
+            ("LOAD", "STATE", "SERVER", "AGE S"),
             [
                 (
                     row["target"],
                     row["state"],
                     row.get("server", "-"),
                     row.get("age_s", "-"),
-                    row.get("stalled", "-"),
                 )
                 for row in view.loads()
             ],
