Log why a task failed, and test the metrics of a whole site

Cause: the cause of task_failed was only in a debug line of another form; the wiring of gauges was tested for the task alone. Change: task_failed carries frames and class of the exception; a trial site sends its metrics to a socket of the test. Conclusion: each gauge arrives from a real instance.

--- a/src/siskinspool/core/task.py
+++ b/src/siskinspool/core/task.py
@@ -113,8 +113,14 @@
             self._log_failure("on_time")
 
     def _log_failure(self, during: str) -> None:
-        log_event(logger, logging.ERROR, "task_failed", task=self.name, during=during)
-        logger.debug("task failure", exc_info=True)
+        log_event(
+            logger,
+            logging.ERROR,
+            "task_failed",
+            with_traceback=True,
+            task=self.name,
+            during=during,
+        )
 
     @abstractmethod
     def handle(self, incoming: Incoming) -> None:
--- a/src/siskinspool/telemetry/logs.py
+++ b/src/siskinspool/telemetry/logs.py
@@ -44,13 +44,21 @@
     return text if _PLAIN_VALUE.match(text) else json.dumps(text)
 
 
-def log_event(logger: logging.Logger, level: int, event: str, **fields: object) -> None:
-    """Log one event with its fields."""
+def log_event(
+    logger: logging.Logger,
+    level: int,
+    event: str,
+    /,
+    *,
+    with_traceback: bool = False,
+    **fields: object,
+) -> None:
+    """Log one event with its fields, and the exception being handled if asked."""
     if not logger.isEnabledFor(level):
         return
     pairs = [f"event={event}"]
     pairs += [f"{name}={format_value(value)}" for name, value in fields.items()]
-    logger.log(level, "%s", " ".join(pairs))
+    logger.log(level, "%s", " ".join(pairs), exc_info=with_traceback or None)
 
 
 # OSError: the text is the operating system's. AssertionError covers InvariantError.
--- a/tests/integration/test_operators_cli.py
+++ b/tests/integration/test_operators_cli.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -21,10 +23,22 @@
 
 
 @pytest.fixture(scope="module")
-def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[TrialSite]:
+def statsd() -> Iterator[socket.socket]:
+    """Return a socket in place of a statsd server."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.setblocking(False)
+        yield receiver
+
+
+@pytest.fixture(scope="module")
+def site(
+    tmp_path_factory: pytest.TempPathFactory, statsd: socket.socket
+) -> Iterator[TrialSite]:
     """Return a trial site that has answered one call."""
     folder = tmp_path_factory.mktemp("site")
-    trial = TrialSite.from_plan(SitePlan(log_level="debug"), folder)
+    plan = SitePlan(log_level="debug", statsd_port=statsd.getsockname()[1])
+    trial = TrialSite.from_plan(plan, folder)
     try:
         assert ask(trial, trial.key_by_team["guild"].text) == 200
         yield trial
@@ -58,6 +72,30 @@
     assert len(page["ownership"]["owners"]) == 49
 
 
+def test_instances_send_metrics(site: TrialSite, statsd: socket.socket) -> None:
+    """Guards against metrics that no task of an instance feeds."""
+    wanted = {
+        "siskinspool.calls.guild.urgent.ok:1|c",
+        "siskinspool.instances.instance-0.revision:1|g",
+        "siskinspool.instances.instance-0.members:3|g",
+        "siskinspool.instances.instance-0.calls.running:0|g",
+        "siskinspool.instances.instance-0.calls.waiting:0|g",
+        "siskinspool.instances.instance-0.loads.queued:0|g",
+        "siskinspool.instances.instance-0.tokens.waiting:0|g",
+        "siskinspool.instances.instance-0.patient.open:0|g",
+    }
+    found: set[str] = set()
+
+    def are_sent() -> bool:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                found.add(statsd.recv(1024).decode())
+        return wanted <= found
+
+    wait_until(are_sent, "all metrics arrive", 15.0)
+    assert any(".owned_partitions:" in packet for packet in found)
+
+
 def test_status_shows_no_key(site: TrialSite) -> None:
     """Guards against keys or prompts on the operators' pages (R4)."""
     output = run_at(site, "status", "--json").output + run_at(site, "show").output
