--- a/src/siskinspool/standins/capacity_roles.py
+++ b/src/siskinspool/standins/capacity_roles.py
@@ -41,6 +41,8 @@
     kv_writes_per_s: float = 0.0
     kv_lease_calls_per_s: float = 0.0
     watches: float = 0.0
+    # Owners of the role in a site; 0 for a role of every instance.
+    owners: int = 0
 
 
 class Roles:
@@ -155,6 +157,7 @@
         return Cost(
             role="key-value task: session, head reads, watch",
             state="one lease, one watch",
+            messages_per_s=self._reads_per_instance() + 1 / SESSION_RENEW_S,
             bytes_per_s=self.at("live.idle_kv_bytes", 0),
             kv_reads_per_s=self._reads_per_instance(),
             kv_lease_calls_per_s=1 / SESSION_RENEW_S,
@@ -252,6 +255,7 @@
         writes = site.wakes_per_s * max(self.each("live.load_writes"), 0.0)
         return Cost(
             role="placement owner (1 per site)",
+            owners=1,
             state=f"{site.servers:.0f} records",
             messages_per_s=reports + used,
             bytes_per_s=size,
@@ -268,6 +272,7 @@
         memory = self.at("memory.Mint", site.instances)
         return Cost(
             role="mint owner (16 per site)",
+            owners=PARTITIONS_PER_KIND,
             state=f"{site.teams / PARTITIONS_PER_KIND:.1f} teams",
             messages_per_s=2 * rate,
             bytes_per_s=rate * pair,
@@ -287,6 +292,7 @@
         busy = 2 * rate * self.at("time.Claims.kept", 100)
         return Cost(
             role="claim shard owner (16 per site)",
+            owners=PARTITIONS_PER_KIND,
             state=f"{kept:,.0f} claims kept for 24 h",
             messages_per_s=5 * rate,
             bytes_per_s=rate * one,
@@ -303,6 +309,7 @@
         steps = rate * PATIENT_MESSAGES + writes
         return Cost(
             role="patient shard owner (16 per site)",
+            owners=PARTITIONS_PER_KIND,
             state=f"{waiting:.0f} waiting",
             messages_per_s=rate * PATIENT_MESSAGES,
             core=steps * self.at("time.PatientQueue.step", waiting) * US,
--- a/src/siskinspool/standins/slopes/slope.py
+++ b/src/siskinspool/standins/slopes/slope.py
@@ -69,7 +69,13 @@
         )
 
     def at(self, size: float) -> float:
-        """Return the value on the line; never below 0."""
+        """Return the value on the line; never below 0.
+
+        No cost falls with a size. A falling line is noise around a constant, and its
+        end would give nonsense beyond the measured sizes, so it counts as the mean.
+        """
+        if self.per_unit < 0:
+            return sum(point.value for point in self.points) / len(self.points)
         return max(self.at_zero + self.per_unit * size, 0.0)
 
 
