End the processes of a site whose measurement cannot start

Cause: an interrupt while the instances of a site started left 13 processes running, because nobody held the site yet.

Change: LiveSite ends what it started when it cannot be built.

Conclusion: an interrupted measurement ends its processes.

--- a/src/siskinspool/standins/slopes/live.py
+++ b/src/siskinspool/standins/slopes/live.py
@@ -132,12 +132,21 @@
         plan = build_plan(instances)
         self.site = TrialSite.from_plan(attrs.evolve(plan, instances=0), folder)
         self.relay = Relay(self.site.platform.port)
+        try:
+            self.idle = self._start()
+        except BaseException:
+            # Nobody else knows the processes yet.
+            self.stop()
+            raise
+
+    def _start(self) -> Idle:
+        """Start the instances and measure them at rest."""
         self.site.port_by_name["platform"] = self.relay.port
-        for number in range(instances):
+        for number in range(self.instances):
             self.site.start_instance(number)
         self.site.wait_ready()
         self._wait_quiet()
-        self.idle = self._measure_idle()
+        return self._measure_idle()
 
     def stop(self) -> None:
         """End all processes and the relay."""
