--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -150,6 +150,7 @@
     age_s: float = 0.0
 
 
+@wire
 @attrs.frozen
 class ServerUnreachable(Message):
     """A report could not be read."""
--- a/tests/integration/builders_machines.py
+++ b/tests/integration/builders_machines.py
@@ -22,7 +22,7 @@
 from siskinspool.machines.reservations import ServerRecord
 from siskinspool.manifest.model import Manifest
 from siskinspool.platform.etcd import EtcdGateway
-from siskinspool.platform.keys import SERVERS_PREFIX, owner_key
+from siskinspool.platform.keys import OWNER_PREFIX, SERVERS_PREFIX, owner_key
 from siskinspool.standins.processes import Bench, Process, call, call_json
 from siskinspool.standins.site import SitePlan, TrialSite, wait_until
 
@@ -85,6 +85,16 @@
     return decode_record(item.value if item else None).instance
 
 
+def owned_partitions(site: TrialSite, instance: str) -> set[str]:
+    """Return the partitions that an instance is recorded to own."""
+    items = EtcdGateway("127.0.0.1", site.platform.port).list(OWNER_PREFIX)
+    return {
+        item.key.removeprefix(OWNER_PREFIX)
+        for item in items
+        if decode_record(item.value).instance == instance
+    }
+
+
 def mint_owner(site: TrialSite, team: str) -> str:
     """Return the instance whose mint has a team's contract."""
     wait_until(lambda: bool(owner_of(site, limits_partition(team))), "a mint", 10)
@@ -108,6 +118,49 @@
     return found
 
 
+@attrs.define
+class DecidedLoads:
+    """Every replica that a server's record ever named, by server and target.
+
+    A watch sees each revision of a record, so none is overlooked.
+    """
+
+    site: TrialSite
+    replica_ids: dict[tuple[str, str], set[str]] = attrs.field(factory=dict)
+    highest_charge: dict[str, int] = attrs.field(factory=dict)
+
+    def start(self) -> None:
+        """Follow the records in a greenlet; call before any load."""
+        gevent.spawn(self._follow)
+
+    def _follow(self) -> None:
+        gateway = EtcdGateway("127.0.0.1", self.site.platform.port)
+        for event in gateway.watch(SERVERS_PREFIX, 1):
+            if event.key is None or event.value is None:
+                continue
+            record = JsonRecordEncoding().decode(event.value)
+            if record is not None:
+                self._note(event.key.removeprefix(SERVERS_PREFIX), record)
+
+    def _note(self, server: str, record: ServerRecord) -> None:
+        highest = max(self.highest_charge.get(server, 0), record.charged_mib)
+        self.highest_charge[server] = highest
+        for entry in record.reservations:
+            key = (server, entry.target.adapter or entry.target.model)
+            self.replica_ids.setdefault(key, set()).add(entry.replica_id)
+
+    def undecided(self) -> dict[tuple[str, str], tuple[int, int]]:
+        """Return the targets that an engine loaded more often than was decided."""
+        found = {}
+        for server in self.site.engine_by_id:
+            names: list[str] = self.site.observed(server)["loads"]
+            for name, loads in Counter(names).items():
+                decided = len(self.replica_ids.get((server, name), ()))
+                if loads > decided:
+                    found[server, name] = (loads, decided)
+        return found
+
+
 @attrs.frozen
 class Reply:
     """What a caller got; times are monotonic seconds."""
@@ -138,7 +191,20 @@
     @property
     def outcome(self) -> str:
         """Return one word for counting."""
-        return "whole" if self.whole else f"{self.status} {self.problem.get('code')}"
+        if self.whole:
+            return "whole"
+        if self.status == 0:
+            return f"no answer: {self.body[:60]!r}"
+        if self.status == 200:
+            told = b"event: error" in self.body
+            return "cut with an error event" if told else "cut"
+        return f"{self.status} {self.problem.get('code')}"
+
+    @property
+    def truthful(self) -> bool:
+        """Whether the caller knows the answer or why there is none."""
+        told = self.problem.get("run") in ("not_run", "run", "unknown")
+        return self.whole or told or self.outcome == "cut with an error event"
 
 
 @attrs.define
@@ -221,10 +287,13 @@
                 body=json.dumps(body).encode(),
                 headers={**self.site.authorization(team), **headers},
             )
-            status, data = int(response.status_code), bytes(response.read())
+            status = int(response.status_code)
+            # Line by line, because a stream that is cut ends without its last chunk.
+            while line := bytes(response.readline(b"\n")):
+                data += line
         except Exception as error:
             # The client passes on many kinds of errors; all mean "no whole answer".
-            status, data = 0, repr(error).encode()
+            data = data or repr(error).encode()
         finally:
             client.close()
         ended_at = time.monotonic()
