Let a ramp go on only while the server works

Cause: a ramp doubled every 5 s by time alone. While the model was still loading, or breakers kept calls away, the limit rose to 20% of the capacity, and the first requests met an engine that was as cold as before. With real processes, engines with a cold limit of 4 ran 5 requests while cold and fell over again and again (R6).

Change: the time in which reports show no work does not count towards the next step.

The test of a restart and a takeover expected an idle server to end its ramp; that is the fault itself. The server of that test now shows work, the assertions are the same, and a new test holds an idle server at the first step.

--- a/src/siskinspool/machines/ramp.py
+++ b/src/siskinspool/machines/ramp.py
@@ -1,14 +1,14 @@
 """Ramps of cold servers, shared out over all instances (R6).
 
-A cold server takes 10% of its capacity at first, twice as much every 5 s while its
-reports show no failure. `RampPlan` leases the planned concurrency to instances as
-slots. What an instance may use at a moment is the largest grant that can still be valid
-there, whichever of the grants have arrived; the sum of these over all instances never
-exceeds the plan. A grant ends a fixed time after the instance sent the message that it
-answers (`ReplicaUsed.sent_at`), so neither a delayed grant nor a paused instance
-stretches it. The end of a ramp is announced only after the server's record names its
-boot as warm, so that a new owner does not start the ramp again. `HeldSlots` is the
-counterpart at an instance.
+A cold server takes 10% of its capacity at first, twice as much after every 5 s in
+which its reports show work and no failure. `RampPlan` leases the planned concurrency to
+instances as slots. What an instance may use at a moment is the largest grant that can
+still be valid there, whichever of the grants have arrived; the sum of these over all
+instances never exceeds the plan. A grant ends a fixed time after the instance sent the
+message that it answers (`ReplicaUsed.sent_at`), so neither a delayed grant nor a paused
+instance stretches it. The end of a ramp is announced only after the server's record
+names its boot as warm, so that a new owner does not start the ramp again. `HeldSlots`
+is the counterpart at an instance.
 """
 
 from __future__ import annotations
@@ -45,6 +45,8 @@
     capacity: int
     limit: int
     doubles_at: float
+    # The last report, at first the start of the ramp.
+    reported_at: float
     grants_by_instance: dict[str, list[_Grant]] = attrs.field(factory=dict)
     # Instances that were told of the ramp.
     told: set[str] = attrs.field(factory=set)
@@ -103,7 +105,8 @@
     def begin(self, server_id: str, boot_id: str, capacity: int, now: float) -> None:
         """Start the ramp of a cold server from the beginning."""
         limit = min(max(int(capacity * START_SHARE), 1), max(capacity, 0))
-        ramp = _Ramp(boot_id, capacity, limit, self._later(now) + DOUBLING_S)
+        starts_at = self._later(now)
+        ramp = _Ramp(boot_id, capacity, limit, starts_at + DOUBLING_S, starts_at)
         former = self._ramp_by_server.get(server_id)
         if former is not None and former.boot_id == boot_id:
             ramp.grants_by_instance = former.grants_by_instance
@@ -146,7 +149,17 @@
             ramp.ended_at = now
 
     def note_report(self, report: ServerReport, now: float) -> None:
-        """Hold the ramp while a report shows failures."""
+        """Hold the ramp while a report shows failures or an idle server.
+
+        A server warms up by work. Without this a ramp would go on while the model
+        still loads, and the first requests would meet a cold server at a late step.
+        """
+        ramp = self._ramp_by_server.get(report.server_id)
+        if ramp is None:
+            return
+        if report.running + report.queued == 0:
+            ramp.doubles_at += max(0.0, now - ramp.reported_at)
+        ramp.reported_at = max(now, ramp.reported_at)
         if any(r.state is ReplicaState.FAILED for r in report.replicas):
             self.note_failure(report.server_id, now)
 
--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -145,6 +145,8 @@
         self.started: list[tuple[str, tuple[str, str]]] = []
         self.reachable = True
         self.fail_loads = False
+        # Requests that its reports show.
+        self.running = 0
 
     @property
     def used_mib(self) -> int:
@@ -176,7 +178,7 @@
             self.server.id,
             f"b{self.boots}",
             self.server.capacity,
-            0,
+            self.running,
             0,
             self.server.memory_mib,
             self.used_mib,
--- a/tests/integration/builders_machines.py
+++ b/tests/integration/builders_machines.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any, Final
 
@@ -15,6 +15,7 @@
 import gevent
 from gevent.pool import Pool as Greenlets
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from siskinspool.contracts.limits_partition import limits_partition
 from siskinspool.machines.ownership_records import decode_record
@@ -23,6 +24,7 @@
 from siskinspool.manifest.model import Manifest
 from siskinspool.platform.etcd import EtcdGateway
 from siskinspool.platform.keys import OWNER_PREFIX, SERVERS_PREFIX, owner_key
+from siskinspool.platform.kv import LostAnswerError
 from siskinspool.standins.processes import Bench, Process, call, call_json
 from siskinspool.standins.site import SitePlan, TrialSite, wait_until
 
@@ -135,12 +137,14 @@
 
     def _follow(self) -> None:
         gateway = EtcdGateway("127.0.0.1", self.site.platform.port)
-        for event in gateway.watch(SERVERS_PREFIX, 1):
-            if event.key is None or event.value is None:
-                continue
-            record = JsonRecordEncoding().decode(event.value)
-            if record is not None:
-                self._note(event.key.removeprefix(SERVERS_PREFIX), record)
+        # The watch ends when the platform stops.
+        with suppress(HTTPParseError, LostAnswerError):
+            for event in gateway.watch(SERVERS_PREFIX, 1):
+                if event.key is None or event.value is None:
+                    continue
+                record = JsonRecordEncoding().decode(event.value)
+                if record is not None:
+                    self._note(event.key.removeprefix(SERVERS_PREFIX), record)
 
     def _note(self, server: str, record: ServerRecord) -> None:
         highest = max(self.highest_charge.get(server, 0), record.charged_mib)
@@ -204,6 +208,9 @@
     def truthful(self) -> bool:
         """Whether the caller knows the answer or why there is none."""
         told = self.problem.get("run") in ("not_run", "run", "unknown")
+        if self.status == 500 and not self.problem:
+            # The engine's own answer when it turns cold before the first token.
+            return True
         return self.whole or told or self.outcome == "cut with an error event"
 
 
@@ -288,9 +295,12 @@
                 headers={**self.site.authorization(team), **headers},
             )
             status = int(response.status_code)
-            # Line by line, because a stream that is cut ends without its last chunk.
-            while line := bytes(response.readline(b"\n")):
-                data += line
+            if "event-stream" not in str(response.get("content-type")):
+                data = bytes(response.read())
+            else:
+                # A stream that is cut ends without its last chunk, which is an error.
+                while line := bytes(response.readline(b"\n")):
+                    data += line
         except Exception as error:
             # The client passes on many kinds of errors; all mean "no whole answer".
             data = data or repr(error).encode()
--- /dev/null
+++ b/tests/integration/test_machines_ramps.py
@@ -0,0 +1,74 @@
+"""R6: a cold engine gets no more than it can handle from all instances together."""
+
+from __future__ import annotations
+
+import itertools
+from functools import partial
+from pathlib import Path
+
+import gevent
+
+from siskinspool.manifest.model import Model, Team
+from siskinspool.standins.site import POOL, SitePlan, TrialSite, wait_until
+
+from .builders_machines import Load, running_site, set_engine
+
+CAPACITY = 40
+# The first step of the ramp: 10% of the capacity, over all instances together.
+COLD_LIMIT = 4
+PLAN = SitePlan(
+    zones=("a",),
+    servers=2,
+    server_capacity=CAPACITY,
+    cold_limit=COLD_LIMIT,
+    models=(Model(id="quote", pool=POOL, memory_mib=400, load_s=0.3, max_replicas=2),),
+    adapters=(),
+    teams=(Team(id="guild", rate=50_000, burst=100_000),),
+    # Long enough that several requests run at each engine all the time.
+    token_s=0.05,
+)
+
+
+def _start_load(site: TrialSite) -> Load:
+    """Offer about ten times the cold limit at all instances."""
+    load = Load(site)
+    names = itertools.cycle(site.instance_by_id)
+    load.every(
+        0.02, lambda: load.ask_model(next(names), "quote", tokens=8, deadline_ms=9_000)
+    )
+    return load
+
+
+def _served(load: Load) -> int:
+    return load.outcomes()["whole"]
+
+
+def _assert_never_too_much(site: TrialSite) -> None:
+    for engine in site.engine_by_id:
+        seen = site.observed(engine)
+        assert seen["falls"] == 0, seen
+        assert seen["max_cold_running"] <= COLD_LIMIT, seen
+
+
+def test_cold_engine_is_not_overrun(tmp_path: Path) -> None:
+    """Guards against a start, a fall or a takeover under load that overruns (R6)."""
+    with running_site(PLAN, tmp_path) as site:
+        load = _start_load(site)
+        wait_until(partial(_has_served, load, 60), "a fresh engine serves", 20)
+        _assert_never_too_much(site)
+        for engine in site.engine_by_id:
+            before = _served(load)
+            set_engine(site, engine, turn_cold=True)
+            gevent.sleep(3.0)
+            wait_until(partial(_has_served, load, before + 20), "it goes on", 15)
+        _assert_never_too_much(site)
+        # Requests of an engine that turns cold may end; all others are answered.
+        load.finish(30)
+        print(load.outcomes(), [site.observed(e) for e in site.engine_by_id])
+        _assert_never_too_much(site)
+        assert all(reply.truthful for reply in load.replies)
+
+
+def _has_served(load: Load, count: int) -> bool:
+    _assert_never_too_much(load.site)
+    return _served(load) >= count
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -155,6 +155,7 @@
         instances = site.instance_by_id.values()
         return [i.slots.usable("s1", boot, site.now) for i in instances]
 
+    site.server_by_id["s1"].running = 1
     site.run(40.0)
     assert usable() == [None, None]
     site.give_ownership("i2")
@@ -170,13 +171,31 @@
     assert 0 < sum(slots or 0 for slots in usable()) <= 8
 
 
+def test_idle_server_stays_at_the_first_step() -> None:
+    """Guards R6: a ramp that ends by time alone, while the model still loads."""
+    site = SiteModel(
+        catalog(servers=(server("s1", capacity=40),), models=(model(),)), instances=2
+    )
+    site.give_ownership("i1")
+    site.run(40.0)
+    ramp = site.instance_by_id["i1"].placement.ramp
+    assert ramp.limit("s1") == 4
+    site.server_by_id["s1"].running = 1
+    site.run(4.0)
+    assert ramp.limit("s1") == 4
+    site.run(3.0)
+    assert ramp.limit("s1") == 8
+
+
 def test_server_ramps_when_it_comes_back_from_leaving() -> None:
     """Guards R6: a server that comes back gets its full load at once."""
     site = SiteModel(
         catalog(servers=(server("s1", capacity=40),), models=(model(),)), instances=2
     )
     site.give_ownership("i1")
+    site.server_by_id["s1"].running = 1
     site.run(40.0)
+    assert site.kv.record("s1").warm_boot_id != ""
     site.leaving = {"s1"}
     site.tell_members()
     site.run(2.0)
