--- a/src/siskinspool/machines/report_task.py
+++ b/src/siskinspool/machines/report_task.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, Final
 
 import msgspec
@@ -25,6 +26,8 @@
 )
 from .report_messages import PollServer
 
+logger = logging.getLogger(__name__)
+
 PARALLEL_POLLS: Final = 32
 
 
@@ -44,7 +47,10 @@
         answer: Message
         try:
             answer = decode_report(poll.server_id, _read(poll))
-        except (OSError, ValueError, KeyError, TypeError, AttributeError):
+        except Exception:
+            # The client passes on many kinds of errors of sockets and parsing. Without
+            # an answer the server would never be polled again.
+            logger.debug("poll failed", exc_info=True)
             answer = ServerUnreachable(poll.server_id)
         self.dispatcher.send(self.address, Outgoing(sender, answer))
 
