--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -285,7 +285,13 @@
         return self._answer(call, environ, start_response)
 
     def _refusal_of_state(self, call: Call) -> Refusal | None:
-        """Return why this instance takes no calls now, if so."""
+        """Return why this instance does not take a call, if so."""
+        if call.request_class is RequestClass.PATIENT and not call.team:
+            return Refusal(
+                400,
+                ErrorCode.BAD_REQUEST,
+                "a patient request needs a key, with which its answer is fetched",
+            )
         if self._drain_asker is not None:
             return Refusal(
                 503, ErrorCode.DRAINING, "the instance stops", retry_after_s=0.0
--- /dev/null
+++ b/tests/integration/test_revisions_site.py
@@ -0,0 +1,145 @@
+"""An accepted configuration is in force everywhere and never reverts (R13)."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Iterator
+
+import attrs
+import pytest
+
+from siskinspool.manifest.model import Manifest, Team
+from siskinspool.manifest.publisher import (
+    PublishConflict,
+    Published,
+    Publisher,
+    PublishFailed,
+)
+from siskinspool.standins.site import SitePlan, is_ready, wait_until
+
+from .builders_site import ProxiedSite, at_once, proxied_site, set_faults
+
+PLAN = SitePlan(zones=("a",), instances=3, servers=1)
+# Requirement R13.
+FORCE_BOUND_S = 10.0
+
+
+@pytest.fixture(scope="module")
+def proxied(tmp_path_factory: pytest.TempPathFactory) -> Iterator[ProxiedSite]:
+    with proxied_site(PLAN, tmp_path_factory.mktemp("revisions")) as running:
+        yield running
+
+
+def with_team(manifest: Manifest, team_id: str) -> Manifest:
+    team = Team(id=team_id, rate=10, burst=10)
+    return attrs.evolve(manifest, teams=(*manifest.teams, team))
+
+
+def add_team(publisher: Publisher, team_id: str) -> int:
+    """Publish one more team and return the revision."""
+    outcome = publisher.edit(lambda manifest: with_team(manifest, team_id))
+    assert isinstance(outcome, Published)
+    return outcome.revision
+
+
+def wait_in_force(
+    proxied: ProxiedSite, revision: int, instances: tuple[int, ...] = (0, 1, 2)
+) -> None:
+    began = time.monotonic()
+    for number in instances:
+        wait_until(
+            lambda number=number: proxied.revision_of(number) >= revision,  # type: ignore[misc]
+            f"revision {revision} is in force at instance {number}",
+            began + FORCE_BOUND_S - time.monotonic(),
+        )
+
+
+def test_one_of_two_racing_operators_wins(proxied: ProxiedSite) -> None:
+    """Guards against an accepted change that another operator overwrites."""
+    base = proxied.publisher().read()
+    manifest = base.manifest  # type: ignore[union-attr]
+    revision = base.head.revision  # type: ignore[union-attr]
+    # The delay lets both read the same head before either writes.
+    set_faults(proxied.site.platform.port, delay_s=0.1)
+    try:
+        outcomes = at_once(
+            [
+                lambda name=name: proxied.publisher().publish(  # type: ignore[misc]
+                    with_team(manifest, name), revision
+                )
+                for name in ("first", "second")
+            ]
+        )
+    finally:
+        set_faults(proxied.site.platform.port, delay_s=0)
+    won = [outcome for outcome in outcomes if isinstance(outcome, Published)]
+    lost = [outcome for outcome in outcomes if isinstance(outcome, PublishConflict)]
+    assert (len(won), len(lost)) == (1, 1)
+    assert lost[0].revision == won[0].revision
+    assert lost[0].changes == won[0].changes
+    wait_in_force(proxied, won[0].revision)
+
+
+def test_lost_answer_of_the_head_is_resolved(proxied: ProxiedSite) -> None:
+    """Guards against a change reported as failed that is in force, or made twice."""
+    publisher = proxied.publisher()
+    for lost in range(1, 4):
+        before = publisher.read().head.revision  # type: ignore[union-attr]
+        set_faults(proxied.site.platform.port, lose_answers=lost)
+        outcome = publisher.edit(lambda m, lost=lost: with_team(m, f"lost-{lost}"))  # type: ignore[misc]
+        set_faults(proxied.site.platform.port, lose_answers=0)
+        after = publisher.read()
+        teams = {team.id for team in after.manifest.teams}  # type: ignore[union-attr]
+        if isinstance(outcome, Published):
+            assert f"lost-{lost}" in teams
+            assert after.head.revision == outcome.revision == before + 1  # type: ignore[union-attr]
+        else:
+            assert isinstance(outcome, PublishFailed)
+            assert outcome.unknown or f"lost-{lost}" not in teams
+
+
+def test_revision_reaches_a_cut_off_instance(proxied: ProxiedSite) -> None:
+    """Guards against an instance that stays behind while its link is cut."""
+    proxied.cut_off(2)
+    try:
+        for number in range(3):
+            revision = add_team(proxied.publisher(), f"cut-{number}")
+            wait_in_force(proxied, revision)
+    finally:
+        proxied.reconnect(2)
+
+
+def test_unusable_manifest_is_not_accepted(proxied: ProxiedSite) -> None:
+    """Guards against a head that no instance and no operator can read."""
+    publisher = proxied.publisher()
+    before = publisher.read().head.revision  # type: ignore[union-attr]
+    outcome = publisher.edit(lambda m: attrs.evolve(m, servers=(), services=()))
+    assert isinstance(outcome, PublishFailed) and not outcome.unknown
+    assert publisher.read().head.revision == before  # type: ignore[union-attr]
+
+
+def test_restarted_instance_never_serves_a_lower_revision(
+    proxied: ProxiedSite,
+) -> None:
+    """Guards against an old configuration after a restart."""
+    site = proxied.site
+    revision = add_team(proxied.publisher(), "restart")
+    wait_in_force(proxied, revision)
+    for number in (0, 1):
+        site.instance_by_id[f"instance-{number}"].signal(signal.SIGKILL)
+        site.instance_by_id[f"instance-{number}"].wait(5.0)
+        site.start_instance(number)
+        wait_until(
+            lambda number=number: _is_ready_at(proxied, number, revision),  # type: ignore[misc]
+            "it is ready",
+            30.0,
+        )
+
+
+def _is_ready_at(proxied: ProxiedSite, number: int, revision: int) -> bool:
+    """Tell whether an instance is ready; it must then serve the revision."""
+    if not is_ready(proxied.site.port_by_name[f"instance-{number}"]):
+        return False
+    assert proxied.revision_of(number) >= revision
+    return True
