--- a/src/siskinspool/links/patient_pages.py
+++ b/src/siskinspool/links/patient_pages.py
@@ -72,7 +72,13 @@
             return refusal_item(_REFUSAL_BY_FAILURE[status.failure])
         case PatientState.NOT_FOUND:
             return refusal_item(
-                Refusal(404, ErrorCode.REQUEST_NOT_FOUND, "no such request")
+                # It may have run; its answer is removed some time after.
+                Refusal(
+                    404,
+                    ErrorCode.REQUEST_NOT_FOUND,
+                    "no such request",
+                    RunState.UNKNOWN,
+                )
             )
         case PatientState.UNAVAILABLE:
             # The state of the request is unknown here, whether it ran is too.
