--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -18,7 +18,7 @@
 from gevent.queue import Queue
 
 from ..core.errors import ErrorCode
-from ..core.outcome import Refusal
+from ..core.outcome import Refusal, RunState
 from .call_task import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
 
 QUEUED_EVENTS: Final = 64
@@ -27,7 +27,10 @@
 
 # A caller that closed only its sending side must not take a cut stream for whole.
 _CALLER_GONE: Final = Refusal(
-    400, ErrorCode.ANSWER_INCOMPLETE, "the caller closed its connection"
+    400,
+    ErrorCode.ANSWER_INCOMPLETE,
+    "the caller closed its connection",
+    RunState.UNKNOWN,
 )
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
--- a/src/siskinspool/standins/platform.py
+++ b/src/siskinspool/standins/platform.py
@@ -7,6 +7,7 @@
 - ``down``: refuse requests with 503 and end open watches;
 - ``delay_s``: wait before each answer;
 - ``lose_answers``: carry out this many writes but close without an answer;
+- ``lose_only``: lose answers only of writes to keys that end so;
 - ``pause_leases``: do not expire leases.
 
 ``GET /admin/counts`` returns the calls so far by kind; an open watch counts once.
@@ -41,6 +42,7 @@
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    lose_only: str = ""
     pause_leases: bool = False
 
 
@@ -112,14 +114,18 @@
             result = handler(request.json())
         except KeyError as error:
             return Response.from_json({"error": str(error), "code": 5}, 400)
-        if self._faults.lose_answers > 0 and self._is_write(request.path):
+        if self._faults.lose_answers > 0 and self._may_lose(request):
             self._faults.lose_answers -= 1
             raise CloseConnection
         return Response.from_json(result)
 
-    @staticmethod
-    def _is_write(path: str) -> bool:
-        return path in ("/v3/kv/put", "/v3/kv/txn")
+    def _may_lose(self, request: Request) -> bool:
+        """Tell whether the request is a write whose answer may be lost."""
+        if request.path not in ("/v3/kv/put", "/v3/kv/txn"):
+            return False
+        body = request.json()
+        named = body["compare"][0] if "compare" in body else body
+        return _bytes(named["key"]).endswith(self._faults.lose_only.encode())
 
     def _header(self) -> Json:
         return {"revision": str(self._store.revision)}
--- a/tests/integration/test_bad_input.py
+++ b/tests/integration/test_bad_input.py
@@ -150,23 +150,24 @@
     """Guards against methods that an engine may understand in another way."""
     line = f"{method} /v1/chat/completions HTTP/1.1"
     answer = exchange(site, request(site, line, body=b'{"model": "quote"}'))
-    assert is_refused(answer)
+    assert b"method_not_allowed" in answer and b'"run": "not_run"' in answer
 
 
 @pytest.mark.parametrize(
     "path",
     [
-        "/stock/x%20HTTP/1.1%0d%0aX-Evil:%201%0d%0a%0d%0a",
-        "/stock/%0d%0a%0d%0aPOST%20/deposits%20HTTP/1.1%0d%0aContent-Length:%200",
+        "/stock/x%20HTTP/1.1%0d%0aX-Api-Key:%201%0d%0aX:%20",
+        "/stock/x%20HTTP/1.1%0d%0aContent-Length:%200%0d%0a%0d%0a"
+        "POST%20/deposits%20HTTP/1.1%0d%0aX:%20",
     ],
 )
 def test_path_cannot_write_to_the_server(site: TrialSite, path: str) -> None:
     """Guards against requests that a caller smuggles to a service in the path."""
     before = sum(site.runs().values())
-    answer = exchange(site, request(site, f"POST {path} HTTP/1.1"))
-    assert answer.count(b"HTTP/1.1 ") == 1
+    reply = ask(site, 0, "POST", path, {"ref": "smuggled"})
+    assert reply.status == 200
     after = call_json(site.port_by_name["service-0"], "GET", "/admin/runs")
-    assert sum(after["runs"].values()) <= before + 1
+    assert sum(after["runs"].values()) == before + 1
     assert after["credentials_seen"] == 0
 
 
--- a/tests/integration/test_revisions_site.py
+++ b/tests/integration/test_revisions_site.py
@@ -84,19 +84,24 @@
 def test_lost_answer_of_the_head_is_resolved(proxied: ProxiedSite) -> None:
     """Guards against a change reported as failed that is in force, or made twice."""
     publisher = proxied.publisher()
-    for lost in range(1, 4):
+    port = proxied.site.platform.port
+    for number, only in enumerate(("", "config/head", "config/head")):
         before = publisher.read().head.revision  # type: ignore[union-attr]
-        set_faults(proxied.site.platform.port, lose_answers=lost)
-        outcome = publisher.edit(lambda m, lost=lost: with_team(m, f"lost-{lost}"))  # type: ignore[misc]
-        set_faults(proxied.site.platform.port, lose_answers=0)
+        set_faults(port, lose_answers=1, lose_only=only)
+        outcome = publisher.edit(
+            lambda m, number=number: with_team(m, f"lost-{number}")  # type: ignore[misc]
+        )
+        set_faults(port, lose_answers=0, lose_only="")
         after = publisher.read()
         teams = {team.id for team in after.manifest.teams}  # type: ignore[union-attr]
-        if isinstance(outcome, Published):
-            assert f"lost-{lost}" in teams
+        if only:
+            # The write took effect, and the operator is told so.
+            assert isinstance(outcome, Published)
+            assert f"lost-{number}" in teams
             assert after.head.revision == outcome.revision == before + 1  # type: ignore[union-attr]
-        else:
-            assert isinstance(outcome, PublishFailed)
-            assert outcome.unknown or f"lost-{lost}" not in teams
+        elif isinstance(outcome, PublishFailed):
+            assert f"lost-{number}" not in teams
+    wait_in_force(proxied, after.head.revision)  # type: ignore[union-attr]
 
 
 def test_revision_reaches_a_cut_off_instance(proxied: ProxiedSite) -> None:
