--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -49,7 +49,7 @@
     watch_caller,
 )
 from .frontend_messages import CallFinished
-from .http_server import SOCKET_TIMEOUT_S, CallerHandler, read_request
+from .http_server import CallerHandler, read_request
 from .patient_pages import accepted_page, patient_page, patient_refusal
 from .runner_messages import RunsInProgress
 from .status import InstanceState, StatusPages, model_list
@@ -195,7 +195,6 @@
     def _application(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        environ["siskinspool.socket"].settimeout(SOCKET_TIMEOUT_S)
         request = read_request(environ)
         if isinstance(request, Refusal):
             return respond_whole(refusal_item(request), start_response)
@@ -285,7 +284,13 @@
         return self._answer(call, environ, start_response)
 
     def _refusal_of_state(self, call: Call) -> Refusal | None:
-        """Return why this instance takes no calls now, if so."""
+        """Return why this instance does not take a call, if so."""
+        if call.request_class is RequestClass.PATIENT and not call.team:
+            return Refusal(
+                400,
+                ErrorCode.BAD_REQUEST,
+                "a patient request needs a key, with which its answer is fetched",
+            )
         if self._drain_asker is not None:
             return Refusal(
                 503, ErrorCode.DRAINING, "the instance stops", retry_after_s=0.0
