Test the reference bucket and the idle time of the measures

The reference of M4 decides which refusals count, and the sampled idle time is the figure of M2, so both get a test. make measure takes ARGS.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/python -m siskinspool.standins.demo
 
 measure: env
-	$(BIN)/python -m siskinspool.standins.measure
+	$(BIN)/python -m siskinspool.standins.measure $(ARGS)
 
 format: env
 	$(BIN)/ruff format src tests
--- a/tests/builders_load.py
+++ b/tests/builders_load.py
@@ -6,10 +6,12 @@
 from siskinspool.standins.load_schedule import Arrival
 
 
-def make_arrival(*, max_tokens: int = 16, streamed: bool = True) -> Arrival:
+def make_arrival(
+    *, at_s: float = 0.0, max_tokens: int = 16, streamed: bool = True
+) -> Arrival:
     """Return an arrival of team guild."""
     return Arrival(
-        at_s=0.0,
+        at_s=at_s,
         team="guild",
         target="quote",
         instance=0,
--- a/tests/test_load_tool.py
+++ b/tests/test_load_tool.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from siskinspool.manifest.model import Team
 from siskinspool.standins.load import LoadTarget, _Reading
 from siskinspool.standins.load_results import (
     Result,
@@ -19,6 +20,7 @@
     SteadyFlow,
     build_schedule,
 )
+from siskinspool.standins.measure_parts import admitted_centrally, idle_seconds
 from tests.builders_load import make_arrival, make_result, make_stream
 
 KIND = RequestKind(team="guild", targets=("quote", "ledger"), instances=(0, 1, 2))
@@ -121,3 +123,18 @@
 def test_load_goes_to_loopback_by_default() -> None:
     """Guards against a default that sends load to a host other than loopback."""
     assert LoadTarget(ports=(), key_by_team={}).host == "127.0.0.1"
+
+
+def test_reference_bucket_admits_the_burst_and_then_the_rate() -> None:
+    """Guards against a reference that counts requests above the rate as inside (M4)."""
+    team = Team(id="guild", rate=10, burst=30)
+    schedule = [make_arrival(at_s=at_s) for at_s in (0.0, 0.0, 0.0, 0.0, 1.0, 1.0)]
+    admitted = admitted_centrally(schedule, [10] * 6, {"guild": team})
+    assert admitted == [True, True, True, False, True, False]
+
+
+def test_replica_is_idle_only_without_a_request_of_its_model() -> None:
+    """Guards against busy replicas that count as idle (M2)."""
+    busy = make_result(first_token_s=0.9)
+    samples = [(0.5, ["quote", "ledger"]), (2.0, ["quote"])]
+    assert idle_seconds(samples, [busy]) == pytest.approx(0.5)
