Poll a server more often while it loads

First requests wait for the report that shows the end of their load. Servers were polled every 0.5 s, so a load was seen 0.25 s late on average, besides the lag of the report. A server whose report shows a load in progress is now polled every 0.1 s; idle and loaded servers are polled as before.

--- a/src/siskinspool/machines/reporting.py
+++ b/src/siskinspool/machines/reporting.py
@@ -1,10 +1,11 @@
 """Which server reports this instance reads, and who gets them.
 
 Each server has one reporter: the winner of rendezvous hashing among the members. It
-polls the server every `POLL_INTERVAL_S`. The placement owner gets every report, since
-it counts reports in a row; the routing task of every member gets it when it changed,
-and once every `REFRESH_INTERVAL_S` otherwise. Two instances that disagree about the
-members poll the same server twice for a moment, which does no harm.
+polls the server every `POLL_INTERVAL_S`, and more often while the server loads
+something. The placement owner gets every report, since it counts reports in a row; the
+routing task of every member gets it when it changed, and once every
+`REFRESH_INTERVAL_S` otherwise. Two instances that disagree about the members poll the
+same server twice for a moment, which does no harm.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     Member,
     MembershipChanged,
     OwnersChanged,
+    ReplicaState,
     ServerReport,
     ServerUnreachable,
 )
@@ -28,6 +30,8 @@
 from .report_messages import PollServer
 
 POLL_INTERVAL_S: Final = 0.5
+# Requests wait for the end of a load, so it should be seen soon (M1).
+LOADING_POLL_INTERVAL_S: Final = 0.1
 REFRESH_INTERVAL_S: Final = 1.0
 POLL_TIMEOUT_S: Final = 1.0
 
@@ -112,6 +116,8 @@
         polled = self._answered(report.server_id)
         if polled is None:
             return []
+        if any(replica.state is ReplicaState.LOADING for replica in report.replicas):
+            polled.due_at = min(polled.due_at, now + LOADING_POLL_INTERVAL_S)
         # The age changes with every report and says nothing new.
         unchanged = polled.last_sent == attrs.evolve(report, age_s=0.0)
         if unchanged and now - polled.sent_at < REFRESH_INTERVAL_S:
