Forget a need for a replica soon after its calls are served

Cause: a need counted as waiting until the deadline of its calls, although they were served long before. With deadlines of 12 s no replica was idle, none was unloaded, and calls for other models waited until their deadline: in 3 of 6 runs of tests/integration/test_machines_replicas.py no load began for 15 s.

Change: a need holds for at most 4 s; instances repeat it every second while calls wait.

Still open: on an engine that ignores fencing, a reservation whose load order was lost stays charged while its sender lives, also when the engine is empty.

--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -52,6 +52,9 @@
 
 TASK_NAME: Final = "placement"
 REVIEW_PERIOD_S: Final = 1.0
+# Instances repeat a need every second while calls wait. Held until the deadline, it
+# would keep a replica in memory long after its calls were served.
+NEED_VALID_S: Final = 4.0
 
 
 class Placement(Decision):
@@ -258,7 +261,7 @@
             refused = attrs.evolve(refused, reason="unknown_model")
             return [Outgoing(sender, refused)]
         deadline_at = now + message.deadline_in_s
-        self.usage.note_waiting(target, deadline_at)
+        self.usage.note_waiting(target, min(deadline_at, now + NEED_VALID_S))
         waiter = Waiter(deadline_at, message.waiting)
         self.planner.queue.add(
             LoadRequest(
