Give ramp slots to waiting calls in turn, and leave burst for every instance

A cold server of capacity 16 starts with one slot. Slots now go to what runs, then to waiting calls in turn and at once when a call asks; fewer slots than instances stay free while nobody asks.

Unit tests of ramps, placement and shares pass, the new ones failed before. Calls after a zone returns still get 504 in tests/integration/test_operators_cli.py; that is next.

--- a/src/siskinspool/contracts/mint_ledger.py
+++ b/src/siskinspool/contracts/mint_ledger.py
@@ -185,7 +185,9 @@
         target_rate, target_cap = self.targets(lease)
         free_cap = self.free_cap
         rate = max(0, min(target_rate - lease.rate_out, self.free_rate))
-        cap = max(0, min(target_cap - lease.cap_out, free_cap))
+        # The first instances to ask may not empty the reserve for the others.
+        spread = int(self.cap * (EVEN_CAP + DEMAND_CAP)) - self._cap_out
+        cap = max(0, min(target_cap - lease.cap_out, free_cap, spread))
         level = int(self._level * cap / free_cap) if free_cap else 0
         if rate or cap:
             self.give(lease, Piece(rate, cap, level))
--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -277,6 +277,8 @@
             return [Outgoing(sender, refused)]
         deadline_at = now + message.deadline_in_s
         self.usage.note_waiting(target, min(deadline_at, now + NEED_VALID_S))
+        self.usage.note_waiting_calls(target, sender.instance_id, message.waiting, now)
+        self.ramp.hurry(now)
         waiter = Waiter(deadline_at, message.waiting)
         self.planner.queue.add(
             LoadRequest(
--- a/src/siskinspool/machines/ramp.py
+++ b/src/siskinspool/machines/ramp.py
@@ -18,6 +18,10 @@
 import attrs
 
 from .messages import RampSlots, ReplicaState, ServerReport
+from .usage import InstanceDemand
+
+# What instances run on a server and wait for there, by instance.
+Demands = dict[str, InstanceDemand]
 
 START_SHARE: Final = 0.1
 DOUBLING_S: Final = 5.0
@@ -48,6 +52,8 @@
     # The last report, at first the start of the ramp.
     reported_at: float
     grants_by_instance: dict[str, list[_Grant]] = attrs.field(factory=dict)
+    # When each instance last got slots; who waits longest has the first turn.
+    granted_at_by_instance: dict[str, float] = attrs.field(factory=dict)
     # Instances that were told of the ramp.
     told: set[str] = attrs.field(factory=set)
     # The whole capacity was in use without failures.
@@ -173,8 +179,12 @@
         """Return whether slots are due."""
         return bool(self._ramp_by_server) and now >= self._next_grant_at
 
+    def hurry(self, now: float) -> None:
+        """Make slots due at once, because calls wait for them."""
+        self._next_grant_at = max(self._grants_from, min(self._next_grant_at, now))
+
     def grant(
-        self, running_by_server: dict[str, dict[str, int]], now: float
+        self, demand_by_server: dict[str, Demands], now: float
     ) -> list[SlotGrant]:
         """Advance the ramps and return the slots that are due."""
         if not self.is_due(now):
@@ -184,8 +194,8 @@
         for server_id, ramp in list(self._ramp_by_server.items()):
             self._advance(ramp, now)
             if ramp.ended_at is None:
-                running = running_by_server.get(server_id, {})
-                grants += self._lease(server_id, ramp, running, now)
+                demands = demand_by_server.get(server_id, {})
+                grants += self._lease(server_id, ramp, demands, now)
                 continue
             grants += [
                 SlotGrant(instance_id, self.end_notice(server_id, ramp.boot_id))
@@ -220,10 +230,13 @@
         ramp.doubles_at = now + DOUBLING_S
 
     def _lease(
-        self, server_id: str, ramp: _Ramp, running: dict[str, int], now: float
+        self, server_id: str, ramp: _Ramp, demands: Demands, now: float
     ) -> list[SlotGrant]:
         held = self._held(ramp, now)
-        shares = share_out(ramp.limit, self._instance_ids, running)
+        by_turn = sorted(
+            self._instance_ids, key=lambda i: (ramp.granted_at_by_instance.get(i, 0), i)
+        )
+        shares = share_out(ramp.limit, tuple(by_turn), demands)
         grants = []
         # Reductions first; a raise may use only what no other instance can still use.
         for instance_id in sorted(shares, key=lambda i: shares[i]):
@@ -241,6 +254,7 @@
                 continue
             ramp.told.add(instance_id)
             ramp.grants_by_instance.setdefault(instance_id, []).append(grant)
+            ramp.granted_at_by_instance[instance_id] = now
             held[instance_id] = max(held.get(instance_id, 0), slots)
             grants.append(SlotGrant(instance_id, message))
         return grants
@@ -275,23 +289,31 @@
 
 
 def share_out(
-    limit: int, instance_ids: tuple[str, ...], running: dict[str, int]
+    limit: int, instance_ids: tuple[str, ...], demands: Demands
 ) -> dict[str, int]:
-    """Split slots by demand with one more for each instance, largest remainder first.
+    """Split slots over instances, given in the order of their turn.
 
-    The extra one lets an instance without slots, which therefore runs nothing, get
-    some as the ramp grows; without any demand the split is even.
+    What runs keeps its slots. Instances with waiting calls get the rest in turn, so
+    that none of them waits while another one holds an idle slot. What is left is
+    spread evenly; fewer slots than instances stay free for the first call anywhere.
     """
     if not instance_ids:
         return {}
-    weights = {i: running.get(i, 0) + 1 for i in instance_ids}
-    total = sum(weights.values())
-    exact = {i: limit * weight / total for i, weight in weights.items()}
-    shares = {i: int(value) for i, value in exact.items()}
-    rest = limit - sum(shares.values())
-    by_remainder = sorted(instance_ids, key=lambda i: (shares[i] - exact[i], i))
-    for instance_id in by_remainder[:rest]:
-        shares[instance_id] += 1
+    none = InstanceDemand()
+    shares = dict.fromkeys(instance_ids, 0)
+    for instance_id in instance_ids:
+        running = demands.get(instance_id, none).running
+        shares[instance_id] = min(running, limit)
+        limit -= shares[instance_id]
+    waiting = {i: demands.get(i, none).waiting for i in instance_ids}
+    while limit > 0 and any(waiting.values()):
+        for instance_id in instance_ids:
+            if limit > 0 and waiting[instance_id] > 0:
+                waiting[instance_id] -= 1
+                shares[instance_id] += 1
+                limit -= 1
+    for instance_id in instance_ids:
+        shares[instance_id] += limit // len(instance_ids)
     return shares
 
 
--- a/src/siskinspool/machines/site_ramps.py
+++ b/src/siskinspool/machines/site_ramps.py
@@ -4,9 +4,10 @@
 
 from ..core.message import Address, Outgoing
 from .fleet import Fleet
-from .messages import ReplicaPlanned
+from .messages import ReplicaPlanned, ReplicaState
 from .ramp import RampPlan
 from .record_store import RecordStore
+from .reservations import Target
 from .usage import UsageTable
 
 
@@ -40,15 +41,27 @@
 
     def slots(self, now: float) -> list[Outgoing]:
         """Return the slots that are due, for the instances' routing tasks."""
-        running: dict[str, dict[str, int]] = {
-            server_id: self._usage.running_by_instance(server_id, now)
+        demands = {
+            server_id: self._usage.demand_by_instance(
+                server_id, self._loaded(server_id), now
+            )
             for server_id in self._ramp.ramping_servers()
         }
         return [
             Outgoing(Address(grant.instance_id, "routing"), grant.slots)
-            for grant in self._ramp.grant(running, now)
+            for grant in self._ramp.grant(demands, now)
         ]
 
+    def _loaded(self, server_id: str) -> set[Target]:
+        report = self._fleet.evidence(server_id).report
+        if report is None:
+            return set()
+        return {
+            Target(replica.model, replica.adapter)
+            for replica in report.replicas
+            if replica.state is ReplicaState.LOADED
+        }
+
     def with_end_notices(self, answers: list[Outgoing]) -> list[Outgoing]:
         """Tell an asker that a server is warm, in case it missed the ramp's end."""
         out = list(answers)
--- a/src/siskinspool/machines/usage.py
+++ b/src/siskinspool/machines/usage.py
@@ -16,6 +16,8 @@
 # `ReplicaUsed` comes about once a second; a paused sender gets the benefit of the
 # doubt for as long as its session may last.
 USAGE_TTL_S: Final = 10.0
+# `NeedReplica` is repeated every second while calls wait.
+WAITING_TTL_S: Final = 1.5
 
 
 @attrs.frozen
@@ -27,6 +29,22 @@
     at: float
 
 
+@attrs.frozen
+class _Wait:
+    """Calls of one instance that wait for a target."""
+
+    waiting: int
+    until: float
+
+
+@attrs.frozen
+class InstanceDemand:
+    """What one instance runs on a server and what waits there for its replicas."""
+
+    running: int = 0
+    waiting: int = 0
+
+
 @attrs.define
 class _ReplicaUse:
     """Use of one replica by all instances."""
@@ -41,6 +59,7 @@
     def __init__(self) -> None:
         self._by_server: dict[str, dict[Target, _ReplicaUse]] = {}
         self._wanted_until: dict[Target, float] = {}
+        self._wait_by_instance: dict[Target, dict[str, _Wait]] = {}
 
     def note_use(self, instance_id: str, used: ReplicaUsed, now: float) -> None:
         """Take in one instance's use of a replica."""
@@ -59,6 +78,13 @@
         if target.adapter:
             self.note_waiting(Target(target.model), until)
 
+    def note_waiting_calls(
+        self, target: Target, instance_id: str, waiting: int, now: float
+    ) -> None:
+        """Remember how many calls of an instance wait for a target."""
+        waits = self._wait_by_instance.setdefault(target, {})
+        waits[instance_id] = _Wait(waiting, now + WAITING_TTL_S)
+
     def is_wanted(self, target: Target, now: float) -> bool:
         """Return whether requests may still wait for a target."""
         return self._wanted_until.get(target, float("-inf")) > now
@@ -89,6 +115,23 @@
                     totals[instance_id] = totals.get(instance_id, 0) + use.running
         return totals
 
+    def demand_by_instance(
+        self, server_id: str, loaded: set[Target], now: float
+    ) -> dict[str, InstanceDemand]:
+        """Return what each instance runs and waits for on a server."""
+        running = self.running_by_instance(server_id, now)
+        waiting: dict[str, int] = {}
+        for target in loaded:
+            for instance_id, wait in self._wait_by_instance.get(target, {}).items():
+                if now < wait.until:
+                    waiting[instance_id] = waiting.get(instance_id, 0) + wait.waiting
+        return {
+            instance_id: InstanceDemand(
+                running.get(instance_id, 0), waiting.get(instance_id, 0)
+            )
+            for instance_id in running.keys() | waiting.keys()
+        }
+
     def targets_in_use(self, now: float) -> list[tuple[str, Target]]:
         """Return server and target of all replicas with recent requests."""
         return [
@@ -108,6 +151,11 @@
                     if now - use.at < USAGE_TTL_S
                 }
         self._wanted_until = {t: u for t, u in self._wanted_until.items() if u > now}
+        self._wait_by_instance = {
+            target: live
+            for target, waits in self._wait_by_instance.items()
+            if (live := {i: wait for i, wait in waits.items() if now < wait.until})
+        }
 
     def _live(self, server_id: str, target: Target, now: float) -> list[_Use]:
         replica = self._by_server.get(server_id, {}).get(target)
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -13,6 +13,7 @@
     ReportedReplica,
 )
 from siskinspool.machines.ramp import HeldSlots, RampPlan, share_out
+from siskinspool.machines.usage import InstanceDemand
 from tests.builders import catalog, model, report, server
 from tests.builders_placement import SiteModel
 
@@ -75,13 +76,42 @@
 
 def test_slots_follow_demand() -> None:
     """Guards M1: slots lie idle at one instance while another queues."""
-    shares = share_out(20, ("a", "b", "c"), {"a": 17})
+    shares = share_out(20, ("a", "b", "c"), {"a": InstanceDemand(running=17)})
     assert sum(shares.values()) == 20
     assert shares["a"] > 10
     assert min(shares["b"], shares["c"]) >= 1
     assert share_out(9, ("a", "b", "c"), {}) == {"a": 3, "b": 3, "c": 3}
 
 
+def test_slots_of_a_small_ramp_go_to_waiting_calls_in_turn() -> None:
+    """Guards M1: a call waits for a slot that lies idle at another instance."""
+    waits = InstanceDemand(waiting=1)
+    assert share_out(1, ("a", "b", "c"), {}) == {"a": 0, "b": 0, "c": 0}
+    assert share_out(1, ("a", "b", "c"), {"c": waits}) == {"a": 0, "b": 0, "c": 1}
+    assert share_out(1, ("b", "c", "a"), {"b": waits, "c": waits}) == {
+        "b": 1,
+        "c": 0,
+        "a": 0,
+    }
+    busy = {"a": InstanceDemand(running=1, waiting=5), "b": waits}
+    assert share_out(2, ("b", "a"), busy) == {"b": 1, "a": 1}
+
+
+def test_waiting_calls_get_slots_at_once() -> None:
+    """Guards M1: a first call waits for the next regular grant, or for its turn."""
+    plan = started(capacity=10)
+    plan.grant({}, 4.0)
+    plan.hurry(4.1)
+    wanted: dict[str, int] = {}
+    for grant in plan.grant({"s1": {"i1": InstanceDemand(waiting=1)}}, 4.1):
+        wanted[grant.instance_id] = grant.slots.slots or 0
+    assert wanted.get("i1") == 1
+    plan.hurry(7.2)
+    both = {"i0": InstanceDemand(waiting=1), "i1": InstanceDemand(waiting=1)}
+    turns = [g.instance_id for g in plan.grant({"s1": both}, 7.2) if g.slots.slots]
+    assert turns == ["i0"]
+
+
 def test_older_epoch_is_ignored() -> None:
     """Guards R6: a former owner's late grant counts beside the new owner's."""
     held = HeldSlots()
@@ -120,8 +150,11 @@
             if rng.random() < 0.1:
                 delay = rng.choice([0.0, 0.1, 3.0])
                 plan.hear(name, now - min(delay, now - owned_at) + offset[name], now)
-        running = {"s1": {name: rng.randrange(20) for name in names}}
-        for grant in plan.grant(running, now):
+        demands = {name: InstanceDemand(rng.randrange(20)) for name in names}
+        if rng.random() < 0.5:
+            demands = {name: InstanceDemand(0, rng.randrange(9)) for name in names}
+            plan.hurry(now)
+        for grant in plan.grant({"s1": demands}, now):
             late = rng.choice([0.0, 0.05, 0.5, 8.0])
             if grant.slots.valid_until is None:
                 # The end counts from receipt; the margin covers a second.
