Let an idle instance get ramp slots for a new call

Slots end a fixed time after the message that they answer. The demand for a replica now carries the sender's clock as well.

Unit tests of ramps, routing and placement pass.

--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -170,6 +170,8 @@
     # Seconds left until the earliest deadline.
     deadline_in_s: float
     waiting: int
+    # The sender's monotonic clock at sending; bounds the slots granted in answer.
+    sent_at: float | None = None
 
 
 @wire
--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -278,6 +278,9 @@
         deadline_at = now + message.deadline_in_s
         self.usage.note_waiting(target, min(deadline_at, now + NEED_VALID_S))
         self.usage.note_waiting_calls(target, sender.instance_id, message.waiting, now)
+        # An instance that uses nothing sends no `ReplicaUsed`; without this its clock
+        # would be too old for any slot.
+        self.ramp.hear(sender.instance_id, message.sent_at, now)
         self.ramp.hurry(now)
         waiter = Waiter(deadline_at, message.waiting)
         self.planner.queue.add(
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -355,6 +355,7 @@
             RequestClass.URGENT if urgent else RequestClass.PATIENT,
             max(0.0, min(call.deadline_at for call in calls) - now),
             len(calls),
+            sent_at=now,
         )
 
     def _report_use(self, now: float) -> list[Outgoing]:
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -237,3 +237,15 @@
     site.tell_members()
     site.run(4.0)
     assert site.instance_by_id["i1"].placement.ramp.limit("s1") == 4
+
+
+def test_idle_instance_gets_a_slot_for_a_new_call() -> None:
+    """Guards R3: an instance that was idle gets no slot until its deadline."""
+    plan = started(capacity=10)
+    plan.hear("i1", 100.0, 4.0)
+    waits = {"s1": {"i1": InstanceDemand(waiting=1)}}
+    plan.hear("i1", 126.0, 30.0)
+    plan.hurry(30.0)
+    slots = {grant.instance_id: grant.slots for grant in plan.grant(waits, 30.0)}
+    assert slots["i1"].slots == 1
+    assert slots["i1"].valid_until == 128.0
