--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -14,7 +14,6 @@
 
 import json
 import logging
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
@@ -54,6 +53,12 @@
 )
 from ..telemetry.logs import log_event
 from ..telemetry.messages import CallMeasured
+from .answer_sink import (
+    PROBLEM_CONTENT_TYPE,
+    AnswerSink,
+    answer_headers,
+    problem_body,
+)
 from .backend import Answer, Lost, NotSent, ServerLink, ServerRequest
 from .prefix import prefix_hashes
 
@@ -78,42 +83,6 @@
 }
 
 
-class AnswerSink(ABC):
-    """Takes the answer of one call; each method may block for back-pressure."""
-
-    @abstractmethod
-    def begin(self, status: int, headers: dict[str, str]) -> None:
-        """Take the head of a streamed answer."""
-
-    @abstractmethod
-    def event(self, data: bytes) -> None:
-        """Take one server-sent event."""
-
-    @abstractmethod
-    def end(self) -> None:
-        """Take the end of a complete streamed answer."""
-
-    @abstractmethod
-    def abort(self, refusal: Refusal) -> None:
-        """Take the end of a streamed answer that was cut."""
-
-    @abstractmethod
-    def whole(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Take a whole answer."""
-
-    @abstractmethod
-    def refuse(self, refusal: Refusal) -> None:
-        """Take a refusal; an answer that has begun counts as cut."""
-
-    def cut(self, refusal: Refusal) -> None:
-        """Take a refusal in place of what was not passed on yet; never blocks."""
-        self.refuse(refusal)
-
-    def close(self) -> None:
-        """Nobody takes the answer any more."""
-        return
-
-
 @attrs.frozen(kw_only=True)
 class CallContext:
     """What all calls of an instance share."""
@@ -511,39 +480,6 @@
             )
 
 
-PROBLEM_CONTENT_TYPE: Final = "application/problem+json"
-
-
-def problem_body(refusal: Refusal) -> bytes:
-    """Return a refusal as a problem document (RFC 9457)."""
-    document = {
-        "type": f"urn:siskinspool:error:{refusal.code}",
-        "title": refusal.code.replace("_", " "),
-        "status": refusal.status,
-        "code": refusal.code,
-        "detail": refusal.detail,
-        "run": refusal.run,
-    }
-    return json.dumps(document).encode()
-
-
-_HOP_HEADERS: Final = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
-
-def answer_headers(headers: dict[str, str]) -> dict[str, str]:
-    """Return the headers of a server's answer that go on to the caller."""
-    return {name: text for name, text in headers.items() if name not in _HOP_HEADERS}
-
-
 def _usage(data: bytes) -> int | None:
     """Return the total of tokens that an answer or event reports, if any."""
     try:
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -19,7 +19,7 @@
 
 from ..core.errors import ErrorCode
 from ..core.outcome import Refusal, RunState
-from .call_task import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
+from .answer_sink import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
 
 QUEUED_EVENTS: Final = 64
 # A caller that takes no byte for this long is cut off.
--- a/src/siskinspool/links/runner.py
+++ b/src/siskinspool/links/runner.py
@@ -30,13 +30,8 @@
 from ..core.task import Task
 from ..machines.messages import CatalogChanged
 from ..manifest.model import Catalog, RequestClass, empty_manifest
-from .call_task import (
-    PROBLEM_CONTENT_TYPE,
-    AnswerSink,
-    CallContext,
-    CallTask,
-    problem_body,
-)
+from .answer_sink import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
+from .call_task import CallContext, CallTask
 from .runner_messages import RunEnded, RunsInProgress
 
 REPEAT_INTERVAL_S: Final = 1.0
