--- a/src/siskinspool/standins/engine.py
+++ b/src/siskinspool/standins/engine.py
@@ -7,11 +7,10 @@
 load: while it has served fewer than ``warm_after`` requests, more than
 ``cold_limit`` requests at once make it drop everything and turn cold again.
 
-Faults (``POST /admin/faults``): ``turn_cold`` (once), ``warm_up`` (its reverse, for
-measures of a site that has run for a while), ``lose_order_answers``,
-``cut_streams_after`` (tokens, 0 is off), ``stall_loads``. ``POST /admin/catalog`` with
-``{name: {"memory_mib": m, "load_s": s}}`` tells the sizes of models and adapters.
-``GET /admin/observed`` tells tests what the engine saw.
+Faults (``POST /admin/faults``): ``turn_cold`` (once), ``lose_order_answers``,
+``cut_streams_after`` (tokens, 0 is off), ``stall_loads``, ``warm`` (never cold). ``POST
+/admin/catalog`` with ``{name: {"memory_mib": m, "load_s": s}}`` tells sizes, and ``GET
+/admin/observed`` tells tests what the engine saw.
 """
 
 from __future__ import annotations
@@ -76,6 +75,7 @@
     lose_order_answers: int = 0
     cut_streams_after: int = 0
     stall_loads: bool = False
+    warm: bool = False
 
 
 @attrs.define
@@ -121,14 +121,10 @@
         self._served = 0
         self.highest_fence = 0
 
-    def warm_up(self) -> None:
-        """Become warm, as after many requests."""
-        self._served = max(self._served, self.settings.warm_after)
-
     @property
     def is_cold(self) -> bool:
         """Tell whether the engine still has to warm up."""
-        return self._served < self.settings.warm_after
+        return not self.faults.warm and self._served < self.settings.warm_after
 
     def used_mib(self) -> int:
         """Return the memory of all replicas, loading ones included."""
@@ -306,8 +302,6 @@
             for name, value in request.json().items():
                 if name == "turn_cold":
                     self._engine.turn_cold()
-                elif name == "warm_up":
-                    self._engine.warm_up()
                 else:
                     setattr(self._engine.faults, name, value)
             return Response.from_json({})
--- a/src/siskinspool/standins/measure_parts.py
+++ b/src/siskinspool/standins/measure_parts.py
@@ -374,4 +374,4 @@
 def warm_up(arm: Arm) -> None:
     """Make the engines warm, as on a site that has run for a while."""
     for process in arm.site.engine_by_id.values():
-        call_json(process.port, "POST", "/admin/faults", {"warm_up": True})
+        call_json(process.port, "POST", "/admin/faults", {"warm": True})
--- a/src/siskinspool/standins/overhead.py
+++ b/src/siskinspool/standins/overhead.py
@@ -191,7 +191,7 @@
     if refused:
         raise ValueError(f"loading: {refused}")
     for process in stand.site.engine_by_id.values():
-        call_json(process.port, "POST", "/admin/faults", {"warm_up": True})
+        call_json(process.port, "POST", "/admin/faults", {"warm": True})
 
 
 @click.command()
