--- /dev/null
+++ b/src/siskinspool/links/call_outcome.py
@@ -0,0 +1,47 @@
+"""What becomes of a call: refusals of failed attempts, and the tokens that it used."""
+
+from __future__ import annotations
+
+import json
+from typing import Final
+
+from ..core.errors import ErrorCode
+from ..core.outcome import Refusal, RunState
+from .backend import Lost, NotSent
+
+# HTTP status of what routing refuses.
+STATUS_BY_CODE: Final = {
+    ErrorCode.DEADLINE_UNREACHABLE: 503,
+    ErrorCode.DEADLINE_PASSED: 504,
+    ErrorCode.QUEUE_FULL: 503,
+    ErrorCode.NO_SERVER: 503,
+    ErrorCode.LOAD_FAILED: 503,
+    ErrorCode.UNKNOWN_MODEL: 404,
+}
+
+
+def reported_tokens(data: bytes) -> int | None:
+    """Return the total of tokens that an answer or event reports, if any."""
+    try:
+        text = data.strip().removeprefix(b"data: ")
+        usage = json.loads(text).get("usage") or {}
+        return int(usage["prompt_tokens"]) + int(usage["completion_tokens"])
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def incomplete_answer() -> Refusal:
+    """Return the refusal of an answer that ended early."""
+    return Refusal(
+        502,
+        ErrorCode.ANSWER_INCOMPLETE,
+        "the answer ended before its end marker",
+        RunState.RUN,
+    )
+
+
+def failed_call(result: NotSent | Lost) -> Refusal:
+    """Return the refusal of a call whose last attempt failed."""
+    if isinstance(result, NotSent):
+        return Refusal(503, ErrorCode.SERVER_FAILED, result.reason, retry_after_s=1.0)
+    return Refusal(502, ErrorCode.SERVER_FAILED, result.reason, RunState.UNKNOWN)
--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from collections.abc import Callable
 from dataclasses import replace
@@ -35,6 +34,7 @@
 from ..contracts.share_messages import (
     SettleTokens,
     SpendGranted,
+    SpendRefusal,
     SpendRefused,
     SpendTokens,
 )
@@ -61,6 +61,12 @@
     problem_body,
 )
 from .backend import Answer, Lost, NotSent, ServerLink, ServerRequest
+from .call_outcome import (
+    STATUS_BY_CODE,
+    failed_call,
+    incomplete_answer,
+    reported_tokens,
+)
 from .prefix import prefix_hashes
 
 logger = logging.getLogger(__name__)
@@ -74,15 +80,6 @@
 MAX_ATTEMPTS: Final = 3
 STREAM_END: Final = b"data: [DONE]"
 
-_STATUS_BY_CODE: Final = {
-    ErrorCode.DEADLINE_UNREACHABLE: 503,
-    ErrorCode.DEADLINE_PASSED: 504,
-    ErrorCode.QUEUE_FULL: 503,
-    ErrorCode.NO_SERVER: 503,
-    ErrorCode.LOAD_FAILED: 503,
-    ErrorCode.UNKNOWN_MODEL: 404,
-}
-
 
 @attrs.frozen(kw_only=True)
 class CallContext:
@@ -308,7 +305,7 @@
             return Refusal(
                 429,
                 ErrorCode.RATE_EXCEEDED,
-                "the team's rate is used up",
+                _spend_detail(answer),
                 retry_after_s=retry_after_s,
             )
         self._log_tokens("tokens_spent", self.call.estimate_tokens, answer.at)
@@ -350,13 +347,13 @@
                 case _Passed(complete=True, used_tokens=used):
                     return None, used or self.call.estimate_tokens
                 case _Passed():
-                    refusal = _incomplete()
+                    refusal = incomplete_answer()
                     self._sink.abort(refusal)
                     return refusal, self.call.estimate_tokens
                 case NotSent() | Lost() if self._may_retry(result):
                     self._excluded.add(dispatched.server_id)
                 case _:
-                    return self._judge(_failed(result)), 0
+                    return self._judge(failed_call(result)), 0
 
     def _judge(self, refusal: Refusal) -> Refusal:
         """Return a refusal that is true for all attempts together (R9)."""
@@ -388,7 +385,7 @@
         if isinstance(answer, CallDispatched):
             return answer
         if isinstance(answer, CallRefused):
-            status = _STATUS_BY_CODE.get(answer.code, 503)
+            status = STATUS_BY_CODE.get(answer.code, 503)
             return Refusal(
                 status, answer.code, answer.detail, retry_after_s=answer.retry_after_s
             )
@@ -470,7 +467,7 @@
                 self._first_byte_at = self._context.clock.now()
                 self._sink.begin(answer.status, answer_headers(answer.headers))
             if b'"usage"' in event:
-                used = _usage(event) or used
+                used = reported_tokens(event) or used
             ended = ended or event.startswith(STREAM_END)
             self._sink.event(event)
         if self._first_byte_at is None:
@@ -488,7 +485,7 @@
             kind = answer.headers.get("content-type", "application/octet-stream")
             self._record(FinishClaim(token, answer.status, kind, body))
         self._sink.whole(answer.status, answer_headers(answer.headers), body)
-        return _Passed(True, _usage(body) if self.call.model else None)
+        return _Passed(True, reported_tokens(body) if self.call.model else None)
 
     def _record(self, finish: FinishClaim) -> None:
         if self._ask("claims", finish, RECORD_TIMEOUT_S) is None:
@@ -500,26 +497,11 @@
             )
 
 
-def _usage(data: bytes) -> int | None:
-    """Return the total of tokens that an answer or event reports, if any."""
-    try:
-        text = data.strip().removeprefix(b"data: ")
-        usage = json.loads(text).get("usage") or {}
-        return int(usage["prompt_tokens"]) + int(usage["completion_tokens"])
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
-
-
-def _incomplete() -> Refusal:
-    return Refusal(
-        502,
-        ErrorCode.ANSWER_INCOMPLETE,
-        "the answer ended before its end marker",
-        RunState.RUN,
+def _spend_detail(answer: Message | None) -> str:
+    is_larger = (
+        isinstance(answer, SpendRefused)
+        and answer.reason is SpendRefusal.LARGER_THAN_BURST
     )
-
-
-def _failed(result: NotSent | Lost) -> Refusal:
-    if isinstance(result, NotSent):
-        return Refusal(503, ErrorCode.SERVER_FAILED, result.reason, retry_after_s=1.0)
-    return Refusal(502, ErrorCode.SERVER_FAILED, result.reason, RunState.UNKNOWN)
+    if is_larger:
+        return "the request needs more tokens than the team's burst"
+    return "the team's rate is used up"
--- a/src/siskinspool/standins/engine.py
+++ b/src/siskinspool/standins/engine.py
@@ -10,8 +10,8 @@
 Faults (``POST /admin/faults``): ``turn_cold`` (once), ``warm`` (never cold),
 ``lose_order_answers``, ``cut_streams_after`` (tokens, 0 is off), ``stall_loads``,
 ``cross_answers`` (echo another request's id in this many answers). ``POST
-/admin/catalog`` with ``{name: {"memory_mib": m, "load_s": s}}`` tells the sizes of models
-and adapters. ``GET /admin/observed`` tells tests what the engine saw.
+/admin/catalog`` with ``{name: {"memory_mib": m, "load_s": s}}`` tells the sizes of
+models and adapters. ``GET /admin/observed`` tells tests what the engine saw.
 """
 
 from __future__ import annotations
