--- a/src/siskinspool/links/call_outcome.py
+++ b/src/siskinspool/links/call_outcome.py
@@ -5,7 +5,9 @@
 import json
 from typing import Final
 
+from ..contracts.share_messages import SpendRefusal, SpendRefused
 from ..core.errors import ErrorCode
+from ..core.message import Message
 from ..core.outcome import Refusal, RunState
 from .backend import Lost, NotSent
 
@@ -45,3 +47,14 @@
     if isinstance(result, NotSent):
         return Refusal(503, ErrorCode.SERVER_FAILED, result.reason, retry_after_s=1.0)
     return Refusal(502, ErrorCode.SERVER_FAILED, result.reason, RunState.UNKNOWN)
+
+
+def spend_detail(answer: Message | None) -> str:
+    """Return why the tokens of a call were refused."""
+    is_larger = (
+        isinstance(answer, SpendRefused)
+        and answer.reason is SpendRefusal.LARGER_THAN_BURST
+    )
+    if is_larger:
+        return "the request needs more tokens than the team's burst"
+    return "the team's rate is used up"
--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -34,7 +34,6 @@
 from ..contracts.share_messages import (
     SettleTokens,
     SpendGranted,
-    SpendRefusal,
     SpendRefused,
     SpendTokens,
 )
@@ -66,6 +65,7 @@
     failed_call,
     incomplete_answer,
     reported_tokens,
+    spend_detail,
 )
 from .prefix import prefix_hashes
 
@@ -305,7 +305,7 @@
             return Refusal(
                 429,
                 ErrorCode.RATE_EXCEEDED,
-                _spend_detail(answer),
+                spend_detail(answer),
                 retry_after_s=retry_after_s,
             )
         self._log_tokens("tokens_spent", self.call.estimate_tokens, answer.at)
@@ -495,13 +495,3 @@
                 "claim_result_not_recorded",
                 request=self.call.id,
             )
-
-
-def _spend_detail(answer: Message | None) -> str:
-    is_larger = (
-        isinstance(answer, SpendRefused)
-        and answer.reason is SpendRefusal.LARGER_THAN_BURST
-    )
-    if is_larger:
-        return "the request needs more tokens than the team's burst"
-    return "the team's rate is used up"
