Assign reporters only when servers or members change

Every change of the configuration assigned all servers to their reporters again, one hash for each server and member, although most changes touch no server.

The assignment now runs when the set of servers or of members changes; addresses are still read from the manifest in force at each poll. tests/test_reporting.py and tests/test_capacity.py: 8 passed; make demo succeeds. The saving was not measured.

--- a/src/siskinspool/machines/reporting.py
+++ b/src/siskinspool/machines/reporting.py
@@ -61,11 +61,16 @@
         """Take in the manifest, the members, owners and reports."""
         match incoming.message:
             case CatalogChanged(catalog=catalog):
+                servers = self._catalog.server_by_id.keys()
                 self._catalog = catalog
-                self._assign(now)
+                # Most changes touch no server, and each server costs one hash a member.
+                if catalog.server_by_id.keys() != servers:
+                    self._assign(now)
             case MembershipChanged(member_by_id=members):
+                names = self._member_by_id.keys()
                 self._member_by_id = members
-                self._assign(now)
+                if members.keys() != names:
+                    self._assign(now)
             case OwnersChanged(owner_by_partition=owners):
                 self._placement_owner = owners.get(self._partition)
             case ServerReport() as report:
