Move the key-value service to a package of its own

The folder platform/ is to hold only the adapter to the users' platform. The product's own key-value messages, the task, sessions, leases and the etcd gateway are the same for every store, so they move to store/. Imports follow; no change of behaviour.

--- a/src/siskinspool/cli/client.py
+++ b/src/siskinspool/cli/client.py
@@ -8,7 +8,7 @@
 
 import click
 
-from ..platform.kv import LostAnswerError, UnavailableError
+from ..store.kv import LostAnswerError, UnavailableError
 from .output import ExitStatus, fail
 
 
--- a/src/siskinspool/cli/connection.py
+++ b/src/siskinspool/cli/connection.py
@@ -13,10 +13,10 @@
 
 from ..machines.messages import Member
 from ..manifest.publisher import InForce, NothingInForce, Publisher, Unreadable
-from ..platform.etcd import EtcdGateway
-from ..platform.keys import SESSION_PREFIX
-from ..platform.kv import LostAnswerError, UnavailableError
-from ..platform.session_keeper import decode_session
+from ..store.etcd import EtcdGateway
+from ..store.keys import SESSION_PREFIX
+from ..store.kv import LostAnswerError, UnavailableError
+from ..store.session_keeper import decode_session
 from .output import ExitStatus, fail
 
 INSTANCE_TIMEOUT_S: Final = 3.0
--- a/src/siskinspool/cli/publishing.py
+++ b/src/siskinspool/cli/publishing.py
@@ -17,7 +17,7 @@
     PublishOutcome,
     Unchanged,
 )
-from ..platform.kv import LostAnswerError, UnavailableError
+from ..store.kv import LostAnswerError, UnavailableError
 from .connection import Connection, NoAnswer
 from .output import ExitStatus, fail
 
--- a/src/siskinspool/contracts/answer_parts.py
+++ b/src/siskinspool/contracts/answer_parts.py
@@ -8,7 +8,7 @@
 
 from typing import Final
 
-from ..platform.kv import (
+from ..store.kv import (
     KvConflict,
     KvGet,
     KvReply,
--- a/src/siskinspool/contracts/claim_writer.py
+++ b/src/siskinspool/contracts/claim_writer.py
@@ -17,8 +17,8 @@
 
 import attrs
 
-from ..platform.keys import CLAIMS_PREFIX
-from ..platform.kv import (
+from ..store.keys import CLAIMS_PREFIX
+from ..store.kv import (
     KvConflict,
     KvGet,
     KvList,
--- a/src/siskinspool/contracts/claims.py
+++ b/src/siskinspool/contracts/claims.py
@@ -25,8 +25,8 @@
     OwnershipGained,
     OwnershipLost,
 )
-from ..platform.keys import ANSWERS_PREFIX
-from ..platform.kv import KvReply
+from ..store.keys import ANSWERS_PREFIX
+from ..store.kv import KvReply
 from .answer_parts import PartFetch, PartUpload
 from .claim_jobs import RECORD_RETRY_S, Ask, RecordJob, Route
 from .claim_log import RETENTION_S, Claimed, EntryCodec, Finished, Released
--- a/src/siskinspool/contracts/kv_caller.py
+++ b/src/siskinspool/contracts/kv_caller.py
@@ -11,7 +11,7 @@
 from abc import ABC, abstractmethod
 from typing import Final
 
-from ..platform.kv import KvLost, KvReply, KvRequest, KvUnavailable
+from ..store.kv import KvLost, KvReply, KvRequest, KvUnavailable
 
 # Longer than the timeout of the adapter, which answers every call; this covers an
 # answer dropped at a full inbox.
--- a/src/siskinspool/contracts/mint.py
+++ b/src/siskinspool/contracts/mint.py
@@ -31,7 +31,7 @@
     ReleaseOwnership,
 )
 from ..machines.session import SESSION_MARGIN_S
-from ..platform.kv_events import SessionGone, SessionRenewed
+from ..store.kv_events import SessionGone, SessionRenewed
 from .limits_partition import PREFIX, limits_partition
 from .mint_ledger import Holder, Lease, TeamLedger
 from .mint_partition import MintPartition, show_reserves
--- a/src/siskinspool/contracts/patient.py
+++ b/src/siskinspool/contracts/patient.py
@@ -25,8 +25,8 @@
     OwnershipLost,
 )
 from ..manifest.model import Catalog
-from ..platform.keys import PATIENT_PREFIX
-from ..platform.kv import KvReply
+from ..store.keys import PATIENT_PREFIX
+from ..store.kv import KvReply
 from .claim_messages import Claimant
 from .kv_caller import IdSource, KeyValueCaller
 from .patient_messages import (
--- a/src/siskinspool/contracts/patient_record.py
+++ b/src/siskinspool/contracts/patient_record.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from ..platform.keys import ANSWERS_PREFIX
-from ..platform.kv import (
+from ..store.keys import ANSWERS_PREFIX
+from ..store.kv import (
     KvConflict,
     KvReply,
     KvRequest,
--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -16,8 +16,8 @@
 from ..core.status import Status
 from ..machines.messages import Member
 from ..manifest.model import Catalog
-from ..platform.keys import PATIENT_PREFIX
-from ..platform.kv import KvList, KvListing, KvReply, KvRequest
+from ..store.keys import PATIENT_PREFIX
+from ..store.kv import KvList, KvListing, KvReply, KvRequest
 from .answer_parts import PartFetch, PartUpload
 from .claim_messages import Claimant
 from .kv_caller import IdSource, KeyValueCaller
--- a/src/siskinspool/contracts/patient_status.py
+++ b/src/siskinspool/contracts/patient_status.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ..core.message import Address
-from ..platform.kv import KvGet, KvReply, KvRequest, KvSwap, KvValue
+from ..store.kv import KvGet, KvReply, KvRequest, KvSwap, KvValue
 from .answer_parts import PartFetch
 from .kv_caller import IdSource, KeyValueCaller
 from .patient_messages import PatientState, PatientStatus
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -44,10 +44,10 @@
 from .machines.reporting import Reporting
 from .machines.routing import Routing
 from .manifest.revisions import Revisions
-from .platform.etcd import EtcdGateway
-from .platform.instance_list import HttpInstanceList, InstanceListTask
-from .platform.kv_task import KvTask
 from .settings import Settings
+from .store.etcd import EtcdGateway
+from .store.instance_list import HttpInstanceList, InstanceListTask
+from .store.kv_task import KvTask
 from .telemetry.metrics import Metrics
 from .telemetry.task import TelemetryTask
 
--- a/src/siskinspool/machines/drain.py
+++ b/src/siskinspool/machines/drain.py
@@ -19,7 +19,7 @@
 
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
-from ..platform.kv_events import EndSession, SessionEnded
+from ..store.kv_events import EndSession, SessionEnded
 from .drain_messages import (
     CallsRunning,
     Drained,
--- a/src/siskinspool/machines/freshness.py
+++ b/src/siskinspool/machines/freshness.py
@@ -24,7 +24,7 @@
 
 import attrs
 
-from ..platform.kv_events import KvReachable
+from ..store.kv_events import KvReachable
 from .heartbeat import NONE_MS, Heartbeat, member_hash
 
 EVIDENCE_LIMIT_S: Final = 4.0
--- a/src/siskinspool/machines/membership.py
+++ b/src/siskinspool/machines/membership.py
@@ -17,10 +17,10 @@
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..platform.keys import CONFIG_HEAD, SESSION_PREFIX
-from ..platform.kv import KvChanged
-from ..platform.kv_events import KvReachable, ProbeHead
-from ..platform.session_keeper import decode_session
+from ..store.keys import CONFIG_HEAD, SESSION_PREFIX
+from ..store.kv import KvChanged
+from ..store.kv_events import KvReachable, ProbeHead
+from ..store.session_keeper import decode_session
 from .freshness import Freshness
 from .heartbeat import NONE_MS, Heartbeat
 from .leaving import LeavingSet
--- a/src/siskinspool/machines/ownership.py
+++ b/src/siskinspool/machines/ownership.py
@@ -28,8 +28,8 @@
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..platform.keys import OWNER_PREFIX, owner_key, session_key
-from ..platform.kv import (
+from ..store.keys import OWNER_PREFIX, owner_key, session_key
+from ..store.kv import (
     KvChanged,
     KvConflict,
     KvGet,
@@ -39,8 +39,8 @@
     KvSwapped,
     KvValue,
 )
-from ..platform.kv_events import SessionGone, SessionRenewed
-from ..platform.session_keeper import decode_session
+from ..store.kv_events import SessionGone, SessionRenewed
+from ..store.session_keeper import decode_session
 from .messages import (
     MembershipChanged,
     OwnersChanged,
--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -20,7 +20,7 @@
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..platform.kv import KvReply
+from ..store.kv import KvReply
 from .fleet import Fleet
 from .load_planner import LoadPlanner
 from .loads import LoadRequest, Waiter
--- a/src/siskinspool/machines/session.py
+++ b/src/siskinspool/machines/session.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..platform.kv_events import SessionRenewed
+from ..store.kv_events import SessionRenewed
 
 # Covers the difference of two clocks' rates over one time to live, and the time
 # between a check and the action that follows.
--- a/src/siskinspool/manifest/head.py
+++ b/src/siskinspool/manifest/head.py
@@ -14,7 +14,7 @@
 import attrs
 import msgspec
 
-from ..platform.keys import CONFIG_BODY_PREFIX
+from ..store.keys import CONFIG_BODY_PREFIX
 from .changes import EntityChange, diff
 from .document import manifest_digest, write_manifest
 from .model import Manifest
--- a/src/siskinspool/manifest/publisher.py
+++ b/src/siskinspool/manifest/publisher.py
@@ -15,8 +15,8 @@
 
 import gevent
 
-from ..platform.keys import CONFIG_HEAD
-from ..platform.kv import (
+from ..store.keys import CONFIG_HEAD
+from ..store.kv import (
     KeyValueService,
     KvItem,
     LostAnswerError,
--- a/src/siskinspool/manifest/revisions.py
+++ b/src/siskinspool/manifest/revisions.py
@@ -20,8 +20,8 @@
 from ..core.decision import Decision
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..machines.messages import CatalogChanged, RevisionHeard
-from ..platform.keys import CONFIG_HEAD
-from ..platform.kv import (
+from ..store.keys import CONFIG_HEAD
+from ..store.kv import (
     KvChanged,
     KvGet,
     KvValue,
--- a/src/siskinspool/standins/site.py
+++ b/src/siskinspool/standins/site.py
@@ -32,7 +32,7 @@
     Zone,
 )
 from ..manifest.publisher import Published, Publisher, Unchanged
-from ..platform.etcd import EtcdGateway
+from ..store.etcd import EtcdGateway
 from .processes import Bench, Process, ProcessError, call, call_json
 
 READY_TIMEOUT_S: Final = 30.0
--- a/src/siskinspool/standins/slopes/decisions.py
+++ b/src/siskinspool/standins/slopes/decisions.py
@@ -33,8 +33,8 @@
 from ...machines.reporting import Reporting
 from ...machines.routing import Routing
 from ...manifest.model import Catalog
-from ...platform.keys import CLAIMS_PREFIX, PATIENT_PREFIX, owner_key, session_key
-from ...platform.kv import (
+from ...store.keys import CLAIMS_PREFIX, PATIENT_PREFIX, owner_key, session_key
+from ...store.kv import (
     KvChanged,
     KvGet,
     KvItem,
@@ -46,8 +46,8 @@
     KvSwapped,
     KvValue,
 )
-from ...platform.kv_events import SessionRenewed
-from ...platform.session_keeper import encode_session
+from ...store.kv_events import SessionRenewed
+from ...store.session_keeper import encode_session
 from . import samples
 
 START_S = 1_000.0
--- a/src/siskinspool/standins/slopes/processor_time.py
+++ b/src/siskinspool/standins/slopes/processor_time.py
@@ -25,8 +25,8 @@
 from ...manifest.head import ChangeRecord, Head, digest_text, encode_change, encode_head
 from ...manifest.model import RequestClass
 from ...manifest.revisions import Revisions
-from ...platform.keys import CONFIG_HEAD
-from ...platform.kv import KvChanged, KvGet, KvValue
+from ...store.keys import CONFIG_HEAD
+from ...store.kv import KvChanged, KvGet, KvValue
 from . import decisions, samples
 from .contract_time import CONTRACT_MEASURES, Measure
 from .decisions import START_S, Store, tell
--- a/src/siskinspool/standins/slopes/wire_bytes.py
+++ b/src/siskinspool/standins/slopes/wire_bytes.py
@@ -37,8 +37,8 @@
 from ...manifest.head import ChangeRecord, Head, encode_change, encode_head
 from ...manifest.model import RequestClass
 from ...manifest.revision_messages import AskChanges, ChangesSince
-from ...platform.keys import CONFIG_BODY_PREFIX, CONFIG_HEAD
-from ...platform.session_keeper import encode_session
+from ...store.keys import CONFIG_BODY_PREFIX, CONFIG_HEAD
+from ...store.session_keeper import encode_session
 from . import samples
 from .slope import Point, Slope
 
--- a/src/siskinspool/platform/kv.py
+++ b/src/siskinspool/store/kv.py
@@ -6,7 +6,7 @@
 compare-and-swap on one key is assumed. Revisions are positive; 0 stands for "the key
 does not exist".
 
-`KeyValueService` is the adapter interface; `siskinspool.platform.etcd` implements it.
+`KeyValueService` is the adapter interface; `siskinspool.store.etcd` implements it.
 """
 
 from __future__ import annotations
--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -26,7 +26,7 @@
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.links.codec import Decoded, MsgpackCodec
 from siskinspool.machines.messages import Member, MembershipChanged, OwnersChanged
-from siskinspool.platform.kv import (
+from siskinspool.store.kv import (
     KvConflict,
     KvDelete,
     KvDeleted,
--- a/tests/builders_freshness.py
+++ b/tests/builders_freshness.py
@@ -19,10 +19,10 @@
     Member,
     RevisionHeard,
 )
-from siskinspool.platform.keys import CONFIG_HEAD, session_key
-from siskinspool.platform.kv import KvChanged
-from siskinspool.platform.kv_events import KvReachable, ProbeHead
-from siskinspool.platform.session_keeper import encode_session
+from siskinspool.store.keys import CONFIG_HEAD, session_key
+from siskinspool.store.kv import KvChanged
+from siskinspool.store.kv_events import KvReachable, ProbeHead
+from siskinspool.store.session_keeper import encode_session
 
 from .builders import catalog
 
--- a/tests/builders_manifest.py
+++ b/tests/builders_manifest.py
@@ -13,8 +13,8 @@
 )
 from siskinspool.manifest.model import Manifest, Pool, Server, Site, Team, Zone
 from siskinspool.manifest.revisions import Revisions
-from siskinspool.platform.keys import CONFIG_HEAD
-from siskinspool.platform.kv import KvChanged, KvGet, KvLost, KvValue
+from siskinspool.store.keys import CONFIG_HEAD
+from siskinspool.store.kv import KvChanged, KvGet, KvLost, KvValue
 
 
 def manifest(teams: dict[str, float] | None = None) -> Manifest:
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -17,8 +17,8 @@
     ReleaseOwnership,
 )
 from siskinspool.machines.ownership import Ownership
-from siskinspool.platform.keys import OWNER_PREFIX, SESSION_PREFIX, session_key
-from siskinspool.platform.kv import (
+from siskinspool.store.keys import OWNER_PREFIX, SESSION_PREFIX, session_key
+from siskinspool.store.kv import (
     KvChanged,
     KvConflict,
     KvGet,
@@ -30,8 +30,8 @@
     KvUnavailable,
     KvValue,
 )
-from siskinspool.platform.kv_events import SessionGone, SessionRenewed
-from siskinspool.platform.session_keeper import decode_session, encode_session
+from siskinspool.store.kv_events import SessionGone, SessionRenewed
+from siskinspool.store.session_keeper import decode_session, encode_session
 
 from .builders import incoming, member
 from .builders_service import MemoryService
--- a/tests/builders_patient.py
+++ b/tests/builders_patient.py
@@ -32,7 +32,7 @@
     OwnershipLost,
 )
 from siskinspool.manifest.model import Catalog, Manifest, Site, Team
-from siskinspool.platform.keys import PATIENT_PREFIX
+from siskinspool.store.keys import PATIENT_PREFIX
 from tests.builders_claims import Simulation
 
 RUN_S = 0.5
--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -37,8 +37,8 @@
 from siskinspool.machines.record_encoding import JsonRecordEncoding
 from siskinspool.machines.reservations import Reservation, ServerRecord
 from siskinspool.manifest.model import Catalog, RequestClass, Server
-from siskinspool.platform.keys import SERVERS_PREFIX
-from siskinspool.platform.kv import (
+from siskinspool.store.keys import SERVERS_PREFIX
+from siskinspool.store.kv import (
     KvConflict,
     KvDelete,
     KvGet,
--- a/tests/builders_service.py
+++ b/tests/builders_service.py
@@ -8,7 +8,7 @@
 import attrs
 from gevent.event import Event
 
-from siskinspool.platform.kv import (
+from siskinspool.store.kv import (
     KeyValueService,
     KvItem,
     LostAnswerError,
--- a/tests/builders_shares.py
+++ b/tests/builders_shares.py
@@ -35,7 +35,7 @@
     OwnershipLost,
     ReleaseOwnership,
 )
-from siskinspool.platform.kv_events import SessionRenewed
+from siskinspool.store.kv_events import SessionRenewed
 
 from .builders import catalog, member, team
 
--- a/tests/integration/builders_machines.py
+++ b/tests/integration/builders_machines.py
@@ -22,11 +22,11 @@
 from siskinspool.machines.record_encoding import JsonRecordEncoding
 from siskinspool.machines.reservations import ServerRecord
 from siskinspool.manifest.model import Manifest
-from siskinspool.platform.etcd import EtcdGateway
-from siskinspool.platform.keys import OWNER_PREFIX, SERVERS_PREFIX, owner_key
-from siskinspool.platform.kv import LostAnswerError
 from siskinspool.standins.processes import Bench, Process, call, call_json
 from siskinspool.standins.site import SitePlan, TrialSite, wait_until
+from siskinspool.store.etcd import EtcdGateway
+from siskinspool.store.keys import OWNER_PREFIX, SERVERS_PREFIX, owner_key
+from siskinspool.store.kv import LostAnswerError
 
 from ..builders_shares import Charge
 
--- a/tests/integration/builders_site.py
+++ b/tests/integration/builders_site.py
@@ -15,9 +15,9 @@
 from gevent import socket
 
 from siskinspool.manifest.publisher import Publisher
-from siskinspool.platform.etcd import EtcdGateway
 from siskinspool.standins.processes import Bench, call, call_json
 from siskinspool.standins.site import SitePlan, TrialSite, wait_until
+from siskinspool.store.etcd import EtcdGateway
 
 Json = dict[str, Any]
 T = TypeVar("T")
--- a/tests/test_kv_task.py
+++ b/tests/test_kv_task.py
@@ -12,9 +12,9 @@
 from siskinspool.core.dispatcher import Dispatcher
 from siskinspool.core.message import Message, Outgoing
 from siskinspool.machines.messages import LeavingChanged
-from siskinspool.platform.instance_list import HttpInstanceList, InstanceListTask
-from siskinspool.platform.keys import CONFIG_HEAD, session_key
-from siskinspool.platform.kv import (
+from siskinspool.store.instance_list import HttpInstanceList, InstanceListTask
+from siskinspool.store.keys import CONFIG_HEAD, session_key
+from siskinspool.store.kv import (
     KvChanged,
     KvGet,
     KvItem,
@@ -23,14 +23,14 @@
     KvSwapped,
     KvUnavailable,
 )
-from siskinspool.platform.kv_events import (
+from siskinspool.store.kv_events import (
     EndSession,
     KvReachable,
     ProbeHead,
     SessionEnded,
     SessionRenewed,
 )
-from siskinspool.platform.kv_task import KvTask
+from siskinspool.store.kv_task import KvTask
 
 from .builders import member
 from .builders_membership import RecordingInbox, wait_until
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from siskinspool.platform.kv import KvGet, KvRequest, KvSwap
+from siskinspool.store.kv import KvGet, KvRequest, KvSwap
 
 from .builders_ownership import PARTITIONS, World
 
--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -20,7 +20,7 @@
 )
 from siskinspool.machines.messages import ReleaseOwnership
 from siskinspool.machines.server_state import ServerState
-from siskinspool.platform.kv_events import EndSession, SessionEnded
+from siskinspool.store.kv_events import EndSession, SessionEnded
 from tests.builders import incoming
 from tests.builders_routing import report, slots
 
