--- /dev/null
+++ b/src/siskinspool/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serving on a platform that brings its own operator, servers and metadata store."""
--- /dev/null
+++ b/src/siskinspool/gateway/caps.py
@@ -0,0 +1,276 @@
+"""The ``caps`` decision: tokens that each tenant may use, over all gateways.
+
+Each tenant's cap is kept by one gateway, its owner, chosen by rendezvous hashing among
+the members. The owner holds a token bucket with the tenant's rate and burst; the other
+gateways ask it for each request, which costs one round trip inside the site.
+
+A gateway that gets no answer in time decides by a small bucket of its own. All these
+buckets together stay within the slack that the platform's bounds leave beyond rate and
+burst, so the sum holds however many gateways are cut off. An owner whose session is
+not known to be valid may have been replaced; it grants only the part of the rate that
+belongs to the gateways which still ask it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
+from ..machines.messages import MembershipChanged
+from ..machines.rendezvous import winner
+from ..machines.session import Session
+from ..store.kv_events import SessionGone, SessionRenewed
+from ..telemetry.logs import log_event
+from .bounds import Bounds
+from .desired_state import DesiredState, Tenant
+from .messages import (
+    CAPS_TASK,
+    SpendAtOwner,
+    SpendTokens,
+    SpentAtOwner,
+    TokensGranted,
+    TokensRefused,
+)
+from .token_bucket import TokenBucket
+
+logger = logging.getLogger(__name__)
+
+# An owner in reach answers in a few milliseconds; a request's target is some hundred.
+OWNER_TIMEOUT_S: Final = 0.06
+# After a silence, the owner is asked again only after this time.
+OWNER_PAUSE_S: Final = 1.0
+# Parts of the slack beyond rate and burst, for the owner's start and for the buckets
+# of gateways without an owner; the rest covers requests that wait between the grant
+# and their arrival at a server.
+OWNER_SLACK_SHARE: Final = 0.3
+LOCAL_SLACK_SHARE: Final = 0.5
+# Part of a local bucket that is there at once; the rest comes over the window.
+LOCAL_BURST_SHARE: Final = 0.8
+# A gateway counts as asking for this long after its last request.
+ASKER_MEMORY_S: Final = 3.0
+
+
+@attrs.define
+class _Waiting:
+    """A request that waits for the owner's answer."""
+
+    sender: Address
+    spend: SpendTokens
+    owner_id: str
+    answer_by: float
+
+
+@attrs.define
+class _OwnedCap:
+    """The bucket of a tenant that this gateway owns."""
+
+    bucket: TokenBucket
+    # When each gateway asked last.
+    asked_at_by_id: dict[str, float] = attrs.field(factory=dict)
+
+
+class Caps(Decision):
+    """Grants and refuses tokens."""
+
+    def __init__(self, instance_id: str, bounds: Bounds) -> None:
+        """Take the own id and the bounds of the site."""
+        self._id = instance_id
+        self._bounds = bounds
+        self._session = Session()
+        self._tenant_by_name: dict[str, Tenant] = {}
+        self._member_ids: tuple[str, ...] = (instance_id,)
+        self._owned_by_tenant: dict[str, _OwnedCap] = {}
+        self._local_by_tenant: dict[str, TokenBucket] = {}
+        self._waiting_by_number: OrderedDict[int, _Waiting] = OrderedDict()
+        # An owner that did not answer is left alone until this time.
+        self._silent_until_by_id: dict[str, float] = {}
+        self._next_number = 1
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a request for tokens, an owner's answer or a change."""
+        match incoming.message:
+            case SpendTokens() as spend:
+                return self._spend(incoming.sender, spend, now)
+            case SpendAtOwner() as asked:
+                return self._spend_as_owner(incoming.sender, asked, now)
+            case SpentAtOwner() as spent:
+                return self._take_answer(spent)
+            case DesiredState() as desired:
+                self._take_tenants(desired, now)
+            case MembershipChanged(member_by_id):
+                self._member_ids = tuple(sorted(member_by_id))
+                self._resize_local(now)
+            case SessionRenewed() as renewed:
+                self._session.renew(renewed)
+            case SessionGone():
+                self._session.end()
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Decide alone where the owner has not answered."""
+        batch: list[Outgoing] = []
+        while self._waiting_by_number:
+            number, waiting = next(iter(self._waiting_by_number.items()))
+            if waiting.answer_by > now:
+                break
+            del self._waiting_by_number[number]
+            self._note_silence(waiting.owner_id, now)
+            batch.append(self._decide_alone(waiting.sender, waiting.spend, now))
+        return batch
+
+    def wake_at(self) -> float | None:
+        """Return when the oldest question to an owner expires."""
+        for waiting in self._waiting_by_number.values():
+            return waiting.answer_by
+        return None
+
+    def status(self, now: float) -> Status:
+        """Return the caps that this gateway keeps."""
+        return {
+            "owned": {
+                tenant: round(owned.bucket.level)
+                for tenant, owned in self._owned_by_tenant.items()
+            },
+            "asking": len(self._waiting_by_number),
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Return the number of caps kept here."""
+        return {"caps.owned": float(len(self._owned_by_tenant))}
+
+    def _spend(self, sender: Address, spend: SpendTokens, now: float) -> list[Outgoing]:
+        tenant = self._tenant_by_name.get(spend.tenant)
+        if tenant is None or not tenant.capped:
+            return [Outgoing(sender, TokensGranted("uncapped"))]
+        owner = winner(spend.tenant, self._member_ids) or self._id
+        if owner == self._id:
+            owned = self._owned(tenant, now)
+            answer = self._take_owned(owned, self._id, tenant, spend.tokens, now)
+            return [Outgoing(sender, answer)]
+        if now < self._silent_until_by_id.get(owner, now):
+            return [self._decide_alone(sender, spend, now)]
+        number = self._next_number
+        self._next_number += 1
+        self._waiting_by_number[number] = _Waiting(
+            sender, spend, owner, now + OWNER_TIMEOUT_S
+        )
+        question = SpendAtOwner(number, spend.tenant, spend.tokens)
+        return [Outgoing(Address(owner, CAPS_TASK), question)]
+
+    def _spend_as_owner(
+        self, sender: Address, asked: SpendAtOwner, now: float
+    ) -> list[Outgoing]:
+        tenant = self._tenant_by_name.get(asked.tenant)
+        if tenant is None:
+            # The asker may know a newer desired state; it decides alone.
+            return []
+        answer: Message
+        if not tenant.capped:
+            answer = SpentAtOwner(asked.number, True, 0.0)
+        else:
+            owned = self._owned(tenant, now)
+            taken = self._take_owned(
+                owned, sender.instance_id, tenant, asked.tokens, now
+            )
+            wait_s = taken.retry_after_s if isinstance(taken, TokensRefused) else 0.0
+            granted = isinstance(taken, TokensGranted)
+            answer = SpentAtOwner(asked.number, granted, wait_s)
+        return [Outgoing(sender, answer)]
+
+    def _take_answer(self, spent: SpentAtOwner) -> list[Outgoing]:
+        waiting = self._waiting_by_number.pop(spent.number, None)
+        if waiting is None:
+            # The request was decided alone; what the owner granted is not used.
+            return []
+        self._silent_until_by_id.pop(waiting.owner_id, None)
+        if spent.granted:
+            return [Outgoing(waiting.sender, TokensGranted("owner"))]
+        return [Outgoing(waiting.sender, TokensRefused("owner", spent.retry_after_s))]
+
+    def _decide_alone(
+        self, sender: Address, spend: SpendTokens, now: float
+    ) -> Outgoing:
+        tenant = self._tenant_by_name.get(spend.tenant)
+        if tenant is None or not tenant.capped:
+            return Outgoing(sender, TokensGranted("uncapped"))
+        bucket = self._local_by_tenant.get(spend.tenant)
+        if bucket is None:
+            per_s, capacity = self._local_size(tenant)
+            bucket = TokenBucket.full(per_s, capacity, now)
+            self._local_by_tenant[spend.tenant] = bucket
+        if bucket.take(spend.tokens, now):
+            return Outgoing(sender, TokensGranted("local"))
+        return Outgoing(
+            sender, TokensRefused("local", bucket.wait_s(spend.tokens, now))
+        )
+
+    def _take_owned(
+        self, owned: _OwnedCap, asker: str, tenant: Tenant, tokens: int, now: float
+    ) -> TokensGranted | TokensRefused:
+        owned.asked_at_by_id[asker] = now
+        per_s = tenant.tokens_per_s * self._owner_share(owned, now)
+        if per_s != owned.bucket.per_s:
+            owned.bucket.resize(per_s, owned.bucket.capacity, now)
+        if owned.bucket.take(tokens, now):
+            return TokensGranted("owner")
+        return TokensRefused("owner", owned.bucket.wait_s(tokens, now))
+
+    def _owner_share(self, owned: _OwnedCap, now: float) -> float:
+        """Return the part of the rate that this owner may grant."""
+        if self._session.valid_lease(now) is not None:
+            return 1.0
+        recent = sum(
+            1 for at in owned.asked_at_by_id.values() if now - at < ASKER_MEMORY_S
+        )
+        return min(recent / len(self._member_ids), 1.0)
+
+    def _owned(self, tenant: Tenant, now: float) -> _OwnedCap:
+        owned = self._owned_by_tenant.get(tenant.name)
+        if owned is None:
+            # Whoever kept the cap before may have granted the whole burst just now.
+            start = min(tenant.burst_tokens, OWNER_SLACK_SHARE * self._slack(tenant))
+            bucket = TokenBucket(tenant.tokens_per_s, tenant.burst_tokens, start, now)
+            owned = _OwnedCap(bucket)
+            self._owned_by_tenant[tenant.name] = owned
+            log_event(logger, logging.INFO, "cap_owned", tenant=tenant.name)
+        return owned
+
+    def _slack(self, tenant: Tenant) -> float:
+        bounds = self._bounds
+        window = tenant.tokens_per_s * bounds.cap_window_s + tenant.burst_tokens
+        return window * bounds.cap_overage + bounds.cap_slack_tokens
+
+    def _local_size(self, tenant: Tenant) -> tuple[float, float]:
+        """Return rate and capacity of a bucket that needs no owner."""
+        part = self._slack(tenant) * LOCAL_SLACK_SHARE / len(self._member_ids)
+        per_s = part * (1 - LOCAL_BURST_SHARE) / self._bounds.cap_window_s
+        return per_s, part * LOCAL_BURST_SHARE
+
+    def _note_silence(self, owner: str, now: float) -> None:
+        if now >= self._silent_until_by_id.get(owner, now):
+            log_event(logger, logging.WARNING, "cap_owner_silent", owner=owner)
+        self._silent_until_by_id[owner] = now + OWNER_PAUSE_S
+
+    def _take_tenants(self, desired: DesiredState, now: float) -> None:
+        self._tenant_by_name = desired.tenant_by_name
+        for name, owned in list(self._owned_by_tenant.items()):
+            tenant = desired.tenant_by_name.get(name)
+            if tenant is None or not tenant.capped:
+                del self._owned_by_tenant[name]
+            else:
+                owned.bucket.resize(tenant.tokens_per_s, tenant.burst_tokens, now)
+        self._resize_local(now)
+
+    def _resize_local(self, now: float) -> None:
+        for name, bucket in list(self._local_by_tenant.items()):
+            tenant = self._tenant_by_name.get(name)
+            if tenant is None or not tenant.capped:
+                del self._local_by_tenant[name]
+            else:
+                bucket.resize(*self._local_size(tenant), now)
--- /dev/null
+++ b/src/siskinspool/gateway/front_door.py
@@ -0,0 +1,292 @@
+"""The ``front`` task: the listener for requesters.
+
+It owns the WSGI server and the requests under way, and follows the desired state. How
+a request and an answer are spelled is the platform's matter: `FrontCodec` decodes the
+one and encodes the other.
+"""
+
+from __future__ import annotations
+
+import logging
+from abc import abstractmethod
+from collections.abc import Iterable, Iterator
+from typing import Any, Final
+
+from gevent.event import Event as Signal
+from gevent.pywsgi import WSGIServer
+
+from ..core.errors import ErrorCode
+from ..core.message import Incoming
+from ..core.outcome import Refusal
+from ..core.task import Task
+from ..links.caller import (
+    CallerSink,
+    CutStreamError,
+    End,
+    Event,
+    Head,
+    StartResponse,
+    Whole,
+    respond_whole,
+    status_line,
+    watch_caller,
+)
+from ..links.http_server import SOCKET_TIMEOUT_S, CallerHandler
+from ..settings import Endpoint
+from ..telemetry.logs import log_event
+from .desired_state import DesiredState, RequestLimits
+from .intake import Admission, admit
+from .request import RequestHead
+from .request_task import GatewayRequest, HeaderCodec, RequestContext, RequestTask
+from .servers import RegistryListed
+
+logger = logging.getLogger(__name__)
+
+FRONT_TASK: Final = "front"
+# Requesters may reuse a connection for most of the idle limit; the rest covers delays.
+IDLE_MARGIN_S: Final = 2.0
+# Until the desired state is known.
+RETRY_AFTER_S: Final = 0.5
+
+
+class FrontCodec(HeaderCodec):
+    """How requesters and this front end talk."""
+
+    @abstractmethod
+    def decode_request(
+        self, method: str, target: str, headers: dict[str, str]
+    ) -> RequestHead | Refusal:
+        """Return the head of a request, or why it cannot be used."""
+
+    @abstractmethod
+    def encode_refusal(self, refusal: Refusal) -> Whole:
+        """Return a refusal as an answer."""
+
+
+class FrontSink(CallerSink):
+    """An answer to a requester, with refusals in the platform's form."""
+
+    def __init__(self, codec: FrontCodec) -> None:
+        super().__init__()
+        self._codec = codec
+
+    def refusal_item(self, refusal: Refusal) -> Whole:
+        """Return a refusal as an answer."""
+        return self._codec.encode_refusal(refusal)
+
+
+class FrontDoor(Task):
+    """Takes requests and runs them; task name ``front``."""
+
+    def __init__(
+        self, context: RequestContext, codec: FrontCodec, listen: Endpoint
+    ) -> None:
+        """Bind the listener; it accepts from `start` on."""
+        super().__init__(FRONT_TASK, context.dispatcher, context.clock)
+        self._context = context
+        self._codec = codec
+        self._desired: DesiredState | None = None
+        self._registry_listed = False
+        self._draining = False
+        self._running: set[RequestTask] = set()
+        # Requests whose answer is not yet written in full.
+        self._open_answers = 0
+        self._idle = Signal()
+        self._idle.set()
+        self._server = _FrontServer(
+            (listen.host, listen.port),
+            self._application,
+            log=None,
+            error_log=None,
+            handler_class=_FrontHandler,
+        )
+        self._server.init_socket()
+
+    @property
+    def port(self) -> int:
+        """The port for requesters."""
+        return int(self._server.server_port or 0)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the instance wants new connections."""
+        known = self._desired is not None and self._registry_listed
+        return known and not self._draining
+
+    def start(self) -> None:
+        """Start the task and accept connections."""
+        super().start()
+        self._server.start()
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Close the listener and all connections."""
+        self._server.stop(timeout=0.1)
+        super().stop(timeout_s)
+
+    def drain(self) -> None:
+        """Ask for no new connections; those that come are still served."""
+        self._draining = True
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request runs; return False on a timeout."""
+        return bool(self._idle.wait(max(timeout_s, 0.0)))
+
+    def handle(self, incoming: Incoming) -> None:
+        """Follow the desired state and the registry."""
+        match incoming.message:
+            case DesiredState() as desired:
+                self._desired = desired
+                idle_s = desired.limits.idle_timeout_s
+                self._server.idle_timeout_s = idle_s + IDLE_MARGIN_S
+            case RegistryListed():
+                self._registry_listed = True
+
+    def limits(self) -> RequestLimits | None:
+        """Return the limits in force."""
+        return None if self._desired is None else self._desired.limits
+
+    def _application(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        arrived_at = self.clock.now()
+        headers = _headers(environ)
+        head = self._codec.decode_request(
+            environ["REQUEST_METHOD"], environ["siskinspool.target"], headers
+        )
+        if isinstance(head, Refusal):
+            return self._refuse(head, None, start_response)
+        body = self._read_body(environ)
+        if isinstance(body, Refusal):
+            return self._refuse(body, head, start_response)
+        # The state is read after the body has come, so that it is the newest.
+        admission = self._admit(head)
+        if isinstance(admission, Refusal):
+            return self._refuse(admission, head, start_response)
+        request = GatewayRequest(
+            head=head, body=body, admission=admission, arrived_at=arrived_at
+        )
+        return self._serve(request, environ, start_response)
+
+    def _admit(self, head: RequestHead) -> Admission | Refusal:
+        if self._desired is None:
+            return Refusal(
+                503,
+                ErrorCode.NOT_CURRENT,
+                "the desired state is not known yet",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return admit(head, self._desired)
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes | Refusal:
+        limits = self.limits()
+        source = environ["wsgi.input"]
+        if limits is None:
+            return bytes(source.read())
+        try:
+            body = bytes(source.read(limits.max_body_bytes + 1))
+        except OSError:
+            return Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
+        if len(body) > limits.max_body_bytes:
+            # Keeps the server from reading the rest of a chunked body.
+            source._chunked_input_error = True
+            return Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body is too large")
+        return body
+
+    def _refuse(
+        self, refusal: Refusal, head: RequestHead | None, start_response: StartResponse
+    ) -> list[bytes]:
+        log_event(
+            logger,
+            logging.INFO,
+            "request_refused",
+            request=None if head is None else head.request_id,
+            target=None if head is None else head.target,
+            status=refusal.status,
+            code=refusal.code,
+            detail=refusal.detail,
+            version=None if self._desired is None else self._desired.version,
+        )
+        item = self._codec.encode_refusal(refusal)
+        return respond_whole(self._closing(item), start_response)
+
+    def _serve(
+        self,
+        request: GatewayRequest,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterator[bytes]:
+        sink = FrontSink(self._codec)
+        task = RequestTask(request, self._context, sink)
+        self._running.add(task)
+        self._open_answers += 1
+        self._idle.clear()
+
+        def gone() -> None:
+            task.cancel()
+            sink.close()
+
+        watcher = watch_caller(environ["siskinspool.socket"], gone)
+        task.start(on_end=lambda: self._running.discard(task))
+        try:
+            yield from self._respond(sink, start_response)
+        finally:
+            watcher.kill(block=False)
+            task.cancel()
+            self._open_answers -= 1
+            if self._open_answers == 0:
+                self._idle.set()
+
+    def _respond(
+        self, sink: CallerSink, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        """Send an answer as it arrives; raise CutStreamError if it was cut."""
+        item = sink.next_item()
+        if isinstance(item, Whole):
+            yield from respond_whole(self._closing(item), start_response)
+            return
+        if not isinstance(item, Head):
+            raise CutStreamError
+        headers = [(name.title(), text) for name, text in item.headers.items()]
+        if self._draining:
+            headers.append(("Connection", "close"))
+        start_response(status_line(item.status), headers)
+        while True:
+            item = sink.next_item()
+            if isinstance(item, Event):
+                yield item.data
+            elif isinstance(item, End):
+                if item.refusal is not None:
+                    raise CutStreamError
+                return
+
+    def _closing(self, item: Whole) -> Whole:
+        """Return an answer that ends its connection if the instance drains."""
+        if not self._draining:
+            return item
+        return Whole(item.status, item.headers | {"connection": "close"}, item.body)
+
+
+class _FrontServer(WSGIServer):
+    """The listener, with the operator's limit on idle connections."""
+
+    idle_timeout_s = SOCKET_TIMEOUT_S
+
+
+class _FrontHandler(CallerHandler):
+    """Applies the limit on idle connections."""
+
+    def handle(self) -> None:
+        """Serve the requests of one connection."""
+        self.idle_timeout_s = self.server.idle_timeout_s
+        super().handle()
+
+
+def _headers(environ: dict[str, Any]) -> dict[str, str]:
+    headers = {
+        name[5:].replace("_", "-").lower(): text
+        for name, text in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return headers
--- /dev/null
+++ b/src/siskinspool/gateway/instance.py
@@ -0,0 +1,233 @@
+"""One gateway: its tasks and how they are connected.
+
+`GatewayInstance` builds the tasks and starts them; it holds no policy. What belongs to
+a platform (the store, the calls to servers, the headers, the feed of changes) comes in
+as `PlatformParts`, so that another platform needs another set only.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import gevent
+
+from ..core.clock import Clock
+from ..core.decision import Decision
+from ..core.dispatcher import Dispatcher
+from ..core.message import Outgoing
+from ..core.task import DecisionTask, Task
+from ..links.backend import HttpServerLink
+from ..links.codec import MsgpackCodec
+from ..links.peer import PeerLink
+from ..machines.messages import Member
+from ..settings import Endpoint
+from ..store.kv import KeyValueService
+from ..store.kv_events import EndSession
+from ..store.kv_task import KvTask
+from .bounds import Bounds
+from .caps import Caps
+from .front_door import FRONT_TASK, FrontCodec, FrontDoor
+from .gateway_metrics import GatewayMetrics
+from .leadership import Leadership, StopLeading
+from .members import Members
+from .messages import (
+    CAPS_TASK,
+    LEADERSHIP_TASK,
+    MEMBERS_TASK,
+    PLACEMENT_TASK,
+    ROUTING_TASK,
+)
+from .pages import PagesTask
+from .placement import Placement
+from .request_task import RequestContext
+from .routing import Routing
+from .server_control import OrdersTask, ServerControl
+
+INCARNATION_BYTES: Final = 6
+# A server answers a connection within a round trip or, with a full queue of new
+# connections, after seconds; another server is the better choice then.
+CONNECT_TIMEOUT_S: Final = 0.3
+# Short, since a lost leader is replaced only after its session has ended; renewals are
+# a tenth of the price of a read.
+SESSION_TTL_S: Final = 2.5
+RENEW_INTERVAL_S: Final = 0.7
+# The platform notices after two questions, a second apart, that an instance is leaving.
+LEAVE_NOTICE_S: Final = 2.5
+# Kept of the grace period, to close what is still open.
+STOP_MARGIN_S: Final = 0.3
+SESSION_END_TIMEOUT_S: Final = 0.3
+
+# Tasks that hear of the desired state, the servers and evacuations.
+FEED_LISTENERS: Final = (FRONT_TASK, ROUTING_TASK, CAPS_TASK, PLACEMENT_TASK)
+STATUS_TASKS: Final = (
+    MEMBERS_TASK,
+    LEADERSHIP_TASK,
+    ROUTING_TASK,
+    CAPS_TASK,
+    PLACEMENT_TASK,
+)
+
+
+class BoottimeClock(Clock):
+    """Monotonic time that goes on while the machine is suspended.
+
+    A lease in the store runs out while its holder sleeps, so its holder's clock must
+    not stand still.
+    """
+
+    def now(self) -> float:
+        """Return seconds since the machine's start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.frozen(kw_only=True)
+class InstanceSettings:
+    """What an instance needs to know of itself."""
+
+    instance_id: str
+    zone: str
+    front: Endpoint
+    ready: Endpoint
+    peer: Endpoint
+    metrics: Endpoint
+    least_lease_s: float
+    first_start: bool
+    bounds: Bounds
+
+
+@attrs.frozen(kw_only=True)
+class PlatformParts:
+    """What a platform's adapter brings."""
+
+    store: KeyValueService
+    server_control: ServerControl
+    codec: FrontCodec
+    ready_path: str
+    # Makes the task that feeds changes to the listeners.
+    make_feed: Callable[[Dispatcher, Clock, tuple[str, ...]], Task]
+
+
+class GatewayInstance:
+    """The tasks of one gateway."""
+
+    def __init__(
+        self, settings: InstanceSettings, parts: PlatformParts, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._dispatcher = Dispatcher(settings.instance_id)
+        peers = PeerLink(
+            self._dispatcher,
+            clock,
+            MsgpackCodec(),
+            settings.peer.host,
+            settings.peer.port,
+        )
+        self._dispatcher.attach_carrier(peers)
+        self._context = RequestContext(
+            dispatcher=self._dispatcher,
+            clock=clock,
+            link=HttpServerLink(CONNECT_TIMEOUT_S, ends_by_close=True),
+            codec=parts.codec,
+            metrics=GatewayMetrics(),
+        )
+        self._front = FrontDoor(self._context, parts.codec, settings.front)
+        self._pages = PagesTask(
+            self._front,
+            self._context,
+            settings.ready,
+            settings.metrics,
+            parts.ready_path,
+            STATUS_TASKS,
+        )
+        own = Member(
+            instance_id=settings.instance_id,
+            incarnation=secrets.token_hex(INCARNATION_BYTES),
+            zone=settings.zone,
+            host=settings.peer.host,
+            port=peers.port,
+            listen_host=settings.front.host,
+            listen_port=self._front.port,
+        )
+        self._tasks: list[Task] = [
+            peers,
+            *self._build_decisions(own),
+            OrdersTask(self._dispatcher, clock, parts.server_control),
+            self._front,
+            self._pages,
+            self._build_store_task(parts.store, own),
+            parts.make_feed(self._dispatcher, clock, FEED_LISTENERS),
+        ]
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """The ports of the front, readiness and metrics."""
+        return {
+            "front": self._front.port,
+            "ready": self._pages.ready_port,
+            "metrics": self._pages.metrics_port,
+        }
+
+    def start(self, on_crash: Callable[[BaseException], None]) -> None:
+        """Start all tasks; ``on_crash`` gets the exception that ended a task."""
+        for task in self._tasks:
+            task.start()
+            task.on_crash(on_crash)
+
+    def drain(self) -> None:
+        """Stop gracefully: returns when no request runs, or as the grace period ends.
+
+        Connections still come until the platform has noticed; they are served.
+        """
+        stop_at = self._clock.now() + self._settings.bounds.grace_s - STOP_MARGIN_S
+        self._front.drain()
+        leadership = self._dispatcher.address(LEADERSHIP_TASK)
+        self._dispatcher.send(leadership, Outgoing(leadership, StopLeading()))
+        gevent.sleep(LEAVE_NOTICE_S)
+        self._front.wait_idle(stop_at - self._clock.now())
+        self._dispatcher.ask(
+            self._dispatcher.address("kv"), EndSession(), SESSION_END_TIMEOUT_S
+        )
+
+    def stop(self) -> None:
+        """End all tasks."""
+        for task in reversed(self._tasks):
+            task.stop(0.1)
+
+    def _build_decisions(self, own: Member) -> list[Task]:
+        settings, bounds = self._settings, self._settings.bounds
+        now = self._clock.now()
+        decision_by_name: dict[str, Decision] = {
+            MEMBERS_TASK: Members(
+                own, ("peers", ROUTING_TASK, CAPS_TASK, LEADERSHIP_TASK)
+            ),
+            LEADERSHIP_TASK: Leadership(
+                own, bounds, (ROUTING_TASK, PLACEMENT_TASK), now
+            ),
+            ROUTING_TASK: Routing(settings.instance_id, settings.zone, bounds),
+            CAPS_TASK: Caps(settings.instance_id, bounds),
+            PLACEMENT_TASK: Placement(
+                settings.instance_id, bounds, settings.first_start
+            ),
+        }
+        return [
+            DecisionTask(name, self._dispatcher, self._clock, decision)
+            for name, decision in decision_by_name.items()
+        ]
+
+    def _build_store_task(self, store: KeyValueService, own: Member) -> Task:
+        return KvTask(
+            self._dispatcher,
+            self._clock,
+            store,
+            own,
+            watchers=(MEMBERS_TASK, LEADERSHIP_TASK),
+            health_watchers=(LEADERSHIP_TASK, CAPS_TASK),
+            workers=2,
+            session_ttl_s=max(SESSION_TTL_S, self._settings.least_lease_s),
+            renew_interval_s=RENEW_INTERVAL_S,
+        )
--- /dev/null
+++ b/src/siskinspool/gateway/intake.py
@@ -0,0 +1,72 @@
+"""What a request is entitled to under the desired state.
+
+`admit` finds the route, checks the key and returns an `Admission` or a refusal. It
+needs nothing but the request's head and the desired state.
+"""
+
+from __future__ import annotations
+
+import attrs
+import xxhash
+
+from ..core.errors import ErrorCode
+from ..core.outcome import Refusal
+from .desired_state import DesiredState, Route
+from .request import RequestHead
+
+
+@attrs.frozen(kw_only=True)
+class Admission:
+    """A request that the desired state allows."""
+
+    route: Route
+    service: str
+    # Empty on a public route, or where no keys are in use.
+    tenant: str
+    # Charged to the tenant's cap.
+    tokens: int
+    # 0 is the most urgent.
+    priority: int
+    keeps_authorization: bool
+
+
+def admit(head: RequestHead, desired: DesiredState) -> Admission | Refusal:
+    """Return what a request may do, or why not."""
+    route = desired.find_route(head.host, head.path)
+    if route is None:
+        return Refusal(404, ErrorCode.UNKNOWN_ROUTE, "no route has this host and path")
+    uses_keys = bool(desired.tenant_by_name)
+    tenant_name = ""
+    if uses_keys and not route.public:
+        tenant_name = desired.tenant_name_by_key.get(head.key, "")
+        if not tenant_name:
+            code = ErrorCode.KEY_REJECTED if head.key else ErrorCode.KEY_MISSING
+            return Refusal(401, code, "the key is not known")
+    tenant = desired.tenant_by_name.get(tenant_name)
+    priority, tokens = route.priority, head.tokens or 0
+    if tenant is not None:
+        if tenant.priority is not None:
+            priority = tenant.priority
+        if head.tokens is None:
+            tokens = tenant.plain_tokens
+    return Admission(
+        route=route,
+        service=_pick_service(route, head.request_id),
+        tenant=tenant_name,
+        tokens=tokens,
+        priority=priority,
+        keeps_authorization=not uses_keys,
+    )
+
+
+def _pick_service(route: Route, request_id: str) -> str:
+    """Return a service by the route's weights, the same for each look at a request."""
+    total = sum(item.weight for item in route.services)
+    if total <= 0:
+        return route.services[0].service
+    position = xxhash.xxh3_64_intdigest(request_id.encode()) % total
+    for item in route.services:
+        position -= item.weight
+        if position < 0:
+            return item.service
+    return route.services[-1].service
--- /dev/null
+++ b/src/siskinspool/gateway/managed_server.py
@@ -0,0 +1,222 @@
+"""A model server as the leader sees it: what it holds and what it was told to do.
+
+Orders carry the number of orders that the server must have accepted before, so an
+order that got no answer and its successor cannot both be carried out. The state is
+taken from a report or registry entry only if that counts at least as many orders as
+were accepted; an older one is from before.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+import attrs
+
+from .desired_state import EngineSpec, ModelSpec
+from .messages import OrderKind, OrderResult, ServerOrder
+from .servers import HeldModel, Holdings, ServerRecord, ServerState
+
+# A report shows the server as it was some hundred milliseconds before.
+REPORT_LAG_S: Final = 0.3
+# Between reads of the report while a load is under way longer than expected.
+POLL_INTERVAL_S: Final = 0.15
+# Time in which an adapter is loaded.
+ADAPTER_LOAD_S: Final = 0.015
+
+
+@attrs.define
+class Goal:
+    """A model or adapter that a server is to hold."""
+
+    model: str
+    # Empty for the model itself.
+    adapter: str
+    # Instances that wait for it.
+    askers: set[str] = attrs.field(factory=set)
+
+
+@attrs.define
+class Arrival:
+    """An adapter on its way to a server."""
+
+    ready_at: float
+    # Instances that wait for it.
+    askers: set[str]
+
+
+@attrs.define(kw_only=True)
+class ManagedServer:
+    """One model server; times are seconds on the instance's clock."""
+
+    record: ServerRecord
+    holdings: Holdings
+    # What was read is no longer certain: read the report before the next order.
+    doubtful: bool = True
+    # An order without its answer yet.
+    order: ServerOrder | None = None
+    reading: bool = False
+    # Nothing is sent before this time.
+    wait_until: float = 0.0
+    # The server carries out a model order until about then.
+    busy_until: float | None = None
+    # Model that is being loaded by an accepted order.
+    loading: str | None = None
+    # Adapters on their way by accepted orders, by (model, adapter).
+    arrival_by_adapter: dict[tuple[str, str], Arrival] = attrs.field(factory=dict)
+    goals: deque[Goal] = attrs.field(factory=deque)
+
+    @property
+    def usable(self) -> bool:
+        """Return whether the server is worth an order."""
+        return self.record.state is ServerState.READY
+
+    def holds_model(self, model: str) -> bool:
+        """Return whether a model is loaded and no longer loading."""
+        return model in self.holdings.model_by_name and self.loading != model
+
+    def holds_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether an adapter is loaded or on its way."""
+        held = self.holdings.model_by_name.get(model)
+        return held is not None and adapter in held.adapters
+
+    def adapter_count(self) -> int:
+        """Return the adapters that fill slots, those on their way included."""
+        held = {
+            (model.name, adapter)
+            for model in self.holdings.model_by_name.values()
+            for adapter in model.adapters
+        }
+        return len(held | self.holdings.loading_adapters)
+
+    def used_mb(self, engine: EngineSpec) -> float:
+        """Return the memory that weights fill; an unknown model counts as all."""
+        used = 0.0
+        for held in self.holdings.model_by_name.values():
+            spec = engine.model_by_name.get(held.name)
+            if spec is None:
+                return engine.weights_mb
+            used += spec.weights_mb + len(held.adapters) * spec.adapter_mb
+        return used
+
+    def load_s(self, spec: ModelSpec) -> float:
+        """Return how long the load of a model takes here."""
+        if spec.name in self.holdings.in_memory:
+            return spec.memory_load_s
+        if spec.name in self.holdings.on_disk:
+            return spec.disk_load_s
+        return spec.store_load_s
+
+    def needs_store(self, model: str) -> bool:
+        """Return whether a load draws on the weight store."""
+        copies = self.holdings.in_memory | self.holdings.on_disk
+        return model not in copies
+
+    def has_goal(self, model: str, adapter: str) -> Goal | None:
+        """Return the goal for a model or adapter, if there is one."""
+        for goal in self.goals:
+            if (goal.model, goal.adapter) == (model, adapter):
+                return goal
+        return None
+
+    def model_goals(self) -> int:
+        """Return the number of models still to be loaded."""
+        return sum(1 for goal in self.goals if not goal.adapter)
+
+    def take_record(self, record: ServerRecord) -> None:
+        """Take in a registry entry."""
+        restarted = record.holdings.born_ms != self.record.holdings.born_ms
+        self.record = record
+        if restarted:
+            self.holdings = record.holdings
+            self.busy_until = self.loading = None
+            self.arrival_by_adapter.clear()
+            self.doubtful = True
+        elif not self.doubtful:
+            self._adopt(record.holdings, from_report=False)
+
+    def take_report(self, holdings: Holdings, now: float) -> bool:
+        """Take in a report; return False if it is older than what is known."""
+        if holdings.born_ms == self.holdings.born_ms and (
+            holdings.order_count < self.holdings.order_count
+        ):
+            return False
+        self._adopt(holdings, from_report=True)
+        self.doubtful = False
+        if not holdings.busy:
+            self.busy_until = self.loading = None
+        elif self.busy_until is None:
+            self.busy_until = now
+        return True
+
+    def _adopt(self, holdings: Holdings, *, from_report: bool) -> None:
+        known = self.holdings
+        if holdings.born_ms == known.born_ms and (
+            holdings.order_count < known.order_count
+            or (not from_report and self.order is not None)
+        ):
+            return
+        if not from_report and (
+            holdings.order_count > known.order_count
+            or self.busy_until is not None
+            or self.arrival_by_adapter
+        ):
+            # The entry says less than a report and may be about to change.
+            return
+        self.holdings = holdings
+
+    def accepted(self, order: ServerOrder, spec: ModelSpec, now: float) -> None:
+        """Record an order that the server carries out."""
+        models = dict(self.holdings.model_by_name)
+        loading = self.holdings.loading_adapters
+        if order.adapter:
+            held = models[order.model]
+            adapters = held.adapters - {order.adapter}
+            if order.kind is OrderKind.LOAD:
+                adapters |= {order.adapter}
+                self._start_arrival(order, now)
+            models[order.model] = attrs.evolve(held, adapters=adapters)
+        elif order.kind is OrderKind.LOAD:
+            self.busy_until = now + self.load_s(spec)
+            self.loading = order.model
+            models[order.model] = HeldModel(order.model, 0)
+        else:
+            # The server drops the model when its runs have ended.
+            self.busy_until = now
+            models.pop(order.model, None)
+        self.holdings = attrs.evolve(
+            self.holdings,
+            order_count=order.expected_count + 1,
+            model_by_name=models,
+            loading_adapters=loading,
+        )
+
+    def _start_arrival(self, order: ServerOrder, now: float) -> None:
+        goal = self.has_goal(order.model, order.adapter)
+        askers = set() if goal is None else goal.askers
+        if goal is not None:
+            self.goals.remove(goal)
+        arrival = Arrival(now + ADAPTER_LOAD_S, askers)
+        self.arrival_by_adapter[(order.model, order.adapter)] = arrival
+
+    def take_arrivals(self, now: float) -> list[tuple[tuple[str, str], Arrival]]:
+        """Remove and return the adapters that have arrived."""
+        arrived = [
+            (pair, arrival)
+            for pair, arrival in self.arrival_by_adapter.items()
+            if arrival.ready_at <= now
+        ]
+        for pair, _ in arrived:
+            del self.arrival_by_adapter[pair]
+        return arrived
+
+    def ended(self, result: OrderResult, now: float) -> None:
+        """Record the end of an order that was not accepted."""
+        self.order = None
+        match result:
+            case OrderResult.CONFLICT | OrderResult.UNKNOWN | OrderResult.INVALID:
+                self.doubtful = True
+                self.wait_until = now + REPORT_LAG_S
+            case OrderResult.NOT_SENT | OrderResult.FENCED:
+                self.doubtful = True
+                self.wait_until = now + 1.0
--- /dev/null
+++ b/src/siskinspool/gateway/members.py
@@ -0,0 +1,70 @@
+"""The ``members`` decision: the gateways with a session in the store.
+
+Members come from the session keys that the ``kv`` task watches. Watchers hear of each
+change. While the store cannot be watched, the last known members stay: nobody can join
+or leave without the store, and a member that fails shows by its silence.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Outgoing
+from ..core.status import Status
+from ..machines.messages import Member, MembershipChanged
+from ..store.keys import SESSION_PREFIX
+from ..store.kv import KvChanged
+from ..store.session_keeper import decode_session
+from ..telemetry.logs import log_event
+
+logger = logging.getLogger(__name__)
+
+
+class Members(Decision):
+    """Follows the session keys."""
+
+    def __init__(self, own: Member, watchers: tuple[str, ...]) -> None:
+        """Take the own member and the tasks that hear of changes."""
+        self._own = own
+        self._watchers = watchers
+        self._member_by_id: dict[str, Member] = {own.instance_id: own}
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a change of a session key."""
+        match incoming.message:
+            case KvChanged(key, value, _) if key.startswith(SESSION_PREFIX):
+                return self._take(key.removeprefix(SESSION_PREFIX), value)
+        return []
+
+    def _take(self, instance_id: str, value: bytes | None) -> list[Outgoing]:
+        if instance_id == self._own.instance_id:
+            return []
+        member = None if value is None else decode_session(instance_id, value)
+        if value is not None and member is None:
+            log_event(logger, logging.WARNING, "member_unreadable", member=instance_id)
+        if member is None:
+            known = self._member_by_id.pop(instance_id, None)
+            if known is None:
+                return []
+        elif self._member_by_id.get(instance_id) == member:
+            return []
+        else:
+            self._member_by_id[instance_id] = member
+        log_event(
+            logger,
+            logging.INFO,
+            "members_changed",
+            member=instance_id,
+            present=member is not None,
+            members=len(self._member_by_id),
+        )
+        changed = MembershipChanged(dict(self._member_by_id))
+        return [
+            Outgoing(Address(self._own.instance_id, task), changed)
+            for task in self._watchers
+        ]
+
+    def status(self, now: float) -> Status:
+        """Return the members' ids."""
+        return {"members": sorted(self._member_by_id)}
--- /dev/null
+++ b/src/siskinspool/gateway/messages.py
@@ -0,0 +1,296 @@
+"""Messages between the tasks of a gateway, and between gateways (`wire`)."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import attrs
+
+from ..core.errors import ErrorCode
+from ..core.message import Message
+from ..links.codec import wire
+from .request import PromptPart
+from .servers import Holdings, ServerLoad
+
+ROUTING_TASK = "routing"
+PLACEMENT_TASK = "placement"
+ORDERS_TASK = "orders"
+CAPS_TASK = "caps"
+LEADERSHIP_TASK = "leadership"
+MEMBERS_TASK = "members"
+
+
+@attrs.frozen(kw_only=True)
+class AssignServer(Message):
+    """Choose a server for one send of a request; answered once.
+
+    The answer is `ServerAssigned` or `AssignRefused`; it comes when a server is free,
+    at the latest after ``patience_s``.
+    """
+
+    request_id: str
+    service: str
+    # Empty for a plain service.
+    model: str
+    adapter: str
+    parts: tuple[PromptPart, ...]
+    # Prompt and output tokens; 0 for a plain service.
+    tokens: int
+    # 0 is the most urgent.
+    priority: int
+    # Servers that have had this request.
+    excluded: frozenset[str]
+    # The request has reached a server before, so this send draws on the retry budget.
+    repeat: bool
+    patience_s: float
+
+
+@attrs.frozen
+class ServerAssigned(Message):
+    """A server for one send."""
+
+    server_id: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class AssignRefused(Message):
+    """No server in time."""
+
+    code: ErrorCode
+    detail: str
+    # When a new attempt makes sense.
+    retry_after_s: float
+
+
+@attrs.frozen
+class RequestGone(Message):
+    """The requester of a waiting request has left."""
+
+    request_id: str
+
+
+class AttemptResult(StrEnum):
+    """How one send to a server ended."""
+
+    ANSWERED = "answered"
+    # The server ran the request and reports a failure of its own.
+    FAILED = "failed"
+    # The server did not run the request.
+    REJECTED = "rejected"
+    # The server does not hold the model.
+    MODEL_MISSING = "model_missing"
+    # Another server has the address.
+    WRONG_SERVER = "wrong_server"
+    # No connection; nothing was sent.
+    NOT_SENT = "not_sent"
+    # Sent, and no whole answer came.
+    LOST = "lost"
+    # The requester left, or its time was up.
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen(kw_only=True)
+class AttemptEnded(Message):
+    """One send has ended."""
+
+    request_id: str
+    server_id: str
+    result: AttemptResult
+    load: ServerLoad | None = None
+
+
+@attrs.frozen
+class FirstEventSeen(Message):
+    """The first event of a stream has come: its prompt has been read."""
+
+    request_id: str
+    server_id: str
+
+
+@wire
+@attrs.frozen
+class WantModel(Message):
+    """Have a model, or one of its adapters, ready on some server; to the leader."""
+
+    service: str
+    model: str
+    # Empty if the model itself is wanted.
+    adapter: str
+    # The server on which the sender would like the adapter; empty for any.
+    near_server: str
+
+
+@wire
+@attrs.frozen
+class ModelReady(Message):
+    """A server holds a model and, if named, an adapter of it."""
+
+    model: str
+    adapter: str
+    server_id: str
+
+
+@wire
+@attrs.frozen
+class ModelExpected(Message):
+    """A model will be ready after this time."""
+
+    model: str
+    adapter: str
+    in_s: float
+
+
+@wire
+@attrs.frozen
+class DemandSeen(Message):
+    """Prompt tokens that the sender routed since its last report, by model."""
+
+    service: str
+    tokens_by_model: dict[str, int]
+
+
+@attrs.frozen
+class LeaderChanged(Message):
+    """Which instance gives orders to servers; None if unknown."""
+
+    leader_id: str | None
+
+
+@attrs.frozen
+class LeadershipHeld(Message):
+    """This instance may give orders with this epoch number from a time on."""
+
+    epoch: int
+    # On the instance's clock.
+    from_s: float
+
+
+@attrs.frozen
+class LeadershipExtended(Message):
+    """Orders may be given until a time on the instance's clock."""
+
+    until_s: float
+
+
+@attrs.frozen
+class LeadershipLost(Message):
+    """This instance gives no more orders."""
+
+
+@attrs.frozen
+class LeadershipFenced(Message):
+    """A server has seen a higher epoch number than this instance's."""
+
+    epoch: int
+
+
+class OrderKind(StrEnum):
+    """What a server is told to do."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@attrs.frozen(kw_only=True)
+class ServerOrder(Message):
+    """An order to a server; answered by `OrderEnded`."""
+
+    server_id: str
+    host: str
+    port: int
+    kind: OrderKind
+    model: str
+    # Empty for the model itself.
+    adapter: str
+    # Orders that the server must have accepted before this one.
+    expected_count: int
+    epoch: int
+
+
+class OrderResult(StrEnum):
+    """What a server said to an order."""
+
+    ACCEPTED = "accepted"
+    # What the order asks for holds already.
+    HOLDS = "holds"
+    # Another order is in progress, or the count of orders differs.
+    CONFLICT = "conflict"
+    # A higher epoch number has been seen.
+    FENCED = "fenced"
+    # The server cannot carry it out, or another server has the address.
+    INVALID = "invalid"
+    # Nothing was sent.
+    NOT_SENT = "not_sent"
+    # The order may be carried out later.
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class OrderEnded(Message):
+    """The result of an order."""
+
+    order: ServerOrder
+    result: OrderResult
+
+
+@attrs.frozen
+class ReadHoldings(Message):
+    """Read a server's report; answered by `HoldingsRead`."""
+
+    server_id: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class HoldingsRead(Message):
+    """What a server's report says; None if it could not be read."""
+
+    server_id: str
+    holdings: Holdings | None
+
+
+@attrs.frozen
+class SpendTokens(Message):
+    """Take tokens from a tenant's cap; answered by `TokensGranted` or refused."""
+
+    tenant: str
+    tokens: int
+
+
+@attrs.frozen
+class TokensGranted(Message):
+    """The request is within its tenant's cap."""
+
+    # "owner", "local" or "uncapped": who decided.
+    by: str
+
+
+@attrs.frozen
+class TokensRefused(Message):
+    """The request is beyond its tenant's cap."""
+
+    by: str
+    retry_after_s: float
+
+
+@wire
+@attrs.frozen
+class SpendAtOwner(Message):
+    """Take tokens at the instance that keeps a tenant's cap."""
+
+    number: int
+    tenant: str
+    tokens: int
+
+
+@wire
+@attrs.frozen
+class SpentAtOwner(Message):
+    """Answer to `SpendAtOwner`."""
+
+    number: int
+    granted: bool
+    retry_after_s: float
--- /dev/null
+++ b/src/siskinspool/gateway/pages.py
@@ -0,0 +1,107 @@
+"""Pages beside the front: readiness for the platform, metrics and status for people."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+from gevent.pywsgi import WSGIServer
+
+from ..core.message import Incoming, Message
+from ..core.status import AskGauges, AskStatus, GaugesShown, StatusShown
+from ..core.task import Task
+from ..links.caller import StartResponse, status_line
+from ..settings import Endpoint
+from .front_door import FrontDoor
+from .request_task import RequestContext
+
+STATUS_TIMEOUT_S: Final = 1.0
+
+
+class PagesTask(Task):
+    """Small pages beside the front: readiness, metrics, status; task name ``pages``."""
+
+    def __init__(
+        self,
+        front: FrontDoor,
+        context: RequestContext,
+        ready: Endpoint,
+        metrics: Endpoint,
+        ready_path: str,
+        status_tasks: tuple[str, ...],
+    ) -> None:
+        """Bind the listeners."""
+        super().__init__("pages", context.dispatcher, context.clock)
+        self._front = front
+        self._metrics = context.metrics
+        self._ready_path = ready_path
+        self._status_tasks = status_tasks
+        self._servers = [
+            WSGIServer(
+                (endpoint.host, endpoint.port), application, log=None, error_log=None
+            )
+            for endpoint, application in (
+                (ready, self._ready),
+                (metrics, self._internal),
+            )
+        ]
+        for server in self._servers:
+            server.init_socket()
+        self.ready_port, self.metrics_port = (
+            int(server.server_port or 0) for server in self._servers
+        )
+
+    def start(self) -> None:
+        """Start the task and its listeners."""
+        super().start()
+        for server in self._servers:
+            server.start()
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """Close the listeners."""
+        for server in self._servers:
+            server.stop(timeout=0.1)
+        super().stop(timeout_s)
+
+    def handle(self, incoming: Incoming) -> None:
+        """Take no messages."""
+
+    def _ready(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        known = environ["PATH_INFO"] == self._ready_path
+        status = 404 if not known else 200 if self._front.is_ready else 503
+        start_response(status_line(status), [("Content-Length", "0")])
+        return []
+
+    def _internal(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        match environ["PATH_INFO"]:
+            case "/metrics":
+                self._collect_gauges()
+                status, kind, body = 200, "text/plain", self._metrics.text()
+            case "/status":
+                status, kind, body = 200, "application/json", self._status()
+            case _:
+                status, kind, body = 404, "text/plain", b""
+        start_response(status_line(status), [("Content-Type", kind)])
+        return [body]
+
+    def _collect_gauges(self) -> None:
+        for task in self._status_tasks:
+            shown = self._ask(task, AskGauges())
+            if isinstance(shown, GaugesShown):
+                self._metrics.set_gauges(shown.value_by_name)
+
+    def _status(self) -> bytes:
+        status = {}
+        for task in self._status_tasks:
+            shown = self._ask(task, AskStatus())
+            if isinstance(shown, StatusShown):
+                status[task] = shown.fields
+        return msgspec.json.encode(status)
+
+    def _ask(self, task: str, question: Message) -> Message | None:
+        recipient = self.dispatcher.address(task)
+        return self.dispatcher.ask(recipient, question, STATUS_TIMEOUT_S)
--- /dev/null
+++ b/src/siskinspool/gateway/placement.py
@@ -0,0 +1,571 @@
+"""The ``placement`` decision: the leader's orders to model servers.
+
+Gateways tell the leader which models they want now and what they route. For a wanted
+model the leader picks the server where it is ready soonest at the least loss, unloads
+what must go and loads it, one order at a time for each server. It tells the askers
+when to expect the model and when it is there. While nothing is wanted it loads models
+of which no server has a copy, so that a later load need not use the weight store, and
+adds replicas of models with much demand.
+
+Loads from the weight store draw on a token bucket sized so that two leaders in a row
+stay within the bound.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from ..core.decision import Decision
+from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.status import Status
+from ..telemetry.logs import log_event
+from .bounds import Bounds
+from .desired_state import DesiredState, EngineSpec
+from .managed_server import (
+    POLL_INTERVAL_S,
+    Goal,
+    ManagedServer,
+)
+from .messages import (
+    LEADERSHIP_TASK,
+    ORDERS_TASK,
+    ROUTING_TASK,
+    DemandSeen,
+    HoldingsRead,
+    LeadershipExtended,
+    LeadershipFenced,
+    LeadershipHeld,
+    LeadershipLost,
+    ModelExpected,
+    ModelReady,
+    OrderEnded,
+    OrderKind,
+    OrderResult,
+    ReadHoldings,
+    ServerOrder,
+    WantModel,
+)
+from .placement_choice import Demand, ServiceFleet
+from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
+from .token_bucket import TokenBucket
+
+logger = logging.getLogger(__name__)
+
+# Loads from the weight store at a time beyond which each takes longer; loads that no
+# request waits for keep to it.
+STORE_LOADS_AT_ONCE: Final = 4
+# Loads that may begin at once; see `_load_bucket`.
+LOAD_BURST: Final = 1.5
+TICK_S: Final = 0.25
+# Prompt tokens a second that one replica carries before another is added.
+REPLICA_TOKENS_PER_S: Final = 14_000.0
+# A replica must be worth this many times what it displaces.
+REPLICA_GAIN: Final = 3.0
+# Orders are given only if this much of the time in office is left: their time-out.
+ORDER_TIME_S: Final = 0.6
+
+
+class Placement(Decision):
+    """Gives orders while this instance leads."""
+
+    def __init__(self, instance_id: str, bounds: Bounds, first_start: bool) -> None:
+        """Take the own id, the bounds and whether the system starts for once."""
+        self._id = instance_id
+        self._bounds = bounds
+        self._first_start = first_start
+        self._engine_by_service: dict[str, EngineSpec] = {}
+        self._server_by_id: dict[str, ManagedServer] = {}
+        self._evacuated_zones: set[str] = set()
+        self._demand_by_service: dict[str, Demand] = {}
+        self._bucket_by_service: dict[str, TokenBucket] = {}
+        self._epoch: int | None = None
+        self._from_s = 0.0
+        self._until_s = 0.0
+        self._next_tick_at = 0.0
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a wish, the end of an order or a change."""
+        match incoming.message:
+            case WantModel() as want:
+                return self._want(want, incoming.sender.instance_id, now)
+            case DemandSeen(service, tokens_by_model):
+                self._take_demand(service, tokens_by_model, now)
+            case OrderEnded() as ended:
+                return self._end_order(ended, now)
+            case HoldingsRead() as read:
+                return self._take_report(read, now)
+            case ServerRecord() as record:
+                self._take_record(record)
+            case ServerRemoved(server_id):
+                self._server_by_id.pop(server_id, None)
+            case ZoneEvacuated(zone, evacuated):
+                change = self._evacuated_zones
+                change.add(zone) if evacuated else change.discard(zone)
+            case DesiredState() as desired:
+                self._take_desired(desired)
+            case other:
+                self._take_office(other, now)
+        return []
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Advance all servers and plan ahead."""
+        self._next_tick_at = now + TICK_S
+        if not self._in_office(now):
+            return []
+        batch: list[Outgoing] = []
+        for server in list(self._server_by_id.values()):
+            batch += self._advance(server, now)
+        for service, engine in self._engine_by_service.items():
+            batch += self._plan_ahead(self._fleet(service, engine), now)
+        return batch
+
+    def wake_at(self) -> float | None:
+        """Return when a server needs attention."""
+        if self._epoch is None:
+            return None
+        due = self._next_tick_at
+        for server in self._server_by_id.values():
+            for arrival in server.arrival_by_adapter.values():
+                due = min(due, arrival.ready_at)
+            if server.goals and server.order is None and not server.reading:
+                times = [server.wait_until]
+                if server.busy_until is not None:
+                    times.append(server.busy_until)
+                due = min(due, max(times))
+        return due
+
+    def status(self, now: float) -> Status:
+        """Return the leader's view of the servers."""
+        if self._epoch is None:
+            return {"leading": False}
+        return {
+            "leading": self._in_office(now),
+            "epoch": self._epoch,
+            "servers": {
+                server_id: {
+                    "orders": server.holdings.order_count,
+                    "models": sorted(server.holdings.model_by_name),
+                    "goals": [f"{goal.model}/{goal.adapter}" for goal in server.goals],
+                }
+                for server_id, server in self._server_by_id.items()
+            },
+        }
+
+    # Wishes
+
+    def _want(self, want: WantModel, asker: str, now: float) -> list[Outgoing]:
+        engine = self._engine_by_service.get(want.service)
+        if engine is None or want.model not in engine.model_by_name:
+            return []
+        if self._epoch is None or now >= self._until_s:
+            return []
+        fleet = self._fleet(want.service, engine)
+        if want.adapter:
+            return self._want_adapter(fleet, want, asker, now)
+        return self._want_model(fleet, want, asker, now)
+
+    def _want_model(
+        self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
+    ) -> list[Outgoing]:
+        model = want.model
+        for server in fleet.servers:
+            if server.holds_model(model) and not server.doubtful:
+                ready = ModelReady(model, want.adapter, server.record.server_id)
+                return [] if want.adapter else [self._to_routing(asker, ready)]
+        for server in fleet.servers:
+            goal = server.has_goal(model, "")
+            if goal is not None:
+                goal.askers.add(asker)
+                return [self._expected(want, asker, server, fleet, now)]
+        choice = fleet.choose(fleet.engine.model_by_name[model], fleet.servers, now)
+        if choice is None:
+            log_event(logger, logging.WARNING, "model_has_no_room", model=model)
+            return []
+        self._log_plan(model, choice.server, choice.victims, "wanted")
+        choice.server.goals.appendleft(Goal(model, "", {asker}))
+        expected = self._expected(want, asker, choice.server, fleet, now)
+        return [expected, *self._advance(choice.server, now)]
+
+    def _want_adapter(
+        self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
+    ) -> list[Outgoing]:
+        model, adapter = want.model, want.adapter
+        holders = [server for server in fleet.servers if server.holds_model(model)]
+        if not holders:
+            return self._want_model(fleet, want, asker, now)
+        for server in holders:
+            goal = server.has_goal(model, adapter)
+            if goal is not None:
+                goal.askers.add(asker)
+                return []
+            arrival = server.arrival_by_adapter.get((model, adapter))
+            if arrival is not None:
+                arrival.askers.add(asker)
+                return []
+            if server.holds_adapter(model, adapter) and not server.doubtful:
+                ready = ModelReady(model, adapter, server.record.server_id)
+                return [self._to_routing(asker, ready)]
+        chosen = min(
+            holders,
+            key=lambda server: (
+                server.busy_until is not None,
+                server.record.server_id != want.near_server,
+                len(server.goals),
+                server.adapter_count(),
+            ),
+        )
+        chosen.goals.append(Goal(model, adapter, {asker}))
+        return self._advance(chosen, now)
+
+    def _expected(
+        self,
+        want: WantModel,
+        asker: str,
+        server: ManagedServer,
+        fleet: ServiceFleet,
+        now: float,
+    ) -> Outgoing:
+        spec = fleet.engine.model_by_name[want.model]
+        if server.loading == want.model and server.busy_until is not None:
+            in_s = max(server.busy_until - now, 0.0)
+        else:
+            in_s = server.load_s(spec) + max(self._from_s - now, 0.0)
+            if server.busy_until is not None:
+                in_s += max(server.busy_until - now, 0.0)
+        return self._to_routing(asker, ModelExpected(want.model, want.adapter, in_s))
+
+    # Planning ahead
+
+    def _plan_ahead(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
+        if not fleet.servers or any(server.doubtful for server in fleet.servers):
+            return []
+        busy = sum(1 for server in fleet.servers if self._loads_from_store(server))
+        idle = [
+            server
+            for server in fleet.servers
+            if server.busy_until is None and not server.model_goals()
+        ]
+        if not idle or busy >= STORE_LOADS_AT_ONCE:
+            return []
+        model, reason = self._replica_to_add(fleet, now), "replica"
+        if model is None:
+            model, reason = self._model_without_copy(fleet), "no_copy"
+        if model is None:
+            return []
+        spec = fleet.engine.model_by_name[model]
+        free = [s for s in idle if model not in s.holdings.model_by_name]
+        choice = fleet.choose(spec, free, now)
+        if choice is None:
+            return []
+        lost = sum(fleet.value(victim, now) for victim in choice.victims)
+        if reason == "replica" and (
+            fleet.value(model, now) < REPLICA_GAIN * lost
+            or (
+                any(fleet.replicas(victim) < 2 for victim in choice.victims)
+                and lost > 0
+            )
+        ):
+            return []
+        self._log_plan(model, choice.server, choice.victims, reason)
+        choice.server.goals.append(Goal(model, ""))
+        return self._advance(choice.server, now)
+
+    def _replica_to_add(self, fleet: ServiceFleet, now: float) -> str | None:
+        most = max(
+            fleet.engine.model_by_name,
+            key=lambda model: fleet.value(model, now),
+            default=None,
+        )
+        if most is None or fleet.replicas(most) == 0:
+            return None
+        if fleet.value(most, now) < REPLICA_TOKENS_PER_S:
+            return None
+        return most
+
+    @staticmethod
+    def _model_without_copy(fleet: ServiceFleet) -> str | None:
+        present: set[str] = set()
+        for server in fleet.servers:
+            holdings = server.holdings
+            present |= holdings.in_memory | holdings.on_disk
+            present |= set(holdings.model_by_name)
+            present |= {goal.model for goal in server.goals}
+        missing = [m for m in fleet.engine.model_by_name if m not in present]
+        return missing[0] if missing else None
+
+    @staticmethod
+    def _loads_from_store(server: ManagedServer) -> bool:
+        return server.loading is not None and server.needs_store(server.loading)
+
+    # Orders
+
+    def _advance(self, server: ManagedServer, now: float) -> list[Outgoing]:
+        """Take the next step towards a server's first goal."""
+        if not self._in_office(now) or server.order is not None or server.reading:
+            return []
+        batch = self._tell_arrivals(server, now)
+        if now < server.wait_until:
+            return batch
+        if server.doubtful:
+            return batch + self._read(server, now)
+        if server.busy_until is not None:
+            if now >= server.busy_until:
+                batch += self._read(server, now)
+            return batch
+        while server.goals:
+            goal = server.goals[0]
+            if self._is_reached(server, goal, now):
+                server.goals.popleft()
+                batch += self._tell_ready(server, goal)
+                continue
+            order = self._next_order(server, goal, now)
+            if order is None:
+                return batch
+            server.order = order
+            self._log_order(order)
+            return [*batch, self._to_orders(order)]
+        return batch
+
+    def _is_reached(self, server: ManagedServer, goal: Goal, now: float) -> bool:
+        if goal.adapter:
+            return server.holds_adapter(goal.model, goal.adapter)
+        return server.holds_model(goal.model)
+
+    def _next_order(
+        self, server: ManagedServer, goal: Goal, now: float
+    ) -> ServerOrder | None:
+        engine = self._engine_by_service.get(server.record.service)
+        spec = None if engine is None else engine.model_by_name.get(goal.model)
+        if engine is None or spec is None or not server.usable:
+            server.goals.popleft()
+            return None
+        fleet = self._fleet(server.record.service, engine)
+        if goal.adapter:
+            return self._adapter_order(fleet, server, goal, now)
+        victims = fleet.victims(spec, server, now)
+        if victims is None:
+            server.goals.popleft()
+            return None
+        if victims:
+            return self._order(server, OrderKind.UNLOAD, victims[0], "")
+        if server.needs_store(goal.model):
+            bucket = self._load_bucket(server.record.service, engine, now)
+            if not bucket.take(1, now):
+                server.wait_until = now + bucket.wait_s(1, now)
+                return None
+        return self._order(server, OrderKind.LOAD, goal.model, "")
+
+    def _adapter_order(
+        self, fleet: ServiceFleet, server: ManagedServer, goal: Goal, now: float
+    ) -> ServerOrder | None:
+        spec = fleet.engine.model_by_name[goal.model]
+        if not server.holds_model(goal.model):
+            server.goals.popleft()
+            return None
+        fits = server.adapter_count() < fleet.engine.adapter_slots and (
+            server.used_mb(fleet.engine) + spec.adapter_mb <= fleet.engine.weights_mb
+        )
+        if fits:
+            return self._order(server, OrderKind.LOAD, goal.model, goal.adapter)
+        victim = fleet.adapter_victim(server, now)
+        if victim is None:
+            server.goals.popleft()
+            return None
+        return self._order(server, OrderKind.UNLOAD, *victim)
+
+    def _order(
+        self, server: ManagedServer, kind: OrderKind, model: str, adapter: str
+    ) -> ServerOrder:
+        record = server.record
+        return ServerOrder(
+            server_id=record.server_id,
+            host=record.host,
+            port=record.port,
+            kind=kind,
+            model=model,
+            adapter=adapter,
+            expected_count=server.holdings.order_count,
+            epoch=self._epoch or 0,
+        )
+
+    def _end_order(self, ended: OrderEnded, now: float) -> list[Outgoing]:
+        order, result = ended.order, ended.result
+        server = self._server_by_id.get(order.server_id)
+        log_event(
+            logger,
+            logging.INFO,
+            "order_ended",
+            server=order.server_id,
+            kind=order.kind,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected_count,
+            epoch=order.epoch,
+            result=result,
+        )
+        batch: list[Outgoing] = []
+        if result is OrderResult.FENCED:
+            fenced = LeadershipFenced(order.epoch)
+            batch.append(Outgoing(Address(self._id, LEADERSHIP_TASK), fenced))
+        if server is None or server.order != order:
+            return batch
+        server.order = None
+        engine = self._engine_by_service.get(server.record.service)
+        spec = None if engine is None else engine.model_by_name.get(order.model)
+        if result is OrderResult.ACCEPTED and spec is not None:
+            server.accepted(order, spec, now)
+        elif result is OrderResult.HOLDS and spec is not None:
+            if order.adapter and order.kind is OrderKind.UNLOAD:
+                # An unload of an idle adapter is carried out at once.
+                server.accepted(order, spec, now)
+            else:
+                server.doubtful = True
+        else:
+            server.ended(result, now)
+        return batch + self._advance(server, now)
+
+    def _read(self, server: ManagedServer, now: float) -> list[Outgoing]:
+        server.reading = True
+        record = server.record
+        read = ReadHoldings(record.server_id, record.host, record.port)
+        return [self._to_orders(read)]
+
+    def _take_report(self, read: HoldingsRead, now: float) -> list[Outgoing]:
+        server = self._server_by_id.get(read.server_id)
+        if server is None:
+            return []
+        server.reading = False
+        if read.holdings is None:
+            server.wait_until = now + 1.0
+            return []
+        if not server.take_report(read.holdings, now) or server.busy_until is not None:
+            server.wait_until = now + POLL_INTERVAL_S
+        return self._advance(server, now)
+
+    # Results
+
+    def _tell_ready(self, server: ManagedServer, goal: Goal) -> list[Outgoing]:
+        ready = ModelReady(goal.model, goal.adapter, server.record.server_id)
+        return [self._to_routing(asker, ready) for asker in sorted(goal.askers)]
+
+    def _tell_arrivals(self, server: ManagedServer, now: float) -> list[Outgoing]:
+        batch: list[Outgoing] = []
+        for (model, adapter), arrival in server.take_arrivals(now):
+            batch += self._tell_ready(server, Goal(model, adapter, arrival.askers))
+        return batch
+
+    # Changes
+
+    def _take_office(self, message: object, now: float) -> None:
+        match message:
+            case LeadershipHeld(epoch, from_s):
+                self._epoch, self._from_s = epoch, from_s
+                self._bucket_by_service.clear()
+                for server in self._server_by_id.values():
+                    server.doubtful = True
+                    server.order = None
+                    server.reading = False
+                    server.goals.clear()
+                self._next_tick_at = now
+            case LeadershipExtended(until_s):
+                self._until_s = until_s
+            case LeadershipLost():
+                self._epoch = None
+
+    def _in_office(self, now: float) -> bool:
+        return (
+            self._epoch is not None
+            and now >= self._from_s
+            and now + ORDER_TIME_S < self._until_s
+        )
+
+    def _load_bucket(self, service: str, engine: EngineSpec, now: float) -> TokenBucket:
+        """Return the bucket of loads from the weight store.
+
+        The bound on a window of w seconds is rate x w x overage + 3. Two leaders in a
+        row each grant their burst at most beside the rate, so twice the burst must not
+        exceed 3. A later leader starts without it, as the last one may just have
+        loaded.
+        """
+        bucket = self._bucket_by_service.get(service)
+        if bucket is None:
+            make = TokenBucket.full if self._first_start else TokenBucket.empty
+            bucket = make(engine.store_loads_per_s, LOAD_BURST, now)
+            self._bucket_by_service[service] = bucket
+            self._first_start = False
+        return bucket
+
+    def _take_record(self, record: ServerRecord) -> None:
+        engine = self._engine_by_service.get(record.service)
+        server = self._server_by_id.get(record.server_id)
+        if engine is None:
+            if server is not None:
+                del self._server_by_id[record.server_id]
+            return
+        if server is None:
+            server = ManagedServer(record=record, holdings=record.holdings)
+            self._server_by_id[record.server_id] = server
+        else:
+            server.take_record(record)
+
+    def _take_desired(self, desired: DesiredState) -> None:
+        self._engine_by_service = {
+            service.name: service.engine
+            for service in desired.service_by_name.values()
+            if service.engine is not None
+        }
+
+    def _take_demand(
+        self, service: str, tokens_by_target: dict[str, int], now: float
+    ) -> None:
+        demand = self._demand_by_service.setdefault(service, Demand())
+        for target, tokens in tokens_by_target.items():
+            demand.add(target, tokens, now)
+            model, _, adapter = target.partition("/")
+            if adapter:
+                demand.add(model, tokens, now)
+
+    def _fleet(self, service: str, engine: EngineSpec) -> ServiceFleet:
+        servers = [
+            server
+            for server in self._server_by_id.values()
+            if server.record.service == service
+            and server.usable
+            and server.record.zone not in self._evacuated_zones
+        ]
+        demand = self._demand_by_service.setdefault(service, Demand())
+        return ServiceFleet(engine, servers, demand)
+
+    def _log_plan(
+        self, model: str, server: ManagedServer, victims: tuple[str, ...], why: str
+    ) -> None:
+        log_event(
+            logger,
+            logging.INFO,
+            "load_planned",
+            model=model,
+            server=server.record.server_id,
+            victims=",".join(victims),
+            why=why,
+        )
+
+    @staticmethod
+    def _log_order(order: ServerOrder) -> None:
+        log_event(
+            logger,
+            logging.INFO,
+            "order_given",
+            server=order.server_id,
+            kind=order.kind,
+            model=order.model,
+            adapter=order.adapter,
+            expected=order.expected_count,
+            epoch=order.epoch,
+        )
+
+    def _to_routing(self, instance_id: str, message: Message) -> Outgoing:
+        return Outgoing(Address(instance_id, ROUTING_TASK), message)
+
+    def _to_orders(self, message: Message) -> Outgoing:
+        return Outgoing(Address(self._id, ORDERS_TASK), message)
--- /dev/null
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -0,0 +1,168 @@
+"""Which server loads a model, and what makes room for it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from .desired_state import EngineSpec, ModelSpec
+from .managed_server import ManagedServer
+
+# Demand of the past counts half after this time.
+DEMAND_HALF_LIFE_S: Final = 8.0
+# Seconds that the eviction of the whole demand would be worth.
+EVICTION_COST_S: Final = 6.0
+# Expected time for a model order that waits behind another one.
+QUEUED_GOAL_S: Final = 1.5
+# A model that stood on several servers at the start was placed there for its demand.
+REPLICA_PRIOR: Final = 0.02
+
+
+@attrs.define
+class _Seen:
+    """Demand of one model, decaying."""
+
+    tokens: float
+    at: float
+
+
+class Demand:
+    """Prompt tokens wanted of each model in the recent past."""
+
+    def __init__(self) -> None:
+        self._seen_by_target: dict[str, _Seen] = {}
+
+    def add(self, target: str, tokens: float, now: float) -> None:
+        """Count tokens for a model or adapter."""
+        seen = self._seen_by_target.get(target)
+        if seen is None:
+            self._seen_by_target[target] = _Seen(tokens, now)
+        else:
+            seen.tokens = self._decayed(seen, now) + tokens
+            seen.at = now
+
+    def tokens_per_s(self, target: str, now: float) -> float:
+        """Return the recent rate of a model or adapter."""
+        seen = self._seen_by_target.get(target)
+        if seen is None:
+            return 0.0
+        # A steady rate r adds up to r x half-life / ln 2.
+        return self._decayed(seen, now) * 0.693 / DEMAND_HALF_LIFE_S
+
+    def last_at(self, target: str) -> float:
+        """Return when a model or adapter was last wanted."""
+        seen = self._seen_by_target.get(target)
+        return float("-inf") if seen is None else seen.at
+
+    @staticmethod
+    def _decayed(seen: _Seen, now: float) -> float:
+        age_s = max(now - seen.at, 0.0)
+        return float(seen.tokens * 0.5 ** (age_s / DEMAND_HALF_LIFE_S))
+
+
+@attrs.frozen
+class Choice:
+    """A server for a model and the models that have to go first."""
+
+    server: ManagedServer
+    victims: tuple[str, ...]
+    # Estimated time until the model is ready, and what the eviction costs beside.
+    ready_in_s: float
+    cost_s: float
+
+
+@attrs.define
+class ServiceFleet:
+    """The model servers of one service, with the demand for its models."""
+
+    engine: EngineSpec
+    servers: list[ManagedServer]
+    demand: Demand
+
+    def replicas(self, model: str) -> int:
+        """Return how many servers hold or load a model."""
+        return sum(1 for s in self.servers if model in s.holdings.model_by_name)
+
+    def value(self, model: str, now: float) -> float:
+        """Return the worth of one replica of a model, in tokens a second."""
+        replicas = max(self.replicas(model), 1)
+        prior = REPLICA_PRIOR * (replicas - 1)
+        return self.demand.tokens_per_s(model, now) / replicas + prior
+
+    def total_rate(self, now: float) -> float:
+        """Return the demand for all models, in tokens a second."""
+        return sum(
+            self.demand.tokens_per_s(model, now) for model in self.engine.model_by_name
+        )
+
+    def choose(
+        self, spec: ModelSpec, servers: Iterable[ManagedServer], now: float
+    ) -> Choice | None:
+        """Return the server on which a model is ready at the lowest cost."""
+        choices = [
+            choice
+            for server in servers
+            if (choice := self._consider(spec, server, now)) is not None
+        ]
+        return min(
+            choices,
+            key=lambda choice: (choice.cost_s, choice.server.record.server_id),
+            default=None,
+        )
+
+    def _consider(
+        self, spec: ModelSpec, server: ManagedServer, now: float
+    ) -> Choice | None:
+        victims = self.victims(spec, server, now)
+        if victims is None:
+            return None
+        ready_in_s = server.load_s(spec) + server.model_goals() * QUEUED_GOAL_S
+        if server.busy_until is not None:
+            ready_in_s += max(server.busy_until - now, 0.0)
+        lost = sum(self.value(model, now) for model in victims)
+        total = max(self.total_rate(now), 1.0)
+        cost_s = ready_in_s + EVICTION_COST_S * min(lost / total, 1.0)
+        return Choice(server, victims, ready_in_s, cost_s)
+
+    def victims(
+        self, spec: ModelSpec, server: ManagedServer, now: float
+    ) -> tuple[str, ...] | None:
+        """Return the models that have to go for one to fit; None if it cannot."""
+        free_mb = self.engine.weights_mb - server.used_mb(self.engine)
+        wanted = {goal.model for goal in server.goals}
+        candidates = sorted(
+            (
+                name
+                for name in server.holdings.model_by_name
+                if name != server.loading and name not in wanted
+            ),
+            key=lambda name: (self.value(name, now), self.demand.last_at(name), name),
+        )
+        victims: list[str] = []
+        for name in candidates:
+            if free_mb >= spec.weights_mb:
+                break
+            held = server.holdings.model_by_name[name]
+            victim = self.engine.model_by_name.get(name)
+            if victim is not None:
+                free_mb += victim.weights_mb + len(held.adapters) * victim.adapter_mb
+                victims.append(name)
+        return tuple(victims) if free_mb >= spec.weights_mb else None
+
+    def adapter_victim(
+        self, server: ManagedServer, now: float
+    ) -> tuple[str, str] | None:
+        """Return the adapter whose last use is longest ago, as (model, adapter)."""
+        held = [
+            (model.name, adapter)
+            for model in server.holdings.model_by_name.values()
+            for adapter in model.adapters
+            if (model.name, adapter) not in server.arrival_by_adapter
+        ]
+        return min(
+            held,
+            key=lambda pair: (self.demand.last_at("/".join(pair)), pair),
+            default=None,
+        )
--- /dev/null
+++ b/src/siskinspool/gateway/request_task.py
@@ -0,0 +1,509 @@
+"""One request from its admission to the end of its answer.
+
+A `RequestTask` is a greenlet that owns the connections to servers. It asks ``caps`` for
+tokens and ``routing`` for a server, sends the request and hands the answer to a sink.
+
+What may be sent again: a request that no server ran may always go to another server. A
+request that may have run goes again only if the route allows it, and a stream then goes
+on after the last event that the requester has. 429 and 503 are answered only if no
+server can have run the request; otherwise the answer is 502 or 504.
+"""
+
+from __future__ import annotations
+
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import attrs
+import gevent
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.errors import ErrorCode
+from ..core.message import Address, Message, Outgoing
+from ..core.outcome import Refusal, RunState
+from ..links.answer_sink import AnswerSink
+from ..links.backend import Answer, Lost, NotSent, ServerLink, ServerRequest
+from ..telemetry.logs import log_event
+from .desired_state import RouteKind
+from .event_stream import EVENT_END, StreamPosition
+from .gateway_metrics import GatewayMetrics, RequestMeasured
+from .intake import Admission
+from .messages import (
+    CAPS_TASK,
+    ROUTING_TASK,
+    AssignRefused,
+    AssignServer,
+    AttemptEnded,
+    AttemptResult,
+    FirstEventSeen,
+    RequestGone,
+    ServerAssigned,
+    SpendTokens,
+    TokensGranted,
+    TokensRefused,
+)
+from .request import AnswerFacts, RequestHead, SendPlan
+
+logger = logging.getLogger(__name__)
+
+# Longest time for the decision on tokens; the owner's time-out is far shorter.
+CAPS_TIMEOUT_S: Final = 0.5
+# Time that an ask may take beyond the patience that was sent with it.
+ASK_MARGIN_S: Final = 0.3
+# A requester leaves a stream after a gap of this, of 4 targets or of 8 pauses,
+# whichever is longest.
+LEAST_STREAM_PATIENCE_S: Final = 2.0
+PATIENCE_TARGETS: Final = 4
+PATIENCE_GAPS: Final = 8
+# Kept for the answer's way back.
+ANSWER_MARGIN_S: Final = 0.1
+# A request is not sent with less time than this.
+LEAST_SEND_S: Final = 0.02
+RETRY_AFTER_S: Final = 0.3
+SERVER_ERROR: Final = 500
+
+
+class HeaderCodec(ABC):
+    """The headers of a platform's requests and answers."""
+
+    @abstractmethod
+    def server_headers(self, head: RequestHead, plan: SendPlan) -> dict[str, str]:
+        """Return the headers of a request for a server."""
+
+    @abstractmethod
+    def decode_answer(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
+        """Return what a server says about its answer."""
+
+    @abstractmethod
+    def answer_headers(self, headers: Mapping[str, str]) -> dict[str, str]:
+        """Return the headers that go on to the requester."""
+
+
+@attrs.frozen(kw_only=True)
+class RequestContext:
+    """What all requests of a gateway share."""
+
+    dispatcher: Dispatcher
+    clock: Clock
+    link: ServerLink
+    codec: HeaderCodec
+    metrics: GatewayMetrics
+
+
+@attrs.frozen(kw_only=True)
+class GatewayRequest:
+    """An admitted request with its body."""
+
+    head: RequestHead
+    body: bytes = attrs.field(repr=False)
+    admission: Admission
+    # On the instance's clock.
+    arrived_at: float
+
+
+@attrs.frozen
+class _Retry:
+    """The send gave no answer; another may."""
+
+    detail: str
+
+
+class _Done:
+    """The answer went to the sink, whole or cut."""
+
+
+class RequestTask:
+    """Runs one request."""
+
+    def __init__(
+        self, request: GatewayRequest, context: RequestContext, sink: AnswerSink
+    ) -> None:
+        self.request = request
+        self._context = context
+        self._sink = sink
+        route = request.admission.route
+        total_s = route.timeout_s
+        if request.head.deadline_s is not None:
+            total_s = min(total_s, request.head.deadline_s)
+        self._deadline_at = request.arrived_at + total_s
+        self._position = StreamPosition.from_header(request.head.last_event_id)
+        # Servers that the request was sent to.
+        self._tried: set[str] = set()
+        self._arrived = False
+        # A server may have run the request.
+        self._may_have_run = False
+        self._begun = False
+        self._first_byte_at: float | None = None
+        self._greenlet: gevent.Greenlet[..., None] | None = None
+
+    def start(self, on_end: Callable[[], None]) -> None:
+        """Start the greenlet; ``on_end`` is called when it has ended."""
+        self._greenlet = gevent.spawn(self._run)
+        self._greenlet.rawlink(lambda _: on_end())
+
+    def cancel(self) -> None:
+        """End the request because the requester has gone."""
+        if self._greenlet is not None and not self._greenlet.dead:
+            self._log_end("cancelled", None)
+            self._greenlet.kill(block=False)
+
+    # The course of a request
+
+    def _run(self) -> None:
+        timer = gevent.Timeout.start_new(max(self._remaining_s(), 0.001))
+        try:
+            refusal = self._spend()
+            if refusal is None:
+                refusal = self._attempts()
+        except gevent.Timeout as expired:
+            if expired is not timer:
+                raise
+            refusal = self._time_is_up("")
+        finally:
+            timer.close()
+        if refusal is not None:
+            self._refuse(refusal)
+
+    def _spend(self) -> Refusal | None:
+        """Take the request's tokens; return a refusal if its tenant has none left."""
+        admission = self.request.admission
+        if not admission.tenant:
+            return None
+        spend = SpendTokens(admission.tenant, admission.tokens)
+        answer = self._ask(CAPS_TASK, spend, CAPS_TIMEOUT_S)
+        match answer:
+            case TokensGranted():
+                return None
+            case TokensRefused(by, retry_after_s):
+                return Refusal(
+                    429,
+                    ErrorCode.RATE_EXCEEDED,
+                    f"tokens={admission.tokens} decided_by={by}",
+                    retry_after_s=min(max(retry_after_s, 0.05), 60.0),
+                )
+        return Refusal(
+            503,
+            ErrorCode.STORE_UNAVAILABLE,
+            "no decision on the tenant's cap",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _attempts(self) -> Refusal | None:
+        """Send until an answer has passed; return a refusal if none will."""
+        detail = ""
+        while True:
+            if self._remaining_s() < LEAST_SEND_S:
+                return self._time_is_up(detail)
+            assigned = self._assign()
+            if not isinstance(assigned, ServerAssigned):
+                return self._without_server(assigned, detail)
+            outcome = self._send(assigned)
+            if isinstance(outcome, _Done):
+                return None
+            detail = outcome.detail
+            limit = self.request.admission.route.max_attempts
+            if len(self._tried) >= limit and self._arrived:
+                return self._failed(detail)
+            if self._may_have_run and not self._may_repeat():
+                return self._failed(detail)
+
+    def _assign(self) -> ServerAssigned | AssignRefused | None:
+        head, admission = self.request.head, self.request.admission
+        patience_s = self._patience_s()
+        call = AssignServer(
+            request_id=head.request_id,
+            service=admission.service,
+            model=head.model,
+            adapter=head.adapter,
+            parts=head.parts,
+            tokens=head.tokens or 0,
+            priority=admission.priority,
+            excluded=frozenset(self._tried),
+            repeat=self._arrived,
+            patience_s=patience_s,
+        )
+        settled = False
+        try:
+            answer = self._ask(ROUTING_TASK, call, patience_s + ASK_MARGIN_S)
+            settled = True
+        finally:
+            if not settled:
+                self._tell(RequestGone(head.request_id))
+        if isinstance(answer, ServerAssigned | AssignRefused):
+            return answer
+        self._tell(RequestGone(head.request_id))
+        return None
+
+    def _patience_s(self) -> float:
+        """Return how long the request may wait for a server, in seconds."""
+        patience_s = self._remaining_s() - ANSWER_MARGIN_S
+        route = self.request.admission.route
+        if route.kind is RouteKind.STREAM:
+            gap_s = max(
+                LEAST_STREAM_PATIENCE_S,
+                PATIENCE_TARGETS * route.target_latency_s,
+                PATIENCE_GAPS * (route.gap_target_s or 0.0),
+            )
+            elapsed_s = self._now() - self.request.arrived_at
+            patience_s = min(patience_s, gap_s - elapsed_s - ANSWER_MARGIN_S)
+        return max(patience_s, 0.0)
+
+    # One send
+
+    def _send(self, assigned: ServerAssigned) -> _Done | _Retry:
+        """Send to one server and pass its answer on."""
+        self._tried.add(assigned.server_id)
+        ran_before = self._may_have_run
+        # From here on, an end without an answer leaves open whether a server ran it.
+        self._may_have_run = True
+        result = AttemptResult.CANCELLED
+        load = None
+        answer: Answer | None = None
+        try:
+            opened = self._open(assigned)
+            if isinstance(opened, NotSent):
+                result = AttemptResult.NOT_SENT
+                self._tried.discard(assigned.server_id)
+                self._may_have_run = ran_before
+                return self._note_failure(assigned, result, opened.reason)
+            self._arrived = True
+            if isinstance(opened, Lost):
+                result = AttemptResult.LOST
+                return self._note_failure(assigned, result, opened.reason)
+            answer = opened
+            facts = self._context.codec.decode_answer(answer.status, answer.headers)
+            load = facts.load
+            if facts.not_run:
+                self._may_have_run = ran_before
+            result, outcome = self._take_answer(assigned, answer, facts)
+            return outcome
+        finally:
+            if answer is not None:
+                answer.close()
+            self._tell(
+                AttemptEnded(
+                    request_id=self.request.head.request_id,
+                    server_id=assigned.server_id,
+                    result=result,
+                    load=load,
+                )
+            )
+
+    def _open(self, assigned: ServerAssigned) -> Answer | NotSent | Lost:
+        head, admission = self.request.head, self.request.admission
+        remaining_s = self._remaining_s()
+        last_id = self._position.last_id
+        plan = SendPlan(
+            server_id=assigned.server_id,
+            remaining_s=remaining_s,
+            priority=admission.priority,
+            tenant=admission.tenant,
+            last_event_id="" if last_id is None else str(last_id),
+            keeps_authorization=admission.keeps_authorization,
+        )
+        request = ServerRequest(
+            host=assigned.host,
+            port=assigned.port,
+            method=head.method,
+            uri=head.target,
+            headers=self._context.codec.server_headers(head, plan),
+            body=self.request.body,
+            host_header=head.headers.get("host"),
+        )
+        return self._context.link.open_call(request, remaining_s)
+
+    def _take_answer(
+        self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
+    ) -> tuple[AttemptResult, _Done | _Retry]:
+        """Decide on an answer by its head and pass on what belongs to the requester."""
+        if facts.not_run:
+            result = AttemptResult.REJECTED
+            if facts.misdirected:
+                other = facts.server_id not in ("", assigned.server_id)
+                result = (
+                    AttemptResult.WRONG_SERVER if other else AttemptResult.MODEL_MISSING
+                )
+            return result, self._note_failure(assigned, result, f"{facts.status}")
+        if facts.request_id != self.request.head.request_id or facts.encoded:
+            result = AttemptResult.LOST
+            return result, self._note_failure(assigned, result, "not this answer")
+        if facts.status >= SERVER_ERROR and self._may_repeat():
+            # The answer is kept in case no other server does better.
+            result = AttemptResult.FAILED
+            failure = self._note_failure(assigned, result, f"{facts.status}")
+            if self._can_try_another():
+                return result, failure
+        if self.request.admission.route.kind is RouteKind.STREAM and facts.status < 300:
+            return self._pass_stream(assigned, answer)
+        return self._pass_whole(assigned, answer, facts)
+
+    def _pass_whole(
+        self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
+    ) -> tuple[AttemptResult, _Done | _Retry]:
+        body = answer.read_all()
+        if isinstance(body, Lost):
+            result = AttemptResult.LOST
+            return result, self._note_failure(assigned, result, body.reason)
+        self._first_byte_at = self._now()
+        headers = self._context.codec.answer_headers(answer.headers)
+        self._sink.whole(answer.status, headers, body)
+        failed = facts.status >= SERVER_ERROR
+        self._log_end("server_error" if failed else "ok", assigned.server_id)
+        return (AttemptResult.FAILED if failed else AttemptResult.ANSWERED), _Done()
+
+    def _pass_stream(
+        self, assigned: ServerAssigned, answer: Answer
+    ) -> tuple[AttemptResult, _Done | _Retry]:
+        for event in answer.events():
+            if isinstance(event, Lost) or not event.endswith(EVENT_END):
+                reason = event.reason if isinstance(event, Lost) else "half an event"
+                result = AttemptResult.LOST
+                return result, self._note_failure(assigned, result, reason)
+            if self._position.leaves_gap(event):
+                result = AttemptResult.LOST
+                return result, self._note_failure(assigned, result, "a gap in ids")
+            if self._position.accepts(event):
+                self._begin(assigned, answer)
+                self._sink.event(event)
+        self._begin(assigned, answer)
+        self._sink.end()
+        self._log_end("ok", assigned.server_id)
+        return AttemptResult.ANSWERED, _Done()
+
+    def _begin(self, assigned: ServerAssigned, answer: Answer) -> None:
+        if self._first_byte_at is None:
+            self._first_byte_at = self._now()
+            seen = FirstEventSeen(self.request.head.request_id, assigned.server_id)
+            self._tell(seen)
+        if not self._begun:
+            # A stream that goes on elsewhere keeps the headers of its first server.
+            self._begun = True
+            headers = self._context.codec.answer_headers(answer.headers)
+            self._sink.begin(answer.status, headers)
+
+    # What failures allow
+
+    def _may_repeat(self) -> bool:
+        route = self.request.admission.route
+        if not route.idempotent:
+            return False
+        return not self._begun or self._position.last_id is not None
+
+    def _can_try_another(self) -> bool:
+        route = self.request.admission.route
+        return (
+            len(self._tried) < route.max_attempts
+            and self._remaining_s() > route.target_latency_s / 2
+        )
+
+    def _note_failure(
+        self, assigned: ServerAssigned, result: AttemptResult, detail: str
+    ) -> _Retry:
+        log_event(
+            logger,
+            logging.INFO,
+            "send_failed",
+            request=self.request.head.request_id,
+            server=assigned.server_id,
+            result=result,
+            detail=detail,
+            may_have_run=self._may_have_run,
+            elapsed_s=self._now() - self.request.arrived_at,
+        )
+        return _Retry(detail)
+
+    def _time_is_up(self, detail: str) -> Refusal:
+        if self._may_have_run:
+            return self._unknown(504, ErrorCode.DEADLINE_PASSED, detail)
+        return Refusal(
+            503,
+            ErrorCode.DEADLINE_PASSED,
+            f"the time was up before a server ran the request {detail}",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _without_server(self, refused: AssignRefused | None, detail: str) -> Refusal:
+        if self._may_have_run:
+            return self._unknown(502, ErrorCode.SERVER_FAILED, detail)
+        if refused is None:
+            return Refusal(
+                503,
+                ErrorCode.NO_SERVER,
+                "no decision on a server",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return Refusal(
+            503, refused.code, refused.detail, retry_after_s=refused.retry_after_s
+        )
+
+    def _failed(self, detail: str) -> Refusal:
+        if self._may_have_run:
+            if self._remaining_s() < LEAST_SEND_S:
+                return self._unknown(504, ErrorCode.DEADLINE_PASSED, detail)
+            return self._unknown(502, ErrorCode.OUTCOME_UNKNOWN, detail)
+        return Refusal(
+            503,
+            ErrorCode.SERVER_FAILED,
+            f"no server took the request: {detail}",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    @staticmethod
+    def _unknown(status: int, code: ErrorCode, detail: str) -> Refusal:
+        return Refusal(status, code, detail, RunState.UNKNOWN)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        self._log_end(refusal.code, None, refusal)
+        self._sink.refuse(refusal)
+
+    # Helpers
+
+    def _now(self) -> float:
+        return self._context.clock.now()
+
+    def _remaining_s(self) -> float:
+        return self._deadline_at - self._now()
+
+    def _ask(self, task: str, message: Message, timeout_s: float) -> Message | None:
+        dispatcher = self._context.dispatcher
+        return dispatcher.ask(dispatcher.address(task), message, timeout_s)
+
+    def _tell(self, message: Message) -> None:
+        dispatcher = self._context.dispatcher
+        sender = Address(dispatcher.instance_id, "request")
+        dispatcher.send(sender, Outgoing(dispatcher.address(ROUTING_TASK), message))
+
+    def _log_end(
+        self, outcome: str, server_id: str | None, refusal: Refusal | None = None
+    ) -> None:
+        head, admission = self.request.head, self.request.admission
+        now = self._now()
+        first_byte_s = None
+        if self._first_byte_at is not None:
+            first_byte_s = self._first_byte_at - self.request.arrived_at
+        log_event(
+            logger,
+            logging.INFO,
+            "request_ended",
+            request=head.request_id,
+            route=admission.route.name,
+            tenant=admission.tenant,
+            outcome=outcome,
+            status=None if refusal is None else refusal.status,
+            detail=None if refusal is None else refusal.detail,
+            server=server_id,
+            first_byte_s=first_byte_s,
+            total_s=now - self.request.arrived_at,
+        )
+        self._context.metrics.record(
+            RequestMeasured(
+                route=admission.route.name,
+                tenant=admission.tenant,
+                outcome=outcome,
+                total_s=now - self.request.arrived_at,
+                first_byte_s=first_byte_s,
+            )
+        )
--- /dev/null
+++ b/src/siskinspool/gateway/routing.py
@@ -0,0 +1,472 @@
+"""The ``routing`` decision: which server gets a request, and which requests wait.
+
+A request goes to the open server of its service with the lowest estimated time to a
+first event that holds its model. If none holds it, the leader is asked to load it and
+the request waits; the leader's answer tells whether waiting can succeed. Requests wait
+in the order of priority and arrival, each at most for its patience.
+
+Rules kept here: nothing goes to a server that leaves, whose zone is evacuated or whose
+entry is gone; a cold server gets this gateway's part of what it bears; repeats keep to
+this gateway's part of the retry budget.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+import attrs
+
+from ..core.decision import Decision
+from ..core.errors import ErrorCode
+from ..core.message import Address, Incoming, Outgoing
+from ..core.status import Status
+from ..machines.messages import MembershipChanged
+from ..machines.rendezvous import score
+from ..telemetry.logs import log_event
+from .bounds import Bounds
+from .desired_state import DesiredState
+from .messages import (
+    PLACEMENT_TASK,
+    AssignRefused,
+    AssignServer,
+    AttemptEnded,
+    DemandSeen,
+    FirstEventSeen,
+    LeaderChanged,
+    ModelExpected,
+    ModelReady,
+    RequestGone,
+    ServerAssigned,
+    WantModel,
+)
+from .retry_share import RetryShare
+from .server_view import (
+    CACHE_SHARE,
+    STRANGER_COST_S,
+    PromptCache,
+    ServerView,
+    target_name,
+)
+from .servers import (
+    RegistryInterrupted,
+    RegistryListed,
+    ServerRecord,
+    ServerRemoved,
+    ServerState,
+    ZoneEvacuated,
+)
+from .token_bucket import TokenBucket
+
+logger = logging.getLogger(__name__)
+
+# A model that is wanted is asked for again after this time.
+WANT_INTERVAL_S: Final = 0.25
+# Waiting requests are looked at at least this often, since pauses end by themselves.
+WAIT_STEP_S: Final = 0.05
+DEMAND_INTERVAL_S: Final = 1.0
+# Entries that lapsed while the registry was away come back within two seconds.
+RETURN_GRACE_S: Final = 2.0
+# Time between a model's loading and its first event, added to what the leader expects.
+LOAD_MARGIN_S: Final = 0.1
+RETRY_AFTER_S: Final = 0.5
+
+
+@attrs.define
+class _Waiting:
+    """A request without a server."""
+
+    sender: Address
+    call: AssignServer
+    since: float
+    give_up_at: float
+
+
+class Routing(Decision):
+    """Chooses servers."""
+
+    def __init__(self, instance_id: str, zone: str, bounds: Bounds) -> None:
+        """Take the own id and zone and the bounds of the site."""
+        self._id = instance_id
+        self._zone = zone
+        self._bounds = bounds
+        self._retries = RetryShare(bounds)
+        self._desired: DesiredState | None = None
+        self._view_by_id: dict[str, ServerView] = {}
+        self._evacuated_zones: set[str] = set()
+        self._member_ids: tuple[str, ...] = (instance_id,)
+        self._leader_id: str | None = None
+        self._waiting_by_id: dict[str, _Waiting] = {}
+        # When each (service, model, adapter) was asked for last.
+        self._wanted_at: dict[tuple[str, str, str], float] = {}
+        self._demand: dict[str, dict[str, int]] = {}
+        self._next_demand_at = 0.0
+        # Changes of the registry do not arrive at present.
+        self._interrupted = False
+        # When waiting requests are looked at next.
+        self._step_at = 0.0
+
+    def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
+        """Take in a request, the end of a send or a change."""
+        match incoming.message:
+            case AssignServer() as call:
+                return self._assign_or_wait(incoming.sender, call, now)
+            case RequestGone(request_id):
+                self._waiting_by_id.pop(request_id, None)
+                return []
+            case FirstEventSeen(request_id, server_id):
+                if view := self._view_by_id.get(server_id):
+                    view.first_event(request_id)
+                return []
+            case AttemptEnded() as ended:
+                self._end_attempt(ended, now)
+            case other:
+                self._take_change(other, now)
+        return self._serve_waiting(now)
+
+    def on_time(self, now: float) -> list[Outgoing]:
+        """Serve or refuse waiting requests and report the demand."""
+        batch = self._serve_waiting(now)
+        for request_id, waiting in list(self._waiting_by_id.items()):
+            if waiting.give_up_at <= now:
+                del self._waiting_by_id[request_id]
+                batch.append(self._refuse(waiting, "no server was free in time", now))
+        if now >= self._next_demand_at:
+            self._next_demand_at = now + DEMAND_INTERVAL_S
+            batch += self._report_demand()
+        self._drop_gone(now)
+        return batch
+
+    def wake_at(self) -> float | None:
+        """Return when something is due."""
+        due = self._next_demand_at
+        if self._waiting_by_id:
+            soonest = min(item.give_up_at for item in self._waiting_by_id.values())
+            due = min(due, soonest, self._step_at)
+        return due
+
+    def status(self, now: float) -> Status:
+        """Return servers and waiting requests."""
+        return {
+            "leader": self._leader_id,
+            "servers": {
+                server_id: {
+                    "zone": view.record.zone,
+                    "open": view.is_open(now),
+                    "own_requests": len(view.own_by_request),
+                    "models": sorted(view.record.holdings.model_by_name),
+                }
+                for server_id, view in self._view_by_id.items()
+            },
+            "waiting": len(self._waiting_by_id),
+            "evacuated_zones": sorted(self._evacuated_zones),
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Return the numbers of servers and waiting requests."""
+        return {
+            "routing.servers": float(len(self._view_by_id)),
+            "routing.waiting": float(len(self._waiting_by_id)),
+        }
+
+    # Requests
+
+    def _assign_or_wait(
+        self, sender: Address, call: AssignServer, now: float
+    ) -> list[Outgoing]:
+        if call.repeat:
+            members = len(self._member_ids)
+            if not self._retries.take_repeat(call.service, members, now):
+                refused = AssignRefused(
+                    ErrorCode.SERVER_FAILED, "the retry budget is used up", 1.0
+                )
+                return [Outgoing(sender, refused)]
+        else:
+            self._retries.count_request(call.service, now)
+            self._count_demand(call)
+        waiting = _Waiting(sender, call, now, now + call.patience_s)
+        assigned = self._assign(waiting, now)
+        if assigned is not None:
+            return [assigned]
+        self._waiting_by_id[call.request_id] = waiting
+        self._step_at = now + WAIT_STEP_S
+        return self._want(call, now)
+
+    def _serve_waiting(self, now: float) -> list[Outgoing]:
+        if not self._waiting_by_id:
+            return []
+        self._step_at = now + WAIT_STEP_S
+        batch: list[Outgoing] = []
+        ordered = sorted(
+            self._waiting_by_id.values(),
+            key=lambda item: (item.call.priority, item.since),
+        )
+        for waiting in ordered:
+            assigned = self._assign(waiting, now)
+            if assigned is not None:
+                del self._waiting_by_id[waiting.call.request_id]
+                batch.append(assigned)
+            else:
+                batch += self._want(waiting.call, now)
+        return batch
+
+    def _assign(self, waiting: _Waiting, now: float) -> Outgoing | None:
+        call = waiting.call
+        best = self._choose(call, now)
+        if best is None:
+            return None
+        if best.is_cold(now):
+            best.cold_bucket.take(1, now)
+        best.sent(call)
+        record = best.record
+        log_event(
+            logger,
+            logging.INFO,
+            "server_assigned",
+            request=call.request_id,
+            server=record.server_id,
+            model=call.model,
+            adapter=call.adapter,
+            waited_s=now - waiting.since,
+            own=len(best.own_by_request),
+            failures=best.current_failures(now),
+            repeat=call.repeat,
+        )
+        assigned = ServerAssigned(record.server_id, record.host, record.port)
+        return Outgoing(waiting.sender, assigned)
+
+    def _choose(self, call: AssignServer, now: float) -> ServerView | None:
+        candidates = [
+            view
+            for view in self._view_by_id.values()
+            if self._may_serve(view, call, now)
+        ]
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
+        favourite = self._favourite(call, candidates)
+
+        def cost_s(view: ServerView) -> float:
+            cost = view.cost_s(call, self._zone, now)
+            return cost if view is favourite else cost + STRANGER_COST_S
+
+        return min(candidates, key=lambda view: (cost_s(view), view.record.server_id))
+
+    def _favourite(
+        self, call: AssignServer, candidates: list[ServerView]
+    ) -> ServerView | None:
+        """Return the server that all gateways prefer for a prompt's beginning."""
+        if not call.parts:
+            return None
+        key = f"{call.model}/{call.adapter}/{call.parts[0].part_id}"
+        return max(candidates, key=lambda view: score(key, view.record.server_id))
+
+    def _may_serve(self, view: ServerView, call: AssignServer, now: float) -> bool:
+        record = view.record
+        return (
+            record.service == call.service
+            and record.server_id not in call.excluded
+            and record.zone not in self._evacuated_zones
+            and view.is_open(now)
+            and (not call.model or view.holds(call.model, call.adapter, now))
+            and (not view.is_cold(now) or view.cold_bucket.wait_s(1, now) <= 0)
+        )
+
+    def _end_attempt(self, ended: AttemptEnded, now: float) -> None:
+        view = self._view_by_id.get(ended.server_id)
+        if view is None:
+            return
+        view.ended(ended.request_id, ended.result, ended.load, now)
+
+    def _refuse(self, waiting: _Waiting, detail: str, now: float) -> Outgoing:
+        log_event(
+            logger,
+            logging.INFO,
+            "no_server",
+            request=waiting.call.request_id,
+            model=waiting.call.model,
+            adapter=waiting.call.adapter,
+            waited_s=now - waiting.since,
+            leader=self._leader_id,
+            detail=detail,
+        )
+        return Outgoing(
+            waiting.sender,
+            AssignRefused(ErrorCode.NO_SERVER, detail, RETRY_AFTER_S),
+        )
+
+    # Models
+
+    def _want(self, call: AssignServer, now: float) -> list[Outgoing]:
+        """Ask the leader for a model that no open server holds."""
+        if not call.model or self._leader_id is None:
+            return []
+        key = (call.service, call.model, call.adapter)
+        if now - self._wanted_at.get(key, -WANT_INTERVAL_S) < WANT_INTERVAL_S:
+            return []
+        if any(self._may_serve(view, call, now) for view in self._view_by_id.values()):
+            return []
+        self._wanted_at[key] = now
+        want = WantModel(*key, near_server=self._near_server(call, now))
+        return [Outgoing(Address(self._leader_id, PLACEMENT_TASK), want)]
+
+    def _near_server(self, call: AssignServer, now: float) -> str:
+        """Return the server where an adapter would serve this gateway best."""
+        if not call.adapter:
+            return ""
+        base = attrs.evolve(call, adapter="")
+        view = self._choose(base, now)
+        return "" if view is None else view.record.server_id
+
+    def _take_ready(self, ready: ModelReady, now: float) -> None:
+        view = self._view_by_id.get(ready.server_id)
+        if view is not None:
+            view.learn_held(ready.model, ready.adapter, now)
+
+    def _take_expected(self, expected: ModelExpected, now: float) -> None:
+        """Let requests that cannot wait so long end at once."""
+        for waiting in self._waiting_by_id.values():
+            call = waiting.call
+            same = (call.model, call.adapter) == (expected.model, expected.adapter)
+            if same and now + expected.in_s + LOAD_MARGIN_S > waiting.give_up_at:
+                waiting.give_up_at = now
+
+    def _count_demand(self, call: AssignServer) -> None:
+        if call.model:
+            tokens_by_model = self._demand.setdefault(call.service, {})
+            target = target_name(call.model, call.adapter)
+            tokens = tokens_by_model.get(target, 0) + call.tokens
+            tokens_by_model[target] = tokens
+
+    def _report_demand(self) -> list[Outgoing]:
+        demand, self._demand = self._demand, {}
+        if self._leader_id is None:
+            return []
+        recipient = Address(self._leader_id, PLACEMENT_TASK)
+        return [
+            Outgoing(recipient, DemandSeen(service, tokens_by_model))
+            for service, tokens_by_model in demand.items()
+        ]
+
+    # Changes
+
+    def _take_change(self, message: object, now: float) -> None:
+        match message:
+            case ServerRecord() as record:
+                self._take_record(record, now)
+            case ServerRemoved(server_id):
+                self._remove_server(server_id, now)
+            case RegistryInterrupted():
+                self._interrupted = True
+            case RegistryListed():
+                self._interrupted = False
+            case ZoneEvacuated(zone, evacuated):
+                self._take_evacuation(zone, evacuated)
+            case DesiredState() as desired:
+                self._desired = desired
+            case MembershipChanged(member_by_id):
+                self._member_ids = tuple(sorted(member_by_id))
+            case LeaderChanged(leader_id):
+                self._leader_id = leader_id
+                self._wanted_at.clear()
+            case ModelReady() as ready:
+                self._take_ready(ready, now)
+            case ModelExpected() as expected:
+                self._take_expected(expected, now)
+
+    def _take_evacuation(self, zone: str, evacuated: bool) -> None:
+        log_event(
+            logger, logging.INFO, "zone_evacuated", zone=zone, evacuated=evacuated
+        )
+        if evacuated:
+            self._evacuated_zones.add(zone)
+        else:
+            self._evacuated_zones.discard(zone)
+
+    def _take_record(self, record: ServerRecord, now: float) -> None:
+        view = self._view_by_id.get(record.server_id)
+        restarted = view is not None and (
+            view.record.holdings.born_ms != record.holdings.born_ms
+            or (view.record.host, view.record.port) != (record.host, record.port)
+        )
+        if view is None or restarted:
+            view = self._new_view(record, now)
+            self._view_by_id[record.server_id] = view
+            log_event(
+                logger,
+                logging.INFO,
+                "server_seen",
+                server=record.server_id,
+                service=record.service,
+                zone=record.zone,
+                state=record.state,
+                cold_s=record.cold_s,
+            )
+        elif view.record.state is not record.state:
+            log_event(
+                logger,
+                logging.INFO,
+                "server_state",
+                server=record.server_id,
+                state=record.state,
+            )
+        view.record = record
+        view.gone_at = None
+        view.cold_until = max(view.cold_until, now + record.cold_s)
+
+    def _new_view(self, record: ServerRecord, now: float) -> ServerView:
+        desired = self._desired
+        service = (
+            None if desired is None else desired.service_by_name.get(record.service)
+        )
+        engine = None if service is None else service.engine
+        capacity = 0 if engine is None else int(engine.token_capacity * CACHE_SHARE)
+        per_s = 0.0 if service is None else service.cold_per_s
+        return ServerView(
+            record=record,
+            cold_until=now + record.cold_s,
+            cold_bucket=self._cold_bucket(record.server_id, per_s, now),
+            cache=PromptCache(capacity),
+        )
+
+    def _cold_bucket(self, server_id: str, per_s: float, now: float) -> TokenBucket:
+        """Return this gateway's part of what a cold server bears.
+
+        Any second may see a bucket's capacity and one second's refill. If the whole is
+        too small to give each gateway one request, only the first in the server's order
+        of gateways get any.
+        """
+        whole = per_s * self._bounds.cold_overage + self._bounds.cold_slack
+        members = len(self._member_ids)
+        if per_s <= 0:
+            return TokenBucket.full(1e9, 1e9, now)
+        # Capacity 1 and a refill of 1 a second allow two requests in a second.
+        share = whole / members / 2
+        if share >= 1:
+            return TokenBucket.full(share, share, now)
+        ranked = sorted(self._member_ids, key=lambda name: score(server_id, name))
+        if ranked.index(self._id) < whole / 2:
+            return TokenBucket.full(1.0, 1.0, now)
+        return TokenBucket.empty(0.0, 0.0, now)
+
+    def _remove_server(self, server_id: str, now: float) -> None:
+        view = self._view_by_id.get(server_id)
+        if view is None:
+            return
+        if self._interrupted and view.record.state is ServerState.READY:
+            # The entry may have lapsed only because the store was away.
+            view.gone_at = now + RETURN_GRACE_S
+            return
+        log_event(
+            logger,
+            logging.INFO,
+            "server_gone",
+            server=server_id,
+            own=len(view.own_by_request),
+        )
+        del self._view_by_id[server_id]
+
+    def _drop_gone(self, now: float) -> None:
+        for server_id, view in list(self._view_by_id.items()):
+            if view.gone_at is not None and now >= view.gone_at:
+                log_event(logger, logging.INFO, "server_gone", server=server_id)
+                del self._view_by_id[server_id]
--- /dev/null
+++ b/src/siskinspool/gateway/server_view.py
@@ -0,0 +1,227 @@
+"""One server as this gateway sees it.
+
+A `ServerView` joins the registry's entry with what this gateway has learnt by itself:
+its own requests under way, the load in the last answer, failures, the prompt parts it
+sent there, and models that turned out to be present or missing before the entry said
+so. `cost_s` estimates the time to a first event, which the choice of a server compares.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+
+from .messages import AssignServer, AttemptResult
+from .request import PromptPart
+from .servers import ServerLoad, ServerRecord, ServerState
+from .token_bucket import TokenBucket
+
+# Tokens of a prompt that a server reads in a second.
+PREFILL_TOKENS_PER_S: Final = 40_000.0
+# Time that each running request adds to a step, over the steps to a first event.
+RUNNING_COST_S: Final = 0.004
+# Time that a waiting request stands for, at a full server.
+WAITING_COST_S: Final = 0.05
+# Cost of another zone: its delay, and the price of the bytes that cross.
+OTHER_ZONE_COST_S: Final = 0.03
+# Among equal servers, one that all gateways agree on gets the requests that share the
+# beginning of a prompt.
+STRANGER_COST_S: Final = 0.04
+# Each recent failure makes a server look this much slower.
+FAILURE_COST_S: Final = 0.5
+# Failures are forgotten at this rate, per second.
+FAILURE_DECAY_PER_S: Final = 0.25
+# After failures to connect a server gets nothing for this long, doubling.
+FIRST_PAUSE_S: Final = 0.5
+LONGEST_PAUSE_S: Final = 4.0
+# A server that was full is left alone for this long.
+FULL_PAUSE_S: Final = 0.1
+# A load seen in an answer counts for this long.
+LOAD_MEMORY_S: Final = 1.5
+# What this gateway learnt about a server's models counts until the registry's entry
+# must have followed.
+LEARNT_MEMORY_S: Final = 3.0
+# Part of a server's token memory that is assumed to keep prompts.
+CACHE_SHARE: Final = 0.6
+
+
+class PromptCache:
+    """Prompt parts that this gateway has sent to a server, per model and adapter."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity = capacity_tokens
+        self._tokens = 0
+        self._tokens_by_key: OrderedDict[tuple[str, str], int] = OrderedDict()
+
+    def missing_tokens(self, target: str, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of a prompt that the server has to read."""
+        for index, part in enumerate(parts):
+            if (target, part.part_id) not in self._tokens_by_key:
+                return sum(later.tokens for later in parts[index:])
+        return 0
+
+    def add(self, target: str, parts: tuple[PromptPart, ...]) -> None:
+        """Record that a prompt was sent."""
+        for part in parts:
+            key = (target, part.part_id)
+            self._tokens += part.tokens - self._tokens_by_key.pop(key, 0)
+            self._tokens_by_key[key] = part.tokens
+        while self._tokens > self._capacity and self._tokens_by_key:
+            _, tokens = self._tokens_by_key.popitem(last=False)
+            self._tokens -= tokens
+
+    def forget(self, model: str) -> None:
+        """Drop the prompts of a model that the server holds no longer."""
+        for key in list(self._tokens_by_key):
+            if key[0].partition("/")[0] == model:
+                self._tokens -= self._tokens_by_key.pop(key)
+
+
+@attrs.define
+class _OwnRequest:
+    """A request of this gateway at the server."""
+
+    tokens: int
+    # Prompt tokens still to be read, until the first event.
+    unread: int
+
+
+def target_name(model: str, adapter: str) -> str:
+    """Return the name of a model or of an adapter of it."""
+    return f"{model}/{adapter}" if adapter else model
+
+
+@attrs.define(kw_only=True)
+class ServerView:
+    """A server with what this gateway knows about it; times are monotonic seconds."""
+
+    record: ServerRecord
+    # The server is cold until then.
+    cold_until: float
+    # Requests that this gateway may send while the server is cold.
+    cold_bucket: TokenBucket
+    cache: PromptCache
+    own_by_request: dict[str, _OwnRequest] = attrs.field(factory=dict)
+    load: ServerLoad | None = None
+    load_at: float = 0.0
+    # Recent failures, decaying.
+    failures: float = 0.0
+    failures_at: float = 0.0
+    paused_until: float = 0.0
+    _pause_s: float = FIRST_PAUSE_S
+    # Another server has the address.
+    address_lost: bool = False
+    # Models or adapters found present or missing, with the time.
+    learnt_at_by_target: dict[str, float] = attrs.field(factory=dict)
+    missing_at_by_target: dict[str, float] = attrs.field(factory=dict)
+    # The registry's entry is gone; used until then in case it comes back.
+    gone_at: float | None = None
+
+    def is_open(self, now: float) -> bool:
+        """Return whether the server may get a request."""
+        return (
+            self.record.state is ServerState.READY
+            and not self.address_lost
+            and now >= self.paused_until
+            and (self.gone_at is None or now < self.gone_at)
+        )
+
+    def holds(self, model: str, adapter: str, now: float) -> bool:
+        """Return whether the server holds a model and, if named, an adapter."""
+        target = target_name(model, adapter)
+        missing_at = max(
+            self.missing_at_by_target.get(target, -LEARNT_MEMORY_S),
+            self.missing_at_by_target.get(model, -LEARNT_MEMORY_S),
+        )
+        learnt_at = self.learnt_at_by_target.get(target, -LEARNT_MEMORY_S)
+        if missing_at > learnt_at and now - missing_at < LEARNT_MEMORY_S:
+            return False
+        if now - learnt_at < LEARNT_MEMORY_S:
+            return True
+        held = self.record.holdings.model_by_name.get(model)
+        return held is not None and (not adapter or adapter in held.adapters)
+
+    def learn_held(self, model: str, adapter: str, now: float) -> None:
+        """Record that a model is present before the registry says so."""
+        self.learnt_at_by_target[target_name(model, adapter)] = now
+
+    def learn_missing(self, model: str, adapter: str, now: float) -> None:
+        """Record that a model is missing although the registry names it."""
+        self.missing_at_by_target[target_name(model, adapter)] = now
+        self.cache.forget(model)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the server is cold."""
+        return now < self.cold_until
+
+    def cost_s(self, call: AssignServer, own_zone: str, now: float) -> float:
+        """Return the estimated time to the first event of a request."""
+        running, waiting = self._load(now)
+        cost = running * RUNNING_COST_S + waiting * WAITING_COST_S
+        if running >= self.record.slots:
+            cost += WAITING_COST_S
+        if self.record.zone != own_zone:
+            cost += OTHER_ZONE_COST_S
+        if call.model:
+            target = target_name(call.model, call.adapter)
+            unread = self.cache.missing_tokens(target, call.parts)
+            unread += sum(own.unread for own in self.own_by_request.values())
+            cost += unread / PREFILL_TOKENS_PER_S
+        return cost + self.current_failures(now) * FAILURE_COST_S
+
+    def _load(self, now: float) -> tuple[int, int]:
+        """Return the running and waiting requests as far as they are known."""
+        own = len(self.own_by_request)
+        if self.load is None or now - self.load_at > LOAD_MEMORY_S:
+            return min(own, self.record.slots), max(own - self.record.slots, 0)
+        return max(self.load.running, min(own, self.record.slots)), self.load.waiting
+
+    def current_failures(self, now: float) -> float:
+        """Return the recent failures, decayed to the present."""
+        age_s = max(now - self.failures_at, 0.0)
+        return max(self.failures - age_s * FAILURE_DECAY_PER_S, 0.0)
+
+    def sent(self, call: AssignServer) -> None:
+        """Record that a request goes to the server."""
+        target = target_name(call.model, call.adapter)
+        unread = self.cache.missing_tokens(target, call.parts)
+        self.own_by_request[call.request_id] = _OwnRequest(call.tokens, unread)
+        self.cache.add(target, call.parts)
+
+    def first_event(self, request_id: str) -> None:
+        """Record that a prompt has been read."""
+        own = self.own_by_request.get(request_id)
+        if own is not None:
+            own.unread = 0
+
+    def ended(
+        self,
+        request_id: str,
+        result: AttemptResult,
+        load: ServerLoad | None,
+        now: float,
+    ) -> None:
+        """Record the end of a send."""
+        self.own_by_request.pop(request_id, None)
+        if load is not None:
+            self.load = load
+            self.load_at = now
+        match result:
+            case AttemptResult.ANSWERED:
+                self._pause_s = FIRST_PAUSE_S
+            case AttemptResult.NOT_SENT:
+                self._fail(now)
+                self.paused_until = now + self._pause_s
+                self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+            case AttemptResult.FAILED | AttemptResult.LOST:
+                self._fail(now)
+            case AttemptResult.REJECTED:
+                self.paused_until = now + FULL_PAUSE_S
+            case AttemptResult.WRONG_SERVER:
+                self.address_lost = True
+
+    def _fail(self, now: float) -> None:
+        self.failures = self.current_failures(now) + 1
+        self.failures_at = now
--- /dev/null
+++ b/src/siskinspool/gateway/token_bucket.py
@@ -0,0 +1,57 @@
+"""A token bucket."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define
+class TokenBucket:
+    """Grants at most ``capacity`` at once and ``per_s`` a second on average.
+
+    Over any window of w seconds it grants at most capacity + w x per_s.
+    """
+
+    per_s: float
+    capacity: float
+    level: float
+    # Monotonic seconds up to which the level is counted.
+    at: float
+
+    @classmethod
+    def full(cls, per_s: float, capacity: float, now: float) -> TokenBucket:
+        """Return a bucket that grants its capacity at once."""
+        return cls(per_s, capacity, capacity, now)
+
+    @classmethod
+    def empty(cls, per_s: float, capacity: float, now: float) -> TokenBucket:
+        """Return a bucket that grants nothing yet."""
+        return cls(per_s, capacity, 0.0, now)
+
+    def take(self, amount: float, now: float) -> bool:
+        """Take an amount if it is there."""
+        self._refill(now)
+        if amount > self.level:
+            return False
+        self.level -= amount
+        return True
+
+    def wait_s(self, amount: float, now: float) -> float:
+        """Return how long until an amount, or all there can be, has gathered."""
+        self._refill(now)
+        missing = min(amount, self.capacity) - self.level
+        if missing <= 0:
+            return 0.0
+        return missing / self.per_s if self.per_s > 0 else float("inf")
+
+    def resize(self, per_s: float, capacity: float, now: float) -> None:
+        """Change rate and capacity; what is beyond the capacity is lost."""
+        self._refill(now)
+        self.per_s = per_s
+        self.capacity = capacity
+        self.level = min(self.level, capacity)
+
+    def _refill(self, now: float) -> None:
+        if now > self.at:
+            self.level = min(self.capacity, self.level + (now - self.at) * self.per_s)
+            self.at = now
--- a/src/siskinspool/links/backend.py
+++ b/src/siskinspool/links/backend.py
@@ -34,6 +34,8 @@
     uri: str
     headers: dict[str, str]
     body: bytes = attrs.field(repr=False)
+    # Value of the `Host` header; None for the server's own address.
+    host_header: str | None = None
 
 
 @dataclass(frozen=True)
@@ -72,9 +74,13 @@
 class HttpAnswer(Answer):
     """An answer on a connection of its own."""
 
-    def __init__(self, sock: socket.socket, response: HTTPSocketResponse) -> None:
+    def __init__(
+        self, sock: socket.socket, response: HTTPSocketResponse, *, ends_by_close: bool
+    ) -> None:
+        """Take the connection; ``ends_by_close`` accepts answers without a length."""
         self._sock = sock
         self._response = response
+        self._ends_by_close = ends_by_close
         self.status = int(response.status_code)
         self.headers = {
             str(name).lower(): value if isinstance(value, str) else ", ".join(value)
@@ -106,6 +112,8 @@
             yield Lost("the answer ended early")
 
     def _is_framed(self) -> bool:
+        if self._ends_by_close:
+            return True
         if self.status in (204, 304) or self._response.method == "HEAD":
             return True
         chunked = "chunked" in self.headers.get("transfer-encoding", "").lower()
@@ -129,13 +137,27 @@
 class HttpServerLink(ServerLink):
     """HTTP/1.1 over TCP."""
 
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        *,
+        ends_by_close: bool = False,
+    ) -> None:
+        """Take how long to wait for a connection.
+
+        With ``ends_by_close`` an answer without a length is whole when its connection
+        ends in order; a reset still makes it incomplete.
+        """
+        self._connect_timeout_s = connect_timeout_s
+        self._ends_by_close = ends_by_close
+
     def open_call(
         self, request: ServerRequest, timeout_s: float
     ) -> Answer | NotSent | Lost:
         """Send a request once and return the answer's head."""
         try:
             sock = socket.create_connection(
-                (request.host, request.port), min(CONNECT_TIMEOUT_S, timeout_s)
+                (request.host, request.port), min(self._connect_timeout_s, timeout_s)
             )
         except OSError as error:
             return NotSent(_reason(error))
@@ -151,17 +173,18 @@
             # The call was cancelled while it waited for the answer's head.
             sock.close()
             raise
-        return HttpAnswer(sock, response)
+        return HttpAnswer(sock, response, ends_by_close=self._ends_by_close)
 
 
 def encode_request(request: ServerRequest) -> bytes:
     """Return the bytes of a request; header values must not hold line ends."""
     lines = [
         f"{request.method} {request.uri} HTTP/1.1",
-        f"Host: {request.host}:{request.port}",
-        f"Content-Length: {len(request.body)}",
+        f"Host: {request.host_header or f'{request.host}:{request.port}'}",
         "Connection: close",
     ]
+    if request.body or request.method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {len(request.body)}")
     for name, value in request.headers.items():
         if "\r" in value or "\n" in value:
             raise ValueError(f"header {name} holds a line end")
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -107,7 +107,11 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """Take a refusal; a stream that has begun is cut instead."""
-        self._put(End(refusal) if self._begun else refusal_item(refusal))
+        self._put(End(refusal) if self._begun else self.refusal_item(refusal))
+
+    def refusal_item(self, refusal: Refusal) -> Whole:
+        """Return a refusal in the form of this front end."""
+        return refusal_item(refusal)
 
     def cut(self, refusal: Refusal) -> None:
         """Take a refusal in place of the queued items; never blocks.
@@ -123,7 +127,8 @@
             item = self._items.get_nowait()
             first = first or item
         begun = self._begun and not isinstance(first, Head | Whole)
-        self._items.put_nowait(End(refusal) if begun else refusal_item(refusal))
+        item = End(refusal) if begun else self.refusal_item(refusal)
+        self._items.put_nowait(item)
 
     def close(self) -> None:
         """Wake the handler, whose caller has gone, and drop what still comes."""
@@ -148,7 +153,8 @@
     return Whole(refusal.status, headers, problem_body(refusal))
 
 
-def _status_line(status: int) -> str:
+def status_line(status: int) -> str:
+    """Return a status with its phrase."""
     try:
         return f"{status} {HTTPStatus(status).phrase}"
     except ValueError:
@@ -159,7 +165,7 @@
     """Send a whole answer."""
     headers = [(name.title(), text) for name, text in item.headers.items()]
     headers.append(("Content-Length", str(len(item.body))))
-    start_response(_status_line(item.status), headers)
+    start_response(status_line(item.status), headers)
     return [item.body]
 
 
@@ -172,7 +178,7 @@
     if not isinstance(item, Head):
         raise CutStreamError
     headers = [(name.title(), text) for name, text in item.headers.items()]
-    start_response(_status_line(item.status), headers)
+    start_response(status_line(item.status), headers)
     while True:
         item = sink.next_item()
         if isinstance(item, Event):
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -62,10 +62,12 @@
 class CallerHandler(WSGIHandler):
     """Limits the header section and gives the application the socket."""
 
+    idle_timeout_s = SOCKET_TIMEOUT_S
+
     def handle(self) -> None:
         """Serve the requests of one connection."""
         # Also while a head is awaited, so that a silent caller holds no connection.
-        self.socket.settimeout(SOCKET_TIMEOUT_S)
+        self.socket.settimeout(self.idle_timeout_s)
         super().handle()
 
     def read_request(self, raw_requestline: str) -> Any:
@@ -76,10 +78,28 @@
             valid = super().read_request(raw_requestline)
         finally:
             self.rfile = rfile
+        if not self._is_framed_once():
+            raise _RefusedRequestError(_NOT_HTTP)
         if (self.content_length or 0) > MAX_BODY_BYTES:
             raise _RefusedRequestError(_BODY_TOO_LARGE)
         return valid
 
+    def _is_framed_once(self) -> bool:
+        """Return whether the body's end is told in one way only.
+
+        Where two readers may disagree about the end of a body, a second request can
+        hide in it (RFC 9112, section 6.1).
+        """
+        lengths = self._header_values("content-length")
+        codings = self._header_values("transfer-encoding")
+        if len(lengths) > 1 or len(codings) > 1:
+            return False
+        return not codings or codings[0].strip().lower() == "chunked"
+
+    def _header_values(self, name: str) -> list[str]:
+        pairs = [line.partition(":") for line in self.headers.headers]
+        return [text for found, _, text in pairs if found.strip().lower() == name]
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Return the answer to a request that cannot be read."""
         refusal = ex.refusal if isinstance(ex, _RefusedRequestError) else _NOT_HTTP
@@ -101,6 +121,8 @@
         """Return the WSGI environment."""
         environ: dict[str, Any] = super().get_environ()
         environ["siskinspool.socket"] = self.socket
+        # As it was sent, while PATH_INFO is decoded.
+        environ["siskinspool.target"] = self.path
         return environ
 
     def log_error(self, msg: str, *args: object) -> None:
--- /dev/null
+++ b/src/siskinspool/platform/daemon.py
@@ -0,0 +1,153 @@
+"""The daemon of a gateway on the users' platform.
+
+Reads the settings file that the platform names, runs a `GatewayInstance` and stops it
+gracefully on SIGTERM. SIGHUP reads the settings again and logs what changed. Wrong
+settings end in one line per fault and exit status 2; a broken invariant ends the
+process with status 3.
+"""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Final
+
+import attrs
+import click
+import gevent
+from gevent.event import Event
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.errors import SettingsError
+from ..core.task import Task
+from ..gateway.instance import (
+    BoottimeClock,
+    GatewayInstance,
+    InstanceSettings,
+    PlatformParts,
+)
+from ..telemetry.logs import BoundedHandler, configure_logging, log_event
+from .feeds import FeedTask
+from .front_codec import READY_PATH, PlatformFrontCodec
+from .server_calls import PlatformServerControl
+from .settings import SETTINGS_VARIABLE, GatewaySettings, read_settings
+from .store import PlatformStore
+
+logger = logging.getLogger(__name__)
+
+EXIT_SETTINGS: Final = 2
+EXIT_INVARIANT: Final = 3
+STDOUT: Final = 1
+# Servers write often; reading their changes in batches saves calls to the store. The
+# shortest bound on a leaving server is 2 s.
+REGISTRY_PAUSE_S: Final = 0.4
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path), required=False)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@click.option("--log-level", default="info", show_default=True)
+def main(settings: Path | None, check: bool, log_level: str) -> None:
+    """Run a gateway with the TOML file SETTINGS, or the one the platform names."""
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        loaded = read_settings(path)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_SETTINGS)
+    if check:
+        click.echo("the settings are valid")
+        return
+    configure_logging(log_level, BoundedHandler(STDOUT))
+    sys.exit(run(path, loaded))
+
+
+def run(path: Path, settings: GatewaySettings) -> int:
+    """Run a gateway until a signal stops it; return the exit status."""
+    instance = build_instance(settings)
+    stopped = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    gevent.signal_handler(signal.SIGHUP, _log_reload, path, settings)
+    crashes: list[BaseException] = []
+
+    def on_crash(error: BaseException) -> None:
+        crashes.append(error)
+        stopped.set()
+
+    instance.start(on_crash)
+    log_event(
+        logger,
+        logging.INFO,
+        "started",
+        instance=settings.instance_id,
+        zone=settings.zone,
+        first_start=settings.first_start,
+        ports=",".join(f"{name}:{port}" for name, port in instance.ports.items()),
+    )
+    # What was made at the start stays; collections need not look at it.
+    gc.freeze()
+    stopped.wait()
+    if crashes:
+        log_event(logger, logging.CRITICAL, "invariant_broken", detail=crashes[0])
+        return EXIT_INVARIANT
+    log_event(logger, logging.INFO, "stopping", instance=settings.instance_id)
+    instance.drain()
+    instance.stop()
+    log_event(logger, logging.INFO, "stopped", instance=settings.instance_id)
+    return 0
+
+
+def build_instance(settings: GatewaySettings) -> GatewayInstance:
+    """Return a gateway on the platform that the settings describe."""
+
+    def make_feed(
+        dispatcher: Dispatcher, clock: Clock, listeners: tuple[str, ...]
+    ) -> Task:
+        operator_store = PlatformStore(settings.store)
+        registry_store = PlatformStore(settings.store, REGISTRY_PAUSE_S)
+        return FeedTask(dispatcher, clock, operator_store, registry_store, listeners)
+
+    parts = PlatformParts(
+        store=PlatformStore(settings.store),
+        server_control=PlatformServerControl(),
+        codec=PlatformFrontCodec(),
+        ready_path=READY_PATH,
+        make_feed=make_feed,
+    )
+    own = InstanceSettings(
+        instance_id=settings.instance_id,
+        zone=settings.zone,
+        front=settings.front,
+        ready=settings.ready,
+        peer=settings.peer,
+        metrics=settings.metrics,
+        least_lease_s=settings.least_lease_s,
+        first_start=settings.first_start,
+        bounds=settings.bounds,
+    )
+    return GatewayInstance(own, parts, BoottimeClock())
+
+
+def _log_reload(path: Path, running: GatewaySettings) -> None:
+    """Log what differs from the settings in use, which hold until a restart."""
+    try:
+        found = read_settings(path)
+    except SettingsError as error:
+        log_event(logger, logging.ERROR, "reload_failed", detail=error)
+        return
+    changed = [
+        field.name
+        for field in attrs.fields(GatewaySettings)
+        if getattr(found, field.name) != getattr(running, field.name)
+    ]
+    log_event(logger, logging.INFO, "reloaded", changed=",".join(changed))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/siskinspool/platform/feeds.py
@@ -0,0 +1,141 @@
+"""What the operator and the servers write, as messages to the deciding tasks.
+
+Two watches follow the store: one the operator's keys, one the registry of servers. An
+unreadable value is named in a log line and changes nothing; an older version of the
+desired state than one seen before is ignored.
+"""
+
+from __future__ import annotations
+
+import logging
+
+import gevent
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..core.message import Incoming, Message, Outgoing
+from ..core.task import Task
+from ..gateway.servers import (
+    RegistryInterrupted,
+    RegistryListed,
+    ServerRemoved,
+    ZoneEvacuated,
+)
+from ..store.kv import KeyValueService, KvChanged, WatchBroken, WatchListed
+from ..store.kv_watch import SharedWatch
+from ..telemetry.logs import log_event
+from .desired_state import (
+    DESIRED_STATE_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_PREFIX,
+    Unreadable,
+    decode_desired_state,
+)
+from .server_entries import SERVERS_PREFIX, decode_server_entry
+
+logger = logging.getLogger(__name__)
+
+FEED_TASK = "feed"
+
+
+class FeedTask(Task):
+    """Decodes changes in the store and passes them on; task name ``feed``."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        operator_store: KeyValueService,
+        registry_store: KeyValueService,
+        listeners: tuple[str, ...],
+    ) -> None:
+        """Take a store for each watch and the tasks that hear of changes."""
+        super().__init__(FEED_TASK, dispatcher, clock)
+        self._listeners = listeners
+        self._version = 0
+        self._watches = (
+            SharedWatch(operator_store, self._take_soon, OPERATOR_PREFIX),
+            SharedWatch(registry_store, self._take_soon, SERVERS_PREFIX),
+        )
+        self._greenlets: list[gevent.Greenlet[..., None]] = []
+
+    def start(self) -> None:
+        """Start the task and its watches."""
+        super().start()
+        self._greenlets = [gevent.spawn(watch.run) for watch in self._watches]
+
+    def stop(self, timeout_s: float = 5.0) -> None:
+        """End the watches and the task."""
+        gevent.killall(self._greenlets, block=True, timeout=timeout_s)
+        super().stop(timeout_s)
+
+    def _take_soon(self, message: Message) -> None:
+        """Queue a message of a watch; runs in the watch's greenlet."""
+        self.dispatcher.send(self.address, Outgoing(self.address, message))
+
+    def handle(self, incoming: Incoming) -> None:
+        """Decode one change."""
+        match incoming.message:
+            case KvChanged(key, value, _) if key == DESIRED_STATE_KEY:
+                self._take_desired_state(value)
+            case KvChanged(key, value, _) if key.startswith(EVACUATION_PREFIX):
+                zone = key.removeprefix(EVACUATION_PREFIX)
+                self._tell(ZoneEvacuated(zone, value is not None))
+            case KvChanged(key, value, revision) if key.startswith(SERVERS_PREFIX):
+                self._take_entry(key, value, revision)
+            case WatchBroken(prefix, _) if prefix == SERVERS_PREFIX:
+                self._tell(RegistryInterrupted())
+            case WatchListed(prefix) if prefix == SERVERS_PREFIX:
+                self._tell(RegistryListed())
+
+    def _take_desired_state(self, value: bytes | None) -> None:
+        if value is None:
+            log_event(logger, logging.WARNING, "desired_state_removed")
+            return
+        desired = decode_desired_state(value)
+        if isinstance(desired, Unreadable):
+            log_event(
+                logger,
+                logging.ERROR,
+                "desired_state_unreadable",
+                reason=desired.reason,
+            )
+            return
+        if desired.version <= self._version:
+            return
+        log_event(
+            logger,
+            logging.INFO,
+            "desired_state",
+            version=desired.version,
+            before=self._version,
+            routes=sum(len(routes) for routes in desired.routes_by_host.values()),
+            tenants=len(desired.tenant_by_name),
+        )
+        self._version = desired.version
+        self._tell(desired)
+
+    def _take_entry(self, key: str, value: bytes | None, revision: int) -> None:
+        server_id = key.removeprefix(SERVERS_PREFIX)
+        if value is None:
+            self._tell(ServerRemoved(server_id))
+            return
+        record = decode_server_entry(key, value)
+        if isinstance(record, Unreadable):
+            log_event(
+                logger,
+                logging.WARNING,
+                "server_entry_unreadable",
+                server=server_id,
+                revision=revision,
+                reason=record.reason,
+            )
+            # Whatever wrote it, the key names no server to use now.
+            self._tell(ServerRemoved(server_id))
+            return
+        self._tell(record)
+
+    def _tell(self, message: Message) -> None:
+        for task in self._listeners:
+            recipient = self.dispatcher.address(task)
+            self.dispatcher.send(self.address, Outgoing(recipient, message))
--- /dev/null
+++ b/src/siskinspool/platform/headers.py
@@ -0,0 +1,194 @@
+"""The platform's request and answer headers, decoded once.
+
+`decode_head` reads what a requester sent into a `RequestHead`; `server_headers` gives
+the headers of the request as it goes to a server; `decode_answer` reads what a server
+says about its answer. Headers that the system sets itself never pass from a requester.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Final
+
+from ..gateway.request import AnswerFacts, PromptPart, RequestHead, SendPlan
+from ..gateway.servers import ServerLoad
+
+REQUEST_ID: Final = "request-id"
+DEADLINE_MS: Final = "deadline-ms"
+# The model, or MODEL/ADAPTER.
+MODEL: Final = "model"
+# Prompt tokens and the most output tokens.
+TOKEN_COUNT: Final = "token-count"
+PROMPT_PREFIX: Final = "prompt-prefix"
+# The last event that the requester has.
+LAST_EVENT_ID: Final = "last-event-id"
+AUTHORIZATION: Final = "authorization"
+TENANT: Final = "tenant"
+EXPECT_INSTANCE: Final = "expect-instance"
+INSTANCE_ID: Final = "instance-id"
+REQUEST_PRIORITY: Final = "request-priority"
+NOT_RUN: Final = "not-run"
+SERVER_LOAD: Final = "server-load"
+RETRY_AFTER: Final = "retry-after"
+CONTENT_ENCODING: Final = "content-encoding"
+
+_BEARER: Final = "bearer "
+_LEAST_URGENT: Final = 9
+# Headers that the system sets, or that would steer a server's memory.
+_SYSTEM_HEADERS: Final = frozenset(
+    {
+        DEADLINE_MS,
+        TENANT,
+        EXPECT_INSTANCE,
+        REQUEST_PRIORITY,
+        LAST_EVENT_ID,
+        "expect-version",
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-fetch",
+        "kv-from",
+    }
+)
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and `Expect`,
+# which this system has answered itself.
+_CONNECTION_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def decode_head(
+    method: str, target: str, headers: Mapping[str, str]
+) -> RequestHead | str:
+    """Return the head of a request, or what is wrong with it."""
+    request_id = headers.get(REQUEST_ID, "")
+    if not request_id:
+        return "the request has no id"
+    deadline_s = _deadline_s(headers.get(DEADLINE_MS))
+    if isinstance(deadline_s, str):
+        return deadline_s
+    tokens = _token_count(headers.get(TOKEN_COUNT))
+    if isinstance(tokens, str):
+        return tokens
+    model, _, adapter = headers.get(MODEL, "").partition("/")
+    return RequestHead(
+        request_id=request_id,
+        method=method,
+        target=target,
+        host=headers.get("host", "").partition(":")[0].lower(),
+        key=_key(headers.get(AUTHORIZATION, "")),
+        deadline_s=deadline_s,
+        model=model,
+        adapter=adapter,
+        tokens=tokens,
+        parts=_parts(headers.get(PROMPT_PREFIX, "")),
+        last_event_id=headers.get(LAST_EVENT_ID, ""),
+        headers=dict(headers),
+    )
+
+
+def server_headers(head: RequestHead, plan: SendPlan) -> dict[str, str]:
+    """Return the headers of a request for the server that a plan names."""
+    dropped = _CONNECTION_HEADERS | _SYSTEM_HEADERS
+    named = {
+        name.strip().lower() for name in head.headers.get("connection", "").split(",")
+    }
+    # A requester must not make the system drop what it owes to the server.
+    dropped |= named - {"host", REQUEST_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX}
+    headers = {
+        name.title(): text
+        for name, text in head.headers.items()
+        if name not in dropped and (name != AUTHORIZATION or plan.keeps_authorization)
+    }
+    headers[EXPECT_INSTANCE.title()] = plan.server_id
+    headers[DEADLINE_MS.title()] = str(max(math.floor(plan.remaining_s * 1000), 1))
+    headers[REQUEST_PRIORITY.title()] = str(min(max(plan.priority, 0), _LEAST_URGENT))
+    if plan.tenant:
+        headers[TENANT.title()] = plan.tenant
+    if plan.last_event_id:
+        headers[LAST_EVENT_ID.title()] = plan.last_event_id
+    return headers
+
+
+def decode_answer(status: int, headers: Mapping[str, str]) -> AnswerFacts:
+    """Return what a server says about its answer."""
+    return AnswerFacts(
+        status=status,
+        request_id=headers.get(REQUEST_ID, ""),
+        # A 421 always means that another server has the address, or that the model is
+        # not there; in both cases nothing ran.
+        not_run=NOT_RUN in headers or status == 421,
+        misdirected=status == 421,
+        server_id=headers.get(INSTANCE_ID, ""),
+        encoded=headers.get(CONTENT_ENCODING, "identity").lower() != "identity",
+        load=_load(headers.get(SERVER_LOAD, "")),
+    )
+
+
+def answer_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers of a server's answer that go on to the requester."""
+    return {
+        name: text for name, text in headers.items() if name not in _CONNECTION_HEADERS
+    }
+
+
+def _deadline_s(text: str | None) -> float | str | None:
+    if text is None:
+        return None
+    try:
+        deadline_ms = float(text)
+    except ValueError:
+        return "the deadline is not a number"
+    if not 0 <= deadline_ms < math.inf:
+        return "the deadline is not a time"
+    return deadline_ms / 1000
+
+
+def _token_count(text: str | None) -> int | str | None:
+    if text is None:
+        return None
+    numbers = [part.strip() for part in text.split(",")]
+    if len(numbers) != 2 or not all(number.isdecimal() for number in numbers):
+        return "the token count is not two whole numbers"
+    return sum(int(number) for number in numbers)
+
+
+def _key(text: str) -> str:
+    if text[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return text[len(_BEARER) :].strip()
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt; malformed ones end the list.
+
+    The parts only steer the choice of a server, so they refuse no request.
+    """
+    parts: list[PromptPart] = []
+    for item in text.split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if not part_id or not tokens.isdecimal():
+            break
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str) -> ServerLoad | None:
+    numbers = [part.strip() for part in text.split(",")]
+    if len(numbers) != 3 or not all(number.isdecimal() for number in numbers):
+        return None
+    running, waiting, slots = (int(number) for number in numbers)
+    return ServerLoad(running=running, waiting=waiting, slots=slots)
--- /dev/null
+++ b/src/siskinspool/platform/server_calls.py
@@ -0,0 +1,106 @@
+"""The platform's calls to servers: orders and reports."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Final
+
+from ..gateway.messages import OrderResult, ServerOrder
+from ..gateway.server_control import ServerControl
+from ..gateway.servers import Holdings
+from ..links.backend import Answer, HttpServerLink, Lost, NotSent, ServerRequest
+from ..telemetry.logs import log_event
+from .desired_state import Unreadable
+from .headers import EXPECT_INSTANCE
+from .server_entries import decode_report
+
+logger = logging.getLogger(__name__)
+
+# A sound server answers in milliseconds; the time in office that an order needs
+# (`siskinspool.gateway.placement`) covers this.
+CALL_TIMEOUT_S: Final = 0.5
+
+_RESULT_BY_STATUS: Final = {
+    200: OrderResult.HOLDS,
+    202: OrderResult.ACCEPTED,
+    400: OrderResult.INVALID,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    421: OrderResult.INVALID,
+}
+
+
+class PlatformServerControl(ServerControl):
+    """Calls servers over HTTP."""
+
+    def __init__(self) -> None:
+        self._link = HttpServerLink()
+
+    def give_order(self, order: ServerOrder, holder: str) -> OrderResult:
+        """Give an order in the name of an instance."""
+        body: dict[str, object] = {
+            "op": order.kind.value,
+            "model": order.model,
+            "holder": holder,
+            # The epoch number of the holder's time in office.
+            "fence": order.epoch,
+            # Orders that the server must have accepted before.
+            "expect": order.expected_count,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        answer = self._call(
+            "POST", "/-/order", order.server_id, order.host, order.port, body
+        )
+        if isinstance(answer, NotSent):
+            return OrderResult.NOT_SENT
+        if isinstance(answer, Lost):
+            return OrderResult.UNKNOWN
+        answer.close()
+        return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
+
+    def read_holdings(self, server_id: str, host: str, port: int) -> Holdings | None:
+        """Return a server's report, or None if it cannot be read."""
+        answer = self._call("GET", "/-/report", server_id, host, port, None)
+        if isinstance(answer, NotSent | Lost):
+            return None
+        try:
+            data = answer.read_all()
+        finally:
+            answer.close()
+        if isinstance(data, Lost) or answer.status != 200:
+            return None
+        holdings = decode_report(data)
+        if isinstance(holdings, Unreadable):
+            log_event(
+                logger,
+                logging.WARNING,
+                "report_unreadable",
+                server=server_id,
+                reason=holdings.reason,
+            )
+            return None
+        return holdings
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        server_id: str,
+        host: str,
+        port: int,
+        body: dict[str, object] | None,
+    ) -> Answer | NotSent | Lost:
+        request = ServerRequest(
+            host=host,
+            port=port,
+            method=method,
+            uri=path,
+            headers={
+                EXPECT_INSTANCE.title(): server_id,
+                "Content-Type": "application/json",
+            },
+            body=b"" if body is None else json.dumps(body).encode(),
+        )
+        return self._link.open_call(request, CALL_TIMEOUT_S)
--- /dev/null
+++ b/src/siskinspool/platform/store.py
@@ -0,0 +1,208 @@
+"""The platform's metadata store as a key-value service.
+
+Calls are HTTP/1.1 with JSON bodies; values travel as base64. The statuses are decoded
+here: 503 and 429 mean that nothing was done, 412 is a conflict, 404 a missing key or
+lease, 410 a watch whose history is gone. A call without an answer raises
+LostAnswerError, because it may still take effect.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from collections.abc import Iterator
+from typing import Any, Final
+from urllib.parse import quote
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from ..settings import Endpoint
+from ..store.kv import (
+    KeyValueService,
+    KvItem,
+    LostAnswerError,
+    Snapshot,
+    SwapResult,
+    UnavailableError,
+    WatchEvent,
+)
+
+CONNECT_TIMEOUT_S: Final = 0.5
+# The store answers in milliseconds; a connection may also go silent without a reset.
+CALL_TIMEOUT_S: Final = 1.0
+CONNECTIONS: Final = 4
+# A waiting watch returns at least this often, so that a silent connection is noticed
+# well within the shortest bound on applying a change (2 s).
+WATCH_WAIT_S: Final = 1.0
+WATCH_MARGIN_S: Final = 0.4
+_JSON_HEADERS: Final = {"Content-Type": "application/json"}
+
+Json = dict[str, Any]
+
+
+class PlatformStore(KeyValueService):
+    """Adapter to the platform's store."""
+
+    def __init__(self, store: Endpoint, watch_pause_s: float = 0.0) -> None:
+        """Take the address and the least time between two calls of a watch."""
+        self._store = store
+        self._watch_pause_s = watch_pause_s
+        self._client = self._new_client(CALL_TIMEOUT_S, CONNECTIONS)
+
+    def get(self, key: str) -> KvItem | None:
+        """Return a key, or None if it does not exist."""
+        status, answer = self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
+        return None if status == 404 else _item(answer)
+
+    def list(self, prefix: str) -> tuple[KvItem, ...]:
+        """Return the keys with a prefix, in key order."""
+        return self.snapshot(prefix).items
+
+    def snapshot(self, prefix: str) -> Snapshot:
+        """Return the keys with a prefix and the revision to watch from.
+
+        Pages are read one after another; the revision is that of the first page, so
+        that a watch from there misses no change made between the pages.
+        """
+        items: list[KvItem] = []
+        revision: int | None = None
+        path = f"/-/kv-range?prefix={quote(prefix, safe='')}"
+        after = ""
+        while True:
+            _, answer = self._call("GET", path + after)
+            items += [_item(entry) for entry in _field(answer, "items", list)]
+            if revision is None:
+                revision = _field(answer, "current_rev", int)
+            if not answer.get("truncated") or not items:
+                return Snapshot(tuple(items), revision)
+            after = f"&after={quote(items[-1].key, safe='')}"
+
+    def swap(
+        self, key: str, expected_revision: int, value: bytes, lease_id: int | None
+    ) -> SwapResult:
+        """Write a key if its revision is the expected one."""
+        write: Json = {"key": key, "value": base64.b64encode(value).decode("ascii")}
+        if lease_id is not None:
+            write["lease"] = lease_id
+        result = self._transaction(key, expected_revision, {"writes": [write]}, value)
+        if not result.succeeded and result.value == value and expected_revision == 0:
+            # An earlier send of this write took effect and its answer was lost.
+            return SwapResult(True, value, result.revision)
+        return result
+
+    def delete(self, key: str, expected_revision: int) -> SwapResult:
+        """Delete a key if its revision is the expected one."""
+        return self._transaction(key, expected_revision, {"remove": [key]}, None)
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Return the id of a new lease."""
+        _, answer = self._call("POST", "/-/kv-lease", {"ttl_ms": round(ttl_s * 1000)})
+        return int(_field(answer, "lease", int))
+
+    def keep_alive(self, lease_id: int) -> float | None:
+        """Renew a lease; return the time to live, or None if the lease is gone."""
+        status, answer = self._call("POST", f"/-/kv-keep/{lease_id}", {})
+        return None if status == 404 else _field(answer, "ttl_ms", int) / 1000
+
+    def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete the keys attached to it."""
+        self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
+
+    def watch(self, prefix: str, from_revision: int) -> Iterator[WatchEvent]:
+        """Yield changes under a prefix, from a revision on, until the link fails."""
+        client = self._new_client(WATCH_WAIT_S + WATCH_MARGIN_S, 1)
+        after = from_revision - 1
+        path = f"/-/kv-watch?prefix={quote(prefix, safe='')}"
+        wait_ms = round(WATCH_WAIT_S * 1000)
+        try:
+            while True:
+                _, answer = _send(
+                    client, "GET", f"{path}&after={after}&wait_ms={wait_ms}", None
+                )
+                for event in _field(answer, "events", list):
+                    yield _event(event)
+                after = max(after, _field(answer, "current_rev", int))
+                yield WatchEvent(None, None, after)
+                gevent.sleep(self._watch_pause_s)
+        finally:
+            client.close()
+
+    def _transaction(
+        self, key: str, expected_revision: int, change: Json, value: bytes | None
+    ) -> SwapResult:
+        body: Json = {"expect": [{"key": key, "rev": expected_revision}]}
+        body |= {"writes": [], "remove": []} | change
+        status, answer = self._call("POST", "/-/kv-txn", body)
+        if status == 200:
+            return SwapResult(True, value, _field(answer, "rev", int))
+        if status == 404:
+            raise UnavailableError("the lease of the write has ended")
+        for entry in _field(answer, "items", list):
+            if entry.get("key") == key and "value" in entry:
+                item = _item(entry)
+                return SwapResult(False, item.value, item.revision)
+        return SwapResult(False, None, 0)
+
+    def _call(
+        self, method: str, path: str, body: Json | None = None
+    ) -> tuple[int, Json]:
+        return _send(self._client, method, path, body)
+
+    def _new_client(self, timeout_s: float, connections: int) -> HTTPClient:
+        return HTTPClient(
+            self._store.host,
+            port=self._store.port,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=timeout_s,
+            concurrency=connections,
+        )
+
+
+def _send(
+    client: HTTPClient, method: str, path: str, body: Json | None
+) -> tuple[int, Json]:
+    """Send one call; return its status (200, 404 or 412) and its body."""
+    data = b"" if body is None else json.dumps(body).encode()
+    try:
+        response = client.request(method, path, body=data, headers=_JSON_HEADERS)
+        status = int(response.status_code)
+        content = bytes(response.read())
+    except ConnectionRefusedError as error:
+        raise UnavailableError(str(error)) from error
+    except Exception as error:
+        raise LostAnswerError(f"{type(error).__name__}: {error}") from error
+    if status in (429, 503):
+        raise UnavailableError(f"the store answers {status}")
+    if status not in (200, 404, 412):
+        raise LostAnswerError(f"the store answers {status}")
+    try:
+        answer = json.loads(content) if content else {}
+    except ValueError as error:
+        raise LostAnswerError("the answer is not JSON") from error
+    if not isinstance(answer, dict):
+        raise LostAnswerError("the answer is not a JSON object")
+    return status, answer
+
+
+def _field(answer: Json, name: str, kind: type) -> Any:
+    value = answer.get(name)
+    if not isinstance(value, kind):
+        raise LostAnswerError(f"the answer has no valid field {name}")
+    return value
+
+
+def _item(entry: Any) -> KvItem:
+    try:
+        value = base64.b64decode(entry["value"], validate=True)
+        return KvItem(key=str(entry["key"]), value=value, revision=int(entry["rev"]))
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise LostAnswerError(f"unreadable item: {error!r}") from error
+
+
+def _event(event: Any) -> WatchEvent:
+    if isinstance(event, dict) and event.get("removed"):
+        return WatchEvent(str(event.get("key")), None, _field(event, "rev", int))
+    item = _item(event)
+    return WatchEvent(item.key, item.value, item.revision)
--- a/src/siskinspool/store/kv.py
+++ b/src/siskinspool/store/kv.py
@@ -151,6 +151,29 @@
     revision: int
 
 
+@attrs.frozen
+class Snapshot:
+    """The keys under a prefix, and the revision from which a watch misses nothing."""
+
+    items: tuple[KvItem, ...]
+    revision: int
+
+
+@attrs.frozen
+class WatchBroken(Message):
+    """The watch on a prefix failed; changes are unknown until `WatchListed`."""
+
+    prefix: str
+    reason: str
+
+
+@attrs.frozen
+class WatchListed(Message):
+    """All keys under a prefix were listed and published."""
+
+    prefix: str
+
+
 class LostAnswerError(Exception):
     """The connection ended or timed out after a request was sent."""
 
@@ -184,6 +207,11 @@
     def list(self, prefix: str) -> tuple[KvItem, ...]:
         """Return the keys with a prefix, in key order."""
 
+    def snapshot(self, prefix: str) -> Snapshot:
+        """Return the keys with a prefix and the revision to watch from."""
+        items = self.list(prefix)
+        return Snapshot(items, max((item.revision for item in items), default=0))
+
     @abstractmethod
     def swap(
         self, key: str, expected_revision: int, value: bytes, lease_id: int | None
--- a/src/siskinspool/store/kv_watch.py
+++ b/src/siskinspool/store/kv_watch.py
@@ -14,20 +14,23 @@
 
 import gevent
 
+from ..core.message import Message
 from ..telemetry.logs import log_event
 from .keys import SHARED_PREFIX
 from .kv import (
     KeyValueService,
     KvChanged,
     KvItem,
+    WatchBroken,
     WatchEvent,
+    WatchListed,
 )
 
 logger = logging.getLogger(__name__)
 
 RETRY_INTERVAL_S: Final = 0.5
 
-Publish = Callable[[KvChanged], None]
+Publish = Callable[[Message], None]
 
 
 class SharedWatch:
@@ -42,6 +45,7 @@
         self._known: dict[str, int] = {}
         # Revision of the newest event or listing entry seen.
         self._revision = 0
+        self._broken = False
 
     def run(self) -> None:
         """Follow the prefix for ever."""
@@ -52,7 +56,7 @@
                     self._take_event(event)
             except Exception as error:
                 # Also an answer that the adapter cannot read must not end the watch.
-                log_event(logger, logging.WARNING, "watch_broken", reason=repr(error))
+                self._report_broken(repr(error))
             gevent.sleep(RETRY_INTERVAL_S)
 
     def offer(self, item: KvItem) -> None:
@@ -61,18 +65,34 @@
             self._known[item.key] = item.revision
             self._publish(KvChanged(item.key, item.value, item.revision))
 
+    def _report_broken(self, reason: str) -> None:
+        if not self._broken:
+            log_event(
+                logger,
+                logging.WARNING,
+                "watch_broken",
+                prefix=self._prefix,
+                reason=reason,
+            )
+            self._publish(WatchBroken(self._prefix, reason))
+        self._broken = True
+
     def _list(self) -> None:
         known_before = dict(self._known)
-        items = self._service.list(self._prefix)
-        listed = {item.key for item in items}
-        for item in items:
+        snapshot = self._service.snapshot(self._prefix)
+        listed = {item.key for item in snapshot.items}
+        for item in snapshot.items:
             self.offer(item)
-            self._revision = max(self._revision, item.revision)
+        self._revision = max(self._revision, snapshot.revision)
         for key, revision in known_before.items():
             # A key published while the listing was under way is newer than it.
             if key not in listed and self._known.get(key) == revision:
                 del self._known[key]
                 self._publish(KvChanged(key, None, revision))
+        if self._broken:
+            log_event(logger, logging.INFO, "watch_restored", prefix=self._prefix)
+        self._broken = False
+        self._publish(WatchListed(self._prefix))
 
     def _take_event(self, event: WatchEvent) -> None:
         self._revision = max(self._revision, event.revision)
--- a/src/siskinspool/store/session_keeper.py
+++ b/src/siskinspool/store/session_keeper.py
@@ -101,6 +101,7 @@
         self._report = report
         self._ttl_s = ttl_s
         self._renew_interval_s = renew_interval_s
+        self._retry_s = min(RETRY_INTERVAL_S, renew_interval_s / 2)
         self._lease_id: int | None = None
         self._ended = Event()
 
@@ -108,7 +109,7 @@
         """Keep a session until `end` is called."""
         while not self._ended.is_set():
             started_at = self._clock.now()
-            interval_s = self._renew_interval_s if self._step() else RETRY_INTERVAL_S
+            interval_s = self._renew_interval_s if self._step() else self._retry_s
             elapsed_s = self._clock.now() - started_at
             self._ended.wait(max(interval_s - elapsed_s, 0.05))
         self._revoke()
--- a/src/siskinspool/telemetry/logs.py
+++ b/src/siskinspool/telemetry/logs.py
@@ -15,11 +15,13 @@
 
 import json
 import logging
+import os
 import re
 import sys
 import threading
 import time
 import traceback
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Final
 
@@ -29,6 +31,8 @@
 
 # An id, a dot and the random part; see `siskinspool.contracts.key`.
 _KEY: Final = re.compile(r"sk-[^\s.\"/?&]+\.[A-Za-z0-9_-]{20,}")
+# Far above what a loaded instance needs for its decisions.
+LINES_PER_S: Final = 500.0
 _PLAIN_VALUE: Final = re.compile(r"^[A-Za-z0-9_.:/@+\-\[\]%,]+$")
 
 
@@ -94,9 +98,52 @@
         return " > ".join([*frames, name]) + text
 
 
-def configure_logging(level: str) -> None:
-    """Send log lines of all loggers to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+class BoundedHandler(logging.Handler):
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines beyond a rate, and lines that the descriptor does not take at once, are
+    dropped; the next line that goes out tells how many.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_s: float = LINES_PER_S,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._now = now
+        self._left = lines_per_s
+        self._at = now()
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or drop it."""
+        now = self._now()
+        refill = (now - self._at) * self._lines_per_s
+        self._left = min(self._left + refill, self._lines_per_s)
+        self._at = now
+        if self._left < 1 and record.levelno < logging.ERROR:
+            self._dropped += 1
+            return
+        self._left -= 1
+        line = self.format(record)
+        if self._dropped:
+            line += f" lines_dropped_before={self._dropped}"
+        try:
+            os.write(self._descriptor, line.encode("utf-8", "replace") + b"\n")
+        except OSError:
+            self._dropped += 1
+            return
+        self._dropped = 0
+
+
+def configure_logging(level: str, handler: logging.Handler | None = None) -> None:
+    """Send log lines of all loggers to a handler, by default to standard error."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
