Take the count of orders from reports only

Cause: the field seq counts accepted orders in a report, but the writes of the entry in the registry.

Change: entries say nothing about the count; a report alone decides, and an entry that differs long after the last order only makes the leader read the report again.

--- a/src/siskinspool/gateway/front_door.py
+++ b/src/siskinspool/gateway/front_door.py
@@ -277,7 +277,9 @@
 
     def handle(self) -> None:
         """Serve the requests of one connection."""
-        self.idle_timeout_s = self.server.idle_timeout_s
+        server = self.server
+        assert isinstance(server, _FrontServer)
+        self.idle_timeout_s = server.idle_timeout_s
         super().handle()
 
 
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -2,8 +2,8 @@
 
 Orders carry the number of orders that the server must have accepted before, so an
 order that got no answer and its successor cannot both be carried out. The state is
-taken from a report or registry entry only if that counts at least as many orders as
-were accepted; an older one is from before.
+taken from a report only if that counts at least as many orders as were accepted; an
+older one is from before.
 """
 
 from __future__ import annotations
@@ -19,6 +19,8 @@
 
 # A report shows the server as it was some hundred milliseconds before.
 REPORT_LAG_S: Final = 0.3
+# After this time the registry's entry must show what an order has changed.
+ENTRY_LAG_S: Final = 4.0
 # Between reads of the report while a load is under way longer than expected.
 POLL_INTERVAL_S: Final = 0.15
 # Time in which an adapter is loaded.
@@ -56,6 +58,8 @@
     # An order without its answer yet.
     order: ServerOrder | None = None
     reading: bool = False
+    # When an order or report last changed the holdings.
+    changed_at: float = 0.0
     # Nothing is sent before this time.
     wait_until: float = 0.0
     # The server carries out a model order until about then.
@@ -123,8 +127,12 @@
         """Return the number of models still to be loaded."""
         return sum(1 for goal in self.goals if not goal.adapter)
 
-    def take_record(self, record: ServerRecord) -> None:
-        """Take in a registry entry."""
+    def take_record(self, record: ServerRecord, now: float) -> None:
+        """Take in a registry entry.
+
+        An entry says which models the server holds, but not after how many orders, so
+        it only shows that the report has to be read again.
+        """
         restarted = record.holdings.born_ms != self.record.holdings.born_ms
         self.record = record
         if restarted:
@@ -132,16 +140,22 @@
             self.busy_until = self.loading = None
             self.arrival_by_adapter.clear()
             self.doubtful = True
-        elif not self.doubtful:
-            self._adopt(record.holdings, from_report=False)
+            return
+        quiet = self.order is None and self.busy_until is None
+        if quiet and now - self.changed_at > ENTRY_LAG_S:
+            known = self.holdings.model_by_name.keys()
+            self.doubtful |= known != record.holdings.model_by_name.keys()
 
     def take_report(self, holdings: Holdings, now: float) -> bool:
         """Take in a report; return False if it is older than what is known."""
-        if holdings.born_ms == self.holdings.born_ms and (
-            holdings.order_count < self.holdings.order_count
-        ):
+        count, known = holdings.order_count, self.order_count
+        if count is None:
             return False
-        self._adopt(holdings, from_report=True)
+        same_start = holdings.born_ms == self.holdings.born_ms
+        if same_start and known is not None and count < known:
+            return False
+        self.holdings = holdings
+        self.changed_at = now
         self.doubtful = False
         if not holdings.busy:
             self.busy_until = self.loading = None
@@ -149,26 +163,14 @@
             self.busy_until = now
         return True
 
-    def _adopt(self, holdings: Holdings, *, from_report: bool) -> None:
-        known = self.holdings
-        if holdings.born_ms == known.born_ms and (
-            holdings.order_count < known.order_count
-            or (not from_report and self.order is not None)
-        ):
-            return
-        if not from_report and (
-            holdings.order_count > known.order_count
-            or self.busy_until is not None
-            or self.arrival_by_adapter
-        ):
-            # The entry says less than a report and may be about to change.
-            return
-        self.holdings = holdings
+    @property
+    def order_count(self) -> int | None:
+        """Return the orders that the server has accepted, None if unknown."""
+        return self.holdings.order_count
 
     def accepted(self, order: ServerOrder, spec: ModelSpec, now: float) -> None:
         """Record an order that the server carries out."""
         models = dict(self.holdings.model_by_name)
-        loading = self.holdings.loading_adapters
         if order.adapter:
             held = models[order.model]
             adapters = held.adapters - {order.adapter}
@@ -185,11 +187,9 @@
             self.busy_until = now
             models.pop(order.model, None)
         self.holdings = attrs.evolve(
-            self.holdings,
-            order_count=order.expected_count + 1,
-            model_by_name=models,
-            loading_adapters=loading,
+            self.holdings, order_count=order.expected_count + 1, model_by_name=models
         )
+        self.changed_at = now
 
     def _start_arrival(self, order: ServerOrder, now: float) -> None:
         goal = self.has_goal(order.model, order.adapter)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -96,7 +96,7 @@
             case HoldingsRead() as read:
                 return self._take_report(read, now)
             case ServerRecord() as record:
-                self._take_record(record)
+                self._take_record(record, now)
             case ServerRemoved(server_id):
                 self._server_by_id.pop(server_id, None)
             case ZoneEvacuated(zone, evacuated):
@@ -385,7 +385,7 @@
             kind=kind,
             model=model,
             adapter=adapter,
-            expected_count=server.holdings.order_count,
+            expected_count=server.order_count or 0,
             epoch=self._epoch or 0,
         )
 
@@ -496,7 +496,7 @@
             self._first_start = False
         return bucket
 
-    def _take_record(self, record: ServerRecord) -> None:
+    def _take_record(self, record: ServerRecord, now: float) -> None:
         engine = self._engine_by_service.get(record.service)
         server = self._server_by_id.get(record.server_id)
         if engine is None:
@@ -507,7 +507,7 @@
             server = ManagedServer(record=record, holdings=record.holdings)
             self._server_by_id[record.server_id] = server
         else:
-            server.take_record(record)
+            server.take_record(record, now)
 
     def _take_desired(self, desired: DesiredState) -> None:
         self._engine_by_service = {
--- a/src/siskinspool/gateway/servers.py
+++ b/src/siskinspool/gateway/servers.py
@@ -27,12 +27,12 @@
 
 @attrs.frozen(kw_only=True)
 class Holdings:
-    """What a server holds after a number of orders."""
+    """What a server holds."""
 
     # Unix milliseconds of the server's start; None if it does not say.
     born_ms: int | None
-    # Orders accepted since that start.
-    order_count: int
+    # Orders accepted since that start; None in the registry, which does not say.
+    order_count: int | None
     model_by_name: dict[str, HeldModel]
     # Copies of weights outside the accelerator.
     in_memory: frozenset[str] = frozenset()
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -64,22 +64,19 @@
         """Return a server's report, or None if it cannot be read."""
         answer = self._call("GET", "/-/report", server_id, host, port, None)
         if isinstance(answer, NotSent | Lost):
+            _log_unread(server_id, answer.reason)
             return None
         try:
             data = answer.read_all()
         finally:
             answer.close()
         if isinstance(data, Lost) or answer.status != 200:
+            reason = data.reason if isinstance(data, Lost) else str(answer.status)
+            _log_unread(server_id, reason)
             return None
         holdings = decode_report(data)
         if isinstance(holdings, Unreadable):
-            log_event(
-                logger,
-                logging.WARNING,
-                "report_unreadable",
-                server=server_id,
-                reason=holdings.reason,
-            )
+            _log_unread(server_id, holdings.reason)
             return None
         return holdings
 
@@ -104,3 +101,7 @@
             body=b"" if body is None else json.dumps(body).encode(),
         )
         return self._link.open_call(request, CALL_TIMEOUT_S)
+
+
+def _log_unread(server_id: str, reason: str) -> None:
+    log_event(logger, logging.WARNING, "report_unread", server=server_id, reason=reason)
--- a/src/siskinspool/platform/server_entries.py
+++ b/src/siskinspool/platform/server_entries.py
@@ -32,8 +32,6 @@
 
     # Unix milliseconds of the server's start.
     born: int | None = None
-    # Orders accepted since the start.
-    seq: int = 0
     models: list[_HeldModel] = []
     # Copies of weights in the server's memory and on its disk.
     available: _Available = msgspec.field(default_factory=_Available)
@@ -49,6 +47,9 @@
 
 
 class _Report(_SelfDescription, kw_only=True):
+    # Orders accepted since the start. In entries, the same name counts the writes of
+    # the entry.
+    seq: int
     busy: bool = False
     # MODEL/NAME@VERSION of adapters on their way.
     loading: list[str] = []
@@ -78,7 +79,7 @@
         slots=entry.slots,
         state=ServerState(entry.state),
         cold_s=max(entry.cold_ms, 0) / MS_PER_S,
-        holdings=_holdings(entry, busy=False, loading=[]),
+        holdings=_holdings(entry, None, busy=False, loading=[]),
     )
 
 
@@ -88,17 +89,19 @@
         report = _report_decoder.decode(data)
     except (msgspec.DecodeError, ValueError) as error:
         return Unreadable(str(error))
-    return _holdings(report, busy=report.busy, loading=report.loading)
+    return _holdings(report, report.seq, busy=report.busy, loading=report.loading)
 
 
-def _holdings(said: _SelfDescription, *, busy: bool, loading: list[str]) -> Holdings:
+def _holdings(
+    said: _SelfDescription, order_count: int | None, *, busy: bool, loading: list[str]
+) -> Holdings:
     models = [
         HeldModel(model.name, model.version, frozenset(model.adapters))
         for model in said.models
     ]
     return Holdings(
         born_ms=said.born,
-        order_count=said.seq,
+        order_count=order_count,
         model_by_name={model.name: model for model in models},
         in_memory=frozenset(said.available.in_memory),
         on_disk=frozenset(said.available.on_disk),
