Shorten the time without a leader and load for those who wait most

Change: a process takes over the session and the key of its predecessor on the same machine; wishes go to the last leader too; a successor waits only for what is left of the bound; silent servers are set aside; goals are ordered by waiting requests and counted as replicas; watches wait longer.

--- a/src/siskinspool/gateway/front_door.py
+++ b/src/siskinspool/gateway/front_door.py
@@ -88,6 +88,7 @@
         self._desired: DesiredState | None = None
         self._registry_listed = False
         self._draining = False
+        self._refusing = False
         self._running: set[RequestTask] = set()
         # Requests whose answer is not yet written in full.
         self._open_answers = 0
@@ -127,6 +128,15 @@
         """Ask for no new connections; those that come are still served."""
         self._draining = True
 
+    def refuse_new(self) -> None:
+        """Refuse what comes from now on; it can run at another instance."""
+        self._refusing = True
+
+    def end_requests(self) -> None:
+        """Answer all running requests now, with what is known of each."""
+        for task in list(self._running):
+            task.end_now()
+
     def wait_idle(self, timeout_s: float) -> bool:
         """Wait until no request runs; return False on a timeout."""
         return bool(self._idle.wait(max(timeout_s, 0.0)))
@@ -168,6 +178,10 @@
         return self._serve(request, environ, start_response)
 
     def _admit(self, head: RequestHead) -> Admission | Refusal:
+        if self._refusing:
+            return Refusal(
+                503, ErrorCode.DRAINING, "the instance stops", retry_after_s=0.0
+            )
         if self._desired is None:
             return Refusal(
                 503,
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -188,7 +188,10 @@
         leadership = self._dispatcher.address(LEADERSHIP_TASK)
         self._dispatcher.send(leadership, Outgoing(leadership, StopLeading()))
         gevent.sleep(LEAVE_NOTICE_S)
-        self._front.wait_idle(stop_at - self._clock.now())
+        self._front.refuse_new()
+        if not self._front.wait_idle(stop_at - self._clock.now()):
+            self._front.end_requests()
+            self._front.wait_idle(STOP_MARGIN_S / 2)
         self._dispatcher.ask(
             self._dispatcher.address("kv"), EndSession(), SESSION_END_TIMEOUT_S
         )
@@ -206,7 +209,11 @@
                 own, ("peers", ROUTING_TASK, CAPS_TASK, LEADERSHIP_TASK)
             ),
             LEADERSHIP_TASK: Leadership(
-                own, bounds, (ROUTING_TASK, PLACEMENT_TASK), now
+                own,
+                bounds,
+                (ROUTING_TASK, PLACEMENT_TASK),
+                now,
+                session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
             ),
             ROUTING_TASK: Routing(settings.instance_id, settings.zone, bounds),
             CAPS_TASK: Caps(settings.instance_id, bounds),
@@ -230,4 +237,6 @@
             workers=2,
             session_ttl_s=max(SESSION_TTL_S, self._settings.least_lease_s),
             renew_interval_s=RENEW_INTERVAL_S,
+            # A machine runs one process of this role, and names are not shared.
+            takes_over=True,
         )
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -55,6 +55,8 @@
 # find the key taken without a call.
 ATTEMPT_STEP_S: Final = 0.1
 RETRY_INTERVAL_S: Final = 0.5
+# Covers the way of the last holder's last order.
+WAIT_MARGIN_S: Final = 0.1
 # A leader cut off from the store hears about its failed renewals this often at least.
 OUTAGE_MEMORY_S: Final = 2.5
 # A successor comes into office within seconds; beyond this an outage of the whole store
@@ -87,9 +89,19 @@
     """Takes and keeps the leader's key."""
 
     def __init__(
-        self, own: Member, bounds: Bounds, watchers: tuple[str, ...], now: float
+        self,
+        own: Member,
+        bounds: Bounds,
+        watchers: tuple[str, ...],
+        now: float,
+        session_silence_s: float = 0.0,
     ) -> None:
-        """Take the own member and the tasks that hear of leaders."""
+        """Take the own member and the tasks that hear of leaders.
+
+        A session ends at the earliest ``session_silence_s`` after its holder's last
+        renewal, and with it the leader's key.
+        """
+        self._session_silence_s = session_silence_s
         self._own = own
         self._bounds = bounds
         self._watchers = watchers
@@ -144,7 +156,9 @@
         if self._attempt_at is None or now < self._attempt_at:
             return []
         self._attempt_at = None
-        if self._holder is not None or self._asked or self._leaving:
+        expected = 0 if self._holder is None else self._revision
+        may_take = self._holder is None or self._is_predecessor(self._holder)
+        if not may_take or self._asked or self._leaving:
             return []
         if self._session.valid_lease(now) is None:
             self._attempt_at = now + RETRY_INTERVAL_S
@@ -155,7 +169,7 @@
         swap = KvSwap(
             f"leader-{self._next_request}",
             LEADER_KEY,
-            0,
+            expected,
             msgspec.json.encode(record),
             with_session=True,
         )
@@ -197,12 +211,19 @@
             self._own.incarnation,
         )
 
+    def _is_predecessor(self, record: _LeaderRecord) -> bool:
+        """Return whether an earlier process on this machine holds the key.
+
+        It has ended, since a machine runs one process, so nobody has to wait for it.
+        """
+        return record.instance_id == self._own.instance_id and not self._is_own(record)
+
     def _begin_term(self, epoch: int, now: float) -> list[Outgoing]:
         if self._term is not None and self._term.epoch == epoch:
             return []
         wait_s = 0.0
         if self._last_holder_id not in (None, self._own.instance_id):
-            wait_s = self._bounds.holder_lease_s
+            wait_s = self._successor_wait_s()
         self._term = _Term(epoch, now + wait_s)
         log_event(
             logger, logging.INFO, "leader_began", epoch=epoch, orders_after_s=wait_s
@@ -210,6 +231,19 @@
         batch = self._tell(LeadershipHeld(epoch, now + wait_s))
         return batch + self._extend(now)
 
+    def _successor_wait_s(self) -> float:
+        """Return how long the orders of the last holder may still be recent.
+
+        A holder that died gave its last order before its session began to run out. One
+        that is only cut off from the store may order for longer, but it is out of
+        touch, and servers that check epoch numbers refuse it from the first order of
+        its successor on.
+        """
+        lease_s = self._bounds.holder_lease_s
+        if not self._bounds.servers_check_epochs:
+            return lease_s
+        return max(lease_s - self._session_silence_s, 0.0) + WAIT_MARGIN_S
+
     def _end_term(self, reason: str) -> list[Outgoing]:
         if self._term is None:
             return []
@@ -272,9 +306,12 @@
 
     def _plan(self, now: float) -> list[Outgoing]:
         """Decide when to try to take a free key."""
-        free = self._listed and self._holder is None and not self._leaving
-        if free and self._attempt_at is None and not self._asked:
-            self._attempt_at = now + self._rank * ATTEMPT_STEP_S
+        holder = self._holder
+        free = holder is None or self._is_predecessor(holder)
+        wants = self._listed and free and not self._leaving
+        if wants and self._attempt_at is None and not self._asked:
+            steps = 0 if holder is not None else self._rank
+            self._attempt_at = now + steps * ATTEMPT_STEP_S
         return []
 
     def _take_members(self, member_ids: tuple[str, ...]) -> None:
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -21,6 +21,11 @@
 REPORT_LAG_S: Final = 0.3
 # After this time the registry's entry must show what an order has changed.
 ENTRY_LAG_S: Final = 4.0
+# A server that does not answer an order or a read is set aside for this long; the
+# registry drops it after about 4 s of silence.
+SILENCE_S: Final = 2.0
+# Time to make room and to see that a load has ended.
+SWAP_S: Final = 0.4
 # Between reads of the report while a load is under way longer than expected.
 POLL_INTERVAL_S: Final = 0.15
 # Time in which an adapter is loaded.
@@ -34,8 +39,13 @@
     model: str
     # Empty for the model itself.
     adapter: str
-    # Instances that wait for it.
-    askers: set[str] = attrs.field(factory=set)
+    # Requests that wait for it, by instance.
+    waiting_by_asker: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for it."""
+        return sum(self.waiting_by_asker.values())
 
 
 @attrs.define
@@ -62,6 +72,9 @@
     changed_at: float = 0.0
     # Nothing is sent before this time.
     wait_until: float = 0.0
+    # The server did not answer; it counts for nothing until this time.
+    silent_until: float = 0.0
+    read_at: float = float("-inf")
     # The server carries out a model order until about then.
     busy_until: float | None = None
     # Model that is being loaded by an accepted order.
@@ -70,10 +83,15 @@
     arrival_by_adapter: dict[tuple[str, str], Arrival] = attrs.field(factory=dict)
     goals: deque[Goal] = attrs.field(factory=deque)
 
-    @property
-    def usable(self) -> bool:
+    def is_usable(self, now: float) -> bool:
         """Return whether the server is worth an order."""
-        return self.record.state is ServerState.READY
+        return self.record.state is ServerState.READY and now >= self.silent_until
+
+    def fall_silent(self, now: float) -> None:
+        """Set the server aside because it does not answer."""
+        self.silent_until = now + SILENCE_S
+        self.goals.clear()
+        self.doubtful = True
 
     def holds_model(self, model: str) -> bool:
         """Return whether a model is loaded and no longer loading."""
@@ -123,9 +141,25 @@
                 return goal
         return None
 
-    def model_goals(self) -> int:
-        """Return the number of models still to be loaded."""
-        return sum(1 for goal in self.goals if not goal.adapter)
+    def sort_goals(self) -> None:
+        """Put what most requests wait for first; among equals, what is older."""
+        ordered = sorted(self.goals, key=lambda goal: -goal.waiting)
+        self.goals = deque(ordered)
+
+    def ready_in_s(self, model: str | None, engine: EngineSpec, now: float) -> float:
+        """Return when a goal is reached; with None, when all goals are."""
+        ready_in_s = 0.0
+        if self.busy_until is not None:
+            ready_in_s = max(self.busy_until - now, 0.0)
+        for goal in self.goals:
+            spec = engine.model_by_name.get(goal.model)
+            if goal.adapter or spec is None:
+                continue
+            if self.loading != goal.model:
+                ready_in_s += self.load_s(spec) + SWAP_S
+            if goal.model == model:
+                break
+        return ready_in_s
 
     def take_record(self, record: ServerRecord, now: float) -> None:
         """Take in a registry entry.
@@ -193,7 +227,7 @@
 
     def _start_arrival(self, order: ServerOrder, now: float) -> None:
         goal = self.has_goal(order.model, order.adapter)
-        askers = set() if goal is None else goal.askers
+        askers = set() if goal is None else set(goal.waiting_by_asker)
         if goal is not None:
             self.goals.remove(goal)
         arrival = Arrival(now + ADAPTER_LOAD_S, askers)
@@ -214,9 +248,8 @@
         """Record the end of an order that was not accepted."""
         self.order = None
         match result:
-            case OrderResult.CONFLICT | OrderResult.UNKNOWN | OrderResult.INVALID:
+            case OrderResult.CONFLICT | OrderResult.UNKNOWN | OrderResult.FENCED:
                 self.doubtful = True
                 self.wait_until = now + REPORT_LAG_S
-            case OrderResult.NOT_SENT | OrderResult.FENCED:
-                self.doubtful = True
-                self.wait_until = now + 1.0
+            case OrderResult.NOT_SENT | OrderResult.INVALID:
+                self.fall_silent(now)
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -120,6 +120,10 @@
     adapter: str
     # The server on which the sender would like the adapter; empty for any.
     near_server: str
+    # Requests of the sender that wait for it.
+    waiting: int = 1
+    # Servers that hold it by the registry, but do not answer the sender.
+    silent_servers: tuple[str, ...] = ()
 
 
 @wire
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -58,8 +58,12 @@
 # Loads that may begin at once; see `_load_bucket`.
 LOAD_BURST: Final = 1.5
 TICK_S: Final = 0.25
+# A server that a gateway finds silent is read at most this often.
+SILENT_READ_INTERVAL_S: Final = 0.5
 # Prompt tokens a second that one replica carries before another is added.
 REPLICA_TOKENS_PER_S: Final = 14_000.0
+# Prompt tokens a second from which a model should not depend on one server.
+SPARE_TOKENS_PER_S: Final = 1_500.0
 # A replica must be worth this many times what it displaces.
 REPLICA_GAIN: Final = 3.0
 # Orders are given only if this much of the time in office is left: their time-out.
@@ -117,7 +121,7 @@
         for server in list(self._server_by_id.values()):
             batch += self._advance(server, now)
         for service, engine in self._engine_by_service.items():
-            batch += self._plan_ahead(self._fleet(service, engine), now)
+            batch += self._plan_ahead(self._fleet(service, engine, now), now)
         return batch
 
     def wake_at(self) -> float | None:
@@ -129,7 +133,7 @@
             for arrival in server.arrival_by_adapter.values():
                 due = min(due, arrival.ready_at)
             if server.goals and server.order is None and not server.reading:
-                times = [server.wait_until]
+                times = [server.wait_until, server.silent_until]
                 if server.busy_until is not None:
                     times.append(server.busy_until)
                 due = min(due, max(times))
@@ -158,32 +162,51 @@
         engine = self._engine_by_service.get(want.service)
         if engine is None or want.model not in engine.model_by_name:
             return []
-        if self._epoch is None or now >= self._until_s:
+        if not self._in_office(now):
             return []
-        fleet = self._fleet(want.service, engine)
+        batch = self._check_silent(want.silent_servers, now)
+        fleet = self._fleet(want.service, engine, now)
         if want.adapter:
-            return self._want_adapter(fleet, want, asker, now)
-        return self._want_model(fleet, want, asker, now)
+            return batch + self._want_adapter(fleet, want, asker, now)
+        return batch + self._want_model(fleet, want, asker, now)
+
+    def _check_silent(self, server_ids: tuple[str, ...], now: float) -> list[Outgoing]:
+        """Read the reports of servers that do not answer a gateway."""
+        batch: list[Outgoing] = []
+        for server_id in server_ids:
+            server = self._server_by_id.get(server_id)
+            if server is None or server.reading or now < server.silent_until:
+                continue
+            if now - server.read_at > SILENT_READ_INTERVAL_S:
+                batch += self._read(server, now)
+        return batch
 
     def _want_model(
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
         model = want.model
+        silent = set(want.silent_servers)
         for server in fleet.servers:
-            if server.holds_model(model) and not server.doubtful:
+            if server.doubtful and model in server.holdings.model_by_name:
+                # Its report is read first; the asker asks again.
+                return self._advance(server, now)
+            if server.holds_model(model) and server.record.server_id not in silent:
                 ready = ModelReady(model, want.adapter, server.record.server_id)
                 return [] if want.adapter else [self._to_routing(asker, ready)]
         for server in fleet.servers:
             goal = server.has_goal(model, "")
             if goal is not None:
-                goal.askers.add(asker)
+                goal.waiting_by_asker[asker] = want.waiting
+                server.sort_goals()
                 return [self._expected(want, asker, server, fleet, now)]
-        choice = fleet.choose(fleet.engine.model_by_name[model], fleet.servers, now)
+        servers = [s for s in fleet.servers if not s.holds_model(model)]
+        choice = fleet.choose(fleet.engine.model_by_name[model], servers, now)
         if choice is None:
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
         self._log_plan(model, choice.server, choice.victims, "wanted")
-        choice.server.goals.appendleft(Goal(model, "", {asker}))
+        choice.server.goals.append(Goal(model, "", {asker: want.waiting}))
+        choice.server.sort_goals()
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
 
@@ -197,7 +220,7 @@
         for server in holders:
             goal = server.has_goal(model, adapter)
             if goal is not None:
-                goal.askers.add(asker)
+                goal.waiting_by_asker[asker] = want.waiting
                 return []
             arrival = server.arrival_by_adapter.get((model, adapter))
             if arrival is not None:
@@ -215,7 +238,8 @@
                 server.adapter_count(),
             ),
         )
-        chosen.goals.append(Goal(model, adapter, {asker}))
+        chosen.goals.append(Goal(model, adapter, {asker: want.waiting}))
+        chosen.sort_goals()
         return self._advance(chosen, now)
 
     def _expected(
@@ -226,13 +250,7 @@
         fleet: ServiceFleet,
         now: float,
     ) -> Outgoing:
-        spec = fleet.engine.model_by_name[want.model]
-        if server.loading == want.model and server.busy_until is not None:
-            in_s = max(server.busy_until - now, 0.0)
-        else:
-            in_s = server.load_s(spec) + max(self._from_s - now, 0.0)
-            if server.busy_until is not None:
-                in_s += max(server.busy_until - now, 0.0)
+        in_s = server.ready_in_s(want.model, fleet.engine, now)
         return self._to_routing(asker, ModelExpected(want.model, want.adapter, in_s))
 
     # Planning ahead
@@ -244,7 +262,7 @@
         idle = [
             server
             for server in fleet.servers
-            if server.busy_until is None and not server.model_goals()
+            if server.busy_until is None and not server.goals
         ]
         if not idle or busy >= STORE_LOADS_AT_ONCE:
             return []
@@ -279,9 +297,9 @@
         )
         if most is None or fleet.replicas(most) == 0:
             return None
-        if fleet.value(most, now) < REPLICA_TOKENS_PER_S:
-            return None
-        return most
+        value = fleet.value(most, now)
+        alone = fleet.replicas(most) == 1 and value >= SPARE_TOKENS_PER_S
+        return most if alone or value >= REPLICA_TOKENS_PER_S else None
 
     @staticmethod
     def _model_without_copy(fleet: ServiceFleet) -> str | None:
@@ -305,7 +323,7 @@
         if not self._in_office(now) or server.order is not None or server.reading:
             return []
         batch = self._tell_arrivals(server, now)
-        if now < server.wait_until:
+        if now < max(server.wait_until, server.silent_until):
             return batch
         if server.doubtful:
             return batch + self._read(server, now)
@@ -337,10 +355,10 @@
     ) -> ServerOrder | None:
         engine = self._engine_by_service.get(server.record.service)
         spec = None if engine is None else engine.model_by_name.get(goal.model)
-        if engine is None or spec is None or not server.usable:
+        if engine is None or spec is None or not server.is_usable(now):
             server.goals.popleft()
             return None
-        fleet = self._fleet(server.record.service, engine)
+        fleet = self._fleet(server.record.service, engine, now)
         if goal.adapter:
             return self._adapter_order(fleet, server, goal, now)
         victims = fleet.victims(spec, server, now)
@@ -427,6 +445,7 @@
 
     def _read(self, server: ManagedServer, now: float) -> list[Outgoing]:
         server.reading = True
+        server.read_at = now
         record = server.record
         read = ReadHoldings(record.server_id, record.host, record.port)
         return [self._to_orders(read)]
@@ -437,8 +456,9 @@
             return []
         server.reading = False
         if read.holdings is None:
-            server.wait_until = now + 1.0
+            server.fall_silent(now)
             return []
+        server.silent_until = now
         if not server.take_report(read.holdings, now) or server.busy_until is not None:
             server.wait_until = now + POLL_INTERVAL_S
         return self._advance(server, now)
@@ -447,12 +467,15 @@
 
     def _tell_ready(self, server: ManagedServer, goal: Goal) -> list[Outgoing]:
         ready = ModelReady(goal.model, goal.adapter, server.record.server_id)
-        return [self._to_routing(asker, ready) for asker in sorted(goal.askers)]
+        return [
+            self._to_routing(asker, ready) for asker in sorted(goal.waiting_by_asker)
+        ]
 
     def _tell_arrivals(self, server: ManagedServer, now: float) -> list[Outgoing]:
         batch: list[Outgoing] = []
         for (model, adapter), arrival in server.take_arrivals(now):
-            batch += self._tell_ready(server, Goal(model, adapter, arrival.askers))
+            waiting = dict.fromkeys(arrival.askers, 1)
+            batch += self._tell_ready(server, Goal(model, adapter, waiting))
         return batch
 
     # Changes
@@ -526,12 +549,12 @@
             if adapter:
                 demand.add(model, tokens, now)
 
-    def _fleet(self, service: str, engine: EngineSpec) -> ServiceFleet:
+    def _fleet(self, service: str, engine: EngineSpec, now: float) -> ServiceFleet:
         servers = [
             server
             for server in self._server_by_id.values()
             if server.record.service == service
-            and server.usable
+            and server.is_usable(now)
             and server.record.zone not in self._evacuated_zones
         ]
         demand = self._demand_by_service.setdefault(service, Demand())
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -14,8 +14,6 @@
 DEMAND_HALF_LIFE_S: Final = 8.0
 # Seconds that the eviction of the whole demand would be worth.
 EVICTION_COST_S: Final = 6.0
-# Expected time for a model order that waits behind another one.
-QUEUED_GOAL_S: Final = 1.5
 # A model that stood on several servers at the start was placed there for its demand.
 REPLICA_PRIOR: Final = 0.02
 
@@ -83,7 +81,11 @@
 
     def replicas(self, model: str) -> int:
         """Return how many servers hold or load a model."""
-        return sum(1 for s in self.servers if model in s.holdings.model_by_name)
+        return sum(
+            1
+            for server in self.servers
+            if model in server.holdings.model_by_name or server.has_goal(model, "")
+        )
 
     def value(self, model: str, now: float) -> float:
         """Return the worth of one replica of a model, in tokens a second."""
@@ -118,9 +120,7 @@
         victims = self.victims(spec, server, now)
         if victims is None:
             return None
-        ready_in_s = server.load_s(spec) + server.model_goals() * QUEUED_GOAL_S
-        if server.busy_until is not None:
-            ready_in_s += max(server.busy_until - now, 0.0)
+        ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
         lost = sum(self.value(model, now) for model in victims)
         total = max(self.total_rate(now), 1.0)
         cost_s = ready_in_s + EVICTION_COST_S * min(lost / total, 1.0)
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -115,6 +115,10 @@
     """The answer went to the sink, whole or cut."""
 
 
+class _StoppingError(Exception):
+    """Ends a request because the instance stops."""
+
+
 class RequestTask:
     """Runs one request."""
 
@@ -150,6 +154,11 @@
             self._log_end("cancelled", None)
             self._greenlet.kill(block=False)
 
+    def end_now(self) -> None:
+        """Answer at once because the instance stops."""
+        if self._greenlet is not None and not self._greenlet.dead:
+            self._greenlet.kill(_StoppingError, block=False)
+
     # The course of a request
 
     def _run(self) -> None:
@@ -162,6 +171,8 @@
             if expired is not timer:
                 raise
             refusal = self._time_is_up("")
+        except _StoppingError:
+            refusal = self._time_is_up("the instance stops")
         finally:
             timer.close()
         if refusal is not None:
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -96,6 +96,8 @@
         self._evacuated_zones: set[str] = set()
         self._member_ids: tuple[str, ...] = (instance_id,)
         self._leader_id: str | None = None
+        # The leader before, which may still be in office while the next one waits.
+        self._last_leader_id: str | None = None
         self._waiting_by_id: dict[str, _Waiting] = {}
         # When each (service, model, adapter) was asked for last.
         self._wanted_at: dict[tuple[str, str, str], float] = {}
@@ -298,7 +300,8 @@
 
     def _want(self, call: AssignServer, now: float) -> list[Outgoing]:
         """Ask the leader for a model that no open server holds."""
-        if not call.model or self._leader_id is None:
+        leaders = {self._leader_id, self._last_leader_id} - {None}
+        if not call.model or not leaders:
             return []
         key = (call.service, call.model, call.adapter)
         if now - self._wanted_at.get(key, -WANT_INTERVAL_S) < WANT_INTERVAL_S:
@@ -306,8 +309,35 @@
         if any(self._may_serve(view, call, now) for view in self._view_by_id.values()):
             return []
         self._wanted_at[key] = now
-        want = WantModel(*key, near_server=self._near_server(call, now))
-        return [Outgoing(Address(self._leader_id, PLACEMENT_TASK), want)]
+        want = WantModel(
+            *key,
+            near_server=self._near_server(call, now),
+            waiting=self._count_waiting(call),
+            silent_servers=self._silent_servers(call, now),
+        )
+        return [
+            Outgoing(Address(leader, PLACEMENT_TASK), want)
+            for leader in leaders
+            if leader is not None
+        ]
+
+    def _count_waiting(self, call: AssignServer) -> int:
+        target = (call.service, call.model, call.adapter)
+        return sum(
+            1
+            for item in self._waiting_by_id.values()
+            if (item.call.service, item.call.model, item.call.adapter) == target
+        )
+
+    def _silent_servers(self, call: AssignServer, now: float) -> tuple[str, ...]:
+        """Return the servers that hold a model but do not take its requests."""
+        return tuple(
+            server_id
+            for server_id, view in self._view_by_id.items()
+            if view.record.service == call.service
+            and view.record.holdings.model_by_name.get(call.model) is not None
+            and not view.is_open(now)
+        )
 
     def _near_server(self, call: AssignServer, now: float) -> str:
         """Return the server where an adapter would serve this gateway best."""
@@ -366,6 +396,8 @@
             case MembershipChanged(member_by_id):
                 self._member_ids = tuple(sorted(member_by_id))
             case LeaderChanged(leader_id):
+                if self._leader_id is not None:
+                    self._last_leader_id = self._leader_id
                 self._leader_id = leader_id
                 self._wanted_at.clear()
             case ModelReady() as ready:
--- a/src/siskinspool/platform/daemon.py
+++ b/src/siskinspool/platform/daemon.py
@@ -45,7 +45,7 @@
 STDOUT: Final = 1
 # Servers write often; reading their changes in batches saves calls to the store. The
 # shortest bound on a leaving server is 2 s.
-REGISTRY_PAUSE_S: Final = 0.4
+REGISTRY_PAUSE_S: Final = 0.6
 
 
 @click.command()
--- a/src/siskinspool/platform/store.py
+++ b/src/siskinspool/platform/store.py
@@ -34,8 +34,8 @@
 CALL_TIMEOUT_S: Final = 1.0
 CONNECTIONS: Final = 4
 # A waiting watch returns at least this often, so that a silent connection is noticed
-# well within the shortest bound on applying a change (2 s).
-WATCH_WAIT_S: Final = 1.0
+# within the time in which such a machine counts as out of touch (3 s).
+WATCH_WAIT_S: Final = 2.4
 WATCH_MARGIN_S: Final = 0.4
 _JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -91,6 +91,7 @@
         queue_capacity: int = QUEUE_CAPACITY_REQUESTS,
         session_ttl_s: float = SESSION_TTL_S,
         renew_interval_s: float = RENEW_INTERVAL_S,
+        takes_over: bool = False,
     ) -> None:
         """Take the tasks that get `KvChanged` and those that get health messages."""
         super().__init__(KV_TASK, dispatcher, clock)
@@ -104,7 +105,13 @@
         self._ending: list[Address] = []
         self._probe_wanted = Event()
         self._keeper = SessionKeeper(
-            service, clock, member, self._from_keeper, session_ttl_s, renew_interval_s
+            service,
+            clock,
+            member,
+            self._from_keeper,
+            session_ttl_s,
+            renew_interval_s,
+            takes_over,
         )
         self._watch = SharedWatch(service, self._publish)
         self._greenlets: list[gevent.Greenlet[..., None]] = []
--- a/src/siskinspool/store/session_keeper.py
+++ b/src/siskinspool/store/session_keeper.py
@@ -5,8 +5,9 @@
 counts the time to live from a later moment.
 
 The key is written only if it is absent or is this incarnation's own. A session that an
-earlier process of the same name left behind has to expire first: its holder may be
-paused and would otherwise lose the partitions that it still believes to own.
+earlier process of the same name left behind has to expire first, unless the keeper
+takes over: its holder may be paused and would otherwise lose the partitions that it
+still believes to own.
 """
 
 from __future__ import annotations
@@ -94,7 +95,13 @@
         report: Report,
         ttl_s: float = SESSION_TTL_S,
         renew_interval_s: float = RENEW_INTERVAL_S,
+        takes_over: bool = False,
     ) -> None:
+        """Take the member; ``takes_over`` replaces an earlier process at once.
+
+        That is right where an instance's name stands for one machine, so that no
+        earlier process of the name can still run.
+        """
         self._service = service
         self._clock = clock
         self._member = member
@@ -103,6 +110,7 @@
         self._renew_interval_s = renew_interval_s
         self._retry_s = min(RETRY_INTERVAL_S, renew_interval_s / 2)
         self._lease_id: int | None = None
+        self._takes_over = takes_over
         self._ended = Event()
 
     def run(self) -> None:
@@ -151,7 +159,8 @@
         current = self._service.get(key)
         if current is not None:
             holder = decode_session(self._member.instance_id, current.value)
-            if holder is not None and holder.incarnation != self._member.incarnation:
+            own = holder is None or holder.incarnation == self._member.incarnation
+            if not own and not self._takes_over:
                 return False
         revision = current.revision if current is not None else 0
         try:
--- a/tests/test_kv_task.py
+++ b/tests/test_kv_task.py
@@ -42,7 +42,7 @@
 class Bench:
     """A running `KvTask` over the in-memory service."""
 
-    def __init__(self, **options: int) -> None:
+    def __init__(self, **options: Any) -> None:
         self.clock = MonotonicClock()
         self.service = MemoryService(self.clock.now)
         self.dispatcher = Dispatcher("i1")
@@ -74,7 +74,7 @@
 
 
 @contextmanager
-def bench(**options: int) -> Iterator[Bench]:
+def bench(**options: Any) -> Iterator[Bench]:
     built = Bench(**options)
     try:
         wait_until(lambda: bool(built.got(SessionRenewed)))
