--- a/tests/test_kv_task.py
+++ b/tests/test_kv_task.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from gevent.pywsgi import WSGIServer
 
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,165 @@
+"""The adapter's decoding: a name read in the wrong sense steers the whole system."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinspool.core.errors import SettingsError
+from siskinspool.gateway.desired_state import DesiredState, WeightedService
+from siskinspool.gateway.servers import Holdings, ServerRecord, ServerState
+from siskinspool.platform.desired_state import Unreadable, decode_desired_state
+from siskinspool.platform.server_entries import decode_report, decode_server_entry
+from siskinspool.platform.settings import decode_settings
+
+from .builders_gateway import config_document, encode, entry_document, report_document
+
+SETTINGS: dict[str, Any] = {
+    "node": "front-a-1",
+    "ip": "10.1.0.25",
+    "zone": "a",
+    "internal_ports": [7600, 7615],
+    "bootstrap": True,
+    "heartbeat_ms": 1200,
+    "listen": {"front": "10.1.0.25:8221", "ready": "10.1.0.25:8224"},
+    "bounds": {
+        "grace_s": 8,
+        "drain_ms": 2000,
+        "retry_budget_ratio": 0.2,
+        "budget_window_s": 10,
+        "budget_extra_retries": 58,
+        "quota_window_s": 8,
+        "quota_overage": 0.1,
+        "quota_slack": 110000,
+        "cold_overage": 1.5,
+        "cold_slack": 5,
+        "lease_ms": 3000,
+        "require_fence": True,
+        "ceiling_window_s": 5,
+        "ceiling_overage": 1.1,
+    },
+    "platform": {"addr": "10.200.1.7:8225", "ttl_min_ms": 1000},
+    "a_field_of_tomorrow": [1, 2],
+}
+
+
+def test_settings_are_read_in_seconds() -> None:
+    """Guards against taking milliseconds for seconds."""
+    settings = decode_settings(SETTINGS)
+    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.holder_lease_s == 3.0
+    assert settings.front.port == 8221
+    assert settings.metrics.port == 7615
+    assert settings.first_start
+
+
+def test_all_faults_of_the_settings_are_named_at_once() -> None:
+    """Guards against an operator mending one fault a start."""
+    broken = SETTINGS | {"listen": {"front": "nowhere", "ready": "10.1.0.25:8224"}}
+    del broken["node"]
+    with pytest.raises(SettingsError) as raised:
+        decode_settings(broken)
+    assert "node" in str(raised.value)
+    assert "listen.front" in str(raised.value)
+
+
+def test_desired_state_is_decoded() -> None:
+    """Guards against a wrong sense of routes, keys and caps."""
+    state = decode_desired_state(encode(config_document()))
+    assert isinstance(state, DesiredState)
+    route = state.find_route("SITE.example", "/quote/a/b")
+    assert route is not None
+    assert route.services == (
+        WeightedService("writers", 90),
+        WeightedService("desk", 10),
+    )
+    assert route.timeout_s == 5.0
+    assert route.idempotent
+    assert state.tenant_name_by_key == {"k1": "smiths", "k2": "smiths"}
+    engine = state.service_by_name["writers"].engine
+    assert engine is not None
+    assert engine.model_by_name["m0"].disk_load_s == 1.2
+    assert "k1" not in repr(state)
+
+
+def test_the_longest_prefix_wins() -> None:
+    """Guards against a split route that shadows its parts."""
+    short = config_document()["routes"][0]
+    long = short | {"name": "r-long", "prefix": "/quote/long/"}
+    state = decode_desired_state(encode(config_document(routes=[short, long])))
+    assert isinstance(state, DesiredState)
+    found = state.find_route("site.example", "/quote/long/x")
+    assert found is not None
+    assert found.name == "r-long"
+    assert state.find_route("site.example", "/quot/") is None
+
+
+def test_entry_does_not_tell_the_count_of_orders() -> None:
+    """Guards against the field `seq`, which counts writes of an entry.
+
+    The leader took it for the count of accepted orders and held each report to be
+    older (tinhub-ng quiet-1: no order given).
+    """
+    entry = decode_server_entry("servers/i-1", encode(entry_document(seq=41)))
+    assert isinstance(entry, ServerRecord)
+    assert entry.holdings.order_count is None
+    assert entry.holdings.on_disk == {"m0", "m1"}
+    report = decode_report(encode(report_document(seq=2)))
+    assert isinstance(report, Holdings)
+    assert report.order_count == 2
+    assert report.loading_adapters == {("m0", "a3")}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"addr": "10.0.0.9"},
+        {"addr": 7},
+        {"slots": "64"},
+        {"slots": 0},
+        {"models": "m0"},
+        {"born": 1.5},
+    ],
+)
+def test_entry_of_another_writer_is_unreadable(change: dict[str, Any]) -> None:
+    """Guards against sending requests to what a foreign entry names."""
+    data = encode(entry_document(**change))
+    assert isinstance(decode_server_entry("servers/i-1", data), Unreadable)
+
+
+def test_draining_is_read() -> None:
+    """Guards against sending to a server that says it leaves."""
+    entry = decode_server_entry("servers/i-1", encode(entry_document(state="draining")))
+    assert isinstance(entry, ServerRecord)
+    assert entry.state is ServerState.DRAINING
+
+
+@given(st.binary(max_size=200))
+def test_fuzz_bytes_never_raise(data: bytes) -> None:
+    """Guards against a foreign value that ends the feed."""
+    decode_desired_state(data)
+    decode_server_entry("servers/x", data)
+    decode_report(data)
+
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@given(st.sampled_from(sorted(entry_document())), _json)
+def test_fuzz_one_field_of_an_entry(name: str, value: object) -> None:
+    """Guards against a single field of another type that ends the feed."""
+    data = json.dumps(entry_document(**{name: value})).encode()
+    found = decode_server_entry("servers/x", data)
+    assert isinstance(found, ServerRecord | Unreadable)
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,128 @@
+"""The platform's headers: what may pass between requesters and servers."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinspool.gateway.request import PromptPart, RequestHead, SendPlan
+from siskinspool.platform.headers import (
+    answer_headers,
+    decode_answer,
+    decode_head,
+    server_headers,
+)
+
+SENT = {
+    "host": "site.example:80",
+    "request-id": "r1",
+    "model": "m0/a3",
+    "token-count": "1460, 80",
+    "prompt-prefix": "5c:800,91:410",
+    "deadline-ms": "5000",
+    "authorization": "Bearer secret",
+    "tenant": "somebody",
+    "expect-instance": "i-9",
+    "hold": "h1",
+    "pin-ms": "100",
+    "kv-from": "10.0.0.1:1/x",
+    "kv-backup": "10.0.0.1:1",
+    "request-priority": "0",
+    "x-note": "kept",
+    "connection": "x-hop, model",
+    "x-hop": "dropped",
+    "transfer-encoding": "chunked",
+}
+
+
+def decoded() -> RequestHead:
+    head = decode_head("POST", "/quote/a?b=%20", SENT)
+    assert isinstance(head, RequestHead)
+    return head
+
+
+def plan(**changes: object) -> SendPlan:
+    values = {
+        "server_id": "i-1",
+        "remaining_s": 1.2345,
+        "priority": 1,
+        "tenant": "smiths",
+        "last_event_id": "",
+        "keeps_authorization": False,
+    }
+    return SendPlan(**values | changes)  # type: ignore[arg-type]
+
+
+def test_head_is_decoded() -> None:
+    """Guards against a wrong sense of the request's own headers."""
+    head = decoded()
+    assert (head.model, head.adapter, head.tokens) == ("m0", "a3", 1540)
+    assert head.parts == (PromptPart("5c", 800), PromptPart("91", 410))
+    assert head.deadline_s == 5.0
+    assert head.host == "site.example"
+    assert head.target == "/quote/a?b=%20"
+    assert "secret" not in repr(head)
+
+
+def test_system_headers_never_pass_from_a_requester() -> None:
+    """Guards against a requester that acts as another tenant or steers memory."""
+    headers = {
+        name.lower(): text for name, text in server_headers(decoded(), plan()).items()
+    }
+    assert headers["tenant"] == "smiths"
+    assert headers["expect-instance"] == "i-1"
+    assert headers["request-priority"] == "1"
+    assert headers["deadline-ms"] == "1234"
+    for name in ("authorization", "hold", "pin-ms", "kv-from", "kv-backup", "x-hop"):
+        assert name not in headers
+    assert "transfer-encoding" not in headers
+    assert headers["x-note"] == "kept"
+    assert headers["model"] == "m0/a3"
+    assert headers["host"] == "site.example:80"
+
+
+def test_no_tenant_on_a_public_route() -> None:
+    """Guards against a tenant that the requester made up."""
+    headers = server_headers(decoded(), plan(tenant=""))
+    assert "Tenant" not in headers
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"request-id": ""},
+        {"deadline-ms": "soon"},
+        {"deadline-ms": "nan"},
+        {"token-count": "5"},
+        {"token-count": "-1,5"},
+    ],
+)
+def test_unusable_heads_are_named(change: dict[str, str]) -> None:
+    """Guards against guessing what a broken header means."""
+    assert isinstance(decode_head("POST", "/quote/", SENT | change), str)
+
+
+def test_only_not_run_and_421_say_that_nothing_ran() -> None:
+    """Guards against repeating a request that may have run."""
+    assert decode_answer(503, {"not-run": "1"}).not_run
+    assert decode_answer(421, {}).not_run
+    assert not decode_answer(503, {}).not_run
+    assert not decode_answer(500, {"retry-after": "1"}).not_run
+
+
+def test_answer_facts() -> None:
+    """Guards against a wrong load and against bodies in another encoding."""
+    facts = decode_answer(
+        200, {"server-load": "3,0,8", "request-id": "r1", "content-encoding": "gzip"}
+    )
+    assert facts.load is not None
+    assert (facts.load.running, facts.load.waiting, facts.load.slots) == (3, 0, 8)
+    assert facts.encoded
+    assert decode_answer(200, {"server-load": "3,0"}).load is None
+
+
+def test_connection_headers_stay_with_the_connection() -> None:
+    """Guards against a server's framing on the requester's connection."""
+    headers = answer_headers(
+        {"connection": "close", "transfer-encoding": "chunked", "server-stamp": "s"}
+    )
+    assert headers == {"server-stamp": "s"}
