Plan loads by what they disturb

Change: a new leader reads all reports first; adapters go before models; half of the servers keep out of store loads; replicas go to other zones, one at a time; a new server loads models without a copy; a request ends at once if the model cannot come in time. A tenant may leave a debt within the slack, so that a large request passes.

--- a/src/siskinspool/gateway/caps.py
+++ b/src/siskinspool/gateway/caps.py
@@ -45,11 +45,12 @@
 OWNER_TIMEOUT_S: Final = 0.06
 # After a silence, the owner is asked again only after this time.
 OWNER_PAUSE_S: Final = 1.0
-# Parts of the slack beyond rate and burst, for the owner's start and for the buckets
-# of gateways without an owner; the rest covers requests that wait between the grant
-# and their arrival at a server.
-OWNER_SLACK_SHARE: Final = 0.3
-LOCAL_SLACK_SHARE: Final = 0.5
+# Parts of the slack beyond rate and burst: what a new owner starts with, the debt that
+# a large request may leave at the owner, and the buckets of gateways without an owner.
+# The rest covers requests that wait between the grant and their arrival at a server.
+START_SLACK_SHARE: Final = 0.2
+DEBT_SLACK_SHARE: Final = 0.25
+LOCAL_SLACK_SHARE: Final = 0.45
 # Part of a local bucket that is there at once; the rest comes over the window.
 LOCAL_BURST_SHARE: Final = 0.8
 # A gateway counts as asking for this long after its last request.
@@ -217,9 +218,10 @@
         per_s = tenant.tokens_per_s * self._owner_share(owned, now)
         if per_s != owned.bucket.per_s:
             owned.bucket.resize(per_s, owned.bucket.capacity, now)
-        if owned.bucket.take(tokens, now):
+        debt = DEBT_SLACK_SHARE * self._slack(tenant)
+        if owned.bucket.take(tokens, now, debt):
             return TokensGranted("owner")
-        return TokensRefused("owner", owned.bucket.wait_s(tokens, now))
+        return TokensRefused("owner", owned.bucket.wait_s(tokens, now, debt))
 
     def _owner_share(self, owned: _OwnedCap, now: float) -> float:
         """Return the part of the rate that this owner may grant."""
@@ -234,7 +236,7 @@
         owned = self._owned_by_tenant.get(tenant.name)
         if owned is None:
             # Whoever kept the cap before may have granted the whole burst just now.
-            start = min(tenant.burst_tokens, OWNER_SLACK_SHARE * self._slack(tenant))
+            start = min(tenant.burst_tokens, START_SLACK_SHARE * self._slack(tenant))
             bucket = TokenBucket(tenant.tokens_per_s, tenant.burst_tokens, start, now)
             owned = _OwnedCap(bucket)
             self._owned_by_tenant[tenant.name] = owned
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -261,12 +261,13 @@
         until = self._session.valid_until()
         if until is None:
             return []
-        if until < now + OUTAGE_MEMORY_S and self._may_go_on_detached(now):
+        detached = until < now + OUTAGE_MEMORY_S and self._may_go_on_detached(now)
+        if detached:
             until = now + OUTAGE_MEMORY_S
         if until <= self._told_until:
             return []
         self._told_until = until
-        return self._tell(LeadershipExtended(until))
+        return self._tell(LeadershipExtended(until, detached))
 
     def _may_go_on_detached(self, now: float) -> bool:
         if not self._bounds.servers_check_epochs or self._unanswered_at is None:
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -146,6 +146,15 @@
         ordered = sorted(self.goals, key=lambda goal: -goal.waiting)
         self.goals = deque(ordered)
 
+    def put_adapters_first(self) -> None:
+        """Put adapters before models, in the order that they have."""
+        self.goals = deque(sorted(self.goals, key=lambda goal: not goal.adapter))
+
+    def forget_count(self) -> None:
+        """Trust nothing that was known before a new time in office."""
+        self.holdings = attrs.evolve(self.holdings, order_count=None)
+        self.doubtful = True
+
     def ready_in_s(self, model: str | None, engine: EngineSpec, now: float) -> float:
         """Return when a goal is reached; with None, when all goals are."""
         ready_in_s = 0.0
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -176,6 +176,8 @@
     """Orders may be given until a time on the instance's clock."""
 
     until_s: float
+    # The store does not answer, so there may be a successor.
+    detached: bool = False
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -58,10 +58,12 @@
 # Loads that may begin at once; see `_load_bucket`.
 LOAD_BURST: Final = 1.5
 TICK_S: Final = 0.25
+# Below this demand no request waits, and loads disturb nobody.
+QUIET_TOKENS_PER_S: Final = 1.0
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
 # Prompt tokens a second that one replica carries before another is added.
-REPLICA_TOKENS_PER_S: Final = 14_000.0
+REPLICA_TOKENS_PER_S: Final = 40_000.0
 # Prompt tokens a second from which a model should not depend on one server.
 SPARE_TOKENS_PER_S: Final = 1_500.0
 # A replica must be worth this many times what it displaces.
@@ -86,7 +88,10 @@
         self._epoch: int | None = None
         self._from_s = 0.0
         self._until_s = 0.0
+        self._detached = False
         self._next_tick_at = 0.0
+        # Wishes that wait for the first reports, by model, adapter and asker.
+        self._pending_wants: dict[tuple[str, str, str], WantModel] = {}
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Take in a wish, the end of an order or a change."""
@@ -166,6 +171,13 @@
             return []
         batch = self._check_silent(want.silent_servers, now)
         fleet = self._fleet(want.service, engine, now)
+        unread = [server for server in fleet.servers if server.order_count is None]
+        if unread:
+            # A plan without the reports would load what is there already.
+            self._pending_wants[(want.model, want.adapter, asker)] = want
+            for server in unread:
+                batch += self._advance(server, now)
+            return batch
         if want.adapter:
             return batch + self._want_adapter(fleet, want, asker, now)
         return batch + self._want_model(fleet, want, asker, now)
@@ -239,8 +251,11 @@
             ),
         )
         chosen.goals.append(Goal(model, adapter, {asker: want.waiting}))
-        chosen.sort_goals()
-        return self._advance(chosen, now)
+        batch = self._advance(chosen, now)
+        if chosen.busy_until is not None:
+            in_s = max(chosen.busy_until - now, 0.0)
+            batch.append(self._to_routing(asker, ModelExpected(model, adapter, in_s)))
+        return batch
 
     def _expected(
         self,
@@ -256,37 +271,45 @@
     # Planning ahead
 
     def _plan_ahead(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
-        if not fleet.servers or any(server.doubtful for server in fleet.servers):
+        """Load what will be wanted; not where a successor may be at work."""
+        if self._detached or any(s.order_count is None for s in fleet.servers):
             return []
-        busy = sum(1 for server in fleet.servers if self._loads_from_store(server))
-        idle = [
-            server
-            for server in fleet.servers
-            if server.busy_until is None and not server.goals
-        ]
-        if not idle or busy >= STORE_LOADS_AT_ONCE:
+        model = self._replica_to_add(fleet, now)
+        if model is not None:
+            return self._add_replica(fleet, model, now)
+        idle = [s for s in fleet.servers if s.busy_until is None and not s.goals]
+        if fleet.total_rate(now) >= QUIET_TOKENS_PER_S:
+            # Under load, only a server with room, such as a new one, loads ahead.
+            idle = [server for server in idle if fleet.has_room(server)]
+        if not idle or fleet.store_loads() >= STORE_LOADS_AT_ONCE:
             return []
-        model, reason = self._replica_to_add(fleet, now), "replica"
-        if model is None:
-            model, reason = self._model_without_copy(fleet), "no_copy"
+        model = fleet.model_to_copy(now)
         if model is None:
             return []
-        spec = fleet.engine.model_by_name[model]
-        free = [s for s in idle if model not in s.holdings.model_by_name]
-        choice = fleet.choose(spec, free, now)
+        choice = fleet.choose(fleet.engine.model_by_name[model], idle, now)
+        if choice is None:
+            return []
+        self._log_plan(model, choice.server, choice.victims, "no_copy")
+        choice.server.goals.append(Goal(model, ""))
+        return self._advance(choice.server, now)
+
+    def _add_replica(
+        self, fleet: ServiceFleet, model: str, now: float
+    ) -> list[Outgoing]:
+        """Load a model on another server, in another zone if one can take it."""
+        holders = [s for s in fleet.servers if model in s.holdings.model_by_name]
+        zones = {server.record.zone for server in holders}
+        free = [s for s in fleet.servers if s not in holders]
+        apart = [s for s in free if s.record.zone not in zones]
+        choice = fleet.choose(fleet.engine.model_by_name[model], apart or free, now)
         if choice is None:
             return []
         lost = sum(fleet.value(victim, now) for victim in choice.victims)
-        if reason == "replica" and (
-            fleet.value(model, now) < REPLICA_GAIN * lost
-            or (
-                any(fleet.replicas(victim) < 2 for victim in choice.victims)
-                and lost > 0
-            )
-        ):
+        if fleet.value(model, now) < REPLICA_GAIN * lost:
             return []
-        self._log_plan(model, choice.server, choice.victims, reason)
-        choice.server.goals.append(Goal(model, ""))
+        self._log_plan(model, choice.server, choice.victims, "replica")
+        # It counts as one waiting request, or it would never have its turn.
+        choice.server.goals.append(Goal(model, "", {self._id: 1}))
         return self._advance(choice.server, now)
 
     def _replica_to_add(self, fleet: ServiceFleet, now: float) -> str | None:
@@ -295,27 +318,18 @@
             key=lambda model: fleet.value(model, now),
             default=None,
         )
-        if most is None or fleet.replicas(most) == 0:
+        if most is None or fleet.replicas(most) in (0, len(fleet.servers)):
+            return None
+        if any(
+            goal.waiting_by_asker.keys() == {self._id}
+            for s in fleet.servers
+            for goal in s.goals
+        ):
             return None
         value = fleet.value(most, now)
         alone = fleet.replicas(most) == 1 and value >= SPARE_TOKENS_PER_S
         return most if alone or value >= REPLICA_TOKENS_PER_S else None
 
-    @staticmethod
-    def _model_without_copy(fleet: ServiceFleet) -> str | None:
-        present: set[str] = set()
-        for server in fleet.servers:
-            holdings = server.holdings
-            present |= holdings.in_memory | holdings.on_disk
-            present |= set(holdings.model_by_name)
-            present |= {goal.model for goal in server.goals}
-        missing = [m for m in fleet.engine.model_by_name if m not in present]
-        return missing[0] if missing else None
-
-    @staticmethod
-    def _loads_from_store(server: ManagedServer) -> bool:
-        return server.loading is not None and server.needs_store(server.loading)
-
     # Orders
 
     def _advance(self, server: ManagedServer, now: float) -> list[Outgoing]:
@@ -331,6 +345,8 @@
             if now >= server.busy_until:
                 batch += self._read(server, now)
             return batch
+        # While a model is loaded no adapter can be, and adapters take no time.
+        server.put_adapters_first()
         while server.goals:
             goal = server.goals[0]
             if self._is_reached(server, goal, now):
@@ -368,6 +384,11 @@
         if victims:
             return self._order(server, OrderKind.UNLOAD, victims[0], "")
         if server.needs_store(goal.model):
+            if fleet.store_loads() >= fleet.most_store_loads(goal.waiting):
+                # The server stays free for what loads sooner.
+                server.goals.rotate(-1)
+                server.wait_until = now + TICK_S
+                return None
             bucket = self._load_bucket(server.record.service, engine, now)
             if not bucket.take(1, now):
                 server.wait_until = now + bucket.wait_s(1, now)
@@ -461,7 +482,15 @@
         server.silent_until = now
         if not server.take_report(read.holdings, now) or server.busy_until is not None:
             server.wait_until = now + POLL_INTERVAL_S
-        return self._advance(server, now)
+        return self._advance(server, now) + self._take_pending(now)
+
+    def _take_pending(self, now: float) -> list[Outgoing]:
+        """Take up the wishes that waited for reports."""
+        pending, self._pending_wants = self._pending_wants, {}
+        batch: list[Outgoing] = []
+        for (_, _, asker), want in pending.items():
+            batch += self._want(want, asker, now)
+        return batch
 
     # Results
 
@@ -490,9 +519,10 @@
                     server.order = None
                     server.reading = False
                     server.goals.clear()
+                    server.forget_count()
                 self._next_tick_at = now
-            case LeadershipExtended(until_s):
-                self._until_s = until_s
+            case LeadershipExtended(until_s, detached):
+                self._until_s, self._detached = until_s, detached
             case LeadershipLost():
                 self._epoch = None
 
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -14,6 +14,11 @@
 DEMAND_HALF_LIFE_S: Final = 8.0
 # Seconds that the eviction of the whole demand would be worth.
 EVICTION_COST_S: Final = 6.0
+# Part of the requests for a server's other models that wait for an adapter, which the
+# server cannot load meanwhile.
+BLOCKED_SHARE: Final = 0.5
+# Requests that wait for one model and outweigh all else.
+MANY_WAITING: Final = 3
 # A model that stood on several servers at the start was placed there for its demand.
 REPLICA_PRIOR: Final = 0.02
 
@@ -99,6 +104,44 @@
             self.demand.tokens_per_s(model, now) for model in self.engine.model_by_name
         )
 
+    def has_room(self, server: ManagedServer) -> bool:
+        """Return whether a server can take the largest model without an eviction."""
+        sizes = [spec.weights_mb for spec in self.engine.model_by_name.values()]
+        free_mb = self.engine.weights_mb - server.used_mb(self.engine)
+        return free_mb >= max(sizes, default=0.0)
+
+    def model_to_copy(self, now: float) -> str | None:
+        """Return the most wanted model of which no server has a copy."""
+        present: set[str] = set()
+        for server in self.servers:
+            holdings = server.holdings
+            present |= holdings.in_memory | holdings.on_disk
+            present |= set(holdings.model_by_name)
+            present |= {goal.model for goal in server.goals}
+        return max(
+            (model for model in self.engine.model_by_name if model not in present),
+            key=lambda model: self.demand.tokens_per_s(model, now),
+            default=None,
+        )
+
+    def store_loads(self) -> int:
+        """Return how many servers load from the weight store."""
+        return sum(
+            1
+            for server in self.servers
+            if server.loading is not None and server.needs_store(server.loading)
+        )
+
+    def most_store_loads(self, waiting: int) -> int:
+        """Return how many servers may load from the store at a time.
+
+        Such a load takes seconds in which its server loads nothing else, so that half
+        of the servers keep out of it unless many requests wait.
+        """
+        if waiting >= MANY_WAITING:
+            return len(self.servers)
+        return max(len(self.servers) // 2, 1)
+
     def choose(
         self, spec: ModelSpec, servers: Iterable[ManagedServer], now: float
     ) -> Choice | None:
@@ -123,7 +166,13 @@
         ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
         lost = sum(self.value(model, now) for model in victims)
         total = max(self.total_rate(now), 1.0)
-        cost_s = ready_in_s + EVICTION_COST_S * min(lost / total, 1.0)
+        kept = sum(
+            self.value(model, now)
+            for model in server.holdings.model_by_name
+            if model not in victims
+        )
+        blocked_s = BLOCKED_SHARE * server.load_s(spec) * min(kept / total, 1.0)
+        cost_s = ready_in_s + EVICTION_COST_S * min(lost / total, 1.0) + blocked_s
         return Choice(server, victims, ready_in_s, cost_s)
 
     def victims(
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -67,8 +67,10 @@
 DEMAND_INTERVAL_S: Final = 1.0
 # Entries that lapsed while the registry was away come back within two seconds.
 RETURN_GRACE_S: Final = 2.0
-# Time between a model's loading and its first event, added to what the leader expects.
-LOAD_MARGIN_S: Final = 0.1
+# What a load may take longer than the leader expects: at least this, or a share. To
+# wait in vain costs more than to be refused at once.
+LOAD_MARGIN_S: Final = 0.2
+LOAD_DOUBT_SHARE: Final = 0.25
 RETRY_AFTER_S: Final = 0.5
 
 
@@ -80,6 +82,8 @@
     call: AssignServer
     since: float
     give_up_at: float
+    # When the leader expects the model; None if it has not said.
+    ready_at: float | None = None
 
 
 class Routing(Decision):
@@ -280,6 +284,9 @@
         view.ended(ended.request_id, ended.result, ended.load, now)
 
     def _refuse(self, waiting: _Waiting, detail: str, now: float) -> Outgoing:
+        retry_after_s = RETRY_AFTER_S
+        if waiting.ready_at is not None:
+            retry_after_s = max(waiting.ready_at - now, RETRY_AFTER_S)
         log_event(
             logger,
             logging.INFO,
@@ -293,7 +300,7 @@
         )
         return Outgoing(
             waiting.sender,
-            AssignRefused(ErrorCode.NO_SERVER, detail, RETRY_AFTER_S),
+            AssignRefused(ErrorCode.NO_SERVER, detail, retry_after_s),
         )
 
     # Models
@@ -357,7 +364,11 @@
         for waiting in self._waiting_by_id.values():
             call = waiting.call
             same = (call.model, call.adapter) == (expected.model, expected.adapter)
-            if same and now + expected.in_s + LOAD_MARGIN_S > waiting.give_up_at:
+            ready_at = now + expected.in_s
+            if same:
+                waiting.ready_at = ready_at
+            doubt_s = max(LOAD_MARGIN_S, expected.in_s * LOAD_DOUBT_SHARE)
+            if same and ready_at + doubt_s > waiting.give_up_at:
                 waiting.give_up_at = now
 
     def _count_demand(self, call: AssignServer) -> None:
--- a/src/siskinspool/gateway/token_bucket.py
+++ b/src/siskinspool/gateway/token_bucket.py
@@ -28,18 +28,18 @@
         """Return a bucket that grants nothing yet."""
         return cls(per_s, capacity, 0.0, now)
 
-    def take(self, amount: float, now: float) -> bool:
-        """Take an amount if it is there."""
+    def take(self, amount: float, now: float, debt: float = 0.0) -> bool:
+        """Take an amount if it is there, or is missing by no more than a debt."""
         self._refill(now)
-        if amount > self.level:
+        if amount > self.level + debt:
             return False
         self.level -= amount
         return True
 
-    def wait_s(self, amount: float, now: float) -> float:
+    def wait_s(self, amount: float, now: float, debt: float = 0.0) -> float:
         """Return how long until an amount, or all there can be, has gathered."""
         self._refill(now)
-        missing = min(amount, self.capacity) - self.level
+        missing = min(amount - debt, self.capacity) - self.level
         if missing <= 0:
             return 0.0
         return missing / self.per_s if self.per_s > 0 else float("inf")
--- a/src/siskinspool/platform/daemon.py
+++ b/src/siskinspool/platform/daemon.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import gc
 import logging
 import os
@@ -63,6 +64,8 @@
     if check:
         click.echo("the settings are valid")
         return
+    # A fault below Python, for instance in a library, would end without a word.
+    faulthandler.enable()
     configure_logging(log_level, BoundedHandler(STDOUT))
     sys.exit(run(path, loaded))
 
