Drop goals that nobody waits for any more

Change: a goal that nobody asked for during 3 s is dropped, before it counts for the expected time and before it is ordered.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -24,6 +24,9 @@
 # A server that does not answer an order or a read is set aside for this long; the
 # registry drops it after about 4 s of silence.
 SILENCE_S: Final = 2.0
+# A goal that nobody has asked for during this time is dropped. Waiting requests ask
+# four times a second; one that was refused comes back within some seconds.
+GOAL_MEMORY_S: Final = 3.0
 # Time to make room and to see that a load has ended.
 SWAP_S: Final = 0.4
 # Between reads of the report while a load is under way longer than expected.
@@ -41,6 +44,20 @@
     adapter: str
     # Requests that wait for it, by instance.
     waiting_by_asker: dict[str, int] = attrs.field(factory=dict)
+    # When it was last asked for; infinite for what the leader wants itself.
+    wanted_at: float = float("inf")
+
+    def want(self, asker: str, waiting: int, now: float) -> None:
+        """Record that an instance waits for it."""
+        self.waiting_by_asker[asker] = waiting
+        self.wanted_at = max(self.wanted_at, now)
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether nobody waits for it any more.
+
+        A request that was told when to come back may return for it.
+        """
+        return now - self.wanted_at > GOAL_MEMORY_S
 
     @property
     def waiting(self) -> int:
@@ -141,6 +158,10 @@
                 return goal
         return None
 
+    def drop_stale_goals(self, now: float) -> None:
+        """Drop the goals that nobody waits for any more."""
+        self.goals = deque(goal for goal in self.goals if not goal.is_stale(now))
+
     def sort_goals(self) -> None:
         """Put what most requests wait for first; among equals, what is older."""
         ordered = sorted(self.goals, key=lambda goal: -goal.waiting)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -197,6 +197,8 @@
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
         model = want.model
+        for server in fleet.servers:
+            server.drop_stale_goals(now)
         silent = set(want.silent_servers)
         for server in fleet.servers:
             if server.doubtful and model in server.holdings.model_by_name:
@@ -208,7 +210,7 @@
         for server in fleet.servers:
             goal = server.has_goal(model, "")
             if goal is not None:
-                goal.waiting_by_asker[asker] = want.waiting
+                goal.want(asker, want.waiting, now)
                 server.sort_goals()
                 return [self._expected(want, asker, server, fleet, now)]
         servers = [s for s in fleet.servers if not s.holds_model(model)]
@@ -217,7 +219,7 @@
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
         self._log_plan(model, choice.server, choice.victims, "wanted")
-        choice.server.goals.append(Goal(model, "", {asker: want.waiting}))
+        choice.server.goals.append(Goal(model, "", {asker: want.waiting}, now))
         choice.server.sort_goals()
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
@@ -232,7 +234,7 @@
         for server in holders:
             goal = server.has_goal(model, adapter)
             if goal is not None:
-                goal.waiting_by_asker[asker] = want.waiting
+                goal.want(asker, want.waiting, now)
                 return []
             arrival = server.arrival_by_adapter.get((model, adapter))
             if arrival is not None:
@@ -250,7 +252,7 @@
                 server.adapter_count(),
             ),
         )
-        chosen.goals.append(Goal(model, adapter, {asker: want.waiting}))
+        chosen.goals.append(Goal(model, adapter, {asker: want.waiting}, now))
         batch = self._advance(chosen, now)
         if chosen.busy_until is not None:
             in_s = max(chosen.busy_until - now, 0.0)
@@ -345,6 +347,7 @@
             if now >= server.busy_until:
                 batch += self._read(server, now)
             return batch
+        server.drop_stale_goals(now)
         # While a model is loaded no adapter can be, and adapters take no time.
         server.put_adapters_first()
         while server.goals:
