--- /dev/null
+++ b/tests/test_gateway_caps.py
@@ -0,0 +1,226 @@
+"""Caps of tenants: the sum over all gateways, whoever is in reach."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from siskinspool.core.message import Address, Incoming, Outgoing
+from siskinspool.gateway.caps import OWNER_PAUSE_S, OWNER_TIMEOUT_S, Caps
+from siskinspool.gateway.messages import (
+    SpendAtOwner,
+    SpendTokens,
+    SpentAtOwner,
+    TokensGranted,
+    TokensRefused,
+)
+from siskinspool.machines.rendezvous import winner
+from siskinspool.store.kv_events import SessionGone, SessionRenewed
+
+from .builders_gateway import (
+    bounds,
+    desired_state,
+    incoming,
+    membership,
+    messages,
+    tenant,
+)
+
+MEMBERS = ("g1", "g2", "g3")
+OWNER = winner("desk", MEMBERS) or ""
+OTHER = next(name for name in MEMBERS if name != OWNER)
+
+
+def caps(instance_id: str, now: float = 0.0) -> Caps:
+    """Return a gateway's caps that knows three members and has a session."""
+    decision = Caps(instance_id, bounds())
+    decision.handle(incoming(desired_state()), now)
+    decision.handle(incoming(membership(*MEMBERS)), now)
+    decision.handle(incoming(SessionRenewed("i", 1, now, 1000.0)), now)
+    return decision
+
+
+def spend(decision: Caps, tokens: int, now: float) -> list[Outgoing]:
+    return decision.handle(incoming(SpendTokens("desk", tokens), "local"), now)
+
+
+def test_owner_grants_rate_and_burst_and_no_more() -> None:
+    """Guards against a cap that a full burst of requests passes."""
+    decision = caps(OWNER)
+    granted = 0
+    for _ in range(200):
+        answer = messages(spend(decision, 5_000, 0.0))[0]
+        granted += 5_000 if isinstance(answer, TokensGranted) else 0
+    limits = bounds()
+    whole = (30_000 * 8 + 60_000) * limits.cap_overage + limits.cap_slack_tokens
+    assert 30_000 < granted <= 60_000 + whole
+
+
+def test_large_request_passes_on_debt() -> None:
+    """Guards against a request larger than the burst that could never pass."""
+    decision = Caps(OWNER, bounds())
+    small = tenant(tokens_per_s=1_000.0, burst_tokens=2_000.0)
+    decision.handle(incoming(desired_state(tenants=(small,))), 0.0)
+    decision.handle(incoming(membership(OWNER)), 0.0)
+    assert isinstance(messages(spend(decision, 9_000, 0.0))[0], TokensGranted)
+
+
+def test_other_gateways_ask_the_owner() -> None:
+    """Guards against gateways that each grant the whole cap."""
+    asking, owning = caps(OTHER), caps(OWNER)
+    question = spend(asking, 1_000, 0.0)[0]
+    assert question.recipient.instance_id == OWNER
+    assert isinstance(question.message, SpendAtOwner)
+    reply = owning.handle(incoming(question.message, OTHER, "caps"), 0.0)[0]
+    answer = asking.handle(incoming(reply.message, OWNER, "caps"), 0.01)[0]
+    assert answer.message == TokensGranted("owner")
+    assert answer.recipient == Address("local", "test")
+
+
+def test_silent_owner_is_left_alone_for_a_while() -> None:
+    """Guards against a time-out on each request while the owner is gone."""
+    decision = caps(OTHER)
+    assert decision.wake_at() is None
+    spend(decision, 1_000, 0.0)
+    assert decision.wake_at() == OWNER_TIMEOUT_S
+    assert messages(decision.on_time(OWNER_TIMEOUT_S)) == [TokensGranted("local")]
+    assert messages(spend(decision, 1_000, 0.1)) == [TokensGranted("local")]
+    later = spend(decision, 1_000, OWNER_TIMEOUT_S + OWNER_PAUSE_S + 0.01)
+    assert isinstance(later[0].message, SpendAtOwner)
+
+
+def test_gateways_that_are_all_cut_off_stay_within_the_sum() -> None:
+    """Guards against local buckets that together pass the bound.
+
+    With LOCAL_SLACK_SHARE at 1.5 the sum is passed.
+    """
+    decisions = [caps(name) for name in MEMBERS]
+    granted, now = 0, 0.0
+    while now < bounds().cap_window_s:
+        for decision in decisions:
+            for _ in range(20):
+                found = messages(spend(decision, 1_000, now))
+                found += messages(decision.on_time(now + OWNER_TIMEOUT_S))
+                granted += 1_000 * sum(isinstance(one, TokensGranted) for one in found)
+        now += 0.1
+    limits = bounds()
+    base = 30_000 * limits.cap_window_s + 60_000
+    allowed = base * (1 + limits.cap_overage) + limits.cap_slack_tokens
+    assert base < granted <= allowed
+
+
+def test_late_answer_of_the_owner_is_not_used_twice() -> None:
+    """Guards against two answers to one request."""
+    decision = caps(OTHER)
+    number = spend(decision, 1_000, 0.0)[0].message.number  # type: ignore[attr-defined]
+    decision.on_time(OWNER_TIMEOUT_S)
+    late = SpentAtOwner(number, True, 0.0)
+    assert decision.handle(incoming(late, OWNER, "caps"), 0.2) == []
+
+
+def test_uncapped_tenants_ask_nobody() -> None:
+    """Guards against round trips for tenants without a cap."""
+    decision = Caps(OTHER, bounds())
+    free = tenant(tokens_per_s=0.0)
+    decision.handle(incoming(desired_state(tenants=(free,))), 0.0)
+    decision.handle(incoming(membership(*MEMBERS)), 0.0)
+    assert messages(spend(decision, 10**9, 0.0)) == [TokensGranted("uncapped")]
+
+
+def test_a_lower_cap_takes_what_is_saved() -> None:
+    """Guards against a burst of the old cap after the cap was lowered."""
+    decision = caps(OWNER)
+    spend(decision, 1, 0.0)
+    low = tenant(tokens_per_s=100.0, burst_tokens=100.0)
+    decision.handle(incoming(desired_state(version=2, tenants=(low,))), 1.0)
+    answers = [messages(spend(decision, 5_000, 1.0))[0] for _ in range(20)]
+    assert sum(isinstance(one, TokensGranted) for one in answers) <= 6
+    assert isinstance(answers[-1], TokensRefused)
+
+
+class CapsMachine(RuleBasedStateMachine):
+    """Three gateways with lost messages, lost sessions and a changing membership.
+
+    What they grant together in any window stays within rate, burst, overage and slack.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        """Start three gateways that see each other."""
+        self.now = 0.0
+        self.decisions = {name: caps(name) for name in MEMBERS}
+        self.reachable = set(MEMBERS)
+        self.grants: list[tuple[float, int]] = []
+
+    def deliver(self, sender: str, batch: list[Outgoing]) -> None:
+        """Carry messages between reachable gateways, and note grants."""
+        for outgoing in batch:
+            recipient = outgoing.recipient
+            message = outgoing.message
+            if recipient.task == "request":
+                if isinstance(message, TokensGranted):
+                    self.grants.append((self.now, self.asked))
+                continue
+            if {sender, recipient.instance_id} <= self.reachable:
+                arrived = Incoming(Address(sender, "caps"), message)
+                decision = self.decisions[recipient.instance_id]
+                reply = decision.handle(arrived, self.now)
+                self.deliver(recipient.instance_id, reply)
+
+    @rule(
+        name=st.sampled_from(MEMBERS),
+        tokens=st.sampled_from([200, 5_000, 9_000, 30_000]),
+        times=st.integers(1, 40),
+    )
+    def ask(self, name: str, tokens: int, times: int) -> None:
+        """Let requests arrive at one gateway."""
+        for _ in range(times):
+            self.asked = tokens
+            sent = Incoming(Address(name, "request"), SpendTokens("desk", tokens))
+            self.deliver(name, self.decisions[name].handle(sent, self.now))
+            if self.decisions[name].wake_at() is not None:
+                self.now += OWNER_TIMEOUT_S
+                self.deliver(name, self.decisions[name].on_time(self.now))
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now += seconds
+
+    @rule(names=st.sets(st.sampled_from(MEMBERS)))
+    def cut(self, names: set[str]) -> None:
+        """Cut gateways off from each other."""
+        self.reachable = set(MEMBERS) - names
+
+    @rule(name=st.sampled_from(MEMBERS))
+    def lose_session(self, name: str) -> None:
+        """End a session; the others hear of it, the holder may not."""
+        self.decisions[name].handle(incoming(SessionGone()), self.now)
+
+    @rule(name=st.sampled_from(MEMBERS))
+    def renew_session(self, name: str) -> None:
+        """Renew a session."""
+        renewed = SessionRenewed("i", 2, self.now, 1000.0)
+        self.decisions[name].handle(incoming(renewed), self.now)
+
+    @invariant()
+    def sum_is_within_the_cap(self) -> None:
+        """Check each window that ends with a grant."""
+        limits = bounds()
+        base = 30_000 * limits.cap_window_s + 60_000
+        allowed = base * (1 + limits.cap_overage) + limits.cap_slack_tokens
+        for end, _ in self.grants[-20:]:
+            used = sum(
+                tokens
+                for at, tokens in self.grants
+                if end - limits.cap_window_s < at <= end
+            )
+            assert used <= allowed
+
+
+TestCapsMachine = CapsMachine.TestCase
