--- a/tests/test_gateway_caps.py
+++ b/tests/test_gateway_caps.py
@@ -97,7 +97,7 @@
 def test_gateways_that_are_all_cut_off_stay_within_the_sum() -> None:
     """Guards against local buckets that together pass the bound.
 
-    With LOCAL_SLACK_SHARE at 1.5 the sum is passed.
+    With LOCAL_SLACK_SHARE at 2 the sum is passed.
     """
     decisions = [caps(name) for name in MEMBERS]
     granted, now = 0, 0.0
