Keep the servers that are seen before the desired state

Ruled out: unread reports (no line report_unread) and a stuck read.

Change: all records are kept; the service decides at use. A test fails before and passes after; 16 tests of the placement are added, among them the bound on store loads over two leaders in a row.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -124,7 +124,8 @@
             return []
         batch: list[Outgoing] = []
         for server in list(self._server_by_id.values()):
-            batch += self._advance(server, now)
+            if server.record.service in self._engine_by_service:
+                batch += self._advance(server, now)
         for service, engine in self._engine_by_service.items():
             batch += self._plan_ahead(self._fleet(service, engine, now), now)
         return batch
@@ -553,12 +554,9 @@
         return bucket
 
     def _take_record(self, record: ServerRecord, now: float) -> None:
-        engine = self._engine_by_service.get(record.service)
+        # The registry may be read before the desired state, which names the services
+        # with engines; records of other services are kept and not used.
         server = self._server_by_id.get(record.server_id)
-        if engine is None:
-            if server is not None:
-                del self._server_by_id[record.server_id]
-            return
         if server is None:
             server = ManagedServer(record=record, holdings=record.holdings)
             self._server_by_id[record.server_id] = server
--- /dev/null
+++ b/tests/test_gateway_placement.py
@@ -0,0 +1,291 @@
+"""Orders to model servers: one at a time, within memory and the bound on loads."""
+
+from __future__ import annotations
+
+from siskinspool.core.message import Message
+from siskinspool.gateway.messages import (
+    DemandSeen,
+    HoldingsRead,
+    LeadershipExtended,
+    LeadershipFenced,
+    LeadershipHeld,
+    LeadershipLost,
+    ModelExpected,
+    ModelReady,
+    OrderEnded,
+    OrderKind,
+    OrderResult,
+    ReadHoldings,
+    ServerOrder,
+    WantModel,
+)
+from siskinspool.gateway.placement import Placement
+from siskinspool.gateway.servers import Holdings, ServerState, ZoneEvacuated
+
+from .builders_gateway import (
+    bounds,
+    desired_state,
+    engine,
+    holdings,
+    incoming,
+    messages,
+    server,
+)
+
+
+class Office:
+    """A placement in office whose orders the test answers."""
+
+    def __init__(self, first_start: bool = True) -> None:
+        self.now = 100.0
+        self.decision = Placement("g1", bounds(), first_start)
+        self.reports: dict[str, Holdings] = {}
+
+    def tell(self, message: Message, sender: str = "g2") -> list[Message]:
+        return self.settle(
+            messages(self.decision.handle(incoming(message, sender), self.now))
+        )
+
+    def settle(self, found: list[Message]) -> list[Message]:
+        """Answer reads of reports; return everything else."""
+        rest: list[Message] = []
+        for message in found:
+            if isinstance(message, ReadHoldings):
+                report = self.reports.get(message.server_id)
+                rest += self.tell(HoldingsRead(message.server_id, report))
+            else:
+                rest.append(message)
+        return rest
+
+    def add(self, server_id: str, *models: str, **changes: object) -> None:
+        zone = str(changes.pop("zone", "a"))
+        report = holdings(*models, count=0, **changes)
+        self.reports[server_id] = report
+        self.tell(server(server_id, *models, zone=zone))
+
+    def take_office(self, epoch: int = 7) -> list[Message]:
+        found = self.tell(LeadershipHeld(epoch, self.now))
+        return found + self.tell(LeadershipExtended(self.now + 1000.0))
+
+    def want(self, model: str, adapter: str = "", asker: str = "g2") -> list[Message]:
+        return self.tell(WantModel("writers", model, adapter, ""), asker)
+
+    def end(self, order: ServerOrder, result: OrderResult) -> list[Message]:
+        return self.tell(OrderEnded(order, result))
+
+    def wait(self, seconds: float) -> list[Message]:
+        self.now += seconds
+        return self.settle(messages(self.decision.on_time(self.now)))
+
+    def finish_load(self, order: ServerOrder, seconds: float) -> list[Message]:
+        """Let a model load end, with the report that shows it."""
+        known = self.reports[order.server_id]
+        names = {*known.model_by_name, order.model}
+        self.reports[order.server_id] = holdings(
+            *names, count=order.expected_count + 1, on_disk=known.on_disk
+        )
+        return self.wait(seconds)
+
+
+def ready_office(**changes: object) -> Office:
+    """Return an office with one server that has room for two models."""
+    office = Office()
+    office.tell(desired_state())
+    office.add("s1", "m0", on_disk=frozenset({"m0", "m1", "m2", "m3", "m4"}))
+    office.take_office()
+    return office
+
+
+def orders(found: list[Message]) -> list[ServerOrder]:
+    return [one for one in found if isinstance(one, ServerOrder)]
+
+
+def test_servers_seen_before_the_desired_state_are_used() -> None:
+    """Guards against a restarted leader that forgets most servers.
+
+    tinhub-ng trouble-2: a new process saw the registry before the desired state and
+    then gave orders to two of five servers only.
+    """
+    office = Office()
+    office.add("s1", "m0", on_disk=frozenset({"m1"}))
+    office.tell(desired_state())
+    office.take_office()
+    assert [order.server_id for order in orders(office.want("m1"))] == ["s1"]
+
+
+def test_a_wanted_model_is_loaded_and_announced() -> None:
+    """Guards against a request that waits for a model that is there."""
+    office = ready_office()
+    found = office.want("m1")
+    order = orders(found)[0]
+    assert (order.kind, order.model, order.expected_count) == (OrderKind.LOAD, "m1", 0)
+    assert any(isinstance(one, ModelExpected) for one in found)
+    assert orders(office.end(order, OrderResult.ACCEPTED)) == []
+    assert office.wait(0.5) == []
+    assert ModelReady("m1", "", "s1") in office.finish_load(order, 1.0)
+
+
+def test_one_order_at_a_time_for_a_server() -> None:
+    """Guards against a second order while the first may still be accepted."""
+    office = ready_office()
+    assert len(orders(office.want("m1"))) == 1
+    assert orders(office.want("m2")) == []
+
+
+def test_memory_is_made_free_before_a_load() -> None:
+    """Guards against a server that is ordered to load more than it holds."""
+    office = Office()
+    office.tell(desired_state())
+    copies = frozenset({"m0", "m1", "m2", "m3"})
+    office.add("s1", "m0", "m1", "m2", on_disk=copies)
+    office.take_office()
+    office.tell(DemandSeen("writers", {"m0": 9_000, "m1": 9_000}))
+    unload = orders(office.want("m3"))[0]
+    assert (unload.kind, unload.model) == (OrderKind.UNLOAD, "m2")
+    office.end(unload, OrderResult.ACCEPTED)
+    office.reports["s1"] = holdings("m0", "m1", count=1, on_disk=copies)
+    load = orders(office.wait(0.3))[0]
+    assert (load.kind, load.model, load.expected_count) == (OrderKind.LOAD, "m3", 1)
+
+
+def test_lost_answer_is_resolved_by_the_report() -> None:
+    """Guards against a second order on top of one that is carried out late."""
+    office = ready_office()
+    order = orders(office.want("m1"))[0]
+    assert orders(office.end(order, OrderResult.UNKNOWN)) == []
+    # The order was accepted after all.
+    office.reports["s1"] = holdings("m0", "m1", count=1)
+    assert orders(office.wait(0.5)) == []
+    assert office.want("m1") == [ModelReady("m1", "", "s1")]
+
+
+def test_old_report_changes_nothing() -> None:
+    """Guards against a report from before the last order, as reports lag."""
+    office = ready_office()
+    order = orders(office.want("m1"))[0]
+    office.end(order, OrderResult.ACCEPTED)
+    # The report still shows the server before the order.
+    assert orders(office.wait(1.3)) == []
+    assert ModelReady("m1", "", "s1") in office.finish_load(order, 0.3)
+
+
+def test_silent_server_is_set_aside() -> None:
+    """Guards against orders to a server that is gone, again and again."""
+    office = ready_office()
+    office.add("s2", on_disk=frozenset())
+    order = orders(office.want("m1"))[0]
+    assert order.server_id == "s1"
+    office.end(order, OrderResult.NOT_SENT)
+    assert {one.server_id for one in orders(office.want("m1"))} == {"s2"}
+
+
+def test_fenced_order_ends_the_office() -> None:
+    """Guards against a replaced leader that goes on."""
+    office = ready_office()
+    order = orders(office.want("m1"))[0]
+    found = office.end(order, OrderResult.FENCED)
+    assert LeadershipFenced(7) in found
+    office.tell(LeadershipLost())
+    assert office.want("m2") == []
+
+
+def test_no_orders_before_or_after_the_time_in_office() -> None:
+    """Guards against orders of two holders in turn."""
+    office = Office()
+    office.tell(desired_state())
+    office.add("s1", "m0")
+    assert office.want("m1") == []
+    office.tell(LeadershipHeld(7, office.now + 3.0))
+    office.tell(LeadershipExtended(office.now + 10.0))
+    assert office.want("m1") == []
+    office.now += 3.1
+    assert orders(office.want("m1"))
+    office.now += 7.0
+    assert office.wait(0.1) == []
+
+
+def test_loads_from_the_store_keep_to_the_bound() -> None:
+    """Guards against more loads than the weight store allows, over two leaders."""
+    names = tuple(f"m{number}" for number in range(60))
+    spec = engine(*names, weights_mb=6e6, store_loads_per_s=1.6)
+    started: list[float] = []
+    for first_start in (True, False):
+        office = Office(first_start)
+        office.tell(desired_state(engine_spec=spec))
+        for number in range(20):
+            office.add(f"s{number}", on_disk=frozenset())
+        office.take_office()
+        for _ in range(30):
+            found = office.wait(0.25)
+            for name in names:
+                for asker in ("g2", "g3", "g4"):
+                    found += office.want(name, asker=asker)
+            for order in orders(found):
+                started.append(office.now if first_start else office.now + 7.5)
+                office.end(order, OrderResult.ACCEPTED)
+    limits = bounds()
+    allowed = 1.6 * limits.load_window_s * limits.load_overage + 3
+    assert len(started) > 10
+    for end in started:
+        window = [at for at in started if end - limits.load_window_s < at <= end]
+        assert len(window) <= allowed
+
+
+def test_adapter_takes_the_slot_of_the_oldest() -> None:
+    """Guards against more adapters than a server has slots."""
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(adapter_slots=2)))
+    office.add("s1", "m0/a1", "m0/a2")
+    office.take_office()
+    office.tell(DemandSeen("writers", {"m0/a1": 100}))
+    unload = orders(office.want("m0", "a3"))[0]
+    assert (unload.kind, unload.adapter) == (OrderKind.UNLOAD, "a2")
+    load = orders(office.end(unload, OrderResult.HOLDS))[0]
+    assert (load.kind, load.adapter, load.expected_count) == (OrderKind.LOAD, "a3", 1)
+    office.end(load, OrderResult.ACCEPTED)
+    assert ModelReady("m0", "a3", "s1") in office.wait(0.05)
+
+
+def test_adapters_go_before_models() -> None:
+    """Guards against an adapter that waits behind loads of seconds."""
+    office = ready_office()
+    first = orders(office.want("m1"))[0]
+    office.end(first, OrderResult.ACCEPTED)
+    office.want("m2")
+    office.want("m0", "a1")
+    found = orders(office.finish_load(first, 1.3))
+    assert [(order.model, order.adapter) for order in found] == [("m0", "a1")]
+
+
+def test_goal_that_nobody_waits_for_is_dropped() -> None:
+    """Guards against loads for requests that have long been refused."""
+    office = ready_office()
+    first = orders(office.want("m1"))[0]
+    office.end(first, OrderResult.ACCEPTED)
+    office.want("m2")
+    found = orders(office.finish_load(first, 5.0))
+    assert [order.model for order in found] == []
+
+
+def test_no_loads_in_an_evacuated_zone() -> None:
+    """Guards against loads on servers that get nothing."""
+    office = ready_office()
+    office.tell(ZoneEvacuated("a", True))
+    assert orders(office.want("m1")) == []
+
+
+def test_draining_server_gets_no_order() -> None:
+    """Guards against loads on a server that leaves."""
+    office = ready_office()
+    office.tell(server("s1", "m0", state=ServerState.DRAINING))
+    assert orders(office.want("m1")) == []
+
+
+def test_much_wanted_model_gets_a_second_server() -> None:
+    """Guards against a model whose only server fails."""
+    office = ready_office()
+    office.add("s2", "m1", zone="b", on_disk=frozenset({"m0", "m1"}))
+    office.tell(DemandSeen("writers", {"m0": 50_000}))
+    # The first look reads the report of the new server.
+    found = orders(office.wait(0.3) + office.wait(0.3))
+    assert [(one.server_id, one.model) for one in found] == [("s2", "m0")]
