--- a/src/siskinspool/gateway/caps.py
+++ b/src/siskinspool/gateway/caps.py
@@ -260,13 +260,24 @@
         self._silent_until_by_id[owner] = now + OWNER_PAUSE_S
 
     def _take_tenants(self, desired: DesiredState, now: float) -> None:
+        for name, tenant in desired.tenant_by_name.items():
+            if tenant != self._tenant_by_name.get(name):
+                log_event(
+                    logger,
+                    logging.INFO,
+                    "cap_set",
+                    tenant=name,
+                    version=desired.version,
+                    tokens_per_s=tenant.tokens_per_s,
+                    burst=tenant.burst_tokens,
+                )
         self._tenant_by_name = desired.tenant_by_name
         for name, owned in list(self._owned_by_tenant.items()):
-            tenant = desired.tenant_by_name.get(name)
-            if tenant is None or not tenant.capped:
+            changed = desired.tenant_by_name.get(name)
+            if changed is None or not changed.capped:
                 del self._owned_by_tenant[name]
             else:
-                owned.bucket.resize(tenant.tokens_per_s, tenant.burst_tokens, now)
+                owned.bucket.resize(changed.tokens_per_s, changed.burst_tokens, now)
         self._resize_local(now)
 
     def _resize_local(self, now: float) -> None:
