Keep a loaded model until its requests have come

Change: a model that an order loaded stays for a second. If all holders of a model are busy for long, an adapter's base model is loaded on another server as well.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -27,6 +27,8 @@
 # A goal that nobody has asked for during this time is dropped. Waiting requests ask
 # four times a second; one that was refused comes back within some seconds.
 GOAL_MEMORY_S: Final = 3.0
+# A model stays at least this long, so that the requests it was loaded for get there.
+RESIDENCE_S: Final = 1.0
 # Time to make room and to see that a load has ended.
 SWAP_S: Final = 0.4
 # Between reads of the report while a load is under way longer than expected.
@@ -96,6 +98,8 @@
     busy_until: float | None = None
     # Model that is being loaded by an accepted order.
     loading: str | None = None
+    # When each model that was loaded by an order became ready.
+    ready_at_by_model: dict[str, float] = attrs.field(factory=dict)
     # Adapters on their way by accepted orders, by (model, adapter).
     arrival_by_adapter: dict[tuple[str, str], Arrival] = attrs.field(factory=dict)
     goals: deque[Goal] = attrs.field(factory=deque)
@@ -158,6 +162,11 @@
                 return goal
         return None
 
+    def is_fresh(self, model: str, now: float) -> bool:
+        """Return whether a model is so new that its requests may still be on the way."""
+        ready_at = self.ready_at_by_model.get(model)
+        return ready_at is not None and now - ready_at < RESIDENCE_S
+
     def drop_stale_goals(self, now: float) -> None:
         """Drop the goals that nobody waits for any more."""
         self.goals = deque(goal for goal in self.goals if not goal.is_stale(now))
@@ -222,6 +231,8 @@
         self.changed_at = now
         self.doubtful = False
         if not holdings.busy:
+            if self.loading is not None:
+                self.ready_at_by_model[self.loading] = now
             self.busy_until = self.loading = None
         elif self.busy_until is None:
             self.busy_until = now
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -58,6 +58,8 @@
 # Loads that may begin at once; see `_load_bucket`.
 LOAD_BURST: Final = 1.5
 TICK_S: Final = 0.25
+# Time for which all holders of a model may be busy before another server loads it.
+LONG_BLOCK_S: Final = 1.0
 # Below this demand no request waits, and loads disturb nobody.
 QUIET_TOKENS_PER_S: Final = 1.0
 # A server that a gateway finds silent is read at most this often.
@@ -258,6 +260,9 @@
         if chosen.busy_until is not None:
             in_s = max(chosen.busy_until - now, 0.0)
             batch.append(self._to_routing(asker, ModelExpected(model, adapter, in_s)))
+            if in_s > LONG_BLOCK_S and not self._has_own_goal(fleet):
+                # No holder can load an adapter soon; another server can load the model.
+                batch += self._add_replica(fleet, model, now)
         return batch
 
     def _expected(
@@ -323,16 +328,20 @@
         )
         if most is None or fleet.replicas(most) in (0, len(fleet.servers)):
             return None
-        if any(
-            goal.waiting_by_asker.keys() == {self._id}
-            for s in fleet.servers
-            for goal in s.goals
-        ):
+        if self._has_own_goal(fleet):
             return None
         value = fleet.value(most, now)
         alone = fleet.replicas(most) == 1 and value >= SPARE_TOKENS_PER_S
         return most if alone or value >= REPLICA_TOKENS_PER_S else None
 
+    def _has_own_goal(self, fleet: ServiceFleet) -> bool:
+        """Return whether a replica is still to be loaded."""
+        return any(
+            goal.waiting_by_asker.keys() == {self._id}
+            for server in fleet.servers
+            for goal in server.goals
+        )
+
     # Orders
 
     def _advance(self, server: ManagedServer, now: float) -> list[Outgoing]:
@@ -383,7 +392,8 @@
             return self._adapter_order(fleet, server, goal, now)
         victims = fleet.victims(spec, server, now)
         if victims is None:
-            server.goals.popleft()
+            # All models are loading, wanted or fresh; that passes.
+            server.wait_until = now + TICK_S
             return None
         if victims:
             return self._order(server, OrderKind.UNLOAD, victims[0], "")
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -185,7 +185,9 @@
             (
                 name
                 for name in server.holdings.model_by_name
-                if name != server.loading and name not in wanted
+                if name != server.loading
+                and name not in wanted
+                and not server.is_fresh(name, now)
             ),
             key=lambda name: (self.value(name, now), self.demand.last_at(name), name),
         )
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -289,3 +289,26 @@
     # The first look reads the report of the new server.
     found = orders(office.wait(0.3) + office.wait(0.3))
     assert [(one.server_id, one.model) for one in found] == [("s2", "m0")]
+
+
+def test_model_stays_until_its_requests_have_come() -> None:
+    """Guards against a model that is unloaded before its first request.
+
+    baul-bogota trouble-1: the next goal of a server evicted what had just been loaded,
+    and the requests for it were rejected.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=frozenset({"m0", "m1", "m2"}))
+    office.take_office()
+    unload = orders(office.want("m1"))[0]
+    office.end(unload, OrderResult.ACCEPTED)
+    office.reports["s1"] = holdings(count=1, on_disk=frozenset({"m0", "m1", "m2"}))
+    load = orders(office.wait(0.3))[0]
+    office.end(load, OrderResult.ACCEPTED)
+    office.reports["s1"] = holdings("m1", count=2, on_disk=frozenset({"m1", "m2"}))
+    office.wait(0.9)
+    office.want("m2")
+    assert orders(office.wait(0.4)) == []
+    office.want("m2")
+    assert [order.model for order in orders(office.wait(0.8))] == ["m1"]
