--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -163,7 +163,7 @@
         return None
 
     def is_fresh(self, model: str, now: float) -> bool:
-        """Return whether a model is so new that its requests may still be on the way."""
+        """Return whether requests for a new model may still be on their way."""
         ready_at = self.ready_at_by_model.get(model)
         return ready_at is not None and now - ready_at < RESIDENCE_S
 
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -390,7 +390,7 @@
         fleet = self._fleet(server.record.service, engine, now)
         if goal.adapter:
             return self._adapter_order(fleet, server, goal, now)
-        victims = fleet.victims(spec, server, now)
+        victims = fleet.victims(spec, server, now, spare_fresh=True)
         if victims is None:
             # All models are loading, wanted or fresh; that passes.
             server.wait_until = now + TICK_S
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -160,7 +160,7 @@
     def _consider(
         self, spec: ModelSpec, server: ManagedServer, now: float
     ) -> Choice | None:
-        victims = self.victims(spec, server, now)
+        victims = self.victims(spec, server, now, spare_fresh=False)
         if victims is None:
             return None
         ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
@@ -176,9 +176,17 @@
         return Choice(server, victims, ready_in_s, cost_s)
 
     def victims(
-        self, spec: ModelSpec, server: ManagedServer, now: float
+        self,
+        spec: ModelSpec,
+        server: ManagedServer,
+        now: float,
+        *,
+        spare_fresh: bool,
     ) -> tuple[str, ...] | None:
-        """Return the models that have to go for one to fit; None if it cannot."""
+        """Return the models that have to go for one to fit; None if it cannot.
+
+        An order spares what has just been loaded; a plan is carried out later.
+        """
         free_mb = self.engine.weights_mb - server.used_mb(self.engine)
         wanted = {goal.model for goal in server.goals}
         candidates = sorted(
@@ -187,7 +195,7 @@
                 for name in server.holdings.model_by_name
                 if name != server.loading
                 and name not in wanted
-                and not server.is_fresh(name, now)
+                and not (spare_fresh and server.is_fresh(name, now))
             ),
             key=lambda name: (self.value(name, now), self.demand.last_at(name), name),
         )
