Weigh what an eviction costs against what is wanted

Change: gateways report their recent demand to a new leader; the only replica of a model yields only to enough demand, waiting requests included; replicas go where a copy or room is; a plan moves if another server is much sooner.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -21,6 +21,7 @@
 from ..core.status import Status
 from ..telemetry.logs import log_event
 from .bounds import Bounds
+from .demand import Demand
 from .desired_state import DesiredState, EngineSpec
 from .managed_server import (
     POLL_INTERVAL_S,
@@ -46,7 +47,7 @@
     ServerOrder,
     WantModel,
 )
-from .placement_choice import Demand, ServiceFleet
+from .placement_choice import ServiceFleet
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 from .token_bucket import TokenBucket
 
@@ -60,6 +61,8 @@
 TICK_S: Final = 0.25
 # Time for which all holders of a model may be busy before another server loads it.
 LONG_BLOCK_S: Final = 1.0
+# A plan is changed if another server would have the model this much sooner.
+MUCH_SOONER_S: Final = 1.5
 # Below this demand no request waits, and loads disturb nobody.
 QUIET_TOKENS_PER_S: Final = 1.0
 # A server that a gateway finds silent is read at most this often.
@@ -212,12 +215,23 @@
                 return [] if want.adapter else [self._to_routing(asker, ready)]
         for server in fleet.servers:
             goal = server.has_goal(model, "")
-            if goal is not None:
-                goal.want(asker, want.waiting, now)
-                server.sort_goals()
-                return [self._expected(want, asker, server, fleet, now)]
-        servers = [s for s in fleet.servers if not s.holds_model(model)]
-        choice = fleet.choose(fleet.engine.model_by_name[model], servers, now)
+            if goal is None:
+                continue
+            goal.want(asker, want.waiting, now)
+            server.sort_goals()
+            if self._has_better_server(fleet, server, goal, now):
+                if server.loading != model:
+                    server.goals.remove(goal)
+                break
+            return [self._expected(want, asker, server, fleet, now)]
+        servers = [
+            server
+            for server in fleet.servers
+            if not server.holds_model(model) and server.loading != model
+        ]
+        choice = fleet.choose(
+            fleet.engine.model_by_name[model], servers, now, want.waiting
+        )
         if choice is None:
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
@@ -227,6 +241,24 @@
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
 
+    def _has_better_server(
+        self, fleet: ServiceFleet, server: ManagedServer, goal: Goal, now: float
+    ) -> bool:
+        """Return whether another server would be much sooner than the planned one."""
+        model = goal.model
+        expected_s = server.ready_in_s(model, fleet.engine, now)
+        others = [
+            other
+            for other in fleet.servers
+            if other is not server and other.has_goal(model, "") is None
+        ]
+        if expected_s < MUCH_SOONER_S or len(others) < len(fleet.servers) - 1:
+            return False
+        choice = fleet.choose(
+            fleet.engine.model_by_name[model], others, now, goal.waiting
+        )
+        return choice is not None and choice.ready_in_s + MUCH_SOONER_S < expected_s
+
     def _want_adapter(
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
@@ -307,7 +339,13 @@
         """Load a model on another server, in another zone if one can take it."""
         holders = [s for s in fleet.servers if model in s.holdings.model_by_name]
         zones = {server.record.zone for server in holders}
-        free = [s for s in fleet.servers if s not in holders]
+        # A load from the store would keep a server from all else for seconds.
+        free = [
+            server
+            for server in fleet.servers
+            if server not in holders
+            and (not server.needs_store(model) or fleet.has_room(server))
+        ]
         apart = [s for s in free if s.record.zone not in zones]
         choice = fleet.choose(fleet.engine.model_by_name[model], apart or free, now)
         if choice is None:
@@ -390,7 +428,7 @@
         fleet = self._fleet(server.record.service, engine, now)
         if goal.adapter:
             return self._adapter_order(fleet, server, goal, now)
-        victims = fleet.victims(spec, server, now, spare_fresh=True)
+        victims = fleet.victims(spec, server, now, goal.waiting, spare_fresh=True)
         if victims is None:
             # All models are loading, wanted or fresh; that passes.
             server.wait_until = now + TICK_S
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -7,13 +7,18 @@
 
 import attrs
 
+from .demand import Demand
 from .desired_state import EngineSpec, ModelSpec
 from .managed_server import ManagedServer
 
-# Demand of the past counts half after this time.
-DEMAND_HALF_LIFE_S: Final = 8.0
 # Seconds that the eviction of the whole demand would be worth.
-EVICTION_COST_S: Final = 6.0
+EVICTION_COST_S: Final = 4.0
+# What a waiting request adds to the demand for its model.
+WAITING_TOKENS_PER_S: Final = 800.0
+# Below this whole demand, in tokens a second, one request says little.
+LEAST_TOTAL_TOKENS_PER_S: Final = 2_000.0
+# The only replica of a model yields only to one with at least this part of its demand.
+LEAST_DEMAND_RATIO: Final = 0.3
 # Part of the requests for a server's other models that wait for an adapter, which the
 # server cannot load meanwhile.
 BLOCKED_SHARE: Final = 0.5
@@ -23,48 +28,6 @@
 REPLICA_PRIOR: Final = 0.02
 
 
-@attrs.define
-class _Seen:
-    """Demand of one model, decaying."""
-
-    tokens: float
-    at: float
-
-
-class Demand:
-    """Prompt tokens wanted of each model in the recent past."""
-
-    def __init__(self) -> None:
-        self._seen_by_target: dict[str, _Seen] = {}
-
-    def add(self, target: str, tokens: float, now: float) -> None:
-        """Count tokens for a model or adapter."""
-        seen = self._seen_by_target.get(target)
-        if seen is None:
-            self._seen_by_target[target] = _Seen(tokens, now)
-        else:
-            seen.tokens = self._decayed(seen, now) + tokens
-            seen.at = now
-
-    def tokens_per_s(self, target: str, now: float) -> float:
-        """Return the recent rate of a model or adapter."""
-        seen = self._seen_by_target.get(target)
-        if seen is None:
-            return 0.0
-        # A steady rate r adds up to r x half-life / ln 2.
-        return self._decayed(seen, now) * 0.693 / DEMAND_HALF_LIFE_S
-
-    def last_at(self, target: str) -> float:
-        """Return when a model or adapter was last wanted."""
-        seen = self._seen_by_target.get(target)
-        return float("-inf") if seen is None else seen.at
-
-    @staticmethod
-    def _decayed(seen: _Seen, now: float) -> float:
-        age_s = max(now - seen.at, 0.0)
-        return float(seen.tokens * 0.5 ** (age_s / DEMAND_HALF_LIFE_S))
-
-
 @attrs.frozen
 class Choice:
     """A server for a model and the models that have to go first."""
@@ -143,13 +106,20 @@
         return max(len(self.servers) // 2, 1)
 
     def choose(
-        self, spec: ModelSpec, servers: Iterable[ManagedServer], now: float
+        self,
+        spec: ModelSpec,
+        servers: Iterable[ManagedServer],
+        now: float,
+        waiting: int = 0,
     ) -> Choice | None:
-        """Return the server on which a model is ready at the lowest cost."""
+        """Return the server on which a model is ready at the lowest cost.
+
+        ``waiting`` requests are not yet in the demand.
+        """
         choices = [
             choice
             for server in servers
-            if (choice := self._consider(spec, server, now)) is not None
+            if (choice := self._consider(spec, server, now, waiting)) is not None
         ]
         return min(
             choices,
@@ -158,14 +128,14 @@
         )
 
     def _consider(
-        self, spec: ModelSpec, server: ManagedServer, now: float
+        self, spec: ModelSpec, server: ManagedServer, now: float, waiting: int
     ) -> Choice | None:
-        victims = self.victims(spec, server, now, spare_fresh=False)
+        victims = self.victims(spec, server, now, waiting, spare_fresh=False)
         if victims is None:
             return None
         ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
         lost = sum(self.value(model, now) for model in victims)
-        total = max(self.total_rate(now), 1.0)
+        total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
         kept = sum(
             self.value(model, now)
             for model in server.holdings.model_by_name
@@ -180,6 +150,7 @@
         spec: ModelSpec,
         server: ManagedServer,
         now: float,
+        waiting: int,
         *,
         spare_fresh: bool,
     ) -> tuple[str, ...] | None:
@@ -196,6 +167,7 @@
                 if name != server.loading
                 and name not in wanted
                 and not (spare_fresh and server.is_fresh(name, now))
+                and not self._outweighs(name, spec.name, waiting, now)
             ),
             key=lambda name: (self.value(name, now), self.demand.last_at(name), name),
         )
@@ -210,6 +182,14 @@
                 victims.append(name)
         return tuple(victims) if free_mb >= spec.weights_mb else None
 
+    def _outweighs(self, held: str, wanted: str, waiting: int, now: float) -> bool:
+        """Return whether the only replica of a model is worth too much to yield."""
+        if self.replicas(held) > 1:
+            return False
+        least = self.demand.tokens_per_s(held, now) * LEAST_DEMAND_RATIO
+        wanted_per_s = self.demand.tokens_per_s(wanted, now)
+        return wanted_per_s + waiting * WAITING_TOKENS_PER_S < least
+
     def adapter_victim(
         self, server: ManagedServer, now: float
     ) -> tuple[str, str] | None:
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,6 +25,7 @@
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
+from .demand import Demand
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
@@ -105,7 +106,9 @@
         self._waiting_by_id: dict[str, _Waiting] = {}
         # When each (service, model, adapter) was asked for last.
         self._wanted_at: dict[tuple[str, str, str], float] = {}
+        # Tokens by service and target since the last report, and of the recent past.
         self._demand: dict[str, dict[str, int]] = {}
+        self._recent_by_service: dict[str, Demand] = {}
         self._next_demand_at = 0.0
         # Changes of the registry do not arrive at present.
         self._interrupted = False
@@ -189,7 +192,7 @@
                 return [Outgoing(sender, refused)]
         else:
             self._retries.count_request(call.service, now)
-            self._count_demand(call)
+            self._count_demand(call, now)
         waiting = _Waiting(sender, call, now, now + call.patience_s)
         assigned = self._assign(waiting, now)
         if assigned is not None:
@@ -371,12 +374,14 @@
             if same and ready_at + doubt_s > waiting.give_up_at:
                 waiting.give_up_at = now
 
-    def _count_demand(self, call: AssignServer) -> None:
+    def _count_demand(self, call: AssignServer, now: float) -> None:
         if call.model:
             tokens_by_model = self._demand.setdefault(call.service, {})
             target = target_name(call.model, call.adapter)
             tokens = tokens_by_model.get(target, 0) + call.tokens
             tokens_by_model[target] = tokens
+            recent = self._recent_by_service.setdefault(call.service, Demand())
+            recent.add(target, call.tokens, now)
 
     def _report_demand(self) -> list[Outgoing]:
         demand, self._demand = self._demand, {}
@@ -411,6 +416,11 @@
                     self._last_leader_id = self._leader_id
                 self._leader_id = leader_id
                 self._wanted_at.clear()
+                # A new leader knows nothing of the past.
+                self._demand = {
+                    service: recent.recent_tokens(now)
+                    for service, recent in self._recent_by_service.items()
+                }
             case ModelReady() as ready:
                 self._take_ready(ready, now)
             case ModelExpected() as expected:
