--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -277,7 +277,7 @@
             and record.zone not in self._evacuated_zones
             and view.is_open(now)
             and (not call.model or view.holds(call.model, call.adapter, now))
-            and (not view.is_cold(now) or view.cold_bucket.wait_s(1, now) <= 0)
+            and (not view.is_cold(now) or view.cold_bucket.has(1, now))
         )
 
     def _end_attempt(self, ended: AttemptEnded, now: float) -> None:
--- a/src/siskinspool/gateway/token_bucket.py
+++ b/src/siskinspool/gateway/token_bucket.py
@@ -36,6 +36,11 @@
         self.level -= amount
         return True
 
+    def has(self, amount: float, now: float) -> bool:
+        """Return whether an amount could be taken."""
+        self._refill(now)
+        return amount <= self.level
+
     def wait_s(self, amount: float, now: float, debt: float = 0.0) -> float:
         """Return how long until an amount, or all there can be, has gathered."""
         self._refill(now)
--- /dev/null
+++ b/src/siskinspool/standins/platform_server.py
@@ -0,0 +1,228 @@
+"""A stand-in for a server on the users' platform: a model server or a plain one.
+
+It writes its registry entry, takes orders with holder, epoch number and expected count,
+reports what it holds, and serves streams of events or plain answers. ``GET
+/admin/seen`` returns the requests that it ran. ``POST /admin/faults`` sets ``fail``
+(status of all answers), ``cut_after`` (events after which a stream breaks), ``reset``
+(connections are reset before an answer) and ``full`` (503 with ``Not-Run``).
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+import click
+import gevent
+
+from .processes import call_json
+from .wsgi import App, CloseConnection, Json, Request, Response, serve
+
+HEARTBEAT_S: Final = 0.3
+EVENTS: Final = 6
+
+
+@attrs.define(kw_only=True)
+class ServerPlan:
+    """What a stand-in is."""
+
+    server_id: str
+    service: str
+    zone: str
+    store_port: int
+    # None for a plain server.
+    models: list[str] | None
+    load_s: float = 0.2
+    event_s: float = 0.02
+
+
+@attrs.define
+class _Faults:
+    fail: int = 0
+    cut_after: int = 0
+    reset: bool = False
+    full: bool = False
+
+
+class PlatformServerApp(App):
+    """Runs requests and orders."""
+
+    def __init__(self, plan: ServerPlan) -> None:
+        self._plan = plan
+        self._born_ms = int(time.time() * 1000)
+        self._adapters_by_model: dict[str, list[str]] = {
+            model: [] for model in plan.models or []
+        }
+        self._orders = 0
+        self._epoch = 0
+        self._busy = False
+        self._state = "ready"
+        self._writes = 0
+        self._faults = _Faults()
+        self._seen: list[Json] = []
+        self._port = 0
+
+    def register_forever(self, port: int) -> None:
+        """Write the registry entry again and again."""
+        self._port = port
+        while True:
+            self.register()
+            gevent.sleep(HEARTBEAT_S)
+
+    def register(self) -> None:
+        """Write the registry entry."""
+        self._writes += 1
+        entry = self._described() | {
+            "service": self._plan.service,
+            "addr": f"127.0.0.1:{self._port}",
+            "zone": self._plan.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self._state,
+            "cold_ms": 0,
+            "seq": self._writes,
+        }
+        value = base64.b64encode(json.dumps(entry).encode()).decode("ascii")
+        body = {"key": f"servers/{self._plan.server_id}", "value": value}
+        call_json(self._plan.store_port, "POST", "/admin/put", body)
+
+    def answer(self, request: Request) -> Response:
+        """Answer one request."""
+        if request.path.startswith("/admin/"):
+            return self._administer(request)
+        expected = request.headers.get("expect-instance", self._plan.server_id)
+        if expected != self._plan.server_id:
+            return self._misdirected()
+        if request.path == "/-/report":
+            report = self._described() | {"busy": self._busy, "seq": self._orders}
+            return Response.from_json(report)
+        if request.path == "/-/order":
+            return self._order(request.json())
+        return self._run(request)
+
+    def _run(self, request: Request) -> Response:
+        faults = self._faults
+        if faults.full:
+            return Response(503, b"", headers=(("Not-Run", "1"),))
+        model, _, adapter = request.headers.get("model", "").partition("/")
+        if model and not self._holds(model, adapter):
+            return self._misdirected()
+        self._seen.append(
+            {
+                "id": request.headers.get("request-id", ""),
+                "path": request.path,
+                "query": request.query,
+                "headers": request.headers,
+                "body": request.body.decode("latin-1"),
+            }
+        )
+        if faults.reset:
+            raise CloseConnection
+        headers = (
+            ("Request-Id", request.headers.get("request-id", "")),
+            ("Server-Stamp", f"stamp-{self._plan.server_id}"),
+            ("Server-Load", "1,0,8"),
+        )
+        if faults.fail:
+            return Response(faults.fail, b"failed", headers=headers)
+        if not model:
+            return Response(200, b"answer of " + request.body, headers=headers)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        return Response(
+            200, self._events(first), content_type="text/event-stream", headers=headers
+        )
+
+    def _events(self, first: int) -> Iterator[bytes]:
+        for number in range(first, EVENTS + 1):
+            if self._faults.cut_after and number > self._faults.cut_after:
+                raise CloseConnection
+            gevent.sleep(self._plan.event_s)
+            yield f"id: {number}\ndata: piece {number}\n\n".encode()
+
+    def _order(self, body: Json) -> Response:
+        if body["fence"] < self._epoch:
+            return Response.from_json({}, 412)
+        self._epoch = body["fence"]
+        if self._busy or body.get("expect", self._orders) != self._orders:
+            return Response.from_json({}, 409)
+        self._orders += 1
+        adapters = self._adapters_by_model
+        model, adapter = body["model"], body.get("adapter", "")
+        if adapter:
+            held = adapters[model]
+            held.append(adapter) if body["op"] == "load" else held.remove(adapter)
+            return Response.from_json({}, 202)
+        if body["op"] == "unload":
+            adapters.pop(model, None)
+            return Response.from_json({}, 202)
+        self._busy = True
+        gevent.spawn_later(self._plan.load_s, self._finish_load, model)
+        return Response.from_json({}, 202)
+
+    def _finish_load(self, model: str) -> None:
+        self._busy = False
+        self._adapters_by_model.setdefault(model, [])
+
+    def _holds(self, model: str, adapter: str) -> bool:
+        held = self._adapters_by_model.get(model)
+        return held is not None and (not adapter or adapter in held)
+
+    def _described(self) -> dict[str, Any]:
+        return {
+            "stage": "colocated",
+            "born": self._born_ms,
+            "models": [
+                {"name": model, "version": 1, "adapters": adapters}
+                for model, adapters in self._adapters_by_model.items()
+            ],
+        }
+
+    def _misdirected(self) -> Response:
+        return Response(421, b"", headers=(("Instance-Id", self._plan.server_id),))
+
+    def _administer(self, request: Request) -> Response:
+        if request.path == "/admin/faults":
+            for name, value in request.json().items():
+                setattr(self._faults, name, value)
+        if request.path == "/admin/drain":
+            self._state = "draining"
+            self.register()
+        return Response.from_json({"seen": self._seen, "orders": self._orders})
+
+
+@click.command()
+@click.option("--port", required=True, type=int)
+@click.option("--server-id", required=True)
+@click.option("--service", required=True)
+@click.option("--zone", default="a")
+@click.option("--store-port", required=True, type=int)
+@click.option("--model", "models", multiple=True, help="A model held at the start.")
+@click.option("--engine/--plain", default=False)
+def main(
+    port: int,
+    server_id: str,
+    service: str,
+    zone: str,
+    store_port: int,
+    models: tuple[str, ...],
+    engine: bool,
+) -> None:
+    """Run the stand-in of a platform's server."""
+    plan = ServerPlan(
+        server_id=server_id,
+        service=service,
+        zone=zone,
+        store_port=store_port,
+        models=list(models) if engine else None,
+    )
+    app = PlatformServerApp(plan)
+    gevent.spawn(app.register_forever, port)
+    serve(app, port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/siskinspool/standins/platform_store.py
@@ -0,0 +1,185 @@
+"""A stand-in for the users' platform: its metadata store and its operator.
+
+The store answers the calls that the platform's protocol names (keys, ranges, watches,
+transactions and leases) over `KvStore`. ``POST /admin/put`` and ``/admin/remove`` write
+as the operator and the servers do. ``POST /admin/faults`` sets ``down`` (503),
+``lose_answers`` (the next calls take effect without an answer) and ``forget_history``.
+"""
+
+from __future__ import annotations
+
+import base64
+import time
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import click
+import gevent
+from gevent.queue import Empty
+
+from .kv_store import Entry, KvStore
+from .wsgi import App, CloseConnection, Json, Request, Response, serve
+
+PAGE_ITEMS: Final = 50
+EXPIRY_STEP_S: Final = 0.05
+MOST_WAIT_MS: Final = 30_000
+
+
+class PlatformStoreApp(App):
+    """The store's calls and the trial's own."""
+
+    def __init__(self) -> None:
+        self._store = KvStore()
+        self._down = False
+        self._lose_answers = 0
+        # Watches from before this revision get 410.
+        self._history_from = 0
+        self.calls = 0
+
+    def expire_forever(self) -> None:
+        """End leases when their time has passed."""
+        while True:
+            gevent.sleep(EXPIRY_STEP_S)
+            self._store.expire(time.monotonic())
+
+    def answer(self, request: Request) -> Response:
+        """Answer one call."""
+        if request.path.startswith("/admin/"):
+            return self._administer(request)
+        self.calls += 1
+        if self._down:
+            return Response.from_json({}, 503)
+        response = self._answer_call(request)
+        if self._lose_answers and request.method != "GET":
+            self._lose_answers -= 1
+            raise CloseConnection
+        return response
+
+    def _answer_call(self, request: Request) -> Response:
+        query = {name: values[0] for name, values in parse_qs(request.query).items()}
+        name, _, rest = request.path.removeprefix("/-/").partition("/")
+        match name:
+            case "kv-key":
+                return self._get(query["key"])
+            case "kv-range":
+                return self._range(query["prefix"], query.get("after", ""))
+            case "kv-watch":
+                return self._watch(query)
+            case "kv-txn":
+                return self._transact(request.json())
+            case "kv-lease":
+                ttl_ms = int(request.json()["ttl_ms"])
+                lease = self._store.grant(ttl_ms / 1000, time.monotonic())
+                return Response.from_json({"lease": lease, "ttl_ms": ttl_ms})
+            case "kv-keep":
+                ttl_s = self._store.keep_alive(int(rest), time.monotonic())
+                status = 200 if ttl_s else 404
+                return Response.from_json({"ttl_ms": round(ttl_s * 1000)}, status)
+            case "kv-lease-end":
+                self._store.revoke(int(rest))
+                return Response.from_json({})
+        return Response.from_json({}, 404)
+
+    def _get(self, key: str) -> Response:
+        entry = self._store.get(key.encode())
+        if entry is None:
+            return Response.from_json({}, 404)
+        return Response.from_json(_item(entry) | self._current())
+
+    def _range(self, prefix: str, after: str) -> Response:
+        start, end = prefix.encode(), prefix.encode() + b"\xff"
+        entries = [
+            entry
+            for entry in self._store.range(start, end)
+            if entry.key > after.encode()
+        ]
+        page = entries[:PAGE_ITEMS]
+        body: Json = {
+            "items": [_item(entry) for entry in page],
+            "truncated": len(entries) > len(page),
+        }
+        return Response.from_json(body | self._current())
+
+    def _watch(self, query: dict[str, str]) -> Response:
+        after = int(query["after"])
+        if after < self._history_from:
+            return Response.from_json({}, 410)
+        prefix = query["prefix"].encode()
+        watch = self._store.watch(prefix, prefix + b"\xff", after + 1)
+        try:
+            wait_ms = min(int(query["wait_ms"]), MOST_WAIT_MS)
+            events = [watch.queue.get(timeout=wait_ms / 1000)]
+            while not watch.queue.empty():
+                events.append(watch.queue.get_nowait())
+        except Empty:
+            events = []
+        finally:
+            self._store.unwatch(watch)
+        body: Json = {"events": [_event(entry) for entry in events]}
+        return Response.from_json(body | self._current())
+
+    def _transact(self, body: Json) -> Response:
+        for row in body["expect"]:
+            entry = self._store.get(row["key"].encode())
+            if (entry.mod_revision if entry else 0) != row["rev"]:
+                return Response.from_json(self._conflict(body["expect"]), 412)
+        try:
+            for write in body.get("writes", []):
+                value = base64.b64decode(write["value"])
+                self._store.put(write["key"].encode(), value, write.get("lease", 0))
+        except KeyError:
+            return Response.from_json({}, 404)
+        for key in body.get("remove", []):
+            self._store.delete(key.encode())
+        return Response.from_json({"rev": self._store.revision})
+
+    def _conflict(self, rows: list[Json]) -> Json:
+        entries = [self._store.get(row["key"].encode()) for row in rows]
+        return {"items": [_item(entry) for entry in entries if entry is not None]}
+
+    def _current(self) -> Json:
+        return {"current_rev": self._store.revision}
+
+    def _administer(self, request: Request) -> Response:
+        body = request.json()
+        match request.path:
+            case "/admin/put":
+                value = base64.b64decode(body["value"])
+                self._store.put(body["key"].encode(), value, 0)
+            case "/admin/remove":
+                self._store.delete(body["key"].encode())
+            case "/admin/faults":
+                self._down = bool(body.get("down", self._down))
+                self._lose_answers = int(body.get("lose_answers", self._lose_answers))
+                if body.get("forget_history"):
+                    self._history_from = self._store.revision + 1
+        return Response.from_json({"calls": self.calls} | self._current())
+
+
+def _item(entry: Entry) -> dict[str, Any]:
+    return {
+        "key": entry.key.decode(),
+        "value": base64.b64encode(entry.value or b"").decode("ascii"),
+        "rev": entry.mod_revision,
+        "created": entry.create_revision,
+        "lease": entry.lease_id,
+    }
+
+
+def _event(entry: Entry) -> dict[str, Any]:
+    if entry.value is None:
+        return {"key": entry.key.decode(), "rev": entry.mod_revision, "removed": True}
+    return _item(entry)
+
+
+@click.command()
+@click.option("--port", default=0, help="Port to bind; 0 lets the kernel choose.")
+def main(port: int) -> None:
+    """Run the stand-in of the platform's store."""
+    app = PlatformStoreApp()
+    gevent.spawn(app.expire_forever)
+    serve(app, port)
+
+
+if __name__ == "__main__":
+    main()
