Load from the weight store only beside free servers

Cause: half of the servers could be in loads from the store, of some 6 s each, while requests waited for loads from disk of about one second.

Change: such a load begins on a server with room, while another server is idle, or if three requests or more wait.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -438,7 +438,7 @@
         if victims:
             return self._order(server, OrderKind.UNLOAD, victims[0], "")
         if server.needs_store(goal.model):
-            if fleet.store_loads() >= fleet.most_store_loads(goal.waiting):
+            if not fleet.may_load_from_store(server, goal.waiting):
                 # The server stays free for what loads sooner.
                 server.goals.rotate(-1)
                 server.wait_until = now + TICK_S
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -22,6 +22,8 @@
 # Part of the requests for a server's other models that wait for an adapter, which the
 # server cannot load meanwhile.
 BLOCKED_SHARE: Final = 0.5
+# Servers that stay free for loads from disk while one loads from the store.
+LEAST_IDLE_SERVERS: Final = 1
 # Requests that wait for one model and outweigh all else.
 MANY_WAITING: Final = 3
 # A model that stood on several servers at the start was placed there for its demand.
@@ -95,15 +97,20 @@
             if server.loading is not None and server.needs_store(server.loading)
         )
 
-    def most_store_loads(self, waiting: int) -> int:
-        """Return how many servers may load from the store at a time.
+    def may_load_from_store(self, server: ManagedServer, waiting: int) -> bool:
+        """Return whether a server may load from the weight store now.
 
-        Such a load takes seconds in which its server loads nothing else, so that half
-        of the servers keep out of it unless many requests wait.
+        Such a load takes seconds in which its server loads nothing else. It begins on a
+        server with room, while other servers are idle, or if many requests wait.
         """
-        if waiting >= MANY_WAITING:
-            return len(self.servers)
-        return max(len(self.servers) // 2, 1)
+        if waiting >= MANY_WAITING or self.has_room(server):
+            return True
+        idle = sum(
+            1
+            for other in self.servers
+            if other is not server and other.busy_until is None and not other.goals
+        )
+        return idle >= LEAST_IDLE_SERVERS
 
     def choose(
         self,
