Take a load of known duration for done at its end

Cause: a load from disk takes about a second, and reading that it has ended another 0.15 to 0.3 s, since reports lag; the requests and the next order waited for it.

Change: loads from disk and memory count as done when their time is over; an order that finds the server otherwise is refused and the report is read.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -29,8 +29,12 @@
 GOAL_MEMORY_S: Final = 3.0
 # A model stays at least this long, so that the requests it was loaded for get there.
 RESIDENCE_S: Final = 1.0
+# An unload without runs takes about this long, the lag of the report included.
+UNLOAD_S: Final = 0.13
+# After this time an order of a known duration is taken for done.
+SETTLE_S: Final = 0.03
 # Time to make room and to see that a load has ended.
-SWAP_S: Final = 0.4
+SWAP_S: Final = 0.25
 # Between reads of the report while a load is under way longer than expected.
 POLL_INTERVAL_S: Final = 0.15
 # Time in which an adapter is loaded.
@@ -254,18 +258,30 @@
                 self._start_arrival(order, now)
             models[order.model] = attrs.evolve(held, adapters=adapters)
         elif order.kind is OrderKind.LOAD:
-            self.busy_until = now + self.load_s(spec)
+            self.busy_until = now + self.load_s(spec) + SETTLE_S
             self.loading = order.model
             models[order.model] = HeldModel(order.model, 0)
         else:
             # The server drops the model when its runs have ended.
-            self.busy_until = now
+            self.busy_until = now + UNLOAD_S
             models.pop(order.model, None)
         self.holdings = attrs.evolve(
             self.holdings, order_count=order.expected_count + 1, model_by_name=models
         )
         self.changed_at = now
 
+    def assume_loaded(self, now: float) -> bool:
+        """Take a load whose time is over for done; return False if it has to be read.
+
+        Loads from disk and memory take the same time always, and a report would show
+        them only after its lag. Loads from the store slow each other down.
+        """
+        if self.loading is None or self.needs_store(self.loading):
+            return False
+        self.ready_at_by_model[self.loading] = now
+        self.busy_until = self.loading = None
+        return True
+
     def _start_arrival(self, order: ServerOrder, now: float) -> None:
         goal = self.has_goal(order.model, order.adapter)
         askers = set() if goal is None else set(goal.waiting_by_asker)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -394,9 +394,10 @@
         if server.doubtful:
             return batch + self._read(server, now)
         if server.busy_until is not None:
-            if now >= server.busy_until:
-                batch += self._read(server, now)
-            return batch
+            if now < server.busy_until:
+                return batch
+            if not server.assume_loaded(now):
+                return batch + self._read(server, now)
         server.drop_stale_goals(now)
         # While a model is loaded no adapter can be, and adapters take no time.
         server.put_adapters_first()
