Count only servers that may run a request for a route's limit

Change: the limit counts servers that may have run the request; at most three more may decline it, within the retry budget. The new test with two real servers fails before.

--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -63,6 +63,9 @@
 # A request is not sent with less time than this.
 LEAST_SEND_S: Final = 0.02
 RETRY_AFTER_S: Final = 0.3
+# Servers that may decline a request before it is refused, beyond the route's limit on
+# servers that run it.
+MOST_REJECTIONS: Final = 3
 SERVER_ERROR: Final = 500
 
 
@@ -134,8 +137,11 @@
             total_s = min(total_s, request.head.deadline_s)
         self._deadline_at = request.arrived_at + total_s
         self._position = StreamPosition.from_header(request.head.last_event_id)
-        # Servers that the request was sent to.
+        # Servers that are not asked again.
         self._tried: set[str] = set()
+        self._sends = 0
+        # Servers that may have run the request.
+        self._ran_at: set[str] = set()
         self._arrived = False
         # A server may have run the request.
         self._may_have_run = False
@@ -216,7 +222,7 @@
                 return None
             detail = outcome.detail
             limit = self.request.admission.route.max_attempts
-            if len(self._tried) >= limit and self._arrived:
+            if len(self._ran_at) >= limit or self._sends >= limit + MOST_REJECTIONS:
                 return self._failed(detail)
             if self._may_have_run and not self._may_repeat():
                 return self._failed(detail)
@@ -267,6 +273,8 @@
     def _send(self, assigned: ServerAssigned) -> _Done | _Retry:
         """Send to one server and pass its answer on."""
         self._tried.add(assigned.server_id)
+        self._ran_at.add(assigned.server_id)
+        self._sends += 1
         ran_before = self._may_have_run
         # From here on, an end without an answer leaves open whether a server ran it.
         self._may_have_run = True
@@ -278,6 +286,7 @@
             if isinstance(opened, NotSent):
                 result = AttemptResult.NOT_SENT
                 self._tried.discard(assigned.server_id)
+                self._ran_at.discard(assigned.server_id)
                 self._may_have_run = ran_before
                 return self._note_failure(assigned, result, opened.reason)
             self._arrived = True
@@ -288,6 +297,9 @@
             facts = self._context.codec.decode_answer(answer.status, answer.headers)
             load = facts.load
             if facts.not_run:
+                # Such a server does not count for the route's limit, which is about
+                # servers that run a request.
+                self._ran_at.discard(assigned.server_id)
                 self._may_have_run = ran_before
             result, outcome = self._take_answer(assigned, answer, facts)
             return outcome
@@ -406,7 +418,7 @@
     def _can_try_another(self) -> bool:
         route = self.request.admission.route
         return (
-            len(self._tried) < route.max_attempts
+            len(self._ran_at) < route.max_attempts
             and self._remaining_s() > route.target_latency_s / 2
         )
 
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -112,6 +112,22 @@
     assert len(seen(full) + seen(free)) == 4
 
 
+def test_rejection_does_not_count_as_an_attempt(site: GatewaySite) -> None:
+    """Guards against a refusal after one server declined on a route with one attempt.
+
+    Incident inc-9e0d of tinhub-ng: patient requests ended with 503 after a 421.
+    """
+    full, free = (site.add_server(name, "writers", "m0") for name in ("w1", "w2"))
+    gateway = site.add_gateway("g1")
+    site.wait_ready("w1", "w2")
+    set_faults(full, full=True)
+    for number in range(4):
+        headers = QUOTE | {"Prompt-Prefix": f"q{number}:80"}
+        status, _, body = gateway.send("POST", "/estimate/a", headers=headers)
+        assert (status, pieces(body)) == (200, WHOLE)
+    assert len(seen(free)) == 4
+
+
 def test_safe_request_is_repeated(site: GatewaySite) -> None:
     """Guards against a failure passed on although another server may answer."""
     bad, good = (site.add_server(name, "desk") for name in ("d1", "d2"))
