Do not send to a server that unloads the model

Change: the leader tells the gateways that use a model that it goes; a missing model is remembered until an entry from after the observation comes.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -136,6 +136,15 @@
     server_id: str
 
 
+@wire
+@attrs.frozen
+class ModelUnloading(Message):
+    """A server has been told to unload a model, with its adapters."""
+
+    model: str
+    server_id: str
+
+
 @wire
 @attrs.frozen
 class ModelExpected(Message):
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -40,6 +40,7 @@
     LeadershipLost,
     ModelExpected,
     ModelReady,
+    ModelUnloading,
     OrderEnded,
     OrderKind,
     OrderResult,
@@ -61,6 +62,8 @@
 TICK_S: Final = 0.25
 # Time for which all holders of a model may be busy before another server loads it.
 LONG_BLOCK_S: Final = 1.0
+# A gateway counts as a user of a model for this long after a request for it.
+USER_MEMORY_S: Final = 20.0
 # A plan is changed if another server would have the model this much sooner.
 MUCH_SOONER_S: Final = 1.5
 # Below this demand no request waits, and loads disturb nobody.
@@ -95,6 +98,8 @@
         self._until_s = 0.0
         self._detached = False
         self._next_tick_at = 0.0
+        # When each gateway last used a model.
+        self._users_by_model: dict[str, dict[str, float]] = {}
         # Wishes that wait for the first reports, by model, adapter and asker.
         self._pending_wants: dict[tuple[str, str, str], WantModel] = {}
 
@@ -104,7 +109,8 @@
             case WantModel() as want:
                 return self._want(want, incoming.sender.instance_id, now)
             case DemandSeen(service, tokens_by_model):
-                self._take_demand(service, tokens_by_model, now)
+                sender = incoming.sender.instance_id
+                self._take_demand(service, tokens_by_model, sender, now)
             case OrderEnded() as ended:
                 return self._end_order(ended, now)
             case HoldingsRead() as read:
@@ -175,6 +181,7 @@
             return []
         if not self._in_office(now):
             return []
+        self._users_by_model.setdefault(want.model, {})[asker] = now
         batch = self._check_silent(want.silent_servers, now)
         fleet = self._fleet(want.service, engine, now)
         unread = [server for server in fleet.servers if server.order_count is None]
@@ -412,9 +419,22 @@
                 return batch
             server.order = order
             self._log_order(order)
+            batch += self._warn_users(order, now)
             return [*batch, self._to_orders(order)]
         return batch
 
+    def _warn_users(self, order: ServerOrder, now: float) -> list[Outgoing]:
+        """Tell the gateways that use a model that it goes, before the registry does."""
+        if order.kind is not OrderKind.UNLOAD or order.adapter:
+            return []
+        users = self._users_by_model.get(order.model, {})
+        unloading = ModelUnloading(order.model, order.server_id)
+        return [
+            self._to_routing(user, unloading)
+            for user, used_at in sorted(users.items())
+            if now - used_at < USER_MEMORY_S
+        ]
+
     def _is_reached(self, server: ManagedServer, goal: Goal, now: float) -> bool:
         if goal.adapter:
             return server.holds_adapter(goal.model, goal.adapter)
@@ -622,12 +642,17 @@
         }
 
     def _take_demand(
-        self, service: str, tokens_by_target: dict[str, int], now: float
+        self,
+        service: str,
+        tokens_by_target: dict[str, int],
+        sender: str,
+        now: float,
     ) -> None:
         demand = self._demand_by_service.setdefault(service, Demand())
         for target, tokens in tokens_by_target.items():
             demand.add(target, tokens, now)
             model, _, adapter = target.partition("/")
+            self._users_by_model.setdefault(model, {})[sender] = now
             if adapter:
                 demand.add(model, tokens, now)
 
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -37,6 +37,7 @@
     LeaderChanged,
     ModelExpected,
     ModelReady,
+    ModelUnloading,
     RequestGone,
     ServerAssigned,
     WantModel,
@@ -423,6 +424,9 @@
                 }
             case ModelReady() as ready:
                 self._take_ready(ready, now)
+            case ModelUnloading(model, server_id):
+                if view := self._view_by_id.get(server_id):
+                    view.learn_missing(model, "", now)
             case ModelExpected() as expected:
                 self._take_expected(expected, now)
 
@@ -463,6 +467,7 @@
                 state=record.state,
             )
         view.record = record
+        view.record_at = now
         view.gone_at = None
         view.cold_until = max(view.cold_until, now + record.cold_s)
 
@@ -476,6 +481,7 @@
         per_s = 0.0 if service is None else service.cold_per_s
         return ServerView(
             record=record,
+            record_at=now,
             cold_until=now + record.cold_s,
             cold_bucket=self._cold_bucket(record.server_id, per_s, now),
             cache=PromptCache(capacity),
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import Final
 
@@ -43,6 +44,9 @@
 # What this gateway learnt about a server's models counts until the registry's entry
 # must have followed.
 LEARNT_MEMORY_S: Final = 3.0
+# An entry may be this much older than its arrival: the time between two reads of the
+# registry, and its way.
+ENTRY_LAG_S: Final = 1.0
 # Part of a server's token memory that is assumed to keep prompts.
 CACHE_SHARE: Final = 0.6
 
@@ -83,7 +87,8 @@
 class _OwnRequest:
     """A request of this gateway at the server."""
 
-    tokens: int
+    model: str
+    adapter: str
     # Prompt tokens still to be read, until the first event.
     unread: int
 
@@ -98,6 +103,8 @@
     """A server with what this gateway knows about it; times are monotonic seconds."""
 
     record: ServerRecord
+    # When the record came.
+    record_at: float
     # The server is cold until then.
     cold_until: float
     # Requests that this gateway may send while the server is cold.
@@ -132,13 +139,14 @@
         """Return whether the server holds a model and, if named, an adapter."""
         target = target_name(model, adapter)
         missing_at = max(
-            self.missing_at_by_target.get(target, -LEARNT_MEMORY_S),
-            self.missing_at_by_target.get(model, -LEARNT_MEMORY_S),
+            self.missing_at_by_target.get(target, -math.inf),
+            self.missing_at_by_target.get(model, -math.inf),
         )
-        learnt_at = self.learnt_at_by_target.get(target, -LEARNT_MEMORY_S)
-        if missing_at > learnt_at and now - missing_at < LEARNT_MEMORY_S:
+        learnt_at = self.learnt_at_by_target.get(target, -math.inf)
+        if missing_at > learnt_at and self.record_at < missing_at + ENTRY_LAG_S:
+            # The entry is from before; while the store is away it may stay so for long.
             return False
-        if now - learnt_at < LEARNT_MEMORY_S:
+        if learnt_at > missing_at and now - learnt_at < LEARNT_MEMORY_S:
             return True
         held = self.record.holdings.model_by_name.get(model)
         return held is not None and (not adapter or adapter in held.adapters)
@@ -187,7 +195,9 @@
         """Record that a request goes to the server."""
         target = target_name(call.model, call.adapter)
         unread = self.cache.missing_tokens(target, call.parts)
-        self.own_by_request[call.request_id] = _OwnRequest(call.tokens, unread)
+        self.own_by_request[call.request_id] = _OwnRequest(
+            call.model, call.adapter, unread
+        )
         self.cache.add(target, call.parts)
 
     def first_event(self, request_id: str) -> None:
@@ -204,7 +214,7 @@
         now: float,
     ) -> None:
         """Record the end of a send."""
-        self.own_by_request.pop(request_id, None)
+        own = self.own_by_request.pop(request_id, None)
         if load is not None:
             self.load = load
             self.load_at = now
@@ -221,6 +231,8 @@
                 self.paused_until = now + FULL_PAUSE_S
             case AttemptResult.WRONG_SERVER:
                 self.address_lost = True
+            case AttemptResult.MODEL_MISSING if own is not None:
+                self.learn_missing(own.model, own.adapter, now)
 
     def _fail(self, now: float) -> None:
         self.failures = self.current_failures(now) + 1
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -11,6 +11,7 @@
     LeaderChanged,
     ModelExpected,
     ModelReady,
+    ModelUnloading,
     RequestGone,
     ServerAssigned,
     WantModel,
@@ -296,3 +297,32 @@
     desk.end("r1", "s1", AttemptResult.WRONG_SERVER)
     desk.tell(server("s1", "m0", holdings=holdings("m0", born_ms=2)))
     assert desk.server_of("r2") == "s1"
+
+
+def test_unloaded_model_is_not_asked_for_again_while_the_registry_is_old() -> None:
+    """Guards against sends to a server that has just been told to unload a model.
+
+    baul-bogota scale-1: 18 requests went to models that had been unloaded more than
+    eight seconds before, while the store was away.
+    """
+    desk = Desk()
+    desk.tell(server("s1", "m0"))
+    desk.tell(ModelUnloading("m0", "s1"))
+    assert desk.server_of("r1") is None
+    desk.now += 20.0
+    assert desk.server_of("r2", adapter="a1") is None
+    desk.tell(server("s1", "m0/a1"))
+    assert desk.server_of("r3", adapter="a1") == "s1"
+
+
+def test_entry_on_its_way_does_not_bring_an_unloaded_model_back() -> None:
+    """Guards against an entry that was written before the unload and comes after it."""
+    desk = Desk()
+    desk.tell(server("s1", "m0"))
+    desk.server_of("r0")
+    desk.end("r0", "s1", AttemptResult.MODEL_MISSING)
+    desk.now += 0.5
+    desk.tell(server("s1", "m0"))
+    assert desk.server_of("r1") is None
+    desk.tell(ModelReady("m0", "", "s1"))
+    assert desk.server_of("r2") == "s1"
