--- a/src/siskinspool/gateway/bounds.py
+++ b/src/siskinspool/gateway/bounds.py
@@ -18,7 +18,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
-    # Tokens of a tenant that may run in the window beyond rate and burst: a share of
+    # Tokens of a team that may run in the window beyond rate and burst: a share of
     # these, and a fixed number, over all instances.
     cap_window_s: float
     cap_overage: float
--- a/src/siskinspool/gateway/caps.py
+++ b/src/siskinspool/gateway/caps.py
@@ -1,7 +1,7 @@
-"""The ``caps`` decision: tokens that each tenant may use, over all gateways.
+"""The ``caps`` decision: tokens that each team may use, over all gateways.
 
-Each tenant's cap is kept by one gateway, its owner, chosen by rendezvous hashing among
-the members. The owner holds a token bucket with the tenant's rate and burst; the other
+Each team's cap is kept by one gateway, its owner, chosen by rendezvous hashing among
+the members. The owner holds a token bucket with the team's rate and burst; the other
 gateways ask it for each request, which costs one round trip inside the site.
 
 A gateway that gets no answer in time decides by a small bucket of its own. All these
@@ -28,7 +28,7 @@
 from ..store.kv_events import SessionGone, SessionRenewed
 from ..telemetry.logs import log_event
 from .bounds import Bounds
-from .desired_state import DesiredState, Tenant
+from .desired_state import DesiredState, Team
 from .messages import (
     CAPS_TASK,
     SpendAtOwner,
@@ -69,7 +69,7 @@
 
 @attrs.define
 class _OwnedCap:
-    """The bucket of a tenant that this gateway owns."""
+    """The bucket of a team that this gateway owns."""
 
     bucket: TokenBucket
     # When each gateway asked last.
@@ -84,10 +84,10 @@
         self._id = instance_id
         self._bounds = bounds
         self._session = Session()
-        self._tenant_by_name: dict[str, Tenant] = {}
+        self._team_by_name: dict[str, Team] = {}
         self._member_ids: tuple[str, ...] = (instance_id,)
-        self._owned_by_tenant: dict[str, _OwnedCap] = {}
-        self._local_by_tenant: dict[str, TokenBucket] = {}
+        self._owned_by_team: dict[str, _OwnedCap] = {}
+        self._local_by_team: dict[str, TokenBucket] = {}
         self._waiting_by_number: OrderedDict[int, _Waiting] = OrderedDict()
         # An owner that did not answer is left alone until this time.
         self._silent_until_by_id: dict[str, float] = {}
@@ -103,10 +103,10 @@
             case SpentAtOwner() as spent:
                 return self._take_answer(spent)
             case DesiredState() as desired:
-                self._take_tenants(desired, now)
+                self._take_teams(desired, now)
             case MembershipChanged(member_by_id):
                 self._member_ids = tuple(sorted(member_by_id))
-                self._own_tenants(now)
+                self._own_teams(now)
                 self._resize_local(now)
             case SessionRenewed() as renewed:
                 self._session.renew(renewed)
@@ -136,24 +136,24 @@
         """Return the caps that this gateway keeps."""
         return {
             "owned": {
-                tenant: round(owned.bucket.level)
-                for tenant, owned in self._owned_by_tenant.items()
+                team: round(owned.bucket.level)
+                for team, owned in self._owned_by_team.items()
             },
             "asking": len(self._waiting_by_number),
         }
 
     def gauges(self) -> dict[str, float]:
         """Return the number of caps kept here."""
-        return {"caps.owned": float(len(self._owned_by_tenant))}
+        return {"caps.owned": float(len(self._owned_by_team))}
 
     def _spend(self, sender: Address, spend: SpendTokens, now: float) -> list[Outgoing]:
-        tenant = self._tenant_by_name.get(spend.tenant)
-        if tenant is None or not tenant.capped:
+        team = self._team_by_name.get(spend.team)
+        if team is None or not team.capped:
             return [Outgoing(sender, TokensGranted("uncapped"))]
-        owner = winner(spend.tenant, self._member_ids) or self._id
+        owner = winner(spend.team, self._member_ids) or self._id
         if owner == self._id:
-            owned = self._owned(tenant, now)
-            answer = self._take_owned(owned, self._id, tenant, spend.tokens, now)
+            owned = self._owned(team, now)
+            answer = self._take_owned(owned, self._id, team, spend.tokens, now)
             return [Outgoing(sender, answer)]
         if now < self._silent_until_by_id.get(owner, now):
             return [self._decide_alone(sender, spend, now)]
@@ -162,24 +162,22 @@
         self._waiting_by_number[number] = _Waiting(
             sender, spend, owner, now + OWNER_TIMEOUT_S
         )
-        question = SpendAtOwner(number, spend.tenant, spend.tokens)
+        question = SpendAtOwner(number, spend.team, spend.tokens)
         return [Outgoing(Address(owner, CAPS_TASK), question)]
 
     def _spend_as_owner(
         self, sender: Address, asked: SpendAtOwner, now: float
     ) -> list[Outgoing]:
-        tenant = self._tenant_by_name.get(asked.tenant)
-        if tenant is None:
+        team = self._team_by_name.get(asked.team)
+        if team is None:
             # The asker may know a newer desired state; it decides alone.
             return []
         answer: Message
-        if not tenant.capped:
+        if not team.capped:
             answer = SpentAtOwner(asked.number, True, 0.0)
         else:
-            owned = self._owned(tenant, now)
-            taken = self._take_owned(
-                owned, sender.instance_id, tenant, asked.tokens, now
-            )
+            owned = self._owned(team, now)
+            taken = self._take_owned(owned, sender.instance_id, team, asked.tokens, now)
             wait_s = taken.retry_after_s if isinstance(taken, TokensRefused) else 0.0
             granted = isinstance(taken, TokensGranted)
             answer = SpentAtOwner(asked.number, granted, wait_s)
@@ -198,14 +196,14 @@
     def _decide_alone(
         self, sender: Address, spend: SpendTokens, now: float
     ) -> Outgoing:
-        tenant = self._tenant_by_name.get(spend.tenant)
-        if tenant is None or not tenant.capped:
+        team = self._team_by_name.get(spend.team)
+        if team is None or not team.capped:
             return Outgoing(sender, TokensGranted("uncapped"))
-        bucket = self._local_by_tenant.get(spend.tenant)
+        bucket = self._local_by_team.get(spend.team)
         if bucket is None:
-            per_s, capacity = self._local_size(tenant)
+            per_s, capacity = self._local_size(team)
             bucket = TokenBucket.full(per_s, capacity, now)
-            self._local_by_tenant[spend.tenant] = bucket
+            self._local_by_team[spend.team] = bucket
         if bucket.take(spend.tokens, now):
             return Outgoing(sender, TokensGranted("local"))
         return Outgoing(
@@ -213,13 +211,13 @@
         )
 
     def _take_owned(
-        self, owned: _OwnedCap, asker: str, tenant: Tenant, tokens: int, now: float
+        self, owned: _OwnedCap, asker: str, team: Team, tokens: int, now: float
     ) -> TokensGranted | TokensRefused:
         owned.asked_at_by_id[asker] = now
-        per_s = tenant.tokens_per_s * self._owner_share(owned, now)
+        per_s = team.tokens_per_s * self._owner_share(owned, now)
         if per_s != owned.bucket.per_s:
             owned.bucket.resize(per_s, owned.bucket.capacity, now)
-        debt = DEBT_SLACK_SHARE * self._slack(tenant)
+        debt = DEBT_SLACK_SHARE * self._slack(team)
         if owned.bucket.take(tokens, now, debt):
             return TokensGranted("owner")
         return TokensRefused("owner", owned.bucket.wait_s(tokens, now, debt))
@@ -233,25 +231,25 @@
         )
         return min(recent / len(self._member_ids), 1.0)
 
-    def _owned(self, tenant: Tenant, now: float) -> _OwnedCap:
-        owned = self._owned_by_tenant.get(tenant.name)
+    def _owned(self, team: Team, now: float) -> _OwnedCap:
+        owned = self._owned_by_team.get(team.name)
         if owned is None:
             # Whoever kept the cap before may have granted the whole burst just now.
-            start = min(tenant.burst_tokens, START_SLACK_SHARE * self._slack(tenant))
-            bucket = TokenBucket(tenant.tokens_per_s, tenant.burst_tokens, start, now)
+            start = min(team.burst_tokens, START_SLACK_SHARE * self._slack(team))
+            bucket = TokenBucket(team.tokens_per_s, team.burst_tokens, start, now)
             owned = _OwnedCap(bucket)
-            self._owned_by_tenant[tenant.name] = owned
-            log_event(logger, logging.INFO, "cap_owned", tenant=tenant.name)
+            self._owned_by_team[team.name] = owned
+            log_event(logger, logging.INFO, "cap_owned", team=team.name)
         return owned
 
-    def _slack(self, tenant: Tenant) -> float:
+    def _slack(self, team: Team) -> float:
         bounds = self._bounds
-        window = tenant.tokens_per_s * bounds.cap_window_s + tenant.burst_tokens
+        window = team.tokens_per_s * bounds.cap_window_s + team.burst_tokens
         return window * bounds.cap_overage + bounds.cap_slack_tokens
 
-    def _local_size(self, tenant: Tenant) -> tuple[float, float]:
+    def _local_size(self, team: Team) -> tuple[float, float]:
         """Return rate and capacity of a bucket that needs no owner."""
-        part = self._slack(tenant) * LOCAL_SLACK_SHARE / len(self._member_ids)
+        part = self._slack(team) * LOCAL_SLACK_SHARE / len(self._member_ids)
         per_s = part * (1 - LOCAL_BURST_SHARE) / self._bounds.cap_window_s
         return per_s, part * LOCAL_BURST_SHARE
 
@@ -260,38 +258,38 @@
             log_event(logger, logging.WARNING, "cap_owner_silent", owner=owner)
         self._silent_until_by_id[owner] = now + OWNER_PAUSE_S
 
-    def _take_tenants(self, desired: DesiredState, now: float) -> None:
-        for name, tenant in desired.tenant_by_name.items():
-            if tenant != self._tenant_by_name.get(name):
+    def _take_teams(self, desired: DesiredState, now: float) -> None:
+        for name, team in desired.team_by_name.items():
+            if team != self._team_by_name.get(name):
                 log_event(
                     logger,
                     logging.INFO,
                     "cap_set",
-                    tenant=name,
+                    team=name,
                     version=desired.version,
-                    tokens_per_s=tenant.tokens_per_s,
-                    burst=tenant.burst_tokens,
+                    tokens_per_s=team.tokens_per_s,
+                    burst=team.burst_tokens,
                 )
-        self._tenant_by_name = desired.tenant_by_name
-        for name, owned in list(self._owned_by_tenant.items()):
-            changed = desired.tenant_by_name.get(name)
+        self._team_by_name = desired.team_by_name
+        for name, owned in list(self._owned_by_team.items()):
+            changed = desired.team_by_name.get(name)
             if changed is None or not changed.capped:
-                del self._owned_by_tenant[name]
+                del self._owned_by_team[name]
             else:
                 owned.bucket.resize(changed.tokens_per_s, changed.burst_tokens, now)
-        self._own_tenants(now)
+        self._own_teams(now)
         self._resize_local(now)
 
-    def _own_tenants(self, now: float) -> None:
+    def _own_teams(self, now: float) -> None:
         """Begin the caps that are kept here, so that they fill before they are used."""
-        for name, tenant in self._tenant_by_name.items():
-            if tenant.capped and winner(name, self._member_ids) == self._id:
-                self._owned(tenant, now)
+        for name, team in self._team_by_name.items():
+            if team.capped and winner(name, self._member_ids) == self._id:
+                self._owned(team, now)
 
     def _resize_local(self, now: float) -> None:
-        for name, bucket in list(self._local_by_tenant.items()):
-            tenant = self._tenant_by_name.get(name)
-            if tenant is None or not tenant.capped:
-                del self._local_by_tenant[name]
+        for name, bucket in list(self._local_by_team.items()):
+            team = self._team_by_name.get(name)
+            if team is None or not team.capped:
+                del self._local_by_team[name]
             else:
-                bucket.resize(*self._local_size(tenant), now)
+                bucket.resize(*self._local_size(team), now)
--- a/src/siskinspool/gateway/desired_state.py
+++ b/src/siskinspool/gateway/desired_state.py
@@ -1,4 +1,4 @@
-"""The operator's desired state: routes, services, tenants and limits.
+"""The operator's desired state: routes, services, teams and limits.
 
 The types say what the fields mean to this system; how a platform spells them is for
 its adapter. `DesiredState.find_route` chooses the route of a request: among the routes
@@ -108,7 +108,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Tenant:
+class Team:
     """A customer with its keys and its cap on tokens."""
 
     name: str
@@ -121,7 +121,7 @@
 
     @property
     def capped(self) -> bool:
-        """Return whether the tenant has a cap."""
+        """Return whether the team has a cap."""
         return self.tokens_per_s > 0
 
 
@@ -143,9 +143,9 @@
     # Sorted by falling length of the prefix.
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_name: dict[str, ServiceSpec]
-    tenant_by_name: dict[str, Tenant]
+    team_by_name: dict[str, Team]
     # Empty if requests need no key.
-    tenant_name_by_key: dict[str, str] = attrs.field(repr=False)
+    team_name_by_key: dict[str, str] = attrs.field(repr=False)
     limits: RequestLimits
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/src/siskinspool/gateway/gateway_metrics.py
+++ b/src/siskinspool/gateway/gateway_metrics.py
@@ -17,7 +17,7 @@
     """A request has ended."""
 
     route: str
-    tenant: str
+    team: str
     # "ok", "server_error", "cancelled" or an error code.
     outcome: str
     total_s: float
@@ -26,14 +26,14 @@
 
 
 class GatewayMetrics:
-    """The metrics of one process; routes and tenants come from the desired state."""
+    """The metrics of one process; routes and teams come from the desired state."""
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._requests = Counter(
             "siskinspool_requests",
             "Requests by how they ended.",
-            ("route", "tenant", "outcome"),
+            ("route", "team", "outcome"),
             registry=self._registry,
         )
         self._first_byte = Histogram(
@@ -59,7 +59,7 @@
 
     def record(self, measured: RequestMeasured) -> None:
         """Count a request."""
-        self._requests.labels(measured.route, measured.tenant, measured.outcome).inc()
+        self._requests.labels(measured.route, measured.team, measured.outcome).inc()
         self._total.labels(measured.route).observe(measured.total_s)
         if measured.first_byte_s is not None:
             self._first_byte.labels(measured.route).observe(measured.first_byte_s)
--- a/src/siskinspool/gateway/intake.py
+++ b/src/siskinspool/gateway/intake.py
@@ -22,8 +22,8 @@
     route: Route
     service: str
     # Empty on a public route, or where no keys are in use.
-    tenant: str
-    # Charged to the tenant's cap.
+    team: str
+    # Charged to the team's cap.
     tokens: int
     # 0 is the most urgent.
     priority: int
@@ -35,24 +35,24 @@
     route = desired.find_route(head.host, head.path)
     if route is None:
         return Refusal(404, ErrorCode.UNKNOWN_ROUTE, "no route has this host and path")
-    uses_keys = bool(desired.tenant_by_name)
-    tenant_name = ""
+    uses_keys = bool(desired.team_by_name)
+    team_name = ""
     if uses_keys and not route.public:
-        tenant_name = desired.tenant_name_by_key.get(head.key, "")
-        if not tenant_name:
+        team_name = desired.team_name_by_key.get(head.key, "")
+        if not team_name:
             code = ErrorCode.KEY_REJECTED if head.key else ErrorCode.KEY_MISSING
             return Refusal(401, code, "the key is not known")
-    tenant = desired.tenant_by_name.get(tenant_name)
+    team = desired.team_by_name.get(team_name)
     priority, tokens = route.priority, head.tokens or 0
-    if tenant is not None:
-        if tenant.priority is not None:
-            priority = tenant.priority
+    if team is not None:
+        if team.priority is not None:
+            priority = team.priority
         if head.tokens is None:
-            tokens = tenant.plain_tokens
+            tokens = team.plain_tokens
     return Admission(
         route=route,
         service=_pick_service(route, head.request_id),
-        tenant=tenant_name,
+        team=team_name,
         tokens=tokens,
         priority=priority,
         keeps_authorization=not uses_keys,
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -269,15 +269,15 @@
 
 @attrs.frozen
 class SpendTokens(Message):
-    """Take tokens from a tenant's cap; answered by `TokensGranted` or refused."""
+    """Take tokens from a team's cap; answered by `TokensGranted` or refused."""
 
-    tenant: str
+    team: str
     tokens: int
 
 
 @attrs.frozen
 class TokensGranted(Message):
-    """The request is within its tenant's cap."""
+    """The request is within its team's cap."""
 
     # "owner", "local" or "uncapped": who decided.
     by: str
@@ -285,7 +285,7 @@
 
 @attrs.frozen
 class TokensRefused(Message):
-    """The request is beyond its tenant's cap."""
+    """The request is beyond its team's cap."""
 
     by: str
     retry_after_s: float
@@ -294,10 +294,10 @@
 @wire
 @attrs.frozen
 class SpendAtOwner(Message):
-    """Take tokens at the instance that keeps a tenant's cap."""
+    """Take tokens at the instance that keeps a team's cap."""
 
     number: int
-    tenant: str
+    team: str
     tokens: int
 
 
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -55,7 +55,7 @@
     remaining_s: float
     priority: int
     # Empty on a public route.
-    tenant: str
+    team: str
     last_event_id: str
     # Where no keys are in use, `Authorization` is the server's own matter.
     keeps_authorization: bool
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -185,11 +185,11 @@
             self._refuse(refusal)
 
     def _spend(self) -> Refusal | None:
-        """Take the request's tokens; return a refusal if its tenant has none left."""
+        """Take the request's tokens; return a refusal if its team has none left."""
         admission = self.request.admission
-        if not admission.tenant:
+        if not admission.team:
             return None
-        spend = SpendTokens(admission.tenant, admission.tokens)
+        spend = SpendTokens(admission.team, admission.tokens)
         answer = self._ask(CAPS_TASK, spend, CAPS_TIMEOUT_S)
         match answer:
             case TokensGranted():
@@ -204,7 +204,7 @@
         return Refusal(
             503,
             ErrorCode.STORE_UNAVAILABLE,
-            "no decision on the tenant's cap",
+            "no decision on the team's cap",
             retry_after_s=RETRY_AFTER_S,
         )
 
@@ -323,7 +323,7 @@
             server_id=assigned.server_id,
             remaining_s=remaining_s,
             priority=admission.priority,
-            tenant=admission.tenant,
+            team=admission.team,
             last_event_id="" if last_id is None else str(last_id),
             keeps_authorization=admission.keeps_authorization,
         )
@@ -513,7 +513,7 @@
             "request_ended",
             request=head.request_id,
             route=admission.route.name,
-            tenant=admission.tenant,
+            team=admission.team,
             outcome=outcome,
             status=None if refusal is None else refusal.status,
             detail=None if refusal is None else refusal.detail,
@@ -524,7 +524,7 @@
         self._context.metrics.record(
             RequestMeasured(
                 route=admission.route.name,
-                tenant=admission.tenant,
+                team=admission.team,
                 outcome=outcome,
                 total_s=now - self.request.arrived_at,
                 first_byte_s=first_byte_s,
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -300,6 +300,7 @@
             adapter=waiting.call.adapter,
             waited_s=now - waiting.since,
             leader=self._leader_id,
+            expected_in_s=None if waiting.ready_at is None else waiting.ready_at - now,
             detail=detail,
         )
         return Outgoing(
--- a/src/siskinspool/platform/desired_state.py
+++ b/src/siskinspool/platform/desired_state.py
@@ -19,7 +19,7 @@
     Route,
     RouteKind,
     ServiceSpec,
-    Tenant,
+    Team,
     WeightedService,
     sort_routes,
 )
@@ -128,8 +128,8 @@
         version=config.version,
         routes_by_host=sort_routes([_route(route) for route in config.routes]),
         service_by_name={item.name: _service(item) for item in config.services},
-        tenant_by_name={item.name: _tenant(item) for item in config.tenants},
-        tenant_name_by_key={
+        team_by_name={item.name: _team(item) for item in config.tenants},
+        team_name_by_key={
             key: item.name for item in config.tenants for key in item.api_keys
         },
         limits=_limits(config.limits),
@@ -188,8 +188,8 @@
     )
 
 
-def _tenant(tenant: _Tenant) -> Tenant:
-    return Tenant(
+def _team(tenant: _Tenant) -> Team:
+    return Team(
         name=tenant.name,
         priority=tenant.priority,
         tokens_per_s=tenant.rate_per_s,
--- a/src/siskinspool/platform/feeds.py
+++ b/src/siskinspool/platform/feeds.py
@@ -110,7 +110,7 @@
             version=desired.version,
             before=self._version,
             routes=sum(len(routes) for routes in desired.routes_by_host.values()),
-            tenants=len(desired.tenant_by_name),
+            teams=len(desired.team_by_name),
         )
         self._version = desired.version
         self._tell(desired)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -17,7 +17,7 @@
     Route,
     RouteKind,
     ServiceSpec,
-    Tenant,
+    Team,
     WeightedService,
     sort_routes,
 )
@@ -97,8 +97,8 @@
     return EngineSpec(**values | changes)
 
 
-def tenant(name: str = "desk", **changes: Any) -> Tenant:
-    """Return a tenant with a cap of 30,000 tokens a second."""
+def team(name: str = "desk", **changes: Any) -> Team:
+    """Return a team with a cap of 30,000 tokens a second."""
     values: dict[str, Any] = {
         "name": name,
         "priority": None,
@@ -106,18 +106,18 @@
         "burst_tokens": 60_000.0,
         "plain_tokens": 200,
     }
-    return Tenant(**values | changes)
+    return Team(**values | changes)
 
 
 def desired_state(
     *routes: Route,
     version: int = 1,
-    tenants: tuple[Tenant, ...] | None = None,
+    teams: tuple[Team, ...] | None = None,
     engine_spec: EngineSpec | None = None,
     cold_per_s: float = 7.5,
 ) -> DesiredState:
-    """Return a desired state; the key of a tenant is ``key-NAME``."""
-    found = (tenant(),) if tenants is None else tenants
+    """Return a desired state; the key of a team is ``key-NAME``."""
+    found = (team(),) if teams is None else teams
     services = [
         ServiceSpec(
             name="writers",
@@ -134,8 +134,8 @@
         version=version,
         routes_by_host=sort_routes(list(routes) or [route()]),
         service_by_name={service.name: service for service in services},
-        tenant_by_name={one.name: one for one in found},
-        tenant_name_by_key={f"key-{one.name}": one.name for one in found},
+        team_by_name={one.name: one for one in found},
+        team_name_by_key={f"key-{one.name}": one.name for one in found},
         limits=RequestLimits(
             max_header_bytes=16_384,
             max_body_bytes=4_194_304,
--- a/tests/test_gateway_caps.py
+++ b/tests/test_gateway_caps.py
@@ -1,4 +1,4 @@
-"""Caps of tenants: the sum over all gateways, whoever is in reach."""
+"""Caps of teams: the sum over all gateways, whoever is in reach."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
     incoming,
     membership,
     messages,
-    tenant,
+    team,
 )
 
 MEMBERS = ("g1", "g2", "g3")
@@ -64,8 +64,8 @@
 def test_large_request_passes_on_debt() -> None:
     """Guards against a request larger than the burst that could never pass."""
     decision = Caps(OWNER, bounds())
-    small = tenant(tokens_per_s=1_000.0, burst_tokens=2_000.0)
-    decision.handle(incoming(desired_state(tenants=(small,))), 0.0)
+    small = team(tokens_per_s=1_000.0, burst_tokens=2_000.0)
+    decision.handle(incoming(desired_state(teams=(small,))), 0.0)
     decision.handle(incoming(membership(OWNER)), 0.0)
     assert isinstance(messages(spend(decision, 9_000, 0.0))[0], TokensGranted)
 
@@ -123,11 +123,11 @@
     assert decision.handle(incoming(late, OWNER, "caps"), 0.2) == []
 
 
-def test_uncapped_tenants_ask_nobody() -> None:
-    """Guards against round trips for tenants without a cap."""
+def test_uncapped_teams_ask_nobody() -> None:
+    """Guards against round trips for teams without a cap."""
     decision = Caps(OTHER, bounds())
-    free = tenant(tokens_per_s=0.0)
-    decision.handle(incoming(desired_state(tenants=(free,))), 0.0)
+    free = team(tokens_per_s=0.0)
+    decision.handle(incoming(desired_state(teams=(free,))), 0.0)
     decision.handle(incoming(membership(*MEMBERS)), 0.0)
     assert messages(spend(decision, 10**9, 0.0)) == [TokensGranted("uncapped")]
 
@@ -136,8 +136,8 @@
     """Guards against a burst of the old cap after the cap was lowered."""
     decision = caps(OWNER)
     spend(decision, 1, 0.0)
-    low = tenant(tokens_per_s=100.0, burst_tokens=100.0)
-    decision.handle(incoming(desired_state(version=2, tenants=(low,))), 1.0)
+    low = team(tokens_per_s=100.0, burst_tokens=100.0)
+    decision.handle(incoming(desired_state(version=2, teams=(low,))), 1.0)
     answers = [messages(spend(decision, 5_000, 1.0))[0] for _ in range(20)]
     assert sum(isinstance(one, TokensGranted) for one in answers) <= 6
     assert isinstance(answers[-1], TokensRefused)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -79,7 +79,7 @@
     )
     assert route.timeout_s == 5.0
     assert route.idempotent
-    assert state.tenant_name_by_key == {"k1": "smiths", "k2": "smiths"}
+    assert state.team_name_by_key == {"k1": "smiths", "k2": "smiths"}
     engine = state.service_by_name["writers"].engine
     assert engine is not None
     assert engine.model_by_name["m0"].disk_load_s == 1.2
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -45,7 +45,7 @@
         "server_id": "i-1",
         "remaining_s": 1.2345,
         "priority": 1,
-        "tenant": "smiths",
+        "team": "smiths",
         "last_event_id": "",
         "keeps_authorization": False,
     }
@@ -82,7 +82,7 @@
 
 def test_no_tenant_on_a_public_route() -> None:
     """Guards against a tenant that the requester made up."""
-    headers = server_headers(decoded(), plan(tenant=""))
+    headers = server_headers(decoded(), plan(team=""))
     assert "Tenant" not in headers
 
 
