Split the placement, the routing and the course of a request

The planner of orders, the time in office, the log lines, demand and users of models, replicas, a gateway's part of a cold server, a waiting request and the context of requests stand in modules of their own.

--- a/src/siskinspool/gateway/demand.py
+++ b/src/siskinspool/gateway/demand.py
@@ -11,6 +11,8 @@
 DEMAND_HALF_LIFE_S: Final = 8.0
 # Less than this is forgotten, in tokens.
 LEAST_TOKENS: Final = 1.0
+# A gateway counts as a user of a model for this long after a request for it.
+USER_MEMORY_S: Final = 20.0
 
 
 @attrs.define
@@ -65,3 +67,46 @@
     def _decayed(seen: _Seen, now: float) -> float:
         age_s = max(now - seen.at, 0.0)
         return float(seen.tokens * 0.5 ** (age_s / DEMAND_HALF_LIFE_S))
+
+
+class DemandLog:
+    """A gateway's own demand by service: since the last report, and recent."""
+
+    def __init__(self) -> None:
+        self._unreported: dict[str, dict[str, int]] = {}
+        self._recent_by_service: dict[str, Demand] = {}
+
+    def add(self, service: str, target: str, tokens: int, now: float) -> None:
+        """Count the tokens of a request."""
+        tokens_by_target = self._unreported.setdefault(service, {})
+        tokens_by_target[target] = tokens_by_target.get(target, 0) + tokens
+        recent = self._recent_by_service.setdefault(service, Demand())
+        recent.add(target, tokens, now)
+
+    def take_report(self) -> dict[str, dict[str, int]]:
+        """Return the tokens by service and target, and begin a new report."""
+        report, self._unreported = self._unreported, {}
+        return report
+
+    def report_recent(self, now: float) -> None:
+        """Let the next report tell the recent past."""
+        self._unreported = {
+            service: recent.recent_tokens(now)
+            for service, recent in self._recent_by_service.items()
+        }
+
+
+class ModelUsers:
+    """Which gateways have lately asked for each model."""
+
+    def __init__(self) -> None:
+        self._used_at_by_model: dict[str, dict[str, float]] = {}
+
+    def note(self, model: str, gateway: str, now: float) -> None:
+        """Record that a gateway asked for a model."""
+        self._used_at_by_model.setdefault(model, {})[gateway] = now
+
+    def users(self, model: str, now: float) -> list[str]:
+        """Return the gateways that asked for a model lately."""
+        used_at = self._used_at_by_model.get(model, {})
+        return sorted(name for name, at in used_at.items() if now - at < USER_MEMORY_S)
--- a/src/siskinspool/gateway/front_door.py
+++ b/src/siskinspool/gateway/front_door.py
@@ -37,7 +37,8 @@
 from .desired_state import DesiredState, RequestLimits
 from .intake import Admission, admit
 from .request import RequestHead
-from .request_task import GatewayRequest, HeaderCodec, RequestContext, RequestTask
+from .request_context import GatewayRequest, HeaderCodec, RequestContext
+from .request_task import RequestTask
 from .servers import RegistryListed
 
 logger = logging.getLogger(__name__)
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -43,7 +43,7 @@
 )
 from .pages import PagesTask
 from .placement import Placement
-from .request_task import RequestContext
+from .request_context import RequestContext
 from .routing import Routing
 from .server_control import OrdersTask, ServerControl
 
@@ -217,9 +217,7 @@
             ),
             ROUTING_TASK: Routing(settings.instance_id, settings.zone, bounds),
             CAPS_TASK: Caps(settings.instance_id, bounds),
-            PLACEMENT_TASK: Placement(
-                settings.instance_id, bounds, settings.first_start
-            ),
+            PLACEMENT_TASK: Placement(settings.instance_id, settings.first_start),
         }
         return [
             DecisionTask(name, self._dispatcher, self._clock, decision)
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from ..core.status import Status
 from .desired_state import EngineSpec, ModelSpec
 from .messages import OrderKind, OrderResult, ServerOrder
 from .servers import HeldModel, Holdings, ServerRecord, ServerState
@@ -127,6 +128,20 @@
         held = self.holdings.model_by_name.get(model)
         return held is not None and adapter in held.adapters
 
+    def status(self) -> Status:
+        """Return what operators may see."""
+        return {
+            "orders": self.order_count,
+            "models": sorted(self.holdings.model_by_name),
+            "goals": [f"{goal.model}/{goal.adapter}" for goal in self.goals],
+        }
+
+    def reaches(self, goal: Goal) -> bool:
+        """Return whether a goal holds already."""
+        if goal.adapter:
+            return self.holds_adapter(goal.model, goal.adapter)
+        return self.holds_model(goal.model)
+
     def adapter_count(self) -> int:
         """Return the adapters that fill slots, those on their way included."""
         held = {
@@ -184,10 +199,13 @@
         """Put adapters before models, in the order that they have."""
         self.goals = deque(sorted(self.goals, key=lambda goal: not goal.adapter))
 
-    def forget_count(self) -> None:
-        """Trust nothing that was known before a new time in office."""
+    def forget_plans(self) -> None:
+        """Begin anew with a new time in office: read the report before any order."""
         self.holdings = attrs.evolve(self.holdings, order_count=None)
         self.doubtful = True
+        self.order = None
+        self.reading = False
+        self.goals.clear()
 
     def ready_in_s(self, model: str | None, engine: EngineSpec, now: float) -> float:
         """Return when a goal is reached; with None, when all goals are."""
--- a/src/siskinspool/gateway/pages.py
+++ b/src/siskinspool/gateway/pages.py
@@ -13,7 +13,7 @@
 from ..links.caller import StartResponse, status_line
 from ..settings import Endpoint
 from .front_door import FrontDoor
-from .request_task import RequestContext
+from .request_context import RequestContext
 
 STATUS_TIMEOUT_S: Final = 1.0
 
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -20,8 +20,7 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..telemetry.logs import log_event
-from .bounds import Bounds
-from .demand import Demand
+from .demand import Demand, ModelUsers
 from .desired_state import DesiredState, EngineSpec
 from .managed_server import (
     POLL_INTERVAL_S,
@@ -48,58 +47,42 @@
     ServerOrder,
     WantModel,
 )
+from .office import Office
+from .order_planner import OrderPlanner
 from .placement_choice import ServiceFleet
+from .placement_log import log_order, log_plan, log_result
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
-from .token_bucket import TokenBucket
 
 logger = logging.getLogger(__name__)
 
 # Loads from the weight store at a time beyond which each takes longer; loads that no
 # request waits for keep to it.
 STORE_LOADS_AT_ONCE: Final = 4
-# Loads that may begin at once; see `_load_bucket`.
-LOAD_BURST: Final = 1.5
 TICK_S: Final = 0.25
 # Time for which all holders of a model may be busy before another server loads it.
 LONG_BLOCK_S: Final = 1.0
-# A gateway counts as a user of a model for this long after a request for it.
-USER_MEMORY_S: Final = 20.0
-# A plan is changed if another server would have the model this much sooner.
-MUCH_SOONER_S: Final = 1.5
 # Below this demand no request waits, and loads disturb nobody.
 QUIET_TOKENS_PER_S: Final = 1.0
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
-# Prompt tokens a second that one replica carries before another is added.
-REPLICA_TOKENS_PER_S: Final = 40_000.0
-# Prompt tokens a second from which a model should not depend on one server.
-SPARE_TOKENS_PER_S: Final = 1_500.0
 # A replica must be worth this many times what it displaces.
 REPLICA_GAIN: Final = 3.0
-# Orders are given only if this much of the time in office is left: their time-out.
-ORDER_TIME_S: Final = 0.6
 
 
 class Placement(Decision):
     """Gives orders while this instance leads."""
 
-    def __init__(self, instance_id: str, bounds: Bounds, first_start: bool) -> None:
-        """Take the own id, the bounds and whether the system starts for once."""
+    def __init__(self, instance_id: str, first_start: bool) -> None:
+        """Take the own id and whether the system starts for the first time."""
         self._id = instance_id
-        self._bounds = bounds
-        self._first_start = first_start
+        self._planner = OrderPlanner(first_start)
         self._engine_by_service: dict[str, EngineSpec] = {}
         self._server_by_id: dict[str, ManagedServer] = {}
         self._evacuated_zones: set[str] = set()
         self._demand_by_service: dict[str, Demand] = {}
-        self._bucket_by_service: dict[str, TokenBucket] = {}
-        self._epoch: int | None = None
-        self._from_s = 0.0
-        self._until_s = 0.0
-        self._detached = False
+        self._office = Office()
         self._next_tick_at = 0.0
-        # When each gateway last used a model.
-        self._users_by_model: dict[str, dict[str, float]] = {}
+        self._users = ModelUsers()
         # Wishes that wait for the first reports, by model, adapter and asker.
         self._pending_wants: dict[tuple[str, str, str], WantModel] = {}
 
@@ -131,7 +114,7 @@
     def on_time(self, now: float) -> list[Outgoing]:
         """Advance all servers and plan ahead."""
         self._next_tick_at = now + TICK_S
-        if not self._in_office(now):
+        if not self._office.allows_orders(now):
             return []
         batch: list[Outgoing] = []
         for server in list(self._server_by_id.values()):
@@ -143,7 +126,7 @@
 
     def wake_at(self) -> float | None:
         """Return when a server needs attention."""
-        if self._epoch is None:
+        if self._office.epoch is None:
             return None
         due = self._next_tick_at
         for server in self._server_by_id.values():
@@ -158,17 +141,13 @@
 
     def status(self, now: float) -> Status:
         """Return the leader's view of the servers."""
-        if self._epoch is None:
+        if self._office.epoch is None:
             return {"leading": False}
         return {
-            "leading": self._in_office(now),
-            "epoch": self._epoch,
+            "leading": self._office.allows_orders(now),
+            "epoch": self._office.epoch,
             "servers": {
-                server_id: {
-                    "orders": server.holdings.order_count,
-                    "models": sorted(server.holdings.model_by_name),
-                    "goals": [f"{goal.model}/{goal.adapter}" for goal in server.goals],
-                }
+                server_id: server.status()
                 for server_id, server in self._server_by_id.items()
             },
         }
@@ -179,9 +158,9 @@
         engine = self._engine_by_service.get(want.service)
         if engine is None or want.model not in engine.model_by_name:
             return []
-        if not self._in_office(now):
+        if not self._office.allows_orders(now):
             return []
-        self._users_by_model.setdefault(want.model, {})[asker] = now
+        self._users.note(want.model, asker, now)
         batch = self._check_silent(want.silent_servers, now)
         fleet = self._fleet(want.service, engine, now)
         unread = [server for server in fleet.servers if server.order_count is None]
@@ -226,7 +205,7 @@
                 continue
             goal.want(asker, want.waiting, now)
             server.sort_goals()
-            if self._has_better_server(fleet, server, goal, now):
+            if fleet.has_better_server(server, goal, now):
                 if server.loading != model:
                     server.goals.remove(goal)
                 break
@@ -242,30 +221,12 @@
         if choice is None:
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
-        self._log_plan(model, choice.server, choice.victims, "wanted")
+        log_plan(model, choice.server, choice.victims, "wanted")
         choice.server.goals.append(Goal(model, "", {asker: want.waiting}, now))
         choice.server.sort_goals()
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
 
-    def _has_better_server(
-        self, fleet: ServiceFleet, server: ManagedServer, goal: Goal, now: float
-    ) -> bool:
-        """Return whether another server would be much sooner than the planned one."""
-        model = goal.model
-        expected_s = server.ready_in_s(model, fleet.engine, now)
-        others = [
-            other
-            for other in fleet.servers
-            if other is not server and other.has_goal(model, "") is None
-        ]
-        if expected_s < MUCH_SOONER_S or len(others) < len(fleet.servers) - 1:
-            return False
-        choice = fleet.choose(
-            fleet.engine.model_by_name[model], others, now, goal.waiting
-        )
-        return choice is not None and choice.ready_in_s + MUCH_SOONER_S < expected_s
-
     def _want_adapter(
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
@@ -285,21 +246,13 @@
             if server.holds_adapter(model, adapter) and not server.doubtful:
                 ready = ModelReady(model, adapter, server.record.server_id)
                 return [self._to_routing(asker, ready)]
-        chosen = min(
-            holders,
-            key=lambda server: (
-                server.busy_until is not None,
-                server.record.server_id != want.near_server,
-                len(server.goals),
-                server.adapter_count(),
-            ),
-        )
+        chosen = fleet.choose_holder(holders, want.near_server)
         chosen.goals.append(Goal(model, adapter, {asker: want.waiting}, now))
         batch = self._advance(chosen, now)
         if chosen.busy_until is not None:
             in_s = max(chosen.busy_until - now, 0.0)
             batch.append(self._to_routing(asker, ModelExpected(model, adapter, in_s)))
-            if in_s > LONG_BLOCK_S and model not in self._own_goals(fleet):
+            if in_s > LONG_BLOCK_S and model not in fleet.own_goals(self._id):
                 # No holder can load an adapter soon; another server can load the model.
                 batch += self._add_replica(fleet, model, now)
         return batch
@@ -319,9 +272,9 @@
 
     def _plan_ahead(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
         """Load what will be wanted; not where a successor may be at work."""
-        if self._detached or any(s.order_count is None for s in fleet.servers):
+        if self._office.detached or any(s.order_count is None for s in fleet.servers):
             return []
-        model = self._replica_to_add(fleet, now)
+        model = fleet.model_to_replicate(self._id, now)
         if model is not None:
             return self._add_replica(fleet, model, now)
         idle = [s for s in fleet.servers if s.busy_until is None and not s.goals]
@@ -336,7 +289,7 @@
         choice = fleet.choose(fleet.engine.model_by_name[model], idle, now)
         if choice is None:
             return []
-        self._log_plan(model, choice.server, choice.victims, "no_copy")
+        log_plan(model, choice.server, choice.victims, "no_copy")
         choice.server.goals.append(Goal(model, ""))
         return self._advance(choice.server, now)
 
@@ -344,56 +297,26 @@
         self, fleet: ServiceFleet, model: str, now: float
     ) -> list[Outgoing]:
         """Load a model on another server, in another zone if one can take it."""
-        holders = [s for s in fleet.servers if model in s.holdings.model_by_name]
-        zones = {server.record.zone for server in holders}
-        # A load from the store would keep a server from all else for seconds.
-        free = [
-            server
-            for server in fleet.servers
-            if server not in holders
-            and (not server.needs_store(model) or fleet.has_room(server))
-        ]
-        apart = [s for s in free if s.record.zone not in zones]
-        choice = fleet.choose(fleet.engine.model_by_name[model], apart or free, now)
+        choice = fleet.choose_replica(model, now)
         if choice is None:
             return []
         lost = sum(fleet.value(victim, now) for victim in choice.victims)
         if fleet.value(model, now) < REPLICA_GAIN * lost:
             return []
-        self._log_plan(model, choice.server, choice.victims, "replica")
+        log_plan(model, choice.server, choice.victims, "replica")
         # It counts as one waiting request, or it would never have its turn.
         choice.server.goals.append(Goal(model, "", {self._id: 1}))
         return self._advance(choice.server, now)
 
-    def _replica_to_add(self, fleet: ServiceFleet, now: float) -> str | None:
-        own_goals = self._own_goals(fleet)
-        if len(own_goals) > len(fleet.servers) // 2:
-            return None
-        most = max(
-            (model for model in fleet.engine.model_by_name if model not in own_goals),
-            key=lambda model: fleet.value(model, now),
-            default=None,
-        )
-        if most is None or fleet.replicas(most) in (0, len(fleet.servers)):
-            return None
-        value = fleet.value(most, now)
-        alone = fleet.replicas(most) == 1 and value >= SPARE_TOKENS_PER_S
-        return most if alone or value >= REPLICA_TOKENS_PER_S else None
-
-    def _own_goals(self, fleet: ServiceFleet) -> set[str]:
-        """Return the models of which a replica is still to be loaded."""
-        return {
-            goal.model
-            for server in fleet.servers
-            for goal in server.goals
-            if goal.waiting_by_asker.keys() == {self._id}
-        }
-
     # Orders
 
     def _advance(self, server: ManagedServer, now: float) -> list[Outgoing]:
         """Take the next step towards a server's first goal."""
-        if not self._in_office(now) or server.order is not None or server.reading:
+        if (
+            not self._office.allows_orders(now)
+            or server.order is not None
+            or server.reading
+        ):
             return []
         batch = self._tell_arrivals(server, now)
         if now < max(server.wait_until, server.silent_until):
@@ -410,7 +333,7 @@
         server.put_adapters_first()
         while server.goals:
             goal = server.goals[0]
-            if self._is_reached(server, goal, now):
+            if server.reaches(goal):
                 server.goals.popleft()
                 batch += self._tell_ready(server, goal)
                 continue
@@ -418,7 +341,7 @@
             if order is None:
                 return batch
             server.order = order
-            self._log_order(order)
+            log_order(order)
             batch += self._warn_users(order, now)
             return [*batch, self._to_orders(order)]
         return batch
@@ -427,97 +350,30 @@
         """Tell the gateways that use a model that it goes, before the registry does."""
         if order.kind is not OrderKind.UNLOAD or order.adapter:
             return []
-        users = self._users_by_model.get(order.model, {})
         unloading = ModelUnloading(order.model, order.server_id)
-        return [
-            self._to_routing(user, unloading)
-            for user, used_at in sorted(users.items())
-            if now - used_at < USER_MEMORY_S
-        ]
-
-    def _is_reached(self, server: ManagedServer, goal: Goal, now: float) -> bool:
-        if goal.adapter:
-            return server.holds_adapter(goal.model, goal.adapter)
-        return server.holds_model(goal.model)
+        users = self._users.users(order.model, now)
+        return [self._to_routing(user, unloading) for user in users]
 
     def _next_order(
         self, server: ManagedServer, goal: Goal, now: float
     ) -> ServerOrder | None:
         engine = self._engine_by_service.get(server.record.service)
-        spec = None if engine is None else engine.model_by_name.get(goal.model)
-        if engine is None or spec is None or not server.is_usable(now):
+        if (
+            engine is None
+            or goal.model not in engine.model_by_name
+            or not server.is_usable(now)
+        ):
             server.goals.popleft()
             return None
         fleet = self._fleet(server.record.service, engine, now)
-        if goal.adapter:
-            return self._adapter_order(fleet, server, goal, now)
-        victims = fleet.victims(spec, server, now, goal.waiting, spare_fresh=True)
-        if victims is None:
-            # All models are loading, wanted or fresh; that passes.
-            server.wait_until = now + TICK_S
-            return None
-        if victims:
-            return self._order(server, OrderKind.UNLOAD, victims[0], "")
-        if server.needs_store(goal.model):
-            if not fleet.may_load_from_store(server, goal.waiting):
-                # The server stays free for what loads sooner.
-                server.goals.rotate(-1)
-                server.wait_until = now + TICK_S
-                return None
-            bucket = self._load_bucket(server.record.service, engine, now)
-            if not bucket.take(1, now):
-                server.wait_until = now + bucket.wait_s(1, now)
-                return None
-        return self._order(server, OrderKind.LOAD, goal.model, "")
-
-    def _adapter_order(
-        self, fleet: ServiceFleet, server: ManagedServer, goal: Goal, now: float
-    ) -> ServerOrder | None:
-        spec = fleet.engine.model_by_name[goal.model]
-        if not server.holds_model(goal.model):
-            server.goals.popleft()
-            return None
-        fits = server.adapter_count() < fleet.engine.adapter_slots and (
-            server.used_mb(fleet.engine) + spec.adapter_mb <= fleet.engine.weights_mb
-        )
-        if fits:
-            return self._order(server, OrderKind.LOAD, goal.model, goal.adapter)
-        victim = fleet.adapter_victim(server, now)
-        if victim is None:
-            server.goals.popleft()
-            return None
-        return self._order(server, OrderKind.UNLOAD, *victim)
-
-    def _order(
-        self, server: ManagedServer, kind: OrderKind, model: str, adapter: str
-    ) -> ServerOrder:
-        record = server.record
-        return ServerOrder(
-            server_id=record.server_id,
-            host=record.host,
-            port=record.port,
-            kind=kind,
-            model=model,
-            adapter=adapter,
-            expected_count=server.order_count or 0,
-            epoch=self._epoch or 0,
+        return self._planner.next_order(
+            fleet, server, goal, self._office.epoch or 0, now
         )
 
     def _end_order(self, ended: OrderEnded, now: float) -> list[Outgoing]:
         order, result = ended.order, ended.result
         server = self._server_by_id.get(order.server_id)
-        log_event(
-            logger,
-            logging.INFO,
-            "order_ended",
-            server=order.server_id,
-            kind=order.kind,
-            model=order.model,
-            adapter=order.adapter,
-            expected=order.expected_count,
-            epoch=order.epoch,
-            result=result,
-        )
+        log_result(ended)
         batch: list[Outgoing] = []
         if result is OrderResult.FENCED:
             fenced = LeadershipFenced(order.epoch)
@@ -587,42 +443,15 @@
     def _take_office(self, message: object, now: float) -> None:
         match message:
             case LeadershipHeld(epoch, from_s):
-                self._epoch, self._from_s = epoch, from_s
-                self._bucket_by_service.clear()
+                self._office.begin(epoch, from_s)
+                self._planner.begin_office()
                 for server in self._server_by_id.values():
-                    server.doubtful = True
-                    server.order = None
-                    server.reading = False
-                    server.goals.clear()
-                    server.forget_count()
+                    server.forget_plans()
                 self._next_tick_at = now
             case LeadershipExtended(until_s, detached):
-                self._until_s, self._detached = until_s, detached
+                self._office.extend(until_s, detached)
             case LeadershipLost():
-                self._epoch = None
-
-    def _in_office(self, now: float) -> bool:
-        return (
-            self._epoch is not None
-            and now >= self._from_s
-            and now + ORDER_TIME_S < self._until_s
-        )
-
-    def _load_bucket(self, service: str, engine: EngineSpec, now: float) -> TokenBucket:
-        """Return the bucket of loads from the weight store.
-
-        The bound on a window of w seconds is rate x w x overage + 3. Two leaders in a
-        row each grant their burst at most beside the rate, so twice the burst must not
-        exceed 3. A later leader starts without it, as the last one may just have
-        loaded.
-        """
-        bucket = self._bucket_by_service.get(service)
-        if bucket is None:
-            make = TokenBucket.full if self._first_start else TokenBucket.empty
-            bucket = make(engine.store_loads_per_s, LOAD_BURST, now)
-            self._bucket_by_service[service] = bucket
-            self._first_start = False
-        return bucket
+                self._office.end()
 
     def _take_record(self, record: ServerRecord, now: float) -> None:
         # The registry may be read before the desired state, which names the services
@@ -652,7 +481,7 @@
         for target, tokens in tokens_by_target.items():
             demand.add(target, tokens, now)
             model, _, adapter = target.partition("/")
-            self._users_by_model.setdefault(model, {})[sender] = now
+            self._users.note(model, sender, now)
             if adapter:
                 demand.add(model, tokens, now)
 
@@ -667,33 +496,6 @@
         demand = self._demand_by_service.setdefault(service, Demand())
         return ServiceFleet(engine, servers, demand)
 
-    def _log_plan(
-        self, model: str, server: ManagedServer, victims: tuple[str, ...], why: str
-    ) -> None:
-        log_event(
-            logger,
-            logging.INFO,
-            "load_planned",
-            model=model,
-            server=server.record.server_id,
-            victims=",".join(victims),
-            why=why,
-        )
-
-    @staticmethod
-    def _log_order(order: ServerOrder) -> None:
-        log_event(
-            logger,
-            logging.INFO,
-            "order_given",
-            server=order.server_id,
-            kind=order.kind,
-            model=order.model,
-            adapter=order.adapter,
-            expected=order.expected_count,
-            epoch=order.epoch,
-        )
-
     def _to_routing(self, instance_id: str, message: Message) -> Outgoing:
         return Outgoing(Address(instance_id, ROUTING_TASK), message)
 
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -9,7 +9,7 @@
 
 from .demand import Demand
 from .desired_state import EngineSpec, ModelSpec
-from .managed_server import ManagedServer
+from .managed_server import Goal, ManagedServer
 
 # Seconds that the eviction of the whole demand would be worth.
 EVICTION_COST_S: Final = 4.0
@@ -26,6 +26,12 @@
 LEAST_IDLE_SERVERS: Final = 1
 # Requests that wait for one model and outweigh all else.
 MANY_WAITING: Final = 3
+# Prompt tokens a second that one replica carries before another is added.
+REPLICA_TOKENS_PER_S: Final = 40_000.0
+# Prompt tokens a second from which a model should not depend on one server.
+SPARE_TOKENS_PER_S: Final = 1_500.0
+# A plan is changed if another server would have the model this much sooner.
+MUCH_SOONER_S: Final = 1.5
 # A model that stood on several servers at the start was placed there for its demand.
 REPLICA_PRIOR: Final = 0.02
 
@@ -89,6 +95,74 @@
             default=None,
         )
 
+    def model_to_replicate(self, own_id: str, now: float) -> str | None:
+        """Return the busiest model if it should have one more replica."""
+        own_goals = self.own_goals(own_id)
+        if len(own_goals) > len(self.servers) // 2:
+            return None
+        most = max(
+            (model for model in self.engine.model_by_name if model not in own_goals),
+            key=lambda model: self.value(model, now),
+            default=None,
+        )
+        if most is None or self.replicas(most) in (0, len(self.servers)):
+            return None
+        value = self.value(most, now)
+        alone = self.replicas(most) == 1 and value >= SPARE_TOKENS_PER_S
+        return most if alone or value >= REPLICA_TOKENS_PER_S else None
+
+    def own_goals(self, own_id: str) -> set[str]:
+        """Return the models of which a replica is still to be loaded."""
+        return {
+            goal.model
+            for server in self.servers
+            for goal in server.goals
+            if goal.waiting_by_asker.keys() == {own_id}
+        }
+
+    def choose_replica(self, model: str, now: float) -> Choice | None:
+        """Return where one more replica goes, in another zone if one can take it."""
+        holders = [s for s in self.servers if model in s.holdings.model_by_name]
+        zones = {server.record.zone for server in holders}
+        # A load from the store would keep a server from all else for seconds.
+        free = [
+            server
+            for server in self.servers
+            if server not in holders
+            and (not server.needs_store(model) or self.has_room(server))
+        ]
+        apart = [s for s in free if s.record.zone not in zones]
+        return self.choose(self.engine.model_by_name[model], apart or free, now)
+
+    def has_better_server(self, server: ManagedServer, goal: Goal, now: float) -> bool:
+        """Return whether another server would be much sooner than the planned one."""
+        model = goal.model
+        expected_s = server.ready_in_s(model, self.engine, now)
+        others = [
+            other
+            for other in self.servers
+            if other is not server and other.has_goal(model, "") is None
+        ]
+        if expected_s < MUCH_SOONER_S or len(others) < len(self.servers) - 1:
+            return False
+        choice = self.choose(
+            self.engine.model_by_name[model], others, now, goal.waiting
+        )
+        return choice is not None and choice.ready_in_s + MUCH_SOONER_S < expected_s
+
+    @staticmethod
+    def choose_holder(holders: list[ManagedServer], near_server: str) -> ManagedServer:
+        """Return the holder of a model that loads an adapter for it."""
+        return min(
+            holders,
+            key=lambda server: (
+                server.busy_until is not None,
+                server.record.server_id != near_server,
+                len(server.goals),
+                server.adapter_count(),
+            ),
+        )
+
     def store_loads(self) -> int:
         """Return how many servers load from the weight store."""
         return sum(
--- /dev/null
+++ b/src/siskinspool/gateway/placement_log.py
@@ -0,0 +1,58 @@
+"""Log lines of the placement's decisions."""
+
+from __future__ import annotations
+
+import logging
+
+from ..telemetry.logs import log_event
+from .managed_server import ManagedServer
+from .messages import OrderEnded, ServerOrder
+
+logger = logging.getLogger(__name__)
+
+
+def log_plan(
+    model: str, server: ManagedServer, victims: tuple[str, ...], why: str
+) -> None:
+    """Log that a model is to be loaded."""
+    log_event(
+        logger,
+        logging.INFO,
+        "load_planned",
+        model=model,
+        server=server.record.server_id,
+        victims=",".join(victims),
+        why=why,
+    )
+
+
+def log_order(order: ServerOrder) -> None:
+    """Log an order as it is given."""
+    log_event(
+        logger,
+        logging.INFO,
+        "order_given",
+        server=order.server_id,
+        kind=order.kind,
+        model=order.model,
+        adapter=order.adapter,
+        expected=order.expected_count,
+        epoch=order.epoch,
+    )
+
+
+def log_result(ended: OrderEnded) -> None:
+    """Log what became of an order."""
+    order = ended.order
+    log_event(
+        logger,
+        logging.INFO,
+        "order_ended",
+        server=order.server_id,
+        kind=order.kind,
+        model=order.model,
+        adapter=order.adapter,
+        expected=order.expected_count,
+        epoch=order.epoch,
+        result=ended.result,
+    )
--- /dev/null
+++ b/src/siskinspool/gateway/request_context.py
@@ -0,0 +1,53 @@
+"""What all requests of a gateway share, and an admitted request."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+
+import attrs
+
+from ..core.clock import Clock
+from ..core.dispatcher import Dispatcher
+from ..links.backend import ServerLink
+from .gateway_metrics import GatewayMetrics
+from .intake import Admission
+from .request import AnswerFacts, RequestHead, SendPlan
+
+
+class HeaderCodec(ABC):
+    """The headers of a platform's requests and answers."""
+
+    @abstractmethod
+    def server_headers(self, head: RequestHead, plan: SendPlan) -> dict[str, str]:
+        """Return the headers of a request for a server."""
+
+    @abstractmethod
+    def decode_answer(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
+        """Return what a server says about its answer."""
+
+    @abstractmethod
+    def answer_headers(self, headers: Mapping[str, str]) -> dict[str, str]:
+        """Return the headers that go on to the requester."""
+
+
+@attrs.frozen(kw_only=True)
+class RequestContext:
+    """What all requests of a gateway share."""
+
+    dispatcher: Dispatcher
+    clock: Clock
+    link: ServerLink
+    codec: HeaderCodec
+    metrics: GatewayMetrics
+
+
+@attrs.frozen(kw_only=True)
+class GatewayRequest:
+    """An admitted request with its body."""
+
+    head: RequestHead
+    body: bytes = attrs.field(repr=False)
+    admission: Admission
+    # On the instance's clock.
+    arrived_at: float
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -12,25 +12,21 @@
 from __future__ import annotations
 
 import logging
-from abc import ABC, abstractmethod
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 import gevent
 
-from ..core.clock import Clock
-from ..core.dispatcher import Dispatcher
 from ..core.errors import ErrorCode
 from ..core.message import Address, Message, Outgoing
 from ..core.outcome import Refusal, RunState
 from ..links.answer_sink import AnswerSink
-from ..links.backend import Answer, Lost, NotSent, ServerLink, ServerRequest
+from ..links.backend import Answer, Lost, NotSent, ServerRequest
 from ..telemetry.logs import log_event
 from .desired_state import RouteKind
 from .event_stream import EVENT_END, StreamPosition
-from .gateway_metrics import GatewayMetrics, RequestMeasured
-from .intake import Admission
+from .gateway_metrics import RequestMeasured
 from .messages import (
     CAPS_TASK,
     ROUTING_TASK,
@@ -45,7 +41,8 @@
     TokensGranted,
     TokensRefused,
 )
-from .request import AnswerFacts, RequestHead, SendPlan
+from .request import AnswerFacts, SendPlan
+from .request_context import GatewayRequest, RequestContext
 
 logger = logging.getLogger(__name__)
 
@@ -69,44 +66,6 @@
 SERVER_ERROR: Final = 500
 
 
-class HeaderCodec(ABC):
-    """The headers of a platform's requests and answers."""
-
-    @abstractmethod
-    def server_headers(self, head: RequestHead, plan: SendPlan) -> dict[str, str]:
-        """Return the headers of a request for a server."""
-
-    @abstractmethod
-    def decode_answer(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
-        """Return what a server says about its answer."""
-
-    @abstractmethod
-    def answer_headers(self, headers: Mapping[str, str]) -> dict[str, str]:
-        """Return the headers that go on to the requester."""
-
-
-@attrs.frozen(kw_only=True)
-class RequestContext:
-    """What all requests of a gateway share."""
-
-    dispatcher: Dispatcher
-    clock: Clock
-    link: ServerLink
-    codec: HeaderCodec
-    metrics: GatewayMetrics
-
-
-@attrs.frozen(kw_only=True)
-class GatewayRequest:
-    """An admitted request with its body."""
-
-    head: RequestHead
-    body: bytes = attrs.field(repr=False)
-    admission: Admission
-    # On the instance's clock.
-    arrived_at: float
-
-
 @attrs.frozen
 class _Retry:
     """The send gave no answer; another may."""
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,7 +25,8 @@
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
-from .demand import Demand
+from .cold_share import cold_bucket
+from .demand import DemandLog
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
@@ -58,7 +59,7 @@
     ServerState,
     ZoneEvacuated,
 )
-from .token_bucket import TokenBucket
+from .waiting_request import WaitingRequest
 
 logger = logging.getLogger(__name__)
 
@@ -76,18 +77,6 @@
 RETRY_AFTER_S: Final = 0.5
 
 
-@attrs.define
-class _Waiting:
-    """A request without a server."""
-
-    sender: Address
-    call: AssignServer
-    since: float
-    give_up_at: float
-    # When the leader expects the model; None if it has not said.
-    ready_at: float | None = None
-
-
 class Routing(Decision):
     """Chooses servers."""
 
@@ -104,12 +93,10 @@
         self._leader_id: str | None = None
         # The leader before, which may still be in office while the next one waits.
         self._last_leader_id: str | None = None
-        self._waiting_by_id: dict[str, _Waiting] = {}
+        self._waiting_by_id: dict[str, WaitingRequest] = {}
         # When each (service, model, adapter) was asked for last.
         self._wanted_at: dict[tuple[str, str, str], float] = {}
-        # Tokens by service and target since the last report, and of the recent past.
-        self._demand: dict[str, dict[str, int]] = {}
-        self._recent_by_service: dict[str, Demand] = {}
+        self._demand = DemandLog()
         self._next_demand_at = 0.0
         # Changes of the registry do not arrive at present.
         self._interrupted = False
@@ -194,7 +181,7 @@
         else:
             self._retries.count_request(call.service, now)
             self._count_demand(call, now)
-        waiting = _Waiting(sender, call, now, now + call.patience_s)
+        waiting = WaitingRequest(sender, call, now, now + call.patience_s)
         assigned = self._assign(waiting, now)
         if assigned is not None:
             return [assigned]
@@ -220,7 +207,7 @@
                 batch += self._want(waiting.call, now)
         return batch
 
-    def _assign(self, waiting: _Waiting, now: float) -> Outgoing | None:
+    def _assign(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
         call = waiting.call
         best = self._choose(call, now)
         if best is None:
@@ -287,7 +274,7 @@
             return
         view.ended(ended.request_id, ended.result, ended.load, now)
 
-    def _refuse(self, waiting: _Waiting, detail: str, now: float) -> Outgoing:
+    def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         retry_after_s = RETRY_AFTER_S
         if waiting.ready_at is not None:
             retry_after_s = max(waiting.ready_at - now, RETRY_AFTER_S)
@@ -378,21 +365,16 @@
 
     def _count_demand(self, call: AssignServer, now: float) -> None:
         if call.model:
-            tokens_by_model = self._demand.setdefault(call.service, {})
             target = target_name(call.model, call.adapter)
-            tokens = tokens_by_model.get(target, 0) + call.tokens
-            tokens_by_model[target] = tokens
-            recent = self._recent_by_service.setdefault(call.service, Demand())
-            recent.add(target, call.tokens, now)
+            self._demand.add(call.service, target, call.tokens, now)
 
     def _report_demand(self) -> list[Outgoing]:
-        demand, self._demand = self._demand, {}
         if self._leader_id is None:
             return []
         recipient = Address(self._leader_id, PLACEMENT_TASK)
         return [
-            Outgoing(recipient, DemandSeen(service, tokens_by_model))
-            for service, tokens_by_model in demand.items()
+            Outgoing(recipient, DemandSeen(service, tokens_by_target))
+            for service, tokens_by_target in self._demand.take_report().items()
         ]
 
     # Changes
@@ -419,10 +401,7 @@
                 self._leader_id = leader_id
                 self._wanted_at.clear()
                 # A new leader knows nothing of the past.
-                self._demand = {
-                    service: recent.recent_tokens(now)
-                    for service, recent in self._recent_by_service.items()
-                }
+                self._demand.report_recent(now)
             case ModelReady() as ready:
                 self._take_ready(ready, now)
             case ModelUnloading(model, server_id):
@@ -484,30 +463,12 @@
             record=record,
             record_at=now,
             cold_until=now + record.cold_s,
-            cold_bucket=self._cold_bucket(record.server_id, per_s, now),
+            cold_bucket=cold_bucket(
+                record.server_id, per_s, self._bounds, self._id, self._member_ids, now
+            ),
             cache=PromptCache(capacity),
         )
 
-    def _cold_bucket(self, server_id: str, per_s: float, now: float) -> TokenBucket:
-        """Return this gateway's part of what a cold server bears.
-
-        Any second may see a bucket's capacity and one second's refill. If the whole is
-        too small to give each gateway one request, only the first in the server's order
-        of gateways get any.
-        """
-        whole = per_s * self._bounds.cold_overage + self._bounds.cold_slack
-        members = len(self._member_ids)
-        if per_s <= 0:
-            return TokenBucket.full(1e9, 1e9, now)
-        # Capacity 1 and a refill of 1 a second allow two requests in a second.
-        share = whole / members / 2
-        if share >= 1:
-            return TokenBucket.full(share, share, now)
-        ranked = sorted(self._member_ids, key=lambda name: score(server_id, name))
-        if ranked.index(self._id) < whole / 2:
-            return TokenBucket.full(1.0, 1.0, now)
-        return TokenBucket.empty(0.0, 0.0, now)
-
     def _remove_server(self, server_id: str, now: float) -> None:
         view = self._view_by_id.get(server_id)
         if view is None:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -38,7 +38,7 @@
 
     def __init__(self, first_start: bool = True) -> None:
         self.now = 100.0
-        self.decision = Placement("g1", bounds(), first_start)
+        self.decision = Placement("g1", first_start)
         self.reports: dict[str, Holdings] = {}
 
     def tell(self, message: Message, sender: str = "g2") -> list[Message]:
