Read a request's headers in one place

The gateway's front door had its own copy of the six lines that turn a WSGI environment into headers. Both front ends now call request_headers. Behaviour is unchanged.

make check passes; the tests of the gateway's decisions, tests/integration/test_gateway_site.py, test_bad_input.py and test_answers_sessions.py pass (106 tests).

--- a/src/siskinspool/gateway/front_door.py
+++ b/src/siskinspool/gateway/front_door.py
@@ -31,7 +31,7 @@
     status_line,
     watch_caller,
 )
-from ..links.http_server import SOCKET_TIMEOUT_S, CallerHandler
+from ..links.http_server import SOCKET_TIMEOUT_S, CallerHandler, request_headers
 from ..settings import Endpoint
 from ..telemetry.logs import log_event
 from .desired_state import DesiredState, RequestLimits
@@ -160,7 +160,7 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         arrived_at = self.clock.now()
-        headers = _headers(environ)
+        headers = request_headers(environ)
         head = self._codec.decode_request(
             environ["REQUEST_METHOD"], environ["siskinspool.target"], headers
         )
@@ -296,14 +296,3 @@
         assert isinstance(server, _FrontServer)
         self.idle_timeout_s = server.idle_timeout_s
         super().handle()
-
-
-def _headers(environ: dict[str, Any]) -> dict[str, str]:
-    headers = {
-        name[5:].replace("_", "-").lower(): text
-        for name, text in environ.items()
-        if name.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        headers["content-type"] = environ["CONTENT_TYPE"]
-    return headers
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -174,6 +174,17 @@
         # A chunked body; this keeps the server from reading the rest of it.
         source._chunked_input_error = True
         return _BODY_TOO_LARGE
+    return HttpRequest(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=environ.get("QUERY_STRING", ""),
+        headers=request_headers(environ),
+        body=body,
+    )
+
+
+def request_headers(environ: dict[str, Any]) -> dict[str, str]:
+    """Return the headers of a WSGI environment by their names in lower case."""
     headers = {
         name[5:].replace("_", "-").lower(): text
         for name, text in environ.items()
@@ -181,10 +192,4 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
-    return HttpRequest(
-        method=environ["REQUEST_METHOD"],
-        path=environ["PATH_INFO"],
-        query=environ.get("QUERY_STRING", ""),
-        headers=headers,
-        body=body,
-    )
+    return headers
