Keep models and adapters that requests use; do not announce a model that goes

An unload waits for the runs of its model and the reports name the model until then, so the leader announced it as ready and gateways believed entries written meanwhile. An adapter in use was chosen as the victim of another; the server then took no order for up to 10 s. Goals counted as replicas, so the only ready replica of the busiest model could be evicted. The two busiest models stood on one server.

Change: the leader remembers what is being unloaded; a rejection by a server with free slots counts as a missing model until an entry shows it gone; gateways tell the leader once a second what their requests use, and what is used is evicted last (adapters: never); only ready replicas protect a model; the choice of a server weighs its load, a replica is added from 10,000 tokens a second; log lines name the copy that a load uses.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
+from enum import StrEnum
 from typing import Final
 
 import attrs
@@ -40,6 +42,16 @@
 POLL_INTERVAL_S: Final = 0.15
 # Time in which an adapter is loaded.
 ADAPTER_LOAD_S: Final = 0.015
+# Gateways tell once a second what their requests use.
+USE_MEMORY_S: Final = 1.5
+
+
+class WeightsCopy(StrEnum):
+    """Where a load takes a model's weights from."""
+
+    MEMORY = "memory"
+    DISK = "disk"
+    STORE = "store"
 
 
 @attrs.define
@@ -103,11 +115,35 @@
     busy_until: float | None = None
     # Model that is being loaded by an accepted order.
     loading: str | None = None
+    # Model that an accepted order unloads. Reports name it until its runs have ended,
+    # but the server takes no more requests for it.
+    unloading: str | None = None
     # When each model that was loaded by an order became ready.
     ready_at_by_model: dict[str, float] = attrs.field(factory=dict)
     # Adapters on their way by accepted orders, by (model, adapter).
     arrival_by_adapter: dict[tuple[str, str], Arrival] = attrs.field(factory=dict)
     goals: deque[Goal] = attrs.field(factory=deque)
+    # When requests were last known to use a model or adapter here.
+    used_at_by_target: dict[str, float] = attrs.field(factory=dict)
+
+    def note_use(self, targets: Iterable[str], now: float) -> None:
+        """Record models and adapters that requests use or are about to use here."""
+        for target in targets:
+            self.used_at_by_target[target] = now
+
+    def is_used(self, model: str, adapter: str, now: float) -> bool:
+        """Return whether requests use an adapter, or a model in any way.
+
+        The unload of what is used waits for these requests, and the server carries out
+        no other order meanwhile.
+        """
+        since = now - USE_MEMORY_S
+        if adapter:
+            return self.used_at_by_target.get(f"{model}/{adapter}", since) > since
+        return any(
+            used_at > since and target.partition("/")[0] == model
+            for target, used_at in self.used_at_by_target.items()
+        )
 
     def is_usable(self, now: float) -> bool:
         """Return whether the server is worth an order."""
@@ -120,8 +156,11 @@
         self.doubtful = True
 
     def holds_model(self, model: str) -> bool:
-        """Return whether a model is loaded and no longer loading."""
-        return model in self.holdings.model_by_name and self.loading != model
+        """Return whether a model is loaded, and neither loading nor unloading."""
+        return model in self.holdings.model_by_name and model not in (
+            self.loading,
+            self.unloading,
+        )
 
     def holds_adapter(self, model: str, adapter: str) -> bool:
         """Return whether an adapter is loaded or on its way."""
@@ -163,16 +202,24 @@
 
     def load_s(self, spec: ModelSpec) -> float:
         """Return how long the load of a model takes here."""
-        if spec.name in self.holdings.in_memory:
-            return spec.memory_load_s
-        if spec.name in self.holdings.on_disk:
-            return spec.disk_load_s
+        match self.copy_of(spec.name):
+            case WeightsCopy.MEMORY:
+                return spec.memory_load_s
+            case WeightsCopy.DISK:
+                return spec.disk_load_s
         return spec.store_load_s
 
+    def copy_of(self, model: str) -> WeightsCopy:
+        """Return the copy of a model's weights that a load here uses."""
+        if model in self.holdings.in_memory:
+            return WeightsCopy.MEMORY
+        if model in self.holdings.on_disk:
+            return WeightsCopy.DISK
+        return WeightsCopy.STORE
+
     def needs_store(self, model: str) -> bool:
         """Return whether a load draws on the weight store."""
-        copies = self.holdings.in_memory | self.holdings.on_disk
-        return model not in copies
+        return self.copy_of(model) is WeightsCopy.STORE
 
     def has_goal(self, model: str, adapter: str) -> Goal | None:
         """Return the goal for a model or adapter, if there is one."""
@@ -232,7 +279,7 @@
         self.record = record
         if restarted:
             self.holdings = record.holdings
-            self.busy_until = self.loading = None
+            self.busy_until = self.loading = self.unloading = None
             self.arrival_by_adapter.clear()
             self.doubtful = True
             return
@@ -255,7 +302,7 @@
         if not holdings.busy:
             if self.loading is not None:
                 self.ready_at_by_model[self.loading] = now
-            self.busy_until = self.loading = None
+            self.busy_until = self.loading = self.unloading = None
         elif self.busy_until is None:
             self.busy_until = now
         return True
@@ -282,6 +329,7 @@
         else:
             # The server drops the model when its runs have ended.
             self.busy_until = now + UNLOAD_S
+            self.unloading = order.model
             models.pop(order.model, None)
         self.holdings = attrs.evolve(
             self.holdings, order_count=order.expected_count + 1, model_by_name=models
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -158,10 +158,13 @@
 @wire
 @attrs.frozen
 class DemandSeen(Message):
-    """Prompt tokens that the sender routed since its last report, by model."""
+    """What the sender routed since its last report, and what it has under way."""
 
     service: str
-    tokens_by_model: dict[str, int]
+    # Prompt tokens by model or adapter.
+    tokens_by_target: dict[str, int]
+    # Models and adapters that the sender's requests use now, by server.
+    used_by_server: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -83,6 +83,7 @@
             return _order(epoch, server, OrderKind.LOAD, goal.model, goal.adapter)
         victim = fleet.adapter_victim(server, now)
         if victim is None:
+            # All are in use; the asker asks again.
             server.goals.popleft()
             return None
         return _order(epoch, server, OrderKind.UNLOAD, *victim)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -51,6 +51,7 @@
 from .order_planner import OrderPlanner
 from .placement_choice import ServiceFleet
 from .placement_log import log_order, log_plan, log_result
+from .server_view import target_name
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 
 logger = logging.getLogger(__name__)
@@ -91,9 +92,8 @@
         match incoming.message:
             case WantModel() as want:
                 return self._want(want, incoming.sender.instance_id, now)
-            case DemandSeen(service, tokens_by_model):
-                sender = incoming.sender.instance_id
-                self._take_demand(service, tokens_by_model, sender, now)
+            case DemandSeen() as seen:
+                self._take_demand(seen, incoming.sender.instance_id, now)
             case OrderEnded() as ended:
                 return self._end_order(ended, now)
             case HoldingsRead() as read:
@@ -231,6 +231,7 @@
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
         model, adapter = want.model, want.adapter
+        batch: list[Outgoing] = []
         holders = [server for server in fleet.servers if server.holds_model(model)]
         if not holders:
             return self._want_model(fleet, want, asker, now)
@@ -246,9 +247,14 @@
             if server.holds_adapter(model, adapter) and not server.doubtful:
                 ready = ModelReady(model, adapter, server.record.server_id)
                 return [self._to_routing(asker, ready)]
-        chosen = fleet.choose_holder(holders, want.near_server)
+        chosen = fleet.choose_holder(holders, want.near_server, now)
+        if not fleet.can_take_adapter(chosen, now):
+            # Requests use all adapters of all holders.
+            if model not in fleet.own_goals(self._id):
+                batch += self._add_replica(fleet, model, now)
+            return batch
         chosen.goals.append(Goal(model, adapter, {asker: want.waiting}, now))
-        batch = self._advance(chosen, now)
+        batch += self._advance(chosen, now)
         if chosen.busy_until is not None:
             in_s = max(chosen.busy_until - now, 0.0)
             batch.append(self._to_routing(asker, ModelExpected(model, adapter, in_s)))
@@ -335,13 +341,13 @@
             goal = server.goals[0]
             if server.reaches(goal):
                 server.goals.popleft()
-                batch += self._tell_ready(server, goal)
+                batch += self._tell_ready(server, goal, now)
                 continue
             order = self._next_order(server, goal, now)
             if order is None:
                 return batch
             server.order = order
-            log_order(order)
+            log_order(order, server)
             batch += self._warn_users(order, now)
             return [*batch, self._to_orders(order)]
         return batch
@@ -385,6 +391,9 @@
         spec = None if engine is None else engine.model_by_name.get(order.model)
         if result is OrderResult.ACCEPTED and spec is not None:
             server.accepted(order, spec, now)
+            if order.adapter and order.kind is OrderKind.UNLOAD:
+                # Requests use the adapter; the server does nothing else until they end.
+                server.busy_until = now
         elif result is OrderResult.HOLDS and spec is not None:
             if order.adapter and order.kind is OrderKind.UNLOAD:
                 # An unload of an idle adapter is carried out at once.
@@ -425,8 +434,12 @@
 
     # Results
 
-    def _tell_ready(self, server: ManagedServer, goal: Goal) -> list[Outgoing]:
+    def _tell_ready(
+        self, server: ManagedServer, goal: Goal, now: float
+    ) -> list[Outgoing]:
         ready = ModelReady(goal.model, goal.adapter, server.record.server_id)
+        if goal.waiting_by_asker:
+            server.note_use((target_name(goal.model, goal.adapter),), now)
         return [
             self._to_routing(asker, ready) for asker in sorted(goal.waiting_by_asker)
         ]
@@ -435,7 +448,7 @@
         batch: list[Outgoing] = []
         for (model, adapter), arrival in server.take_arrivals(now):
             waiting = dict.fromkeys(arrival.askers, 1)
-            batch += self._tell_ready(server, Goal(model, adapter, waiting))
+            batch += self._tell_ready(server, Goal(model, adapter, waiting), now)
         return batch
 
     # Changes
@@ -470,15 +483,12 @@
             if service.engine is not None
         }
 
-    def _take_demand(
-        self,
-        service: str,
-        tokens_by_target: dict[str, int],
-        sender: str,
-        now: float,
-    ) -> None:
-        demand = self._demand_by_service.setdefault(service, Demand())
-        for target, tokens in tokens_by_target.items():
+    def _take_demand(self, seen: DemandSeen, sender: str, now: float) -> None:
+        demand = self._demand_by_service.setdefault(seen.service, Demand())
+        for server_id, targets in seen.used_by_server.items():
+            if server := self._server_by_id.get(server_id):
+                server.note_use(targets, now)
+        for target, tokens in seen.tokens_by_target.items():
             demand.add(target, tokens, now)
             model, _, adapter = target.partition("/")
             self._users.note(model, sender, now)
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -12,7 +12,7 @@
 from .managed_server import Goal, ManagedServer
 
 # Seconds that the eviction of the whole demand would be worth.
-EVICTION_COST_S: Final = 4.0
+EVICTION_COST_S: Final = 20.0
 # What a waiting request adds to the demand for its model.
 WAITING_TOKENS_PER_S: Final = 800.0
 # Below this whole demand, in tokens a second, one request says little.
@@ -26,8 +26,17 @@
 LEAST_IDLE_SERVERS: Final = 1
 # Requests that wait for one model and outweigh all else.
 MANY_WAITING: Final = 3
-# Prompt tokens a second that one replica carries before another is added.
-REPLICA_TOKENS_PER_S: Final = 40_000.0
+# Prompt tokens a second that one replica carries before another is added. Requests
+# queue well below the rate at which a server reads prompts.
+REPLICA_TOKENS_PER_S: Final = 10_000.0
+# Prompt tokens that a server reads in a second.
+SERVER_TOKENS_PER_S: Final = 40_000.0
+# Seconds that a model is worse off on a server whose time is all taken.
+BUSY_COST_S: Final = 2.0
+# Time until the runs of a model that is in use have ended, most of them.
+USED_UNLOAD_S: Final = 1.0
+# Among models with little demand, one that is in use goes last.
+IN_USE_TOKENS_PER_S: Final = 500.0
 # Prompt tokens a second from which a model should not depend on one server.
 SPARE_TOKENS_PER_S: Final = 1_500.0
 # A plan is changed if another server would have the model this much sooner.
@@ -56,7 +65,11 @@
     demand: Demand
 
     def replicas(self, model: str) -> int:
-        """Return how many servers hold or load a model."""
+        """Return how many servers have a model ready."""
+        return sum(1 for server in self.servers if server.holds_model(model))
+
+    def planned_replicas(self, model: str) -> int:
+        """Return how many servers hold, load or shall load a model."""
         return sum(
             1
             for server in self.servers
@@ -69,6 +82,15 @@
         prior = REPLICA_PRIOR * (replicas - 1)
         return self.demand.tokens_per_s(model, now) / replicas + prior
 
+    def load(self, server: ManagedServer, now: float) -> float:
+        """Return the demand that a server's models draw, in tokens a second."""
+        models = set(server.holdings.model_by_name)
+        models |= {goal.model for goal in server.goals if not goal.adapter}
+        return sum(
+            self.demand.tokens_per_s(model, now) / max(self.planned_replicas(model), 1)
+            for model in models
+        )
+
     def total_rate(self, now: float) -> float:
         """Return the demand for all models, in tokens a second."""
         return sum(
@@ -105,10 +127,13 @@
             key=lambda model: self.value(model, now),
             default=None,
         )
-        if most is None or self.replicas(most) in (0, len(self.servers)):
+        if most is None:
             return None
-        value = self.value(most, now)
-        alone = self.replicas(most) == 1 and value >= SPARE_TOKENS_PER_S
+        planned = self.planned_replicas(most)
+        if planned in (0, len(self.servers)):
+            return None
+        value = self.demand.tokens_per_s(most, now) / planned
+        alone = planned == 1 and value >= SPARE_TOKENS_PER_S
         return most if alone or value >= REPLICA_TOKENS_PER_S else None
 
     def own_goals(self, own_id: str) -> set[str]:
@@ -150,12 +175,19 @@
         )
         return choice is not None and choice.ready_in_s + MUCH_SOONER_S < expected_s
 
-    @staticmethod
-    def choose_holder(holders: list[ManagedServer], near_server: str) -> ManagedServer:
+    def can_take_adapter(self, server: ManagedServer, now: float) -> bool:
+        """Return whether an adapter slot is free or held by what no request uses."""
+        free = server.adapter_count() < self.engine.adapter_slots
+        return free or self.adapter_victim(server, now) is not None
+
+    def choose_holder(
+        self, holders: list[ManagedServer], near_server: str, now: float
+    ) -> ManagedServer:
         """Return the holder of a model that loads an adapter for it."""
         return min(
             holders,
             key=lambda server: (
+                not self.can_take_adapter(server, now),
                 server.busy_until is not None,
                 server.record.server_id != near_server,
                 len(server.goals),
@@ -215,6 +247,8 @@
         if victims is None:
             return None
         ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
+        if any(server.is_used(model, "", now) for model in victims):
+            ready_in_s += USED_UNLOAD_S
         lost = sum(self.value(model, now) for model in victims)
         total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
         kept = sum(
@@ -223,7 +257,13 @@
             if model not in victims
         )
         blocked_s = BLOCKED_SHARE * server.load_s(spec) * min(kept / total, 1.0)
-        cost_s = ready_in_s + EVICTION_COST_S * min(lost / total, 1.0) + blocked_s
+        load = (self.load(server, now) - lost) / SERVER_TOKENS_PER_S
+        cost_s = (
+            ready_in_s
+            + EVICTION_COST_S * min(lost / total, 1.0)
+            + blocked_s
+            + BUSY_COST_S * min(load, 1.0) ** 2
+        )
         return Choice(server, victims, ready_in_s, cost_s)
 
     def victims(
@@ -250,7 +290,12 @@
                 and not (spare_fresh and server.is_fresh(name, now))
                 and not self._outweighs(name, spec.name, waiting, now)
             ),
-            key=lambda name: (self.value(name, now), self.demand.last_at(name), name),
+            key=lambda name: (
+                self.value(name, now)
+                + IN_USE_TOKENS_PER_S * server.is_used(name, "", now),
+                self.demand.last_at(name),
+                name,
+            ),
         )
         victims: list[str] = []
         for name in candidates:
@@ -274,12 +319,13 @@
     def adapter_victim(
         self, server: ManagedServer, now: float
     ) -> tuple[str, str] | None:
-        """Return the adapter whose last use is longest ago, as (model, adapter)."""
+        """Return the idle adapter least recently wanted, as (model, adapter)."""
         held = [
             (model.name, adapter)
             for model in server.holdings.model_by_name.values()
             for adapter in model.adapters
             if (model.name, adapter) not in server.arrival_by_adapter
+            and not server.is_used(model.name, adapter, now)
         ]
         return min(
             held,
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -6,7 +6,7 @@
 
 from ..telemetry.logs import log_event
 from .managed_server import ManagedServer
-from .messages import OrderEnded, ServerOrder
+from .messages import OrderEnded, OrderKind, ServerOrder
 
 logger = logging.getLogger(__name__)
 
@@ -26,8 +26,11 @@
     )
 
 
-def log_order(order: ServerOrder) -> None:
-    """Log an order as it is given."""
+def log_order(order: ServerOrder, server: ManagedServer) -> None:
+    """Log an order as it is given, with the copy that a load uses."""
+    source = None
+    if order.kind is OrderKind.LOAD and not order.adapter:
+        source = server.copy_of(order.model)
     log_event(
         logger,
         logging.INFO,
@@ -38,6 +41,7 @@
         adapter=order.adapter,
         expected=order.expected_count,
         epoch=order.epoch,
+        source=source,
     )
 
 
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -372,9 +372,22 @@
         if self._leader_id is None:
             return []
         recipient = Address(self._leader_id, PLACEMENT_TASK)
+        tokens_by_service = self._demand.take_report()
+        used_by_service: dict[str, dict[str, tuple[str, ...]]] = {}
+        for server_id, view in self._view_by_id.items():
+            if used := view.used_targets():
+                used_by_server = used_by_service.setdefault(view.record.service, {})
+                used_by_server[server_id] = used
         return [
-            Outgoing(recipient, DemandSeen(service, tokens_by_target))
-            for service, tokens_by_target in self._demand.take_report().items()
+            Outgoing(
+                recipient,
+                DemandSeen(
+                    service,
+                    tokens_by_service.get(service, {}),
+                    used_by_service.get(service, {}),
+                ),
+            )
+            for service in sorted(tokens_by_service.keys() | used_by_service.keys())
         ]
 
     # Changes
@@ -446,10 +459,7 @@
                 server=record.server_id,
                 state=record.state,
             )
-        view.record = record
-        view.record_at = now
-        view.gone_at = None
-        view.cold_until = max(view.cold_until, now + record.cold_s)
+        view.take_record(record, now)
 
     def _new_view(self, record: ServerRecord, now: float) -> ServerView:
         desired = self._desired
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -47,6 +47,9 @@
 # An entry may be this much older than its arrival: the time between two reads of the
 # registry, and its way.
 ENTRY_LAG_S: Final = 1.0
+# An unload waits for the runs of its model, and the registry names the model until
+# then. Most runs end within this time; a longer one shows by another rejection.
+UNLOAD_MEMORY_S: Final = 4.0
 # Part of a server's token memory that is assumed to keep prompts.
 CACHE_SHARE: Final = 0.6
 
@@ -143,8 +146,9 @@
             self.missing_at_by_target.get(model, -math.inf),
         )
         learnt_at = self.learnt_at_by_target.get(target, -math.inf)
-        if missing_at > learnt_at and self.record_at < missing_at + ENTRY_LAG_S:
-            # The entry is from before; while the store is away it may stay so for long.
+        if missing_at > learnt_at and self.record_at < missing_at + UNLOAD_MEMORY_S:
+            # The entry is from before the unload or from during it; while the store is
+            # away it may stay so for long.
             return False
         if learnt_at > missing_at and now - learnt_at < LEARNT_MEMORY_S:
             return True
@@ -160,6 +164,31 @@
         self.missing_at_by_target[target_name(model, adapter)] = now
         self.cache.forget(model)
 
+    def take_record(self, record: ServerRecord, now: float) -> None:
+        """Take in a newer entry of the registry.
+
+        Once an entry shows that a model has gone, a later one that names it is right.
+        """
+        self.record = record
+        self.record_at = now
+        self.gone_at = None
+        self.cold_until = max(self.cold_until, now + record.cold_s)
+        for target, missing_at in list(self.missing_at_by_target.items()):
+            model, _, adapter = target.partition("/")
+            held = record.holdings.model_by_name.get(model)
+            gone = held is None or (adapter and adapter not in held.adapters)
+            if gone and now >= missing_at + ENTRY_LAG_S:
+                del self.missing_at_by_target[target]
+
+    def used_targets(self) -> tuple[str, ...]:
+        """Return the models and adapters of this gateway's requests at the server."""
+        used = {
+            target_name(own.model, own.adapter)
+            for own in self.own_by_request.values()
+            if own.model
+        }
+        return tuple(sorted(used))
+
     def is_cold(self, now: float) -> bool:
         """Return whether the server is cold."""
         return now < self.cold_until
@@ -227,6 +256,11 @@
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
             case AttemptResult.FAILED | AttemptResult.LOST:
                 self._fail(now)
+            case AttemptResult.REJECTED if (
+                own is not None and own.model and not self._is_full(load)
+            ):
+                # An order on the model is under way: it is being unloaded.
+                self.learn_missing(own.model, own.adapter, now)
             case AttemptResult.REJECTED:
                 self.paused_until = now + FULL_PAUSE_S
             case AttemptResult.WRONG_SERVER:
@@ -234,6 +268,10 @@
             case AttemptResult.MODEL_MISSING if own is not None:
                 self.learn_missing(own.model, own.adapter, now)
 
+    @staticmethod
+    def _is_full(load: ServerLoad | None) -> bool:
+        return load is not None and load.running >= load.slots
+
     def _fail(self, now: float) -> None:
         self.failures = self.current_failures(now) + 1
         self.failures_at = now
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -325,3 +325,22 @@
     assert orders(office.wait(0.4)) == []
     office.want("m2")
     assert [order.model for order in orders(office.wait(0.8))] == ["m1"]
+
+
+def test_model_that_waits_for_its_runs_before_it_goes_is_not_announced() -> None:
+    """Guards against requests sent to a model that is being unloaded.
+
+    baul-bogota scale-2: reports name such a model for seconds, the leader announced it
+    as ready, and 61 requests were rejected.
+    """
+    disk = frozenset({"m0", "m1"})
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=disk)
+    office.take_office()
+    unload = orders(office.want("m1"))[0]
+    office.end(unload, OrderResult.ACCEPTED)
+    office.reports["s1"] = holdings("m0", count=1, busy=True, on_disk=disk)
+    office.wait(0.3)
+    found = office.want("m0")
+    assert not any(isinstance(one, ModelReady) for one in found)
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -286,7 +286,7 @@
     desk.wait(1.1)
     desk.tell(LeaderChanged("g3"))
     seen = [one for one in desk.wait(1.1) if isinstance(one, DemandSeen)]
-    assert seen[0].tokens_by_model["m0"] > 0
+    assert seen[0].tokens_by_target["m0"] > 0
 
 
 def test_restarted_server_is_a_new_one() -> None:
@@ -326,3 +326,38 @@
     assert desk.server_of("r1") is None
     desk.tell(ModelReady("m0", "", "s1"))
     assert desk.server_of("r2") == "s1"
+
+
+def test_rejection_by_a_server_with_free_slots_means_that_the_model_goes() -> None:
+    """Guards against sends to a model that its server unloads for seconds.
+
+    The registry names the model until its last run has ended.
+    """
+    desk = Desk()
+    desk.tell(server("s1", "m0"))
+    desk.server_of("r0")
+    desk.end(
+        "r0", "s1", AttemptResult.REJECTED, ServerLoad(running=3, waiting=0, slots=64)
+    )
+    desk.now += 2.0
+    desk.tell(server("s1", "m0"))
+    assert desk.server_of("r1") is None
+    desk.tell(server("s1", "m1"))
+    desk.tell(server("s1", "m0"))
+    assert desk.server_of("r2") == "s1"
+
+
+def test_full_server_is_left_alone_for_a_moment_only() -> None:
+    """Guards against a full server that counts as one without the model."""
+    desk = Desk()
+    desk.tell(server("s1", "m0"))
+    desk.server_of("r0")
+    desk.end(
+        "r0",
+        "s1",
+        AttemptResult.REJECTED,
+        ServerLoad(running=64, waiting=192, slots=64),
+    )
+    assert desk.server_of("r1") is None
+    desk.now += 0.2
+    assert desk.server_of("r2") == "s1"
