--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -38,8 +38,10 @@
 SETTLE_S: Final = 0.03
 # Time to make room and to see that a load has ended.
 SWAP_S: Final = 0.25
-# Between reads of the report while a load is under way longer than expected.
+# Between reads of the report while an order is under way longer than expected: at
+# least this, or a part of the time that it is late.
 POLL_INTERVAL_S: Final = 0.15
+POLL_LATE_SHARE: Final = 0.2
 # Time in which an adapter is loaded.
 ADAPTER_LOAD_S: Final = 0.015
 # Gateways tell once a second what their requests use.
@@ -284,6 +286,11 @@
             until = self.busy_until
         return abs(until - now)
 
+    def poll_interval_s(self, now: float) -> float:
+        """Return when the report is read again."""
+        late_s = 0.0 if self.busy_until is None else now - self.busy_until
+        return max(POLL_INTERVAL_S, late_s * POLL_LATE_SHARE)
+
     def ready_in_s(self, model: str | None, engine: EngineSpec, now: float) -> float:
         """Return when a goal is reached; with None, when all goals are."""
         ready_in_s = self.busy_s(engine, now)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -23,7 +23,6 @@
 from .demand import Demand, ModelUsers
 from .desired_state import DesiredState, EngineSpec
 from .managed_server import (
-    POLL_INTERVAL_S,
     Goal,
     ManagedServer,
 )
@@ -53,12 +52,10 @@
 from .placement_log import log_order, log_plan, log_result
 from .server_view import target_name
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
+from .store_limit import StoreLoads
 
 logger = logging.getLogger(__name__)
 
-# Loads from the weight store at a time beyond which each takes longer; loads that no
-# request waits for keep to it.
-STORE_LOADS_AT_ONCE: Final = 4
 TICK_S: Final = 0.25
 # Time for which all holders of a model may be busy before another server loads it.
 LONG_BLOCK_S: Final = 1.0
@@ -81,6 +78,7 @@
         self._server_by_id: dict[str, ManagedServer] = {}
         self._evacuated_zones: set[str] = set()
         self._demand_by_service: dict[str, Demand] = {}
+        self._store_by_service: dict[str, StoreLoads] = {}
         self._office = Office()
         self._next_tick_at = 0.0
         self._users = ModelUsers()
@@ -114,6 +112,7 @@
     def on_time(self, now: float) -> list[Outgoing]:
         """Advance all servers and plan ahead."""
         self._next_tick_at = now + TICK_S
+        self._drop_store_loads()
         if not self._office.allows_orders(now):
             return []
         batch: list[Outgoing] = []
@@ -272,7 +271,9 @@
         fleet: ServiceFleet,
         now: float,
     ) -> Outgoing:
+        spec = fleet.engine.model_by_name[want.model]
         in_s = server.ready_in_s(want.model, fleet.engine, now)
+        in_s += fleet.store_wait_s(spec, server)
         return self._to_routing(asker, ModelExpected(want.model, want.adapter, in_s))
 
     # Planning ahead
@@ -288,7 +289,7 @@
         if fleet.total_rate(now) >= QUIET_TOKENS_PER_S:
             # Under load, only a server with room, such as a new one, loads ahead.
             idle = [server for server in idle if fleet.has_room(server)]
-        if not idle or fleet.store_loads() >= STORE_LOADS_AT_ONCE:
+        if not idle or not fleet.store.has_room():
             return []
         model = fleet.model_to_copy(now)
         if model is None:
@@ -391,6 +392,9 @@
         engine = self._engine_by_service.get(server.record.service)
         spec = None if engine is None else engine.model_by_name.get(order.model)
         if result is OrderResult.ACCEPTED and spec is not None:
+            loads = order.kind is OrderKind.LOAD and not order.adapter
+            if loads and server.needs_store(order.model):
+                self._store_loads(server.record.service).begin(order.server_id, now)
             server.accepted(order, spec, now)
             if order.adapter and order.kind is OrderKind.UNLOAD:
                 server.wait_for_runs(order, now)
@@ -420,10 +424,21 @@
             server.fall_silent(now)
             return []
         server.silent_until = now
-        if not server.take_report(read.holdings, now) or server.busy_until is not None:
-            server.wait_until = now + POLL_INTERVAL_S
+        loading = server.loading
+        current = server.take_report(read.holdings, now)
+        if loading is not None and server.loading is None:
+            self._end_store_load(server, loading, now)
+        if not current or server.busy_until is not None:
+            server.wait_until = now + server.poll_interval_s(now)
         return self._advance(server, now) + self._take_pending(now)
 
+    def _end_store_load(self, server: ManagedServer, model: str, now: float) -> None:
+        service = server.record.service
+        engine = self._engine_by_service.get(service)
+        spec = None if engine is None else engine.model_by_name.get(model)
+        full_speed_s = 0.0 if spec is None else spec.store_load_s
+        self._store_loads(service).end(server.record.server_id, full_speed_s, now)
+
     def _take_pending(self, now: float) -> list[Outgoing]:
         """Take up the wishes that waited for reports."""
         pending, self._pending_wants = self._pending_wants, {}
@@ -458,6 +473,7 @@
             case LeadershipHeld(epoch, from_s):
                 self._office.begin(epoch, from_s)
                 self._planner.begin_office()
+                self._store_by_service.clear()
                 for server in self._server_by_id.values():
                     server.forget_plans()
                 self._next_tick_at = now
@@ -504,7 +520,18 @@
             and server.record.zone not in self._evacuated_zones
         ]
         demand = self._demand_by_service.setdefault(service, Demand())
-        return ServiceFleet(engine, servers, demand)
+        return ServiceFleet(engine, servers, demand, self._store_loads(service))
+
+    def _store_loads(self, service: str) -> StoreLoads:
+        return self._store_by_service.setdefault(service, StoreLoads())
+
+    def _drop_store_loads(self) -> None:
+        """Forget the loads of servers that are gone, silent or started anew."""
+        for store in self._store_by_service.values():
+            for server_id in store.servers():
+                server = self._server_by_id.get(server_id)
+                if server is None or server.loading is None:
+                    store.drop(server_id)
 
     def _to_routing(self, instance_id: str, message: Message) -> Outgoing:
         return Outgoing(Address(instance_id, ROUTING_TASK), message)
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -11,6 +11,7 @@
 from .demand import Demand
 from .desired_state import EngineSpec, ModelSpec
 from .managed_server import Goal, ManagedServer
+from .store_limit import StoreLoads
 
 # Seconds that the eviction of the whole demand would be worth.
 EVICTION_COST_S: Final = 20.0
@@ -56,6 +57,12 @@
     ready_in_s: float
     cost_s: float
 
+    def later(self, by_s: float) -> Choice:
+        """Return the choice with a model that is ready later."""
+        return attrs.evolve(
+            self, ready_in_s=self.ready_in_s + by_s, cost_s=self.cost_s + by_s
+        )
+
 
 @attrs.define
 class ServiceFleet:
@@ -64,6 +71,7 @@
     engine: EngineSpec
     servers: list[ManagedServer]
     demand: Demand
+    store: StoreLoads = attrs.field(factory=StoreLoads)
 
     # How many servers have each model ready, and how many hold or shall hold it;
     # counted once for all servers that a choice compares.
@@ -208,20 +216,29 @@
             ),
         )
 
-    def store_loads(self) -> int:
-        """Return how many servers load from the weight store."""
-        return sum(
-            1
-            for server in self.servers
-            if server.loading is not None and server.needs_store(server.loading)
-        )
+    def store_wait_s(self, spec: ModelSpec, server: ManagedServer) -> float:
+        """Return how long a load waits for others from the weight store."""
+        if server.loading == spec.name or not server.needs_store(spec.name):
+            return 0.0
+        queued = {
+            goal.model
+            for other in self.servers
+            for goal in other.goals
+            if not goal.adapter
+            and other.loading != goal.model
+            and other.needs_store(goal.model)
+        }
+        return self.store.wait_s(spec.store_load_s, len(queued - {spec.name}))
 
     def may_load_from_store(self, server: ManagedServer, waiting: int) -> bool:
         """Return whether a server may load from the weight store now.
 
-        Such a load takes seconds in which its server loads nothing else. It begins on a
-        server with room, while other servers are idle, or if many requests wait.
+        Such a load takes seconds in which its server loads nothing else. It begins if
+        the store can serve it at full speed, on a server with room, while other servers
+        are idle, or if many requests wait.
         """
+        if not self.store.has_room():
+            return False
         if waiting >= MANY_WAITING or self.has_room(server):
             return True
         idle = sum(
@@ -242,11 +259,17 @@
 
         ``waiting`` requests are not yet in the demand.
         """
-        choices = [
-            choice
-            for server in servers
-            if (choice := self._consider(spec, server, now, waiting)) is not None
-        ]
+        choices = []
+        store_wait_s: float | None = None
+        for server in servers:
+            choice = self._consider(spec, server, now, waiting)
+            if choice is None:
+                continue
+            if server.needs_store(spec.name):
+                if store_wait_s is None:
+                    store_wait_s = self.store_wait_s(spec, server)
+                choice = choice.later(store_wait_s)
+            choices.append(choice)
         return min(
             choices,
             key=lambda choice: (choice.cost_s, choice.server.record.server_id),
