Give a model whose demand jumps all its replicas at once

A model got one replica at a time, and its load waited eight seconds behind wishes with more waiting requests.

Change: replicas that are planned count, so that the next one is planned at the next look; a replica goes before wishes by how overloaded the model's servers are.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -312,8 +312,9 @@
         if fleet.value(model, now) < REPLICA_GAIN * lost:
             return []
         log_plan(model, choice.server, choice.victims, "replica")
-        # It counts as one waiting request, or it would never have its turn.
-        choice.server.goals.append(Goal(model, "", {self._id: 1}))
+        urgency = fleet.urgency(model, now)
+        choice.server.goals.append(Goal(model, "", {self._id: urgency}))
+        choice.server.sort_goals()
         return self._advance(choice.server, now)
 
     # Orders
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -139,23 +139,33 @@
         )
 
     def model_to_replicate(self, own_id: str, now: float) -> str | None:
-        """Return the busiest model if it should have one more replica."""
-        own_goals = self.own_goals(own_id)
-        if len(own_goals) > len(self.servers) // 2:
+        """Return the model that most needs one more replica, if one does.
+
+        Replicas that are still to be loaded count, so that a model whose demand jumps
+        gets all that it needs at once.
+        """
+        if len(self.own_goals(own_id)) > len(self.servers) // 2:
             return None
-        most = max(
-            (model for model in self.engine.model_by_name if model not in own_goals),
-            key=lambda model: self.value(model, now),
-            default=None,
-        )
+        shares = {
+            model: self.demand.tokens_per_s(model, now) / planned
+            for model in self.engine.model_by_name
+            if 0 < (planned := self.planned_replicas(model)) < len(self.servers)
+        }
+        most = max(shares, key=shares.__getitem__, default=None)
         if most is None:
             return None
-        planned = self.planned_replicas(most)
-        if planned in (0, len(self.servers)):
-            return None
-        value = self.demand.tokens_per_s(most, now) / planned
-        alone = planned == 1 and value >= SPARE_TOKENS_PER_S
-        return most if alone or value >= REPLICA_TOKENS_PER_S else None
+        alone = self.planned_replicas(most) == 1
+        needs = SPARE_TOKENS_PER_S if alone else REPLICA_TOKENS_PER_S
+        return most if shares[most] >= needs else None
+
+    def urgency(self, model: str, now: float) -> int:
+        """Return how many waiting requests a replica of a model counts as.
+
+        With none it would never have its turn; a model whose servers are overloaded
+        goes before those that few requests wait for.
+        """
+        share = self.demand.tokens_per_s(model, now) / max(self.replicas(model), 1)
+        return max(round(share / REPLICA_TOKENS_PER_S), 1)
 
     def own_goals(self, own_id: str) -> set[str]:
         """Return the models of which a replica is still to be loaded."""
@@ -168,7 +178,7 @@
 
     def choose_replica(self, model: str, now: float) -> Choice | None:
         """Return where one more replica goes, in another zone if one can take it."""
-        holders = [s for s in self.servers if model in s.holdings.model_by_name]
+        holders = [s for s in self.servers if model in s.planned_models()]
         zones = {server.record.zone for server in holders}
         # A load from the store would keep a server from all else for seconds.
         free = [
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -308,6 +308,22 @@
     assert [(one.server_id, one.model) for one in found] == [("s2", "m0")]
 
 
+def test_model_whose_demand_jumps_gets_all_its_replicas_at_once() -> None:
+    """Guards against replicas that are loaded one after the other, behind all wishes.
+
+    tinhub-ng-grown quiet-1: one server took 310 requests for a model that had 60,000
+    tokens a second, and its first replica waited eight seconds for its turn.
+    """
+    office = ready_office()
+    for number in range(2, 8):
+        office.add(f"s{number}", f"m{number % 3 + 1}", on_disk=frozenset({"m0"}))
+    office.wait(0.3)
+    office.tell(DemandSeen("writers", {"m0": 400_000}))
+    found = orders([one for _ in range(6) for one in office.wait(0.3)])
+    loads = {one.server_id for one in found if one.model == "m0"}
+    assert len(loads) >= 3
+
+
 def test_model_stays_until_its_requests_have_come() -> None:
     """Guards against a model that is unloaded before its first request.
 
