Keep former members reachable, so that a gateway without the store gets answers

Cause: a gateway that is cut off from the store loses its session, and the others closed their connection to it.

Change: the link keeps a member that has left for 60 s; it opens no new ones.

--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -60,6 +60,9 @@
 RENEW_INTERVAL_S: Final = 0.7
 # The platform notices after two questions, a second apart, that an instance is leaving.
 LEAVE_NOTICE_S: Final = 2.5
+# A gateway that is cut off from the store loses its session and goes on to ask the
+# others for tokens and models; cuts last some ten seconds.
+FORMER_MEMBER_S: Final = 60.0
 # Kept of the grace period, to close what is still open.
 STOP_MARGIN_S: Final = 0.3
 SESSION_END_TIMEOUT_S: Final = 0.3
@@ -130,6 +133,7 @@
             MsgpackCodec(),
             settings.peer.host,
             settings.peer.port,
+            former_member_s=FORMER_MEMBER_S,
         )
         self._dispatcher.attach_carrier(peers)
         self._context = RequestContext(
--- a/src/siskinspool/links/peer.py
+++ b/src/siskinspool/links/peer.py
@@ -113,16 +113,22 @@
         codec: Codec,
         host: str,
         port: int = 0,
+        former_member_s: float = 0.0,
     ) -> None:
         """Bind the receiving socket; with port 0 the kernel chooses the port.
 
-        Raises zmq.ZMQError if the address cannot be bound.
+        A member that has left can be sent to for ``former_member_s``: it may only be
+        cut off from the store, and its questions need answers. Raises zmq.ZMQError if
+        the address cannot be bound.
         """
         super().__init__(PEERS_TASK, dispatcher, clock)
         self.counters = LinkCounters()
         self._codec = codec
         self._context = zmq.Context()
         self._connection_by_id: dict[str, _PeerConnection] = {}
+        self._former_member_s = former_member_s
+        # When members left whose connection is kept.
+        self._left_at_by_id: dict[str, float] = {}
         self._receiver: gevent.Greenlet[..., None] | None = None
         self._last_log_at = clock.now() - LOG_INTERVAL_S
         self._socket = self._context.socket(zmq.ROUTER)
@@ -155,6 +161,9 @@
         member_by_id = incoming.message.member_by_id
         for instance_id, connection in list(self._connection_by_id.items()):
             member = member_by_id.get(instance_id)
+            if member is None and self._keeps_former(instance_id):
+                continue
+            self._left_at_by_id.pop(instance_id, None)
             if member is None or _endpoint(member) != _endpoint(connection.member):
                 del self._connection_by_id[instance_id]
                 connection.close()
@@ -165,6 +174,12 @@
                     self._context, member, self.clock, self.counters
                 )
 
+    def _keeps_former(self, instance_id: str) -> bool:
+        """Return whether a member that has left can still be sent to."""
+        now = self.clock.now()
+        left_at = self._left_at_by_id.setdefault(instance_id, now)
+        return now - left_at < self._former_member_s
+
     def carry(self, sender: Address, outgoing: Outgoing) -> bool:
         """Queue a message for a peer; return False if it was refused."""
         connection = self._connection_by_id.get(outgoing.recipient.instance_id)
--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -63,14 +63,20 @@
 
 
 @contextmanager
-def peers(*names: str) -> Iterator[list[Peer]]:
+def peers(*names: str, former_member_s: float = 0.0) -> Iterator[list[Peer]]:
     """Run peer links that do not know each other yet."""
     built = []
     for name in names:
         dispatcher = Dispatcher(name)
         inbox = RecordingInbox()
         dispatcher.register("placement", inbox)
-        link = PeerLink(dispatcher, MonotonicClock(), MsgpackCodec(), "127.0.0.1")
+        link = PeerLink(
+            dispatcher,
+            MonotonicClock(),
+            MsgpackCodec(),
+            "127.0.0.1",
+            former_member_s=former_member_s,
+        )
         dispatcher.attach_carrier(link)
         link.start()
         built.append(Peer(dispatcher, link, inbox))
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gevent
 import msgspec
 import zmq.green as zmq
 
@@ -100,3 +101,26 @@
         one.follow(two.member())
         assert ask(one, "i2")
         wait_until(lambda: len(two.inbox.received) == 1)
+
+
+def test_member_that_lost_its_session_can_still_be_answered() -> None:
+    """Guards against a gateway that loses its peers with the store.
+
+    baul-bogota-grown trouble-1: 24 gateways were turned away by the store; 257 requests
+    at them were refused, since the owners of caps could not answer them any more.
+    """
+    with peers("i1", "i2", former_member_s=60.0) as (one, two):
+        one.follow(one.member(), two.member())
+        one.follow(one.member())
+        assert ask(one, "i2")
+        wait_until(lambda: len(two.inbox.received) == 1)
+
+
+def test_member_that_left_long_ago_is_forgotten() -> None:
+    """Guards against connections to all machines that ever were."""
+    with peers("i1", "i2", former_member_s=0.05) as (one, two):
+        one.follow(one.member(), two.member())
+        one.follow(one.member())
+        gevent.sleep(0.1)
+        one.follow(one.member())
+        assert not ask(one, "i2")
