Load spare replicas from the store only while nobody waits for it

Change: such a replica is loaded from the store only if no wanted model is to be and half of the loads at full speed are free.

--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -33,6 +33,8 @@
 REPLICA_TOKENS_PER_S: Final = 10_000.0
 # Prompt tokens that a server reads in a second.
 SERVER_TOKENS_PER_S: Final = 40_000.0
+# From here on a server's requests wait for each other for longer than they take.
+OVERLOAD_TOKENS_PER_S: Final = 20_000.0
 # Seconds that a model is worse off on a server whose time is all taken.
 BUSY_COST_S: Final = 2.0
 # Time until the runs of a model that is in use have ended, most of them.
@@ -141,15 +143,21 @@
     def model_to_replicate(self, own_id: str, now: float) -> str | None:
         """Return the model that most needs one more replica, if one does.
 
-        Replicas that are still to be loaded count, so that a model whose demand jumps
-        gets all that it needs at once.
+        A model gets one replica at a time, unless its servers would be overloaded even
+        with those that are still to be loaded.
         """
-        if len(self.own_goals(own_id)) > len(self.servers) // 2:
+        pending = self.own_goals(own_id)
+        if len(pending) > len(self.servers) // 2:
             return None
         shares = {
-            model: self.demand.tokens_per_s(model, now) / planned
+            model: share
             for model in self.engine.model_by_name
             if 0 < (planned := self.planned_replicas(model)) < len(self.servers)
+            and (
+                (share := self.demand.tokens_per_s(model, now) / planned)
+                >= OVERLOAD_TOKENS_PER_S
+                or model not in pending
+            )
         }
         most = max(shares, key=shares.__getitem__, default=None)
         if most is None:
@@ -165,7 +173,7 @@
         goes before those that few requests wait for.
         """
         share = self.demand.tokens_per_s(model, now) / max(self.replicas(model), 1)
-        return max(round(share / REPLICA_TOKENS_PER_S), 1)
+        return max(round(share / OVERLOAD_TOKENS_PER_S), 1)
 
     def own_goals(self, own_id: str) -> set[str]:
         """Return the models of which a replica is still to be loaded."""
@@ -180,12 +188,18 @@
         """Return where one more replica goes, in another zone if one can take it."""
         holders = [s for s in self.servers if model in s.planned_models()]
         zones = {server.record.zone for server in holders}
-        # A load from the store would keep a server from all else for seconds.
+        # A load from the store keeps a server from all else for seconds, and the store
+        # from models that requests wait for.
+        spare = 2 * self.store.running < self.store.limit and not self._store_queue()
+        overloaded = self.urgency(model, now) > 1
         free = [
             server
             for server in self.servers
             if server not in holders
-            and (not server.needs_store(model) or self.has_room(server))
+            and (
+                not server.needs_store(model)
+                or ((spare or overloaded) and self.has_room(server))
+            )
         ]
         apart = [s for s in free if s.record.zone not in zones]
         return self.choose(self.engine.model_by_name[model], apart or free, now)
@@ -230,15 +244,19 @@
         """Return how long a load waits for others from the weight store."""
         if server.loading == spec.name or not server.needs_store(spec.name):
             return 0.0
-        queued = {
+        queued = self._store_queue() - {spec.name}
+        return self.store.wait_s(spec.store_load_s, len(queued))
+
+    def _store_queue(self) -> set[str]:
+        """Return the models that are still to be loaded from the weight store."""
+        return {
             goal.model
-            for other in self.servers
-            for goal in other.goals
+            for server in self.servers
+            for goal in server.goals
             if not goal.adapter
-            and other.loading != goal.model
-            and other.needs_store(goal.model)
+            and server.loading != goal.model
+            and server.needs_store(goal.model)
         }
-        return self.store.wait_s(spec.store_load_s, len(queued - {spec.name}))
 
     def may_load_from_store(self, server: ManagedServer, waiting: int) -> bool:
         """Return whether a server may load from the weight store now.
