Keep a loading model in the leader's view when a report does not name it

Change: a report of the same start that shows the server busy keeps the model that loads. A succeeded leader remembers its successor, so that a next term waits for it.

--- a/src/siskinspool/gateway/front_door.py
+++ b/src/siskinspool/gateway/front_door.py
@@ -89,7 +89,7 @@
         self._desired: DesiredState | None = None
         self._registry_listed = False
         self._draining = False
-        # This instance reaches neither the store nor another instance.
+        # This instance reaches neither the store nor most of the others.
         self._isolated = False
         self._refusing = False
         self._running: set[RequestTask] = set()
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -146,7 +146,10 @@
                 return self._take_reply(reply, now)
             case LeaderSucceeded(epoch):
                 if self._term is not None and self._term.epoch < epoch:
-                    return self._end_term("succeeded")
+                    batch = self._end_term("succeeded")
+                    # The store did not tell; a later term waits for its orders.
+                    self._last_holder_id = incoming.sender.instance_id
+                    return batch
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
                     return self._end_term("fenced")
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -331,6 +331,11 @@
         same_start = holdings.born_ms == self.holdings.born_ms
         if same_start and known is not None and count < known:
             return False
+        if holdings.busy and self.loading is not None and same_start:
+            # A report does not name the model that loads, which takes memory already.
+            models = dict(holdings.model_by_name)
+            models.setdefault(self.loading, HeldModel(self.loading, 0))
+            holdings = attrs.evolve(holdings, model_by_name=models)
         self.holdings = holdings
         self.changed_at = now
         self.doubtful = False
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -219,3 +219,20 @@
     assert told == [LeaderSucceeded(7)]
     assert LeadershipLost() in old.tell(told[0])
     assert new.tell(LeaderSucceeded(5)) == []
+
+
+def test_succeeded_leader_waits_before_its_next_term() -> None:
+    """Guards against orders of two holders within the bound between them.
+
+    A leader that is cut off from the store hears of its successor from that one only.
+    """
+    leader = Candidate("g1")
+    leader.elect()
+    found = messages(
+        leader.decision.handle(incoming(LeaderSucceeded(7), "g2"), leader.now)
+    )
+    assert LeadershipLost() in found
+    leader.tell(KvChanged(LEADER_KEY, None, 9))
+    swap = leader.attempt()
+    term = held(leader.tell(KvSwapped(swap.request_id, LEADER_KEY, 10)))
+    assert term.from_s > leader.now
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -402,3 +402,26 @@
     assert isinstance(servers, dict)
     goals = [goal for shown in servers.values() for goal in shown["goals"]]
     assert "m0/" not in goals
+
+
+def test_model_that_loads_takes_its_memory_though_reports_do_not_name_it() -> None:
+    """Guards against orders for more models than a server holds.
+
+    Hunts on both sites: a report read during a load from disk does not list the model
+    that loads; the load was then taken for done without it, and the next one crashed
+    the server.
+    """
+    disk = frozenset({"m0", "m1", "m2"})
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(weights_mb=75_000.0)))
+    office.add("s1", on_disk=disk)
+    office.take_office()
+    load = orders(office.want("m0"))[0]
+    office.end(load, OrderResult.ACCEPTED)
+    office.reports["s1"] = holdings(count=1, busy=True, on_disk=disk)
+    office.now += 0.6
+    office.tell(WantModel("writers", "m0", "", "", 1, ("s1",)))
+    found: list[ServerOrder] = []
+    for _ in range(10):
+        found += orders(office.want("m1") + office.wait(0.3))
+    assert [(one.kind, one.model) for one in found] == [(OrderKind.UNLOAD, "m0")]
