Let a succeeded leader take its successor for the leader

Change: the successor becomes the known holder, and the requests of this gateway ask it.

Result: test_succeeded_leader_waits_before_its_next_term passes.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -147,9 +147,10 @@
             case LeaderSucceeded(epoch):
                 if self._term is not None and self._term.epoch < epoch:
                     batch = self._end_term("succeeded")
-                    # The store did not tell; a later term waits for its orders.
-                    self._last_holder_id = incoming.sender.instance_id
-                    return batch
+                    # The store did not tell. Requests here ask the successor, and a
+                    # later term waits for its orders.
+                    self._holder = _LeaderRecord(incoming.sender.instance_id, "")
+                    return batch + self._tell_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
                     return self._end_term("fenced")
