Read a report only when it can show the last orders

Change: such a report, and one that a gateway asks for because of a silent server, is read after 0.3 s at the earliest.

Result: the test fails without the change.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -379,9 +379,11 @@
     def wait_for_runs(self, order: ServerOrder, now: float) -> None:
         """Record that requests use an adapter that is being unloaded.
 
-        The server carries out nothing else until they have ended.
+        The server carries out nothing else until they have ended. A report read before
+        its lag is over may miss adapters that have just been ordered.
         """
-        self.busy_until = self.busy_since = now
+        self.busy_since = now
+        self.busy_until = now + REPORT_LAG_S
         self.unloading = f"{order.model}/{order.adapter}"
 
     def assume_loaded(self, now: float) -> bool:
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -23,6 +23,7 @@
 from .demand import Demand, ModelUsers
 from .desired_state import DesiredState, EngineSpec
 from .managed_server import (
+    REPORT_LAG_S,
     Goal,
     ManagedServer,
 )
@@ -180,6 +181,9 @@
             server = self._server_by_id.get(server_id)
             if server is None or server.reading or now < server.silent_until:
                 continue
+            if now - server.changed_at < REPORT_LAG_S:
+                # The report is from before the last order.
+                continue
             if now - server.read_at > SILENT_READ_INTERVAL_S:
                 batch += self._read(server, now)
         return batch
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -425,3 +425,27 @@
     for _ in range(10):
         found += orders(office.want("m1") + office.wait(0.3))
     assert [(one.kind, one.model) for one in found] == [(OrderKind.UNLOAD, "m0")]
+
+
+def test_report_is_not_read_before_it_can_show_the_last_orders() -> None:
+    """Guards against adapters that a report read too early does not name yet.
+
+    They take slots, and nothing but the count of adapters keeps the next order from
+    going beyond them.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(adapter_slots=1)))
+    office.add("s1", "m0/a1", on_disk=frozenset({"m0"}))
+    office.take_office()
+    office.wait(0.3)
+    unload = orders(office.want("m0", "a2"))[0]
+    assert unload.kind is OrderKind.UNLOAD
+    found = messages(
+        office.decision.handle(
+            incoming(OrderEnded(unload, OrderResult.ACCEPTED)), office.now
+        )
+    )
+    assert not any(isinstance(one, ReadHoldings) for one in found)
+    office.now += 0.35
+    found = messages(office.decision.on_time(office.now))
+    assert any(isinstance(one, ReadHoldings) for one in found)
