Send answers of both front ends by one function; name tasks and targets once

FrontDoor had its own copy of links.caller.respond, which differed in the closing header and the last event of a cut stream; both are parameters of the one now. The fields of an order stand once in the placement's log, target_name beside the demand whose keys it makes, and instance.py uses the names of the peers and kv tasks. Behaviour is unchanged: make check, the gateway and platform tests, tests/integration of the gateway site and of the answers pass.

--- a/src/siskinspool/gateway/demand.py
+++ b/src/siskinspool/gateway/demand.py
@@ -17,6 +17,11 @@
 USER_MEMORY_S: Final = 20.0
 
 
+def target_name(model: str, adapter: str) -> str:
+    """Return the name of a model or of an adapter of it."""
+    return f"{model}/{adapter}" if adapter else model
+
+
 @attrs.define
 class _Seen:
     """Demand of one model, decaying."""
--- a/src/siskinspool/gateway/front_door.py
+++ b/src/siskinspool/gateway/front_door.py
@@ -21,14 +21,10 @@
 from ..core.task import Task
 from ..links.caller import (
     CallerSink,
-    CutStreamError,
-    End,
-    Event,
-    Head,
     StartResponse,
     Whole,
+    respond,
     respond_whole,
-    status_line,
     watch_caller,
 )
 from ..links.http_server import SOCKET_TIMEOUT_S, CallerHandler, request_headers
@@ -75,6 +71,10 @@
         """Return a refusal as an answer."""
         return self._codec.encode_refusal(refusal)
 
+    def cut_event(self, refusal: Refusal) -> bytes:
+        """Return nothing: only events of servers belong into a stream."""
+        return b""
+
 
 class FrontDoor(Task):
     """Takes requests and runs them; task name ``front``."""
@@ -231,7 +231,7 @@
             version=None if self._desired is None else self._desired.version,
         )
         item = self._codec.encode_refusal(refusal)
-        return respond_whole(self._closing(item), start_response)
+        return respond_whole(item, start_response, closing=self._sends_away)
 
     def _serve(
         self,
@@ -252,7 +252,7 @@
         watcher = watch_caller(environ["siskinspool.socket"], gone)
         task.start(on_end=lambda: self._running.discard(task))
         try:
-            yield from self._respond(sink, start_response)
+            yield from respond(sink, start_response, lambda: self._sends_away)
         finally:
             watcher.kill(block=False)
             task.cancel()
@@ -260,35 +260,6 @@
             if self._open_answers == 0:
                 self._idle.set()
 
-    def _respond(
-        self, sink: CallerSink, start_response: StartResponse
-    ) -> Iterator[bytes]:
-        """Send an answer as it arrives; raise CutStreamError if it was cut."""
-        item = sink.next_item()
-        if isinstance(item, Whole):
-            yield from respond_whole(self._closing(item), start_response)
-            return
-        if not isinstance(item, Head):
-            raise CutStreamError
-        headers = [(name.title(), text) for name, text in item.headers.items()]
-        if self._sends_away:
-            headers.append(("Connection", "close"))
-        start_response(status_line(item.status), headers)
-        while True:
-            item = sink.next_item()
-            if isinstance(item, Event):
-                yield item.data
-            elif isinstance(item, End):
-                if item.refusal is not None:
-                    raise CutStreamError
-                return
-
-    def _closing(self, item: Whole) -> Whole:
-        """Return an answer that ends its connection if others serve better."""
-        if not self._sends_away:
-            return item
-        return Whole(item.status, item.headers | {"connection": "close"}, item.body)
-
 
 class _FrontServer(WSGIServer):
     """The listener, with the operator's limit on idle connections."""
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -22,12 +22,12 @@
 from ..core.task import DecisionTask, Task
 from ..links.backend import HttpServerLink
 from ..links.codec import MsgpackCodec
-from ..links.peer import PeerLink
+from ..links.peer import PEERS_TASK, PeerLink
 from ..machines.messages import Member
 from ..settings import Endpoint
 from ..store.kv import KeyValueService
 from ..store.kv_events import EndSession
-from ..store.kv_task import KvTask
+from ..store.kv_task import KV_TASK, KvTask
 from .bounds import Bounds
 from .caps import Caps
 from .front_door import FrontCodec, FrontDoor
@@ -201,7 +201,7 @@
             self._front.end_requests()
             self._front.wait_idle(STOP_MARGIN_S / 2)
         self._dispatcher.ask(
-            self._dispatcher.address("kv"), EndSession(), SESSION_END_TIMEOUT_S
+            self._dispatcher.address(KV_TASK), EndSession(), SESSION_END_TIMEOUT_S
         )
 
     def stop(self) -> None:
@@ -216,7 +216,7 @@
             MEMBERS_TASK: Members(
                 own,
                 (
-                    "peers",
+                    PEERS_TASK,
                     ROUTING_TASK,
                     CAPS_TASK,
                     LEADERSHIP_TASK,
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -16,6 +16,7 @@
 import attrs
 
 from ..core.status import Status
+from .demand import target_name
 from .desired_state import EngineSpec, ModelSpec
 from .messages import OrderKind, OrderResult, ServerOrder
 from .servers import HeldModel, Holdings, ServerRecord, ServerState
@@ -151,7 +152,9 @@
         """
         since = now - USE_MEMORY_S
         if adapter:
-            return self.used_at_by_target.get(f"{model}/{adapter}", since) > since
+            return (
+                self.used_at_by_target.get(target_name(model, adapter), since) > since
+            )
         return any(
             used_at > since and target.partition("/")[0] == model
             for target, used_at in self.used_at_by_target.items()
@@ -384,7 +387,7 @@
         """
         self.busy_since = now
         self.busy_until = now + REPORT_LAG_S
-        self.unloading = f"{order.model}/{order.adapter}"
+        self.unloading = target_name(order.model, order.adapter)
 
     def assume_loaded(self, now: float) -> bool:
         """Take a load whose time is over for done; return False if it has to be read.
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -20,7 +20,7 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..telemetry.logs import log_event
-from .demand import Demand, ModelUsers
+from .demand import Demand, ModelUsers, target_name
 from .desired_state import DesiredState, EngineSpec
 from .managed_server import (
     REPORT_LAG_S,
@@ -51,7 +51,6 @@
 from .order_planner import OrderPlanner
 from .placement_choice import ServiceFleet
 from .placement_log import log_order, log_plan, log_result
-from .server_view import target_name
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 from .store_limit import StoreLoads
 
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from .demand import Demand
+from .demand import Demand, target_name
 from .desired_state import EngineSpec, ModelSpec
 from .managed_server import Goal, ManagedServer
 from .store_limit import StoreLoads
@@ -393,6 +393,6 @@
         ]
         return min(
             held,
-            key=lambda pair: (self.demand.last_at("/".join(pair)), pair),
+            key=lambda pair: (self.demand.last_at(target_name(*pair)), pair),
             default=None,
         )
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from typing import Any
 
 from ..telemetry.logs import log_event
 from .managed_server import ManagedServer
@@ -35,28 +36,28 @@
         logger,
         logging.INFO,
         "order_given",
-        server=order.server_id,
-        kind=order.kind,
-        model=order.model,
-        adapter=order.adapter,
-        expected=order.expected_count,
-        epoch=order.epoch,
+        **_order_fields(order),
         source=source,
     )
 
 
 def log_result(ended: OrderEnded) -> None:
     """Log what became of an order."""
-    order = ended.order
     log_event(
         logger,
         logging.INFO,
         "order_ended",
-        server=order.server_id,
-        kind=order.kind,
-        model=order.model,
-        adapter=order.adapter,
-        expected=order.expected_count,
-        epoch=order.epoch,
+        **_order_fields(ended.order),
         result=ended.result,
     )
+
+
+def _order_fields(order: ServerOrder) -> dict[str, Any]:
+    return {
+        "server": order.server_id,
+        "kind": order.kind,
+        "model": order.model,
+        "adapter": order.adapter,
+        "expected": order.expected_count,
+        "epoch": order.epoch,
+    }
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -26,7 +26,7 @@
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .cold_share import cold_bucket
-from .demand import DemandLog
+from .demand import DemandLog, target_name
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
@@ -49,7 +49,6 @@
     STRANGER_COST_S,
     PromptCache,
     ServerView,
-    target_name,
 )
 from .servers import (
     RegistryInterrupted,
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from .demand import target_name
 from .messages import AssignServer, AttemptResult
 from .request import PromptPart
 from .servers import ServerLoad, ServerRecord, ServerState
@@ -96,11 +97,6 @@
     unread: int
 
 
-def target_name(model: str, adapter: str) -> str:
-    """Return the name of a model or of an adapter of it."""
-    return f"{model}/{adapter}" if adapter else model
-
-
 @attrs.define(kw_only=True)
 class ServerView:
     """A server with what this gateway knows about it; times are monotonic seconds."""
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -113,6 +113,10 @@
         """Return a refusal in the form of this front end."""
         return refusal_item(refusal)
 
+    def cut_event(self, refusal: Refusal) -> bytes:
+        """Return the last event of a stream that was cut; empty for none."""
+        return b"event: error\ndata: " + problem_body(refusal) + b"\n\n"
+
     def cut(self, refusal: Refusal) -> None:
         """Take a refusal in place of the queued items; never blocks.
 
@@ -161,31 +165,47 @@
         return f"{status} Status"
 
 
-def respond_whole(item: Whole, start_response: StartResponse) -> list[bytes]:
-    """Send a whole answer."""
-    headers = [(name.title(), text) for name, text in item.headers.items()]
+def respond_whole(
+    item: Whole, start_response: StartResponse, *, closing: bool = False
+) -> list[bytes]:
+    """Send a whole answer; with ``closing`` it ends its connection."""
+    headers = _answer_headers(item, closing)
     headers.append(("Content-Length", str(len(item.body))))
     start_response(status_line(item.status), headers)
     return [item.body]
 
 
-def respond(sink: CallerSink, start_response: StartResponse) -> Iterator[bytes]:
-    """Send an answer as it arrives; raise CutStreamError if it was cut."""
+def _answer_headers(item: Head | Whole, closing: bool) -> list[tuple[str, str]]:
+    headers = [(name.title(), text) for name, text in item.headers.items()]
+    if closing:
+        headers.append(("Connection", "close"))
+    return headers
+
+
+def respond(
+    sink: CallerSink,
+    start_response: StartResponse,
+    is_closing: Callable[[], bool] = lambda: False,
+) -> Iterator[bytes]:
+    """Send an answer as it arrives; raise CutStreamError if it was cut.
+
+    ``is_closing`` tells, as the answer begins, whether it ends its connection.
+    """
     item = sink.next_item()
     if isinstance(item, Whole):
-        yield from respond_whole(item, start_response)
+        yield from respond_whole(item, start_response, closing=is_closing())
         return
     if not isinstance(item, Head):
         raise CutStreamError
-    headers = [(name.title(), text) for name, text in item.headers.items()]
-    start_response(status_line(item.status), headers)
+    start_response(status_line(item.status), _answer_headers(item, is_closing()))
     while True:
         item = sink.next_item()
         if isinstance(item, Event):
             yield item.data
         elif isinstance(item, End):
             if item.refusal is not None:
-                yield b"event: error\ndata: " + problem_body(item.refusal) + b"\n\n"
+                if data := sink.cut_event(item.refusal):
+                    yield data
                 raise CutStreamError
             return
 
