Let a process's settings extend those of its instance

GatewaySettings repeated the nine fields of InstanceSettings and the daemon copied them one by one; it is now an InstanceSettings with the store's address. What the routing makes of an expected model no longer computes the same times for each waiting request. Behaviour is unchanged, but for the order of names in the line of a reload: make check, the routing and platform tests and tests/integration/test_gateway_site.py pass.

--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -97,11 +97,15 @@
 
     instance_id: str
     zone: str
+    # Where requesters connect, and where the platform asks for readiness.
     front: Endpoint
     ready: Endpoint
+    # Where other gateways connect, and where metrics are served.
     peer: Endpoint
     metrics: Endpoint
+    # Shortest time to live that the store grants a lease.
     least_lease_s: float
+    # The whole system starts for the first time.
     first_start: bool
     bounds: Bounds
 
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -365,16 +365,17 @@
         """Let requests that cannot wait so long end at once."""
         # The leader tells when the model is there; asking again only keeps the wish.
         pause_s = min(expected.in_s * WANT_PAUSE_SHARE, LONGEST_WANT_PAUSE_S)
+        want_again_at = now + max(pause_s, WANT_INTERVAL_S)
+        ready_at = now + expected.in_s
+        doubt_s = max(LOAD_MARGIN_S, expected.in_s * LOAD_DOUBT_SHARE)
         for waiting in self._waiting_by_id.values():
             call = waiting.call
-            same = (call.model, call.adapter) == (expected.model, expected.adapter)
-            ready_at = now + expected.in_s
-            if same:
-                waiting.ready_at = ready_at
-                key = (call.service, call.model, call.adapter)
-                self._want_again_at[key] = now + max(pause_s, WANT_INTERVAL_S)
-            doubt_s = max(LOAD_MARGIN_S, expected.in_s * LOAD_DOUBT_SHARE)
-            if same and ready_at + doubt_s > waiting.give_up_at:
+            if (call.model, call.adapter) != (expected.model, expected.adapter):
+                continue
+            waiting.ready_at = ready_at
+            key = (call.service, call.model, call.adapter)
+            self._want_again_at[key] = want_again_at
+            if ready_at + doubt_s > waiting.give_up_at:
                 waiting.give_up_at = now
 
     def _count_demand(self, call: AssignServer, now: float) -> None:
--- a/src/siskinspool/platform/daemon.py
+++ b/src/siskinspool/platform/daemon.py
@@ -29,7 +29,6 @@
 from ..gateway.instance import (
     BoottimeClock,
     GatewayInstance,
-    InstanceSettings,
     PlatformParts,
 )
 from ..telemetry.logs import BoundedHandler, configure_logging, log_event
@@ -126,18 +125,7 @@
         ready_path=READY_PATH,
         make_feed=make_feed,
     )
-    own = InstanceSettings(
-        instance_id=settings.instance_id,
-        zone=settings.zone,
-        front=settings.front,
-        ready=settings.ready,
-        peer=settings.peer,
-        metrics=settings.metrics,
-        least_lease_s=settings.least_lease_s,
-        first_start=settings.first_start,
-        bounds=settings.bounds,
-    )
-    return GatewayInstance(own, parts, BoottimeClock())
+    return GatewayInstance(settings, parts, BoottimeClock())
 
 
 def _log_reload(path: Path, running: GatewaySettings) -> None:
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -14,6 +14,7 @@
 
 from ..core.errors import SettingsError
 from ..gateway.bounds import Bounds
+from ..gateway.instance import InstanceSettings
 from ..settings import Endpoint
 
 # Names the file to read; set by the platform.
@@ -22,25 +23,12 @@
 
 
 @attrs.frozen(kw_only=True)
-class GatewaySettings:
+class GatewaySettings(InstanceSettings):
     """What one gateway process needs to know at its start."""
 
-    instance_id: str
-    zone: str
-    # Where requesters connect, and where the platform asks for readiness.
-    front: Endpoint
-    ready: Endpoint
-    # Where other gateways connect, and where metrics are served.
-    peer: Endpoint
-    metrics: Endpoint
     store: Endpoint
-    # Shortest time to live that the store grants a lease.
-    least_lease_s: float
     # Interval of the servers' entries in the registry.
     heartbeat_s: float
-    # The whole system starts for the first time.
-    first_start: bool
-    bounds: Bounds
 
 
 class _Reader:
