Log what plans of loads expect and what becomes of them

Change: load_planned names copy, expected time and cost; plan_dropped and order_done are new; gauges count plans, dropped plans, unplanned unloads and the time of unloads beside its estimate. The decisions are unchanged. The office of the placement tests moves to a module of builders.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -18,7 +18,7 @@
 from ..core.status import Status
 from .demand import target_name
 from .desired_state import EngineSpec, ModelSpec
-from .messages import OrderKind, OrderResult, ServerOrder
+from .messages import OrderKind, ServerOrder
 from .servers import HeldModel, Holdings, ServerRecord, ServerState
 
 # A report shows the server as it was some hundred milliseconds before.
@@ -70,6 +70,8 @@
     waiting_by_asker: dict[str, int] = attrs.field(factory=dict)
     # When it was last asked for; infinite for what the leader wants itself.
     wanted_at: float = float("inf")
+    # Models that the plan unloads to make room.
+    victims: tuple[str, ...] = ()
 
     def want(self, asker: str, waiting: int, now: float) -> None:
         """Record that an instance waits for it."""
@@ -89,6 +91,17 @@
         return sum(self.waiting_by_asker.values())
 
 
+@attrs.frozen
+class RunningOrder:
+    """An order on a model that a server is carrying out."""
+
+    kind: OrderKind
+    model: str
+    # When it was accepted, and how long it was then expected to take.
+    since: float
+    expected_s: float
+
+
 @attrs.define
 class Arrival:
     """An adapter on its way to a server."""
@@ -119,6 +132,8 @@
     # The server carries out an order until about then; when it was first known to.
     busy_until: float | None = None
     busy_since: float = 0.0
+    # The last accepted order on a model, until it is known to be done.
+    running_order: RunningOrder | None = None
     # Model that is being loaded by an accepted order.
     loading: str | None = None
     # Model that an accepted order unloads. Reports name it until its runs have ended,
@@ -253,9 +268,12 @@
         ready_at = self.ready_at_by_model.get(model)
         return ready_at is not None and now - ready_at < RESIDENCE_S
 
-    def drop_stale_goals(self, now: float) -> None:
-        """Drop the goals that nobody waits for any more."""
-        self.goals = deque(goal for goal in self.goals if not goal.is_stale(now))
+    def drop_stale_goals(self, now: float) -> list[Goal]:
+        """Drop the goals that nobody waits for any more, and return them."""
+        stale = [goal for goal in self.goals if goal.is_stale(now)]
+        if stale:
+            self.goals = deque(goal for goal in self.goals if not goal.is_stale(now))
+        return stale
 
     def sort_goals(self) -> None:
         """Put what most requests wait for first; among equals, what is older."""
@@ -318,6 +336,7 @@
         if restarted:
             self.holdings = record.holdings
             self.busy_until = self.loading = self.unloading = None
+            self.running_order = None
             self.arrival_by_adapter.clear()
             self.doubtful = True
             return
@@ -368,17 +387,30 @@
         elif order.kind is OrderKind.LOAD:
             self.busy_until = now + self.load_s(spec) + SETTLE_S
             self.loading = order.model
+            self._start_order(order, now)
             models[order.model] = HeldModel(order.model, 0)
         else:
             # The server drops the model when its runs have ended.
             self.busy_until = now + UNLOAD_S
             self.unloading = order.model
+            self._start_order(order, now)
             models.pop(order.model, None)
         self.holdings = attrs.evolve(
             self.holdings, order_count=order.expected_count + 1, model_by_name=models
         )
         self.changed_at = now
 
+    def _start_order(self, order: ServerOrder, now: float) -> None:
+        expected_s = 0.0 if self.busy_until is None else self.busy_until - now
+        self.running_order = RunningOrder(order.kind, order.model, now, expected_s)
+
+    def take_done_order(self) -> RunningOrder | None:
+        """Return the last order once it is done, and forget it."""
+        if self.busy_until is not None:
+            return None
+        done, self.running_order = self.running_order, None
+        return done
+
     def wait_for_runs(self, order: ServerOrder, now: float) -> None:
         """Record that requests use an adapter that is being unloaded.
 
@@ -420,12 +452,7 @@
             del self.arrival_by_adapter[pair]
         return arrived
 
-    def ended(self, result: OrderResult, now: float) -> None:
-        """Record the end of an order that was not accepted."""
-        self.order = None
-        match result:
-            case OrderResult.CONFLICT | OrderResult.UNKNOWN | OrderResult.FENCED:
-                self.doubtful = True
-                self.wait_until = now + REPORT_LAG_S
-            case OrderResult.NOT_SENT | OrderResult.INVALID:
-                self.fall_silent(now)
+    def doubt_last_order(self, now: float) -> None:
+        """Record that an order was refused or may still be carried out."""
+        self.doubtful = True
+        self.wait_until = now + REPORT_LAG_S
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -50,7 +50,7 @@
 from .office import Office
 from .order_planner import OrderPlanner
 from .placement_choice import ServiceFleet
-from .placement_log import log_order, log_plan, log_result
+from .placement_log import PlacementLog, log_result
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 from .store_limit import StoreLoads
 
@@ -82,6 +82,7 @@
         self._office = Office()
         self._next_tick_at = 0.0
         self._users = ModelUsers()
+        self._log = PlacementLog()
         # Wishes that wait for the first reports, by model, adapter and asker.
         self._pending_wants: dict[tuple[str, str, str], WantModel] = {}
 
@@ -151,6 +152,10 @@
             },
         }
 
+    def gauges(self) -> dict[str, float]:
+        """Return counts of plans and unloads since the start of the process."""
+        return self._log.gauges()
+
     # Wishes
 
     def _want(self, want: WantModel, asker: str, now: float) -> list[Outgoing]:
@@ -192,7 +197,7 @@
     ) -> list[Outgoing]:
         model = want.model
         for server in fleet.servers:
-            server.drop_stale_goals(now)
+            self._drop_stale(server, now)
         silent = set(want.silent_servers)
         for server in fleet.servers:
             if server.doubtful and model in server.holdings.model_by_name:
@@ -209,6 +214,7 @@
             server.sort_goals()
             if fleet.has_better_server(server, goal, now):
                 if server.loading != model:
+                    self._log.dropped(server, goal, "better_server", now)
                     server.goals.remove(goal)
                     fleet.forget_counts()
                 break
@@ -224,8 +230,10 @@
         if choice is None:
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
-        log_plan(model, choice.server, choice.victims, "wanted")
-        choice.server.goals.append(Goal(model, "", {asker: want.waiting}, now))
+        self._log.planned(model, choice, "wanted")
+        choice.server.goals.append(
+            Goal(model, "", {asker: want.waiting}, now, choice.victims)
+        )
         choice.server.sort_goals()
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
@@ -300,8 +308,8 @@
         choice = fleet.choose(fleet.engine.model_by_name[model], idle, now)
         if choice is None:
             return []
-        log_plan(model, choice.server, choice.victims, "no_copy")
-        choice.server.goals.append(Goal(model, ""))
+        self._log.planned(model, choice, "no_copy")
+        choice.server.goals.append(Goal(model, "", victims=choice.victims))
         return self._advance(choice.server, now)
 
     def _add_replica(
@@ -314,9 +322,11 @@
         lost = sum(fleet.value(victim, now) for victim in choice.victims)
         if fleet.value(model, now) < REPLICA_GAIN * lost:
             return []
-        log_plan(model, choice.server, choice.victims, "replica")
+        self._log.planned(model, choice, "replica")
         urgency = fleet.urgency(model, now)
-        choice.server.goals.append(Goal(model, "", {self._id: urgency}))
+        choice.server.goals.append(
+            Goal(model, "", {self._id: urgency}, victims=choice.victims)
+        )
         choice.server.sort_goals()
         return self._advance(choice.server, now)
 
@@ -340,7 +350,8 @@
                 return batch
             if not server.assume_loaded(now):
                 return batch + self._read(server, now)
-        server.drop_stale_goals(now)
+            self._log.done(server, now)
+        self._drop_stale(server, now)
         # While a model is loaded no adapter can be, and adapters take no time.
         server.put_adapters_first()
         while server.goals:
@@ -353,11 +364,21 @@
             if order is None:
                 return batch
             server.order = order
-            log_order(order, server)
+            self._log.order(order, server)
             batch += self._warn_users(order, now)
             return [*batch, self._to_orders(order)]
         return batch
 
+    def _drop_stale(self, server: ManagedServer, now: float) -> None:
+        for goal in server.drop_stale_goals(now):
+            self._log.dropped(server, goal, "nobody_asks", now)
+
+    def _set_aside(self, server: ManagedServer, now: float) -> None:
+        """Give up the plans for a server that does not answer."""
+        for goal in server.goals:
+            self._log.dropped(server, goal, "server_silent", now)
+        server.fall_silent(now)
+
     def _warn_users(self, order: ServerOrder, now: float) -> list[Outgoing]:
         """Tell the gateways that use a model that it goes, before the registry does."""
         if order.kind is not OrderKind.UNLOAD or order.adapter:
@@ -408,8 +429,10 @@
                 server.accepted(order, spec, now)
             else:
                 server.doubtful = True
+        elif result in (OrderResult.NOT_SENT, OrderResult.INVALID):
+            self._set_aside(server, now)
         else:
-            server.ended(result, now)
+            server.doubt_last_order(now)
         return batch + self._advance(server, now)
 
     def _read(self, server: ManagedServer, now: float) -> list[Outgoing]:
@@ -425,13 +448,14 @@
             return []
         server.reading = False
         if read.holdings is None:
-            server.fall_silent(now)
+            self._set_aside(server, now)
             return []
         server.silent_until = now
         loading = server.loading
         current = server.take_report(read.holdings, now)
         if loading is not None and server.loading is None:
             self._end_store_load(server, loading, now)
+        self._log.done(server, now)
         if not current or server.busy_until is not None:
             server.wait_until = now + server.poll_interval_s(now)
         return self._advance(server, now) + self._take_pending(now)
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -1,34 +1,107 @@
-"""Log lines of the placement's decisions."""
+"""Log lines of the placement's decisions, and their counts."""
 
 from __future__ import annotations
 
 import logging
 from typing import Any
 
+import attrs
+
 from ..telemetry.logs import log_event
-from .managed_server import ManagedServer
+from .managed_server import Goal, ManagedServer
 from .messages import OrderEnded, OrderKind, ServerOrder
+from .placement_choice import Choice
 
 logger = logging.getLogger(__name__)
 
 
-def log_plan(
-    model: str, server: ManagedServer, victims: tuple[str, ...], why: str
-) -> None:
-    """Log that a model is to be loaded."""
-    log_event(
-        logger,
-        logging.INFO,
-        "load_planned",
-        model=model,
-        server=server.record.server_id,
-        victims=",".join(victims),
-        why=why,
-    )
+@attrs.define
+class PlacementLog:
+    """Logs what becomes of plans and counts it since the start of the process."""
+
+    plans: int = 0
+    # Plans that ended without a load.
+    plans_dropped: int = 0
+    # Unloads of a model that the plan of its server's goal did not name.
+    unloads_unplanned: int = 0
+    # Time that servers spent on unloads, and what was expected, in seconds.
+    unload_s: float = 0.0
+    unload_expected_s: float = 0.0
+
+    def planned(self, model: str, choice: Choice, why: str) -> None:
+        """Log that a model is to be loaded, with what the plan expects."""
+        self.plans += 1
+        server = choice.server
+        log_event(
+            logger,
+            logging.INFO,
+            "load_planned",
+            model=model,
+            server=server.record.server_id,
+            victims=",".join(choice.victims),
+            why=why,
+            source=server.copy_of(model),
+            ready_in_s=choice.ready_in_s,
+            cost_s=choice.cost_s,
+            goals_before=len(server.goals),
+        )
+
+    def dropped(self, server: ManagedServer, goal: Goal, why: str, now: float) -> None:
+        """Log that a plan ends without a load."""
+        self.plans_dropped += 1
+        asked_s = None if goal.wanted_at == float("inf") else now - goal.wanted_at
+        log_event(
+            logger,
+            logging.INFO,
+            "plan_dropped",
+            model=goal.model,
+            adapter=goal.adapter,
+            server=server.record.server_id,
+            why=why,
+            last_asked_s=asked_s,
+            waiting=goal.waiting,
+        )
+
+    def order(self, order: ServerOrder, server: ManagedServer) -> None:
+        """Log an order as it is given, and count an unload that no plan named."""
+        goal = server.goals[0] if server.goals else None
+        planned = goal is None or order.model in goal.victims
+        if order.kind is OrderKind.UNLOAD and not order.adapter and not planned:
+            self.unloads_unplanned += 1
+        _log_order(order, server, goal)
+
+    def done(self, server: ManagedServer, now: float) -> None:
+        """Log how long the last order took, once it is known to be done."""
+        order = server.take_done_order()
+        if order is None:
+            return
+        took_s = now - order.since
+        if order.kind is OrderKind.UNLOAD:
+            self.unload_s += took_s
+            self.unload_expected_s += order.expected_s
+        log_event(
+            logger,
+            logging.INFO,
+            "order_done",
+            server=server.record.server_id,
+            kind=order.kind,
+            model=order.model,
+            took_s=took_s,
+            expected_s=order.expected_s,
+        )
+
+    def gauges(self) -> dict[str, float]:
+        """Return the counts for the metrics."""
+        return {
+            "placement.plans": float(self.plans),
+            "placement.plans_dropped": float(self.plans_dropped),
+            "placement.unloads_unplanned": float(self.unloads_unplanned),
+            "placement.unload_seconds": self.unload_s,
+            "placement.unload_expected_seconds": self.unload_expected_s,
+        }
 
 
-def log_order(order: ServerOrder, server: ManagedServer) -> None:
-    """Log an order as it is given, with the copy that a load uses."""
+def _log_order(order: ServerOrder, server: ManagedServer, goal: Goal | None) -> None:
     source = None
     if order.kind is OrderKind.LOAD and not order.adapter:
         source = server.copy_of(order.model)
@@ -38,6 +111,7 @@
         "order_given",
         **_order_fields(order),
         source=source,
+        goal=None if goal is None else goal.model,
     )
 
 
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from siskinspool.core.message import Message
 from siskinspool.gateway.messages import (
     DemandSeen,
-    HoldingsRead,
     LeadershipExtended,
     LeadershipFenced,
     LeadershipHeld,
@@ -19,8 +17,7 @@
     ServerOrder,
     WantModel,
 )
-from siskinspool.gateway.placement import Placement
-from siskinspool.gateway.servers import Holdings, ServerState, ZoneEvacuated
+from siskinspool.gateway.servers import ServerState, ZoneEvacuated
 
 from .builders_gateway import (
     bounds,
@@ -31,73 +28,7 @@
     messages,
     server,
 )
-
-
-class Office:
-    """A placement in office whose orders the test answers."""
-
-    def __init__(self, first_start: bool = True) -> None:
-        self.now = 100.0
-        self.decision = Placement("g1", first_start)
-        self.reports: dict[str, Holdings] = {}
-
-    def tell(self, message: Message, sender: str = "g2") -> list[Message]:
-        return self.settle(
-            messages(self.decision.handle(incoming(message, sender), self.now))
-        )
-
-    def settle(self, found: list[Message]) -> list[Message]:
-        """Answer reads of reports; return everything else."""
-        rest: list[Message] = []
-        for message in found:
-            if isinstance(message, ReadHoldings):
-                report = self.reports.get(message.server_id)
-                rest += self.tell(HoldingsRead(message.server_id, report))
-            else:
-                rest.append(message)
-        return rest
-
-    def add(self, server_id: str, *models: str, **changes: object) -> None:
-        zone = str(changes.pop("zone", "a"))
-        report = holdings(*models, count=0, **changes)
-        self.reports[server_id] = report
-        self.tell(server(server_id, *models, zone=zone))
-
-    def take_office(self, epoch: int = 7) -> list[Message]:
-        found = self.tell(LeadershipHeld(epoch, self.now))
-        return found + self.tell(LeadershipExtended(self.now + 1000.0))
-
-    def want(self, model: str, adapter: str = "", asker: str = "g2") -> list[Message]:
-        return self.tell(WantModel("writers", model, adapter, ""), asker)
-
-    def end(self, order: ServerOrder, result: OrderResult) -> list[Message]:
-        return self.tell(OrderEnded(order, result))
-
-    def wait(self, seconds: float) -> list[Message]:
-        self.now += seconds
-        return self.settle(messages(self.decision.on_time(self.now)))
-
-    def finish_load(self, order: ServerOrder, seconds: float) -> list[Message]:
-        """Let a model load end, with the report that shows it."""
-        known = self.reports[order.server_id]
-        names = {*known.model_by_name, order.model}
-        self.reports[order.server_id] = holdings(
-            *names, count=order.expected_count + 1, on_disk=known.on_disk
-        )
-        return self.wait(seconds)
-
-
-def ready_office(**changes: object) -> Office:
-    """Return an office with one server that has room for two models."""
-    office = Office()
-    office.tell(desired_state())
-    office.add("s1", "m0", on_disk=frozenset({"m0", "m1", "m2", "m3", "m4"}))
-    office.take_office()
-    return office
-
-
-def orders(found: list[Message]) -> list[ServerOrder]:
-    return [one for one in found if isinstance(one, ServerOrder)]
+from .builders_placement_office import Office, orders, ready_office
 
 
 def test_servers_seen_before_the_desired_state_are_used() -> None:
--- /dev/null
+++ b/tests/test_gateway_placement_log.py
@@ -0,0 +1,62 @@
+"""What the leader logs and counts of its plans."""
+
+from __future__ import annotations
+
+import pytest
+
+from siskinspool.gateway.messages import OrderKind, OrderResult
+
+from .builders_gateway import desired_state, engine, holdings
+from .builders_placement_office import Office, orders
+
+
+def busy_unload() -> Office:
+    """Return an office whose only server unloads ``m0``, which takes a second."""
+    disk = frozenset({"m0", "m1"})
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=disk)
+    office.take_office()
+    unload = orders(office.want("m1"))[0]
+    assert unload.kind is OrderKind.UNLOAD
+    office.end(unload, OrderResult.ACCEPTED)
+    office.reports["s1"] = holdings("m0", count=1, busy=True, on_disk=disk)
+    for _ in range(4):
+        office.wait(0.25)
+    office.reports["s1"] = holdings(count=1, on_disk=disk)
+    return office
+
+
+def test_time_of_an_order_is_logged_beside_its_estimate(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an outage of a model that no log line explains.
+
+    baul-bogota scale-1: an unload took six seconds, and its end could only be guessed
+    from the next order.
+    """
+    caplog.set_level("INFO")
+    office = busy_unload()
+    office.wait(0.4)
+    done = [line for line in caplog.messages if "event=order_done" in line]
+    assert len(done) == 1
+    assert "kind=unload model=m0" in done[0]
+    gauges = office.decision.gauges()
+    assert gauges["placement.unload_seconds"] > 1.0
+    assert gauges["placement.unload_expected_seconds"] < 0.5
+
+
+def test_plan_that_ends_without_a_load_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against plans that vanish, so that a refused request has no cause."""
+    caplog.set_level("INFO")
+    office = busy_unload()
+    office.wait(5.0)
+    dropped = [
+        line for line in caplog.messages if line.startswith("event=plan_dropped")
+    ]
+    assert len(dropped) == 1
+    assert "model=m1" in dropped[0]
+    assert "why=nobody_asks" in dropped[0]
+    assert office.decision.gauges()["placement.plans_dropped"] == 1
