Give each plan of a load room of its own

Cause: a plan chose its victims from all that a server holds, without the plans made before for the same server, and an order chose them anew from what was left then. Two plans counted on the same idle model, and the second evicted a busy one, whose streams then kept the server from any other order for seconds. A resource was promised twice, once at planning and once at execution.

Change: a goal carries its victims; a later plan sees the server as it is once the plans before it are carried out. Only models that the plan names are unloaded. A plan that cannot be carried out is void, and the model is planned again over all servers. A goal that waits no longer keeps the next one of its server from going on. Steps are tagged outcomes of the planner.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -202,6 +202,10 @@
         goals = {goal.model for goal in self.goals if not goal.adapter}
         return goals | self.holdings.model_by_name.keys()
 
+    def promised_models(self) -> set[str]:
+        """Return the models that the server's plans unload."""
+        return {name for goal in self.goals for name in goal.victims}
+
     def status(self) -> Status:
         """Return what operators may see."""
         return {
@@ -263,6 +267,11 @@
                 return goal
         return None
 
+    def wait_for_goal(self, until: float, now: float) -> None:
+        """Look again when the first of the goals that wait may go on."""
+        waits = self.wait_until > now
+        self.wait_until = min(self.wait_until, until) if waits else until
+
     def is_fresh(self, model: str, now: float) -> bool:
         """Return whether requests for a new model may still be on their way."""
         ready_at = self.ready_at_by_model.get(model)
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -1,12 +1,15 @@
 """The next order that brings a server towards a goal.
 
 An order is given only if what is on the server, or on its way there, leaves room: first
-what has to go is unloaded, then the goal is loaded. Loads from the weight store draw on
-a token bucket sized so that two leaders in a row stay within the bound.
+what has to go is unloaded, then the goal is loaded. Only models that the goal's plan
+names are unloaded, since what else goes was never weighed; a plan that cannot be
+carried out any more is void. Loads from the weight store draw on a token bucket sized
+so that two leaders in a row stay within the bound.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Final
 
 from .desired_state import EngineSpec
@@ -21,6 +24,30 @@
 RETRY_S: Final = 0.25
 
 
+@dataclass(frozen=True)
+class OrderDue:
+    """The order that a goal needs next."""
+
+    order: ServerOrder
+
+
+@dataclass(frozen=True)
+class GoalWaits:
+    """The goal has to wait until about this time."""
+
+    until: float
+
+
+@dataclass(frozen=True)
+class PlanVoid:
+    """The goal cannot be reached as planned."""
+
+    reason: str
+
+
+NextStep = OrderDue | GoalWaits | PlanVoid
+
+
 class OrderPlanner:
     """Chooses orders; keeps the allowance of loads from the weight store."""
 
@@ -33,60 +60,72 @@
         """Begin anew: another leader may have loaded in the meantime."""
         self._bucket_by_service.clear()
 
-    def next_order(
+    def next_step(
         self,
         fleet: ServiceFleet,
         server: ManagedServer,
         goal: Goal,
         epoch: int,
         now: float,
-    ) -> ServerOrder | None:
-        """Return the order for a server's first goal; None if it has to wait."""
-        spec = fleet.engine.model_by_name[goal.model]
+    ) -> NextStep:
+        """Return the next step towards one goal of a server."""
         if goal.adapter:
-            return self._adapter_order(fleet, server, goal, epoch, now)
-        victims = fleet.victims(spec, server, now, goal.waiting, spare_fresh=True)
-        if victims is None:
-            # All models are loading, wanted or fresh; that passes.
-            server.wait_until = now + RETRY_S
-            return None
-        if victims:
-            return _order(epoch, server, OrderKind.UNLOAD, victims[0], "")
+            return self._adapter_step(fleet, server, goal, epoch, now)
+        spec = fleet.engine.model_by_name[goal.model]
+        if fleet.engine.weights_mb - server.used_mb(fleet.engine) < spec.weights_mb:
+            return self._make_room(fleet, server, goal, epoch, now)
         if server.needs_store(goal.model):
             if not fleet.may_load_from_store(server, goal.waiting):
                 # The server stays free for what loads sooner.
-                server.goals.rotate(-1)
-                server.wait_until = now + RETRY_S
-                return None
+                return GoalWaits(now + RETRY_S)
             bucket = self._load_bucket(server.record.service, fleet.engine, now)
             if not bucket.take(1, now):
-                server.wait_until = now + bucket.wait_s(1, now)
-                return None
-        return _order(epoch, server, OrderKind.LOAD, goal.model, "")
+                return GoalWaits(now + bucket.wait_s(1, now))
+        return OrderDue(_order(epoch, server, OrderKind.LOAD, goal.model, ""))
+
+    def _make_room(
+        self,
+        fleet: ServiceFleet,
+        server: ManagedServer,
+        goal: Goal,
+        epoch: int,
+        now: float,
+    ) -> NextStep:
+        held = [name for name in goal.victims if server.holds_model(name)]
+        if any(fleet.outweighs(name, goal.model, goal.waiting, now) for name in held):
+            return PlanVoid("victim_needed")
+        for name in held:
+            if not server.is_fresh(name, now):
+                return OrderDue(_order(epoch, server, OrderKind.UNLOAD, name, ""))
+        if held or any(server.has_goal(name, "") for name in goal.victims):
+            # What has just been loaded, or is still to be, stays for its requests.
+            return GoalWaits(now + RETRY_S)
+        if any(server.holds_model(name) for name in server.promised_models()):
+            # The plans before this one leave room for it.
+            return GoalWaits(now + RETRY_S)
+        return PlanVoid("no_room")
 
-    def _adapter_order(
+    def _adapter_step(
         self,
         fleet: ServiceFleet,
         server: ManagedServer,
         goal: Goal,
         epoch: int,
         now: float,
-    ) -> ServerOrder | None:
+    ) -> NextStep:
         spec = fleet.engine.model_by_name[goal.model]
         if not server.holds_model(goal.model):
-            server.goals.popleft()
-            return None
+            return PlanVoid("model_gone")
         fits = server.adapter_count() < fleet.engine.adapter_slots and (
             server.used_mb(fleet.engine) + spec.adapter_mb <= fleet.engine.weights_mb
         )
         if fits:
-            return _order(epoch, server, OrderKind.LOAD, goal.model, goal.adapter)
+            load = _order(epoch, server, OrderKind.LOAD, goal.model, goal.adapter)
+            return OrderDue(load)
         victim = fleet.adapter_victim(server, now)
         if victim is None:
-            # All are in use; the asker asks again.
-            server.goals.popleft()
-            return None
-        return _order(epoch, server, OrderKind.UNLOAD, *victim)
+            return PlanVoid("adapters_in_use")
+        return OrderDue(_order(epoch, server, OrderKind.UNLOAD, *victim))
 
     def _load_bucket(self, service: str, engine: EngineSpec, now: float) -> TokenBucket:
         """Return the bucket of loads from the weight store.
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -48,7 +48,7 @@
     WantModel,
 )
 from .office import Office
-from .order_planner import OrderPlanner
+from .order_planner import GoalWaits, NextStep, OrderDue, OrderPlanner, PlanVoid
 from .placement_choice import ServiceFleet
 from .placement_log import PlacementLog, log_result
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
@@ -354,21 +354,53 @@
         self._drop_stale(server, now)
         # While a model is loaded no adapter can be, and adapters take no time.
         server.put_adapters_first()
-        while server.goals:
-            goal = server.goals[0]
+        for goal in list(server.goals):
+            if not any(goal is other for other in server.goals):
+                # A plan that was void has moved.
+                continue
             if server.reaches(goal):
-                server.goals.popleft()
+                server.goals.remove(goal)
                 batch += self._tell_ready(server, goal, now)
                 continue
-            order = self._next_order(server, goal, now)
-            if order is None:
-                return batch
-            server.order = order
-            self._log.order(order, server)
-            batch += self._warn_users(order, now)
-            return [*batch, self._to_orders(order)]
+            step = self._next_step(server, goal, now)
+            match step:
+                case OrderDue(order):
+                    server.order = order
+                    self._log.order(order, server, goal)
+                    batch += self._warn_users(order, now)
+                    return [*batch, self._to_orders(order)]
+                case GoalWaits(until):
+                    server.wait_for_goal(until, now)
+                case PlanVoid(reason):
+                    server.goals.remove(goal)
+                    self._log.dropped(server, goal, reason, now)
+                    batch += self._plan_again(server.record.service, goal, now)
+                    if server.order is not None:
+                        return batch
         return batch
 
+    def _plan_again(self, service: str, goal: Goal, now: float) -> list[Outgoing]:
+        """Find another place for a model whose plan is void."""
+        engine = self._engine_by_service.get(service)
+        if goal.adapter or not goal.waiting or engine is None:
+            # The askers of an adapter ask again.
+            return []
+        fleet = self._fleet(service, engine, now)
+        servers = [
+            server
+            for server in fleet.servers
+            if goal.model not in server.planned_models()
+        ]
+        spec = engine.model_by_name[goal.model]
+        choice = fleet.choose(spec, servers, now, goal.waiting)
+        if choice is None:
+            return []
+        self._log.planned(goal.model, choice, "plan_void")
+        goal.victims = choice.victims
+        choice.server.goals.append(goal)
+        choice.server.sort_goals()
+        return self._advance(choice.server, now)
+
     def _drop_stale(self, server: ManagedServer, now: float) -> None:
         for goal in server.drop_stale_goals(now):
             self._log.dropped(server, goal, "nobody_asks", now)
@@ -387,19 +419,16 @@
         users = self._users.users(order.model, now)
         return [self._to_routing(user, unloading) for user in users]
 
-    def _next_order(
-        self, server: ManagedServer, goal: Goal, now: float
-    ) -> ServerOrder | None:
+    def _next_step(self, server: ManagedServer, goal: Goal, now: float) -> NextStep:
         engine = self._engine_by_service.get(server.record.service)
         if (
             engine is None
             or goal.model not in engine.model_by_name
             or not server.is_usable(now)
         ):
-            server.goals.popleft()
-            return None
+            return PlanVoid("server_unusable")
         fleet = self._fleet(server.record.service, engine, now)
-        return self._planner.next_order(
+        return self._planner.next_step(
             fleet, server, goal, self._office.epoch or 0, now
         )
 
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -307,7 +307,7 @@
     def _consider(
         self, spec: ModelSpec, server: ManagedServer, now: float, waiting: int
     ) -> Choice | None:
-        victims = self.victims(spec, server, now, waiting, spare_fresh=False)
+        victims = self.victims(spec, server, now, waiting)
         if victims is None:
             return None
         ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
@@ -331,30 +331,25 @@
         return Choice(server, victims, ready_in_s, cost_s)
 
     def victims(
-        self,
-        spec: ModelSpec,
-        server: ManagedServer,
-        now: float,
-        waiting: int,
-        *,
-        spare_fresh: bool,
+        self, spec: ModelSpec, server: ManagedServer, now: float, waiting: int
     ) -> tuple[str, ...] | None:
         """Return the models that have to go for one to fit; None if it cannot.
 
-        An order spares what has just been loaded; a plan is carried out later.
+        The server's plans come first: they take the room that is free, and their
+        victims are gone by then. What they load can go in its turn.
         """
-        free_mb = self.engine.weights_mb - server.used_mb(self.engine)
-        wanted = {goal.model for goal in server.goals}
+        free_mb = self.engine.weights_mb - self._planned_mb(server)
+        promised = server.promised_models()
+        planned = {goal.model for goal in server.goals if not goal.adapter}
         candidates = sorted(
             (
                 name
-                for name in server.holdings.model_by_name
-                if name != server.loading
-                and name not in wanted
-                and not (spare_fresh and server.is_fresh(name, now))
-                and not self._outweighs(name, spec.name, waiting, now)
+                for name in server.planned_models()
+                if name not in promised
+                and not self.outweighs(name, spec.name, waiting, now)
             ),
             key=lambda name: (
+                name in planned,
                 self.value(name, now)
                 + IN_USE_TOKENS_PER_S * server.is_used(name, "", now),
                 self.demand.last_at(name),
@@ -365,14 +360,30 @@
         for name in candidates:
             if free_mb >= spec.weights_mb:
                 break
-            held = server.holdings.model_by_name[name]
-            victim = self.engine.model_by_name.get(name)
-            if victim is not None:
-                free_mb += victim.weights_mb + len(held.adapters) * victim.adapter_mb
+            if name in self.engine.model_by_name:
+                free_mb += self._mb(server, name)
                 victims.append(name)
         return tuple(victims) if free_mb >= spec.weights_mb else None
 
-    def _outweighs(self, held: str, wanted: str, waiting: int, now: float) -> bool:
+    def _planned_mb(self, server: ManagedServer) -> float:
+        """Return the memory that weights fill once all plans are carried out."""
+        promised = server.promised_models()
+        return sum(
+            self._mb(server, name)
+            for name in server.planned_models()
+            if name not in promised
+        )
+
+    def _mb(self, server: ManagedServer, model: str) -> float:
+        """Return the memory that a model fills, with the adapters it has here."""
+        spec = self.engine.model_by_name.get(model)
+        if spec is None:
+            return self.engine.weights_mb
+        held = server.holdings.model_by_name.get(model)
+        adapters = 0 if held is None else len(held.adapters)
+        return spec.weights_mb + adapters * spec.adapter_mb
+
+    def outweighs(self, held: str, wanted: str, waiting: int, now: float) -> bool:
         """Return whether the only replica of a model is worth too much to yield."""
         if self.replicas(held) > 1:
             return False
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -62,10 +62,9 @@
             waiting=goal.waiting,
         )
 
-    def order(self, order: ServerOrder, server: ManagedServer) -> None:
+    def order(self, order: ServerOrder, server: ManagedServer, goal: Goal) -> None:
         """Log an order as it is given, and count an unload that no plan named."""
-        goal = server.goals[0] if server.goals else None
-        planned = goal is None or order.model in goal.victims
+        planned = order.model in goal.victims
         if order.kind is OrderKind.UNLOAD and not order.adapter and not planned:
             self.unloads_unplanned += 1
         _log_order(order, server, goal)
@@ -101,7 +100,7 @@
         }
 
 
-def _log_order(order: ServerOrder, server: ManagedServer, goal: Goal | None) -> None:
+def _log_order(order: ServerOrder, server: ManagedServer, goal: Goal) -> None:
     source = None
     if order.kind is OrderKind.LOAD and not order.adapter:
         source = server.copy_of(order.model)
@@ -111,7 +110,7 @@
         "order_given",
         **_order_fields(order),
         source=source,
-        goal=None if goal is None else goal.model,
+        goal=goal.model,
     )
 
 
