Know how long an unload takes, and weigh a plan again when its turn comes

Cause: an unload waits for the runs of its model, and a server carries out nothing else meanwhile. The leader reckoned one second for any model in use. And a plan was carried out as it had been made, seconds later: a replica planned at 1.2 s in the place of noti932681 evicted it at 4.9, 8.8 and 12.4 s, when it had become the most wanted model. A decision was carried out on beliefs that had changed since.

Change: gateways learn the time of an output token from runs that have ended and tell the leader how long their requests at each server still last. The leader uses that in the price of victims and in its promises. A plan whose victims have become much dearer is void; wanted models are planned again, replicas are left to the next look ahead.

Evidence: three tests; the two on the placement failed before, the third needs the new field.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import Final
 
@@ -35,6 +35,9 @@
 RESIDENCE_S: Final = 1.0
 # An unload without runs takes about this long, the lag of the report included.
 UNLOAD_S: Final = 0.13
+# An unload of a model in use waits for its runs; for those that began since the last
+# report at least this.
+USED_UNLOAD_S: Final = 0.5
 # After this time an order of a known duration is taken for done.
 SETTLE_S: Final = 0.03
 # Time to make room and to see that a load has ended.
@@ -70,8 +73,9 @@
     waiting_by_asker: dict[str, int] = attrs.field(factory=dict)
     # When it was last asked for; infinite for what the leader wants itself.
     wanted_at: float = float("inf")
-    # Models that the plan unloads to make room.
+    # Models that the plan unloads to make room, and what that was worth then.
     victims: tuple[str, ...] = ()
+    victims_cost_s: float = 0.0
 
     def want(self, asker: str, waiting: int, now: float) -> None:
         """Record that an instance waits for it."""
@@ -91,6 +95,16 @@
         return sum(self.waiting_by_asker.values())
 
 
+@attrs.frozen
+class Use:
+    """Requests that use a model or adapter on a server."""
+
+    # When they were last known to.
+    seen_at: float
+    # When the last of them is expected to end.
+    ends_at: float
+
+
 @attrs.frozen
 class RunningOrder:
     """An order on a model that a server is carrying out."""
@@ -144,19 +158,27 @@
     # Adapters on their way by accepted orders, by (model, adapter).
     arrival_by_adapter: dict[tuple[str, str], Arrival] = attrs.field(factory=dict)
     goals: deque[Goal] = attrs.field(factory=deque)
-    # When requests were last known to use a model or adapter here.
-    used_at_by_target: dict[str, float] = attrs.field(factory=dict)
-
-    def note_use(self, targets: Iterable[str], now: float) -> None:
-        """Record models and adapters that requests use or are about to use here."""
-        for target in targets:
-            self.used_at_by_target[target] = now
-        if len(self.used_at_by_target) > MOST_USED_TARGETS:
+    # Models and adapters that requests use here.
+    use_by_target: dict[str, Use] = attrs.field(factory=dict)
+
+    def note_runs(self, remaining_by_target: Mapping[str, float], now: float) -> None:
+        """Record models and adapters that requests use or are about to use here.
+
+        Each comes with the seconds until the last known request ends.
+        """
+        for target, remaining_s in remaining_by_target.items():
+            known = self.use_by_target.get(target)
+            ends_at = now + remaining_s
+            if known is not None:
+                # Another gateway's requests may last longer.
+                ends_at = max(ends_at, known.ends_at)
+            self.use_by_target[target] = Use(now, ends_at)
+        if len(self.use_by_target) > MOST_USED_TARGETS:
             since = now - USE_MEMORY_S
-            self.used_at_by_target = {
-                target: used_at
-                for target, used_at in self.used_at_by_target.items()
-                if used_at > since
+            self.use_by_target = {
+                target: use
+                for target, use in self.use_by_target.items()
+                if max(use.seen_at, use.ends_at - USE_MEMORY_S) > since
             }
 
     def is_used(self, model: str, adapter: str, now: float) -> bool:
@@ -167,14 +189,26 @@
         """
         since = now - USE_MEMORY_S
         if adapter:
-            return (
-                self.used_at_by_target.get(target_name(model, adapter), since) > since
-            )
+            use = self.use_by_target.get(target_name(model, adapter))
+            return use is not None and use.seen_at > since
         return any(
-            used_at > since and target.partition("/")[0] == model
-            for target, used_at in self.used_at_by_target.items()
+            use.seen_at > since and target.partition("/")[0] == model
+            for target, use in self.use_by_target.items()
         )
 
+    def unload_s(self, model: str, now: float) -> float:
+        """Return how long an unload is expected to take, with the runs of a model."""
+        ends_at = max(
+            (
+                use.ends_at
+                for target, use in self.use_by_target.items()
+                if target.partition("/")[0] == model
+            ),
+            default=now,
+        )
+        least_s = USED_UNLOAD_S if self.is_used(model, "", now) else UNLOAD_S
+        return max(ends_at - now, least_s)
+
     def is_usable(self, now: float) -> bool:
         """Return whether the server is worth an order."""
         return self.record.state is ServerState.READY and now >= self.silent_until
@@ -314,6 +348,9 @@
             until = self.busy_since + max(loads_s, default=0.0)
         else:
             until = self.busy_until
+            if self.running_order is not None:
+                order = self.running_order
+                until = max(until, order.since + order.expected_s)
         return abs(until - now)
 
     def poll_interval_s(self, now: float) -> float:
@@ -330,10 +367,16 @@
                 continue
             if self.loading != goal.model:
                 ready_in_s += self.load_s(spec) + SWAP_S
+                ready_in_s += self.room_s(goal, now)
             if goal.model == model:
                 break
         return ready_in_s
 
+    def room_s(self, goal: Goal, now: float) -> float:
+        """Return how long a goal's victims take to go."""
+        held = (name for name in goal.victims if self.holds_model(name))
+        return sum(self.unload_s(name, now) for name in held)
+
     def take_record(self, record: ServerRecord, now: float) -> None:
         """Take in a registry entry.
 
@@ -396,21 +439,21 @@
         elif order.kind is OrderKind.LOAD:
             self.busy_until = now + self.load_s(spec) + SETTLE_S
             self.loading = order.model
-            self._start_order(order, now)
+            self._start_order(order, self.load_s(spec), now)
             models[order.model] = HeldModel(order.model, 0)
         else:
-            # The server drops the model when its runs have ended.
+            # The server drops the model when its runs have ended, which may be sooner
+            # than expected, so the report is read from the shortest time on.
             self.busy_until = now + UNLOAD_S
             self.unloading = order.model
-            self._start_order(order, now)
+            self._start_order(order, self.unload_s(order.model, now), now)
             models.pop(order.model, None)
         self.holdings = attrs.evolve(
             self.holdings, order_count=order.expected_count + 1, model_by_name=models
         )
         self.changed_at = now
 
-    def _start_order(self, order: ServerOrder, now: float) -> None:
-        expected_s = 0.0 if self.busy_until is None else self.busy_until - now
+    def _start_order(self, order: ServerOrder, expected_s: float, now: float) -> None:
         self.running_order = RunningOrder(order.kind, order.model, now, expected_s)
 
     def take_done_order(self) -> RunningOrder | None:
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -38,6 +38,8 @@
     parts: tuple[PromptPart, ...]
     # Prompt and output tokens; 0 for a plain service.
     tokens: int
+    # The requester's estimate of the output tokens; 0 if it has none.
+    output_tokens: int
     # 0 is the most urgent.
     priority: int
     # Servers that have had this request.
@@ -165,8 +167,9 @@
     service: str
     # Prompt tokens by model or adapter.
     tokens_by_target: dict[str, int]
-    # Models and adapters that the sender's requests use now, by server.
-    used_by_server: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    # Models and adapters that the sender's requests use now, by server, with the
+    # seconds until the last of these requests is expected to end.
+    runs_by_server: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
 
 @wire
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -94,6 +94,8 @@
         held = [name for name in goal.victims if server.holds_model(name)]
         if any(fleet.outweighs(name, goal.model, goal.waiting, now) for name in held):
             return PlanVoid("victim_needed")
+        if fleet.is_dearer(server, goal, now):
+            return PlanVoid("victims_dearer")
         for name in held:
             if not server.is_fresh(name, now):
                 return OrderDue(_order(epoch, server, OrderKind.UNLOAD, name, ""))
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -49,7 +49,7 @@
 )
 from .office import Office
 from .order_planner import GoalWaits, NextStep, OrderDue, OrderPlanner, PlanVoid
-from .placement_choice import ServiceFleet
+from .placement_choice import Choice, ServiceFleet
 from .placement_log import PlacementLog, log_result
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 from .store_limit import StoreLoads
@@ -230,14 +230,19 @@
         if choice is None:
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
-        self._log.planned(model, choice, "wanted")
-        choice.server.goals.append(
-            Goal(model, "", {asker: want.waiting}, now, choice.victims)
-        )
-        choice.server.sort_goals()
+        goal = Goal(model, "", {asker: want.waiting}, now)
+        self._add_goal(goal, choice, "wanted")
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
 
+    def _add_goal(self, goal: Goal, choice: Choice, why: str) -> None:
+        """Plan a load on the chosen server."""
+        self._log.planned(goal.model, choice, why)
+        goal.victims = choice.victims
+        goal.victims_cost_s = choice.victims_cost_s
+        choice.server.goals.append(goal)
+        choice.server.sort_goals()
+
     def _want_adapter(
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
@@ -308,8 +313,7 @@
         choice = fleet.choose(fleet.engine.model_by_name[model], idle, now)
         if choice is None:
             return []
-        self._log.planned(model, choice, "no_copy")
-        choice.server.goals.append(Goal(model, "", victims=choice.victims))
+        self._add_goal(Goal(model, ""), choice, "no_copy")
         return self._advance(choice.server, now)
 
     def _add_replica(
@@ -322,12 +326,8 @@
         lost = sum(fleet.value(victim, now) for victim in choice.victims)
         if fleet.value(model, now) < REPLICA_GAIN * lost:
             return []
-        self._log.planned(model, choice, "replica")
-        urgency = fleet.urgency(model, now)
-        choice.server.goals.append(
-            Goal(model, "", {self._id: urgency}, victims=choice.victims)
-        )
-        choice.server.sort_goals()
+        goal = Goal(model, "", {self._id: fleet.urgency(model, now)})
+        self._add_goal(goal, choice, "replica")
         return self._advance(choice.server, now)
 
     # Orders
@@ -382,8 +382,10 @@
     def _plan_again(self, service: str, goal: Goal, now: float) -> list[Outgoing]:
         """Find another place for a model whose plan is void."""
         engine = self._engine_by_service.get(service)
-        if goal.adapter or not goal.waiting or engine is None:
-            # The askers of an adapter ask again.
+        own = goal.waiting_by_asker.keys() <= {self._id}
+        if goal.adapter or own or engine is None:
+            # The askers of an adapter ask again; what the leader wants itself is
+            # weighed anew with the next look ahead.
             return []
         fleet = self._fleet(service, engine, now)
         servers = [
@@ -395,10 +397,7 @@
         choice = fleet.choose(spec, servers, now, goal.waiting)
         if choice is None:
             return []
-        self._log.planned(goal.model, choice, "plan_void")
-        goal.victims = choice.victims
-        choice.server.goals.append(goal)
-        choice.server.sort_goals()
+        self._add_goal(goal, choice, "plan_void")
         return self._advance(choice.server, now)
 
     def _drop_stale(self, server: ManagedServer, now: float) -> None:
@@ -511,7 +510,7 @@
     ) -> list[Outgoing]:
         ready = ModelReady(goal.model, goal.adapter, server.record.server_id)
         if goal.waiting_by_asker:
-            server.note_use((target_name(goal.model, goal.adapter),), now)
+            server.note_runs({target_name(goal.model, goal.adapter): 0.0}, now)
         return [
             self._to_routing(asker, ready) for asker in sorted(goal.waiting_by_asker)
         ]
@@ -558,9 +557,9 @@
 
     def _take_demand(self, seen: DemandSeen, sender: str, now: float) -> None:
         demand = self._demand_by_service.setdefault(seen.service, Demand())
-        for server_id, targets in seen.used_by_server.items():
+        for server_id, runs in seen.runs_by_server.items():
             if server := self._server_by_id.get(server_id):
-                server.note_use(targets, now)
+                server.note_runs(runs, now)
         for target, tokens in seen.tokens_by_target.items():
             demand.add(target, tokens, now)
             model, _, adapter = target.partition("/")
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -37,14 +37,14 @@
 OVERLOAD_TOKENS_PER_S: Final = 20_000.0
 # Seconds that a model is worse off on a server whose time is all taken.
 BUSY_COST_S: Final = 2.0
-# Time until the runs of a model that is in use have ended, most of them.
-USED_UNLOAD_S: Final = 1.0
 # Among models with little demand, one that is in use goes last.
 IN_USE_TOKENS_PER_S: Final = 500.0
 # Prompt tokens a second from which a model should not depend on one server.
 SPARE_TOKENS_PER_S: Final = 1_500.0
 # A plan is changed if another server would have the model this much sooner.
 MUCH_SOONER_S: Final = 1.5
+# A plan is void if what it evicts costs this much more than when it was made.
+MUCH_DEARER_S: Final = 1.5
 # A model that stood on several servers at the start was placed there for its demand.
 REPLICA_PRIOR: Final = 0.02
 
@@ -55,9 +55,11 @@
 
     server: ManagedServer
     victims: tuple[str, ...]
-    # Estimated time until the model is ready, and what the eviction costs beside.
+    # Estimated time until the model is ready; the same with all costs beside.
     ready_in_s: float
     cost_s: float
+    # Part of the costs that is due to the victims.
+    victims_cost_s: float
 
     def later(self, by_s: float) -> Choice:
         """Return the choice with a model that is ready later."""
@@ -311,8 +313,6 @@
         if victims is None:
             return None
         ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
-        if any(server.is_used(model, "", now) for model in victims):
-            ready_in_s += USED_UNLOAD_S
         lost = sum(self.value(model, now) for model in victims)
         total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
         kept = sum(
@@ -322,13 +322,27 @@
         )
         blocked_s = BLOCKED_SHARE * server.load_s(spec) * min(kept / total, 1.0)
         load = (self.load(server, now) - lost) / SERVER_TOKENS_PER_S
+        victims_cost_s = self.victims_cost_s(server, victims, now)
         cost_s = (
-            ready_in_s
-            + EVICTION_COST_S * min(lost / total, 1.0)
-            + blocked_s
-            + BUSY_COST_S * min(load, 1.0) ** 2
+            ready_in_s + victims_cost_s + blocked_s + BUSY_COST_S * min(load, 1.0) ** 2
         )
-        return Choice(server, victims, ready_in_s, cost_s)
+        ready_in_s += sum(server.unload_s(model, now) for model in victims)
+        return Choice(server, victims, ready_in_s, cost_s, victims_cost_s)
+
+    def victims_cost_s(
+        self, server: ManagedServer, victims: Iterable[str], now: float
+    ) -> float:
+        """Return what it costs that models go: their demand and the wait for runs."""
+        lost = sum(self.value(model, now) for model in victims)
+        total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
+        unload_s = sum(server.unload_s(model, now) for model in victims)
+        return EVICTION_COST_S * min(lost / total, 1.0) + unload_s
+
+    def is_dearer(self, server: ManagedServer, goal: Goal, now: float) -> bool:
+        """Return whether a goal's victims cost much more than when it was planned."""
+        held = [name for name in goal.victims if server.holds_model(name)]
+        cost_s = self.victims_cost_s(server, held, now)
+        return cost_s > goal.victims_cost_s + MUCH_DEARER_S
 
     def victims(
         self, spec: ModelSpec, server: ManagedServer, now: float, waiting: int
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -35,6 +35,8 @@
     adapter: str
     # Prompt tokens plus the most output tokens; None if not said.
     tokens: int | None
+    # The requester's estimate of the output tokens, often far off; 0 if it has none.
+    output_tokens: int
     parts: tuple[PromptPart, ...]
     # Empty if the requester has no event of the stream yet.
     last_event_id: str
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -196,6 +196,7 @@
             adapter=head.adapter,
             parts=head.parts,
             tokens=head.tokens or 0,
+            output_tokens=head.output_tokens,
             priority=admission.priority,
             excluded=frozenset(self._tried),
             repeat=self._arrived,
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -33,6 +33,7 @@
     AssignRefused,
     AssignServer,
     AttemptEnded,
+    AttemptResult,
     DemandSeen,
     FirstEventSeen,
     LeaderChanged,
@@ -44,6 +45,7 @@
     WantModel,
 )
 from .retry_share import RetryShare
+from .run_lengths import RunLengths
 from .server_view import (
     CACHE_SHARE,
     STRANGER_COST_S,
@@ -100,6 +102,7 @@
         # Until when each (service, model, adapter) is not asked for again.
         self._want_again_at: dict[tuple[str, str, str], float] = {}
         self._demand = DemandLog()
+        self._run_lengths = RunLengths()
         self._next_demand_at = 0.0
         # Changes of the registry do not arrive at present.
         self._interrupted = False
@@ -116,7 +119,7 @@
                 return []
             case FirstEventSeen(request_id, server_id):
                 if view := self._view_by_id.get(server_id):
-                    view.first_event(request_id)
+                    view.first_event(request_id, now)
                 return []
             case AttemptEnded() as ended:
                 self._end_attempt(ended, now)
@@ -133,7 +136,7 @@
                 batch.append(self._refuse(waiting, "no server was free in time", now))
         if now >= self._next_demand_at:
             self._next_demand_at = now + DEMAND_INTERVAL_S
-            batch += self._report_demand()
+            batch += self._report_demand(now)
         self._drop_gone(now)
         return batch
 
@@ -217,7 +220,7 @@
             return None
         if best.is_cold(now):
             best.cold_bucket.take(1, now)
-        best.sent(call)
+        best.sent(call, now)
         record = best.record
         log_event(
             logger,
@@ -275,6 +278,8 @@
         view = self._view_by_id.get(ended.server_id)
         if view is None:
             return
+        if ended.result is AttemptResult.ANSWERED:
+            view.note_run(ended.request_id, self._run_lengths, now)
         view.ended(ended.request_id, ended.result, ended.load, now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
@@ -383,26 +388,26 @@
             target = target_name(call.model, call.adapter)
             self._demand.add(call.service, target, call.tokens, now)
 
-    def _report_demand(self) -> list[Outgoing]:
+    def _report_demand(self, now: float) -> list[Outgoing]:
         if self._leader_id is None:
             return []
         recipient = Address(self._leader_id, PLACEMENT_TASK)
         tokens_by_service = self._demand.take_report()
-        used_by_service: dict[str, dict[str, tuple[str, ...]]] = {}
+        runs_by_service: dict[str, dict[str, dict[str, float]]] = {}
         for server_id, view in self._view_by_id.items():
-            if used := view.used_targets():
-                used_by_server = used_by_service.setdefault(view.record.service, {})
-                used_by_server[server_id] = used
+            if runs := view.runs_by_target(self._run_lengths, now):
+                runs_by_server = runs_by_service.setdefault(view.record.service, {})
+                runs_by_server[server_id] = runs
         return [
             Outgoing(
                 recipient,
                 DemandSeen(
                     service,
                     tokens_by_service.get(service, {}),
-                    used_by_service.get(service, {}),
+                    runs_by_service.get(service, {}),
                 ),
             )
-            for service in sorted(tokens_by_service.keys() | used_by_service.keys())
+            for service in sorted(tokens_by_service.keys() | runs_by_service.keys())
         ]
 
     # Changes
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -17,6 +17,7 @@
 from .demand import target_name
 from .messages import AssignServer, AttemptResult
 from .request import PromptPart
+from .run_lengths import RunLengths
 from .servers import ServerLoad, ServerRecord, ServerState
 from .token_bucket import TokenBucket
 
@@ -95,6 +96,9 @@
     adapter: str
     # Prompt tokens still to be read, until the first event.
     unread: int
+    output_tokens: int
+    # When it was sent, or its first event came.
+    since: float
 
 
 @attrs.define(kw_only=True)
@@ -176,14 +180,21 @@
             if gone and now >= missing_at + ENTRY_LAG_S:
                 del self.missing_at_by_target[target]
 
-    def used_targets(self) -> tuple[str, ...]:
-        """Return the models and adapters of this gateway's requests at the server."""
-        used = {
-            target_name(own.model, own.adapter)
-            for own in self.own_by_request.values()
-            if own.model
-        }
-        return tuple(sorted(used))
+    def runs_by_target(self, lengths: RunLengths, now: float) -> dict[str, float]:
+        """Return the models and adapters of this gateway's requests at the server.
+
+        Each comes with the seconds until the last of its requests is expected to end.
+        """
+        remaining_by_target: dict[str, float] = {}
+        for own in self.own_by_request.values():
+            if own.model:
+                target = target_name(own.model, own.adapter)
+                remaining_s = lengths.remaining_s(
+                    own.model, own.output_tokens, now - own.since
+                )
+                known_s = remaining_by_target.get(target, 0.0)
+                remaining_by_target[target] = max(known_s, remaining_s)
+        return remaining_by_target
 
     def is_cold(self, now: float) -> bool:
         """Return whether the server is cold."""
@@ -216,20 +227,27 @@
         age_s = max(now - self.failures_at, 0.0)
         return max(self.failures - age_s * FAILURE_DECAY_PER_S, 0.0)
 
-    def sent(self, call: AssignServer) -> None:
+    def sent(self, call: AssignServer, now: float) -> None:
         """Record that a request goes to the server."""
         target = target_name(call.model, call.adapter)
         unread = self.cache.missing_tokens(target, call.parts)
         self.own_by_request[call.request_id] = _OwnRequest(
-            call.model, call.adapter, unread
+            call.model, call.adapter, unread, call.output_tokens, now
         )
         self.cache.add(target, call.parts)
 
-    def first_event(self, request_id: str) -> None:
+    def first_event(self, request_id: str, now: float) -> None:
         """Record that a prompt has been read."""
         own = self.own_by_request.get(request_id)
         if own is not None:
             own.unread = 0
+            own.since = now
+
+    def note_run(self, request_id: str, lengths: RunLengths, now: float) -> None:
+        """Learn from a run whose whole answer has come."""
+        own = self.own_by_request.get(request_id)
+        if own is not None and own.model:
+            lengths.note_run(own.model, own.output_tokens, now - own.since)
 
     def ended(
         self,
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -20,6 +20,7 @@
 MODEL: Final = "model"
 # Prompt tokens and the most output tokens.
 TOKEN_COUNT: Final = "token-count"
+LENGTH_HINT: Final = "length-hint"
 PROMPT_PREFIX: Final = "prompt-prefix"
 # The last event that the requester has.
 LAST_EVENT_ID: Final = "last-event-id"
@@ -94,6 +95,7 @@
         model=model,
         adapter=adapter,
         tokens=tokens,
+        output_tokens=_length_hint(headers.get(LENGTH_HINT, "")),
         parts=_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID, ""),
         headers=dict(headers),
@@ -172,6 +174,12 @@
     return text[len(_BEARER) :].strip()
 
 
+def _length_hint(text: str) -> int:
+    """Return the estimated output tokens; 0 if there is no hint that can be read."""
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _parts(text: str) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt; malformed ones end the list.
 
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -4,6 +4,7 @@
 
 from siskinspool.gateway.messages import (
     DemandSeen,
+    ModelExpected,
     OrderKind,
     OrderResult,
     ServerOrder,
@@ -18,13 +19,14 @@
 def carry_out(office: Office, order: ServerOrder) -> list[ServerOrder]:
     """Let a server accept and finish an order; return the orders that follow."""
     office.end(order, OrderResult.ACCEPTED)
-    held = set(office.reports[order.server_id].model_by_name)
+    known = office.reports[order.server_id]
+    held = set(known.model_by_name)
     if order.kind is OrderKind.LOAD:
         held.add(order.model)
     else:
         held.discard(order.model)
     office.reports[order.server_id] = holdings(
-        *held, count=order.expected_count + 1, on_disk=ALL_MODELS
+        *held, count=order.expected_count + 1, on_disk=known.on_disk
     )
     return orders(office.wait(1.3))
 
@@ -52,3 +54,35 @@
     unloaded = [order.model for order in given if order.kind is OrderKind.UNLOAD]
     assert sorted(loaded) == ["m2", "m3"]
     assert sorted(unloaded) == ["m1", "m5"]
+
+
+def test_long_runs_of_a_victim_are_part_of_the_time_until_a_model_is_ready() -> None:
+    """Guards against promises that the streams of the evicted model break.
+
+    baul-bogota scale-1: a model was promised in 1.5 s and came after 6.1 s, as the
+    streams of the model in its place went on.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=ALL_MODELS)
+    office.take_office()
+    runs = {"s1": {"m0": 5.0, "m0/a1": 0.2}}
+    office.tell(DemandSeen("writers", {"m0": 100}, runs))
+    expected = [one for one in office.want("m1") if isinstance(one, ModelExpected)]
+    disk_load_s = engine().model_by_name["m1"].disk_load_s
+    assert 5.0 + disk_load_s <= expected[0].in_s <= 6.0 + disk_load_s
+
+
+def test_load_goes_where_no_long_run_keeps_the_room() -> None:
+    """Guards against a server that carries out no order while long streams end.
+
+    The two servers are alike, but for the runs of the model that would have to go.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=ALL_MODELS)
+    office.add("s2", "m4", on_disk=ALL_MODELS)
+    office.take_office()
+    runs = {"s1": {"m0": 6.0}, "s2": {"m4": 0.3}}
+    office.tell(DemandSeen("writers", {"m0": 100, "m4": 100}, runs))
+    assert [order.server_id for order in orders(office.want("m1"))] == ["s2"]
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -390,3 +390,19 @@
 
 def wanted_adapters(found: list[Message]) -> list[str]:
     return [one.adapter for one in found if isinstance(one, WantModel)]
+
+
+def test_leader_hears_how_long_requests_still_run() -> None:
+    """Guards against unloads that are thought to take a moment while streams go on."""
+    desk = Desk()
+    desk.tell(LeaderChanged("g2"))
+    desk.tell(server("s1", "m0"))
+    for number in range(20):
+        desk.ask(f"r{number}", output_tokens=100)
+        desk.now += 2.0
+        desk.end(f"r{number}", "s1")
+    desk.wait(1.1)
+    desk.ask("short", output_tokens=50)
+    desk.ask("long", output_tokens=400)
+    seen = [one for one in desk.wait(1.1) if isinstance(one, DemandSeen)]
+    assert 6.0 < seen[0].runs_by_server["s1"]["m0"] < 8.0
