Carry out the loads first that serve most demand for their time

Cause: a server carried out its plans by the number of requests that waited, and in the order of time among equals. Loads of a second stood behind loads of six from the weight store; a refused request no longer counted, so a model that all ask for and no server holds ranked like one that a single request wants.

Change: the rank of a plan is its time for the demand that it serves (Smith's rule), where demand includes what was refused. A new plan is priced behind those that go before it only. A plan moves to the server that was found sooner, instead of being chosen anew.

Evidence: test_loads_of_a_second_go_before_those_of_many failed before.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -76,6 +76,7 @@
     # Models that the plan unloads to make room, and what that was worth then.
     victims: tuple[str, ...] = ()
     victims_cost_s: float = 0.0
+    planned_at: float = float("-inf")
 
     def want(self, asker: str, waiting: int, now: float) -> None:
         """Record that an instance waits for it."""
@@ -236,9 +237,11 @@
         goals = {goal.model for goal in self.goals if not goal.adapter}
         return goals | self.holdings.model_by_name.keys()
 
-    def promised_models(self) -> set[str]:
-        """Return the models that the server's plans unload."""
-        return {name for goal in self.goals for name in goal.victims}
+    def goals_before(self, goal: Goal) -> list[Goal]:
+        """Return the goals that the server reaches before one of them."""
+        found = list(self.goals)
+        index = next(i for i, other in enumerate(found) if other is goal)
+        return found[:index]
 
     def status(self) -> Status:
         """Return what operators may see."""
@@ -318,10 +321,12 @@
             self.goals = deque(goal for goal in self.goals if not goal.is_stale(now))
         return stale
 
-    def sort_goals(self) -> None:
-        """Put what most requests wait for first; among equals, what is older."""
-        ordered = sorted(self.goals, key=lambda goal: -goal.waiting)
-        self.goals = deque(ordered)
+    def goal_s(self, goal: Goal, engine: EngineSpec, now: float) -> float:
+        """Return how long the server is taken by a goal that is not yet begun."""
+        spec = engine.model_by_name.get(goal.model)
+        if goal.adapter or spec is None or self.loading == goal.model:
+            return 0.0
+        return self.load_s(spec) + SWAP_S + self.room_s(goal, now)
 
     def put_adapters_first(self) -> None:
         """Put adapters before models, in the order that they have."""
@@ -358,17 +363,12 @@
         late_s = 0.0 if self.busy_until is None else now - self.busy_until
         return max(POLL_INTERVAL_S, late_s * POLL_LATE_SHARE)
 
-    def ready_in_s(self, model: str | None, engine: EngineSpec, now: float) -> float:
-        """Return when a goal is reached; with None, when all goals are."""
+    def ready_in_s(self, model: str, engine: EngineSpec, now: float) -> float:
+        """Return when the goal of a model is reached."""
         ready_in_s = self.busy_s(engine, now)
         for goal in self.goals:
-            spec = engine.model_by_name.get(goal.model)
-            if goal.adapter or spec is None:
-                continue
-            if self.loading != goal.model:
-                ready_in_s += self.load_s(spec) + SWAP_S
-                ready_in_s += self.room_s(goal, now)
-            if goal.model == model:
+            ready_in_s += self.goal_s(goal, engine, now)
+            if goal.model == model and not goal.adapter:
                 break
         return ready_in_s
 
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -99,10 +99,11 @@
         for name in held:
             if not server.is_fresh(name, now):
                 return OrderDue(_order(epoch, server, OrderKind.UNLOAD, name, ""))
-        if held or any(server.has_goal(name, "") for name in goal.victims):
-            # What has just been loaded, or is still to be, stays for its requests.
+        if held:
+            # What has just been loaded stays for its requests.
             return GoalWaits(now + RETRY_S)
-        if any(server.holds_model(name) for name in server.promised_models()):
+        before = server.goals_before(goal)
+        if any(other.model in goal.victims or other.victims for other in before):
             # The plans before this one leave room for it.
             return GoalWaits(now + RETRY_S)
         return PlanVoid("no_room")
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -211,14 +211,17 @@
             if goal is None:
                 continue
             goal.want(asker, want.waiting, now)
-            server.sort_goals()
-            if fleet.has_better_server(server, goal, now):
-                if server.loading != model:
-                    self._log.dropped(server, goal, "better_server", now)
-                    server.goals.remove(goal)
-                    fleet.forget_counts()
-                break
-            return [self._expected(want, asker, server, fleet, now)]
+            fleet.sort_goals(server, now)
+            batch: list[Outgoing] = []
+            better = None
+            if server.loading != model:
+                better = fleet.better_choice(server, goal, now)
+            if better is not None:
+                server.goals.remove(goal)
+                self._add_goal(fleet, goal, better, "sooner", now)
+                server = better.server
+                batch = self._advance(server, now)
+            return [self._expected(want, asker, server, fleet, now), *batch]
         servers = [
             server
             for server in fleet.servers
@@ -231,17 +234,21 @@
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
         goal = Goal(model, "", {asker: want.waiting}, now)
-        self._add_goal(goal, choice, "wanted")
+        self._add_goal(fleet, goal, choice, "wanted", now)
         expected = self._expected(want, asker, choice.server, fleet, now)
         return [expected, *self._advance(choice.server, now)]
 
-    def _add_goal(self, goal: Goal, choice: Choice, why: str) -> None:
+    def _add_goal(
+        self, fleet: ServiceFleet, goal: Goal, choice: Choice, why: str, now: float
+    ) -> None:
         """Plan a load on the chosen server."""
         self._log.planned(goal.model, choice, why)
         goal.victims = choice.victims
         goal.victims_cost_s = choice.victims_cost_s
+        goal.planned_at = now
         choice.server.goals.append(goal)
-        choice.server.sort_goals()
+        fleet.forget_counts()
+        fleet.sort_goals(choice.server, now)
 
     def _want_adapter(
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
@@ -313,7 +320,7 @@
         choice = fleet.choose(fleet.engine.model_by_name[model], idle, now)
         if choice is None:
             return []
-        self._add_goal(Goal(model, ""), choice, "no_copy")
+        self._add_goal(fleet, Goal(model, ""), choice, "no_copy", now)
         return self._advance(choice.server, now)
 
     def _add_replica(
@@ -327,7 +334,7 @@
         if fleet.value(model, now) < REPLICA_GAIN * lost:
             return []
         goal = Goal(model, "", {self._id: fleet.urgency(model, now)})
-        self._add_goal(goal, choice, "replica")
+        self._add_goal(fleet, goal, choice, "replica", now)
         return self._advance(choice.server, now)
 
     # Orders
@@ -383,9 +390,9 @@
         """Find another place for a model whose plan is void."""
         engine = self._engine_by_service.get(service)
         own = goal.waiting_by_asker.keys() <= {self._id}
-        if goal.adapter or own or engine is None:
-            # The askers of an adapter ask again; what the leader wants itself is
-            # weighed anew with the next look ahead.
+        if goal.adapter or own or engine is None or goal.planned_at >= now:
+            # The askers ask again; what the leader wants itself is weighed anew with
+            # the next look ahead.
             return []
         fleet = self._fleet(service, engine, now)
         servers = [
@@ -397,7 +404,7 @@
         choice = fleet.choose(spec, servers, now, goal.waiting)
         if choice is None:
             return []
-        self._add_goal(goal, choice, "plan_void")
+        self._add_goal(fleet, goal, choice, "plan_void", now)
         return self._advance(choice.server, now)
 
     def _drop_stale(self, server: ManagedServer, now: float) -> None:
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+from collections import Counter, deque
 from collections.abc import Iterable
 from typing import Final
 
@@ -10,7 +11,7 @@
 
 from .demand import Demand, target_name
 from .desired_state import EngineSpec, ModelSpec
-from .managed_server import Goal, ManagedServer
+from .managed_server import SWAP_S, Goal, ManagedServer
 from .store_limit import StoreLoads
 
 # Seconds that the eviction of the whole demand would be worth.
@@ -206,8 +207,10 @@
         apart = [s for s in free if s.record.zone not in zones]
         return self.choose(self.engine.model_by_name[model], apart or free, now)
 
-    def has_better_server(self, server: ManagedServer, goal: Goal, now: float) -> bool:
-        """Return whether another server would be much sooner than the planned one."""
+    def better_choice(
+        self, server: ManagedServer, goal: Goal, now: float
+    ) -> Choice | None:
+        """Return another server that would have a goal's model much sooner."""
         model = goal.model
         expected_s = server.ready_in_s(model, self.engine, now)
         others = [
@@ -216,11 +219,53 @@
             if other is not server and other.has_goal(model, "") is None
         ]
         if expected_s < MUCH_SOONER_S or len(others) < len(self.servers) - 1:
-            return False
-        choice = self.choose(
-            self.engine.model_by_name[model], others, now, goal.waiting
+            return None
+        spec = self.engine.model_by_name[model]
+        choice = self.choose(spec, others, now, goal.waiting)
+        if choice is None or choice.ready_in_s + MUCH_SOONER_S > expected_s:
+            return None
+        return choice
+
+    def sort_goals(self, server: ManagedServer, now: float) -> None:
+        """Put the goals first that serve most demand for the time they take."""
+        ordered = sorted(server.goals, key=lambda goal: self._rank(server, goal, now))
+        server.goals = deque(ordered)
+
+    def _rank(self, server: ManagedServer, goal: Goal, now: float) -> float:
+        """Return the time that a goal takes for what it is worth; the least goes first.
+
+        To go by this ratio keeps the whole demand waiting for the shortest time.
+        """
+        if goal.adapter:
+            return 0.0
+        if not goal.waiting:
+            return math.inf
+        taken_s = server.goal_s(goal, self.engine, now)
+        return taken_s / self._wanted(goal.model, goal.waiting, now)
+
+    def _wanted(self, model: str, waiting: int, now: float) -> float:
+        """Return the demand for a model that is to be loaded, in tokens a second.
+
+        Requests that were told to come back no longer wait.
+        """
+        return self.demand.tokens_per_s(model, now) + waiting * WAITING_TOKENS_PER_S
+
+    def _goals_before(
+        self, server: ManagedServer, spec: ModelSpec, waiting: int, now: float
+    ) -> list[Goal]:
+        """Return the goals of a server that go before a new one."""
+        taken_s = server.load_s(spec) + SWAP_S
+        rank = taken_s / self._wanted(spec.name, max(waiting, 1), now)
+        return [goal for goal in server.goals if self._rank(server, goal, now) <= rank]
+
+    def _queue_s(
+        self, server: ManagedServer, spec: ModelSpec, waiting: int, now: float
+    ) -> float:
+        """Return how long a new goal waits for those that go before it."""
+        return server.busy_s(self.engine, now) + sum(
+            server.goal_s(goal, self.engine, now)
+            for goal in self._goals_before(server, spec, waiting, now)
         )
-        return choice is not None and choice.ready_in_s + MUCH_SOONER_S < expected_s
 
     def can_take_adapter(self, server: ManagedServer, now: float) -> bool:
         """Return whether an adapter slot is free or held by what no request uses."""
@@ -312,7 +357,8 @@
         victims = self.victims(spec, server, now, waiting)
         if victims is None:
             return None
-        ready_in_s = server.load_s(spec) + server.ready_in_s(None, self.engine, now)
+        load_s = server.load_s(spec)
+        ready_in_s = load_s + self._queue_s(server, spec, waiting, now)
         lost = sum(self.value(model, now) for model in victims)
         total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
         kept = sum(
@@ -320,7 +366,7 @@
             for model in server.holdings.model_by_name
             if model not in victims
         )
-        blocked_s = BLOCKED_SHARE * server.load_s(spec) * min(kept / total, 1.0)
+        blocked_s = BLOCKED_SHARE * load_s * min(kept / total, 1.0)
         load = (self.load(server, now) - lost) / SERVER_TOKENS_PER_S
         victims_cost_s = self.victims_cost_s(server, victims, now)
         cost_s = (
@@ -349,21 +395,25 @@
     ) -> tuple[str, ...] | None:
         """Return the models that have to go for one to fit; None if it cannot.
 
-        The server's plans come first: they take the room that is free, and their
-        victims are gone by then. What they load can go in its turn.
+        The plans that are carried out before come first: they take the room that is
+        free, and their victims are gone by then. What they load can go in its turn.
         """
-        free_mb = self.engine.weights_mb - self._planned_mb(server)
-        promised = server.promised_models()
-        planned = {goal.model for goal in server.goals if not goal.adapter}
+        before = self._goals_before(server, spec, waiting, now)
+        planned = {goal.model for goal in before if not goal.adapter}
+        gone = {name for goal in before for name in goal.victims}
+        present = (server.holdings.model_by_name.keys() | planned) - gone
+        wanted_later = {name for goal in server.goals for name in goal.victims}
+        free_mb = self.engine.weights_mb - sum(
+            self._mb(server, name) for name in present
+        )
         candidates = sorted(
             (
                 name
-                for name in server.planned_models()
-                if name not in promised
-                and not self.outweighs(name, spec.name, waiting, now)
+                for name in present
+                if not self.outweighs(name, spec.name, waiting, now)
             ),
             key=lambda name: (
-                name in planned,
+                name in planned or name in wanted_later,
                 self.value(name, now)
                 + IN_USE_TOKENS_PER_S * server.is_used(name, "", now),
                 self.demand.last_at(name),
@@ -379,15 +429,6 @@
                 victims.append(name)
         return tuple(victims) if free_mb >= spec.weights_mb else None
 
-    def _planned_mb(self, server: ManagedServer) -> float:
-        """Return the memory that weights fill once all plans are carried out."""
-        promised = server.promised_models()
-        return sum(
-            self._mb(server, name)
-            for name in server.planned_models()
-            if name not in promised
-        )
-
     def _mb(self, server: ManagedServer, model: str) -> float:
         """Return the memory that a model fills, with the adapters it has here."""
         spec = self.engine.model_by_name.get(model)
@@ -402,8 +443,7 @@
         if self.replicas(held) > 1:
             return False
         least = self.demand.tokens_per_s(held, now) * LEAST_DEMAND_RATIO
-        wanted_per_s = self.demand.tokens_per_s(wanted, now)
-        return wanted_per_s + waiting * WAITING_TOKENS_PER_S < least
+        return self._wanted(wanted, waiting, now) < least
 
     def adapter_victim(
         self, server: ManagedServer, now: float
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -86,3 +86,29 @@
     runs = {"s1": {"m0": 6.0}, "s2": {"m4": 0.3}}
     office.tell(DemandSeen("writers", {"m0": 100, "m4": 100}, runs))
     assert [order.server_id for order in orders(office.want("m1"))] == ["s2"]
+
+
+def test_loads_of_a_second_go_before_those_of_many() -> None:
+    """Guards against loads from disk that wait behind one from the weight store.
+
+    baul-bogota scale-1: requests for models with a copy on a server's disk were told to
+    wait for twelve seconds, as loads from the store had been planned there before.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=frozenset({"m0", "m1", "m2"}))
+    office.take_office()
+    unload = orders(office.want("m1"))[0]
+    office.want("m3")
+    expected = [one for one in office.want("m2") if isinstance(one, ModelExpected)]
+    assert expected[0].in_s < 5.0
+    given: list[str] = []
+    found = [unload]
+    for _ in range(20):
+        while found:
+            given += [one.model for one in found if one.kind is OrderKind.LOAD]
+            found = [later for order in found for later in carry_out(office, order)]
+        for model in {"m1", "m2", "m3"} - set(given):
+            office.want(model)
+        found = orders(office.wait(0.25))
+    assert list(dict.fromkeys(given)) == ["m1", "m2", "m3"]
