Keep the plan of a refused request until the time it was promised

Cause: a plan was dropped three seconds after the last question for it.

Change: a plan lives until two seconds after the time that its askers were last told.

Evidence: test_plan_for_a_refused_request_is_kept_until_the_promised_time failed before.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -29,8 +29,10 @@
 # registry drops it after about 4 s of silence.
 SILENCE_S: Final = 2.0
 # A goal that nobody has asked for during this time is dropped. Waiting requests ask
-# four times a second; one that was refused comes back within some seconds.
+# once a second or more often.
 GOAL_MEMORY_S: Final = 3.0
+# A refused request comes back at the promised time or later.
+PROMISE_MEMORY_S: Final = 2.0
 # A model stays at least this long, so that the requests it was loaded for get there.
 RESIDENCE_S: Final = 1.0
 # An unload without runs takes about this long, the lag of the report included.
@@ -73,6 +75,8 @@
     waiting_by_asker: dict[str, int] = attrs.field(factory=dict)
     # When it was last asked for; infinite for what the leader wants itself.
     wanted_at: float = float("inf")
+    # When an asker was last told that it would be reached.
+    promised_at: float = float("-inf")
     # Models that the plan unloads to make room, and what that was worth then.
     victims: tuple[str, ...] = ()
     victims_cost_s: float = 0.0
@@ -88,7 +92,9 @@
 
         A request that was told when to come back may return for it.
         """
-        return now - self.wanted_at > GOAL_MEMORY_S
+        return now > max(
+            self.wanted_at + GOAL_MEMORY_S, self.promised_at + PROMISE_MEMORY_S
+        )
 
     @property
     def waiting(self) -> int:
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -112,3 +112,24 @@
             office.want(model)
         found = orders(office.wait(0.25))
     assert list(dict.fromkeys(given)) == ["m1", "m2", "m3"]
+
+
+def test_plan_for_a_refused_request_is_kept_until_the_promised_time() -> None:
+    """Guards against a model that is refused again and again and never loaded.
+
+    baul-bogota scale-1: requests were told to come back in ten seconds, their plan was
+    dropped after three, and the next request began anew; the weight store ran one or
+    two loads of four.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS)))
+    office.add("s1", "m0", on_disk=frozenset({"m0"}))
+    office.take_office()
+    first = orders(office.want("m1"))[0]
+    office.end(first, OrderResult.ACCEPTED)
+    expected = [one for one in office.want("m2") if isinstance(one, ModelExpected)]
+    assert expected[0].in_s > 10.0
+    office.reports["s1"] = holdings("m0", count=1, busy=True)
+    office.wait(6.0)
+    found = orders(office.finish_load(first, 0.5))
+    assert [order.model for order in found] == ["m2"]
