Ask for the weight store before making room for a load from it

Cause: the limit on loads from the store was applied after the victims of the load had been unloaded, when the server had room by definition. So it kept no server free for loads from disk, and a full store left servers half empty.

Change: the limit goes first. It admits a load for which nothing has to go, or many requests wait, or while less than half of the servers load from the store; it no longer asks for a server without plans, which hardly exists after servers are lost.

Evidence: test_nothing_is_unloaded_for_a_load_that_the_store_cannot_serve failed before.

--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -72,12 +72,13 @@
         if goal.adapter:
             return self._adapter_step(fleet, server, goal, epoch, now)
         spec = fleet.engine.model_by_name[goal.model]
+        needs_store = server.needs_store(goal.model)
+        if needs_store and not fleet.may_load_from_store(goal):
+            # The server stays free for what loads sooner.
+            return GoalWaits(now + RETRY_S)
         if fleet.engine.weights_mb - server.used_mb(fleet.engine) < spec.weights_mb:
             return self._make_room(fleet, server, goal, epoch, now)
-        if server.needs_store(goal.model):
-            if not fleet.may_load_from_store(server, goal.waiting):
-                # The server stays free for what loads sooner.
-                return GoalWaits(now + RETRY_S)
+        if needs_store:
             bucket = self._load_bucket(server.record.service, fleet.engine, now)
             if not bucket.take(1, now):
                 return GoalWaits(now + bucket.wait_s(1, now))
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -25,8 +25,8 @@
 # Part of the requests for a server's other models that wait for an adapter, which the
 # server cannot load meanwhile.
 BLOCKED_SHARE: Final = 0.5
-# Servers that stay free for loads from disk while one loads from the store.
-LEAST_IDLE_SERVERS: Final = 1
+# Part of the servers that may load from the weight store at a time.
+STORE_SERVERS_SHARE: Final = 0.5
 # Requests that wait for one model and outweigh all else.
 MANY_WAITING: Final = 3
 # Prompt tokens a second that one replica carries before another is added. Requests
@@ -305,23 +305,18 @@
             and server.needs_store(goal.model)
         }
 
-    def may_load_from_store(self, server: ManagedServer, waiting: int) -> bool:
-        """Return whether a server may load from the weight store now.
+    def may_load_from_store(self, goal: Goal) -> bool:
+        """Return whether a goal's model may be loaded from the weight store now.
 
         Such a load takes seconds in which its server loads nothing else. It begins if
-        the store can serve it at full speed, on a server with room, while other servers
-        are idle, or if many requests wait.
+        the store can serve it at full speed, and if nothing has to go for it, if many
+        requests wait, or while most servers are left for loads from disk.
         """
         if not self.store.has_room():
             return False
-        if waiting >= MANY_WAITING or self.has_room(server):
+        if goal.waiting >= MANY_WAITING or not goal.victims:
             return True
-        idle = sum(
-            1
-            for other in self.servers
-            if other is not server and other.busy_until is None and not other.goals
-        )
-        return idle >= LEAST_IDLE_SERVERS
+        return self.store.running < len(self.servers) * STORE_SERVERS_SHARE
 
     def choose(
         self,
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -133,3 +133,26 @@
     office.wait(6.0)
     found = orders(office.finish_load(first, 0.5))
     assert [order.model for order in found] == ["m2"]
+
+
+def test_nothing_is_unloaded_for_a_load_that_the_store_cannot_serve() -> None:
+    """Guards against models that are unloaded long before something takes their place.
+
+    The weight store serves four loads at full speed, and four are under way.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    for number in range(1, 5):
+        office.add(f"s{number}", on_disk=frozenset())
+    office.add("s5", "m0", on_disk=frozenset({"m0"}))
+    office.take_office()
+    given: list[ServerOrder] = []
+    for model in ("m1", "m2", "m3", "m4"):
+        for order in orders(office.want(model) + office.wait(0.7)):
+            given.append(order)
+            office.end(order, OrderResult.ACCEPTED)
+            held = holdings(count=1, busy=True, on_disk=frozenset())
+            office.reports[order.server_id] = held
+    for _ in range(8):
+        given += orders(office.want("m5") + office.wait(0.25))
+    assert {order.kind for order in given} == {OrderKind.LOAD}
