Keep the room that was made for one model from all others

Cause: a plan whose victim was gone had no claim on the room.

Change: a plan that has made room goes first on its server. No replica is planned where its model is about to be unloaded.

Evidence: test_room_made_for_one_model_goes_to_no_other failed before.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -81,6 +81,8 @@
     victims: tuple[str, ...] = ()
     victims_cost_s: float = 0.0
     planned_at: float = float("-inf")
+    # Something has been unloaded for it.
+    begun: bool = False
 
     def want(self, asker: str, waiting: int, now: float) -> None:
         """Record that an instance waits for it."""
@@ -243,6 +245,12 @@
         goals = {goal.model for goal in self.goals if not goal.adapter}
         return goals | self.holdings.model_by_name.keys()
 
+    def gives_up(self, model: str) -> bool:
+        """Return whether the server unloads a model or is about to."""
+        return model == self.unloading or any(
+            model in goal.victims for goal in self.goals
+        )
+
     def goals_before(self, goal: Goal) -> list[Goal]:
         """Return the goals that the server reaches before one of them."""
         found = list(self.goals)
@@ -334,9 +342,12 @@
             return 0.0
         return self.load_s(spec) + SWAP_S + self.room_s(goal, now)
 
-    def put_adapters_first(self) -> None:
-        """Put adapters before models, in the order that they have."""
-        self.goals = deque(sorted(self.goals, key=lambda goal: not goal.adapter))
+    def put_quick_steps_first(self) -> None:
+        """Put adapters before models, and what room was made for before the rest."""
+        ordered = sorted(
+            self.goals, key=lambda goal: (not goal.adapter, not goal.begun)
+        )
+        self.goals = deque(ordered)
 
     def forget_plans(self) -> None:
         """Begin anew with a new time in office: read the report before any order."""
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -248,6 +248,7 @@
         goal.victims = choice.victims
         goal.victims_cost_s = choice.victims_cost_s
         goal.planned_at = now
+        goal.begun = False
         choice.server.goals.append(goal)
         fleet.forget_counts()
         fleet.sort_goals(choice.server, now)
@@ -368,7 +369,7 @@
             self._log.done(server, now)
         self._drop_stale(server, now)
         # While a model is loaded no adapter can be, and adapters take no time.
-        server.put_adapters_first()
+        server.put_quick_steps_first()
         for goal in list(server.goals):
             if not any(goal is other for other in server.goals):
                 # A plan that was void has moved.
@@ -381,6 +382,7 @@
             match step:
                 case OrderDue(order):
                     server.order = order
+                    goal.begun = True
                     self._log.order(order, server, goal)
                     batch += self._warn_users(order, now)
                     return [*batch, self._to_orders(order)]
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -197,6 +197,7 @@
             server
             for server in self.servers
             if server not in holders
+            and not server.gives_up(model)
             and (
                 not server.needs_store(model)
                 or ((spare or overloaded) and self.has_room(server))
@@ -234,7 +235,8 @@
 
         To go by this ratio keeps the whole demand waiting for the shortest time.
         """
-        if goal.adapter:
+        if goal.adapter or goal.begun:
+            # Room that has been made for one model goes to no other.
             return 0.0
         if not goal.waiting:
             return math.inf
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -146,6 +146,7 @@
         office.add(f"s{number}", on_disk=frozenset())
     office.add("s5", "m0", on_disk=frozenset({"m0"}))
     office.take_office()
+    office.tell(DemandSeen("writers", {"m0": 100}))
     given: list[ServerOrder] = []
     for model in ("m1", "m2", "m3", "m4"):
         for order in orders(office.want(model) + office.wait(0.7)):
@@ -179,3 +180,22 @@
             found = [later for order in found for later in carry_out(office, order)]
     assert "m5" in {order.model for order in given if order.kind is OrderKind.LOAD}
     assert "m0" not in {order.model for order in given}
+
+
+def test_room_made_for_one_model_goes_to_no_other() -> None:
+    """Guards against an evicted model that takes its own room back at once.
+
+    baul-bogota scale-1: a replica was evicted for a waiting request, planned again on
+    the same server as it was unloaded, and went before the request's model, four times.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    office.add("s1", "m0", on_disk=ALL_MODELS)
+    office.take_office()
+    unload = orders(office.want("m1"))[0]
+    assert unload.model == "m0"
+    office.end(unload, OrderResult.ACCEPTED)
+    office.tell(DemandSeen("writers", {"m0": 900_000}))
+    office.want("m0")
+    office.reports["s1"] = holdings(count=1, on_disk=ALL_MODELS)
+    assert [order.model for order in orders(office.wait(0.4))] == ["m1"]
