Load from the store where few copies have to wait for it

Cause: the price of such a load counted the models that its server held, not those of which it had a copy. New servers without copies were no cheaper.

Change: the price counts the demand for all copies of a server, each shared among the servers that have one. Before there is demand the store is used in full again.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -240,6 +240,11 @@
         held = self.holdings.model_by_name.get(model)
         return held is not None and adapter in held.adapters
 
+    def copies(self) -> frozenset[str]:
+        """Return the models whose weights are here, loaded or not."""
+        holdings = self.holdings
+        return holdings.in_memory | holdings.on_disk | holdings.model_by_name.keys()
+
     def planned_models(self) -> set[str]:
         """Return the models that the server holds, loads or shall load."""
         goals = {goal.model for goal in self.goals if not goal.adapter}
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -49,7 +49,7 @@
 )
 from .office import Office
 from .order_planner import GoalWaits, NextStep, OrderDue, OrderPlanner, PlanVoid
-from .placement_choice import Choice, ServiceFleet
+from .placement_choice import QUIET_TOKENS_PER_S, Choice, ServiceFleet
 from .placement_log import PlacementLog, log_result
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 from .store_limit import StoreLoads
@@ -59,8 +59,6 @@
 TICK_S: Final = 0.25
 # Time for which all holders of a model may be busy before another server loads it.
 LONG_BLOCK_S: Final = 1.0
-# Below this demand no request waits, and loads disturb nobody.
-QUIET_TOKENS_PER_S: Final = 1.0
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
 # A model that nobody waits for displaces only what costs less than this.
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -25,6 +25,8 @@
 # Part of the requests for a server's other models that wait for an adapter, which the
 # server cannot load meanwhile.
 BLOCKED_SHARE: Final = 0.5
+# Below this demand no request waits, and loads disturb nobody.
+QUIET_TOKENS_PER_S: Final = 1.0
 # Part of the servers that may load from the weight store at a time.
 STORE_SERVERS_SHARE: Final = 0.5
 # Requests that wait for one model and outweigh all else.
@@ -78,14 +80,15 @@
     demand: Demand
     store: StoreLoads = attrs.field(factory=StoreLoads)
 
-    # How many servers have each model ready, and how many hold or shall hold it;
+    # How many servers have each model ready, hold or shall hold it, and have a copy;
     # counted once for all servers that a choice compares.
     _ready_by_model: Counter[str] | None = attrs.field(default=None, init=False)
     _planned_by_model: Counter[str] | None = attrs.field(default=None, init=False)
+    _copies_by_model: Counter[str] | None = attrs.field(default=None, init=False)
 
     def forget_counts(self) -> None:
         """Count anew after a change of plans or holdings."""
-        self._ready_by_model = self._planned_by_model = None
+        self._ready_by_model = self._planned_by_model = self._copies_by_model = None
 
     def replicas(self, model: str) -> int:
         """Return how many servers have a model ready."""
@@ -106,6 +109,14 @@
             )
         return self._planned_by_model[model]
 
+    def _copies(self, model: str) -> int:
+        """Return how many servers have a copy of a model, at least 1."""
+        if self._copies_by_model is None:
+            self._copies_by_model = Counter(
+                name for server in self.servers for name in server.copies()
+            )
+        return max(self._copies_by_model[model], 1)
+
     def value(self, model: str, now: float) -> float:
         """Return the worth of one replica of a model, in tokens a second."""
         replicas = max(self.replicas(model), 1)
@@ -133,9 +144,7 @@
         """Return the most wanted model of which no server has a copy."""
         present: set[str] = set()
         for server in self.servers:
-            holdings = server.holdings
-            present |= holdings.in_memory | holdings.on_disk
-            present |= set(holdings.model_by_name)
+            present |= server.copies()
             present |= {goal.model for goal in server.goals}
         return max(
             (model for model in self.engine.model_by_name if model not in present),
@@ -313,7 +322,7 @@
             and server.needs_store(goal.model)
         }
 
-    def may_load_from_store(self, goal: Goal) -> bool:
+    def may_load_from_store(self, goal: Goal, now: float) -> bool:
         """Return whether a goal's model may be loaded from the weight store now.
 
         Such a load takes seconds in which its server loads nothing else. It begins if
@@ -324,7 +333,9 @@
             return False
         if goal.waiting >= MANY_WAITING or not goal.victims:
             return True
-        return self.store.running < len(self.servers) * STORE_SERVERS_SHARE
+        if self.total_rate(now) < QUIET_TOKENS_PER_S:
+            return True
+        return self.store.running + 1 <= len(self.servers) * STORE_SERVERS_SHARE
 
     def choose(
         self,
@@ -363,13 +374,7 @@
         load_s = server.load_s(spec)
         ready_in_s = load_s + self._queue_s(server, spec, waiting, now)
         lost = sum(self.value(model, now) for model in victims)
-        total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
-        kept = sum(
-            self.value(model, now)
-            for model in server.holdings.model_by_name
-            if model not in victims
-        )
-        blocked_s = BLOCKED_SHARE * load_s * min(kept / total, 1.0)
+        blocked_s = BLOCKED_SHARE * load_s * self._blocked_share(server, victims, now)
         load = (self.load(server, now) - lost) / SERVER_TOKENS_PER_S
         victims_cost_s = self.victims_cost_s(server, victims, now)
         cost_s = (
@@ -378,6 +383,22 @@
         ready_in_s += sum(server.unload_s(model, now) for model in victims)
         return Choice(server, victims, ready_in_s, cost_s, victims_cost_s)
 
+    def _blocked_share(
+        self, server: ManagedServer, victims: Iterable[str], now: float
+    ) -> float:
+        """Return the part of the demand that a load on a server keeps waiting.
+
+        Meanwhile the server loads no adapter for the models that it holds, and no other
+        model of which it has a copy.
+        """
+        total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
+        blocked = sum(
+            self.demand.tokens_per_s(model, now) / self._copies(model)
+            for model in server.copies()
+            if model not in victims
+        )
+        return min(blocked / total, 1.0)
+
     def victims_cost_s(
         self, server: ManagedServer, victims: Iterable[str], now: float
     ) -> float:
