Give up answers of a server without an end

A server in trouble may send bytes that are no answer, in a head or a body, until its caller closes. Callers of a gateway would have lost it: the head, an event and a body were gathered without a bound until the process was killed for its memory. A head that came byte by byte began its time limit anew with each read, so an order or a report never ended and the server got no further orders.

Change: head, event and body have a limit in bytes, and a head and a report a limit in time. The result is Lost, as for a cut connection.

--- a/src/siskinspool/links/backend.py
+++ b/src/siskinspool/links/backend.py
@@ -6,7 +6,8 @@
 behind for the next call. With one connection per call neither can happen (R8, R10).
 
 `open_call` sends once. `NotSent` means that no byte of the request left; after that,
-every failure is `Lost`: the server may have run the call.
+every failure is `Lost`: the server may have run the call. A server in trouble may send
+bytes without end, so head, body and each event have a limit, and the head a time limit.
 """
 
 from __future__ import annotations
@@ -14,14 +15,18 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, cast
 
 import attrs
+import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 
 CONNECT_TIMEOUT_S: Final = 1.0
 EVENT_END: Final = b"\n\n"
+MAX_HEAD_BYTES: Final = 64 * 1024
+MAX_EVENT_BYTES: Final = 1024 * 1024
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 
 
 @attrs.frozen
@@ -52,6 +57,34 @@
     reason: str
 
 
+class _AnswerTooLargeError(Exception):
+    """A server sends more than an answer may hold."""
+
+
+class _LimitedSocket:
+    """A socket that receives no more than it is allowed; for `HTTPSocketResponse`."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._allowed = 0
+
+    def allow(self, size: int) -> None:
+        """Let this many bytes arrive from now on."""
+        self._allowed = size
+
+    def recv(self, size: int) -> bytes:
+        """Receive some bytes."""
+        data = self._sock.recv(size)
+        self._allowed -= len(data)
+        if self._allowed < 0:
+            raise _AnswerTooLargeError("the answer is too large")
+        return data
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+
 class Answer(ABC):
     """An answer whose head has arrived."""
 
@@ -75,7 +108,7 @@
     """An answer on a connection of its own."""
 
     def __init__(
-        self, sock: socket.socket, response: HTTPSocketResponse, *, ends_by_close: bool
+        self, sock: _LimitedSocket, response: HTTPSocketResponse, *, ends_by_close: bool
     ) -> None:
         """Take the connection; ``ends_by_close`` accepts answers without a length."""
         self._sock = sock
@@ -92,6 +125,7 @@
         if not self._is_framed():
             # Without a length the end of the connection may be a truncation.
             return Lost("the answer has neither a length nor chunks")
+        self._sock.allow(MAX_BODY_BYTES)
         try:
             body = bytes(self._response.read())
         except Exception as error:
@@ -102,9 +136,11 @@
 
     def events(self) -> Iterator[bytes | Lost]:
         """Yield server-sent events; a Lost, if any, is the last item."""
+        self._sock.allow(MAX_EVENT_BYTES)
         try:
             while event := self._response.readline(EVENT_END):
                 yield bytes(event)
+                self._sock.allow(MAX_EVENT_BYTES)
         except Exception as error:
             yield Lost(_reason(error))
             return
@@ -165,7 +201,13 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(timeout_s)
             sock.sendall(encode_request(request))
-            response = HTTPSocketResponse(sock, method=request.method)
+            limited = _LimitedSocket(sock)
+            limited.allow(MAX_HEAD_BYTES)
+            # The socket's timeout is for one read; bytes may come one by one.
+            with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
+                response = HTTPSocketResponse(
+                    cast(socket.socket, limited), method=request.method
+                )
         except Exception as error:
             sock.close()
             return Lost(_reason(error))
@@ -173,7 +215,7 @@
             # The call was cancelled while it waited for the answer's head.
             sock.close()
             raise
-        return HttpAnswer(sock, response, ends_by_close=self._ends_by_close)
+        return HttpAnswer(limited, response, ends_by_close=self._ends_by_close)
 
 
 def encode_request(request: ServerRequest) -> bytes:
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -6,6 +6,8 @@
 import logging
 from typing import Final
 
+import gevent
+
 from ..gateway.messages import OrderResult, ServerOrder
 from ..gateway.server_control import ServerControl
 from ..gateway.servers import Holdings
@@ -67,7 +69,9 @@
             _log_unread(server_id, answer.reason)
             return None
         try:
-            data = answer.read_all()
+            # Bytes may come one by one, each within the connection's own limit.
+            with gevent.Timeout(CALL_TIMEOUT_S, TimeoutError("no report in time")):
+                data = answer.read_all()
         finally:
             answer.close()
         if isinstance(data, Lost) or answer.status != 200:
