Send a failed request to the same server if no other can serve it

Cause: a server that had failed a request was excluded from it like one that had declined it. The leader answered that the model was ready, and the request waited until its time was up.

Change: servers that declined a request are excluded; those that failed it are avoided, and asked again if no other open server holds the model. The limit on attempts counts sends that may have run, so a server that is asked twice counts twice.

Evidence: test_failed_request_goes_to_the_same_server_if_no_other_holds_its_model, which needs the new field; integration tests of the gateway pass.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -42,8 +42,10 @@
     output_tokens: int
     # 0 is the most urgent.
     priority: int
-    # Servers that have had this request.
+    # Servers that declined this request.
     excluded: frozenset[str]
+    # Servers that failed it; one of them is asked again if no other can serve it.
+    avoided: frozenset[str]
     # The request has reached a server before, so this send draws on the retry budget.
     repeat: bool
     patience_s: float
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -96,11 +96,12 @@
             total_s = min(total_s, request.head.deadline_s)
         self._deadline_at = request.arrived_at + total_s
         self._position = StreamPosition.from_header(request.head.last_event_id)
-        # Servers that are not asked again.
-        self._tried: set[str] = set()
+        # Servers that declined the request, and those that failed it.
+        self._declined_by: set[str] = set()
+        self._failed_at: set[str] = set()
         self._sends = 0
-        # Servers that may have run the request.
-        self._ran_at: set[str] = set()
+        # Sends that a server may have run.
+        self._runs = 0
         # Who granted the request's tokens: "owner", "local" or "uncapped".
         self._granted_by: str | None = None
         self._arrived = False
@@ -184,7 +185,7 @@
                 return None
             detail = outcome.detail
             limit = self.request.admission.route.max_attempts
-            if len(self._ran_at) >= limit or self._sends >= limit + MOST_REJECTIONS:
+            if self._runs >= limit or self._sends >= limit + MOST_REJECTIONS:
                 return self._failed(detail)
             if self._may_have_run and not self._may_repeat():
                 return self._failed(detail)
@@ -201,7 +202,8 @@
             tokens=head.tokens or 0,
             output_tokens=head.output_tokens,
             priority=admission.priority,
-            excluded=frozenset(self._tried),
+            excluded=frozenset(self._declined_by),
+            avoided=frozenset(self._failed_at),
             repeat=self._arrived,
             patience_s=patience_s,
         )
@@ -235,9 +237,8 @@
 
     def _send(self, assigned: ServerAssigned) -> _Done | _Retry:
         """Send to one server and pass its answer on."""
-        self._tried.add(assigned.server_id)
-        self._ran_at.add(assigned.server_id)
         self._sends += 1
+        self._runs += 1
         ran_before = self._may_have_run
         # From here on, an end without an answer leaves open whether a server ran it.
         self._may_have_run = True
@@ -248,8 +249,7 @@
             opened = self._open(assigned)
             if isinstance(opened, NotSent):
                 result = AttemptResult.NOT_SENT
-                self._tried.discard(assigned.server_id)
-                self._ran_at.discard(assigned.server_id)
+                self._runs -= 1
                 self._may_have_run = ran_before
                 return self._note_failure(assigned, result, opened.reason)
             self._arrived = True
@@ -262,13 +262,14 @@
             if facts.not_run:
                 # Such a server does not count for the route's limit, which is about
                 # servers that run a request.
-                self._ran_at.discard(assigned.server_id)
+                self._runs -= 1
                 self._may_have_run = ran_before
             result, outcome = self._take_answer(assigned, answer, facts)
             return outcome
         finally:
             if answer is not None:
                 answer.close()
+            self._note_server(assigned.server_id, result)
             self._tell(
                 AttemptEnded(
                     request_id=self.request.head.request_id,
@@ -381,10 +382,21 @@
     def _can_try_another(self) -> bool:
         route = self.request.admission.route
         return (
-            len(self._ran_at) < route.max_attempts
+            self._runs < route.max_attempts
             and self._remaining_s() > route.target_latency_s / 2
         )
 
+    def _note_server(self, server_id: str, result: AttemptResult) -> None:
+        match result:
+            case (
+                AttemptResult.REJECTED
+                | AttemptResult.MODEL_MISSING
+                | AttemptResult.WRONG_SERVER
+            ):
+                self._declined_by.add(server_id)
+            case AttemptResult.FAILED | AttemptResult.LOST:
+                self._failed_at.add(server_id)
+
     def _note_failure(
         self, assigned: ServerAssigned, result: AttemptResult, detail: str
     ) -> _Retry:
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -244,6 +244,10 @@
             for view in self._view_by_id.values()
             if self._may_serve(view, call, now)
         ]
+        others = [
+            view for view in candidates if view.record.server_id not in call.avoided
+        ]
+        candidates = others or candidates
         if len(candidates) < 2:
             return candidates[0] if candidates else None
         favourite = self._favourite(call, candidates)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -212,6 +212,7 @@
         "output_tokens": 0,
         "priority": 1,
         "excluded": frozenset(),
+        "avoided": frozenset(),
         "repeat": False,
         "patience_s": 2.0,
     }
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -406,3 +406,17 @@
     desk.ask("long", output_tokens=400)
     seen = [one for one in desk.wait(1.1) if isinstance(one, DemandSeen)]
     assert 6.0 < seen[0].runs_by_server["s1"]["m0"] < 8.0
+
+
+def test_failed_request_goes_to_the_same_server_if_no_other_holds_its_model() -> None:
+    """Guards against a request that waits in vain for a second server.
+
+    tinhub-ng trouble-1: the answers of the only server with a model were lost for some
+    seconds; 502 came after three seconds of waiting for another one.
+    """
+    desk = Desk()
+    desk.tell(server("s1", "m0"))
+    avoided = frozenset({"s1"})
+    assert desk.server_of("r1", avoided=avoided) == "s1"
+    desk.tell(server("s2", "m0", zone="b"))
+    assert desk.server_of("r2", avoided=avoided) == "s2"
