Do not plan a model again that a later desired state takes out

A leader would have ended on a plan for a model that a new desired state has no more: the void plan was planned again by a name the engine does not know. Found while reading; no run has shown it. The plan is dropped.

Evidence: test_model_that_a_later_desired_state_takes_out_is_not_planned_again ends with KeyError before.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -408,7 +408,10 @@
             for server in fleet.servers
             if goal.model not in server.planned_models()
         ]
-        spec = engine.model_by_name[goal.model]
+        spec = engine.model_by_name.get(goal.model)
+        if spec is None:
+            # A later desired state has taken the model out.
+            return []
         choice = fleet.choose(spec, servers, now, goal.waiting)
         if choice is None:
             return []
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -199,3 +199,16 @@
     office.want("m0")
     office.reports["s1"] = holdings(count=1, on_disk=ALL_MODELS)
     assert [order.model for order in orders(office.wait(0.4))] == ["m1"]
+
+
+def test_model_that_a_later_desired_state_takes_out_is_not_planned_again() -> None:
+    """Guards against a leader that ends on a plan for a model it knows no more."""
+    office = Office()
+    office.tell(desired_state(engine_spec=engine("m0", "m1", "m2")))
+    office.add("s1", "m0", on_disk=ALL_MODELS)
+    office.take_office()
+    first = orders(office.want("m1"))[0]
+    office.end(first, OrderResult.ACCEPTED)
+    office.want("m2")
+    office.tell(desired_state(version=2, engine_spec=engine("m0", "m1")))
+    assert orders(office.finish_load(first, 1.3)) == []
