Split the placement, the routing and the course of a request

ManagedSite holds what the leader knows of servers, models and demand, LookAhead what it loads on its own account, DemandReporter what a gateway tells it, request_refusals how a request ends without an answer; Goal has a module of its own.

--- /dev/null
+++ b/src/siskinspool/gateway/demand_reporter.py
@@ -0,0 +1,54 @@
+"""What a gateway tells the leader once a second: its demand, and what still runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from .demand import DemandLog, target_name
+from .messages import AssignServer, DemandSeen
+from .run_lengths import RunLengths
+from .server_view import ServerView
+
+DEMAND_INTERVAL_S: Final = 1.0
+
+
+class DemandReporter:
+    """Counts the requests of a gateway and learns how long they run."""
+
+    def __init__(self) -> None:
+        self.next_at = 0.0
+        self._demand = DemandLog()
+        self._run_lengths = RunLengths()
+
+    def count_request(self, call: AssignServer, now: float) -> None:
+        """Count a request for a model."""
+        if call.model:
+            target = target_name(call.model, call.adapter)
+            self._demand.add(call.service, target, call.tokens, now)
+
+    def note_answer(self, view: ServerView, request_id: str, now: float) -> None:
+        """Learn from a request whose whole answer has come."""
+        view.note_run(request_id, self._run_lengths, now)
+
+    def begin_anew(self, now: float) -> None:
+        """Let the next report tell the recent past, for a leader that knows nothing."""
+        self._demand.report_recent(now)
+
+    def take_reports(self, views: Iterable[ServerView], now: float) -> list[DemandSeen]:
+        """Return a report for each service, and begin the next ones."""
+        tokens_by_service = self._demand.take_report()
+        runs_by_service: dict[str, dict[str, dict[str, float]]] = {}
+        for view in views:
+            if runs := view.runs_by_target(self._run_lengths, now):
+                record = view.record
+                runs_by_server = runs_by_service.setdefault(record.service, {})
+                runs_by_server[record.server_id] = runs
+        return [
+            DemandSeen(
+                service,
+                tokens_by_service.get(service, {}),
+                runs_by_service.get(service, {}),
+            )
+            for service in sorted(tokens_by_service.keys() | runs_by_service.keys())
+        ]
--- /dev/null
+++ b/src/siskinspool/gateway/managed_site.py
@@ -0,0 +1,133 @@
+"""The servers, models and demand that the leader knows of, whether it leads or not."""
+
+from __future__ import annotations
+
+from .demand import Demand, ModelUsers
+from .desired_state import DesiredState, EngineSpec
+from .managed_server import ManagedServer
+from .messages import DemandSeen, OrderKind, OrderResult, ServerOrder
+from .placement_choice import ServiceFleet
+from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
+from .store_limit import StoreLoads
+
+
+class ManagedSite:
+    """All model servers, with the demand for their models; times are in seconds."""
+
+    def __init__(self) -> None:
+        self.engine_by_service: dict[str, EngineSpec] = {}
+        self.server_by_id: dict[str, ManagedServer] = {}
+        self.users = ModelUsers()
+        self._evacuated_zones: set[str] = set()
+        self._demand_by_service: dict[str, Demand] = {}
+        self._store_by_service: dict[str, StoreLoads] = {}
+
+    def take_change(self, message: object, now: float) -> bool:
+        """Take in a change of the site; return whether the message is one."""
+        match message:
+            case ServerRecord() as record:
+                self._take_record(record, now)
+            case ServerRemoved(server_id):
+                self.server_by_id.pop(server_id, None)
+            case ZoneEvacuated(zone, evacuated):
+                change = self._evacuated_zones
+                change.add(zone) if evacuated else change.discard(zone)
+            case DesiredState() as desired:
+                self._take_desired(desired)
+            case _:
+                return False
+        return True
+
+    def _take_record(self, record: ServerRecord, now: float) -> None:
+        # The registry may be read before the desired state, which names the services
+        # with engines; records of other services are kept and not used.
+        server = self.server_by_id.get(record.server_id)
+        if server is None:
+            server = ManagedServer(record=record, holdings=record.holdings)
+            self.server_by_id[record.server_id] = server
+        else:
+            server.take_record(record, now)
+
+    def _take_desired(self, desired: DesiredState) -> None:
+        self.engine_by_service = {
+            service.name: service.engine
+            for service in desired.service_by_name.values()
+            if service.engine is not None
+        }
+
+    def take_demand(self, seen: DemandSeen, sender: str, now: float) -> None:
+        """Take in what a gateway routed and has under way."""
+        demand = self._demand_by_service.setdefault(seen.service, Demand())
+        for server_id, runs in seen.runs_by_server.items():
+            if server := self.server_by_id.get(server_id):
+                server.note_runs(runs, now)
+        for target, tokens in seen.tokens_by_target.items():
+            demand.add(target, tokens, now)
+            model, _, adapter = target.partition("/")
+            self.users.note(model, sender, now)
+            if adapter:
+                demand.add(model, tokens, now)
+
+    def fleet(self, service: str, now: float) -> ServiceFleet | None:
+        """Return the servers of a service that may get orders; None without engines."""
+        engine = self.engine_by_service.get(service)
+        if engine is None:
+            return None
+        servers = [
+            server
+            for server in self.server_by_id.values()
+            if server.record.service == service
+            and server.is_usable(now)
+            and server.record.zone not in self._evacuated_zones
+        ]
+        demand = self._demand_by_service.setdefault(service, Demand())
+        return ServiceFleet(engine, servers, demand, self.store_loads(service))
+
+    def take_accepted(
+        self, server: ManagedServer, order: ServerOrder, result: OrderResult, now: float
+    ) -> None:
+        """Record an order that a server carries out, or that held already."""
+        service = server.record.service
+        engine = self.engine_by_service.get(service)
+        spec = None if engine is None else engine.model_by_name.get(order.model)
+        unloads_adapter = bool(order.adapter) and order.kind is OrderKind.UNLOAD
+        if spec is None:
+            server.doubt_last_order(now)
+        elif result is OrderResult.ACCEPTED:
+            loads = order.kind is OrderKind.LOAD and not order.adapter
+            if loads and server.needs_store(order.model):
+                self.store_loads(service).begin(order.server_id, now)
+            server.accepted(order, spec, now)
+            if unloads_adapter:
+                server.wait_for_runs(order, now)
+        elif unloads_adapter:
+            # An unload of an idle adapter is carried out at once.
+            server.accepted(order, spec, now)
+        else:
+            server.doubtful = True
+
+    def end_load(self, server: ManagedServer, model: str, now: float) -> None:
+        """Record that a server has loaded a model."""
+        service = server.record.service
+        engine = self.engine_by_service.get(service)
+        spec = None if engine is None else engine.model_by_name.get(model)
+        full_speed_s = 0.0 if spec is None else spec.store_load_s
+        self.store_loads(service).end(server.record.server_id, full_speed_s, now)
+
+    def store_loads(self, service: str) -> StoreLoads:
+        """Return the loads of a service's models from the weight store."""
+        return self._store_by_service.setdefault(service, StoreLoads())
+
+    def drop_store_loads(self) -> None:
+        """Forget the loads of servers that are gone, silent or started anew."""
+        for store in self._store_by_service.values():
+            for server_id in store.servers():
+                server = self.server_by_id.get(server_id)
+                if server is None or server.loading is None:
+                    store.drop(server_id)
+
+    def forget_plans(self) -> None:
+        """Begin a new time in office."""
+        self._store_by_service.clear()
+        for server in self.server_by_id.values():
+            server.forget_plans()
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -13,7 +13,8 @@
 from typing import Final
 
 from .desired_state import EngineSpec
-from .managed_server import Goal, ManagedServer
+from .goal import Goal
+from .managed_server import ManagedServer
 from .messages import OrderKind, ServerOrder
 from .placement_choice import ServiceFleet
 from .token_bucket import TokenBucket
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -20,13 +20,11 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..telemetry.logs import log_event
-from .demand import Demand, ModelUsers, target_name
-from .desired_state import DesiredState, EngineSpec
-from .managed_server import (
-    REPORT_LAG_S,
-    Goal,
-    ManagedServer,
-)
+from .demand import target_name
+from .goal import Goal
+from .look_ahead import LookAhead, PlannedLoad
+from .managed_server import REPORT_LAG_S, ManagedServer
+from .managed_site import ManagedSite
 from .messages import (
     LEADERSHIP_TASK,
     ORDERS_TASK,
@@ -49,10 +47,8 @@
 )
 from .office import Office
 from .order_planner import GoalWaits, NextStep, OrderDue, OrderPlanner, PlanVoid
-from .placement_choice import QUIET_TOKENS_PER_S, Choice, ServiceFleet
+from .placement_choice import Choice, ServiceFleet
 from .placement_log import PlacementLog, log_result
-from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
-from .store_limit import StoreLoads
 
 logger = logging.getLogger(__name__)
 
@@ -61,10 +57,6 @@
 LONG_BLOCK_S: Final = 1.0
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
-# A model that nobody waits for displaces only what costs less than this.
-COPY_COST_S: Final = 1.0
-# A replica must be worth this many times what it displaces.
-REPLICA_GAIN: Final = 3.0
 
 
 class Placement(Decision):
@@ -74,14 +66,10 @@
         """Take the own id and whether the system starts for the first time."""
         self._id = instance_id
         self._planner = OrderPlanner(first_start)
-        self._engine_by_service: dict[str, EngineSpec] = {}
-        self._server_by_id: dict[str, ManagedServer] = {}
-        self._evacuated_zones: set[str] = set()
-        self._demand_by_service: dict[str, Demand] = {}
-        self._store_by_service: dict[str, StoreLoads] = {}
+        self._look_ahead = LookAhead(instance_id)
+        self._site = ManagedSite()
         self._office = Office()
         self._next_tick_at = 0.0
-        self._users = ModelUsers()
         self._log = PlacementLog()
         # Wishes that wait for the first reports, by model, adapter and asker.
         self._pending_wants: dict[tuple[str, str, str], WantModel] = {}
@@ -92,36 +80,29 @@
             case WantModel() as want:
                 return self._want(want, incoming.sender.instance_id, now)
             case DemandSeen() as seen:
-                self._take_demand(seen, incoming.sender.instance_id, now)
+                self._site.take_demand(seen, incoming.sender.instance_id, now)
             case OrderEnded() as ended:
                 return self._end_order(ended, now)
             case HoldingsRead() as read:
                 return self._take_report(read, now)
-            case ServerRecord() as record:
-                self._take_record(record, now)
-            case ServerRemoved(server_id):
-                self._server_by_id.pop(server_id, None)
-            case ZoneEvacuated(zone, evacuated):
-                change = self._evacuated_zones
-                change.add(zone) if evacuated else change.discard(zone)
-            case DesiredState() as desired:
-                self._take_desired(desired)
             case other:
-                self._take_office(other, now)
+                if not self._site.take_change(other, now):
+                    self._take_office(other, now)
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
         """Advance all servers and plan ahead."""
         self._next_tick_at = now + TICK_S
-        self._drop_store_loads()
+        self._site.drop_store_loads()
         if not self._office.allows_orders(now):
             return []
         batch: list[Outgoing] = []
-        for server in list(self._server_by_id.values()):
-            if server.record.service in self._engine_by_service:
+        for server in list(self._site.server_by_id.values()):
+            if server.record.service in self._site.engine_by_service:
                 batch += self._advance(server, now)
-        for service, engine in self._engine_by_service.items():
-            batch += self._plan_ahead(self._fleet(service, engine, now), now)
+        for service in self._site.engine_by_service:
+            if fleet := self._site.fleet(service, now):
+                batch += self._plan_ahead(fleet, now)
         return batch
 
     def wake_at(self) -> float | None:
@@ -129,7 +110,7 @@
         if self._office.epoch is None:
             return None
         due = self._next_tick_at
-        for server in self._server_by_id.values():
+        for server in self._site.server_by_id.values():
             for arrival in server.arrival_by_adapter.values():
                 due = min(due, arrival.ready_at)
             if server.goals and server.order is None and not server.reading:
@@ -148,7 +129,7 @@
             "epoch": self._office.epoch,
             "servers": {
                 server_id: server.status()
-                for server_id, server in self._server_by_id.items()
+                for server_id, server in self._site.server_by_id.items()
             },
         }
 
@@ -159,14 +140,13 @@
     # Wishes
 
     def _want(self, want: WantModel, asker: str, now: float) -> list[Outgoing]:
-        engine = self._engine_by_service.get(want.service)
-        if engine is None or want.model not in engine.model_by_name:
+        fleet = self._site.fleet(want.service, now)
+        if fleet is None or want.model not in fleet.engine.model_by_name:
             return []
         if not self._office.allows_orders(now):
             return []
-        self._users.note(want.model, asker, now)
+        self._site.users.note(want.model, asker, now)
         batch = self._check_silent(want.silent_servers, now)
-        fleet = self._fleet(want.service, engine, now)
         unread = [server for server in fleet.servers if server.order_count is None]
         if unread:
             # A plan without the reports would load what is there already.
@@ -182,7 +162,7 @@
         """Read the reports of servers that do not answer a gateway."""
         batch: list[Outgoing] = []
         for server_id in server_ids:
-            server = self._server_by_id.get(server_id)
+            server = self._site.server_by_id.get(server_id)
             if server is None or server.reading or now < server.silent_until:
                 continue
             if now - server.changed_at < REPORT_LAG_S:
@@ -309,40 +289,20 @@
         """Load what will be wanted; not where a successor may be at work."""
         if self._office.detached or any(s.order_count is None for s in fleet.servers):
             return []
-        model = fleet.model_to_replicate(self._id, now)
-        batch = [] if model is None else self._add_replica(fleet, model, now)
-        return batch or self._load_copy(fleet, now)
-
-    def _load_copy(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
-        """Load a model of which no server has a copy on a server with time for it."""
-        quiet = fleet.total_rate(now) < QUIET_TOKENS_PER_S
-        if not (fleet.store.has_room() if quiet else fleet.store_is_spare()):
-            return []
-        model = fleet.model_to_copy(now)
-        idle = [s for s in fleet.servers if s.busy_until is None and not s.goals]
-        if model is None or not idle:
-            return []
-        # Counted as one request, since the next one for it would wait in vain.
-        spec = fleet.engine.model_by_name[model]
-        choice = fleet.choose(spec, idle, now, waiting=1)
-        if choice is None or choice.victims_cost_s > COPY_COST_S:
-            return []
-        self._add_goal(fleet, Goal(model, "", {self._id: 1}), choice, "no_copy", now)
-        return self._advance(choice.server, now)
+        load = self._look_ahead.next_load(fleet, now)
+        return [] if load is None else self._load_ahead(fleet, load, now)
+
+    def _load_ahead(
+        self, fleet: ServiceFleet, load: PlannedLoad, now: float
+    ) -> list[Outgoing]:
+        self._add_goal(fleet, load.goal, load.choice, load.why, now)
+        return self._advance(load.choice.server, now)
 
     def _add_replica(
         self, fleet: ServiceFleet, model: str, now: float
     ) -> list[Outgoing]:
-        """Load a model on another server, in another zone if one can take it."""
-        choice = fleet.choose_replica(model, now)
-        if choice is None:
-            return []
-        lost = sum(fleet.value(victim, now) for victim in choice.victims)
-        if fleet.value(model, now) < REPLICA_GAIN * lost:
-            return []
-        goal = Goal(model, "", {self._id: fleet.urgency(model, now)})
-        self._add_goal(fleet, goal, choice, "replica", now)
-        return self._advance(choice.server, now)
+        load = self._look_ahead.replica(fleet, model, now)
+        return [] if load is None else self._load_ahead(fleet, load, now)
 
     # Orders
 
@@ -396,22 +356,17 @@
 
     def _plan_again(self, service: str, goal: Goal, now: float) -> list[Outgoing]:
         """Find another place for a model whose plan is void."""
-        engine = self._engine_by_service.get(service)
+        fleet = self._site.fleet(service, now)
         own = goal.waiting_by_asker.keys() <= {self._id}
-        if goal.adapter or own or engine is None or goal.planned_at >= now:
+        if goal.adapter or own or fleet is None or goal.planned_at >= now:
             # The askers ask again; what the leader wants itself is weighed anew with
             # the next look ahead.
             return []
-        fleet = self._fleet(service, engine, now)
-        servers = [
-            server
-            for server in fleet.servers
-            if goal.model not in server.planned_models()
-        ]
-        spec = engine.model_by_name.get(goal.model)
+        spec = fleet.engine.model_by_name.get(goal.model)
         if spec is None:
             # A later desired state has taken the model out.
             return []
+        servers = [s for s in fleet.servers if goal.model not in s.planned_models()]
         choice = fleet.choose(spec, servers, now, goal.waiting)
         if choice is None:
             return []
@@ -433,25 +388,24 @@
         if order.kind is not OrderKind.UNLOAD or order.adapter:
             return []
         unloading = ModelUnloading(order.model, order.server_id)
-        users = self._users.users(order.model, now)
+        users = self._site.users.users(order.model, now)
         return [self._to_routing(user, unloading) for user in users]
 
     def _next_step(self, server: ManagedServer, goal: Goal, now: float) -> NextStep:
-        engine = self._engine_by_service.get(server.record.service)
+        fleet = self._site.fleet(server.record.service, now)
         if (
-            engine is None
-            or goal.model not in engine.model_by_name
+            fleet is None
+            or goal.model not in fleet.engine.model_by_name
             or not server.is_usable(now)
         ):
             return PlanVoid("server_unusable")
-        fleet = self._fleet(server.record.service, engine, now)
         return self._planner.next_step(
             fleet, server, goal, self._office.epoch or 0, now
         )
 
     def _end_order(self, ended: OrderEnded, now: float) -> list[Outgoing]:
         order, result = ended.order, ended.result
-        server = self._server_by_id.get(order.server_id)
+        server = self._site.server_by_id.get(order.server_id)
         log_result(ended)
         batch: list[Outgoing] = []
         if result is OrderResult.FENCED:
@@ -460,21 +414,8 @@
         if server is None or server.order != order:
             return batch
         server.order = None
-        engine = self._engine_by_service.get(server.record.service)
-        spec = None if engine is None else engine.model_by_name.get(order.model)
-        if result is OrderResult.ACCEPTED and spec is not None:
-            loads = order.kind is OrderKind.LOAD and not order.adapter
-            if loads and server.needs_store(order.model):
-                self._store_loads(server.record.service).begin(order.server_id, now)
-            server.accepted(order, spec, now)
-            if order.adapter and order.kind is OrderKind.UNLOAD:
-                server.wait_for_runs(order, now)
-        elif result is OrderResult.HOLDS and spec is not None:
-            if order.adapter and order.kind is OrderKind.UNLOAD:
-                # An unload of an idle adapter is carried out at once.
-                server.accepted(order, spec, now)
-            else:
-                server.doubtful = True
+        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS):
+            self._site.take_accepted(server, order, result, now)
         elif result in (OrderResult.NOT_SENT, OrderResult.INVALID):
             self._set_aside(server, now)
         else:
@@ -489,7 +430,7 @@
         return [self._to_orders(read)]
 
     def _take_report(self, read: HoldingsRead, now: float) -> list[Outgoing]:
-        server = self._server_by_id.get(read.server_id)
+        server = self._site.server_by_id.get(read.server_id)
         if server is None:
             return []
         server.reading = False
@@ -500,19 +441,12 @@
         loading = server.loading
         current = server.take_report(read.holdings, now)
         if loading is not None and server.loading is None:
-            self._end_store_load(server, loading, now)
+            self._site.end_load(server, loading, now)
         self._log.done(server, now)
         if not current or server.busy_until is not None:
             server.wait_until = now + server.poll_interval_s(now)
         return self._advance(server, now) + self._take_pending(now)
 
-    def _end_store_load(self, server: ManagedServer, model: str, now: float) -> None:
-        service = server.record.service
-        engine = self._engine_by_service.get(service)
-        spec = None if engine is None else engine.model_by_name.get(model)
-        full_speed_s = 0.0 if spec is None else spec.store_load_s
-        self._store_loads(service).end(server.record.server_id, full_speed_s, now)
-
     def _take_pending(self, now: float) -> list[Outgoing]:
         """Take up the wishes that waited for reports."""
         pending, self._pending_wants = self._pending_wants, {}
@@ -547,66 +481,13 @@
             case LeadershipHeld(epoch, from_s):
                 self._office.begin(epoch, from_s)
                 self._planner.begin_office()
-                self._store_by_service.clear()
-                for server in self._server_by_id.values():
-                    server.forget_plans()
+                self._site.forget_plans()
                 self._next_tick_at = now
             case LeadershipExtended(until_s, detached):
                 self._office.extend(until_s, detached)
             case LeadershipLost():
                 self._office.end()
 
-    def _take_record(self, record: ServerRecord, now: float) -> None:
-        # The registry may be read before the desired state, which names the services
-        # with engines; records of other services are kept and not used.
-        server = self._server_by_id.get(record.server_id)
-        if server is None:
-            server = ManagedServer(record=record, holdings=record.holdings)
-            self._server_by_id[record.server_id] = server
-        else:
-            server.take_record(record, now)
-
-    def _take_desired(self, desired: DesiredState) -> None:
-        self._engine_by_service = {
-            service.name: service.engine
-            for service in desired.service_by_name.values()
-            if service.engine is not None
-        }
-
-    def _take_demand(self, seen: DemandSeen, sender: str, now: float) -> None:
-        demand = self._demand_by_service.setdefault(seen.service, Demand())
-        for server_id, runs in seen.runs_by_server.items():
-            if server := self._server_by_id.get(server_id):
-                server.note_runs(runs, now)
-        for target, tokens in seen.tokens_by_target.items():
-            demand.add(target, tokens, now)
-            model, _, adapter = target.partition("/")
-            self._users.note(model, sender, now)
-            if adapter:
-                demand.add(model, tokens, now)
-
-    def _fleet(self, service: str, engine: EngineSpec, now: float) -> ServiceFleet:
-        servers = [
-            server
-            for server in self._server_by_id.values()
-            if server.record.service == service
-            and server.is_usable(now)
-            and server.record.zone not in self._evacuated_zones
-        ]
-        demand = self._demand_by_service.setdefault(service, Demand())
-        return ServiceFleet(engine, servers, demand, self._store_loads(service))
-
-    def _store_loads(self, service: str) -> StoreLoads:
-        return self._store_by_service.setdefault(service, StoreLoads())
-
-    def _drop_store_loads(self) -> None:
-        """Forget the loads of servers that are gone, silent or started anew."""
-        for store in self._store_by_service.values():
-            for server_id in store.servers():
-                server = self._server_by_id.get(server_id)
-                if server is None or server.loading is None:
-                    store.drop(server_id)
-
     def _to_routing(self, instance_id: str, message: Message) -> Outgoing:
         return Outgoing(Address(instance_id, ROUTING_TASK), message)
 
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -11,7 +11,8 @@
 
 from .demand import Demand, target_name
 from .desired_state import EngineSpec, ModelSpec
-from .managed_server import SWAP_S, Goal, ManagedServer
+from .goal import Goal
+from .managed_server import SWAP_S, ManagedServer
 from .store_limit import StoreLoads
 
 # Seconds that the eviction of the whole demand would be worth.
@@ -374,14 +375,18 @@
         load_s = server.load_s(spec)
         ready_in_s = load_s + self._queue_s(server, spec, waiting, now)
         lost = sum(self.value(model, now) for model in victims)
-        blocked_s = BLOCKED_SHARE * load_s * self._blocked_share(server, victims, now)
+        unload_s = sum(server.unload_s(model, now) for model in victims)
+        blocked_s = (
+            BLOCKED_SHARE
+            * (load_s + unload_s)
+            * self._blocked_share(server, victims, now)
+        )
         load = (self.load(server, now) - lost) / SERVER_TOKENS_PER_S
         victims_cost_s = self.victims_cost_s(server, victims, now)
         cost_s = (
             ready_in_s + victims_cost_s + blocked_s + BUSY_COST_S * min(load, 1.0) ** 2
         )
-        ready_in_s += sum(server.unload_s(model, now) for model in victims)
-        return Choice(server, victims, ready_in_s, cost_s, victims_cost_s)
+        return Choice(server, victims, ready_in_s + unload_s, cost_s, victims_cost_s)
 
     def _blocked_share(
         self, server: ManagedServer, victims: Iterable[str], now: float
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -8,7 +8,8 @@
 import attrs
 
 from ..telemetry.logs import log_event
-from .managed_server import Goal, ManagedServer
+from .goal import Goal
+from .managed_server import ManagedServer
 from .messages import OrderEnded, OrderKind, ServerOrder
 from .placement_choice import Choice
 
--- /dev/null
+++ b/src/siskinspool/gateway/request_refusals.py
@@ -0,0 +1,63 @@
+"""How a request ends that no server answered.
+
+429 and 503 are answered only if no server can have run the request; otherwise the
+answer is 502 or 504, which promise nothing.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.errors import ErrorCode
+from ..core.outcome import Refusal, RunState
+from .messages import AssignRefused
+
+RETRY_AFTER_S: Final = 0.3
+
+
+def time_is_up(detail: str, *, may_have_run: bool) -> Refusal:
+    """Return the end of a request whose time is over."""
+    if may_have_run:
+        return _unknown(504, ErrorCode.DEADLINE_PASSED, detail)
+    return Refusal(
+        503,
+        ErrorCode.DEADLINE_PASSED,
+        f"the time was up before a server ran the request {detail}",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def without_server(
+    refused: AssignRefused | None, detail: str, *, may_have_run: bool
+) -> Refusal:
+    """Return the end of a request that got no server, or no other one."""
+    if may_have_run:
+        return _unknown(502, ErrorCode.SERVER_FAILED, detail)
+    if refused is None:
+        return Refusal(
+            503,
+            ErrorCode.NO_SERVER,
+            "no decision on a server",
+            retry_after_s=RETRY_AFTER_S,
+        )
+    return Refusal(
+        503, refused.code, refused.detail, retry_after_s=refused.retry_after_s
+    )
+
+
+def failed(detail: str, *, may_have_run: bool, in_time: bool) -> Refusal:
+    """Return the end of a request that may go to no further server."""
+    if may_have_run and not in_time:
+        return _unknown(504, ErrorCode.DEADLINE_PASSED, detail)
+    if may_have_run:
+        return _unknown(502, ErrorCode.OUTCOME_UNKNOWN, detail)
+    return Refusal(
+        503,
+        ErrorCode.SERVER_FAILED,
+        f"no server took the request: {detail}",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _unknown(status: int, code: ErrorCode, detail: str) -> Refusal:
+    return Refusal(status, code, detail, RunState.UNKNOWN)
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -20,7 +20,7 @@
 
 from ..core.errors import ErrorCode
 from ..core.message import Address, Message, Outgoing
-from ..core.outcome import Refusal, RunState
+from ..core.outcome import Refusal
 from ..links.answer_sink import AnswerSink
 from ..links.backend import Answer, Lost, NotSent, ServerRequest
 from ..telemetry.logs import log_event
@@ -43,6 +43,7 @@
 )
 from .request import AnswerFacts, SendPlan
 from .request_context import GatewayRequest, RequestContext
+from .request_refusals import RETRY_AFTER_S, failed, time_is_up, without_server
 
 logger = logging.getLogger(__name__)
 
@@ -59,7 +60,6 @@
 ANSWER_MARGIN_S: Final = 0.1
 # A request is not sent with less time than this.
 LEAST_SEND_S: Final = 0.02
-RETRY_AFTER_S: Final = 0.3
 # Servers that may decline a request before it is refused, beyond the route's limit on
 # servers that run it.
 MOST_REJECTIONS: Final = 3
@@ -138,9 +138,9 @@
         except gevent.Timeout as expired:
             if expired is not timer:
                 raise
-            refusal = self._time_is_up("")
+            refusal = time_is_up("", may_have_run=self._may_have_run)
         except _StoppingError:
-            refusal = self._time_is_up("the instance stops")
+            refusal = time_is_up("the instance stops", may_have_run=self._may_have_run)
         finally:
             timer.close()
         if refusal is not None:
@@ -176,10 +176,10 @@
         detail = ""
         while True:
             if self._remaining_s() < LEAST_SEND_S:
-                return self._time_is_up(detail)
+                return time_is_up(detail, may_have_run=self._may_have_run)
             assigned = self._assign()
             if not isinstance(assigned, ServerAssigned):
-                return self._without_server(assigned, detail)
+                return without_server(assigned, detail, may_have_run=self._may_have_run)
             outcome = self._send(assigned)
             if isinstance(outcome, _Done):
                 return None
@@ -413,45 +413,9 @@
         )
         return _Retry(detail)
 
-    def _time_is_up(self, detail: str) -> Refusal:
-        if self._may_have_run:
-            return self._unknown(504, ErrorCode.DEADLINE_PASSED, detail)
-        return Refusal(
-            503,
-            ErrorCode.DEADLINE_PASSED,
-            f"the time was up before a server ran the request {detail}",
-            retry_after_s=RETRY_AFTER_S,
-        )
-
-    def _without_server(self, refused: AssignRefused | None, detail: str) -> Refusal:
-        if self._may_have_run:
-            return self._unknown(502, ErrorCode.SERVER_FAILED, detail)
-        if refused is None:
-            return Refusal(
-                503,
-                ErrorCode.NO_SERVER,
-                "no decision on a server",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        return Refusal(
-            503, refused.code, refused.detail, retry_after_s=refused.retry_after_s
-        )
-
     def _failed(self, detail: str) -> Refusal:
-        if self._may_have_run:
-            if self._remaining_s() < LEAST_SEND_S:
-                return self._unknown(504, ErrorCode.DEADLINE_PASSED, detail)
-            return self._unknown(502, ErrorCode.OUTCOME_UNKNOWN, detail)
-        return Refusal(
-            503,
-            ErrorCode.SERVER_FAILED,
-            f"no server took the request: {detail}",
-            retry_after_s=RETRY_AFTER_S,
-        )
-
-    @staticmethod
-    def _unknown(status: int, code: ErrorCode, detail: str) -> Refusal:
-        return Refusal(status, code, detail, RunState.UNKNOWN)
+        in_time = self._remaining_s() >= LEAST_SEND_S
+        return failed(detail, may_have_run=self._may_have_run, in_time=in_time)
 
     def _refuse(self, refusal: Refusal) -> None:
         self._log_end(refusal.code, None, refusal)
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -26,7 +26,7 @@
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .cold_share import cold_bucket
-from .demand import DemandLog, target_name
+from .demand_reporter import DEMAND_INTERVAL_S, DemandReporter
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
@@ -34,7 +34,6 @@
     AssignServer,
     AttemptEnded,
     AttemptResult,
-    DemandSeen,
     FirstEventSeen,
     LeaderChanged,
     ModelExpected,
@@ -45,11 +44,8 @@
     WantModel,
 )
 from .retry_share import RetryShare
-from .run_lengths import RunLengths
 from .server_view import (
-    CACHE_SHARE,
     STRANGER_COST_S,
-    PromptCache,
     ServerView,
 )
 from .servers import (
@@ -72,7 +68,6 @@
 LONGEST_WANT_PAUSE_S: Final = 1.0
 # Waiting requests are looked at at least this often, since pauses end by themselves.
 WAIT_STEP_S: Final = 0.05
-DEMAND_INTERVAL_S: Final = 1.0
 # Entries that lapsed while the registry was away come back within two seconds.
 RETURN_GRACE_S: Final = 2.0
 # What a load may take longer than the leader expects: at least this, or a share. To
@@ -101,9 +96,7 @@
         self._waiting_by_id: dict[str, WaitingRequest] = {}
         # Until when each (service, model, adapter) is not asked for again.
         self._want_again_at: dict[tuple[str, str, str], float] = {}
-        self._demand = DemandLog()
-        self._run_lengths = RunLengths()
-        self._next_demand_at = 0.0
+        self._demand = DemandReporter()
         # Changes of the registry do not arrive at present.
         self._interrupted = False
         # When waiting requests are looked at next.
@@ -134,15 +127,15 @@
             if waiting.give_up_at <= now:
                 del self._waiting_by_id[request_id]
                 batch.append(self._refuse(waiting, "no server was free in time", now))
-        if now >= self._next_demand_at:
-            self._next_demand_at = now + DEMAND_INTERVAL_S
+        if now >= self._demand.next_at:
+            self._demand.next_at = now + DEMAND_INTERVAL_S
             batch += self._report_demand(now)
         self._drop_gone(now)
         return batch
 
     def wake_at(self) -> float | None:
         """Return when something is due."""
-        due = self._next_demand_at
+        due = self._demand.next_at
         if self._waiting_by_id:
             soonest = min(item.give_up_at for item in self._waiting_by_id.values())
             due = min(due, soonest, self._step_at)
@@ -186,7 +179,7 @@
                 return [Outgoing(sender, refused)]
         else:
             self._retries.count_request(call.service, now)
-            self._count_demand(call, now)
+            self._demand.count_request(call, now)
         waiting = WaitingRequest(sender, call, now, now + call.patience_s)
         assigned = self._assign(waiting, now)
         if assigned is not None:
@@ -283,7 +276,7 @@
         if view is None:
             return
         if ended.result is AttemptResult.ANSWERED:
-            view.note_run(ended.request_id, self._run_lengths, now)
+            self._demand.note_answer(view, ended.request_id, now)
         view.ended(ended.request_id, ended.result, ended.load, now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
@@ -387,32 +380,12 @@
             if ready_at + doubt_s > waiting.give_up_at:
                 waiting.give_up_at = now
 
-    def _count_demand(self, call: AssignServer, now: float) -> None:
-        if call.model:
-            target = target_name(call.model, call.adapter)
-            self._demand.add(call.service, target, call.tokens, now)
-
     def _report_demand(self, now: float) -> list[Outgoing]:
         if self._leader_id is None:
             return []
         recipient = Address(self._leader_id, PLACEMENT_TASK)
-        tokens_by_service = self._demand.take_report()
-        runs_by_service: dict[str, dict[str, dict[str, float]]] = {}
-        for server_id, view in self._view_by_id.items():
-            if runs := view.runs_by_target(self._run_lengths, now):
-                runs_by_server = runs_by_service.setdefault(view.record.service, {})
-                runs_by_server[server_id] = runs
-        return [
-            Outgoing(
-                recipient,
-                DemandSeen(
-                    service,
-                    tokens_by_service.get(service, {}),
-                    runs_by_service.get(service, {}),
-                ),
-            )
-            for service in sorted(tokens_by_service.keys() | runs_by_service.keys())
-        ]
+        reports = self._demand.take_reports(self._view_by_id.values(), now)
+        return [Outgoing(recipient, report) for report in reports]
 
     # Changes
 
@@ -438,7 +411,7 @@
                 self._leader_id = leader_id
                 self._want_again_at.clear()
                 # A new leader knows nothing of the past.
-                self._demand.report_recent(now)
+                self._demand.begin_anew(now)
             case ModelReady() as ready:
                 self._take_ready(ready, now)
             case ModelUnloading(model, server_id):
@@ -486,22 +459,13 @@
         view.take_record(record, now)
 
     def _new_view(self, record: ServerRecord, now: float) -> ServerView:
-        desired = self._desired
-        service = (
-            None if desired is None else desired.service_by_name.get(record.service)
-        )
-        engine = None if service is None else service.engine
-        capacity = 0 if engine is None else int(engine.token_capacity * CACHE_SHARE)
+        services = {} if self._desired is None else self._desired.service_by_name
+        service = services.get(record.service)
         per_s = 0.0 if service is None else service.cold_per_s
-        return ServerView(
-            record=record,
-            record_at=now,
-            cold_until=now + record.cold_s,
-            cold_bucket=cold_bucket(
-                record.server_id, per_s, self._bounds, self._id, self._member_ids, now
-            ),
-            cache=PromptCache(capacity),
+        bucket = cold_bucket(
+            record.server_id, per_s, self._bounds, self._id, self._member_ids, now
         )
+        return ServerView.from_record(record, service, bucket, now)
 
     def _remove_server(self, server_id: str, now: float) -> None:
         view = self._view_by_id.get(server_id)
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -15,6 +15,7 @@
 import attrs
 
 from .demand import target_name
+from .desired_state import ServiceSpec
 from .messages import AssignServer, AttemptResult
 from .request import PromptPart
 from .run_lengths import RunLengths
@@ -129,6 +130,25 @@
     # The registry's entry is gone; used until then in case it comes back.
     gone_at: float | None = None
 
+    @classmethod
+    def from_record(
+        cls,
+        record: ServerRecord,
+        service: ServiceSpec | None,
+        cold_bucket: TokenBucket,
+        now: float,
+    ) -> ServerView:
+        """Return a view of a server that has just been seen."""
+        engine = None if service is None else service.engine
+        capacity = 0 if engine is None else int(engine.token_capacity * CACHE_SHARE)
+        return cls(
+            record=record,
+            record_at=now,
+            cold_until=now + record.cold_s,
+            cold_bucket=cold_bucket,
+            cache=PromptCache(capacity),
+        )
+
     def is_open(self, now: float) -> bool:
         """Return whether the server may get a request."""
         return (
