Take nothing for known of orders that another leader may have given

Cause: a gateway that led, was succeeded and led again kept its belief of its last order. The first report that was no longer busy did not name the loaded model yet, as reports lag, and the next load was planned into its memory. For a load of its own the leader had the same gap: the model was added only while the server was busy.

Change: a new time in office forgets what its last one ordered. The model that the leader ordered itself stays in its view when the load ends. After a load that it does not know of, the report is read once more after its lag.

Evidence: test_load_of_an_earlier_leader_takes_its_memory_once_it_is_done failed before.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -314,7 +314,9 @@
         """Begin anew with a new time in office: read the report before any order."""
         self.holdings = attrs.evolve(self.holdings, order_count=None)
         self.doubtful = True
-        self.order = None
+        self.order = self.running_order = None
+        # Another leader may have given orders in between.
+        self.busy_until = self.loading = self.unloading = None
         self.reading = False
         self.goals.clear()
 
@@ -383,8 +385,9 @@
         same_start = holdings.born_ms == self.holdings.born_ms
         if same_start and known is not None and count < known:
             return False
-        if holdings.busy and self.loading is not None and same_start:
-            # A report does not name the model that loads, which takes memory already.
+        if self.loading is not None and same_start:
+            # A report does not name the model that loads, which takes memory already,
+            # and may not name it yet as the load ends.
             models = dict(holdings.model_by_name)
             models.setdefault(self.loading, HeldModel(self.loading, 0))
             holdings = attrs.evolve(holdings, model_by_name=models)
@@ -392,6 +395,11 @@
         self.changed_at = now
         self.doubtful = False
         if not holdings.busy:
+            known = self.loading is not None or self.unloading is not None
+            if self.busy_until is not None and not known:
+                # What an earlier leader ordered may show in the next report only.
+                self.doubtful = True
+                self.wait_until = now + REPORT_LAG_S
             if self.loading is not None:
                 self.ready_at_by_model[self.loading] = now
             self.busy_until = self.loading = self.unloading = None
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -380,3 +380,32 @@
     office.now += 0.35
     found = messages(office.decision.on_time(office.now))
     assert any(isinstance(one, ReadHoldings) for one in found)
+
+
+def test_load_of_an_earlier_leader_takes_its_memory_once_it_is_done() -> None:
+    """Guards against orders for more models than a server holds.
+
+    baul-bogota trouble-1, seed 9003: a leader in its second time in office took a load
+    of the leader between for its own old one. The report that first said that the
+    server was no longer busy did not name the model yet, and the next load crashed the
+    server.
+    """
+    disk = frozenset({"m0", "m1", "m2", "m3"})
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(weights_mb=145_000.0)))
+    office.add("s1", on_disk=disk)
+    office.take_office()
+    own = orders(office.want("m0"))[0]
+    office.end(own, OrderResult.ACCEPTED)
+    office.tell(LeadershipLost())
+    office.reports["s1"] = holdings("m0", count=2, busy=True, on_disk=disk)
+    office.now += 10.0
+    office.take_office(epoch=9)
+    office.want("m2")
+    office.reports["s1"] = holdings("m0", count=2, on_disk=disk)
+    given: list[ServerOrder] = []
+    for step in range(8):
+        given += orders(office.wait(0.15) + office.want("m2"))
+        if step == 0:
+            office.reports["s1"] = holdings("m0", "m1", count=2, on_disk=disk)
+    assert [order.kind for order in given] == [OrderKind.UNLOAD]
