Learn the weight store's limit from the loads that ran as one began

Cause: the limit on loads at a time counted the most that ran beside a load until its end.

Change: a load is judged by the loads that ran as it began. A slow load that ran alone says nothing about others.

--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -4,7 +4,8 @@
 platform does not announce. A server does nothing else while it loads, so loads that
 slow each other down take servers away for nothing. The limit follows the durations:
 a load that took longer than it should shows how many the store really carries, and one
-that was on time at the limit allows one more.
+that was on time at the limit allows one more. How long a load takes is settled by the
+loads that run as it begins; later ones do not slow it down.
 """
 
 from __future__ import annotations
@@ -26,13 +27,13 @@
 END_SEEN_S: Final = 0.4
 
 
-@attrs.define
+@attrs.frozen
 class _RunningLoad:
     """A load under way."""
 
     since: float
-    # The loads that ran at its start, itself included; the most since then.
-    most_at_once: int
+    # The loads that ran at its start, itself included.
+    at_once: int
 
 
 class StoreLoads:
@@ -57,10 +58,7 @@
 
     def begin(self, server_id: str, now: float) -> None:
         """Record that a server has begun a load."""
-        count = self.running + 1
-        self._running_by_server[server_id] = _RunningLoad(now, count)
-        for load in self._running_by_server.values():
-            load.most_at_once = max(load.most_at_once, count)
+        self._running_by_server[server_id] = _RunningLoad(now, self.running + 1)
 
     def end(self, server_id: str, full_speed_s: float, now: float) -> None:
         """Record the end of a load that takes a known time at full speed."""
@@ -69,10 +67,11 @@
             return
         took_s = now - load.since
         before = self.limit
-        if took_s > full_speed_s * SLOW_SHARE + END_SEEN_S:
-            carried = round(load.most_at_once * full_speed_s / took_s)
+        slow = took_s > full_speed_s * SLOW_SHARE + END_SEEN_S
+        if slow and load.at_once > 1:
+            carried = round(load.at_once * full_speed_s / took_s)
             self.limit = min(max(carried, 1), self.limit)
-        elif load.most_at_once >= self.limit:
+        elif not slow and load.at_once >= self.limit:
             self.limit += 1
         if self.limit != before:
             log_event(
@@ -83,7 +82,7 @@
                 before=before,
                 took_s=took_s,
                 full_speed_s=full_speed_s,
-                at_once=load.most_at_once,
+                at_once=load.at_once,
             )
 
     def drop(self, server_id: str) -> None:
