Serve the most wanted model first from the weight store

Cause: the weight store carries a few loads at a time, and its turns went to whichever server the leader looked at first. A shared resource was given out in the order of iteration. An order without its answer yet did not count as a load, either.

Change: a load begins only if the models that are wanted more, and whose servers could take them now, leave it a turn; promises count these models only.

Evidence: test_store_serves_the_most_wanted_model_first failed before.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -174,6 +174,22 @@
         least_s = USED_UNLOAD_S if self.is_used(model, "", now) else UNLOAD_S
         return max(ends_at - now, least_s)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the server could take an order now."""
+        return self.busy_until is None and self.order is None
+
+    @property
+    def begins_store_load(self) -> bool:
+        """Return whether an order to load from the weight store has no answer yet."""
+        order = self.order
+        return (
+            order is not None
+            and order.kind is OrderKind.LOAD
+            and not order.adapter
+            and self.needs_store(order.model)
+        )
+
     def is_usable(self, now: float) -> bool:
         """Return whether the server is worth an order."""
         return self.record.state is ServerState.READY and now >= self.silent_until
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -277,8 +277,9 @@
     ) -> Outgoing:
         spec = fleet.engine.model_by_name[want.model]
         in_s = server.ready_in_s(want.model, fleet.engine, now)
-        in_s += fleet.store_wait_s(spec, server)
         goal = server.has_goal(want.model, "")
+        waiting = want.waiting if goal is None else goal.waiting
+        in_s += fleet.store_wait_s(spec, server, waiting, now)
         if goal is not None:
             goal.promised_at = now + in_s
         return self._to_routing(asker, ModelExpected(want.model, want.adapter, in_s))
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -297,12 +297,19 @@
             ),
         )
 
-    def store_wait_s(self, spec: ModelSpec, server: ManagedServer) -> float:
+    def store_wait_s(
+        self, spec: ModelSpec, server: ManagedServer, waiting: int, now: float
+    ) -> float:
         """Return how long a load waits for others from the weight store."""
         if server.loading == spec.name or not server.needs_store(spec.name):
             return 0.0
-        queued = self._store_queue() - {spec.name}
-        return self.store.wait_s(spec.store_load_s, len(queued))
+        wanted = self._wanted(spec.name, waiting, now)
+        ahead = {
+            goal.model
+            for _, goal in self._store_goals()
+            if self._wanted(goal.model, goal.waiting, now) >= wanted
+        }
+        return self.store.wait_s(spec.store_load_s, len(ahead - {spec.name}))
 
     def store_is_spare(self) -> bool:
         """Return whether the weight store may load what nobody waits for.
@@ -310,33 +317,45 @@
         Such a load keeps a server from all else for seconds, and the store from models
         that requests wait for.
         """
-        return 2 * self.store.running < self.store.limit and not self._store_queue()
+        return 2 * self.store.running < self.store.limit and not self._store_goals()
 
-    def _store_queue(self) -> set[str]:
-        """Return the models that are still to be loaded from the weight store."""
-        return {
-            goal.model
+    def _store_goals(self) -> list[tuple[ManagedServer, Goal]]:
+        """Return the goals that are still to be loaded from the weight store."""
+        return [
+            (server, goal)
             for server in self.servers
             for goal in server.goals
             if not goal.adapter
             and server.loading != goal.model
             and server.needs_store(goal.model)
-        }
+        ]
 
     def may_load_from_store(self, goal: Goal, now: float) -> bool:
         """Return whether a goal's model may be loaded from the weight store now.
 
         Such a load takes seconds in which its server loads nothing else. It begins if
-        the store can serve it at full speed, and if nothing has to go for it, if many
-        requests wait, or while most servers are left for loads from disk.
+        the store can serve it at full speed and no other server waits with a model that
+        is wanted more, and if nothing has to go for it, if many requests wait, or while
+        most servers are left for loads from disk.
         """
-        if not self.store.has_room():
+        wanted = self._wanted(goal.model, goal.waiting, now)
+        ahead = {
+            other.model
+            for server, other in self._store_goals()
+            if other is not goal
+            and server.is_idle
+            and self._wanted(other.model, other.waiting, now) > wanted
+        }
+        begun = self.store.running + sum(
+            server.begins_store_load for server in self.servers
+        )
+        if begun + len(ahead - {goal.model}) >= self.store.limit:
             return False
         if goal.waiting >= MANY_WAITING or not goal.victims:
             return True
         if self.total_rate(now) < QUIET_TOKENS_PER_S:
             return True
-        return self.store.running + 1 <= len(self.servers) * STORE_SERVERS_SHARE
+        return begun + 1 <= len(self.servers) * STORE_SERVERS_SHARE
 
     def choose(
         self,
@@ -357,7 +376,7 @@
                 continue
             if server.needs_store(spec.name):
                 if store_wait_s is None:
-                    store_wait_s = self.store_wait_s(spec, server)
+                    store_wait_s = self.store_wait_s(spec, server, waiting, now)
                 choice = choice.later(store_wait_s)
             choices.append(choice)
         return min(
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -212,3 +212,40 @@
     office.want("m2")
     office.tell(desired_state(version=2, engine_spec=engine("m0", "m1")))
     assert orders(office.finish_load(first, 1.3)) == []
+
+
+def test_store_serves_the_most_wanted_model_first() -> None:
+    """Guards against the most wanted model waiting for a load that few others want.
+
+    tinhub's and baul's grown sites: the weight store carries one load in four seconds.
+    Its turns went to whichever server was looked at first, and a model with 379
+    requests was never loaded.
+    """
+    names = tuple(f"m{number}" for number in range(8))
+    office = Office()
+    spec = engine(*names, weights_mb=75_000.0, store_loads_per_s=30.0)
+    office.tell(desired_state(engine_spec=spec))
+    # The leader looks at servers in the order in which it has seen them.
+    for server_id in ("s1", "s2", "s3", "s4", "s6", "s5"):
+        office.add(server_id, on_disk=frozenset())
+    office.take_office()
+    office.tell(DemandSeen("writers", {"m0": 100, "m7": 200_000}))
+    running: list[ServerOrder] = []
+    for model in ("m1", "m2", "m3", "m4"):
+        for order in orders(office.want(model) + office.wait(0.3)):
+            running.append(order)
+            office.end(order, OrderResult.ACCEPTED)
+            held = holdings(count=1, busy=True, on_disk=frozenset())
+            office.reports[order.server_id] = held
+    assert [order.model for order in running] == ["m1", "m2", "m3", "m4"]
+    assert orders(office.want("m7") + office.want("m5")) == []
+    # The late end of the last load shows that the store carries three, and the end of
+    # the first one leaves one turn.
+    office.now += 7.6
+    office.want("m5")
+    office.want("m7")
+    found = orders(office.finish_load(running[3], 0.1))
+    found += orders(office.finish_load(running[0], 0.1))
+    for _ in range(8):
+        found += orders(office.wait(0.25))
+    assert [order.model for order in found] == ["m7"]
