--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -249,3 +249,24 @@
     for _ in range(8):
         found += orders(office.wait(0.25))
     assert [order.model for order in found] == ["m7"]
+
+
+def test_plan_whose_victim_has_become_wanted_is_not_carried_out() -> None:
+    """Guards against plans that are carried out on the demand of seconds ago.
+
+    baul-bogota scale-1: a replica planned in the place of an idle model evicted it three
+    times in eight seconds, when it had become the most wanted model of the site.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=145_000.0)))
+    office.add("s1", "m0", "m2", on_disk=ALL_MODELS, busy=True)
+    office.take_office()
+    office.tell(DemandSeen("writers", {"m2": 3_000}))
+    office.want("m1")
+    office.tell(DemandSeen("writers", {"m0": 30_000}))
+    office.reports["s1"] = holdings("m0", "m2", count=0, on_disk=ALL_MODELS)
+    given: list[ServerOrder] = []
+    for _ in range(10):
+        given += orders(office.wait(0.3) + office.want("m1"))
+    assert "m0" not in {order.model for order in given}
+    assert {order.model for order in given} <= {"m2"}
