--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -254,8 +254,8 @@
 def test_plan_whose_victim_has_become_wanted_is_not_carried_out() -> None:
     """Guards against plans that are carried out on the demand of seconds ago.
 
-    baul-bogota scale-1: a replica planned in the place of an idle model evicted it three
-    times in eight seconds, when it had become the most wanted model of the site.
+    baul-bogota scale-1: a replica planned in the place of an idle model evicted it
+    three times in eight seconds, when it had become the most wanted of the site.
     """
     office = Office()
     office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=145_000.0)))
