Show the log of a stand-in's process that has ended by itself

test_loads_and_memory_hold_when_owners_and_engines_fail failed once beside load with ProcessLookupError: all entry processes of its site had ended, and their output was not kept. What ended them is still not known. A signal to a process that has ended now fails with its exit status and the end of its log.

--- a/src/siskinspool/standins/processes.py
+++ b/src/siskinspool/standins/processes.py
@@ -22,6 +22,7 @@
 
 READY_TIMEOUT_S: Final = 20.0
 STOP_TIMEOUT_S: Final = 10.0
+LOG_TAIL_CHARS: Final = 2000
 
 Json = dict[str, Any]
 
@@ -30,6 +31,11 @@
     """A process did not start or did not answer."""
 
 
+def log_tail(path: Path) -> str:
+    """Return the end of a process's log."""
+    return path.read_text(errors="replace")[-LOG_TAIL_CHARS:]
+
+
 @attrs.define(eq=False)
 class Process:
     """One running program."""
@@ -50,7 +56,15 @@
         return self.popen.poll() is None
 
     def signal(self, number: int) -> None:
-        """Send a signal, such as SIGSTOP, SIGCONT, SIGKILL or SIGTERM."""
+        """Send a signal, such as SIGSTOP, SIGCONT, SIGKILL or SIGTERM.
+
+        Raises ProcessError with the end of the log if the process has ended by itself.
+        """
+        status = self.popen.poll()
+        if status is not None:
+            raise ProcessError(
+                f"{self.name} has ended with {status}: {log_tail(Path(self.log.name))}"
+            )
         os.kill(self.popen.pid, number)
 
     def terminate(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
@@ -93,7 +107,7 @@
         except (gevent.Timeout, ValueError) as error:
             popen.kill()
             log.close()
-            tail = log_path.read_text(errors="replace")[-2000:]
+            tail = log_tail(log_path)
             raise ProcessError(f"{name} did not start:\n{tail}") from error
         process = Process(name, popen, ready, log)
         self.process_by_name[name] = process
