--- /dev/null
+++ b/src/siskinspool/gateway/choice.py
@@ -0,0 +1,26 @@
+"""A server chosen for a model, with what the choice expects."""
+
+from __future__ import annotations
+
+import attrs
+
+from .managed_server import ManagedServer
+
+
+@attrs.frozen
+class Choice:
+    """A server for a model and the models that have to go first."""
+
+    server: ManagedServer
+    victims: tuple[str, ...]
+    # Estimated time until the model is ready; the same with all costs beside.
+    ready_in_s: float
+    cost_s: float
+    # Part of the costs that is due to the victims.
+    victims_cost_s: float
+
+    def later(self, by_s: float) -> Choice:
+        """Return the choice with a model that is ready later."""
+        return attrs.evolve(
+            self, ready_in_s=self.ready_in_s + by_s, cost_s=self.cost_s + by_s
+        )
--- a/src/siskinspool/gateway/look_ahead.py
+++ b/src/siskinspool/gateway/look_ahead.py
@@ -6,8 +6,9 @@
 
 import attrs
 
+from .choice import Choice
 from .goal import Goal
-from .placement_choice import QUIET_TOKENS_PER_S, Choice, ServiceFleet
+from .placement_choice import QUIET_TOKENS_PER_S, ServiceFleet
 
 # A model that nobody waits for displaces only what costs less than this.
 COPY_COST_S: Final = 1.0
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -10,7 +10,6 @@
 
 from collections import deque
 from collections.abc import Mapping
-from enum import StrEnum
 from typing import Final
 
 import attrs
@@ -20,6 +19,7 @@
 from .desired_state import EngineSpec, ModelSpec
 from .goal import Goal
 from .messages import OrderKind, ServerOrder
+from .server_work import Arrival, RunningOrder, Use, WeightsCopy
 from .servers import HeldModel, Holdings, ServerRecord, ServerState
 
 # A report shows the server as it was some hundred milliseconds before.
@@ -52,44 +52,6 @@
 MOST_USED_TARGETS: Final = 32
 
 
-class WeightsCopy(StrEnum):
-    """Where a load takes a model's weights from."""
-
-    MEMORY = "memory"
-    DISK = "disk"
-    STORE = "store"
-
-
-@attrs.frozen
-class Use:
-    """Requests that use a model or adapter on a server."""
-
-    # When they were last known to.
-    seen_at: float
-    # When the last of them is expected to end.
-    ends_at: float
-
-
-@attrs.frozen
-class RunningOrder:
-    """An order on a model that a server is carrying out."""
-
-    kind: OrderKind
-    model: str
-    # When it was accepted, and how long it was then expected to take.
-    since: float
-    expected_s: float
-
-
-@attrs.define
-class Arrival:
-    """An adapter on its way to a server."""
-
-    ready_at: float
-    # Instances that wait for it.
-    askers: set[str]
-
-
 @attrs.define(kw_only=True)
 class ManagedServer:
     """One model server; times are seconds on the instance's clock."""
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -20,6 +20,7 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..telemetry.logs import log_event
+from .choice import Choice
 from .demand import target_name
 from .goal import Goal
 from .look_ahead import LookAhead, PlannedLoad
@@ -47,7 +48,7 @@
 )
 from .office import Office
 from .order_planner import GoalWaits, NextStep, OrderDue, OrderPlanner, PlanVoid
-from .placement_choice import Choice, ServiceFleet
+from .placement_choice import ServiceFleet
 from .placement_log import PlacementLog, log_result
 
 logger = logging.getLogger(__name__)
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from .choice import Choice
 from .demand import Demand, target_name
 from .desired_state import EngineSpec, ModelSpec
 from .goal import Goal
@@ -23,8 +24,8 @@
 LEAST_TOTAL_TOKENS_PER_S: Final = 2_000.0
 # The only replica of a model yields only to one with at least this part of its demand.
 LEAST_DEMAND_RATIO: Final = 0.3
-# Part of the requests for a server's other models that wait for an adapter, which the
-# server cannot load meanwhile.
+# Part of the requests for a server's models and copies that wait for a load there; the
+# others find their model and adapter ready.
 BLOCKED_SHARE: Final = 0.5
 # Below this demand no request waits, and loads disturb nobody.
 QUIET_TOKENS_PER_S: Final = 1.0
@@ -53,25 +54,6 @@
 REPLICA_PRIOR: Final = 0.02
 
 
-@attrs.frozen
-class Choice:
-    """A server for a model and the models that have to go first."""
-
-    server: ManagedServer
-    victims: tuple[str, ...]
-    # Estimated time until the model is ready; the same with all costs beside.
-    ready_in_s: float
-    cost_s: float
-    # Part of the costs that is due to the victims.
-    victims_cost_s: float
-
-    def later(self, by_s: float) -> Choice:
-        """Return the choice with a model that is ready later."""
-        return attrs.evolve(
-            self, ready_in_s=self.ready_in_s + by_s, cost_s=self.cost_s + by_s
-        )
-
-
 @attrs.define
 class ServiceFleet:
     """The model servers of one service, with the demand for its models."""
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -8,10 +8,10 @@
 import attrs
 
 from ..telemetry.logs import log_event
+from .choice import Choice
 from .goal import Goal
 from .managed_server import ManagedServer
 from .messages import OrderEnded, OrderKind, ServerOrder
-from .placement_choice import Choice
 
 logger = logging.getLogger(__name__)
 
