Tell for how long requests ask for a model in vain

Which models are never served, and why a load from the weight store went elsewhere, took a join over three kinds of line, since request_ended names no model and nothing counts the requests for a model that no server has.

Gateways now tell the leader how long each waiting requester can be served, a return after a refusal included. The leader counts these by model from the first request in vain until a server has the model: order_given names requests asked, those still reachable and the time; shortage_ended names the same as the model is ready; request_ended names model and adapter; the gauge placement.models_short counts models in shortage. No decision changes.

--- a/src/siskinspool/gateway/demand.py
+++ b/src/siskinspool/gateway/demand.py
@@ -11,6 +11,8 @@
 DEMAND_HALF_LIFE_S: Final = 8.0
 # A steady rate r adds up to r x half-life / ln 2.
 RATE_PER_TOKEN: Final = math.log(2) / DEMAND_HALF_LIFE_S
+# What a waiting request adds to the demand for its model.
+WAITING_TOKENS_PER_S: Final = 800.0
 # Less than this is forgotten, in tokens.
 LEAST_TOKENS: Final = 1.0
 # A gateway counts as a user of a model for this long after a request for it.
@@ -57,6 +59,13 @@
             return 0.0
         return self._decayed(seen, now) * RATE_PER_TOKEN
 
+    def wanted_per_s(self, model: str, waiting: int, now: float) -> float:
+        """Return the demand for a model that is to be loaded, in tokens a second.
+
+        Requests that were told to come back no longer wait.
+        """
+        return self.tokens_per_s(model, now) + waiting * WAITING_TOKENS_PER_S
+
     def total_tokens_per_s(self, now: float) -> float:
         """Return the recent rate of all models."""
         return self._decayed(self._total, now) * RATE_PER_TOKEN
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -8,6 +8,7 @@
 from .messages import DemandSeen, OrderKind, OrderResult, ServerOrder
 from .placement_choice import ServiceFleet
 from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
+from .shortage import Shortages
 from .store_limit import StoreLoads
 
 
@@ -21,6 +22,7 @@
         self._evacuated_zones: set[str] = set()
         self._demand_by_service: dict[str, Demand] = {}
         self._store_by_service: dict[str, StoreLoads] = {}
+        self._shortages_by_service: dict[str, Shortages] = {}
 
     def take_change(self, message: object, now: float) -> bool:
         """Take in a change of the site; return whether the message is one."""
@@ -81,7 +83,13 @@
             and server.record.zone not in self._evacuated_zones
         ]
         demand = self._demand_by_service.setdefault(service, Demand())
-        return ServiceFleet(engine, servers, demand, self.store_loads(service))
+        return ServiceFleet(
+            engine,
+            servers,
+            demand,
+            self.store_loads(service),
+            self.shortages(service),
+        )
 
     def take_accepted(
         self, server: ManagedServer, order: ServerOrder, result: OrderResult, now: float
@@ -118,6 +126,14 @@
         """Return the loads of a service's models from the weight store."""
         return self._store_by_service.setdefault(service, StoreLoads())
 
+    def shortages(self, service: str) -> Shortages:
+        """Return the models of a service that requests ask for in vain."""
+        return self._shortages_by_service.setdefault(service, Shortages())
+
+    def count_shortages(self) -> int:
+        """Return how many models requests ask for in vain."""
+        return sum(len(found) for found in self._shortages_by_service.values())
+
     def drop_store_loads(self) -> None:
         """Forget the loads of servers that are gone, silent or started anew."""
         for store in self._store_by_service.values():
@@ -129,5 +145,6 @@
     def forget_plans(self) -> None:
         """Begin a new time in office."""
         self._store_by_service.clear()
+        self._shortages_by_service.clear()
         for server in self.server_by_id.values():
             server.forget_plans()
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -49,6 +49,8 @@
     # The request has reached a server before, so this send draws on the retry budget.
     repeat: bool
     patience_s: float
+    # How long the requester can be served, also if it is refused and comes back.
+    reach_s: float
 
 
 @attrs.frozen
@@ -130,6 +132,9 @@
     waiting: int = 1
     # Servers that hold it by the registry, but do not answer the sender.
     silent_servers: tuple[str, ...] = ()
+    # For those requests that the leader has not heard of, how long their requesters
+    # can be served, in seconds.
+    new_reach_s: tuple[float, ...] = ()
 
 
 @wire
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -74,7 +74,7 @@
             return self._adapter_step(fleet, server, goal, epoch, now)
         spec = fleet.engine.model_by_name[goal.model]
         needs_store = server.needs_store(goal.model)
-        if needs_store and not fleet.may_load_from_store(goal, now):
+        if needs_store and not fleet.turns.may_begin(goal, now):
             # The server stays free for what loads sooner.
             return GoalWaits(now + RETRY_S)
         if fleet.engine.weights_mb - server.used_mb(fleet.engine) < spec.weights_mb:
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -136,7 +136,9 @@
 
     def gauges(self) -> dict[str, float]:
         """Return counts of plans and unloads since the start of the process."""
-        return self._log.gauges()
+        return self._log.gauges() | {
+            "placement.models_short": float(self._site.count_shortages())
+        }
 
     # Wishes
 
@@ -179,12 +181,14 @@
         model = want.model
         for server in fleet.servers:
             self._drop_stale(server, now)
+        fleet.shortages.ask(model, want.new_reach_s, now)
         silent = set(want.silent_servers)
         for server in fleet.servers:
             if server.doubtful and model in server.holdings.model_by_name:
                 # Its report is read first; the asker asks again.
                 return self._advance(server, now)
             if server.holds_model(model) and server.record.server_id not in silent:
+                self._log.shortage_ended(server, model, fleet.shortages, now)
                 ready = ModelReady(model, want.adapter, server.record.server_id)
                 return [] if want.adapter else [self._to_routing(asker, ready)]
         for server in fleet.servers:
@@ -202,7 +206,8 @@
                 self._add_goal(fleet, goal, better, "sooner", now)
                 server = better.server
                 batch = self._advance(server, now)
-            return [self._expected(want, asker, server, fleet, now), *batch]
+            expected = fleet.expect(want, server, now)
+            return [self._to_routing(asker, expected), *batch]
         servers = [
             server
             for server in fleet.servers
@@ -216,8 +221,9 @@
             return []
         goal = Goal(model, "", {asker: want.waiting}, now)
         self._add_goal(fleet, goal, choice, "wanted", now)
-        expected = self._expected(want, asker, choice.server, fleet, now)
-        return [expected, *self._advance(choice.server, now)]
+        expected = fleet.expect(want, choice.server, now)
+        reply = self._to_routing(asker, expected)
+        return [reply, *self._advance(choice.server, now)]
 
     def _add_goal(
         self, fleet: ServiceFleet, goal: Goal, choice: Choice, why: str, now: float
@@ -268,23 +274,6 @@
                 batch += self._add_replica(fleet, model, now)
         return batch
 
-    def _expected(
-        self,
-        want: WantModel,
-        asker: str,
-        server: ManagedServer,
-        fleet: ServiceFleet,
-        now: float,
-    ) -> Outgoing:
-        spec = fleet.engine.model_by_name[want.model]
-        in_s = server.ready_in_s(want.model, fleet.engine, now)
-        goal = server.has_goal(want.model, "")
-        waiting = want.waiting if goal is None else goal.waiting
-        in_s += fleet.store_wait_s(spec, server, waiting, now)
-        if goal is not None:
-            goal.promised_at = now + in_s
-        return self._to_routing(asker, ModelExpected(want.model, want.adapter, in_s))
-
     # Planning ahead
 
     def _plan_ahead(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
@@ -343,7 +332,8 @@
                 case OrderDue(order):
                     server.order = order
                     goal.begun = True
-                    self._log.order(order, server, goal)
+                    shortages = self._site.shortages(server.record.service)
+                    self._log.order(order, server, goal, shortages, now)
                     batch += self._warn_users(order, now)
                     return [*batch, self._to_orders(order)]
                 case GoalWaits(until):
@@ -463,6 +453,9 @@
         self, server: ManagedServer, goal: Goal, now: float
     ) -> list[Outgoing]:
         ready = ModelReady(goal.model, goal.adapter, server.record.server_id)
+        if not goal.adapter:
+            shortages = self._site.shortages(server.record.service)
+            self._log.shortage_ended(server, goal.model, shortages, now)
         if goal.waiting_by_asker:
             server.note_runs({target_name(goal.model, goal.adapter): 0.0}, now)
         return [
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -14,12 +14,13 @@
 from .desired_state import EngineSpec, ModelSpec
 from .goal import Goal
 from .managed_server import SWAP_S, ManagedServer
+from .messages import ModelExpected, WantModel
+from .shortage import Shortages
 from .store_limit import StoreLoads
+from .store_turns import StoreTurns
 
 # Seconds that the eviction of the whole demand would be worth.
 EVICTION_COST_S: Final = 20.0
-# What a waiting request adds to the demand for its model.
-WAITING_TOKENS_PER_S: Final = 800.0
 # Below this whole demand, in tokens a second, one request says little.
 LEAST_TOTAL_TOKENS_PER_S: Final = 2_000.0
 # The only replica of a model yields only to one with at least this part of its demand.
@@ -27,12 +28,6 @@
 # Part of the requests for a server's models and copies that wait for a load there; the
 # others find their model and adapter ready.
 BLOCKED_SHARE: Final = 0.5
-# Below this demand no request waits, and loads disturb nobody.
-QUIET_TOKENS_PER_S: Final = 1.0
-# Part of the servers that may load from the weight store at a time.
-STORE_SERVERS_SHARE: Final = 0.5
-# Requests that wait for one model and outweigh all else.
-MANY_WAITING: Final = 3
 # Prompt tokens a second that one replica carries before another is added. Requests
 # queue well below the rate at which a server reads prompts.
 REPLICA_TOKENS_PER_S: Final = 10_000.0
@@ -62,6 +57,7 @@
     servers: list[ManagedServer]
     demand: Demand
     store: StoreLoads = attrs.field(factory=StoreLoads)
+    shortages: Shortages = attrs.field(factory=Shortages)
 
     # How many servers have each model ready, hold or shall hold it, and have a copy;
     # counted once for all servers that a choice compares.
@@ -69,6 +65,11 @@
     _planned_by_model: Counter[str] | None = attrs.field(default=None, init=False)
     _copies_by_model: Counter[str] | None = attrs.field(default=None, init=False)
 
+    @property
+    def turns(self) -> StoreTurns:
+        """Return the loads that are to come from the weight store."""
+        return StoreTurns(self.servers, self.demand, self.store, self.shortages)
+
     def forget_counts(self) -> None:
         """Count anew after a change of plans or holdings."""
         self._ready_by_model = self._planned_by_model = self._copies_by_model = None
@@ -183,7 +184,7 @@
         """Return where one more replica goes, in another zone if one can take it."""
         holders = [s for s in self.servers if model in s.planned_models()]
         zones = {server.record.zone for server in holders}
-        spare = self.store_is_spare()
+        spare = self.turns.is_spare()
         overloaded = self.urgency(model, now) > 1
         free = [
             server
@@ -233,21 +234,14 @@
         if not goal.waiting:
             return math.inf
         taken_s = server.goal_s(goal, self.engine, now)
-        return taken_s / self._wanted(goal.model, goal.waiting, now)
-
-    def _wanted(self, model: str, waiting: int, now: float) -> float:
-        """Return the demand for a model that is to be loaded, in tokens a second.
-
-        Requests that were told to come back no longer wait.
-        """
-        return self.demand.tokens_per_s(model, now) + waiting * WAITING_TOKENS_PER_S
+        return taken_s / self.demand.wanted_per_s(goal.model, goal.waiting, now)
 
     def _goals_before(
         self, server: ManagedServer, spec: ModelSpec, waiting: int, now: float
     ) -> list[Goal]:
         """Return the goals of a server that go before a new one."""
         taken_s = server.load_s(spec) + SWAP_S
-        rank = taken_s / self._wanted(spec.name, max(waiting, 1), now)
+        rank = taken_s / self.demand.wanted_per_s(spec.name, max(waiting, 1), now)
         return [goal for goal in server.goals if self._rank(server, goal, now) <= rank]
 
     def _queue_s(
@@ -279,65 +273,18 @@
             ),
         )
 
-    def store_wait_s(
-        self, spec: ModelSpec, server: ManagedServer, waiting: int, now: float
-    ) -> float:
-        """Return how long a load waits for others from the weight store."""
-        if server.loading == spec.name or not server.needs_store(spec.name):
-            return 0.0
-        wanted = self._wanted(spec.name, waiting, now)
-        ahead = {
-            goal.model
-            for _, goal in self._store_goals()
-            if self._wanted(goal.model, goal.waiting, now) >= wanted
-        }
-        return self.store.wait_s(spec.store_load_s, len(ahead - {spec.name}))
-
-    def store_is_spare(self) -> bool:
-        """Return whether the weight store may load what nobody waits for.
-
-        Such a load keeps a server from all else for seconds, and the store from models
-        that requests wait for.
-        """
-        return 2 * self.store.running < self.store.limit and not self._store_goals()
-
-    def _store_goals(self) -> list[tuple[ManagedServer, Goal]]:
-        """Return the goals that are still to be loaded from the weight store."""
-        return [
-            (server, goal)
-            for server in self.servers
-            for goal in server.goals
-            if not goal.adapter
-            and server.loading != goal.model
-            and server.needs_store(goal.model)
-        ]
-
-    def may_load_from_store(self, goal: Goal, now: float) -> bool:
-        """Return whether a goal's model may be loaded from the weight store now.
-
-        Such a load takes seconds in which its server loads nothing else. It begins if
-        the store can serve it at full speed and no other server waits with a model that
-        is wanted more, and if nothing has to go for it, if many requests wait, or while
-        most servers are left for loads from disk.
-        """
-        wanted = self._wanted(goal.model, goal.waiting, now)
-        ahead = {
-            other.model
-            for server, other in self._store_goals()
-            if other is not goal
-            and server.is_idle
-            and self._wanted(other.model, other.waiting, now) > wanted
-        }
-        begun = self.store.running + sum(
-            server.begins_store_load for server in self.servers
-        )
-        if begun + len(ahead - {goal.model}) >= self.store.limit:
-            return False
-        if goal.waiting >= MANY_WAITING or not goal.victims:
-            return True
-        if self.total_rate(now) < QUIET_TOKENS_PER_S:
-            return True
-        return begun + 1 <= len(self.servers) * STORE_SERVERS_SHARE
+    def expect(
+        self, want: WantModel, server: ManagedServer, now: float
+    ) -> ModelExpected:
+        """Return when a server will have a model that is planned for it."""
+        spec = self.engine.model_by_name[want.model]
+        in_s = server.ready_in_s(want.model, self.engine, now)
+        goal = server.has_goal(want.model, "")
+        waiting = want.waiting if goal is None else goal.waiting
+        in_s += self.turns.wait_s(spec, server, waiting, now)
+        if goal is not None:
+            goal.promised_at = now + in_s
+        return ModelExpected(want.model, want.adapter, in_s)
 
     def choose(
         self,
@@ -358,7 +305,7 @@
                 continue
             if server.needs_store(spec.name):
                 if store_wait_s is None:
-                    store_wait_s = self.store_wait_s(spec, server, waiting, now)
+                    store_wait_s = self.turns.wait_s(spec, server, waiting, now)
                 choice = choice.later(store_wait_s)
             choices.append(choice)
         return min(
@@ -473,7 +420,7 @@
         if self.replicas(held) > 1:
             return False
         least = self.demand.tokens_per_s(held, now) * LEAST_DEMAND_RATIO
-        return self._wanted(wanted, waiting, now) < least
+        return self.demand.wanted_per_s(wanted, waiting, now) < least
 
     def adapter_victim(
         self, server: ManagedServer, now: float
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -12,6 +12,7 @@
 from .goal import Goal
 from .managed_server import ManagedServer
 from .messages import OrderEnded, OrderKind, ServerOrder
+from .shortage import Shortages
 
 logger = logging.getLogger(__name__)
 
@@ -63,12 +64,37 @@
             waiting=goal.waiting,
         )
 
-    def order(self, order: ServerOrder, server: ManagedServer, goal: Goal) -> None:
+    def order(
+        self,
+        order: ServerOrder,
+        server: ManagedServer,
+        goal: Goal,
+        shortages: Shortages,
+        now: float,
+    ) -> None:
         """Log an order as it is given, and count an unload that no plan named."""
         planned = order.model in goal.victims
         if order.kind is OrderKind.UNLOAD and not order.adapter and not planned:
             self.unloads_unplanned += 1
-        _log_order(order, server, goal)
+        _log_order(order, server, goal, shortages, now)
+
+    def shortage_ended(
+        self, server: ManagedServer, model: str, shortages: Shortages, now: float
+    ) -> None:
+        """Log that a model is ready for which requests have asked in vain."""
+        shortage = shortages.end(model)
+        if shortage is None or not shortage.asked:
+            return
+        log_event(
+            logger,
+            logging.INFO,
+            "shortage_ended",
+            model=model,
+            server=server.record.server_id,
+            short_s=now - shortage.since,
+            asked=shortage.asked,
+            reachable=shortage.reachable(now),
+        )
 
     def done(self, server: ManagedServer, now: float) -> None:
         """Log how long the last order took, once it is known to be done."""
@@ -101,8 +127,15 @@
         }
 
 
-def _log_order(order: ServerOrder, server: ManagedServer, goal: Goal) -> None:
+def _log_order(
+    order: ServerOrder,
+    server: ManagedServer,
+    goal: Goal,
+    shortages: Shortages,
+    now: float,
+) -> None:
     source = None
+    shortage = shortages.get(goal.model)
     if order.kind is OrderKind.LOAD and not order.adapter:
         source = server.copy_of(order.model)
     log_event(
@@ -112,6 +145,9 @@
         **_order_fields(order),
         source=source,
         goal=goal.model,
+        asked=shortages.asked(goal.model),
+        reachable=shortages.reachable(goal.model, now),
+        short_s=None if shortage is None else now - shortage.since,
     )
 
 
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -56,6 +57,8 @@
 LEAST_STREAM_PATIENCE_S: Final = 2.0
 PATIENCE_TARGETS: Final = 4
 PATIENCE_GAPS: Final = 8
+# A refused requester comes back at the latest after this part of its time.
+RETRY_SHARE: Final = 1 / 3
 # Kept for the answer's way back.
 ANSWER_MARGIN_S: Final = 0.1
 # A request is not sent with less time than this.
@@ -206,6 +209,7 @@
             avoided=frozenset(self._failed_at),
             repeat=self._arrived,
             patience_s=patience_s,
+            reach_s=self._reach_s(patience_s),
         )
         settled = False
         try:
@@ -221,17 +225,29 @@
 
     def _patience_s(self) -> float:
         """Return how long the request may wait for a server, in seconds."""
-        patience_s = self._remaining_s() - ANSWER_MARGIN_S
+        elapsed_s = self._now() - self.request.arrived_at
+        patience_s = min(self._remaining_s(), self._stream_gap_s() - elapsed_s)
+        return max(patience_s - ANSWER_MARGIN_S, 0.0)
+
+    def _reach_s(self, patience_s: float) -> float:
+        """Return how long the requester can be served, in seconds.
+
+        One that is refused now comes back within a part of its time and waits anew.
+        """
+        remaining_s = self._remaining_s()
+        returned_s = remaining_s * RETRY_SHARE + self._stream_gap_s()
+        return max(patience_s, min(remaining_s, returned_s) - ANSWER_MARGIN_S)
+
+    def _stream_gap_s(self) -> float:
+        """Return how long a requester waits for the next event of a stream."""
         route = self.request.admission.route
-        if route.kind is RouteKind.STREAM:
-            gap_s = max(
-                LEAST_STREAM_PATIENCE_S,
-                PATIENCE_TARGETS * route.target_latency_s,
-                PATIENCE_GAPS * (route.gap_target_s or 0.0),
-            )
-            elapsed_s = self._now() - self.request.arrived_at
-            patience_s = min(patience_s, gap_s - elapsed_s - ANSWER_MARGIN_S)
-        return max(patience_s, 0.0)
+        if route.kind is not RouteKind.STREAM:
+            return math.inf
+        return max(
+            LEAST_STREAM_PATIENCE_S,
+            PATIENCE_TARGETS * route.target_latency_s,
+            PATIENCE_GAPS * (route.gap_target_s or 0.0),
+        )
 
     # One send
 
@@ -454,6 +470,8 @@
             route=admission.route.name,
             team=admission.team,
             tokens=admission.tokens,
+            model=head.model,
+            adapter=head.adapter,
             granted_by=self._granted_by,
             outcome=outcome,
             status=None if refusal is None else refusal.status,
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -56,7 +56,7 @@
     ServerState,
     ZoneEvacuated,
 )
-from .waiting_request import WaitingRequest
+from .waiting_request import WaitingRequest, take_untold, waiting_for
 
 logger = logging.getLogger(__name__)
 
@@ -313,10 +313,12 @@
         if any(self._may_serve(view, call, now) for view in self._view_by_id.values()):
             return []
         self._want_again_at[key] = now + WANT_INTERVAL_S
+        waiting = waiting_for(call, self._waiting_by_id.values())
         want = WantModel(
             *key,
             near_server=self._near_server(call, now),
-            waiting=self._count_waiting(call),
+            waiting=len(waiting),
+            new_reach_s=take_untold(waiting, now),
             silent_servers=self._silent_servers(call, now),
         )
         return [
@@ -325,14 +327,6 @@
             if leader is not None
         ]
 
-    def _count_waiting(self, call: AssignServer) -> int:
-        target = (call.service, call.model, call.adapter)
-        return sum(
-            1
-            for item in self._waiting_by_id.values()
-            if (item.call.service, item.call.model, item.call.adapter) == target
-        )
-
     def _silent_servers(self, call: AssignServer, now: float) -> tuple[str, ...]:
         """Return the servers that hold a model but do not take its requests."""
         return tuple(
@@ -412,6 +406,8 @@
                 self._want_again_at.clear()
                 # A new leader knows nothing of the past.
                 self._demand.begin_anew(now)
+                for item in self._waiting_by_id.values():
+                    item.told = False
             case ModelReady() as ready:
                 self._take_ready(ready, now)
             case ModelUnloading(model, server_id):
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -215,6 +215,7 @@
         "avoided": frozenset(),
         "repeat": False,
         "patience_s": 2.0,
+        "reach_s": 3.0,
     }
     return AssignServer(**values | changes)
 
--- a/tests/builders_placement_office.py
+++ b/tests/builders_placement_office.py
@@ -59,8 +59,15 @@
         found = self.tell(LeadershipHeld(epoch, self.now))
         return found + self.tell(LeadershipExtended(self.now + 1000.0))
 
-    def want(self, model: str, adapter: str = "", asker: str = "g2") -> list[Message]:
-        return self.tell(WantModel("writers", model, adapter, ""), asker)
+    def want(
+        self,
+        model: str,
+        adapter: str = "",
+        asker: str = "g2",
+        reach_s: tuple[float, ...] = (),
+    ) -> list[Message]:
+        want = WantModel("writers", model, adapter, "", new_reach_s=reach_s)
+        return self.tell(want, asker)
 
     def end(self, order: ServerOrder, result: OrderResult) -> list[Message]:
         return self.tell(OrderEnded(order, result))
