Give the weight store's turns to models that nobody serves

A turn now goes first to a model whose requesters can still be served when its load ends, among these to the one with the most requests since it was last ready; the count only grows until it is served. Replicas and other loads of the leader's own come from the store only while no such requester waits, and a plan of theirs is void when one does. A plan whose turn has come while its server does something else moves to an idle server.

--- a/src/siskinspool/gateway/goal.py
+++ b/src/siskinspool/gateway/goal.py
@@ -34,9 +34,14 @@
     begun: bool = False
 
     def want(self, asker: str, waiting: int, now: float) -> None:
-        """Record that an instance waits for it."""
+        """Record that an instance waits for it, also for what the leader wants."""
         self.waiting_by_asker[asker] = waiting
-        self.wanted_at = max(self.wanted_at, now)
+        self.wanted_at = now
+
+    @property
+    def is_own(self) -> bool:
+        """Return whether the leader wants it without a request."""
+        return self.wanted_at == float("inf")
 
     def is_stale(self, now: float) -> bool:
         """Return whether nobody waits for it any more.
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -250,6 +250,15 @@
         """Return whether a load draws on the weight store."""
         return self.copy_of(model) is WeightsCopy.STORE
 
+    def waits_for_store(self, goal: Goal) -> bool:
+        """Return whether one of its goals has to wait for the weight store."""
+        return (
+            not goal.adapter
+            and not goal.begun
+            and goal.model != self.loading
+            and self.needs_store(goal.model)
+        )
+
     def has_goal(self, model: str, adapter: str) -> Goal | None:
         """Return the goal for a model or adapter, if there is one."""
         for goal in self.goals:
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -91,6 +91,11 @@
             self.shortages(service),
         )
 
+    def fleets(self, now: float) -> list[ServiceFleet]:
+        """Return the servers of each service with engines."""
+        found = [self.fleet(service, now) for service in self.engine_by_service]
+        return [fleet for fleet in found if fleet is not None]
+
     def take_accepted(
         self, server: ManagedServer, order: ServerOrder, result: OrderResult, now: float
     ) -> None:
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -75,6 +75,8 @@
         spec = fleet.engine.model_by_name[goal.model]
         needs_store = server.needs_store(goal.model)
         if needs_store and not fleet.turns.may_begin(goal, now):
+            if goal.is_own and fleet.turns.has_requesters(now):
+                return PlanVoid("requesters_wait")
             # The server stays free for what loads sooner.
             return GoalWaits(now + RETRY_S)
         if fleet.engine.weights_mb - server.used_mb(fleet.engine) < spec.weights_mb:
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -98,12 +98,13 @@
         if not self._office.allows_orders(now):
             return []
         batch: list[Outgoing] = []
+        for fleet in self._site.fleets(now):
+            batch += self._move_store_loads(fleet, now)
         for server in list(self._site.server_by_id.values()):
             if server.record.service in self._site.engine_by_service:
                 batch += self._advance(server, now)
-        for service in self._site.engine_by_service:
-            if fleet := self._site.fleet(service, now):
-                batch += self._plan_ahead(fleet, now)
+        for fleet in self._site.fleets(now):
+            batch += self._plan_ahead(fleet, now)
         return batch
 
     def wake_at(self) -> float | None:
@@ -221,8 +222,7 @@
             return []
         goal = Goal(model, "", {asker: want.waiting}, now)
         self._add_goal(fleet, goal, choice, "wanted", now)
-        expected = fleet.expect(want, choice.server, now)
-        reply = self._to_routing(asker, expected)
+        reply = self._to_routing(asker, fleet.expect(want, choice.server, now))
         return [reply, *self._advance(choice.server, now)]
 
     def _add_goal(
@@ -280,20 +280,32 @@
         """Load what will be wanted; not where a successor may be at work."""
         if self._office.detached or any(s.order_count is None for s in fleet.servers):
             return []
-        load = self._look_ahead.next_load(fleet, now)
-        return [] if load is None else self._load_ahead(fleet, load, now)
+        return self._load_ahead(fleet, self._look_ahead.next_load(fleet, now), now)
 
     def _load_ahead(
-        self, fleet: ServiceFleet, load: PlannedLoad, now: float
+        self, fleet: ServiceFleet, load: PlannedLoad | None, now: float
     ) -> list[Outgoing]:
+        if load is None:
+            return []
         self._add_goal(fleet, load.goal, load.choice, load.why, now)
         return self._advance(load.choice.server, now)
 
     def _add_replica(
         self, fleet: ServiceFleet, model: str, now: float
     ) -> list[Outgoing]:
-        load = self._look_ahead.replica(fleet, model, now)
-        return [] if load is None else self._load_ahead(fleet, load, now)
+        replica = self._look_ahead.replica(fleet, model, now)
+        return self._load_ahead(fleet, replica, now)
+
+    def _move_store_loads(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
+        """Let no turn of the weight store pass because a server is busy."""
+        batch: list[Outgoing] = []
+        for server, goal in fleet.turns.due_on_busy_servers(now):
+            choice = fleet.idle_choice(goal, now)
+            if choice is not None:
+                server.goals.remove(goal)
+                self._add_goal(fleet, goal, choice, "server_busy", now)
+                batch += self._advance(choice.server, now)
+        return batch
 
     # Orders
 
@@ -349,10 +361,8 @@
     def _plan_again(self, service: str, goal: Goal, now: float) -> list[Outgoing]:
         """Find another place for a model whose plan is void."""
         fleet = self._site.fleet(service, now)
-        own = goal.waiting_by_asker.keys() <= {self._id}
-        if goal.adapter or own or fleet is None or goal.planned_at >= now:
-            # The askers ask again; what the leader wants itself is weighed anew with
-            # the next look ahead.
+        if goal.adapter or goal.is_own or fleet is None or goal.planned_at >= now:
+            # The askers ask again; what the leader wants itself is weighed anew.
             return []
         spec = fleet.engine.model_by_name.get(goal.model)
         if spec is None:
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -68,7 +68,9 @@
     @property
     def turns(self) -> StoreTurns:
         """Return the loads that are to come from the weight store."""
-        return StoreTurns(self.servers, self.demand, self.store, self.shortages)
+        return StoreTurns(
+            self.engine, self.servers, self.demand, self.store, self.shortages
+        )
 
     def forget_counts(self) -> None:
         """Count anew after a change of plans or holdings."""
@@ -184,16 +186,17 @@
         """Return where one more replica goes, in another zone if one can take it."""
         holders = [s for s in self.servers if model in s.planned_models()]
         zones = {server.record.zone for server in holders}
-        spare = self.turns.is_spare()
         overloaded = self.urgency(model, now) > 1
+        from_store = self.turns.is_spare() or (
+            overloaded and not self.turns.has_requesters(now)
+        )
         free = [
             server
             for server in self.servers
             if server not in holders
             and not server.gives_up(model)
             and (
-                not server.needs_store(model)
-                or ((spare or overloaded) and self.has_room(server))
+                not server.needs_store(model) or (from_store and self.has_room(server))
             )
         ]
         apart = [s for s in free if s.record.zone not in zones]
@@ -218,6 +221,18 @@
             return None
         return choice
 
+    def idle_choice(self, goal: Goal, now: float) -> Choice | None:
+        """Return a server that can load a goal's model now and has no quicker plan."""
+        idle = [
+            server
+            for server in self.servers
+            if server.is_idle
+            and all(server.waits_for_store(other) for other in server.goals)
+            and goal.model not in server.planned_models()
+        ]
+        spec = self.engine.model_by_name[goal.model]
+        return self.choose(spec, idle, now, goal.waiting)
+
     def sort_goals(self, server: ManagedServer, now: float) -> None:
         """Put the goals first that serve most demand for the time they take."""
         ordered = sorted(server.goals, key=lambda goal: self._rank(server, goal, now))
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -51,7 +51,7 @@
     def dropped(self, server: ManagedServer, goal: Goal, why: str, now: float) -> None:
         """Log that a plan ends without a load."""
         self.plans_dropped += 1
-        asked_s = None if goal.wanted_at == float("inf") else now - goal.wanted_at
+        asked_s = None if goal.is_own else now - goal.wanted_at
         log_event(
             logger,
             logging.INFO,
--- a/src/siskinspool/gateway/store_turns.py
+++ b/src/siskinspool/gateway/store_turns.py
@@ -1,7 +1,11 @@
 """Which load the weight store serves next.
 
 The store serves few loads at full speed, each of which takes seconds, so its turns are
-worth more than a server's time.
+worth more than a server's time. A turn goes to a model that no server has ready and
+whose requesters can still be served when the load ends. Among these the model with the
+most requests in vain goes first: the count grows until the model is served, so each
+one has its turn. What the leader wants itself, such as a replica, is loaded while no
+requester waits for the store.
 """
 
 from __future__ import annotations
@@ -11,9 +15,9 @@
 import attrs
 
 from .demand import Demand
-from .desired_state import ModelSpec
+from .desired_state import EngineSpec, ModelSpec
 from .goal import Goal
-from .managed_server import ManagedServer
+from .managed_server import SWAP_S, ManagedServer
 from .shortage import Shortages
 from .store_limit import StoreLoads
 
@@ -25,10 +29,22 @@
 QUIET_TOKENS_PER_S: Final = 1.0
 
 
+@attrs.frozen(order=True)
+class TurnRank:
+    """What a turn of the weight store is worth; the greatest goes first."""
+
+    # Some requester can still be served when the load ends.
+    reaches_requester: bool
+    # Requests since the model was last ready.
+    asked: int
+    tokens_per_s: float
+
+
 @attrs.define
 class StoreTurns:
     """The loads of a service that are to come from the weight store."""
 
+    engine: EngineSpec
     servers: list[ManagedServer]
     demand: Demand
     store: StoreLoads
@@ -40,11 +56,11 @@
         """Return how long a load waits for others from the weight store."""
         if server.loading == spec.name or not server.needs_store(spec.name):
             return 0.0
-        wanted = self.demand.wanted_per_s(spec.name, waiting, now)
+        rank = self._rank(spec.name, waiting, now)
         ahead = {
             goal.model
             for _, goal in self._goals()
-            if self.demand.wanted_per_s(goal.model, goal.waiting, now) >= wanted
+            if self._rank(goal.model, goal.waiting, now) >= rank
         }
         return self.store.wait_s(spec.store_load_s, len(ahead - {spec.name}))
 
@@ -56,40 +72,83 @@
         """
         return 2 * self.store.running < self.store.limit and not self._goals()
 
-    def _goals(self) -> list[tuple[ManagedServer, Goal]]:
-        """Return the goals that are still to be loaded from the weight store."""
-        return [
-            (server, goal)
-            for server in self.servers
-            for goal in server.goals
-            if not goal.adapter
-            and server.loading != goal.model
-            and server.needs_store(goal.model)
-        ]
+    def has_requesters(self, now: float) -> bool:
+        """Return whether a load that waits for its turn would serve somebody."""
+        return any(
+            self._rank(goal.model, goal.waiting, now).reaches_requester
+            for _, goal in self._goals()
+        )
 
     def may_begin(self, goal: Goal, now: float) -> bool:
         """Return whether a goal's model may be loaded from the weight store now.
 
-        Such a load takes seconds in which its server loads nothing else. It begins if
-        the store can serve it at full speed and no other server waits with a model that
-        is wanted more, and if nothing has to go for it, if many requests wait, or while
-        most servers are left for loads from disk.
+        It begins if the store can serve it at full speed and no other server waits
+        with a model that goes before.
         """
-        wanted = self.demand.wanted_per_s(goal.model, goal.waiting, now)
+        if not self._may_take_server(goal, now):
+            return False
+        rank = self._rank(goal.model, goal.waiting, now)
         ahead = {
             other.model
             for server, other in self._goals()
             if other is not goal
             and server.is_idle
-            and self.demand.wanted_per_s(other.model, other.waiting, now) > wanted
+            and self._may_take_server(other, now)
+            and self._rank(other.model, other.waiting, now) > rank
         }
-        begun = self.store.running + sum(
-            server.begins_store_load for server in self.servers
-        )
-        if begun + len(ahead - {goal.model}) >= self.store.limit:
-            return False
+        return self._free_turns() > len(ahead - {goal.model})
+
+    def _may_take_server(self, goal: Goal, now: float) -> bool:
+        """Return whether a goal may keep a server from all other loads for seconds.
+
+        It may if nothing has to go for it, if many requests wait, or while most servers
+        are left for loads from disk.
+        """
         if goal.waiting >= MANY_WAITING or not goal.victims:
             return True
         if self.demand.total_tokens_per_s(now) < QUIET_TOKENS_PER_S:
             return True
-        return begun + 1 <= len(self.servers) * STORE_SERVERS_SHARE
+        return self._begun() + 1 <= len(self.servers) * STORE_SERVERS_SHARE
+
+    def due_on_busy_servers(self, now: float) -> list[tuple[ManagedServer, Goal]]:
+        """Return the goals whose turn it is while their servers do something else."""
+        ordered = sorted(
+            self._goals(),
+            key=lambda pair: self._rank(pair[1].model, pair[1].waiting, now),
+            reverse=True,
+        )
+        return [
+            (server, goal)
+            for server, goal in ordered[: max(self._free_turns(), 0)]
+            if not server.is_idle and not goal.begun
+        ]
+
+    def _rank(self, model: str, waiting: int, now: float) -> TurnRank:
+        spec = self.engine.model_by_name.get(model)
+        load_s = 0.0 if spec is None else spec.store_load_s
+        return TurnRank(
+            self.shortages.reachable(model, now + load_s + SWAP_S) > 0,
+            self.shortages.asked(model),
+            self.demand.wanted_per_s(model, waiting, now),
+        )
+
+    def _begun(self) -> int:
+        """Return the loads under way and those that are about to begin."""
+        return self.store.running + sum(
+            server.begins_store_load for server in self.servers
+        )
+
+    def _free_turns(self) -> int:
+        """Return how many more loads the store serves at full speed."""
+        return self.store.limit - self._begun()
+
+    def _goals(self) -> list[tuple[ManagedServer, Goal]]:
+        """Return the goals that are still to be loaded from the weight store."""
+        return [
+            (server, goal)
+            for server in self.servers
+            for goal in server.goals
+            if not goal.adapter
+            and server.loading != goal.model
+            and server.needs_store(goal.model)
+        ]
--- a/tests/builders_placement_office.py
+++ b/tests/builders_placement_office.py
@@ -66,7 +66,8 @@
         asker: str = "g2",
         reach_s: tuple[float, ...] = (),
     ) -> list[Message]:
-        want = WantModel("writers", model, adapter, "", new_reach_s=reach_s)
+        waiting = max(len(reach_s), 1)
+        want = WantModel("writers", model, adapter, "", waiting, new_reach_s=reach_s)
         return self.tell(want, asker)
 
     def end(self, order: ServerOrder, result: OrderResult) -> list[Message]:
--- a/tests/test_gateway_store_turns.py
+++ b/tests/test_gateway_store_turns.py
@@ -116,6 +116,7 @@
     its plan was for a server that was loading other models.
     """
     office, running = full_store(spare_servers=0)
+    office.tell(DemandSeen("writers", dict.fromkeys(("m0", *FIRST_TURNS), 400_000)))
     office.add("s8", on_disk=frozenset(), busy=True)
     office.want("m5", reach_s=(30.0,) * 5)
     office.add("s9", on_disk=frozenset())
