Count the load of a lost server until it ends in the weight store

A server was lost in the middle of a load; the leader forgot the load, but the next one took 12.2 s of 7.8 s at full speed, which is the time of one of three: the store goes on with the load of a lost server. The leader knew of two and concluded that the store carries one.

Loads of lost servers count until their time is over. A slow load lowers the limit only to what its time shows with a margin, as a limit that is too low leaves the store unused and one that is too high only makes loads longer. A load that begins beyond the limit is expected to take longer.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -399,8 +399,14 @@
         """Return the orders that the server has accepted, None if unknown."""
         return self.holdings.order_count
 
-    def accepted(self, order: ServerOrder, spec: ModelSpec, now: float) -> None:
-        """Record an order that the server carries out."""
+    def accepted(
+        self, order: ServerOrder, spec: ModelSpec, load_s: float, now: float
+    ) -> None:
+        """Record an order that the server carries out.
+
+        A load of a model is expected to take ``load_s``; it may be over sooner, so the
+        report is read from its time at full speed on.
+        """
         models = dict(self.holdings.model_by_name)
         if order.adapter:
             held = models[order.model]
@@ -412,7 +418,7 @@
         elif order.kind is OrderKind.LOAD:
             self.busy_until = now + self.load_s(spec) + SETTLE_S
             self.loading = order.model
-            self._start_order(order, self.load_s(spec), now)
+            self._start_order(order, load_s, now)
             models[order.model] = HeldModel(order.model, 0)
         else:
             # The server drops the model when its runs have ended, which may be sooner
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -108,24 +108,22 @@
             server.doubt_last_order(now)
         elif result is OrderResult.ACCEPTED:
             loads = order.kind is OrderKind.LOAD and not order.adapter
+            load_s = server.load_s(spec)
             if loads and server.needs_store(order.model):
-                self.store_loads(service).begin(order.server_id, now)
-            server.accepted(order, spec, now)
+                store = self.store_loads(service)
+                load_s = store.begin(order.server_id, load_s, now)
+            server.accepted(order, spec, load_s, now)
             if unloads_adapter:
                 server.wait_for_runs(order, now)
         elif unloads_adapter:
             # An unload of an idle adapter is carried out at once.
-            server.accepted(order, spec, now)
+            server.accepted(order, spec, 0.0, now)
         else:
             server.doubtful = True
 
-    def end_load(self, server: ManagedServer, model: str, now: float) -> None:
+    def end_load(self, server: ManagedServer, now: float) -> None:
         """Record that a server has loaded a model."""
-        service = server.record.service
-        engine = self.engine_by_service.get(service)
-        spec = None if engine is None else engine.model_by_name.get(model)
-        full_speed_s = 0.0 if spec is None else spec.store_load_s
-        self.store_loads(service).end(server.record.server_id, full_speed_s, now)
+        self.store_loads(server.record.service).end(server.record.server_id, now)
 
     def store_loads(self, service: str) -> StoreLoads:
         """Return the loads of a service's models from the weight store."""
@@ -139,13 +137,14 @@
         """Return how many models requests ask for in vain."""
         return sum(len(found) for found in self._shortages_by_service.values())
 
-    def drop_store_loads(self) -> None:
-        """Forget the loads of servers that are gone, silent or started anew."""
+    def lose_store_loads(self, now: float) -> None:
+        """Take note of loads whose servers are gone, silent or started anew."""
         for store in self._store_by_service.values():
+            store.forget_ended(now)
             for server_id in store.servers():
                 server = self.server_by_id.get(server_id)
                 if server is None or server.loading is None:
-                    store.drop(server_id)
+                    store.lose(server_id)
 
     def forget_plans(self) -> None:
         """Begin a new time in office."""
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -94,7 +94,7 @@
     def on_time(self, now: float) -> list[Outgoing]:
         """Advance all servers and plan ahead."""
         self._next_tick_at = now + TICK_S
-        self._site.drop_store_loads()
+        self._site.lose_store_loads(now)
         if not self._office.allows_orders(now):
             return []
         batch: list[Outgoing] = []
@@ -443,7 +443,7 @@
         loading = server.loading
         current = server.take_report(read.holdings, now)
         if loading is not None and server.loading is None:
-            self._site.end_load(server, loading, now)
+            self._site.end_load(server, now)
         self._log.done(server, now)
         if not current or server.busy_until is not None:
             server.wait_until = now + server.poll_interval_s(now)
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -5,12 +5,14 @@
 slow each other down take servers away for nothing. The limit follows the durations:
 a load that took longer than it should shows how many the store really carries, and one
 that was on time at the limit allows one more. How long a load takes is settled by the
-loads that run as it begins; later ones do not slow it down.
+loads that run as it begins; later ones do not slow it down. The load of a server that
+is lost goes on in the store until its time is over.
 """
 
 from __future__ import annotations
 
 import logging
+import math
 from typing import Final
 
 import attrs
@@ -25,15 +27,22 @@
 # the time until its end is seen.
 SLOW_SHARE: Final = 1.15
 END_SEEN_S: Final = 0.4
+# The part of a load by which the durations may seem to show less than the store
+# carries. Loads that nobody counted slow others down; a limit that is too low leaves
+# the store unused, while one that is too high only makes loads longer.
+CARRIED_MARGIN: Final = 0.2
 
 
 @attrs.frozen
 class _RunningLoad:
-    """A load under way."""
+    """A load under way; times are in seconds."""
 
     since: float
+    # At full speed.
+    full_speed_s: float
     # The loads that ran at its start, itself included.
     at_once: int
+    expected_s: float
 
 
 class StoreLoads:
@@ -42,11 +51,13 @@
     def __init__(self) -> None:
         self.limit = FIRST_LIMIT
         self._running_by_server: dict[str, _RunningLoad] = {}
+        # When the loads of servers that are lost end in the store.
+        self._lost_until: list[float] = []
 
     @property
     def running(self) -> int:
         """Return how many loads are under way."""
-        return len(self._running_by_server)
+        return len(self._running_by_server) + len(self._lost_until)
 
     def servers(self) -> tuple[str, ...]:
         """Return the servers that load."""
@@ -56,20 +67,25 @@
         """Return whether another load would run at full speed."""
         return self.running < self.limit
 
-    def begin(self, server_id: str, now: float) -> None:
-        """Record that a server has begun a load."""
-        self._running_by_server[server_id] = _RunningLoad(now, self.running + 1)
+    def begin(self, server_id: str, full_speed_s: float, now: float) -> float:
+        """Record that a server has begun a load; return how long it is to take."""
+        at_once = self.running + 1
+        expected_s = full_speed_s * max(at_once / self.limit, 1.0)
+        load = _RunningLoad(now, full_speed_s, at_once, expected_s)
+        self._running_by_server[server_id] = load
+        return expected_s
 
-    def end(self, server_id: str, full_speed_s: float, now: float) -> None:
-        """Record the end of a load that takes a known time at full speed."""
+    def end(self, server_id: str, now: float) -> None:
+        """Record the end of a load."""
         load = self._running_by_server.pop(server_id, None)
-        if load is None or full_speed_s <= 0:
+        if load is None or load.full_speed_s <= 0:
             return
         took_s = now - load.since
         before = self.limit
-        slow = took_s > full_speed_s * SLOW_SHARE + END_SEEN_S
+        slow = took_s > load.full_speed_s * SLOW_SHARE + END_SEEN_S
         if slow and load.at_once > 1:
-            carried = round(load.at_once * full_speed_s / took_s)
+            share = load.at_once * load.full_speed_s / took_s
+            carried = math.ceil(share - CARRIED_MARGIN)
             self.limit = min(max(carried, 1), self.limit)
         elif not slow and load.at_once >= self.limit:
             self.limit += 1
@@ -81,13 +97,19 @@
                 limit=self.limit,
                 before=before,
                 took_s=took_s,
-                full_speed_s=full_speed_s,
+                full_speed_s=load.full_speed_s,
                 at_once=load.at_once,
             )
 
-    def drop(self, server_id: str) -> None:
-        """Forget the load of a server that is gone; its duration says nothing."""
-        self._running_by_server.pop(server_id, None)
+    def lose(self, server_id: str) -> None:
+        """Record that a server is gone; its load goes on in the store for its time."""
+        load = self._running_by_server.pop(server_id, None)
+        if load is not None:
+            self._lost_until.append(load.since + load.expected_s)
+
+    def forget_ended(self, now: float) -> None:
+        """Forget the loads of lost servers whose time is over."""
+        self._lost_until = [until for until in self._lost_until if until > now]
 
     def wait_s(self, full_speed_s: float, queued: int) -> float:
         """Return how long another load waits for those under way and in the queue."""
