Let a new leader count the loads of its predecessor

A server that is busy with an order of an earlier leader now counts as a load from the store. If it is another order, that is over within a second.

--- a/src/siskinspool/gateway/look_ahead.py
+++ b/src/siskinspool/gateway/look_ahead.py
@@ -56,7 +56,7 @@
     def _copy(self, fleet: ServiceFleet, now: float) -> PlannedLoad | None:
         """Return a load of a model without a copy on a server with time for it."""
         quiet = fleet.total_rate(now) < QUIET_TOKENS_PER_S
-        if not (fleet.store.has_room() if quiet else fleet.turns.is_spare()):
+        if not (fleet.turns.has_room() if quiet else fleet.turns.is_spare()):
             return None
         model = fleet.model_to_copy(now)
         idle = [s for s in fleet.servers if s.busy_until is None and not s.goals]
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -141,6 +141,12 @@
         """Return whether the server could take an order now."""
         return self.busy_until is None and self.order is None
 
+    @property
+    def has_unknown_order(self) -> bool:
+        """Return whether the server carries out an order of an earlier leader."""
+        known = self.loading is not None or self.unloading is not None
+        return self.busy_until is not None and not known
+
     @property
     def begins_store_load(self) -> bool:
         """Return whether an order to load from the weight store has no answer yet."""
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -63,10 +63,6 @@
         """Return the servers that load."""
         return tuple(self._running_by_server)
 
-    def has_room(self) -> bool:
-        """Return whether another load would run at full speed."""
-        return self.running < self.limit
-
     def begin(self, server_id: str, full_speed_s: float, now: float) -> float:
         """Record that a server has begun a load; return how long it is to take."""
         at_once = self.running + 1
--- a/src/siskinspool/gateway/store_turns.py
+++ b/src/siskinspool/gateway/store_turns.py
@@ -70,7 +70,11 @@
         Such a load keeps a server from all else for seconds, and the store from models
         that requests wait for.
         """
-        return 2 * self.store.running < self.store.limit and not self._goals()
+        return 2 * self._begun() < self.store.limit and not self._goals()
+
+    def has_room(self) -> bool:
+        """Return whether another load would run at full speed."""
+        return self._begun() < self.store.limit
 
     def has_requesters(self, now: float) -> bool:
         """Return whether a load that waits for its turn would serve somebody."""
@@ -137,9 +141,14 @@
         )
 
     def _begun(self) -> int:
-        """Return the loads under way and those that are about to begin."""
+        """Return the loads under way and those that are about to begin.
+
+        What an earlier leader ordered may be a load from the store; others are over
+        within a second.
+        """
         return self.store.running + sum(
-            server.begins_store_load for server in self.servers
+            server.begins_store_load or server.has_unknown_order
+            for server in self.servers
         )
 
     def _free_turns(self) -> int:
