Do not try again at once as many loads as proved slow

A number of loads at once that proved slow is not tried again for a minute, but for two after one, as a store that is half unused costs more.

test_limit_that_proved_too_high_is_not_tried_again_at_once failed before.

--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -31,6 +31,9 @@
 # carries. Loads that nobody counted slow others down; a limit that is too low leaves
 # the store unused, while one that is too high only makes loads longer.
 CARRIED_MARGIN: Final = 0.2
+# A number of loads that proved slow is not tried again for this time, since the trial
+# takes longer than requesters wait. One at a time is always tried again.
+SLOW_MEMORY_S: Final = 60.0
 
 
 @attrs.frozen
@@ -51,6 +54,9 @@
     def __init__(self) -> None:
         self.limit = FIRST_LIMIT
         self._running_by_server: dict[str, _RunningLoad] = {}
+        # So many loads at once were slow, and when.
+        self._slow_at_once = math.inf
+        self._slow_at = -math.inf
         # When the loads of servers that are lost end in the store.
         self._lost_until: list[float] = []
 
@@ -83,7 +89,8 @@
             share = load.at_once * load.full_speed_s / took_s
             carried = math.ceil(share - CARRIED_MARGIN)
             self.limit = min(max(carried, 1), self.limit)
-        elif not slow and load.at_once >= self.limit:
+            self._slow_at_once, self._slow_at = self.limit + 1, now
+        elif not slow and load.at_once >= self.limit and self._may_rise(now):
             self.limit += 1
         if self.limit != before:
             log_event(
@@ -97,6 +104,12 @@
                 at_once=load.at_once,
             )
 
+    def _may_rise(self, now: float) -> bool:
+        """Return whether one more load at a time may be tried."""
+        known_slow = self.limit + 1 >= self._slow_at_once
+        recent = now - self._slow_at < SLOW_MEMORY_S
+        return self.limit == 1 or not (known_slow and recent)
+
     def lose(self, server_id: str) -> None:
         """Record that a server is gone; its load goes on in the store for its time."""
         load = self._running_by_server.pop(server_id, None)
--- a/tests/test_gateway_store_limit.py
+++ b/tests/test_gateway_store_limit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from siskinspool.gateway.store_limit import FIRST_LIMIT, StoreLoads
+from siskinspool.gateway.store_limit import FIRST_LIMIT, SLOW_MEMORY_S, StoreLoads
 
 FULL_SPEED_S = 6.0
 
@@ -94,6 +94,32 @@
     assert store.limit == 2
 
 
+def test_limit_that_proved_too_high_is_not_tried_again_at_once() -> None:
+    """Guards against every third load taking longer than its requesters wait.
+
+    baul-bogota-grown scale-1: the limit of two rose to three after each load on time,
+    and the loads that began then took 12.2 s where requesters wait for eleven.
+    """
+    store = StoreLoads()
+    for number in range(3):
+        store.begin(f"s{number}", FULL_SPEED_S, 100.0)
+    store.end("s2", 100.0 + 1.5 * FULL_SPEED_S)
+    assert store.limit == 2
+    store.end("s0", 110.0)
+    store.end("s1", 110.0)
+
+    def end_two_on_time(at: float) -> None:
+        for name in ("s3", "s4"):
+            store.begin(name, FULL_SPEED_S, at)
+        for name in ("s3", "s4"):
+            store.end(name, at + FULL_SPEED_S + 0.1)
+
+    end_two_on_time(112.0)
+    assert store.limit == 2
+    end_two_on_time(112.0 + SLOW_MEMORY_S)
+    assert store.limit == 3
+
+
 def test_load_beyond_the_limit_is_expected_to_take_longer() -> None:
     """Guards against requests that wait in vain for a load that others slow down."""
     store = StoreLoads()
