Keep the rank of a model that is asked for all the time

With so many requests others will be there as the load ends. A model that is asked for four times in the time of a load counts as one with requesters.

--- a/src/siskinspool/gateway/shortage.py
+++ b/src/siskinspool/gateway/shortage.py
@@ -24,8 +24,9 @@
     since: float
     # Requests so far.
     asked: int = 0
-    # Until when the latest requesters can be served.
+    # Until when the latest requesters can be served, and when they asked.
     served_until: list[float] = attrs.field(factory=list)
+    asked_at: list[float] = attrs.field(factory=list)
 
     def ask(self, reach_s: Iterable[float], now: float) -> None:
         """Count requests whose requesters can be served for some more seconds."""
@@ -33,11 +34,16 @@
         self.asked += len(until)
         still = [at for at in self.served_until if at > now]
         self.served_until = (still + until)[-MOST_REQUESTERS:]
+        self.asked_at = (self.asked_at + [now] * len(until))[-MOST_REQUESTERS:]
 
     def reachable(self, at: float) -> int:
         """Return how many of the requesters can still be served at a time."""
         return sum(1 for until in self.served_until if until >= at)
 
+    def asked_since(self, at: float) -> int:
+        """Return how many of the latest requests came after a time."""
+        return sum(1 for asked_at in self.asked_at if asked_at > at)
+
 
 class Shortages:
     """The shortages of one service, by model."""
@@ -64,6 +70,11 @@
         shortage = self._by_model.get(model)
         return 0 if shortage is None else shortage.reachable(at)
 
+    def asked_since(self, model: str, at: float) -> int:
+        """Return how many requests for a model came after a time."""
+        shortage = self._by_model.get(model)
+        return 0 if shortage is None else shortage.asked_since(at)
+
     def get(self, model: str) -> Shortage | None:
         """Return the shortage of a model, if there is one."""
         return self._by_model.get(model)
--- a/src/siskinspool/gateway/store_turns.py
+++ b/src/siskinspool/gateway/store_turns.py
@@ -2,10 +2,10 @@
 
 The store serves few loads at full speed, each of which takes seconds, so its turns are
 worth more than a server's time. A turn goes to a model that no server has ready and
-whose requesters can still be served when the load ends. Among these the model with the
-most requests in vain goes first: the count grows until the model is served, so each
-one has its turn. What the leader wants itself, such as a replica, is loaded while no
-requester waits for the store.
+whose requesters can still be served when the load ends, or that is asked for all the
+time. Among these the model with the most requests in vain goes first: the count grows
+until the model is served, so each one has its turn. What the leader wants itself, such
+as a replica, is loaded while no requester waits for the store.
 """
 
 from __future__ import annotations
@@ -27,13 +27,15 @@
 MANY_WAITING: Final = 3
 # Below this demand no request waits, and loads disturb nobody.
 QUIET_TOKENS_PER_S: Final = 1.0
+# A model that is asked for this often in the time of a load is asked for as it ends.
+STEADY_REQUESTS: Final = 4
 
 
 @attrs.frozen(order=True)
 class TurnRank:
     """What a turn of the weight store is worth; the greatest goes first."""
 
-    # Some requester can still be served when the load ends.
+    # Some requester can still be served when the load ends, or is likely to come.
     reaches_requester: bool
     # Requests since the model was last ready.
     asked: int
@@ -134,8 +136,9 @@
     def _rank(self, model: str, waiting: int, now: float) -> TurnRank:
         spec = self.engine.model_by_name.get(model)
         load_s = 0.0 if spec is None else spec.store_load_s
+        steady = self.shortages.asked_since(model, now - load_s) >= STEADY_REQUESTS
         return TurnRank(
-            self.shortages.reachable(model, now + load_s + SWAP_S) > 0,
+            steady or self.shortages.reachable(model, now + load_s + SWAP_S) > 0,
             self.shortages.asked(model),
             self.demand.wanted_per_s(model, waiting, now),
         )
