Expect a model from the server that loads it, whoever ordered the load

A server that loads a model now has a plan for it as soon as somebody asks. The ledger tells when a load is expected to end, so that those who can wait are not refused; clocks that differ by seconds shift this by as much.

test_model_is_expected_from_its_load_also_when_nobody_asked_for_a_while failed before.

--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -35,6 +35,8 @@
     model: str
     # Orders that the server has accepted, this one included.
     order_count: int
+    # When it is expected to end, in seconds of Unix time; clocks may differ by seconds.
+    ends_at_unix_s: int = attrs.field(eq=False)
 
 
 @attrs.frozen
@@ -53,6 +55,7 @@
     server_id: str
     model: str
     order_count: int
+    ends_at_unix_s: int
 
 
 class _Service(msgspec.Struct):
@@ -134,7 +137,7 @@
             service: _Service(
                 found.limit,
                 [
-                    _Entry(entry.server_id, entry.model, entry.order_count)
+                    _Entry(**attrs.asdict(entry))
                     for entry in sorted(found.loads, key=lambda one: one.server_id)
                 ],
             )
@@ -154,8 +157,7 @@
         name: ServiceLoads(
             service.limit,
             frozenset(
-                LoadEntry(entry.server_id, entry.model, entry.order_count)
-                for entry in service.loads
+                LoadEntry(**msgspec.structs.asdict(entry)) for entry in service.loads
             ),
         )
         for name, service in services.items()
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -234,6 +234,17 @@
             and self.needs_store(goal.model)
         )
 
+    def model_goal(self, model: str, now: float) -> Goal | None:
+        """Return the goal for a model that the server loads or shall load.
+
+        A load may go on when its goal has been dropped, or was another leader's.
+        """
+        goal = self.has_goal(model, "")
+        if goal is None and self.loading == model:
+            goal = Goal(model, "", {}, now, begun=True)
+            self.goals.appendleft(goal)
+        return goal
+
     def has_goal(self, model: str, adapter: str) -> Goal | None:
         """Return the goal for a model or adapter, if there is one."""
         for goal in self.goals:
@@ -407,14 +418,12 @@
         )
         self.changed_at = now
 
-    def resume_load(self, spec: ModelSpec, now: float) -> None:
+    def resume_load(self, model: str, remaining_s: float, now: float) -> None:
         """Take over a load that an earlier leader ordered and the report hides."""
-        self.loading = spec.name
-        self.running_order = RunningOrder(
-            OrderKind.LOAD, spec.name, now, spec.store_load_s
-        )
+        self.loading = model
+        self.running_order = RunningOrder(OrderKind.LOAD, model, now, remaining_s)
         models = dict(self.holdings.model_by_name)
-        models.setdefault(spec.name, HeldModel(spec.name, 0))
+        models.setdefault(model, HeldModel(model, 0))
         self.holdings = attrs.evolve(self.holdings, model_by_name=models)
 
     def attention_at(self) -> float:
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 
 from ..core.status import Status
 from ..telemetry.logs import log_event
@@ -147,13 +148,19 @@
         """Return the loads of a service's models from the weight store."""
         return self._store_by_service.setdefault(service, StoreLoads())
 
-    def loads_under_way(self) -> LoadsByService:
+    def loads_under_way(self, now: float) -> LoadsByService:
         """Return what a successor has to know of the loads from the weight store."""
+        unix_s = time.time() - now
         return {
             service: ServiceLoads(
                 store.limit,
                 frozenset(
-                    LoadEntry(server_id, server.loading, server.order_count)
+                    LoadEntry(
+                        server_id,
+                        server.loading,
+                        server.order_count,
+                        round(unix_s + store.ends_at(server_id)),
+                    )
                     for server_id in store.servers()
                     if (server := self.server_by_id.get(server_id)) is not None
                     and server.loading is not None
@@ -187,10 +194,13 @@
             "load_inherited",
             server=entry.server_id,
             model=entry.model,
+            ends_at_unix_s=entry.ends_at_unix_s,
         )
-        server.resume_load(spec, now)
+        remaining_s = entry.ends_at_unix_s - time.time()
+        remaining_s = min(max(remaining_s, 0.0), spec.store_load_s)
+        server.resume_load(entry.model, remaining_s, now)
         store = self.store_loads(server.record.service)
-        store.resume(entry.server_id, spec.store_load_s, now)
+        store.resume(entry.server_id, remaining_s, now)
 
     def shortages(self, service: str) -> Shortages:
         """Return the models of a service that requests ask for in vain."""
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -111,7 +111,7 @@
                 batch += self._advance(server, now)
         for fleet in self._site.fleets(now):
             batch += self._plan_ahead(fleet, now)
-        if due := self._ledger.write(self._site.loads_under_way(), now):
+        if due := self._ledger.write(self._site.loads_under_way(now), now):
             batch.append(Outgoing(Address(self._id, KV_TASK), due))
         return batch
 
@@ -189,7 +189,7 @@
                 ready = ModelReady(model, want.adapter, server.record.server_id)
                 return [] if want.adapter else [self._to_routing(asker, ready)]
         for server in fleet.servers:
-            goal = server.has_goal(model, "")
+            goal = server.model_goal(model, now)
             if goal is None:
                 continue
             goal.want(asker, want.waiting, now)
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -65,6 +65,11 @@
         """Return how many loads are under way."""
         return len(self._running_by_server) + len(self._lost_until)
 
+    def ends_at(self, server_id: str) -> float:
+        """Return when the load of a server is expected to end."""
+        load = self._running_by_server[server_id]
+        return load.since + load.expected_s
+
     def servers(self) -> tuple[str, ...]:
         """Return the servers that load."""
         return tuple(self._running_by_server)
@@ -77,9 +82,9 @@
         self._running_by_server[server_id] = load
         return expected_s
 
-    def resume(self, server_id: str, full_speed_s: float, now: float) -> None:
-        """Record a load that an earlier leader began; its duration is not known."""
-        load = _RunningLoad(now, 0.0, self.running + 1, full_speed_s)
+    def resume(self, server_id: str, remaining_s: float, now: float) -> None:
+        """Record a load that an earlier leader began; its duration tells nothing."""
+        load = _RunningLoad(now, 0.0, self.running + 1, remaining_s)
         self._running_by_server[server_id] = load
 
     def end(self, server_id: str, now: float) -> None:
--- a/src/siskinspool/gateway/store_turns.py
+++ b/src/siskinspool/gateway/store_turns.py
@@ -93,7 +93,8 @@
         with a model that goes before. The turn is kept for a model with requesters,
         whose server is busy for a moment, if there are none for this one.
         """
-        if not self._may_take_server(goal, now):
+        free = self._free_turns()
+        if free <= 0 or not self._may_take_server(goal, now):
             return False
         rank = self._rank(goal.model, goal.waiting, now)
         if not rank.reaches_requester and self.has_requesters(now):
@@ -106,7 +107,7 @@
             and self._may_take_server(other, now)
             and self._rank(other.model, other.waiting, now) > rank
         }
-        return self._free_turns() > len(ahead - {goal.model})
+        return free > len(ahead - {goal.model})
 
     def _may_take_server(self, goal: Goal, now: float) -> bool:
         """Return whether a goal may keep a server from all other loads for seconds.
@@ -122,6 +123,9 @@
 
     def due_on_busy_servers(self, now: float) -> list[tuple[ManagedServer, Goal]]:
         """Return the goals whose turn it is while their servers do something else."""
+        free = self._free_turns()
+        if free <= 0:
+            return []
         ordered = sorted(
             self._goals(),
             key=lambda pair: self._rank(pair[1].model, pair[1].waiting, now),
@@ -129,7 +133,7 @@
         )
         return [
             (server, goal)
-            for server, goal in ordered[: max(self._free_turns(), 0)]
+            for server, goal in ordered[:free]
             if not server.is_idle and not goal.begun
         ]
 
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from siskinspool.core.message import Message
 from siskinspool.gateway.load_ledger import (
     LEDGER_KEY,
@@ -10,7 +12,7 @@
     decode_loads,
     encode_loads,
 )
-from siskinspool.gateway.messages import DemandSeen, OrderResult
+from siskinspool.gateway.messages import DemandSeen, ModelExpected, OrderResult
 from siskinspool.store.kv import KvGet, KvLost, KvSwap, KvSwapped, KvValue
 
 from .builders_gateway import desired_state, engine, holdings
@@ -21,6 +23,11 @@
     return [one for one in found if isinstance(one, KvGet | KvSwap)]
 
 
+def ends_in(seconds: int) -> int:
+    """Return a time of day, in seconds of Unix time."""
+    return round(time.time()) + seconds
+
+
 def office_with_servers(*, busy: bool) -> Office:
     """Return an office that has not begun; ``s0`` may carry out its second order."""
     office = Office()
@@ -49,11 +56,15 @@
     again, on other servers, since a report does not name the model that is loaded.
     """
     office = office_with_servers(busy=True)
-    entry = LoadEntry("s0", "m1", order_count=2)
+    entry = LoadEntry("s0", "m1", 2, ends_in(4))
     inherit(office, ServiceLoads(2, frozenset({entry})))
     office.want("m2", reach_s=(11.0,))
-    found = orders(office.want("m1", reach_s=(11.0,)) + office.wait(0.3))
+    answer = office.want("m1", reach_s=(11.0,))
+    found = orders(answer + office.wait(0.3))
     assert "m1" not in {order.model for order in found}
+    expected = [one for one in answer if isinstance(one, ModelExpected)]
+    assert expected[0].is_loading
+    assert 2.0 <= expected[0].in_s <= 5.0
     goals = office.decision.status(office.now)["servers"]
     assert isinstance(goals, dict)
     assert goals["s0"]["models"] == ["m1"]
@@ -62,7 +73,7 @@
 def test_entry_of_an_order_that_is_over_counts_for_nothing() -> None:
     """Guards against an old entry that hides a model from a server."""
     office = office_with_servers(busy=True)
-    entry = LoadEntry("s0", "m1", order_count=1)
+    entry = LoadEntry("s0", "m1", 1, ends_in(4))
     inherit(office, ServiceLoads(2, frozenset({entry})))
     found = orders(office.want("m1", reach_s=(11.0,)) + office.wait(0.3))
     assert [order.model for order in found] == ["m1"]
@@ -100,7 +111,7 @@
     swap = requests(office.wait(0.25))[0]
     assert isinstance(swap, KvSwap)
     assert swap.expected_revision == 0
-    entry = LoadEntry(order.server_id, "m1", order.expected_count + 1)
+    entry = LoadEntry(order.server_id, "m1", order.expected_count + 1, ends_in(6))
     assert decode_loads(swap.value)["writers"].loads == {entry}
     office.tell(KvSwapped(swap.request_id, LEDGER_KEY, 12))
     assert requests(office.wait(0.25)) == []
--- a/tests/test_gateway_store_turns.py
+++ b/tests/test_gateway_store_turns.py
@@ -7,7 +7,13 @@
 from siskinspool.gateway.demand import Demand
 from siskinspool.gateway.goal import Goal
 from siskinspool.gateway.managed_server import ManagedServer
-from siskinspool.gateway.messages import DemandSeen, OrderKind, OrderResult, ServerOrder
+from siskinspool.gateway.messages import (
+    DemandSeen,
+    ModelExpected,
+    OrderKind,
+    OrderResult,
+    ServerOrder,
+)
 from siskinspool.gateway.shortage import Shortages
 from siskinspool.gateway.store_limit import FIRST_LIMIT, StoreLoads
 from siskinspool.gateway.store_turns import StoreTurns
@@ -205,3 +211,17 @@
     begun = accept(office, [order for one in found for order in orders(one)])
     assert [order.model for order in begun] == ["m1"]
     assert orders(office.wait(0.5)) == []
+
+
+def test_model_is_expected_from_its_load_also_when_nobody_asked_for_a_while() -> None:
+    """Guards against a second load of a model that is being loaded.
+
+    The plan of a load under way was dropped three seconds after the last question, and
+    the next question was answered with a load on another server.
+    """
+    office, _ = full_store()
+    office.wait(9.0)
+    found = office.want("m1", reach_s=(11.0,))
+    assert orders(found) == []
+    expected = [one for one in found if isinstance(one, ModelExpected)]
+    assert expected[0].is_loading
