Compare the start of a server with the ledger's entry

A restart clears a server's count of orders, so an entry of before could be taken for another order with the same number, and a model for loaded that is not. The entry now names the server's start, and the test of old entries has such a one.

--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -3,8 +3,8 @@
 A report tells that a server is busy, but not what it loads, and the number of loads
 that the weight store carries is learnt from their durations. So the leader writes both
 down as a load from the weight store begins, under one key that nobody watches, and a
-new leader reads it once. An entry counts only if the server's report has the same count
-of orders, so old entries do no harm.
+new leader reads it once. An entry counts only if the server's report has the same start
+and count of orders, so old entries do no harm.
 """
 
 from __future__ import annotations
@@ -32,8 +32,10 @@
     """A load from the weight store under way."""
 
     server_id: str
+    # Start of the server, in Unix milliseconds; a restart clears its orders.
+    born_ms: int | None
     model: str
-    # Orders that the server has accepted, this one included.
+    # Orders that the server has accepted since then, this one included.
     order_count: int
     # When it is expected to end, in seconds of Unix time; clocks may differ by seconds.
     ends_at_unix_s: int = attrs.field(eq=False)
@@ -53,6 +55,7 @@
 
 class _Entry(msgspec.Struct):
     server_id: str
+    born_ms: int | None
     model: str
     order_count: int
     ends_at_unix_s: int
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -157,6 +157,7 @@
                 frozenset(
                     LoadEntry(
                         server_id,
+                        server.holdings.born_ms,
                         server.loading,
                         server.order_count,
                         round(unix_s + store.ends_at(server_id)),
@@ -186,7 +187,8 @@
         if entry is None or engine is None or not server.has_unknown_order:
             return
         spec = engine.model_by_name.get(entry.model)
-        if spec is None or server.order_count != entry.order_count:
+        orders = (server.holdings.born_ms, server.order_count)
+        if spec is None or orders != (entry.born_ms, entry.order_count):
             return
         log_event(
             logger,
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -56,7 +56,7 @@
     again, on other servers, since a report does not name the model that is loaded.
     """
     office = office_with_servers(busy=True)
-    entry = LoadEntry("s0", "m1", 2, ends_in(4))
+    entry = LoadEntry("s0", 1, "m1", 2, ends_in(4))
     inherit(office, ServiceLoads(2, frozenset({entry})))
     office.want("m2", reach_s=(11.0,))
     answer = office.want("m1", reach_s=(11.0,))
@@ -73,8 +73,10 @@
 def test_entry_of_an_order_that_is_over_counts_for_nothing() -> None:
     """Guards against an old entry that hides a model from a server."""
     office = office_with_servers(busy=True)
-    entry = LoadEntry("s0", "m1", 1, ends_in(4))
-    inherit(office, ServiceLoads(2, frozenset({entry})))
+    of_an_earlier_order = LoadEntry("s0", 1, "m1", 1, ends_in(4))
+    of_an_earlier_start = LoadEntry("s0", 0, "m1", 2, ends_in(4))
+    entries = frozenset({of_an_earlier_order, of_an_earlier_start})
+    inherit(office, ServiceLoads(2, entries))
     found = orders(office.want("m1", reach_s=(11.0,)) + office.wait(0.3))
     assert [order.model for order in found] == ["m1"]
 
@@ -111,7 +113,7 @@
     swap = requests(office.wait(0.25))[0]
     assert isinstance(swap, KvSwap)
     assert swap.expected_revision == 0
-    entry = LoadEntry(order.server_id, "m1", order.expected_count + 1, ends_in(6))
+    entry = LoadEntry(order.server_id, 1, "m1", order.expected_count + 1, ends_in(6))
     assert decode_loads(swap.value)["writers"].loads == {entry}
     office.tell(KvSwapped(swap.request_id, LEDGER_KEY, 12))
     assert requests(office.wait(0.25)) == []
