Move no plan for a model that a later desired state has taken out

Found by reading: a plan whose server is busy as its turn comes was moved without a look whether the model is still known, and the leader would have ended.

test_model_that_a_later_desired_state_takes_out_is_not_moved failed before (KeyError).

--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -230,8 +230,9 @@
             and all(server.waits_for_store(other) for other in server.goals)
             and goal.model not in server.planned_models()
         ]
-        spec = self.engine.model_by_name[goal.model]
-        return self.choose(spec, idle, now, goal.waiting)
+        spec = self.engine.model_by_name.get(goal.model)
+        # A later desired state may have taken the model out.
+        return None if spec is None else self.choose(spec, idle, now, goal.waiting)
 
     def sort_goals(self, server: ManagedServer, now: float) -> None:
         """Put the goals first that serve most demand for the time they take."""
--- a/tests/test_gateway_store_turns.py
+++ b/tests/test_gateway_store_turns.py
@@ -225,3 +225,20 @@
     assert orders(found) == []
     expected = [one for one in found if isinstance(one, ModelExpected)]
     assert expected[0].is_loading
+
+
+def test_model_that_a_later_desired_state_takes_out_is_not_moved() -> None:
+    """Guards against a leader that ends on a plan for a model it knows no more."""
+    office, running = full_store(spare_servers=0, loads=3)
+    office.tell(DemandSeen("writers", dict.fromkeys(("m0", *FIRST_TURNS), 400_000)))
+    office.add("s8", on_disk=frozenset(), busy=True)
+    office.want("m5", reach_s=(30.0,) * 5)
+    office.add("s9", on_disk=frozenset())
+    names = tuple(f"m{number}" for number in range(9) if number != 5)
+    spec = engine(*names, weights_mb=75_000.0, store_loads_per_s=30.0)
+    office.tell(desired_state(version=2, engine_spec=spec))
+    office.finish_load(running[0], 6.1)
+    office.reports["s8"] = holdings(count=0, on_disk=frozenset())
+    for _ in range(8):
+        office.wait(0.5)
+    assert "m5/" not in planned_goals(office)
