--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -174,7 +174,7 @@
     def inherit(self, loads_by_service: LoadsByService, now: float) -> None:
         """Take over what an earlier leader has written of its loads."""
         for service, found in loads_by_service.items():
-            self.store_loads(service).limit = found.limit
+            self.store_loads(service).inherit(found.limit, now)
             for entry in found.loads:
                 self._inherited_by_server[entry.server_id] = entry
         for server in self.server_by_id.values():
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -82,6 +82,14 @@
         self._running_by_server[server_id] = load
         return expected_s
 
+    def inherit(self, limit: int, now: float) -> None:
+        """Take over what an earlier leader has learnt; one more was slow, most likely.
+
+        A store that carries more shows it after a while.
+        """
+        self.limit = limit
+        self._slow_at_once, self._slow_at = limit + 1, now
+
     def resume(self, server_id: str, remaining_s: float, now: float) -> None:
         """Record a load that an earlier leader began; its duration tells nothing."""
         load = _RunningLoad(now, 0.0, self.running + 1, remaining_s)
--- a/tests/test_gateway_store_limit.py
+++ b/tests/test_gateway_store_limit.py
@@ -120,6 +120,20 @@
     assert store.limit == 3
 
 
+def test_limit_of_an_earlier_leader_is_not_tried_again_at_once() -> None:
+    """Guards against a slow load after each change of the leader.
+
+    baul-bogota-grown trouble-1: a new leader knew that the store carries two, and tried
+    three after the first load on time.
+    """
+    store = StoreLoads()
+    store.inherit(2, 100.0)
+    for name in ("s0", "s1"):
+        store.begin(name, FULL_SPEED_S, 100.0)
+    store.end("s1", 100.0 + FULL_SPEED_S + 0.1)
+    assert store.limit == 2
+
+
 def test_load_beyond_the_limit_is_expected_to_take_longer() -> None:
     """Guards against requests that wait in vain for a load that others slow down."""
     store = StoreLoads()
