--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -368,8 +368,7 @@
         self.changed_at = now
         self.doubtful = False
         if not holdings.busy:
-            known = self.loading is not None or self.unloading is not None
-            if self.busy_until is not None and not known:
+            if self.has_unknown_order:
                 # What an earlier leader ordered may show in the next report only.
                 self.doubtful = True
                 self.wait_until = now + REPORT_LAG_S
