Load nothing ahead while servers still register

Cause: the leader loads models of which no server has a copy while the store is spare. After a start it decided on the servers that had registered so far, one of 45 at the first load. All nine models that it planned had copies on servers that registered within three seconds.

Change: the leader knows whether the list of servers is complete. It is when none has joined for two seconds, as servers register with their heartbeats of 1.2 s. Before that, no model counts as one without a copy. The copies of servers that are silent for a moment count, since their disks outlive a restart.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from typing import Final
 
 from ..core.status import Status
 from ..telemetry.logs import log_event
@@ -13,12 +14,16 @@
 from .managed_server import ManagedServer
 from .messages import DemandSeen, OrderKind, OrderResult, ServerOrder
 from .placement_choice import ServiceFleet
-from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
+from .servers import ServerRecord, ServerRemoved, ServerState, ZoneEvacuated
 from .shortage import Shortages
 from .store_limit import StoreLoads
 
 logger = logging.getLogger(__name__)
 
+# After a start servers register one by one, each with its next heartbeat. The fleet is
+# taken for complete when none has joined for this long.
+JOIN_QUIET_S: Final = 2.0
+
 
 class ManagedSite:
     """All model servers, with the demand for their models; times are in seconds."""
@@ -33,6 +38,8 @@
         self._shortages_by_service: dict[str, Shortages] = {}
         # Loads that an earlier leader began.
         self._inherited_by_server: dict[str, LoadEntry] = {}
+        # When a server of a service was last seen for the first time.
+        self._joined_at_by_service: dict[str, float] = {}
 
     def take_change(self, message: object, now: float) -> bool:
         """Take in a change of the site; return whether the message is one."""
@@ -57,6 +64,7 @@
         if server is None:
             server = ManagedServer(record=record, holdings=record.holdings)
             self.server_by_id[record.server_id] = server
+            self._joined_at_by_service[record.service] = now
         else:
             server.take_record(record, now)
 
@@ -94,20 +102,22 @@
         engine = self.engine_by_service.get(service)
         if engine is None:
             return None
-        servers = [
+        staying = [
             server
             for server in self.server_by_id.values()
             if server.record.service == service
-            and server.is_usable(now)
+            and server.record.state is ServerState.READY
             and server.record.zone not in self._evacuated_zones
         ]
-        demand = self._demand_by_service.setdefault(service, Demand())
+        joined_at = self._joined_at_by_service.get(service, now)
         return ServiceFleet(
             engine,
-            servers,
-            demand,
+            [server for server in staying if server.is_usable(now)],
+            self._demand_by_service.setdefault(service, Demand()),
             self.store_loads(service),
             self.shortages(service),
+            staying=staying,
+            is_complete=now >= joined_at + JOIN_QUIET_S,
         )
 
     def fleets(self, now: float) -> list[ServiceFleet]:
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -12,6 +12,7 @@
 from .choice import Choice
 from .demand import Demand, target_name
 from .desired_state import EngineSpec, ModelSpec
+from .fleet_copies import FleetCopies
 from .goal import Goal
 from .managed_server import SWAP_S, ManagedServer
 from .messages import ModelExpected, WantModel
@@ -58,12 +59,16 @@
     demand: Demand
     store: StoreLoads = attrs.field(factory=StoreLoads)
     shortages: Shortages = attrs.field(factory=Shortages)
+    # The servers whose copies count, also those that are silent for a moment.
+    staying: list[ManagedServer] = attrs.field(factory=list)
+    # No more servers are about to register, so what none of them has, nobody has.
+    is_complete: bool = True
 
-    # How many servers have each model ready, hold or shall hold it, and have a copy;
-    # counted once for all servers that a choice compares.
+    # How many servers have each model ready, and hold or shall hold it; counted once
+    # for all servers that a choice compares.
     _ready_by_model: Counter[str] | None = attrs.field(default=None, init=False)
     _planned_by_model: Counter[str] | None = attrs.field(default=None, init=False)
-    _copies_by_model: Counter[str] | None = attrs.field(default=None, init=False)
+    _copies: FleetCopies | None = attrs.field(default=None, init=False)
 
     @property
     def turns(self) -> StoreTurns:
@@ -74,7 +79,7 @@
 
     def forget_counts(self) -> None:
         """Count anew after a change of plans or holdings."""
-        self._ready_by_model = self._planned_by_model = self._copies_by_model = None
+        self._ready_by_model = self._planned_by_model = None
 
     def replicas(self, model: str) -> int:
         """Return how many servers have a model ready."""
@@ -95,13 +100,12 @@
             )
         return self._planned_by_model[model]
 
-    def _copies(self, model: str) -> int:
-        """Return how many servers have a copy of a model, at least 1."""
-        if self._copies_by_model is None:
-            self._copies_by_model = Counter(
-                name for server in self.servers for name in server.copies()
-            )
-        return max(self._copies_by_model[model], 1)
+    @property
+    def copies(self) -> FleetCopies:
+        """Return the copies of weights on the servers that stay."""
+        if self._copies is None:
+            self._copies = FleetCopies(self.staying)
+        return self._copies
 
     def value(self, model: str, now: float) -> float:
         """Return the worth of one replica of a model, in tokens a second."""
@@ -127,13 +131,19 @@
         return free_mb >= max(sizes, default=0.0)
 
     def model_to_copy(self, now: float) -> str | None:
-        """Return the most wanted model of which no server has a copy."""
-        present: set[str] = set()
-        for server in self.servers:
-            present |= server.copies()
-            present |= {goal.model for goal in server.goals}
+        """Return the most wanted model of which no server has a copy.
+
+        While servers still register there is none, as one of them may have it.
+        """
+        if not self.is_complete:
+            return None
+        planned = {goal.model for server in self.servers for goal in server.goals}
         return max(
-            (model for model in self.engine.model_by_name if model not in present),
+            (
+                model
+                for model in self.engine.model_by_name
+                if not self.copies.count(model) and model not in planned
+            ),
             key=lambda model: self.demand.tokens_per_s(model, now),
             default=None,
         )
@@ -363,7 +373,7 @@
         """
         total = max(self.total_rate(now), LEAST_TOTAL_TOKENS_PER_S)
         blocked = sum(
-            self.demand.tokens_per_s(model, now) / self._copies(model)
+            self.demand.tokens_per_s(model, now) / max(self.copies.count(model), 1)
             for model in server.copies()
             if model not in victims
         )
