Load from the store where the disk drops no only copy

Cause: all disks are full, so each load from the weight store drops the least recently used copy of its server.

Change: FleetCopies counts the copies and estimates how many models a load leaves without one: among the copies on a full disk that are neither loaded nor in memory each is as likely to go. The price of a server is the time to load these from the store again. The unload of a model whose copy the disk has dropped counts, too.

The test failed before: the load of m14 went to s1, which has the only copies of seven models, and not to s2, whose copies s3 has, too.

--- a/src/siskinspool/gateway/desired_state.py
+++ b/src/siskinspool/gateway/desired_state.py
@@ -87,6 +87,8 @@
     token_capacity: int
     # Weights of models and adapters together.
     weights_mb: float
+    # Copies of weights on the disk.
+    disk_mb: float
     adapter_slots: int
     # Loads from the weight store a second, over all servers.
     store_loads_per_s: float
--- a/src/siskinspool/gateway/fleet_copies.py
+++ b/src/siskinspool/gateway/fleet_copies.py
@@ -1,21 +1,28 @@
-"""Which copies of models' weights a fleet has.
+"""Which copies of models' weights a fleet has, and what a load would drop.
 
-A server keeps copies on its disk and in its memory. Servers that do not answer for a
-moment count, since their disks outlive a restart. Servers that leave do not, nor those
-in an evacuated zone.
+A server keeps copies on its disk and in its memory. A load from the weight store puts
+its weights on the disk, and the least recently used copy there yields to it if the disk
+is full. If that was the only copy in the fleet, its model has to come from the store,
+too, when a request asks for it. Which copy was used least recently is not known; those
+of models that are loaded or in memory were used later than the others.
+
+Servers that do not answer for a moment count, since their disks outlive a restart.
+Servers that leave do not, nor those in an evacuated zone.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 
+from .desired_state import EngineSpec
 from .managed_server import ManagedServer
 
 
 class FleetCopies:
     """The copies of each model on the servers of one service."""
 
-    def __init__(self, servers: list[ManagedServer]) -> None:
+    def __init__(self, engine: EngineSpec, servers: list[ManagedServer]) -> None:
+        self._engine = engine
         self._servers_by_model = Counter(
             name for server in servers for name in server.copies()
         )
@@ -23,3 +30,34 @@
     def count(self, model: str) -> int:
         """Return how many servers have a copy of a model."""
         return self._servers_by_model[model]
+
+    def is_only(self, model: str) -> bool:
+        """Return whether one server has the only copy of a model that is in use."""
+        return self.count(model) == 1 and model in self._engine.model_by_name
+
+    def only_copies_lost(
+        self, server: ManagedServer, model: str, victims: tuple[str, ...]
+    ) -> float:
+        """Return how many models are expected to have no copy after a load.
+
+        The load of ``model`` unloads ``victims``, of which the server may have no copy
+        outside the accelerator.
+        """
+        held = server.holdings
+        kept = held.in_memory | held.on_disk
+        unloaded = sum(self.is_only(name) and name not in kept for name in victims)
+        if not server.needs_store(model) or self._disk_has_room(server, model):
+            return float(unloaded)
+        first_to_go = held.on_disk - held.in_memory - held.model_by_name.keys()
+        if not first_to_go:
+            return float(unloaded)
+        only = sum(self.is_only(name) for name in first_to_go)
+        return unloaded + only / len(first_to_go)
+
+    def _disk_has_room(self, server: ManagedServer, model: str) -> bool:
+        spec_by_name = self._engine.model_by_name
+        names = {*server.holdings.on_disk, model}
+        used_mb = sum(
+            spec_by_name[name].weights_mb for name in names & spec_by_name.keys()
+        )
+        return used_mb <= self._engine.disk_mb
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -104,7 +104,7 @@
     def copies(self) -> FleetCopies:
         """Return the copies of weights on the servers that stay."""
         if self._copies is None:
-            self._copies = FleetCopies(self.staying)
+            self._copies = FleetCopies(self.engine, self.staying)
         return self._copies
 
     def value(self, model: str, now: float) -> float:
@@ -358,8 +358,14 @@
         )
         load = (self.load(server, now) - lost) / SERVER_TOKENS_PER_S
         victims_cost_s = self.victims_cost_s(server, victims, now)
+        # A model without a copy has to come from the store again.
+        lost_copies = self.copies.only_copies_lost(server, spec.name, victims)
         cost_s = (
-            ready_in_s + victims_cost_s + blocked_s + BUSY_COST_S * min(load, 1.0) ** 2
+            ready_in_s
+            + victims_cost_s
+            + blocked_s
+            + BUSY_COST_S * min(load, 1.0) ** 2
+            + lost_copies * spec.store_load_s
         )
         return Choice(server, victims, ready_in_s + unload_s, cost_s, victims_cost_s)
 
--- a/src/siskinspool/platform/desired_state.py
+++ b/src/siskinspool/platform/desired_state.py
@@ -77,6 +77,7 @@
     models: list[_Model]
     # Megabytes of one server, for models and adapters together.
     weights_size: float
+    disk_mb: float = 0.0
     adapter_slots: int = 0
     loads_per_s: float = 0.0
 
@@ -171,6 +172,7 @@
         slots=engine.slots,
         token_capacity=engine.kv_capacity,
         weights_mb=engine.weights_size,
+        disk_mb=engine.disk_mb,
         adapter_slots=engine.adapter_slots,
         store_loads_per_s=engine.loads_per_s,
         model_by_name={model.name: _model(model) for model in engine.models},
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -81,6 +81,7 @@
         "slots": 64,
         "token_capacity": 250_000,
         "weights_mb": 230_000.0,
+        "disk_mb": 520_000.0,
         "adapter_slots": 8,
         "store_loads_per_s": 1.6,
         "model_by_name": {
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from siskinspool.gateway.fleet_copies import FleetCopies
+from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.managed_site import JOIN_QUIET_S
 from siskinspool.gateway.messages import OrderKind, ServerOrder
 
-from .builders_gateway import desired_state, engine
+from .builders_gateway import desired_state, engine, holdings, server
 from .builders_placement_office import Office, orders
 
 MODELS = tuple(f"m{number}" for number in range(16))
@@ -29,6 +31,18 @@
     return found
 
 
+def managed(
+    server_id: str, *models: str, on_disk: str, in_memory: str = ""
+) -> ManagedServer:
+    held = holdings(
+        *models,
+        count=0,
+        on_disk=frozenset(on_disk.split()),
+        in_memory=frozenset(in_memory.split()),
+    )
+    return ManagedServer(record=server(server_id, *models), holdings=held)
+
+
 def test_nothing_is_loaded_ahead_while_servers_still_register() -> None:
     """Guards against loads from the store of models that other servers have.
 
@@ -57,3 +71,41 @@
     silent = office.decision._site.server_by_id["s2"]
     silent.fall_silent(office.now)
     assert not loads(wait(office, 1.0))
+
+
+def test_load_from_the_store_goes_where_the_disk_drops_no_only_copy() -> None:
+    """Guards against models that lose their only copy to a load of another one.
+
+    baul-bogota-grown trouble-1: the only copy of a model that was asked for ten times
+    was dropped for a model of which six servers had a copy.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=SPEC))
+    office.add("s1", on_disk=frozenset(MODELS[:7]))
+    office.add("s2", on_disk=frozenset(MODELS[7:14]))
+    office.add("s3", on_disk=frozenset(MODELS[7:14]))
+    office.take_office()
+    found = orders(office.want("m14", reach_s=(11.0,)) + office.wait(0.25))
+    assert loads(found) == [("m14", "s2")]
+
+
+def test_disk_with_room_drops_nothing() -> None:
+    """Guards against a load that avoids an empty disk."""
+    copies = FleetCopies(SPEC, [managed("s1", on_disk="m0 m1")])
+    assert copies.only_copies_lost(managed("s1", on_disk="m0 m1"), "m9", ()) == 0
+
+
+def test_copies_of_loaded_models_are_dropped_last() -> None:
+    """Guards against an estimate that counts copies which were just used."""
+    full = managed("s1", "m0", on_disk="m0 m1 m2 m3 m4 m5 m6", in_memory="m1")
+    other = managed("s2", on_disk="m2 m3 m4")
+    copies = FleetCopies(SPEC, [full, other])
+    # Of the five copies that may go, m5 and m6 are the only ones.
+    assert copies.only_copies_lost(full, "m9", ()) == 2 / 5
+
+
+def test_unload_of_a_model_without_another_copy_loses_it() -> None:
+    """Guards against an eviction of a model whose copy the disk has dropped."""
+    only = managed("s1", "m0", on_disk="m1")
+    copies = FleetCopies(SPEC, [only])
+    assert copies.only_copies_lost(only, "m1", ("m0",)) == 1
