Move a plan for the weight store to a server that has come back with a copy

Cause: a plan is made for a request, and only a further request looks for a better server. The turn of the store came first. A turn that goes to a model with a copy is missing to one without any.

Change: on each tick the leader moves goals that wait for the store, and whose model no server has ready, to a server that has a copy and would have it much sooner. The choice of such moves, and of those from busy servers, is a module of its own.

The test failed before: no order was given to the server that came back.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -53,6 +53,7 @@
 from .order_planner import GoalWaits, NextStep, OrderDue, OrderPlanner, PlanVoid
 from .placement_choice import ServiceFleet
 from .placement_log import PlacementLog, log_result
+from .plan_moves import plan_moves
 
 logger = logging.getLogger(__name__)
 
@@ -105,7 +106,7 @@
             return []
         batch: list[Outgoing] = []
         for fleet in self._site.fleets(now):
-            batch += self._move_store_loads(fleet, now)
+            batch += self._move_plans(fleet, now)
         for server in list(self._site.server_by_id.values()):
             if server.record.service in self._site.engine_by_service:
                 batch += self._advance(server, now)
@@ -292,15 +293,13 @@
         replica = self._look_ahead.replica(fleet, model, now)
         return self._load_ahead(fleet, replica, now)
 
-    def _move_store_loads(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
-        """Let no turn of the weight store pass because a server is busy."""
+    def _move_plans(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
+        """Let no turn of the weight store pass or be spent in vain."""
         batch: list[Outgoing] = []
-        for server, goal in fleet.turns.due_on_busy_servers(now):
-            choice = fleet.idle_choice(goal, now)
-            if choice is not None:
-                server.goals.remove(goal)
-                self._add_goal(fleet, goal, choice, "server_busy", now)
-                batch += self._advance(choice.server, now)
+        for move in plan_moves(fleet, now):
+            move.server.goals.remove(move.goal)
+            self._add_goal(fleet, move.goal, move.choice, move.why, now)
+            batch += self._advance(move.choice.server, now)
         return batch
 
     # Orders
--- /dev/null
+++ b/src/siskinspool/gateway/plan_moves.py
@@ -0,0 +1,46 @@
+"""Plans that are better carried out by another server than the one they stand on.
+
+A plan is made for a request, and its requesters ask again only now and then. Meanwhile
+its server may have become busy, or a server with a copy of the weights may have come
+back, as its zone is in use again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from .choice import Choice
+from .goal import Goal
+from .managed_server import ManagedServer
+from .placement_choice import ServiceFleet
+
+
+@attrs.frozen
+class PlanMove:
+    """A goal of one server with a better choice."""
+
+    server: ManagedServer
+    goal: Goal
+    choice: Choice
+    # "server_busy" or "copy_there".
+    why: str
+
+
+def plan_moves(fleet: ServiceFleet, now: float) -> Iterator[PlanMove]:
+    """Yield the goals for the weight store that move; each before the next is found."""
+    for server, goal in fleet.turns.due_on_busy_servers(now):
+        choice = fleet.idle_choice(goal, now)
+        if choice is not None:
+            yield PlanMove(server, goal, choice, "server_busy")
+    for server, goal in fleet.turns.waiting():
+        if (
+            goal.is_own
+            or fleet.replicas(goal.model)
+            or not fleet.copies.count(goal.model)
+        ):
+            continue
+        choice = fleet.better_choice(server, goal, now)
+        if choice is not None and not choice.server.needs_store(goal.model):
+            yield PlanMove(server, goal, choice, "copy_there")
--- a/src/siskinspool/gateway/store_turns.py
+++ b/src/siskinspool/gateway/store_turns.py
@@ -137,6 +137,10 @@
             if not server.is_idle and not goal.begun
         ]
 
+    def waiting(self) -> list[tuple[ManagedServer, Goal]]:
+        """Return the goals for which nothing has been done yet."""
+        return [(server, goal) for server, goal in self._goals() if not goal.begun]
+
     def _rank(self, model: str, waiting: int, now: float) -> TurnRank:
         spec = self.engine.model_by_name.get(model)
         load_s = 0.0 if spec is None else spec.store_load_s
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -9,6 +9,7 @@
     OrderResult,
     ServerOrder,
 )
+from siskinspool.gateway.servers import ZoneEvacuated
 
 from .builders_gateway import desired_state, engine, holdings
 from .builders_placement_office import Office, orders
@@ -270,3 +271,25 @@
         given += orders(office.wait(0.3) + office.want("m1"))
     assert "m0" not in {order.model for order in given}
     assert {order.model for order in given} <= {"m2"}
+
+
+def test_turn_is_not_spent_while_a_server_has_come_back_with_a_copy() -> None:
+    """Guards against a load of seconds for a model that a disk has again.
+
+    baul-bogota-grown trouble-1: a model with 65 requests in vain was loaded from the
+    weight store 0.5 s after the zone was back whose servers have it on disk.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    office.add("s1", on_disk=frozenset())
+    office.add("s2", zone="b", on_disk=frozenset({"m5"}))
+    office.add("s3", on_disk=frozenset())
+    office.take_office()
+    office.tell(ZoneEvacuated("b", True))
+    office.decision._site.store_loads("writers").limit = 1
+    first = orders(office.want("m4", reach_s=(30.0,)))[0]
+    office.end(first, OrderResult.ACCEPTED)
+    assert not orders(office.want("m5", reach_s=(30.0,)) + office.wait(0.25))
+    office.tell(ZoneEvacuated("b", False))
+    found = orders(office.wait(0.25))
+    assert [(order.model, order.server_id) for order in found] == [("m5", "s2")]
