Hand the loads under way over to a successor that tells of itself

Cause: a leader writes its loads to the store for its successor, and one that is cut off from the store goes on with its orders. What it begins then is in no ledger.

Change: a leader that hears of its successor from that one sends it the loads under way. The successor takes them over like those of the ledger, and each counts only if the server's report has the same start and count of orders.

The test fails without the new message's handling: m1 is ordered on a second server. Two tests of the leadership now expect the successor's id in LeadershipLost.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -146,10 +146,11 @@
                 return self._take_reply(reply, now)
             case LeaderSucceeded(epoch):
                 if self._term is not None and self._term.epoch < epoch:
-                    batch = self._end_term("succeeded")
+                    successor_id = incoming.sender.instance_id
+                    batch = self._end_term("succeeded", successor_id)
                     # The store did not tell. Requests here ask the successor, and a
                     # later term waits for its orders.
-                    self._holder = _LeaderRecord(incoming.sender.instance_id, "")
+                    self._holder = _LeaderRecord(successor_id, "")
                     return batch + self._tell_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
@@ -257,7 +258,7 @@
             return lease_s
         return max(lease_s - self._session_silence_s, 0.0) + WAIT_MARGIN_S
 
-    def _end_term(self, reason: str) -> list[Outgoing]:
+    def _end_term(self, reason: str, successor_id: str = "") -> list[Outgoing]:
         if self._term is None:
             return []
         log_event(
@@ -265,7 +266,7 @@
         )
         self._last_holder_id = self._own.instance_id
         self._term = None
-        return self._tell(LeadershipLost())
+        return self._tell(LeadershipLost(successor_id))
 
     def _extend(self, now: float) -> list[Outgoing]:
         """Tell until when orders may be given, if that has changed."""
--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ..core.message import Message
+from ..links.codec import wire
 from ..store.keys import ROOT
 from ..store.kv import KvConflict, KvGet, KvReply, KvSwap, KvSwapped, KvValue
 from ..telemetry.logs import log_event
@@ -53,6 +54,17 @@
 LoadsByService = dict[str, ServiceLoads]
 
 
+@wire
+@attrs.frozen
+class LoadsHandedOver(Message):
+    """What the sender, whom the recipient succeeds as leader, knows of its loads.
+
+    A leader that is cut off from the platform's store cannot write its ledger there.
+    """
+
+    loads_by_service: LoadsByService
+
+
 class _Entry(msgspec.Struct):
     server_id: str
     born_ms: int | None
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Iterable
 from typing import Final
 
 from ..core.status import Status
@@ -11,7 +12,7 @@
 from .demand import Demand, ModelUsers
 from .desired_state import DesiredState, EngineSpec
 from .load_ledger import LoadEntry, LoadsByService, ServiceLoads
-from .managed_server import ManagedServer
+from .managed_server import REPORT_LAG_S, ManagedServer
 from .messages import DemandSeen, OrderKind, OrderResult, ServerOrder
 from .placement_choice import ServiceFleet
 from .servers import ServerRecord, ServerRemoved, ServerState, ZoneEvacuated
@@ -23,6 +24,8 @@
 # After a start servers register one by one, each with its next heartbeat. The fleet is
 # taken for complete when none has joined for this long.
 JOIN_QUIET_S: Final = 2.0
+# A server that a gateway finds silent is read at most this often.
+SILENT_READ_INTERVAL_S: Final = 0.5
 
 
 class ManagedSite:
@@ -97,6 +100,22 @@
         """Return what operators may see of each server."""
         return {name: server.status() for name, server in self.server_by_id.items()}
 
+    def servers_to_check(
+        self, server_ids: Iterable[str], now: float
+    ) -> list[ManagedServer]:
+        """Return the servers among some silent ones whose reports are to be read."""
+        known = (self.server_by_id.get(server_id) for server_id in server_ids)
+        return [
+            server
+            for server in known
+            if server is not None
+            and not server.reading
+            and now >= server.silent_until
+            # An earlier report would be from before the last order.
+            and now - server.changed_at >= REPORT_LAG_S
+            and now - server.read_at > SILENT_READ_INTERVAL_S
+        ]
+
     def fleet(self, service: str, now: float) -> ServiceFleet | None:
         """Return the servers of a service that may get orders; None without engines."""
         engine = self.engine_by_service.get(service)
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -237,6 +237,9 @@
 class LeadershipLost(Message):
     """This instance gives no more orders."""
 
+    # The leader that has told so itself; empty if it is not known.
+    successor_id: str = ""
+
 
 @attrs.frozen
 class LeadershipFenced(Message):
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -25,13 +25,14 @@
 from .choice import Choice
 from .demand import target_name
 from .goal import Goal
-from .load_ledger import LoadLedger
+from .load_ledger import LoadLedger, LoadsHandedOver
 from .look_ahead import LookAhead, PlannedLoad
-from .managed_server import REPORT_LAG_S, ManagedServer
+from .managed_server import ManagedServer
 from .managed_site import ManagedSite
 from .messages import (
     LEADERSHIP_TASK,
     ORDERS_TASK,
+    PLACEMENT_TASK,
     ROUTING_TASK,
     DemandSeen,
     HoldingsRead,
@@ -60,8 +61,6 @@
 TICK_S: Final = 0.25
 # Time for which all holders of a model may be busy before another server loads it.
 LONG_BLOCK_S: Final = 1.0
-# A server that a gateway finds silent is read at most this often.
-SILENT_READ_INTERVAL_S: Final = 0.5
 
 
 class Placement(Decision):
@@ -93,6 +92,8 @@
                 return self._take_report(read, now)
             case KvReply() as reply:
                 self._site.inherit(self._ledger.take(reply), now)
+            case LoadsHandedOver(loads):
+                self._site.inherit(loads, now)
             case other:
                 if not self._site.take_change(other, now):
                     return self._take_office(other, now)
@@ -147,7 +148,9 @@
         if not self._office.allows_orders(now):
             return []
         self._site.users.note(want.model, asker, now)
-        batch = self._check_silent(want.silent_servers, now)
+        batch: list[Outgoing] = []
+        for server in self._site.servers_to_check(want.silent_servers, now):
+            batch += self._read(server, now)
         unread = [server for server in fleet.servers if server.order_count is None]
         if unread:
             # A plan without the reports would load what is there already.
@@ -159,20 +162,6 @@
             return batch + self._want_adapter(fleet, want, asker, now)
         return batch + self._want_model(fleet, want, asker, now)
 
-    def _check_silent(self, server_ids: tuple[str, ...], now: float) -> list[Outgoing]:
-        """Read the reports of servers that do not answer a gateway."""
-        batch: list[Outgoing] = []
-        for server_id in server_ids:
-            server = self._site.server_by_id.get(server_id)
-            if server is None or server.reading or now < server.silent_until:
-                continue
-            if now - server.changed_at < REPORT_LAG_S:
-                # The report is from before the last order.
-                continue
-            if now - server.read_at > SILENT_READ_INTERVAL_S:
-                batch += self._read(server, now)
-        return batch
-
     def _want_model(
         self, fleet: ServiceFleet, want: WantModel, asker: str, now: float
     ) -> list[Outgoing]:
@@ -488,8 +477,11 @@
                 return [Outgoing(Address(self._id, KV_TASK), read)]
             case LeadershipExtended(until_s, detached):
                 self._office.extend(until_s, detached)
-            case LeadershipLost():
+            case LeadershipLost(successor_id):
                 self._office.end()
+                if successor_id:
+                    loads = LoadsHandedOver(self._site.loads_under_way(now))
+                    return [Outgoing(Address(successor_id, PLACEMENT_TASK), loads)]
         return []
 
     def _to_routing(self, instance_id: str, message: Message) -> Outgoing:
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -217,7 +217,9 @@
     found = new.tell(KvSwapped(swap.request_id, LEADER_KEY, 7))
     told = [one for one in found if isinstance(one, LeaderSucceeded)]
     assert told == [LeaderSucceeded(7)]
-    assert LeadershipLost() in old.tell(told[0])
+    assert LeadershipLost("g2") in messages(
+        old.decision.handle(incoming(told[0], "g2"), old.now)
+    )
     assert new.tell(LeaderSucceeded(5)) == []
 
 
@@ -231,7 +233,7 @@
     found = messages(
         leader.decision.handle(incoming(LeaderSucceeded(7), "g2"), leader.now)
     )
-    assert LeadershipLost() in found
+    assert LeadershipLost("g2") in found
     leader.tell(KvChanged(LEADER_KEY, None, 9))
     swap = leader.attempt()
     term = held(leader.tell(KvSwapped(swap.request_id, LEADER_KEY, 10)))
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -8,11 +8,17 @@
 from siskinspool.gateway.load_ledger import (
     LEDGER_KEY,
     LoadEntry,
+    LoadsHandedOver,
     ServiceLoads,
     decode_loads,
     encode_loads,
 )
-from siskinspool.gateway.messages import DemandSeen, ModelExpected, OrderResult
+from siskinspool.gateway.messages import (
+    DemandSeen,
+    LeadershipLost,
+    ModelExpected,
+    OrderResult,
+)
 from siskinspool.store.kv import KvGet, KvLost, KvSwap, KvSwapped, KvValue
 
 from .builders_gateway import desired_state, engine, holdings
@@ -70,6 +76,41 @@
     assert goals["s0"]["models"] == ["m1"]
 
 
+def test_leader_cut_off_from_the_store_hands_its_loads_over() -> None:
+    """Guards against a successor that loads again what a cut-off leader has begun.
+
+    baul-bogota-grown trouble-1: the store turned the leader away, so its ledger lacked
+    the load that it began half a second later; the next leader planned it once more.
+    """
+    old = office_with_servers(busy=False)
+    old.take_office()
+    old.tell(DemandSeen("writers", {"m0": 100}))
+    order = orders(old.want("m1", reach_s=(11.0,)))[0]
+    old.end(order, OrderResult.ACCEPTED)
+    told = old.tell(LeadershipLost("g3"))
+    handed = [one for one in told if isinstance(one, LoadsHandedOver)]
+    assert [len(found.loads) for found in handed[0].loads_by_service.values()] == [1]
+    new = office_with_servers(busy=False)
+    new.reports[order.server_id] = holdings(
+        count=order.expected_count + 1, on_disk=frozenset(), busy=True
+    )
+    read = requests(new.take_office())[0]
+    new.tell(KvLost(read.request_id, LEDGER_KEY))
+    new.tell(handed[0], "g1")
+    new.tell(DemandSeen("writers", {"m0": 100}))
+    answer = new.want("m1", reach_s=(11.0,))
+    assert "m1" not in {one.model for one in orders(answer + new.wait(0.3))}
+    expected = [one for one in answer if isinstance(one, ModelExpected)]
+    assert expected[0].is_loading
+
+
+def test_leader_that_does_not_know_its_successor_hands_nothing_over() -> None:
+    """Guards against a message without a recipient."""
+    office = office_with_servers(busy=False)
+    office.take_office()
+    assert office.tell(LeadershipLost()) == []
+
+
 def test_entry_of_an_order_that_is_over_counts_for_nothing() -> None:
     """Guards against an old entry that hides a model from a server."""
     office = office_with_servers(busy=True)
