Tell a new leader of refused requesters that are to return

Callers that were refused just before a change of the leader came back to a leader that had never heard of them.

A gateway told a new leader only of requests that wait.

It now also tells at once of the requesters of refused first attempts that are still expected back.

--- a/src/siskinspool/gateway/requester_account.py
+++ b/src/siskinspool/gateway/requester_account.py
@@ -125,8 +125,11 @@
         return min(due, default=float("inf"))
 
     def begin_anew(self) -> None:
-        """Begin to tell a leader that knows nothing."""
-        self._told_by_target.clear()
+        """Begin to tell a leader that knows nothing, also of those that are away."""
+        self._told_by_target = {
+            target: _Told(float("-inf"), changed=True)
+            for target in self._away_by_target
+        }
         for item in self.waiting_by_id.values():
             item.told = False
 
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -9,6 +9,8 @@
 from siskinspool.gateway.managed_site import ManagedSite
 from siskinspool.gateway.messages import (
     LeaderChanged,
+    LeadershipExtended,
+    LeadershipHeld,
     ModelExpected,
     OrderResult,
     RequestersSeen,
@@ -213,6 +215,42 @@
     assert (shortages.asked("m1"), shortages.reachable("m1", 110.0)) == (3, 3)
 
 
+def test_new_leader_hears_of_requesters_that_are_to_return() -> None:
+    """Guards against a new leader that knows only of requests that wait.
+
+    baul-bogota-grown trouble-1: at a change of the leader 73 refused requesters were
+    away; of the 37 that came back five were served.
+    """
+    gateway = Gateway()
+    gateway.ask("r1")
+    gateway.refuse()
+    gateway.wait(1.0)
+    gateway.tell(LeaderChanged("g3"))
+    batch = gateway.routing.on_time(gateway.now)
+    told = [one for one in batch if one.recipient.instance_id == "g3"]
+    assert seen(messages(told)) == [pytest.approx((10.0,))]
+    # Once they have returned, there is nothing to tell the next one.
+    gateway.wait(3.0)
+    gateway.tell(LeaderChanged("g4"))
+    assert seen(gateway.wait(0.3)) == []
+
+
+def test_new_leader_counts_requesters_before_it_may_give_orders() -> None:
+    """Guards against requesters that nobody knows, as each is told as new only once.
+
+    A new leader waits for the orders of the last one, for 1.3 s in baul-bogota-grown
+    trouble-1, and took in no wish meanwhile.
+    """
+    office = Office()
+    spec = engine("m0", "m1", weights_mb=145_000.0)
+    office.tell(desired_state(engine_spec=spec))
+    office.add("s1", "m0", on_disk=frozenset({"m0"}))
+    office.tell(LeadershipHeld(8, office.now + 1.3))
+    office.tell(LeadershipExtended(office.now + 1000.0))
+    office.want("m1", reach_s=(11.0,))
+    assert office.decision.gauges()["placement.models_short"] == 1
+
+
 def test_requesters_of_a_model_that_is_ready_are_not_short() -> None:
     """Guards against a shortage that never ends, as nothing is loaded for it."""
     site = ManagedSite()
