--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -176,9 +176,8 @@
 def test_refused_requester_is_there_until_it_returns() -> None:
     """Guards against a requester that counts twice, or not while it is away.
 
-    baul-bogota-grown trouble-1: 508 refusals of a first attempt and 271 of the second
-    were counted as 779 requesters; a turn went to a model with 13 asked and nobody
-    there.
+    baul-bogota-grown trouble-1: 271 of 508 requesters whose first attempt was refused
+    were refused again, and each attempt counted as one more requester.
     """
     gateway = Gateway()
     gateway.ask("r1")
