--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -45,6 +45,7 @@
 from .request import AnswerFacts, SendPlan
 from .request_context import GatewayRequest, RequestContext
 from .request_refusals import RETRY_AFTER_S, failed, time_is_up, without_server
+from .requester_account import RETRY_SHARE
 
 logger = logging.getLogger(__name__)
 
@@ -57,8 +58,6 @@
 LEAST_STREAM_PATIENCE_S: Final = 2.0
 PATIENCE_TARGETS: Final = 4
 PATIENCE_GAPS: Final = 8
-# A refused requester comes back at the latest after this part of its time.
-RETRY_SHARE: Final = 1 / 3
 # Kept for the answer's way back.
 ANSWER_MARGIN_S: Final = 0.1
 # A request is not sent with less time than this.
@@ -210,6 +209,9 @@
             repeat=self._arrived,
             patience_s=patience_s,
             reach_s=self._reach_s(patience_s),
+            route=admission.route.name,
+            timeout_s=admission.route.timeout_s,
+            deadline_s=head.deadline_s,
         )
         settled = False
         try:
@@ -230,7 +232,7 @@
         return max(patience_s - ANSWER_MARGIN_S, 0.0)
 
     def _reach_s(self, patience_s: float) -> float:
-        """Return how long the requester can be served, in seconds.
+        """Return how long the requester can be served if it comes back, in seconds.
 
         One that is refused now comes back within a part of its time and waits anew.
         """
