Drop what a server sends after its answer

Callers of both front ends got a wrong outcome when a server wrote more than one answer into a connection. On the gateway an `unsafe` request whose answer was followed by a refusal ran at a second server. In the product's interface the caller got 503 with both bodies in one, or a repeatable call ran once more. The text of an answer after a stream became an event of that stream.

The parser of geventhttpclient takes bytes after a complete message for the next message, as long as they come with the same read: it clears the headers, takes the new status and appends the new body. With an answer and `503 Not-Run` in one segment, `HttpAnswer` so saw a refusal.

`ServerResponse` ends with the first final answer. A further message raises an error before its head is parsed, later bytes are not fed to the parser, and the status is kept from the head of the answer, since the parser's own is lost when it starts anew. Interim answers are still followed by the final one.

--- a/src/siskinspool/links/backend.py
+++ b/src/siskinspool/links/backend.py
@@ -8,6 +8,7 @@
 `open_call` sends once. `NotSent` means that no byte of the request left; after that,
 every failure is `Lost`: the server may have run the call. A server in trouble may send
 bytes without end, so head, body and each event have a limit, and the head a time limit.
+What it sends after its answer belongs to no call and is dropped (`ServerResponse`).
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 import attrs
 import gevent
 from gevent import socket
-from geventhttpclient.response import HTTPSocketResponse
+
+from .server_response import ServerResponse
 
 CONNECT_TIMEOUT_S: Final = 1.0
 EVENT_END: Final = b"\n\n"
@@ -62,7 +64,7 @@
 
 
 class _LimitedSocket:
-    """A socket that receives no more than it is allowed; for `HTTPSocketResponse`."""
+    """A socket that receives no more than it is allowed; for `ServerResponse`."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
@@ -108,7 +110,7 @@
     """An answer on a connection of its own."""
 
     def __init__(
-        self, sock: _LimitedSocket, response: HTTPSocketResponse, *, ends_by_close: bool
+        self, sock: _LimitedSocket, response: ServerResponse, *, ends_by_close: bool
     ) -> None:
         """Take the connection; ``ends_by_close`` accepts answers without a length."""
         self._sock = sock
@@ -205,7 +207,7 @@
             limited.allow(MAX_HEAD_BYTES)
             # The socket's timeout is for one read; bytes may come one by one.
             with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
-                response = HTTPSocketResponse(
+                response = ServerResponse(
                     cast(socket.socket, limited), method=request.method
                 )
         except Exception as error:
--- /dev/null
+++ b/tests/builders_front_ends.py
@@ -0,0 +1,205 @@
+"""Both front ends in one process: a request goes to servers that a test names.
+
+`GatewayFront` runs the platform's `RequestTask`, `ProductFront` the product's own
+`CallTask`. The tasks that decide on tokens and servers are stand-ins that agree to all
+and name the given servers in turn, so that a test sees how answers are treated.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+import attrs
+import gevent
+
+from siskinspool.contracts.call import Call
+from siskinspool.contracts.retry import RetryBudget
+from siskinspool.core.clock import Clock, MonotonicClock
+from siskinspool.core.dispatcher import Dispatcher, Inbox
+from siskinspool.core.errors import ErrorCode
+from siskinspool.core.message import Incoming, Message, Outgoing
+from siskinspool.gateway.desired_state import Route, RouteKind
+from siskinspool.gateway.front_door import FrontSink
+from siskinspool.gateway.gateway_metrics import GatewayMetrics
+from siskinspool.gateway.intake import Admission
+from siskinspool.gateway.messages import (
+    ROUTING_TASK,
+    AssignRefused,
+    AssignServer,
+    ServerAssigned,
+)
+from siskinspool.gateway.request_context import GatewayRequest, RequestContext
+from siskinspool.gateway.request_task import RequestTask
+from siskinspool.links.backend import HttpServerLink
+from siskinspool.links.call_task import CallContext, CallTask
+from siskinspool.links.caller import CallerSink, CutStreamError, respond
+from siskinspool.machines.routing_messages import (
+    CallDispatched,
+    CallRefused,
+    RouteCall,
+)
+from siskinspool.manifest.model import RequestClass
+from siskinspool.platform.front_codec import PlatformFrontCodec
+
+from .builders_gateway import head, route
+
+# A test that waits longer hangs.
+TIMEOUT_S = 5.0
+
+
+@attrs.define
+class Received:
+    """What a client got."""
+
+    status: int = 0
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    # False if the connection ends without the end of the body.
+    is_whole: bool = False
+
+
+class _Assigner(Inbox):
+    """Names the servers of a test in turn."""
+
+    def __init__(self, dispatcher: Dispatcher, task: str, ports: list[int]) -> None:
+        self._dispatcher = dispatcher
+        self._task = task
+        self._ports = ports
+        dispatcher.register(task, self)
+
+    def post(self, incoming: Incoming) -> bool:
+        """Answer a question for a server."""
+        port = self._ports.pop(0) if self._wants_server(incoming.message) else None
+        reply = self._reply(incoming.message, port)
+        if reply is not None:
+            sender = self._dispatcher.address(self._task)
+            self._dispatcher.send(sender, Outgoing(incoming.sender, reply))
+        return True
+
+    def _wants_server(self, message: Message) -> bool:
+        return isinstance(message, AssignServer | RouteCall) and bool(self._ports)
+
+    @staticmethod
+    def _reply(message: Message, port: int | None) -> Message | None:
+        match message:
+            case AssignServer() if port is None:
+                return AssignRefused(ErrorCode.NO_SERVER, "no further server", 0.1)
+            case AssignServer():
+                return ServerAssigned(f"s{port}", "127.0.0.1", port or 0)
+            case RouteCall(call_id=call_id) if port is None:
+                return CallRefused(call_id, ErrorCode.NO_SERVER, "no server", 0.1)
+            case RouteCall(call_id=call_id):
+                return CallDispatched(call_id, f"s{port}", "127.0.0.1", port or 0, "b")
+        return None
+
+
+class FrontEnd(ABC):
+    """A front end whose requests reach the servers of a test."""
+
+    @abstractmethod
+    def send(
+        self, *ports: int, may_repeat: bool = False, events: bool = False
+    ) -> Received:
+        """Send a request; it reaches servers on these ports, one after another."""
+
+
+class GatewayFront(FrontEnd):
+    """The platform's front end."""
+
+    def send(
+        self, *ports: int, may_repeat: bool = False, events: bool = False
+    ) -> Received:
+        """Send a request; it reaches servers on these ports, one after another."""
+        dispatcher, clock = Dispatcher("g1"), MonotonicClock()
+        _Assigner(dispatcher, ROUTING_TASK, list(ports))
+        codec = PlatformFrontCodec()
+        context = RequestContext(
+            dispatcher=dispatcher,
+            clock=clock,
+            link=HttpServerLink(ends_by_close=True),
+            codec=codec,
+            metrics=GatewayMetrics(),
+        )
+        admission = Admission(
+            route=_route(may_repeat, events, len(ports)),
+            service="writers",
+            team="",
+            tokens=0,
+            priority=1,
+            keeps_authorization=False,
+        )
+        request = GatewayRequest(
+            head=head(), body=b"sheet", admission=admission, arrived_at=clock.now()
+        )
+        sink = FrontSink(codec)
+        task = RequestTask(request, context, sink)
+        task.start(on_end=lambda: None)
+        return _receive(sink)
+
+
+class ProductFront(FrontEnd):
+    """The product's own front end."""
+
+    def send(
+        self, *ports: int, may_repeat: bool = False, events: bool = False
+    ) -> Received:
+        """Send a request; it reaches servers on these ports, one after another."""
+        dispatcher, clock = Dispatcher("i1"), MonotonicClock()
+        _Assigner(dispatcher, "routing", list(ports))
+        context = CallContext(
+            dispatcher=dispatcher,
+            clock=clock,
+            link=HttpServerLink(),
+            retries=RetryBudget(),
+        )
+        sink = CallerSink()
+        CallTask(_call(clock, may_repeat, events), context, sink).start()
+        return _receive(sink)
+
+
+def _receive(sink: CallerSink) -> Received:
+    """Take an answer as the greenlet of a client's connection does."""
+    received = Received()
+
+    def start(status: str, headers: list[tuple[str, str]]) -> None:
+        received.status = int(status.split()[0])
+        received.headers = {name.lower(): text for name, text in headers}
+
+    with gevent.Timeout(TIMEOUT_S):
+        try:
+            for part in respond(sink, start):
+                received.body += part
+            received.is_whole = True
+        except CutStreamError:
+            received.is_whole = False
+    return received
+
+
+def _route(may_repeat: bool, events: bool, max_attempts: int) -> Route:
+    if events:
+        return route(resumable=may_repeat, max_attempts=max_attempts)
+    kind = RouteKind.SAFE if may_repeat else RouteKind.UNSAFE
+    return route(
+        kind=kind, resumable=False, gap_target_s=None, max_attempts=max_attempts
+    )
+
+
+def _call(clock: Clock, may_repeat: bool, events: bool) -> Call:
+    return Call(
+        id="c1",
+        team="",
+        key_id="",
+        target="quote",
+        model="quote",
+        route=None,
+        request_class=RequestClass.URGENT,
+        deadline_at=clock.now() + TIMEOUT_S,
+        idempotent=may_repeat,
+        idempotency_key="",
+        estimate_tokens=0,
+        streamed=events,
+        method="POST",
+        uri="/v1/chat/completions",
+        headers={},
+        body=b"{}",
+    )
--- /dev/null
+++ b/tests/builders_scripted_server.py
@@ -0,0 +1,99 @@
+"""A faulty server for tests: it sends given bytes and closes, without any parsing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+from gevent import socket
+from gevent.server import StreamServer
+
+# Stands in a script for the id of the request that the connection brought.
+OWN_ID = b"OWN-ID"
+EVENTS_HEAD = (
+    b"HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Type: text/event-stream\r\n"
+)
+END_CHUNK = b"0\r\n\r\n"
+
+
+@attrs.define
+class ScriptedServer:
+    """Sends one script for each connection, in order."""
+
+    scripts: list[bytes]
+    port: int = 0
+    # Requests as they came.
+    requests: list[bytes] = attrs.field(factory=list)
+
+    def handle(self, sock: socket.socket, address: object) -> None:
+        """Answer one connection."""
+        request = sock.recv(65_536)
+        self.requests.append(request)
+        script = self.scripts[len(self.requests) - 1]
+        sock.sendall(script.replace(OWN_ID, _request_id(request)))
+        # The stream server closes the connection in order when this returns.
+
+
+def _request_id(request: bytes) -> bytes:
+    for line in request.split(b"\r\n"):
+        name, _, text = line.partition(b": ")
+        if name.lower() in (b"request-id", b"x-request-id"):
+            return text
+    return b""
+
+
+@contextmanager
+def scripted_server(*scripts: bytes) -> Iterator[ScriptedServer]:
+    """Run a server on a free port."""
+    server = ScriptedServer(list(scripts))
+    listener = StreamServer(("127.0.0.1", 0), server.handle)
+    listener.start()
+    server.port = int(listener.server_port or 0)
+    try:
+        yield server
+    finally:
+        listener.stop(timeout=0.1)
+
+
+def answer(
+    status: int, body: bytes, *headers: bytes, request_id: bytes = OWN_ID
+) -> bytes:
+    """Return an answer with a length, for either front end."""
+    lines = [
+        b"HTTP/1.1 %d Status" % status,
+        b"Server-Stamp: stamp",
+        b"Content-Length: %d" % len(body),
+        *_id_lines(request_id),
+        *headers,
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def refusal(request_id: bytes = OWN_ID) -> bytes:
+    """Return the answer of a server that is full."""
+    return answer(503, b"full", b"Not-Run: 1", request_id=request_id)
+
+
+def stream(*events: bytes, end: bytes = END_CHUNK, framing: bytes = b"") -> bytes:
+    """Return a stream in chunks; an empty ``end`` breaks it off.
+
+    ``framing`` takes the place of the header that announces chunks, and the events then
+    stand in the body as they are.
+    """
+    lines = _id_lines(OWN_ID)
+    if framing:
+        lines.append(framing)
+        return EVENTS_HEAD + b"\r\n".join(lines) + b"\r\n\r\n" + b"".join(events)
+    lines.append(b"Transfer-Encoding: chunked")
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(event), event) for event in events)
+    return EVENTS_HEAD + b"\r\n".join(lines) + b"\r\n\r\n" + chunks + end
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def _id_lines(request_id: bytes) -> list[bytes]:
+    return [b"Request-Id: " + request_id, b"X-Request-Id: " + request_id]
