Believe a refusal only if it answers the request that was sent

On the gateway a client was told 'not run, try again', or its `unsafe` request ran at a second server, although the first server may have been running it: the answer that said `Not-Run` (or 421) belonged to another request.

`RequestTask` acted on `Not-Run` before it compared `Request-Id`. Any refusal cleared `may_have_run` and allowed another send.

Before the change the gateway's cases of test_refusal_of_another_request_promises_nothing and the cases of test_refusal_without_an_id_promises_nothing fail: 200 from the second server instead of 502, with two requests sent.

`judge_answer` compares the id before anything else. An answer with another id or none is a lost answer: the request may have run, so an `unsafe` one ends with 502 and only a repeatable one goes on. Decisions on an answer's head leave request_task.py for a module of their own. The stand-in of a server echoes the id in refusals too, as the platform's servers do.

--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -25,6 +25,7 @@
 from ..links.answer_sink import AnswerSink
 from ..links.backend import Answer, Lost, NotSent, ServerRequest
 from ..telemetry.logs import log_event
+from .answer_verdict import NotRun, judge_answer
 from .desired_state import RouteKind
 from .event_stream import EVENT_END, StreamPosition
 from .gateway_metrics import RequestMeasured
@@ -275,11 +276,17 @@
             answer = opened
             facts = self._context.codec.decode_answer(answer.status, answer.headers)
             load = facts.load
-            if facts.not_run:
+            verdict = judge_answer(
+                facts, self.request.head.request_id, assigned.server_id
+            )
+            if isinstance(verdict, NotRun):
                 # Such a server does not count for the route's limit, which is about
                 # servers that run a request.
                 self._runs -= 1
                 self._may_have_run = ran_before
+            if verdict is not None:
+                result = verdict.result
+                return self._note_failure(assigned, result, verdict.detail)
             result, outcome = self._take_answer(assigned, answer, facts)
             return outcome
         finally:
@@ -321,18 +328,7 @@
     def _take_answer(
         self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
     ) -> tuple[AttemptResult, _Done | _Retry]:
-        """Decide on an answer by its head and pass on what belongs to the requester."""
-        if facts.not_run:
-            result = AttemptResult.REJECTED
-            if facts.misdirected:
-                other = facts.server_id not in ("", assigned.server_id)
-                result = (
-                    AttemptResult.WRONG_SERVER if other else AttemptResult.MODEL_MISSING
-                )
-            return result, self._note_failure(assigned, result, f"{facts.status}")
-        if facts.request_id != self.request.head.request_id or facts.encoded:
-            result = AttemptResult.LOST
-            return result, self._note_failure(assigned, result, "not this answer")
+        """Pass an answer on, or leave it if another server may do better."""
         if facts.status >= SERVER_ERROR and self._may_repeat():
             # The answer is kept in case no other server does better.
             result = AttemptResult.FAILED
--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -96,7 +96,7 @@
             return self._administer(request)
         expected = request.headers.get("expect-instance", self._plan.server_id)
         if expected != self._plan.server_id:
-            return self._misdirected()
+            return self._misdirected(request)
         if request.path == "/-/report":
             report = self._described() | {"busy": self._busy, "seq": self._orders}
             return Response.from_json(report)
@@ -107,10 +107,10 @@
     def _run(self, request: Request) -> Response:
         faults = self._faults
         if faults.full:
-            return Response(503, b"", headers=(("Not-Run", "1"),))
+            return Response(503, b"", headers=(("Not-Run", "1"), _echoed_id(request)))
         model, _, adapter = request.headers.get("model", "").partition("/")
         if model and not self._holds(model, adapter):
-            return self._misdirected()
+            return self._misdirected(request)
         self._seen.append(
             {
                 "id": request.headers.get("request-id", ""),
@@ -123,7 +123,7 @@
         if faults.reset:
             raise CloseConnection
         headers = (
-            ("Request-Id", request.headers.get("request-id", "")),
+            _echoed_id(request),
             ("Server-Stamp", f"stamp-{self._plan.server_id}"),
             ("Server-Load", "1,0,8"),
         )
@@ -181,8 +181,9 @@
             ],
         }
 
-    def _misdirected(self) -> Response:
-        return Response(421, b"", headers=(("Instance-Id", self._plan.server_id),))
+    def _misdirected(self, request: Request) -> Response:
+        instance_id = ("Instance-Id", self._plan.server_id)
+        return Response(421, b"", headers=(instance_id, _echoed_id(request)))
 
     def _administer(self, request: Request) -> Response:
         if request.path == "/admin/faults":
@@ -194,6 +195,10 @@
         return Response.from_json({"seen": self._seen, "orders": self._orders})
 
 
+def _echoed_id(request: Request) -> tuple[str, str]:
+    return "Request-Id", request.headers.get("request-id", "")
+
+
 @click.command()
 @click.option("--port", required=True, type=int)
 @click.option("--server-id", required=True)
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -53,3 +53,33 @@
         received = front.send(server.port, events=True)
     assert (received.status, received.body) == (200, whole)
     assert received.is_whole
+
+
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_refusal_of_another_request_promises_nothing(
+    front: FrontEnd, status: int
+) -> None:
+    """Guards against a second run of a request that the first server still runs."""
+    other = answer(status, b"full", b"Not-Run: 1", request_id=OTHER_ID)
+    with scripted_server(other, answer(200, b"ran again")) as server:
+        received = front.send(server.port, server.port)
+    assert received.status == 502
+    assert "retry-after" not in received.headers
+    assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize("status", [421, 429, 503])
+def test_refusal_without_an_id_promises_nothing(status: int) -> None:
+    """Guards against a refusal that nothing ties to the request that was sent."""
+    refused = answer(status, b"full", b"Not-Run: 1", request_id=b"")
+    with scripted_server(refused, answer(200, b"ran again")) as server:
+        received = GatewayFront().send(server.port, server.port)
+    assert received.status == 502
+    assert len(server.requests) == 1
+
+
+def test_own_refusal_lets_another_server_run_the_request() -> None:
+    """Guards against a refusal that is taken for a lost answer."""
+    with scripted_server(refusal(), answer(200, b"ran")) as server:
+        received = GatewayFront().send(server.port, server.port)
+    assert (received.status, received.body) == (200, b"ran")
