Let only the rest of a stream follow in a stream that has begun

Where a resumable stream broke off and the next server did not go on with it, clients of the gateway got one of two things. After a 3xx, 4xx or 5xx the stream hung: no event, no end and no close came until the client left, and the instance counted the request as open. After a 2xx of another kind (a page, a text without a type) its text stood in the stream, which then ended as complete.

`_take_answer` passed the answer on without regard to what the client had. An error went to the sink as a whole answer; `respond`, in the middle of a stream, ignores such an item and waits for the next one. The body of any 2xx was split at blank lines, and a piece without an id counts as an event.

Before the change 7 of 10 cases of test_broken_stream_holds_nothing_of_a_further_answer fail (four time out after 5 s, three have the text in the body), as does test_broken_stream_goes_on_after_a_failure_elsewhere. Of the sink, test_second_answer_cuts_a_stream times out. The product's own interface does not resume streams; test_broken_stream_of_the_product_is_not_resumed passes without a change.

`judge_answer` knows the answer with which the stream began and takes only one with the same status and media type for its rest. Others count as a failed or lost send: the stream goes on at a further server if the route allows one, and is cut otherwise. `respond` cuts a stream if an answer comes in place of an event, so that no mistake of a task leaves a client waiting.

--- a/src/siskinspool/gateway/answer_verdict.py
+++ b/src/siskinspool/gateway/answer_verdict.py
@@ -3,15 +3,23 @@
 Servers echo the id of the request that they answer. What an answer says holds for that
 request only, so the id is compared first: a refusal of another request says nothing
 about this one, which the server may be running.
+
+Once a stream has begun, only the rest of it may follow. The requester has a status and
+headers by then, so an error or a page of a further server would become part of the
+stream.
 """
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from .messages import AttemptResult
 from .request import AnswerFacts
 
+LEAST_FAILURE_STATUS: Final = 400
+
 
 @attrs.frozen
 class NotRun:
@@ -30,18 +38,30 @@
 
 
 def judge_answer(
-    facts: AnswerFacts, request_id: str, server_id: str
+    facts: AnswerFacts, request_id: str, server_id: str, begun: AnswerFacts | None
 ) -> NotRun | Unusable | None:
-    """Return why an answer to a request cannot be used; None if it can."""
+    """Return why an answer to a request cannot be used; None if it can.
+
+    ``begun`` is the answer with which the requester's stream began, if it has.
+    """
     if facts.request_id != request_id:
         return Unusable(AttemptResult.LOST, "the answer to another request")
     if facts.not_run:
         return NotRun(_refused(facts, server_id), f"{facts.status}")
     if facts.encoded:
         return Unusable(AttemptResult.LOST, "the answer is encoded")
+    if begun is not None and not _goes_on(begun, facts):
+        failed = facts.status >= LEAST_FAILURE_STATUS
+        result = AttemptResult.FAILED if failed else AttemptResult.LOST
+        return Unusable(result, f"{facts.status} {facts.content_type} in a stream")
     return None
 
 
+def _goes_on(begun: AnswerFacts, facts: AnswerFacts) -> bool:
+    """Return whether an answer may follow in a stream that has begun."""
+    return (facts.status, facts.content_type) == (begun.status, begun.content_type)
+
+
 def _refused(facts: AnswerFacts, server_id: str) -> AttemptResult:
     if not facts.misdirected:
         return AttemptResult.REJECTED
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -76,6 +76,8 @@
     misdirected: bool
     # The server that answers; empty if it does not say.
     server_id: str
+    # Media type of the body in lower case; empty if the server does not say.
+    content_type: str
     # The body has a content encoding, which no requester asked for.
     encoded: bool
     load: ServerLoad | None
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -111,7 +111,8 @@
         self._arrived = False
         # A server may have run the request.
         self._may_have_run = False
-        self._begun = False
+        # The answer with which a stream to the requester began.
+        self._begun: AnswerFacts | None = None
         self._first_byte_at: float | None = None
         self._greenlet: gevent.Greenlet[..., None] | None = None
 
@@ -277,7 +278,7 @@
             facts = self._context.codec.decode_answer(answer.status, answer.headers)
             load = facts.load
             verdict = judge_answer(
-                facts, self.request.head.request_id, assigned.server_id
+                facts, self.request.head.request_id, assigned.server_id, self._begun
             )
             if isinstance(verdict, NotRun):
                 # Such a server does not count for the route's limit, which is about
@@ -336,7 +337,7 @@
             if self._can_try_another():
                 return result, failure
         if self.request.admission.route.kind is RouteKind.STREAM and facts.status < 300:
-            return self._pass_stream(assigned, answer)
+            return self._pass_stream(assigned, answer, facts)
         return self._pass_whole(assigned, answer, facts)
 
     def _pass_whole(
@@ -354,7 +355,7 @@
         return (AttemptResult.FAILED if failed else AttemptResult.ANSWERED), _Done()
 
     def _pass_stream(
-        self, assigned: ServerAssigned, answer: Answer
+        self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
     ) -> tuple[AttemptResult, _Done | _Retry]:
         for event in answer.events():
             if isinstance(event, Lost) or not event.endswith(EVENT_END):
@@ -365,21 +366,23 @@
                 result = AttemptResult.LOST
                 return result, self._note_failure(assigned, result, "a gap in ids")
             if self._position.accepts(event):
-                self._begin(assigned, answer)
+                self._begin(assigned, answer, facts)
                 self._sink.event(event)
-        self._begin(assigned, answer)
+        self._begin(assigned, answer, facts)
         self._sink.end()
         self._log_end("ok", assigned.server_id)
         return AttemptResult.ANSWERED, _Done()
 
-    def _begin(self, assigned: ServerAssigned, answer: Answer) -> None:
+    def _begin(
+        self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
+    ) -> None:
         if self._first_byte_at is None:
             self._first_byte_at = self._now()
             seen = FirstEventSeen(self.request.head.request_id, assigned.server_id)
             self._tell(seen)
-        if not self._begun:
+        if self._begun is None:
             # A stream that goes on elsewhere keeps the headers of its first server.
-            self._begun = True
+            self._begun = facts
             headers = self._context.codec.answer_headers(answer.headers)
             self._sink.begin(answer.status, headers)
 
@@ -389,7 +392,7 @@
         route = self.request.admission.route
         if not route.idempotent:
             return False
-        return not self._begun or self._position.last_id is not None
+        return self._begun is None or self._position.last_id is not None
 
     def _can_try_another(self) -> bool:
         route = self.request.admission.route
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -208,6 +208,9 @@
                     yield data
                 raise CutStreamError
             return
+        else:
+            # A second answer must neither enter the stream nor leave it without end.
+            raise CutStreamError
 
 
 def watch_caller(
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -32,6 +32,7 @@
 NOT_RUN: Final = "not-run"
 SERVER_LOAD: Final = "server-load"
 RETRY_AFTER: Final = "retry-after"
+CONTENT_TYPE: Final = "content-type"
 CONTENT_ENCODING: Final = "content-encoding"
 
 _BEARER: Final = "bearer "
@@ -135,6 +136,7 @@
         not_run=NOT_RUN in headers or status == 421,
         misdirected=status == 421,
         server_id=headers.get(INSTANCE_ID, ""),
+        content_type=headers.get(CONTENT_TYPE, "").partition(";")[0].strip().lower(),
         encoded=headers.get(CONTENT_ENCODING, "identity").lower() != "identity",
         load=_load(headers.get(SERVER_LOAD, "")),
     )
--- a/tests/integration/test_answers_sink.py
+++ b/tests/integration/test_answers_sink.py
@@ -70,3 +70,15 @@
     assert next(answer).startswith(b"event: error")
     with pytest.raises(CutStreamError):
         next(answer)
+
+
+def test_second_answer_cuts_a_stream() -> None:
+    """Guards against a caller that waits on after an answer in place of an event."""
+    sink = CallerSink()
+    sink.begin(200, {})
+    answer = respond(sink, lambda status, headers: None)
+    sink.event(b"data: {}\n\n")
+    assert next(answer) == b"data: {}\n\n"
+    sink.whole(500, {}, b"failed")
+    with pytest.raises(CutStreamError), gevent.Timeout(1.0):
+        next(answer)
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -83,3 +83,56 @@
     with scripted_server(refusal(), answer(200, b"ran")) as server:
         received = GatewayFront().send(server.port, server.port)
     assert (received.status, received.body) == (200, b"ran")
+
+
+# A stream that breaks off after its second event.
+BROKEN = stream(event(1), event(2), end=b"")
+NO_CONTINUATION = {
+    "failure": answer(500, b"failed\n\n"),
+    "full": answer(503, b"full\n\n"),
+    "client-error": answer(400, b"unknown\n\n"),
+    "redirect": answer(302, b"", b"Location: /elsewhere"),
+    "other-success": answer(206, event(3), b"Content-Type: text/event-stream"),
+    "page": answer(200, b"<p>failed</p>\n\n", b"Content-Type: text/html"),
+    "untyped": answer(200, b"failed\n\n"),
+    "half-head": b"HTTP/1.1 500 Error\r\nRequest-Id: OWN-ID\r\n\r",
+    "no-http": b"data: failed\n\n",
+    "refusal": refusal(),
+}
+
+
+@pytest.mark.parametrize("name", sorted(NO_CONTINUATION))
+def test_broken_stream_holds_nothing_of_a_further_answer(name: str) -> None:
+    """Guards against an error in a stream, and against a cut stream that looks whole.
+
+    A stream that neither goes on nor ends would keep its client waiting as well.
+    """
+    with scripted_server(BROKEN, NO_CONTINUATION[name]) as server:
+        received = GatewayFront().send(
+            server.port, server.port, may_repeat=True, events=True
+        )
+    assert len(server.requests) == 2
+    assert b"Last-Event-Id: 2" in server.requests[1]
+    assert (received.status, received.body) == (200, event(1) + event(2))
+    assert not received.is_whole
+
+
+def test_broken_stream_goes_on_after_a_failure_elsewhere() -> None:
+    """Guards against a stream that ends with the first server that cannot resume it."""
+    rest = stream(event(2), event(3))
+    with scripted_server(BROKEN, answer(400, b"unknown"), rest) as server:
+        received = GatewayFront().send(*[server.port] * 3, may_repeat=True, events=True)
+    assert received.body == event(1) + event(2) + event(3)
+    assert received.is_whole
+
+
+def test_broken_stream_of_the_product_is_not_resumed() -> None:
+    """Guards against another answer in a stream that has begun."""
+    with scripted_server(BROKEN, answer(500, b"failed\n\n")) as server:
+        received = ProductFront().send(
+            server.port, server.port, may_repeat=True, events=True
+        )
+    assert len(server.requests) == 1
+    assert received.body.startswith(event(1) + event(2) + b"event: error\n")
+    assert b"answer_incomplete" in received.body
+    assert not received.is_whole
