Count a stream that stops in the middle of an event as lost

On the gateway a stream that its server ended in the middle of an event, with its last chunk or by closing a connection without a length, reached the client as complete, without that event. A resumable stream did not go on elsewhere.

`HTTPSocketResponse.readline` returns nothing once the message is complete, also if bytes without a blank line are left, so `HttpAnswer.events` ended without a `Lost`. The check for half an event in `RequestTask` never saw one.

Before the change test_stream_that_stops_in_an_event_is_cut (gateway, 'ended' and 'closed') finds `is_whole`, and test_stream_that_stops_in_an_event_goes_on_elsewhere finds two events of three. In the product's own interface the end marker is missing in such a stream, so it was cut before too.

`events` looks for bytes that are left at the end and yields `Lost`. The other tests of tests/test_short_answers.py show what holds without a change, in both front ends: a head that is cut at any byte is no answer, be it of a success, a refusal or behind an interim answer, and neither is a body that is shorter than its length or whose connection is reset.

--- a/src/siskinspool/gateway/event_stream.py
+++ b/src/siskinspool/gateway/event_stream.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 import attrs
 
-EVENT_END: Final = b"\n\n"
-
 
 def event_id(event: bytes) -> int | None:
     """Return the number in an event's ``id`` field, or None."""
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -27,7 +27,7 @@
 from ..telemetry.logs import log_event
 from .answer_verdict import NotRun, judge_answer
 from .desired_state import RouteKind
-from .event_stream import EVENT_END, StreamPosition
+from .event_stream import StreamPosition
 from .gateway_metrics import RequestMeasured
 from .messages import (
     CAPS_TASK,
@@ -358,10 +358,9 @@
         self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
     ) -> tuple[AttemptResult, _Done | _Retry]:
         for event in answer.events():
-            if isinstance(event, Lost) or not event.endswith(EVENT_END):
-                reason = event.reason if isinstance(event, Lost) else "half an event"
+            if isinstance(event, Lost):
                 result = AttemptResult.LOST
-                return result, self._note_failure(assigned, result, reason)
+                return result, self._note_failure(assigned, result, event.reason)
             if self._position.leaves_gap(event):
                 result = AttemptResult.LOST
                 return result, self._note_failure(assigned, result, "a gap in ids")
--- a/src/siskinspool/links/backend.py
+++ b/src/siskinspool/links/backend.py
@@ -99,7 +99,7 @@
 
     @abstractmethod
     def events(self) -> Iterator[bytes | Lost]:
-        """Yield server-sent events; a Lost, if any, is the last item."""
+        """Yield whole server-sent events; a Lost, if any, is the last item."""
 
     @abstractmethod
     def close(self) -> None:
@@ -137,7 +137,7 @@
         return body
 
     def events(self) -> Iterator[bytes | Lost]:
-        """Yield server-sent events; a Lost, if any, is the last item."""
+        """Yield whole server-sent events; a Lost, if any, is the last item."""
         self._sock.allow(MAX_EVENT_BYTES)
         try:
             while event := self._response.readline(EVENT_END):
@@ -146,7 +146,8 @@
         except Exception as error:
             yield Lost(_reason(error))
             return
-        if not self._response.message_complete:
+        # Also a body that ends in order may stop in the middle of an event.
+        if not self._response.message_complete or self._response.read():
             yield Lost("the answer ended early")
 
     def _is_framed(self) -> bool:
--- a/tests/builders_scripted_server.py
+++ b/tests/builders_scripted_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -11,6 +12,10 @@
 
 # Stands in a script for the id of the request that the connection brought.
 OWN_ID = b"OWN-ID"
+# Ends a script whose connection is reset instead of closed in order.
+RESET = b"RESET"
+# Takes what was not sent yet away with the connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 EVENTS_HEAD = (
     b"HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\nContent-Type: text/event-stream\r\n"
 )
@@ -31,7 +36,10 @@
         request = sock.recv(65_536)
         self.requests.append(request)
         script = self.scripts[len(self.requests) - 1]
-        sock.sendall(script.replace(OWN_ID, _request_id(request)))
+        sent = script.removesuffix(RESET).replace(OWN_ID, _request_id(request))
+        sock.sendall(sent)
+        if script.endswith(RESET):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         # The stream server closes the connection in order when this returns.
 
 
@@ -70,22 +78,26 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def unframed(body: bytes) -> bytes:
+    """Return a successful answer that ends with its connection."""
+    lines = [b"HTTP/1.1 200 OK", b"Server-Stamp: stamp", *_id_lines(OWN_ID)]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
 def refusal(request_id: bytes = OWN_ID) -> bytes:
     """Return the answer of a server that is full."""
     return answer(503, b"full", b"Not-Run: 1", request_id=request_id)
 
 
-def stream(*events: bytes, end: bytes = END_CHUNK, framing: bytes = b"") -> bytes:
-    """Return a stream in chunks; an empty ``end`` breaks it off.
-
-    ``framing`` takes the place of the header that announces chunks, and the events then
-    stand in the body as they are.
-    """
+def unframed_stream(*events: bytes) -> bytes:
+    """Return a stream that ends with its connection."""
     lines = _id_lines(OWN_ID)
-    if framing:
-        lines.append(framing)
-        return EVENTS_HEAD + b"\r\n".join(lines) + b"\r\n\r\n" + b"".join(events)
-    lines.append(b"Transfer-Encoding: chunked")
+    return EVENTS_HEAD + b"\r\n".join(lines) + b"\r\n\r\n" + b"".join(events)
+
+
+def stream(*events: bytes, end: bytes = END_CHUNK) -> bytes:
+    """Return a stream in chunks; an empty ``end`` breaks it off."""
+    lines = [*_id_lines(OWN_ID), b"Transfer-Encoding: chunked"]
     chunks = b"".join(b"%x\r\n%b\r\n" % (len(event), event) for event in events)
     return EVENTS_HEAD + b"\r\n".join(lines) + b"\r\n\r\n" + chunks + end
 
--- /dev/null
+++ b/tests/test_short_answers.py
@@ -0,0 +1,107 @@
+"""Answers that end early: no client may take them for whole (R8)."""
+
+from __future__ import annotations
+
+import pytest
+
+from .builders_front_ends import FrontEnd, GatewayFront, ProductFront
+from .builders_scripted_server import (
+    RESET,
+    answer,
+    event,
+    refusal,
+    scripted_server,
+    stream,
+    unframed,
+    unframed_stream,
+)
+
+DONE = b"data: [DONE]\n\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+HEAD_END = b"\r\n\r\n"
+HALF_EVENT = b"id: 3\ndata: pie"
+
+
+@pytest.fixture(params=[GatewayFront, ProductFront], ids=["gateway", "product"])
+def front(request: pytest.FixtureRequest) -> FrontEnd:
+    made = request.param()
+    assert isinstance(made, FrontEnd)
+    return made
+
+
+def cuts_of_head(script: bytes) -> list[bytes]:
+    """Return all beginnings of a script that lack the end of the head."""
+    return [script[:size] for size in range(script.rindex(HEAD_END) + len(HEAD_END))]
+
+
+@pytest.mark.parametrize("events", [False, True], ids=["plain", "stream"])
+@pytest.mark.parametrize(
+    "script",
+    [
+        answer(200, b""),
+        unframed(b""),
+        unframed_stream(),
+        stream(end=b""),
+        refusal().removesuffix(b"full"),
+        INTERIM + answer(200, b""),
+    ],
+    ids=["length", "no-length", "events", "chunks", "refusal", "interim"],
+)
+def test_head_that_is_cut_anywhere_is_no_answer(
+    front: FrontEnd, script: bytes, events: bool
+) -> None:
+    """Guards against a success, and a promise, read from a part of a head."""
+    cuts = cuts_of_head(script)
+    with scripted_server(*cuts) as server:
+        answers = [front.send(server.port, events=events) for _ in cuts]
+    assert {received.status for received in answers} == {502}
+    assert len(server.requests) == len(cuts)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [answer(200, b"the whole body")[:-1], unframed(b"the whole") + RESET],
+    ids=["length", "reset"],
+)
+def test_body_that_is_cut_is_no_answer(front: FrontEnd, script: bytes) -> None:
+    """Guards against a short body that is framed as whole."""
+    with scripted_server(script) as server:
+        assert front.send(server.port).status == 502
+
+
+def test_body_without_a_length_ends_with_its_connection() -> None:
+    """Guards against a loss of answers that the platform's servers end by a close."""
+    with scripted_server(unframed(b"ran"), unframed(b"ran")) as server:
+        received = GatewayFront().send(server.port)
+        assert (received.status, received.body) == (200, b"ran")
+        # Servers of the product's own sites state where a body ends.
+        assert ProductFront().send(server.port).status == 502
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        stream(event(1), event(2), HALF_EVENT),
+        stream(event(1), event(2), HALF_EVENT, end=b""),
+        unframed_stream(event(1), event(2), HALF_EVENT),
+        unframed_stream(event(1), event(2), HALF_EVENT) + RESET,
+    ],
+    ids=["ended", "cut", "closed", "reset"],
+)
+def test_stream_that_stops_in_an_event_is_cut(front: FrontEnd, script: bytes) -> None:
+    """Guards against a stream without its last event that looks complete."""
+    with scripted_server(script) as server:
+        received = front.send(server.port, events=True)
+    assert b"pie\n" not in received.body and not received.body.endswith(HALF_EVENT)
+    assert not received.is_whole
+
+
+def test_stream_that_stops_in_an_event_goes_on_elsewhere() -> None:
+    """Guards against an event that is missing between two servers."""
+    broken = unframed_stream(event(1), event(2), HALF_EVENT)
+    with scripted_server(broken, stream(event(3))) as server:
+        received = GatewayFront().send(
+            server.port, server.port, may_repeat=True, events=True
+        )
+    assert received.body == event(1) + event(2) + event(3)
+    assert received.is_whole
