Pass a success that is no stream on whole, also on a stream route

On a stream route of the gateway a 2xx with a type other than text/event-stream lost what stands after its last blank line; a body without one came as 200 with an empty body, framed as whole.

Every 2xx on such a route was split at blank lines.

Before the changes test_success_on_a_stream_route_that_is_no_stream_is_whole fails for the gateway: b'' instead of b'{"a": 1}', and b'one\n\n' instead of b'one\n\ntwo'. The product's own interface goes by the type and passes it without a change.

A 2xx is passed on as events if the server names that type or none, else as a whole answer with its length.

--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from .servers import ServerLoad
 
+EVENT_STREAM: Final = "text/event-stream"
+
 
 @attrs.frozen
 class PromptPart:
@@ -81,3 +85,8 @@
     # The body has a content encoding, which no requester asked for.
     encoded: bool
     load: ServerLoad | None
+
+    @property
+    def holds_events(self) -> bool:
+        """Return whether the body is a series of events, as far as the server says."""
+        return self.status < 300 and self.content_type in ("", EVENT_STREAM)
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -336,7 +336,7 @@
             failure = self._note_failure(assigned, result, f"{facts.status}")
             if self._can_try_another():
                 return result, failure
-        if self.request.admission.route.kind is RouteKind.STREAM and facts.status < 300:
+        if self.request.admission.route.kind is RouteKind.STREAM and facts.holds_events:
             return self._pass_stream(assigned, answer, facts)
         return self._pass_whole(assigned, answer, facts)
 
--- a/tests/test_short_answers.py
+++ b/tests/test_short_answers.py
@@ -105,3 +105,18 @@
         )
     assert received.body == event(1) + event(2) + event(3)
     assert received.is_whole
+
+
+@pytest.mark.parametrize("body", [b'{"a": 1}', b"one\n\ntwo"], ids=["line", "parts"])
+def test_success_on_a_stream_route_that_is_no_stream_is_whole(
+    front: FrontEnd, body: bytes
+) -> None:
+    """Guards against a success whose body lacks what stands after its last blank line.
+
+    On the gateway a body without a blank line came as an empty one.
+    """
+    script = answer(200, body, b"Content-Type: application/json")
+    with scripted_server(script) as server:
+        received = front.send(server.port, events=True)
+    assert (received.status, received.body) == (200, body)
+    assert received.is_whole
