Answer 408, 429 and 503 of a server only if it says that nothing ran

A client of the gateway whose request may run once only got a server's own 408, 429 or 503 although the server did not state `Not-Run`. Clients read these as a promise that the request has not run and never will, and send it again.

`_pass_whole` passed on every failure with the server's status. The protocol says that no answer without `Not-Run` states that nothing ran.

Before the change the 6 cases of test_status_alone_promises_nothing fail: the client has the server's status instead of 502.

On routes whose requests may run once only, such an answer counts as a failed send, which ends with the gateway's own 502 without `Server-Stamp`. Requests that may be repeated keep the server's answer, since nothing is lost if they run twice. Other failures are passed on as before, as test_failure_of_a_server_is_passed_on_whole shows. In the product's interface a service's status is the service's own word to its callers and stays as it is.

--- a/src/siskinspool/gateway/answer_verdict.py
+++ b/src/siskinspool/gateway/answer_verdict.py
@@ -19,6 +19,20 @@
 from .request import AnswerFacts
 
 LEAST_FAILURE_STATUS: Final = 400
+# Requesters read these as a promise that the request has not run and never will.
+PROMISES: Final = frozenset({408, 421, 429, 503})
+
+
+@attrs.frozen(kw_only=True)
+class Sent:
+    """What an answer is compared with."""
+
+    request_id: str
+    server_id: str
+    # The request may run more than once.
+    idempotent: bool
+    # The answer with which the requester's stream began; None before it has.
+    begun: AnswerFacts | None
 
 
 @attrs.frozen
@@ -37,20 +51,19 @@
     detail: str
 
 
-def judge_answer(
-    facts: AnswerFacts, request_id: str, server_id: str, begun: AnswerFacts | None
-) -> NotRun | Unusable | None:
-    """Return why an answer to a request cannot be used; None if it can.
-
-    ``begun`` is the answer with which the requester's stream began, if it has.
-    """
-    if facts.request_id != request_id:
+def judge_answer(facts: AnswerFacts, sent: Sent) -> NotRun | Unusable | None:
+    """Return why an answer to a request cannot be used; None if it can."""
+    if facts.request_id != sent.request_id:
         return Unusable(AttemptResult.LOST, "the answer to another request")
     if facts.not_run:
-        return NotRun(_refused(facts, server_id), f"{facts.status}")
+        return NotRun(_refused(facts, sent.server_id), f"{facts.status}")
     if facts.encoded:
         return Unusable(AttemptResult.LOST, "the answer is encoded")
-    if begun is not None and not _goes_on(begun, facts):
+    if facts.status in PROMISES and not sent.idempotent:
+        # Only `Not-Run` states that nothing ran, so the requester must not read it from
+        # the status.
+        return Unusable(AttemptResult.FAILED, f"{facts.status} without a statement")
+    if sent.begun is not None and not _goes_on(sent.begun, facts):
         failed = facts.status >= LEAST_FAILURE_STATUS
         result = AttemptResult.FAILED if failed else AttemptResult.LOST
         return Unusable(result, f"{facts.status} {facts.content_type} in a stream")
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -25,7 +25,7 @@
 from ..links.answer_sink import AnswerSink
 from ..links.backend import Answer, Lost, NotSent, ServerRequest
 from ..telemetry.logs import log_event
-from .answer_verdict import NotRun, judge_answer
+from .answer_verdict import NotRun, Sent, judge_answer
 from .desired_state import RouteKind
 from .event_stream import StreamPosition
 from .gateway_metrics import RequestMeasured
@@ -277,9 +277,7 @@
             answer = opened
             facts = self._context.codec.decode_answer(answer.status, answer.headers)
             load = facts.load
-            verdict = judge_answer(
-                facts, self.request.head.request_id, assigned.server_id, self._begun
-            )
+            verdict = judge_answer(facts, self._sent_to(assigned))
             if isinstance(verdict, NotRun):
                 # Such a server does not count for the route's limit, which is about
                 # servers that run a request.
@@ -326,6 +324,14 @@
         )
         return self._context.link.open_call(request, remaining_s)
 
+    def _sent_to(self, assigned: ServerAssigned) -> Sent:
+        return Sent(
+            request_id=self.request.head.request_id,
+            server_id=assigned.server_id,
+            idempotent=self.request.admission.route.idempotent,
+            begun=self._begun,
+        )
+
     def _take_answer(
         self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
     ) -> tuple[AttemptResult, _Done | _Retry]:
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -85,6 +85,30 @@
     assert (received.status, received.body) == (200, b"ran")
 
 
+@pytest.mark.parametrize("events", [False, True], ids=["plain", "stream"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_alone_promises_nothing(status: int, events: bool) -> None:
+    """Guards against 'not run' for a request that a server may have run.
+
+    What may run once only is not sent again either.
+    """
+    script = answer(status, b"busy")
+    with scripted_server(script, answer(200, b"ran again")) as server:
+        received = GatewayFront().send(server.port, server.port, events=events)
+    assert received.status == 502
+    assert "server-stamp" not in received.headers
+    assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize("status", [400, 404, 500, 504])
+def test_failure_of_a_server_is_passed_on_whole(front: FrontEnd, status: int) -> None:
+    """Guards against a server's failure with another status or body."""
+    with scripted_server(answer(status, b"why")) as server:
+        received = front.send(server.port)
+    assert (received.status, received.body) == (status, b"why")
+    assert received.headers["server-stamp"] == "stamp"
+
+
 # A stream that breaks off after its second event.
 BROKEN = stream(event(1), event(2), end=b"")
 NO_CONTINUATION = {
