--- a/tests/builders_front_ends.py
+++ b/tests/builders_front_ends.py
@@ -13,6 +13,12 @@
 import gevent
 
 from siskinspool.contracts.call import Call
+from siskinspool.contracts.claim_messages import (
+    ClaimCall,
+    ClaimGranted,
+    ClaimRecorded,
+    FinishClaim,
+)
 from siskinspool.contracts.retry import RetryBudget
 from siskinspool.core.clock import Clock, MonotonicClock
 from siskinspool.core.dispatcher import Dispatcher, Inbox
@@ -93,6 +99,29 @@
         return None
 
 
+class _Claims(Inbox):
+    """Grants each claim and keeps the outcomes that calls record."""
+
+    def __init__(self, dispatcher: Dispatcher, finished: list[FinishClaim]) -> None:
+        self._dispatcher = dispatcher
+        self._finished = finished
+        dispatcher.register("claims", self)
+
+    def post(self, incoming: Incoming) -> bool:
+        """Grant a claim, or keep an outcome."""
+        message = incoming.message
+        reply: Message | None = None
+        if isinstance(message, ClaimCall):
+            reply = ClaimGranted(message.token)
+        if isinstance(message, FinishClaim):
+            self._finished.append(message)
+            reply = ClaimRecorded(message.token)
+        if reply is not None:
+            sender = self._dispatcher.address("claims")
+            self._dispatcher.send(sender, Outgoing(incoming.sender, reply))
+        return True
+
+
 class FrontEnd(ABC):
     """A front end whose requests reach the servers of a test."""
 
@@ -140,12 +169,19 @@
 class ProductFront(FrontEnd):
     """The product's own front end."""
 
+    def __init__(self, idempotency_key: str = "") -> None:
+        """Take the key that each call carries; empty for none."""
+        self._idempotency_key = idempotency_key
+        # What is recorded for later calls with the key.
+        self.finished: list[FinishClaim] = []
+
     def send(
         self, *ports: int, may_repeat: bool = False, events: bool = False
     ) -> Received:
         """Send a request; it reaches servers on these ports, one after another."""
         dispatcher, clock = Dispatcher("i1"), MonotonicClock()
         _Assigner(dispatcher, "routing", list(ports))
+        _Claims(dispatcher, self.finished)
         context = CallContext(
             dispatcher=dispatcher,
             clock=clock,
@@ -153,7 +189,8 @@
             retries=RetryBudget(),
         )
         sink = CallerSink()
-        CallTask(_call(clock, may_repeat, events), context, sink).start()
+        call = _call(clock, may_repeat, events, self._idempotency_key)
+        CallTask(call, context, sink).start()
         return _receive(sink)
 
 
@@ -184,7 +221,7 @@
     )
 
 
-def _call(clock: Clock, may_repeat: bool, events: bool) -> Call:
+def _call(clock: Clock, may_repeat: bool, events: bool, key: str) -> Call:
     return Call(
         id="c1",
         team="",
@@ -195,7 +232,7 @@
         request_class=RequestClass.URGENT,
         deadline_at=clock.now() + TIMEOUT_S,
         idempotent=may_repeat,
-        idempotency_key="",
+        idempotency_key=key,
         estimate_tokens=0,
         streamed=events,
         method="POST",
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -109,6 +109,33 @@
     assert received.headers["server-stamp"] == "stamp"
 
 
+@pytest.mark.parametrize(
+    ("script", "status"),
+    [
+        (answer(200, b"ran") + refusal(), 200),
+        (answer(200, b"ran") + refusal(OTHER_ID), 200),
+        (answer(503, b"full", request_id=OTHER_ID), 502),
+        (answer(200, b"ran")[:-1], 502),
+        (answer(200, b"ran")[:20], 502),
+    ],
+    ids=["own-after", "other-after", "other", "short-body", "short-head"],
+)
+def test_calls_with_a_key_record_what_the_server_answered(
+    script: bytes, status: int
+) -> None:
+    """Guards against a wrong outcome that all later calls with the key get."""
+    front = ProductFront(idempotency_key="k1")
+    with scripted_server(script) as server:
+        received = front.send(server.port)
+    recorded = [(one.status, one.body) for one in front.finished]
+    assert recorded == [(received.status, received.body)]
+    assert received.status == status
+    if status == 200:
+        assert received.body == b"ran"
+    else:
+        assert b'"run": "unknown"' in received.body
+
+
 # A stream that breaks off after its second event.
 BROKEN = stream(event(1), event(2), end=b"")
 NO_CONTINUATION = {
