--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from .servers import ServerLoad
 
+EVENT_STREAM: Final = "text/event-stream"
+
 
 @attrs.frozen
 class PromptPart:
@@ -76,6 +80,13 @@
     misdirected: bool
     # The server that answers; empty if it does not say.
     server_id: str
+    # Media type of the body in lower case; empty if the server does not say.
+    content_type: str
     # The body has a content encoding, which no requester asked for.
     encoded: bool
     load: ServerLoad | None
+
+    @property
+    def holds_events(self) -> bool:
+        """Return whether the body is a series of events, as far as the server says."""
+        return self.status < 300 and self.content_type in ("", EVENT_STREAM)
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -25,8 +25,9 @@
 from ..links.answer_sink import AnswerSink
 from ..links.backend import Answer, Lost, NotSent, ServerRequest
 from ..telemetry.logs import log_event
+from .answer_verdict import NotRun, Sent, judge_answer
 from .desired_state import RouteKind
-from .event_stream import EVENT_END, StreamPosition
+from .event_stream import StreamPosition
 from .gateway_metrics import RequestMeasured
 from .messages import (
     CAPS_TASK,
@@ -109,7 +110,8 @@
         self._arrived = False
         # A server may have run the request.
         self._may_have_run = False
-        self._begun = False
+        # The answer with which a stream to the requester began.
+        self._begun: AnswerFacts | None = None
         self._first_byte_at: float | None = None
         self._greenlet: gevent.Greenlet[..., None] | None = None
 
@@ -277,11 +279,15 @@
             answer = opened
             facts = self._context.codec.decode_answer(answer.status, answer.headers)
             load = facts.load
-            if facts.not_run:
+            verdict = judge_answer(facts, self._sent_to(assigned))
+            if isinstance(verdict, NotRun):
                 # Such a server does not count for the route's limit, which is about
                 # servers that run a request.
                 self._runs -= 1
                 self._may_have_run = ran_before
+            if verdict is not None:
+                result = verdict.result
+                return self._note_failure(assigned, result, verdict.detail)
             result, outcome = self._take_answer(assigned, answer, facts)
             return outcome
         finally:
@@ -320,29 +326,26 @@
         )
         return self._context.link.open_call(request, remaining_s)
 
+    def _sent_to(self, assigned: ServerAssigned) -> Sent:
+        return Sent(
+            request_id=self.request.head.request_id,
+            server_id=assigned.server_id,
+            idempotent=self.request.admission.route.idempotent,
+            begun=self._begun,
+        )
+
     def _take_answer(
         self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
     ) -> tuple[AttemptResult, _Done | _Retry]:
-        """Decide on an answer by its head and pass on what belongs to the requester."""
-        if facts.not_run:
-            result = AttemptResult.REJECTED
-            if facts.misdirected:
-                other = facts.server_id not in ("", assigned.server_id)
-                result = (
-                    AttemptResult.WRONG_SERVER if other else AttemptResult.MODEL_MISSING
-                )
-            return result, self._note_failure(assigned, result, f"{facts.status}")
-        if facts.request_id != self.request.head.request_id or facts.encoded:
-            result = AttemptResult.LOST
-            return result, self._note_failure(assigned, result, "not this answer")
+        """Pass an answer on, or leave it if another server may do better."""
         if facts.status >= SERVER_ERROR and self._may_repeat():
             # The answer is kept in case no other server does better.
             result = AttemptResult.FAILED
             failure = self._note_failure(assigned, result, f"{facts.status}")
             if self._can_try_another():
                 return result, failure
-        if self.request.admission.route.kind is RouteKind.STREAM and facts.status < 300:
-            return self._pass_stream(assigned, answer)
+        if self.request.admission.route.kind is RouteKind.STREAM and facts.holds_events:
+            return self._pass_stream(assigned, answer, facts)
         return self._pass_whole(assigned, answer, facts)
 
     def _pass_whole(
@@ -360,32 +363,33 @@
         return (AttemptResult.FAILED if failed else AttemptResult.ANSWERED), _Done()
 
     def _pass_stream(
-        self, assigned: ServerAssigned, answer: Answer
+        self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
     ) -> tuple[AttemptResult, _Done | _Retry]:
         for event in answer.events():
-            if isinstance(event, Lost) or not event.endswith(EVENT_END):
-                reason = event.reason if isinstance(event, Lost) else "half an event"
+            if isinstance(event, Lost):
                 result = AttemptResult.LOST
-                return result, self._note_failure(assigned, result, reason)
+                return result, self._note_failure(assigned, result, event.reason)
             if self._position.leaves_gap(event):
                 result = AttemptResult.LOST
                 return result, self._note_failure(assigned, result, "a gap in ids")
             if self._position.accepts(event):
-                self._begin(assigned, answer)
+                self._begin(assigned, answer, facts)
                 self._sink.event(event)
-        self._begin(assigned, answer)
+        self._begin(assigned, answer, facts)
         self._sink.end()
         self._log_end("ok", assigned.server_id)
         return AttemptResult.ANSWERED, _Done()
 
-    def _begin(self, assigned: ServerAssigned, answer: Answer) -> None:
+    def _begin(
+        self, assigned: ServerAssigned, answer: Answer, facts: AnswerFacts
+    ) -> None:
         if self._first_byte_at is None:
             self._first_byte_at = self._now()
             seen = FirstEventSeen(self.request.head.request_id, assigned.server_id)
             self._tell(seen)
-        if not self._begun:
+        if self._begun is None:
             # A stream that goes on elsewhere keeps the headers of its first server.
-            self._begun = True
+            self._begun = facts
             headers = self._context.codec.answer_headers(answer.headers)
             self._sink.begin(answer.status, headers)
 
@@ -395,7 +399,7 @@
         route = self.request.admission.route
         if not route.idempotent:
             return False
-        return not self._begun or self._position.last_id is not None
+        return self._begun is None or self._position.last_id is not None
 
     def _can_try_another(self) -> bool:
         route = self.request.admission.route
--- a/src/siskinspool/links/backend.py
+++ b/src/siskinspool/links/backend.py
@@ -8,6 +8,7 @@
 `open_call` sends once. `NotSent` means that no byte of the request left; after that,
 every failure is `Lost`: the server may have run the call. A server in trouble may send
 bytes without end, so head, body and each event have a limit, and the head a time limit.
+What it sends after its answer belongs to no call and is dropped (`ServerResponse`).
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 import attrs
 import gevent
 from gevent import socket
-from geventhttpclient.response import HTTPSocketResponse
+
+from .server_response import ServerResponse
 
 CONNECT_TIMEOUT_S: Final = 1.0
 EVENT_END: Final = b"\n\n"
@@ -62,7 +64,7 @@
 
 
 class _LimitedSocket:
-    """A socket that receives no more than it is allowed; for `HTTPSocketResponse`."""
+    """A socket that receives no more than it is allowed; for `ServerResponse`."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
@@ -97,7 +99,7 @@
 
     @abstractmethod
     def events(self) -> Iterator[bytes | Lost]:
-        """Yield server-sent events; a Lost, if any, is the last item."""
+        """Yield whole server-sent events; a Lost, if any, is the last item."""
 
     @abstractmethod
     def close(self) -> None:
@@ -108,7 +110,7 @@
     """An answer on a connection of its own."""
 
     def __init__(
-        self, sock: _LimitedSocket, response: HTTPSocketResponse, *, ends_by_close: bool
+        self, sock: _LimitedSocket, response: ServerResponse, *, ends_by_close: bool
     ) -> None:
         """Take the connection; ``ends_by_close`` accepts answers without a length."""
         self._sock = sock
@@ -135,7 +137,7 @@
         return body
 
     def events(self) -> Iterator[bytes | Lost]:
-        """Yield server-sent events; a Lost, if any, is the last item."""
+        """Yield whole server-sent events; a Lost, if any, is the last item."""
         self._sock.allow(MAX_EVENT_BYTES)
         try:
             while event := self._response.readline(EVENT_END):
@@ -144,7 +146,8 @@
         except Exception as error:
             yield Lost(_reason(error))
             return
-        if not self._response.message_complete:
+        # Also a body that ends in order may stop in the middle of an event.
+        if not self._response.message_complete or self._response.read():
             yield Lost("the answer ended early")
 
     def _is_framed(self) -> bool:
@@ -205,7 +208,7 @@
             limited.allow(MAX_HEAD_BYTES)
             # The socket's timeout is for one read; bytes may come one by one.
             with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
-                response = HTTPSocketResponse(
+                response = ServerResponse(
                     cast(socket.socket, limited), method=request.method
                 )
         except Exception as error:
