Begin with three loads at a time from the weight store

What callers saw: on the grown sites, whose stores carry two or three loads at a time, the leader began with four.

Cause: FIRST_LIMIT was what the fastest store carries.

The limit starts at three and rises as before. Where the store carries four, one load on time comes first, so the fourth begins as the first three end, one load's time later. Where it carries three nothing is slow. Where it carries two, no load takes twice its time: the third takes half as long again, by the rule that a load's time is settled by those that run as it begins, and its lateness shows the limit of two.

--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -25,7 +25,7 @@
 logger = logging.getLogger(__name__)
 
 # Before the first load has ended.
-FIRST_LIMIT: Final = 4
+FIRST_LIMIT: Final = 3
 # A load that takes longer than this share of its time was slowed down; the rest is
 # the time until its end is seen.
 SLOW_SHARE: Final = 1.15
