--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -206,9 +206,9 @@
         ends_in_s = [abs(end - now) for end in (*ends, *self._lost_until)]
         ends_in_s += beside_s
         heapify(ends_in_s)
-        begin_s = 0.0
+        limit, begin_s = self.limit, 0.0
         for load_s in (*queued_s, 0.0):
-            while len(ends_in_s) >= self.limit:
+            while len(ends_in_s) >= limit:
                 begin_s = max(begin_s, heappop(ends_in_s))
             heappush(ends_in_s, begin_s + load_s)
         return begin_s
--- a/src/siskinspool/gateway/store_turns.py
+++ b/src/siskinspool/gateway/store_turns.py
@@ -62,29 +62,24 @@
         ):
             return 0.0
         rank = self._rank(spec.name, waiting, now)
-        ordered = {one.ordered_store_load for one in self.servers}
-        rank_by_model: dict[str, TurnRank] = {}
-        for _, goal in self._goals():
-            found = self._rank(goal.model, goal.waiting, now)
-            if found >= rank and goal.model not in ordered | {spec.name}:
-                best = rank_by_model.get(goal.model, found)
-                rank_by_model[goal.model] = max(best, found)
-        queue = sorted(rank_by_model, key=rank_by_model.__getitem__, reverse=True)
-        return self.store.wait_s(
-            (self._store_load_s(model) + SWAP_S for model in queue),
-            now,
-            self._uncounted_s(now),
+        ordered = {model for one in self.servers if (model := one.ordered_store_load)}
+        passed = ordered | {spec.name}
+        # Loads take much the same time, so their order changes little.
+        ahead = dict.fromkeys(
+            goal.model
+            for _, goal in self._goals()
+            if goal.model not in passed
+            and self._rank(goal.model, goal.waiting, now) >= rank
         )
-
-    def _uncounted_s(self, now: float) -> list[float]:
-        """Return when loads end that are not in the account of the store yet."""
-        return [
-            server.busy_s(self.engine, now)
-            if server.has_unknown_order
-            else self._store_load_s(server.ordered_store_load)
-            for server in self.servers
-            if server.has_unknown_order or server.ordered_store_load
+        # Loads that are not in the account of the store yet.
+        beside_s = [self._store_load_s(model) for model in ordered]
+        beside_s += [
+            one.busy_s(self.engine, now)
+            for one in self.servers
+            if one.has_unknown_order
         ]
+        queued_s = (self._store_load_s(model) + SWAP_S for model in ahead)
+        return self.store.wait_s(queued_s, now, beside_s)
 
     def _store_load_s(self, model: str) -> float:
         spec = self.engine.model_by_name.get(model)
