Take a fleet with a lapsed entry for incomplete

A leader loaded models ahead from the weight store at the next tick after an entry of the registry had gone, though a server had them on its disk. An entry that lapses while the platform's store is away is back within two seconds, and only servers that joined counted for `is_complete`, not those that had gone.

The removal of an entry that was ready now begins the quiet time, too. test_nothing_is_loaded_ahead_while_a_lapsed_entry_may_come_back failed before: the leader ordered m8 from the store, of which the lapsed server had a copy.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -28,8 +28,9 @@
 
 logger = logging.getLogger(__name__)
 
-# After a start servers register one by one, each with its next heartbeat. The fleet is
-# taken for complete when none has joined for this long.
+# After a start servers register one by one, each with its next heartbeat, and an entry
+# that lapsed while the platform's store was away is back within two seconds. The fleet
+# is taken for complete when none has joined or lapsed for this long.
 JOIN_QUIET_S: Final = 2.0
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
@@ -48,8 +49,8 @@
         self._shortages_by_service: dict[str, Shortages] = {}
         # Loads that an earlier leader began.
         self._inherited_by_server: dict[str, LoadEntry] = {}
-        # When a server of a service was last seen for the first time.
-        self._joined_at_by_service: dict[str, float] = {}
+        # When a server of a service last joined, or lapsed without having drained.
+        self._changed_at_by_service: dict[str, float] = {}
 
     def take_change(self, message: object, sender: str, now: float) -> bool:
         """Take in a change of the site or its demand; return whether it is one."""
@@ -61,7 +62,7 @@
             case ServerRecord() as record:
                 self._take_record(record, now)
             case ServerRemoved(server_id):
-                self.server_by_id.pop(server_id, None)
+                self._remove_server(server_id, now)
             case ZoneEvacuated(zone, evacuated):
                 change = self._evacuated_zones
                 change.add(zone) if evacuated else change.discard(zone)
@@ -78,10 +79,15 @@
         if server is None:
             server = ManagedServer(record=record, holdings=record.holdings)
             self.server_by_id[record.server_id] = server
-            self._joined_at_by_service[record.service] = now
+            self._changed_at_by_service[record.service] = now
         else:
             server.take_record(record, now)
 
+    def _remove_server(self, server_id: str, now: float) -> None:
+        server = self.server_by_id.pop(server_id, None)
+        if server is not None and server.record.state is ServerState.READY:
+            self._changed_at_by_service[server.record.service] = now
+
     def _take_desired(self, desired: DesiredState) -> None:
         self.engine_by_service = {
             service.name: service.engine
@@ -158,7 +164,7 @@
             and server.record.state is ServerState.READY
             and server.record.zone not in self._evacuated_zones
         ]
-        joined_at = self._joined_at_by_service.get(service, now)
+        changed_at = self._changed_at_by_service.get(service, now)
         return ServiceFleet(
             engine,
             [server for server in staying if server.is_usable(now)],
@@ -166,7 +172,7 @@
             self.store_loads(service),
             self.shortages(service),
             staying=staying,
-            is_complete=now >= joined_at + JOIN_QUIET_S,
+            is_complete=now >= changed_at + JOIN_QUIET_S,
         )
 
     def fleets(self, now: float) -> list[ServiceFleet]:
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -6,6 +6,7 @@
 from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.managed_site import JOIN_QUIET_S
 from siskinspool.gateway.messages import OrderKind, ServerOrder
+from siskinspool.gateway.servers import ServerRemoved
 
 from .builders_gateway import desired_state, engine, holdings, server
 from .builders_placement_office import Office, orders
@@ -109,3 +110,19 @@
     only = managed("s1", "m0", on_disk="m1")
     copies = FleetCopies(SPEC, [only])
     assert copies.only_copies_lost(only, "m1", ("m0",)) == 1
+
+
+def test_nothing_is_loaded_ahead_while_a_lapsed_entry_may_come_back() -> None:
+    """Guards against loads from the store of models that a lapsed server has.
+
+    Entries that lapse while the platform's store is away are back within two seconds.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=SPEC))
+    office.add("s1", on_disk=frozenset(MODELS[:8]))
+    office.add("s2", on_disk=frozenset(MODELS[8:]))
+    office.take_office()
+    assert not loads(wait(office, JOIN_QUIET_S + 0.5))
+    office.tell(ServerRemoved("s2"))
+    assert not loads(wait(office, JOIN_QUIET_S - 0.5))
+    assert loads(wait(office, 1.0))
