Keep the later of two entries for a load of an earlier leader

A new leader that reads the ledger after its predecessor has handed its loads over replaced the newer entry of a server by the ledger's older one, which the server's report does not confirm. The load stayed unknown, and its model was ordered from another server. The ledger lags behind exactly when a leader that is cut off from the platform's store hands over.

An entry is replaced only by one that is not older, by the server's start and its count of orders. test_ledger_read_late_does_not_hide_a_load_that_was_handed_over failed before: m1 was loaded twice.

--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -41,6 +41,11 @@
     # When it is expected to end, in seconds of Unix time; clocks may differ by seconds.
     ends_at_unix_s: int = attrs.field(eq=False)
 
+    def is_later_than(self, other: LoadEntry) -> bool:
+        """Return whether the order of this load was accepted after that of another."""
+        own = (self.born_ms or 0, self.order_count)
+        return own > (other.born_ms or 0, other.order_count)
+
 
 @attrs.frozen
 class ServiceLoads:
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -241,7 +241,10 @@
         for service, found in loads_by_service.items():
             self.store_loads(service).inherit(found.limit, now)
             for entry in found.loads:
-                self._inherited_by_server[entry.server_id] = entry
+                known = self._inherited_by_server.get(entry.server_id)
+                if known is None or not known.is_later_than(entry):
+                    # The ledger may be read after a newer entry was handed over.
+                    self._inherited_by_server[entry.server_id] = entry
         for server in self.server_by_id.values():
             self.resume_load(server, now)
 
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -174,3 +174,19 @@
     """Guards against a leader that ends on what it cannot read."""
     assert decode_loads(b"\xff") == {}
     assert decode_loads(b'{"writers": {"limit": 0, "loads": []}}') == {}
+
+
+def test_ledger_read_late_does_not_hide_a_load_that_was_handed_over() -> None:
+    """Guards against an old entry that takes the place of a newer one."""
+    office = office_with_servers(busy=True)
+    read = requests(office.take_office())[0]
+    # The report is read only as a requester asks.
+    newer = LoadEntry("s0", 1, "m1", 2, ends_in(4))
+    handed = {"writers": ServiceLoads(2, frozenset({newer}))}
+    office.tell(LoadsHandedOver(handed), "g1")
+    older = LoadEntry("s0", 1, "m3", 1, ends_in(0))
+    value = encode_loads({"writers": ServiceLoads(2, frozenset({older}))})
+    office.tell(KvValue(read.request_id, LEDGER_KEY, value, 9))
+    office.tell(DemandSeen("writers", {"m0": 100}))
+    answer = office.want("m1", reach_s=(11.0,))
+    assert "m1" not in {one.model for one in orders(answer + office.wait(0.3))}
