Hand over the orders to load that have no answer yet

A leader that loses its office while an order is on its way told its successor nothing of that load, and its ledger lacked it too, since only accepted orders counted. The successor would see a busy server with an unknown order and load the model a second time elsewhere.

An order without an answer is now an entry with the count of orders that it leads to. If the server refuses it, the entry matches no report and does no harm; if it accepts it, ledger and entry are equal, so no write is added. test_order_without_an_answer_is_handed_over failed before: nothing was handed over.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -220,22 +220,37 @@
             service: ServiceLoads(
                 store.limit,
                 frozenset(
-                    LoadEntry(
-                        server_id,
-                        server.holdings.born_ms,
-                        server.loading,
-                        server.order_count,
-                        round(unix_s + store.ends_at(server_id)),
-                    )
-                    for server_id in store.servers()
-                    if (server := self.server_by_id.get(server_id)) is not None
-                    and server.loading is not None
-                    and server.order_count is not None
+                    entry
+                    for server in self.server_by_id.values()
+                    if server.record.service == service
+                    and (entry := self._load_entry(server, store, unix_s, now))
                 ),
             )
             for service, store in self._store_by_service.items()
         }
 
+    def _load_entry(
+        self, server: ManagedServer, store: StoreLoads, unix_s: float, now: float
+    ) -> LoadEntry | None:
+        """Return the load from the store of a server, or None without one.
+
+        The server may carry out an order that has no answer yet.
+        """
+        engine = self.engine_by_service.get(server.record.service)
+        server_id, born_ms = server.record.server_id, server.holdings.born_ms
+        if server.order is not None and server.begins_store_load and engine is not None:
+            order = server.order
+            spec = engine.model_by_name.get(order.model)
+            load_s = 0.0 if spec is None else spec.store_load_s
+            ends_at = round(unix_s + now + load_s)
+            count = order.expected_count + 1
+            return LoadEntry(server_id, born_ms, order.model, count, ends_at)
+        loading, known = server.loading, server.order_count
+        if loading is None or known is None or not store.is_loading(server_id):
+            return None
+        ends_at = round(unix_s + store.ends_at(server_id))
+        return LoadEntry(server_id, born_ms, loading, known, ends_at)
+
     def inherit(self, loads_by_service: LoadsByService, now: float) -> None:
         """Take over what an earlier leader has written of its loads."""
         for service, found in loads_by_service.items():
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -74,6 +74,10 @@
         """Return the servers that load."""
         return tuple(self._running_by_server)
 
+    def is_loading(self, server_id: str) -> bool:
+        """Return whether a server loads."""
+        return server_id in self._running_by_server
+
     def begin(self, server_id: str, full_speed_s: float, now: float) -> float:
         """Record that a server has begun a load; return how long it is to take."""
         at_once = self.running + 1
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -190,3 +190,17 @@
     office.tell(DemandSeen("writers", {"m0": 100}))
     answer = office.want("m1", reach_s=(11.0,))
     assert "m1" not in {one.model for one in orders(answer + office.wait(0.3))}
+
+
+def test_order_without_an_answer_is_handed_over() -> None:
+    """Guards against a second load of a model whose order was on its way."""
+    old = office_with_servers(busy=False)
+    old.take_office()
+    old.tell(DemandSeen("writers", {"m0": 100}))
+    order = orders(old.want("m1", reach_s=(11.0,)))[0]
+    told = old.tell(LeadershipLost("g3"))
+    handed = [one for one in told if isinstance(one, LoadsHandedOver)]
+    entries = handed[0].loads_by_service["writers"].loads
+    assert [(one.server_id, one.model, one.order_count) for one in entries] == [
+        (order.server_id, "m1", order.expected_count + 1)
+    ]
