Move no plan that an earlier move has dropped or begun

The plans to move are listed once for a tick, but each move lets its server take the next step, which may drop a goal that nobody asks for any more, move a void one or begin another. A later entry of the list then named a goal that its server no longer had: the removal raised ValueError in the placement task, or a plan whose order was under way went to a second server.

Each goal is looked up again as its turn comes. test_goal_that_went_with_an_earlier_move_does_not_move failed before.

--- a/src/siskinspool/gateway/plan_moves.py
+++ b/src/siskinspool/gateway/plan_moves.py
@@ -31,12 +31,15 @@
 def plan_moves(fleet: ServiceFleet, now: float) -> Iterator[PlanMove]:
     """Yield the goals for the weight store that move; each before the next is found."""
     for server, goal in fleet.turns.due_on_busy_servers(now):
+        if not _still_waits(server, goal):
+            continue
         choice = fleet.idle_choice(goal, now)
         if choice is not None:
             yield PlanMove(server, goal, choice, "server_busy")
     for server, goal in fleet.turns.waiting():
         if (
-            goal.is_own
+            not _still_waits(server, goal)
+            or goal.is_own
             or fleet.replicas(goal.model)
             or not fleet.copies.count(goal.model)
         ):
@@ -44,3 +47,11 @@
         choice = fleet.better_choice(server, goal, now)
         if choice is not None and not choice.server.needs_store(goal.model):
             yield PlanMove(server, goal, choice, "copy_there")
+
+
+def _still_waits(server: ManagedServer, goal: Goal) -> bool:
+    """Return whether a goal is still there and not begun after the moves before it.
+
+    A move lets a server take its next step, which may begin, drop or move other goals.
+    """
+    return not goal.begun and any(goal is other for other in server.goals)
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from siskinspool.gateway.demand import Demand
+from siskinspool.gateway.goal import Goal
+from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.messages import (
     DemandSeen,
     ModelExpected,
@@ -9,9 +12,11 @@
     OrderResult,
     ServerOrder,
 )
+from siskinspool.gateway.placement_choice import ServiceFleet
+from siskinspool.gateway.plan_moves import plan_moves
 from siskinspool.gateway.servers import ZoneEvacuated
 
-from .builders_gateway import desired_state, engine, holdings
+from .builders_gateway import desired_state, engine, holdings, server
 from .builders_placement_office import Office, orders
 
 ALL_MODELS = frozenset(f"m{number}" for number in range(6))
@@ -293,3 +298,27 @@
     office.tell(ZoneEvacuated("b", False))
     found = orders(office.wait(0.25))
     assert [(order.model, order.server_id) for order in found] == [("m5", "s2")]
+
+
+def test_goal_that_went_with_an_earlier_move_does_not_move() -> None:
+    """Guards against a leader that ends as it removes a goal which is gone.
+
+    The step of a server that takes over a plan drops the goals that nobody asks for.
+    """
+    spec = engine(*ALL_MODELS, weights_mb=75_000.0)
+    on_disk = [frozenset[str](), frozenset[str](), frozenset({"m4", "m5"})]
+    servers = [
+        ManagedServer(
+            record=server(f"s{number}"), holdings=holdings(count=0, on_disk=found)
+        )
+        for number, found in enumerate(on_disk)
+    ]
+    for one, model in zip(servers, ("m4", "m5"), strict=False):
+        one.goals.append(Goal(model, "", {"g2": 1}, 100.0))
+    fleet = ServiceFleet(spec, servers, Demand(), staying=servers)
+    moves = plan_moves(fleet, 100.0)
+    first = next(moves)
+    assert (first.goal.model, first.choice.server.record.server_id) == ("m4", "s2")
+    servers[1].goals.append(Goal("m3", "", {"g2": 1}, 100.0))
+    servers[1].goals.popleft()
+    assert list(moves) == []
