Keep the requesters that a new leader hears of before its own term

Gateways tell a new leader once of refused requesters that are to return, as they see its key. If that comes before the leader itself hears of its term, the start of the term cleared all shortages, and those requesters were counted by nobody until they returned.

Shortages with a requester that can still be served are kept now. Gateways tell the leader before of changes, too, so what an earlier term has left is true. test_requesters_told_before_the_term_is_known_here_count failed before: no model was short.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -304,10 +304,12 @@
                 if server is None or server.loading is None:
                     store.lose(server_id)
 
-    def forget_plans(self) -> None:
+    def forget_plans(self, now: float) -> None:
         """Begin a new time in office."""
         self._store_by_service.clear()
-        self._shortages_by_service.clear()
+        # Gateways may see the leader's key first, and tell each requester once.
+        for shortages in self._shortages_by_service.values():
+            shortages.forget_left(now)
         self._inherited_by_server.clear()
         for server in self.server_by_id.values():
             server.forget_plans()
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -469,7 +469,7 @@
             case LeadershipHeld(epoch, from_s):
                 self._office.begin(epoch, from_s)
                 self._planner.begin_office()
-                self._site.forget_plans()
+                self._site.forget_plans(now)
                 self._next_tick_at = now
                 read = self._ledger.begin_office(now)
                 return [Outgoing(Address(self._id, KV_TASK), read)]
--- a/src/siskinspool/gateway/shortage.py
+++ b/src/siskinspool/gateway/shortage.py
@@ -94,6 +94,14 @@
         if shortage := self._by_model.get(model):
             shortage.take(source, reach_s, fresh_reach_s, now)
 
+    def forget_left(self, now: float) -> None:
+        """Forget the models all of whose known requesters have left."""
+        self._by_model = {
+            model: shortage
+            for model, shortage in self._by_model.items()
+            if shortage.reachable(now)
+        }
+
     def end(self, model: str) -> Shortage | None:
         """Return the shortage of a model that is ready now, and forget it."""
         return self._by_model.pop(model, None)
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -285,3 +285,17 @@
     assert len(ended) == 1
     assert "model=m1 server=s1 short_s=6.2 asked=2 reachable=2" in ended[0]
     assert office.decision.gauges()["placement.models_short"] == 0
+
+
+def test_requesters_told_before_the_term_is_known_here_count() -> None:
+    """Guards against requesters that are told once, to a leader that forgets them.
+
+    Gateways may see the leader's key before the leader itself hears of its term.
+    """
+    office = Office()
+    spec = engine("m0", "m1", weights_mb=145_000.0)
+    office.tell(desired_state(engine_spec=spec))
+    office.add("s1", "m0", on_disk=frozenset({"m0"}))
+    office.tell(RequestersSeen(*MODEL, (10.9,)))
+    office.take_office()
+    assert office.decision.gauges()["placement.models_short"] == 1
