--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -28,8 +28,9 @@
 
 logger = logging.getLogger(__name__)
 
-# After a start servers register one by one, each with its next heartbeat. The fleet is
-# taken for complete when none has joined for this long.
+# After a start servers register one by one, each with its next heartbeat, and an entry
+# that lapsed while the platform's store was away is back within two seconds. The fleet
+# is taken for complete when none has joined or lapsed for this long.
 JOIN_QUIET_S: Final = 2.0
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
@@ -48,8 +49,8 @@
         self._shortages_by_service: dict[str, Shortages] = {}
         # Loads that an earlier leader began.
         self._inherited_by_server: dict[str, LoadEntry] = {}
-        # When a server of a service was last seen for the first time.
-        self._joined_at_by_service: dict[str, float] = {}
+        # When a server of a service last joined, or lapsed without having drained.
+        self._changed_at_by_service: dict[str, float] = {}
 
     def take_change(self, message: object, sender: str, now: float) -> bool:
         """Take in a change of the site or its demand; return whether it is one."""
@@ -61,7 +62,7 @@
             case ServerRecord() as record:
                 self._take_record(record, now)
             case ServerRemoved(server_id):
-                self.server_by_id.pop(server_id, None)
+                self._remove_server(server_id, now)
             case ZoneEvacuated(zone, evacuated):
                 change = self._evacuated_zones
                 change.add(zone) if evacuated else change.discard(zone)
@@ -78,10 +79,15 @@
         if server is None:
             server = ManagedServer(record=record, holdings=record.holdings)
             self.server_by_id[record.server_id] = server
-            self._joined_at_by_service[record.service] = now
+            self._changed_at_by_service[record.service] = now
         else:
             server.take_record(record, now)
 
+    def _remove_server(self, server_id: str, now: float) -> None:
+        server = self.server_by_id.pop(server_id, None)
+        if server is not None and server.record.state is ServerState.READY:
+            self._changed_at_by_service[server.record.service] = now
+
     def _take_desired(self, desired: DesiredState) -> None:
         self.engine_by_service = {
             service.name: service.engine
@@ -158,7 +164,7 @@
             and server.record.state is ServerState.READY
             and server.record.zone not in self._evacuated_zones
         ]
-        joined_at = self._joined_at_by_service.get(service, now)
+        changed_at = self._changed_at_by_service.get(service, now)
         return ServiceFleet(
             engine,
             [server for server in staying if server.is_usable(now)],
@@ -166,7 +172,7 @@
             self.store_loads(service),
             self.shortages(service),
             staying=staying,
-            is_complete=now >= joined_at + JOIN_QUIET_S,
+            is_complete=now >= changed_at + JOIN_QUIET_S,
         )
 
     def fleets(self, now: float) -> list[ServiceFleet]:
@@ -214,28 +220,46 @@
             service: ServiceLoads(
                 store.limit,
                 frozenset(
-                    LoadEntry(
-                        server_id,
-                        server.holdings.born_ms,
-                        server.loading,
-                        server.order_count,
-                        round(unix_s + store.ends_at(server_id)),
-                    )
-                    for server_id in store.servers()
-                    if (server := self.server_by_id.get(server_id)) is not None
-                    and server.loading is not None
-                    and server.order_count is not None
+                    entry
+                    for server in self.server_by_id.values()
+                    if server.record.service == service
+                    and (entry := self._load_entry(server, store, unix_s, now))
                 ),
             )
             for service, store in self._store_by_service.items()
         }
 
+    def _load_entry(
+        self, server: ManagedServer, store: StoreLoads, unix_s: float, now: float
+    ) -> LoadEntry | None:
+        """Return the load from the store of a server, or None without one.
+
+        The server may carry out an order that has no answer yet.
+        """
+        engine = self.engine_by_service.get(server.record.service)
+        server_id, born_ms = server.record.server_id, server.holdings.born_ms
+        if server.order is not None and server.begins_store_load and engine is not None:
+            order = server.order
+            spec = engine.model_by_name.get(order.model)
+            load_s = 0.0 if spec is None else spec.store_load_s
+            ends_at = round(unix_s + now + load_s)
+            count = order.expected_count + 1
+            return LoadEntry(server_id, born_ms, order.model, count, ends_at)
+        loading, known = server.loading, server.order_count
+        if loading is None or known is None or not store.is_loading(server_id):
+            return None
+        ends_at = round(unix_s + store.ends_at(server_id))
+        return LoadEntry(server_id, born_ms, loading, known, ends_at)
+
     def inherit(self, loads_by_service: LoadsByService, now: float) -> None:
         """Take over what an earlier leader has written of its loads."""
         for service, found in loads_by_service.items():
             self.store_loads(service).inherit(found.limit, now)
             for entry in found.loads:
-                self._inherited_by_server[entry.server_id] = entry
+                known = self._inherited_by_server.get(entry.server_id)
+                if known is None or not known.is_later_than(entry):
+                    # The ledger may be read after a newer entry was handed over.
+                    self._inherited_by_server[entry.server_id] = entry
         for server in self.server_by_id.values():
             self.resume_load(server, now)
 
@@ -286,10 +310,12 @@
             for server_id in store.servers():
                 self.server_by_id[server_id].expect_end(store.ends_at(server_id))
 
-    def forget_plans(self) -> None:
+    def forget_plans(self, now: float) -> None:
         """Begin a new time in office."""
         self._store_by_service.clear()
-        self._shortages_by_service.clear()
+        # Gateways may see the leader's key first, and tell each requester once.
+        for shortages in self._shortages_by_service.values():
+            shortages.forget_left(now)
         self._inherited_by_server.clear()
         for server in self.server_by_id.values():
             server.forget_plans()
