--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -238,8 +238,8 @@
         """
         engine = self.engine_by_service.get(server.record.service)
         server_id, born_ms = server.record.server_id, server.holdings.born_ms
-        if server.order is not None and server.begins_store_load and engine is not None:
-            order = server.order
+        order = server.order
+        if order is not None and server.ordered_store_load and engine is not None:
             spec = engine.model_by_name.get(order.model)
             load_s = 0.0 if spec is None else spec.store_load_s
             ends_at = round(unix_s + now + load_s)
