Take a fleet for complete while only few of its servers join

Found in review, no caller has seen it: at the target size of 6,400 servers with a restart of each about once an hour some server joins in nearly any two seconds, so the fleet would never count as complete and nothing would be loaded ahead.

A fleet is incomplete now only while more than one in twenty of its servers have joined or lapsed in the last two seconds. After a start that are all of them.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -30,8 +30,10 @@
 
 # After a start servers register one by one, each with its next heartbeat, and an entry
 # that lapsed while the platform's store was away is back within two seconds. The fleet
-# is taken for complete when none has joined or lapsed for this long.
+# is taken for complete when hardly any has joined or lapsed for this long. In a large
+# fleet some server restarts at any time, so a few of them do not matter.
 JOIN_QUIET_S: Final = 2.0
+FEW_SHARE: Final = 0.05
 # A server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
 
@@ -49,8 +51,8 @@
         self._shortages_by_service: dict[str, Shortages] = {}
         # Loads that an earlier leader began.
         self._inherited_by_server: dict[str, LoadEntry] = {}
-        # When a server of a service last joined, or lapsed without having drained.
-        self._changed_at_by_service: dict[str, float] = {}
+        # When servers of a service lately joined, or lapsed without having drained.
+        self._changes_by_service: dict[str, list[float]] = {}
 
     def take_change(self, message: object, sender: str, now: float) -> bool:
         """Take in a change of the site or its demand; return whether it is one."""
@@ -79,14 +81,26 @@
         if server is None:
             server = ManagedServer(record=record, holdings=record.holdings)
             self.server_by_id[record.server_id] = server
-            self._changed_at_by_service[record.service] = now
+            self._note_change(record.service, now)
         else:
             server.take_record(record, now)
 
     def _remove_server(self, server_id: str, now: float) -> None:
         server = self.server_by_id.pop(server_id, None)
         if server is not None and server.record.state is ServerState.READY:
-            self._changed_at_by_service[server.record.service] = now
+            self._note_change(server.record.service, now)
+
+    def _note_change(self, service: str, now: float) -> None:
+        """Record that a server has joined or lapsed."""
+        since = now - JOIN_QUIET_S
+        known = self._changes_by_service.get(service, [])
+        self._changes_by_service[service] = [at for at in known if at > since] + [now]
+
+    def _is_complete(self, service: str, servers: int, now: float) -> bool:
+        """Return whether no more of a service's servers are about to register."""
+        since = now - JOIN_QUIET_S
+        known = self._changes_by_service.get(service, [])
+        return sum(at > since for at in known) <= FEW_SHARE * servers
 
     def _take_desired(self, desired: DesiredState) -> None:
         self.engine_by_service = {
@@ -164,7 +178,6 @@
             and server.record.state is ServerState.READY
             and server.record.zone not in self._evacuated_zones
         ]
-        changed_at = self._changed_at_by_service.get(service, now)
         return ServiceFleet(
             engine,
             [server for server in staying if server.is_usable(now)],
@@ -172,7 +185,7 @@
             self.store_loads(service),
             self.shortages(service),
             staying=staying,
-            is_complete=now >= changed_at + JOIN_QUIET_S,
+            is_complete=self._is_complete(service, len(staying), now),
         )
 
     def fleets(self, now: float) -> list[ServiceFleet]:
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -61,6 +61,18 @@
     assert [model for model, _ in loads(wait(office, 1.0))] == ["m15"]
 
 
+def test_single_server_that_joins_does_not_stop_loads_ahead() -> None:
+    """Guards against a large fleet that never counts as complete."""
+    office = Office()
+    office.tell(desired_state(engine_spec=SPEC))
+    for number in range(30):
+        office.add(f"s{number}", on_disk=frozenset(MODELS[:15]))
+    office.take_office()
+    found = wait(office, JOIN_QUIET_S - 0.5)
+    office.add("joining", on_disk=frozenset(MODELS[:15]))
+    assert [model for model, _ in loads(found + wait(office, 1.0))] == ["m15"]
+
+
 def test_copy_on_a_silent_server_counts() -> None:
     """Guards against loads ahead of models whose server is silent for a moment."""
     office = Office()
