List at once on new connections after a watch of the store goes silent

Callers: after the connections to the store went silent, a gateway could go on refusing by an old desired state for up to 4.8 s (by the code's constants), longer than contact_ms (3 to 4 s), after which a machine counts as in touch.

Cause: a silent watch is noticed after 2.4 + 0.4 s. Then came a pause of 0.5 s, a listing on a kept connection, as silent as the watch's, which timed out after 1.0 s, and another pause of 0.5 s.

Evidence: test_change_is_known_once_the_silence_is_noticed, with a watch of 0.4 + 0.4 s. Over the code before, the change was known after 2.81 s; the test allows 1.15 s and passes (4 runs).

Fix: the watch's adapter replaces its kept connections, and the listing follows at once if the one before is at least 0.5 s old. The bound is then 2.8 s, a connection and a listing. No idle watch polls more often; a watch that fails lists up to 0.5 s sooner.

--- a/src/siskinspool/platform/feeds.py
+++ b/src/siskinspool/platform/feeds.py
@@ -54,8 +54,8 @@
         self._listeners = listeners
         self._version = 0
         self._watches = (
-            SharedWatch(operator_store, self._take_soon, OPERATOR_PREFIX),
-            SharedWatch(registry_store, self._take_soon, SERVERS_PREFIX),
+            SharedWatch(operator_store, clock, self._take_soon, OPERATOR_PREFIX),
+            SharedWatch(registry_store, clock, self._take_soon, SERVERS_PREFIX),
         )
         self._greenlets: list[gevent.Greenlet[..., None]] = []
 
--- a/src/siskinspool/platform/store.py
+++ b/src/siskinspool/platform/store.py
@@ -132,6 +132,12 @@
                 after = max(after, _field(answer, "current_rev", int))
                 yield WatchEvent(None, None, after)
                 gevent.sleep(self._watch_pause_s)
+        except LostAnswerError:
+            # What silenced this connection may have silenced the kept ones as well; the
+            # listing that follows would wait out its timeout on one of them. Calls
+            # under way keep the earlier client until they end.
+            self._client = self._new_client(CALL_TIMEOUT_S, CONNECTIONS)
+            raise
         finally:
             client.close()
 
--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -113,7 +113,7 @@
             renew_interval_s,
             takes_over,
         )
-        self._watch = SharedWatch(service, self._publish)
+        self._watch = SharedWatch(service, clock, self._publish)
         self._greenlets: list[gevent.Greenlet[..., None]] = []
 
     def start(self) -> None:
--- a/src/siskinspool/store/kv_watch.py
+++ b/src/siskinspool/store/kv_watch.py
@@ -1,9 +1,11 @@
 """The watch on the shared prefix.
 
 The watch lists the prefix, publishes what differs from what it published before
-(deletions too) and then follows changes. When the link fails it lists again. A key
-that arrives twice, by a listing and by an event, is published once: `_known` holds the
-newest revision of each key, and older ones are dropped.
+(deletions too) and then follows changes. When the link fails it lists again, at once if
+the watch had lasted, because the silence before has used up most of the time in which
+a change has to take effect. A key that arrives twice, by a listing and by an event, is
+published once: `_known` holds the newest revision of each key, and older ones are
+dropped.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
 
 import gevent
 
+from ..core.clock import Clock
 from ..core.message import Message
 from ..telemetry.logs import log_event
 from .keys import SHARED_PREFIX
@@ -28,6 +31,7 @@
 
 logger = logging.getLogger(__name__)
 
+# Pause after a failed listing, and least time between a listing and the next one.
 RETRY_INTERVAL_S: Final = 0.5
 
 Publish = Callable[[Message], None]
@@ -37,9 +41,14 @@
     """Follows the keys under one prefix."""
 
     def __init__(
-        self, service: KeyValueService, publish: Publish, prefix: str = SHARED_PREFIX
+        self,
+        service: KeyValueService,
+        clock: Clock,
+        publish: Publish,
+        prefix: str = SHARED_PREFIX,
     ) -> None:
         self._service = service
+        self._clock = clock
         self._publish = publish
         self._prefix = prefix
         self._known: dict[str, int] = {}
@@ -50,14 +59,17 @@
     def run(self) -> None:
         """Follow the prefix for ever."""
         while True:
+            listed_at: float | None = None
             try:
                 self._list()
+                listed_at = self._clock.now()
                 for event in self._service.watch(self._prefix, self._revision + 1):
                     self._take_event(event)
             except Exception as error:
                 # Also an answer that the adapter cannot read must not end the watch.
                 self._report_broken(repr(error))
-            gevent.sleep(RETRY_INTERVAL_S)
+            lasted_s = 0.0 if listed_at is None else self._clock.now() - listed_at
+            gevent.sleep(max(RETRY_INTERVAL_S - lasted_s, 0.0))
 
     def offer(self, item: KvItem) -> None:
         """Publish a key read elsewhere, if it is newer than what was published."""
--- /dev/null
+++ b/tests/test_platform_silent_store.py
@@ -0,0 +1,43 @@
+"""The time in which a change is known after the connections to the store go silent."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+
+from siskinspool.core.clock import MonotonicClock
+from siskinspool.core.message import Message
+from siskinspool.platform.desired_state import DESIRED_STATE_KEY, OPERATOR_PREFIX
+from siskinspool.platform.store import WATCH_MARGIN_S, PlatformStore
+from siskinspool.store.kv import KvChanged
+from siskinspool.store.kv_watch import SharedWatch
+
+from .builders_membership import wait_until
+from .builders_silent_store import SilentStore
+
+WATCH_WAIT_S = 0.4
+# For connecting, listing and a busy machine; below the watch's pause of 0.5 s.
+SLACK_S = 0.35
+
+
+def test_change_is_known_once_the_silence_is_noticed() -> None:
+    """Guards against a pause and a listing on a silent connection after the timeout.
+
+    They added 2 s to the time in which a gateway refused by an old desired state.
+    """
+    store = SilentStore()
+    published: list[Message] = []
+    adapter = PlatformStore(store.endpoint, watch_wait_s=WATCH_WAIT_S)
+    watch = SharedWatch(adapter, MonotonicClock(), published.append, OPERATOR_PREFIX)
+    following = gevent.spawn(watch.run)
+    try:
+        wait_until(lambda: store.watches >= 3)
+        store.silence(b"new")
+        silent_at = time.monotonic()
+        wait_until(lambda: KvChanged(DESIRED_STATE_KEY, b"new", 2) in published)
+        bound_s = WATCH_WAIT_S + WATCH_MARGIN_S + SLACK_S
+        assert time.monotonic() - silent_at < bound_s
+    finally:
+        following.kill()
+        store.stop()
