Name the waiting requests by their account only, and leave a wire name to the adapter

Routing kept a second name for the account's waiting requests, whose removal has to go through the account; a comment of the answers' verdict used a header's name of the platform. No change of behaviour: the gateway tests pass.

--- a/src/siskinspool/gateway/answer_verdict.py
+++ b/src/siskinspool/gateway/answer_verdict.py
@@ -60,8 +60,8 @@
     if facts.encoded:
         return Unusable(AttemptResult.LOST, "the answer is encoded")
     if facts.status in PROMISES and not sent.idempotent:
-        # Only `Not-Run` states that nothing ran, so the requester must not read it from
-        # the status.
+        # The server has not stated that nothing ran, so the requester must not read it
+        # from the status.
         return Unusable(AttemptResult.FAILED, f"{facts.status} without a statement")
     if sent.begun is not None and not _goes_on(sent.begun, facts):
         failed = facts.status >= LEAST_FAILURE_STATUS
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -95,7 +95,6 @@
         # The leader before, which may still be in office while the next one waits.
         self._last_leader_id: str | None = None
         self._requesters = RequesterAccount()
-        self._waiting_by_id = self._requesters.waiting_by_id
         # Until when each (service, model, adapter) is not asked for again.
         self._want_again_at: dict[tuple[str, str, str], float] = {}
         self._demand = DemandReporter()
@@ -125,7 +124,7 @@
     def on_time(self, now: float) -> list[Outgoing]:
         """Serve or refuse waiting requests and report the demand."""
         batch = self._serve_waiting(now)
-        for waiting in list(self._waiting_by_id.values()):
+        for waiting in list(self._requesters.waiting_by_id.values()):
             if waiting.give_up_at <= now:
                 batch.append(self._refuse(waiting, "no server was free in time", now))
         if now >= self._demand.next_at:
@@ -138,8 +137,10 @@
     def wake_at(self) -> float | None:
         """Return when something is due."""
         due = min(self._demand.next_at, self._requesters.wake_at())
-        if self._waiting_by_id:
-            soonest = min(item.give_up_at for item in self._waiting_by_id.values())
+        if self._requesters.waiting_by_id:
+            soonest = min(
+                item.give_up_at for item in self._requesters.waiting_by_id.values()
+            )
             due = min(due, soonest, self._step_at)
         return due
 
@@ -156,7 +157,7 @@
                 }
                 for server_id, view in self._view_by_id.items()
             },
-            "waiting": len(self._waiting_by_id),
+            "waiting": len(self._requesters.waiting_by_id),
             "evacuated_zones": sorted(self._evacuated_zones),
         }
 
@@ -164,7 +165,7 @@
         """Return the numbers of servers and waiting requests."""
         return {
             "routing.servers": float(len(self._view_by_id)),
-            "routing.waiting": float(len(self._waiting_by_id)),
+            "routing.waiting": float(len(self._requesters.waiting_by_id)),
         }
 
     # Requests
@@ -191,12 +192,12 @@
         return self._want(call, now)
 
     def _serve_waiting(self, now: float) -> list[Outgoing]:
-        if not self._waiting_by_id:
+        if not self._requesters.waiting_by_id:
             return []
         self._step_at = now + WAIT_STEP_S
         batch: list[Outgoing] = []
         ordered = sorted(
-            self._waiting_by_id.values(),
+            self._requesters.waiting_by_id.values(),
             key=lambda item: (item.call.priority, item.since),
         )
         for waiting in ordered:
@@ -316,7 +317,7 @@
         if any(self._may_serve(view, call, now) for view in self._view_by_id.values()):
             return []
         self._want_again_at[key] = now + WANT_INTERVAL_S
-        waiting = waiting_for(key, self._waiting_by_id.values())
+        waiting = waiting_for(key, self._requesters.waiting_by_id.values())
         want = WantModel(
             *key,
             near_server=self._near_server(call, now),
@@ -374,7 +375,7 @@
         ready_at = now + expected.in_s
         share = LOADING_DOUBT_SHARE if expected.is_loading else LOAD_DOUBT_SHARE
         doubt_s = max(LOAD_MARGIN_S, expected.in_s * share)
-        for waiting in self._waiting_by_id.values():
+        for waiting in self._requesters.waiting_by_id.values():
             call = waiting.call
             if (call.model, call.adapter) != (expected.model, expected.adapter):
                 continue
