Weigh no plan for a copy on a server that does not answer

Cause: on each tick the leader weighed every plan whose model has a copy on a server that stays, also one that is silent, against all servers.

Change: only copies on servers that can take an order count for a move. The new test failed before: a plan for m9 was weighed.

--- a/src/siskinspool/gateway/plan_moves.py
+++ b/src/siskinspool/gateway/plan_moves.py
@@ -12,6 +12,7 @@
 import attrs
 
 from .choice import Choice
+from .fleet_copies import FleetCopies
 from .goal import Goal
 from .managed_server import ManagedServer
 from .placement_choice import ServiceFleet
@@ -36,12 +37,14 @@
         choice = fleet.idle_choice(goal, now)
         if choice is not None:
             yield PlanMove(server, goal, choice, "server_busy")
+    # A copy on a server that is silent for a moment is of no use now.
+    copies = FleetCopies(fleet.engine, fleet.servers)
     for server, goal in fleet.turns.waiting():
         if (
             not _still_waits(server, goal)
             or goal.is_own
             or fleet.replicas(goal.model)
-            or not fleet.copies.count(goal.model)
+            or not copies.count(goal.model)
         ):
             continue
         choice = fleet.better_choice(server, goal, now)
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
+
 from siskinspool.gateway.fleet_copies import FleetCopies
 from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.managed_site import JOIN_QUIET_S
-from siskinspool.gateway.messages import OrderKind, ServerOrder
+from siskinspool.gateway.messages import OrderKind, OrderResult, ServerOrder
+from siskinspool.gateway.placement_choice import ServiceFleet
+from siskinspool.gateway.plan_moves import plan_moves
 from siskinspool.gateway.servers import ServerRemoved
 
 from .builders_gateway import desired_state, engine, holdings, server
@@ -138,3 +142,34 @@
     office.tell(ServerRemoved("s2"))
     assert not loads(wait(office, JOIN_QUIET_S - 0.5))
     assert loads(wait(office, 1.0))
+
+
+def test_plans_are_not_weighed_for_a_copy_on_a_silent_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leader that is busy with moves that cannot be made.
+
+    While servers are dark, each plan whose model has a copy there was weighed against
+    all servers on each tick.
+    """
+    office = Office()
+    office.tell(desired_state(engine_spec=SPEC))
+    office.add("s1", on_disk=frozenset(MODELS[:8]))
+    office.add("s2", on_disk=frozenset(MODELS[8:]))
+    office.add("s3", on_disk=frozenset(MODELS[:8]))
+    office.take_office()
+    office.decision._site.server_by_id["s2"].fall_silent(office.now)
+    office.decision._site.store_loads("writers").inherit(1, office.now)
+    first = orders(office.want("m8", reach_s=(30.0,)))[0]
+    office.end(first, OrderResult.ACCEPTED)
+    office.want("m9", reach_s=(30.0,))
+    weighed: list[str] = []
+    monkeypatch.setattr(
+        ServiceFleet,
+        "better_choice",
+        lambda fleet, server, goal, now: weighed.append(""),
+    )
+    fleet = office.decision._site.fleets(office.now)[0]
+    assert fleet.turns.waiting()
+    assert not list(plan_moves(fleet, office.now))
+    assert not weighed
