Let the test of silent servers show the fault it guards against

As first committed it passed without the change, too: the report of the silent server had not been read, so no copy of m9 was known. With the report read it fails on the code before (a plan for m9 is weighed) and passes now.

--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -158,6 +158,8 @@
     office.add("s2", on_disk=frozenset(MODELS[8:]))
     office.add("s3", on_disk=frozenset(MODELS[:8]))
     office.take_office()
+    # The reports are read.
+    wait(office, 0.25)
     office.decision._site.server_by_id["s2"].fall_silent(office.now)
     office.decision._site.store_loads("writers").inherit(1, office.now)
     first = orders(office.want("m8", reach_s=(30.0,)))[0]
