--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -24,11 +23,9 @@
 from ..core.outcome import Refusal
 from ..links.answer_sink import AnswerSink
 from ..links.server_link import Answer, Lost, NotSent, ServerRequest
-from ..telemetry.logs import log_event
 from .answer_classification import NotRunAnswer, SentRequest, classify_answer
 from .desired_state import RouteKind
 from .event_stream import StreamPosition
-from .gateway_metrics import RequestMeasurement
 from .messages import (
     CAPS_TASK,
     ROUTING_TASK,
@@ -45,6 +42,7 @@
 )
 from .request import AnswerHead, SendPlan
 from .request_context import GatewayRequest, RequestContext
+from .request_log import RequestLog
 from .request_refusals import (
     RETRY_AFTER_S,
     deadline_refusal,
@@ -54,8 +52,6 @@
 )
 from .request_time import RequestTime
 
-logger = logging.getLogger(__name__)
-
 # Longest wait for the decision on tokens; the timeout for the owner is far shorter.
 CAPS_TIMEOUT_S: Final = 0.5
 # How long the answer of ``routing`` may take beyond the request's maximum wait.
@@ -92,6 +88,7 @@
         self.request = request
         self._context = context
         self._sink = sink
+        self._log = RequestLog(request, context)
         self._request_time = RequestTime.from_request(request)
         self._stream_position = StreamPosition.from_header(request.head.last_event_id)
         # Servers that rejected the request, and servers at which it failed.
@@ -100,8 +97,6 @@
         self._send_count = 0
         # Number of sends that a server may have run.
         self._run_count = 0
-        # What granted the request's tokens: "owner", "local" or "uncapped".
-        self._granted_by: str | None = None
         self._has_arrived = False
         # A server may have run the request.
         self._may_have_run = False
@@ -109,7 +104,8 @@
         self._refuses_unsent = False
         # The answer that started the stream to the requester.
         self._stream_start: AnswerHead | None = None
-        self._first_byte_at: float | None = None
+        # Whole events that the current send has brought.
+        self._event_count = 0
         self._greenlet: gevent.Greenlet[..., None] | None = None
 
     def start(self, on_end: Callable[[], None]) -> None:
@@ -120,7 +116,7 @@
     def cancel(self) -> None:
         """End the request because the requester has disconnected."""
         if self._greenlet is not None and not self._greenlet.dead:
-            self._log_end("cancelled", None)
+            self._log.ended("cancelled", None)
             self._greenlet.kill(block=False)
 
     def refuse_unsent(self) -> None:
@@ -165,7 +161,7 @@
         answer = self._ask(CAPS_TASK, spend, CAPS_TIMEOUT_S)
         match answer:
             case TokensGranted(by):
-                self._granted_by = by
+                self._log.granted_by = by
                 return None
             case TokensRefused(by, retry_after_s):
                 return Refusal(
@@ -244,6 +240,7 @@
         """Send to one server and forward its answer."""
         self._send_count += 1
         self._run_count += 1
+        self._event_count = 0
         may_have_run_before = self._may_have_run
         # From here on, if no answer arrives, it is unknown whether a server ran it.
         self._may_have_run = True
@@ -345,11 +342,11 @@
         if isinstance(body, Lost):
             result = AttemptResult.LOST
             return result, self._report_failure(assigned, result, body.reason)
-        self._first_byte_at = self._now()
+        self._log.first_byte_at = self._now()
         headers = self._context.codec.answer_headers(answer.headers)
         self._sink.send_whole(answer.status, headers, body)
         failed = answer_head.status >= SERVER_ERROR
-        self._log_end("server_error" if failed else "ok", assigned.server_id)
+        self._log.ended("server_error" if failed else "ok", assigned.server_id)
         return (
             AttemptResult.FAILED if failed else AttemptResult.ANSWERED
         ), _AnswerDelivered()
@@ -361,6 +358,7 @@
             if isinstance(event, Lost):
                 result = AttemptResult.LOST
                 return result, self._report_failure(assigned, result, event.reason)
+            self._event_count += 1
             if self._stream_position.has_gap_before(event):
                 result = AttemptResult.LOST
                 return result, self._report_failure(assigned, result, "a gap in ids")
@@ -369,14 +367,14 @@
                 self._sink.send_event(event)
         self._begin_stream(assigned, answer, answer_head)
         self._sink.end()
-        self._log_end("ok", assigned.server_id)
+        self._log.ended("ok", assigned.server_id)
         return AttemptResult.ANSWERED, _AnswerDelivered()
 
     def _begin_stream(
         self, assigned: ServerAssigned, answer: Answer, answer_head: AnswerHead
     ) -> None:
-        if self._first_byte_at is None:
-            self._first_byte_at = self._now()
+        if self._log.first_byte_at is None:
+            self._log.first_byte_at = self._now()
             received = FirstEventReceived(
                 self.request.head.request_id, assigned.server_id
             )
@@ -416,16 +414,12 @@
     def _report_failure(
         self, assigned: ServerAssigned, result: AttemptResult, detail: str
     ) -> _FailedSend:
-        log_event(
-            logger,
-            logging.INFO,
-            "send_failed",
-            request=self.request.head.request_id,
-            server=assigned.server_id,
-            result=result,
-            detail=detail,
+        self._log.send_failed(
+            assigned.server_id,
+            result,
+            detail,
+            event_count=self._event_count,
             may_have_run=self._may_have_run,
-            elapsed_s=self._now() - self.request.arrived_at,
         )
         return _FailedSend(detail)
 
@@ -434,7 +428,7 @@
         return failure_refusal(detail, may_have_run=self._may_have_run, in_time=in_time)
 
     def _refuse(self, refusal: Refusal) -> None:
-        self._log_end(refusal.code, None, refusal)
+        self._log.ended(refusal.code, None, refusal)
         self._sink.refuse(refusal)
 
     # Helpers
@@ -453,39 +447,3 @@
         dispatcher = self._context.dispatcher
         sender = Address(dispatcher.instance_id, "request")
         dispatcher.send(sender, Outgoing(dispatcher.address(ROUTING_TASK), message))
-
-    def _log_end(
-        self, outcome: str, server_id: str | None, refusal: Refusal | None = None
-    ) -> None:
-        head, admission = self.request.head, self.request.admission
-        now = self._now()
-        first_byte_s = None
-        if self._first_byte_at is not None:
-            first_byte_s = self._first_byte_at - self.request.arrived_at
-        log_event(
-            logger,
-            logging.INFO,
-            "request_ended",
-            request=head.request_id,
-            route=admission.route.name,
-            team=admission.team,
-            tokens=admission.tokens,
-            model=head.model,
-            adapter=head.adapter,
-            granted_by=self._granted_by,
-            outcome=outcome,
-            status=None if refusal is None else refusal.status,
-            detail=None if refusal is None else refusal.detail,
-            server=server_id,
-            first_byte_s=first_byte_s,
-            total_s=now - self.request.arrived_at,
-        )
-        self._context.metrics.record(
-            RequestMeasurement(
-                route=admission.route.name,
-                team=admission.team,
-                outcome=outcome,
-                total_s=now - self.request.arrived_at,
-                first_byte_s=first_byte_s,
-            )
-        )
