--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -4,14 +4,17 @@
 expected count, reports its models and adapters, and serves event streams or plain
 responses. ``GET /admin/seen`` returns the requests that it ran. ``POST /admin/faults``
 sets ``fail`` (status of all responses), ``cut_after`` (number of events after which a
-stream breaks), ``reset`` (connections are reset before a response) and ``full``
-(status 503 with ``Not-Run``).
+stream breaks), ``reset`` (connections are reset before a response), ``full``
+(status 503 with ``Not-Run``), ``deadly_part`` (id of a prompt part; the process ends as
+it begins to answer a request with it) and ``dies_silently`` (without a byte of that
+answer).
 """
 
 from __future__ import annotations
 
 import base64
 import json
+import os
 import time
 from collections.abc import Iterator
 from typing import Any, Final
@@ -25,6 +28,7 @@
 
 HEARTBEAT_S: Final = 0.3
 STREAM_EVENTS: Final = 6
+CRASH_STATUS: Final = 1
 
 
 @attrs.define(kw_only=True)
@@ -47,6 +51,8 @@
     cut_after: int = 0
     reset: bool = False
     full: bool = False
+    deadly_part: str = ""
+    dies_silently: bool = False
 
 
 class PlatformServerApp(App):
@@ -138,9 +144,16 @@
         if not model:
             return Response(200, b"answer of " + request.body, headers=headers)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        return Response(
-            200, self._events(first), content_type="text/event-stream", headers=headers
-        )
+        is_deadly = faults.deadly_part in _part_ids(request)
+        events = self._crash() if is_deadly else self._events(first)
+        return Response(200, events, content_type="text/event-stream", headers=headers)
+
+    def _crash(self) -> Iterator[bytes]:
+        """End the process at the beginning of an answer."""
+        gevent.sleep(self._settings.event_s)
+        if not self._faults.dies_silently:
+            yield b"id: "
+        os._exit(CRASH_STATUS)
 
     def _events(self, first: int) -> Iterator[bytes]:
         for number in range(first, STREAM_EVENTS + 1):
@@ -208,6 +221,11 @@
         )
 
 
+def _part_ids(request: Request) -> list[str]:
+    items = request.headers.get("prompt-prefix", "").split(",")
+    return [item.partition(":")[0] for item in items if item]
+
+
 def _request_id_header(request: Request) -> tuple[str, str]:
     return "Request-Id", request.headers.get("request-id", "")
 
--- a/tests/integration/builders_gateway_site.py
+++ b/tests/integration/builders_gateway_site.py
@@ -25,6 +25,8 @@
 Answer = tuple[int, dict[str, str], bytes]
 HOST = "site.example"
 KEY = "k1"
+# Prompt part that crashes the servers of some tests.
+CRASHING_PART = "dead"
 
 
 def free_ports(count: int) -> list[int]:
@@ -208,6 +210,12 @@
                 gateway.popen.wait(timeout=5)
 
 
+def prompt_headers(*part_ids: str) -> dict[str, str]:
+    """Return the headers of a request for ``m0`` with these prompt parts."""
+    parts = ",".join(f"{part_id}:20" for part_id in part_ids)
+    return {"Model": "m0", "Token-Count": "100,20", "Prompt-Prefix": parts}
+
+
 def seen(server: Process) -> list[dict[str, Any]]:
     """Return the requests that a server ran."""
     found = call_json(server.port, "GET", "/admin/seen")["seen"]
