Read header numbers of any length, and parts behind a malformed one

Cause: a number of more than 4,300 digits in Token-Count, Prompt-Prefix or a server's Server-Load raises ValueError, which ended the request without a proper answer. A malformed item of Prompt-Prefix hid all parts behind it.

Change: whole numbers have at most 15 digits; a part without a valid size counts as one without tokens. Part ids are compared in lower case, since they are hexadecimal.

--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -37,6 +37,8 @@
 CONTENT_ENCODING: Final = "content-encoding"
 
 _BEARER: Final = "bearer "
+# Longer numbers are not valid; Python refuses to convert those of several thousand.
+MAX_DIGITS: Final = 15
 _LOWEST_PRIORITY: Final = 9
 # Headers that the system sets, or that would control a server's memory.
 _SYSTEM_HEADERS: Final = frozenset(
@@ -173,10 +175,11 @@
 def _token_count(text: str | None) -> int | str | None:
     if text is None:
         return None
-    numbers = [part.strip() for part in text.split(",")]
-    if len(numbers) != 2 or not all(number.isdecimal() for number in numbers):
+    numbers = [_whole_number(part.strip()) for part in text.split(",")]
+    valid_numbers = [number for number in numbers if number is not None]
+    if len(numbers) != 2 or len(valid_numbers) != 2:
         return "the token count is not two whole numbers"
-    return sum(int(number) for number in numbers)
+    return sum(valid_numbers)
 
 
 def _bearer_key(text: str) -> str:
@@ -187,28 +190,33 @@
 
 def _length_hint(text: str) -> int:
     """Return the estimated output tokens; 0 if there is no valid hint."""
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return _whole_number(text.strip()) or 0
 
 
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
-    """Return the parts of a prompt up to the first malformed one.
+    """Return the parts of a prompt; malformed ones do not cause a refusal.
 
-    The parts only influence the choice of a server, so malformed ones do not cause a
-    refusal.
+    A part without a valid size counts as one without tokens: it still identifies what
+    the request shares with others.
     """
     parts: list[PromptPart] = []
     for item in text.split(","):
         part_id, _, tokens = item.strip().partition(":")
-        if not part_id or not tokens.isdecimal():
-            break
-        parts.append(PromptPart(part_id, int(tokens)))
+        if part_id:
+            parts.append(PromptPart(part_id.lower(), _whole_number(tokens) or 0))
     return tuple(parts)
 
 
+def _whole_number(text: str) -> int | None:
+    """Return a number of at most 15 decimal digits, None for any other text."""
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
+
+
 def _server_load(text: str) -> ServerLoad | None:
-    numbers = [part.strip() for part in text.split(",")]
-    if len(numbers) != 3 or not all(number.isdecimal() for number in numbers):
+    numbers = [_whole_number(part.strip()) for part in text.split(",")]
+    valid_numbers = [number for number in numbers if number is not None]
+    if len(numbers) != 3 or len(valid_numbers) != 3:
         return None
-    running, waiting, slots = (int(number) for number in numbers)
+    running, waiting, slots = valid_numbers
     return ServerLoad(running=running, waiting=waiting, slots=slots)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -126,3 +126,31 @@
         {"connection": "close", "transfer-encoding": "chunked", "server-stamp": "s"}
     )
     assert headers == {"server-stamp": "s"}
+
+
+MANY_DIGITS = "9" * 5_000
+
+
+@pytest.mark.parametrize(
+    "header", ["token-count", "length-hint", "prompt-prefix", "deadline-ms"]
+)
+def test_number_of_thousands_of_digits_ends_no_request(header: str) -> None:
+    """Guards against a conversion error in place of an answer."""
+    text = {"token-count": f"1,{MANY_DIGITS}", "prompt-prefix": f"5c:{MANY_DIGITS}"}
+    sent = SENT | {header: text.get(header, MANY_DIGITS)}
+    head = decode_head("POST", "/quote/a", sent)
+    assert isinstance(head, str | RequestHead)
+
+
+def test_load_of_thousands_of_digits_is_ignored() -> None:
+    """Guards against a server whose answer ends the request without one."""
+    answer = decode_answer(200, {"server-load": f"1,0,{MANY_DIGITS}"})
+    assert answer.load is None
+
+
+def test_malformed_part_hides_no_later_part() -> None:
+    """Guards against a crashing part that is not seen behind a malformed one."""
+    head = decode_head("POST", "/q", SENT | {"prompt-prefix": "a1, B2:x, :5, c3:7"})
+    assert isinstance(head, RequestHead)
+    expected = (PromptPart("a1", 0), PromptPart("b2", 0), PromptPart("c3", 7))
+    assert head.parts == expected
