Refuse prompt parts that crash servers, with evidence shared by all gateways

What callers saw: one prompt part crashed each server that began to answer a request with it. Gateways sent broken requests again, with what had broken their server among them, and new requests with the part went out without any memory of the earlier ones.

Cause: nothing linked a server's end to what the requests it broke had in common; each gateway knew its own part only.

Change: gateways report requests that a closed connection broke before their answer was under way, and suspected parts that were served since. The evidence spreads as a rumor among all gateways (eight random recipients, repaired once a second, 1 KB/s). crash_ledger finds the parts that explain at least two crashes; requests with all parts of such a group are refused before they spend tokens, and ended if they wait at a server. A group is held for 3 to 300 s, then single probes decide. The state is bounded: 64 crashes of 64 parts, 4,096 served parts.

Why it works: the fault is deterministic, so each served request clears its parts, and a request that has only some of the suspected parts is sent and narrows them down.

--- a/src/siskinspool/core/errors.py
+++ b/src/siskinspool/core/errors.py
@@ -34,6 +34,7 @@
     IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
     IDEMPOTENCY_UNAVAILABLE = "idempotency_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     STORE_UNAVAILABLE = "store_unavailable"
     NOT_CURRENT = "not_current"
     DRAINING = "draining"
--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -15,7 +15,7 @@
 from gevent.pywsgi import WSGIServer
 
 from ..core.errors import ErrorCode
-from ..core.message import Incoming
+from ..core.message import Incoming, Outgoing
 from ..core.outcome import Refusal
 from ..core.task import Task
 from ..links.caller import (
@@ -32,9 +32,11 @@
 from .admission import Admission, admit
 from .desired_state import DesiredState, RequestLimits
 from .messages import FRONT_TASK, IsolationChanged
+from .quarantine_gate import GateResult, QuarantineGate
+from .quarantine_messages import QUARANTINE_TASK, ProbeStarted, QuarantineChanged
 from .request import RequestHead
 from .request_context import GatewayRequest, HeaderCodec, RequestContext
-from .request_refusals import stopping_refusal
+from .request_refusals import quarantine_refusal, stopping_refusal
 from .request_task import RequestTask
 from .servers import RegistryListed
 
@@ -93,6 +95,7 @@
         # This instance can reach neither the store nor most other instances.
         self._is_isolated = False
         self._refuses_new = False
+        self._gate = QuarantineGate()
         self._running: set[RequestTask] = set()
         # Number of requests whose answer is not fully written yet.
         self._open_answers = 0
@@ -163,6 +166,9 @@
                 self._has_registry = True
             case IsolationChanged(isolated):
                 self._is_isolated = isolated
+            case QuarantineChanged(groups):
+                self._gate.update(groups)
+                self._end_quarantined()
 
     def limits(self) -> RequestLimits | None:
         """Return the limits in force."""
@@ -185,8 +191,21 @@
         admission = self._admit(head)
         if isinstance(admission, Refusal):
             return self._refuse(admission, head, start_response)
+        passage = self._gate.check(head.shared_part_ids, self.clock.now())
+        if passage.result is GateResult.CLOSED:
+            refusal = quarantine_refusal(
+                may_have_run=False, retry_after_s=passage.retry_after_s
+            )
+            return self._refuse(refusal, head, start_response)
+        is_probe = passage.result is GateResult.PROBE
+        if is_probe:
+            self._start_probe(head, passage.part_ids)
         request = GatewayRequest(
-            head=head, body=body, admission=admission, arrived_at=arrived_at
+            head=head,
+            body=body,
+            admission=admission,
+            arrived_at=arrived_at,
+            is_probe=is_probe,
         )
         return self._serve(request, environ, start_response)
 
@@ -202,6 +221,27 @@
             )
         return admit(head, self._desired)
 
+    def _start_probe(self, head: RequestHead, part_ids: frozenset[str]) -> None:
+        """Let a request through and close the gate behind it."""
+        log_event(
+            logger,
+            logging.INFO,
+            "quarantine_probe",
+            request=head.request_id,
+            parts=",".join(sorted(part_ids)),
+        )
+        self._gate.close(part_ids)
+        quarantine = self.dispatcher.address(QUARANTINE_TASK)
+        self.dispatcher.send(self.address, Outgoing(quarantine, ProbeStarted(part_ids)))
+
+    def _end_quarantined(self) -> None:
+        """End the running requests whose prompt is now known to crash servers."""
+        now = self.clock.now()
+        for task in list(self._running):
+            passage = self._gate.check(task.request.head.shared_part_ids, now)
+            if passage.result is not GateResult.OPEN:
+                task.end_quarantined()
+
     def _read_body(self, environ: dict[str, Any]) -> bytes | Refusal:
         limits = self.limits()
         source = environ["wsgi.input"]
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import random
 import secrets
 import time
 from collections.abc import Callable
@@ -47,6 +48,8 @@
 )
 from .pages import PagesTask
 from .placement import Placement
+from .quarantine import Quarantine
+from .quarantine_messages import QUARANTINE_TASK
 from .request_context import RequestContext
 from .routing import Routing
 from .server_control import OrdersTask, ServerControl
@@ -78,6 +81,7 @@
     ROUTING_TASK,
     CAPS_TASK,
     PLACEMENT_TASK,
+    QUARANTINE_TASK,
 )
 
 
@@ -227,6 +231,7 @@
                     CAPS_TASK,
                     LEADERSHIP_TASK,
                     ISOLATION_TASK,
+                    QUARANTINE_TASK,
                 ),
             ),
             ISOLATION_TASK: IsolationDetector(settings.instance_id),
@@ -239,6 +244,7 @@
             ),
             ROUTING_TASK: Routing(settings.instance_id, settings.zone, bounds),
             CAPS_TASK: CapEnforcer(settings.instance_id, bounds),
+            QUARANTINE_TASK: Quarantine(settings.instance_id, random.Random()),
             PLACEMENT_TASK: Placement(settings.instance_id, settings.first_start),
         }
         return [
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -65,6 +65,8 @@
     server_id: str
     host: str
     port: int
+    # Start of the server in Unix milliseconds; None if not stated.
+    born_ms: int | None = None
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -9,6 +9,8 @@
 from .servers import ServerLoad
 
 EVENT_STREAM: Final = "text/event-stream"
+# Parts of one request that are considered as shared; further ones are ignored.
+MAX_SHARED_PARTS: Final = 32
 
 
 @attrs.frozen
@@ -47,6 +49,14 @@
     # All headers as received, by name in lower case.
     headers: dict[str, str] = attrs.field(repr=False)
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may have, too.
+
+        The last part belongs to the request or its session alone.
+        """
+        return tuple(part.part_id for part in self.parts[:-1])[:MAX_SHARED_PARTS]
+
     @property
     def path(self) -> str:
         """Return the target without its query."""
--- /dev/null
+++ b/src/siskinspool/gateway/request_abort.py
@@ -0,0 +1,32 @@
+"""Exceptions that end a running request from outside with a refusal."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from ..core.outcome import Refusal
+from .request_refusals import quarantine_refusal, stopping_refusal
+
+
+class AbortedError(Exception, ABC):
+    """Raised in a request's greenlet to end it."""
+
+    @abstractmethod
+    def refusal(self, *, may_have_run: bool) -> Refusal:
+        """Return the refusal for the requester."""
+
+
+class StoppingError(AbortedError):
+    """The instance is stopping."""
+
+    def refusal(self, *, may_have_run: bool) -> Refusal:
+        """Return a refusal that names the stop."""
+        return stopping_refusal(may_have_run=may_have_run)
+
+
+class QuarantinedError(AbortedError):
+    """The request's prompt is now known to crash servers."""
+
+    def refusal(self, *, may_have_run: bool) -> Refusal:
+        """Return a refusal that names the prompt."""
+        return quarantine_refusal(may_have_run=may_have_run)
--- a/src/siskinspool/gateway/request_context.py
+++ b/src/siskinspool/gateway/request_context.py
@@ -51,3 +51,5 @@
     admission: Admission
     # Time of arrival on the instance's clock.
     arrived_at: float
+    # Sent to find out whether its prompt still crashes servers.
+    is_probe: bool = False
--- a/src/siskinspool/gateway/request_refusals.py
+++ b/src/siskinspool/gateway/request_refusals.py
@@ -37,6 +37,18 @@
     return Refusal(503, ErrorCode.DRAINING, "the instance stops", retry_after_s=0.0)
 
 
+def quarantine_refusal(
+    *, may_have_run: bool, retry_after_s: float | None = None
+) -> Refusal:
+    """Return the refusal of a request whose prompt crashes servers."""
+    detail = "servers have crashed on parts of the prompt"
+    if may_have_run:
+        return _unknown_outcome(502, ErrorCode.PROMPT_QUARANTINED, detail)
+    return Refusal(
+        503, ErrorCode.PROMPT_QUARANTINED, detail, retry_after_s=retry_after_s
+    )
+
+
 def no_server_refusal(
     refused: AssignRefused | None, detail: str, *, may_have_run: bool
 ) -> Refusal:
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -40,7 +40,9 @@
     TokensGranted,
     TokensRefused,
 )
+from .prompt_outcome import PromptOutcome
 from .request import AnswerHead, SendPlan
+from .request_abort import AbortedError, QuarantinedError, StoppingError
 from .request_context import GatewayRequest, RequestContext
 from .request_log import RequestLog
 from .request_refusals import (
@@ -75,10 +77,6 @@
     """The answer was passed to the sink, whole or cut short."""
 
 
-class _StoppingError(Exception):
-    """Raised in a request's greenlet when the instance stops."""
-
-
 class RequestTask:
     """Runs one request."""
 
@@ -89,6 +87,7 @@
         self._context = context
         self._sink = sink
         self._log = RequestLog(request, context)
+        self._prompt = PromptOutcome(request.head, context.dispatcher)
         self._request_time = RequestTime.from_request(request)
         self._stream_position = StreamPosition.from_header(request.head.last_event_id)
         # Servers that rejected the request, and servers at which it failed.
@@ -104,8 +103,6 @@
         self._refuses_unsent = False
         # The answer that started the stream to the requester.
         self._stream_start: AnswerHead | None = None
-        # Whole events that the current send has brought.
-        self._event_count = 0
         self._greenlet: gevent.Greenlet[..., None] | None = None
 
     def start(self, on_end: Callable[[], None]) -> None:
@@ -130,8 +127,16 @@
 
     def end_now(self) -> None:
         """Answer at once because the instance is stopping."""
+        self._abort(StoppingError())
+
+    def end_quarantined(self) -> None:
+        """Answer at once because the prompt crashes servers, unless it was served."""
+        if not self._prompt.is_served and not self.request.is_probe:
+            self._abort(QuarantinedError())
+
+    def _abort(self, reason: AbortedError) -> None:
         if self._greenlet is not None and not self._greenlet.dead:
-            self._greenlet.kill(_StoppingError, block=False)
+            self._greenlet.kill(reason, block=False)
 
     # Running the request
 
@@ -145,8 +150,8 @@
             if expired is not timer:
                 raise
             refusal = deadline_refusal("", may_have_run=self._may_have_run)
-        except _StoppingError:
-            refusal = stopping_refusal(may_have_run=self._may_have_run)
+        except AbortedError as aborted:
+            refusal = aborted.refusal(may_have_run=self._may_have_run)
         finally:
             timer.close()
         if refusal is not None:
@@ -240,7 +245,7 @@
         """Send to one server and forward its answer."""
         self._send_count += 1
         self._run_count += 1
-        self._event_count = 0
+        self._prompt.start_send()
         may_have_run_before = self._may_have_run
         # From here on, if no answer arrives, it is unknown whether a server ran it.
         self._may_have_run = True
@@ -257,7 +262,7 @@
             self._has_arrived = True
             if isinstance(call_result, Lost):
                 result = AttemptResult.LOST
-                return self._report_failure(assigned, result, call_result.reason)
+                return self._report_lost(assigned, call_result)
             answer = call_result
             answer_head = self._context.codec.decode_answer(
                 answer.status, answer.headers
@@ -340,8 +345,8 @@
     ) -> tuple[AttemptResult, _AnswerDelivered | _FailedSend]:
         body = answer.read_all()
         if isinstance(body, Lost):
-            result = AttemptResult.LOST
-            return result, self._report_failure(assigned, result, body.reason)
+            return AttemptResult.LOST, self._report_lost(assigned, body)
+        self._prompt.record_served()
         self._log.first_byte_at = self._now()
         headers = self._context.codec.answer_headers(answer.headers)
         self._sink.send_whole(answer.status, headers, body)
@@ -356,15 +361,15 @@
     ) -> tuple[AttemptResult, _AnswerDelivered | _FailedSend]:
         for event in answer.events():
             if isinstance(event, Lost):
-                result = AttemptResult.LOST
-                return result, self._report_failure(assigned, result, event.reason)
-            self._event_count += 1
+                return AttemptResult.LOST, self._report_lost(assigned, event)
+            self._prompt.record_event()
             if self._stream_position.has_gap_before(event):
                 result = AttemptResult.LOST
                 return result, self._report_failure(assigned, result, "a gap in ids")
             if self._stream_position.accepts(event):
                 self._begin_stream(assigned, answer, answer_head)
                 self._sink.send_event(event)
+        self._prompt.record_served()
         self._begin_stream(assigned, answer, answer_head)
         self._sink.end()
         self._log.ended("ok", assigned.server_id)
@@ -389,7 +394,7 @@
 
     def _may_repeat(self) -> bool:
         route = self.request.admission.route
-        if not route.is_idempotent:
+        if not route.is_idempotent or self.request.is_probe:
             return False
         return self._stream_start is None or self._stream_position.last_id is not None
 
@@ -418,11 +423,15 @@
             assigned.server_id,
             result,
             detail,
-            event_count=self._event_count,
+            event_count=self._prompt.event_count,
             may_have_run=self._may_have_run,
         )
         return _FailedSend(detail)
 
+    def _report_lost(self, assigned: ServerAssigned, lost: Lost) -> _FailedSend:
+        self._prompt.record_lost(assigned, lost)
+        return self._report_failure(assigned, AttemptResult.LOST, lost.reason)
+
     def _final_failure(self, detail: str) -> Refusal:
         in_time = self._remaining_s() >= MIN_SEND_S
         return failure_refusal(detail, may_have_run=self._may_have_run, in_time=in_time)
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -227,7 +227,9 @@
             failures=view.current_failures(now),
             repeat=call.repeat,
         )
-        assigned = ServerAssigned(record.server_id, record.host, record.port)
+        assigned = ServerAssigned(
+            record.server_id, record.host, record.port, record.holdings.born_ms
+        )
         return Outgoing(waiting.sender, assigned)
 
     def _choose_server(self, call: AssignServer, now: float) -> ServerView | None:
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -57,6 +57,10 @@
     """The request may have reached the server, but no complete answer was received."""
 
     reason: str
+    # The server closed or reset the connection before the end of the answer.
+    is_disconnect: bool = False
+    # Bytes of the answer had arrived.
+    has_begun: bool = False
 
 
 class _AnswerTooLargeError(Exception):
@@ -64,11 +68,17 @@
 
 
 class _LimitedSocket:
-    """A socket for `ServerResponse` that limits the number of received bytes."""
+    """A socket for `ServerResponse` that limits the number of received bytes.
+
+    It remembers whether the server has sent anything, and whether it has closed or
+    reset the connection.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._remaining_bytes = 0
+        self._has_received = False
+        self._is_disconnected = False
 
     def set_limit(self, size: int) -> None:
         """Set how many bytes may be received from now on."""
@@ -76,12 +86,32 @@
 
     def recv(self, size: int) -> bytes:
         """Receive some bytes."""
-        data = self._sock.recv(size)
+        try:
+            data = self._sock.recv(size)
+        except ConnectionError:
+            self._is_disconnected = True
+            raise
+        if data:
+            self._has_received = True
+        else:
+            self._is_disconnected = True
         self._remaining_bytes -= len(data)
         if self._remaining_bytes < 0:
             raise _AnswerTooLargeError("the answer is too large")
         return data
 
+    def send_all(self, data: bytes) -> None:
+        """Send a whole request."""
+        try:
+            self._sock.sendall(data)
+        except ConnectionError:
+            self._is_disconnected = True
+            raise
+
+    def lost(self, reason: str) -> Lost:
+        """Return the outcome of a call whose answer is not complete."""
+        return Lost(reason, self._is_disconnected, self._has_received)
+
     def close(self) -> None:
         """Close the connection."""
         self._sock.close()
@@ -126,14 +156,14 @@
         """Return the whole body, or Lost if it is incomplete."""
         if not self._is_framed():
             # Without a length, a truncated body would look complete.
-            return Lost("the answer has neither a length nor chunks")
+            return self._sock.lost("the answer has neither a length nor chunks")
         self._sock.set_limit(MAX_BODY_BYTES)
         try:
             body = bytes(self._response.read())
         except Exception as error:
-            return Lost(_reason(error))
+            return self._sock.lost(_reason(error))
         if not self._response.message_complete:
-            return Lost("the answer ended early")
+            return self._sock.lost("the answer ended early")
         return body
 
     def events(self) -> Iterator[bytes | Lost]:
@@ -144,11 +174,11 @@
                 yield bytes(event)
                 self._sock.set_limit(MAX_EVENT_BYTES)
         except Exception as error:
-            yield Lost(_reason(error))
+            yield self._sock.lost(_reason(error))
             return
         # Even a complete body may end in the middle of an event.
         if not self._response.message_complete or self._response.read():
-            yield Lost("the answer ended early")
+            yield self._sock.lost("the answer ended early")
 
     def _is_framed(self) -> bool:
         if self._ends_by_close:
@@ -200,11 +230,11 @@
             )
         except OSError as error:
             return NotSent(_reason(error))
+        limited_sock = _LimitedSocket(sock)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(timeout_s)
-            sock.sendall(encode_request(request))
-            limited_sock = _LimitedSocket(sock)
+            limited_sock.send_all(encode_request(request))
             limited_sock.set_limit(MAX_HEAD_BYTES)
             # The socket's timeout applies to each read; bytes may arrive one by one.
             with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
@@ -213,7 +243,7 @@
                 )
         except Exception as error:
             sock.close()
-            return Lost(_reason(error))
+            return limited_sock.lost(_reason(error))
         except BaseException:
             # The call was cancelled while waiting for the answer's head.
             sock.close()
--- /dev/null
+++ b/tests/test_gateway_crash_ledger.py
@@ -0,0 +1,166 @@
+"""The diagnosis of crashes from the prompt parts of the requests that they broke."""
+
+from __future__ import annotations
+
+from siskinspool.gateway.crash_ledger import (
+    CRASH_TTL_S,
+    MAX_CRASHES,
+    MAX_PARTS_PER_CRASH,
+    MAX_SERVED_PARTS,
+    SETTLE_S,
+    CrashLedger,
+)
+from siskinspool.gateway.quarantine_messages import CrashEvidence, CrashReport
+
+from .builders_quarantine import boot
+
+NOW = 1000.0
+
+
+def record_crash(
+    ledger: CrashLedger,
+    number: int,
+    *part_ids: str,
+    at: float = NOW,
+    has_begun: bool = True,
+) -> bool:
+    """Record that the end of server ``number`` broke a request with these parts."""
+    return ledger.record_broken(boot(number), part_ids, at, has_begun=has_begun)
+
+
+def groups(ledger: CrashLedger, now: float = NOW) -> list[set[str]]:
+    """Return the groups of suspected parts."""
+    return [set(group.part_ids) for group in ledger.diagnose(now)]
+
+
+def test_single_crash_proves_nothing() -> None:
+    """Guards against refusing requests that were merely there when a server ended."""
+    ledger = CrashLedger()
+    record_crash(ledger, 1, "first", "deadly")
+    assert groups(ledger) == []
+
+
+def test_one_crash_reported_by_several_requests_counts_once() -> None:
+    """Guards against a part that counts once for each request of a single crash."""
+    ledger = CrashLedger()
+    for number in range(5):
+        record_crash(ledger, 1, "first", f"subject-{number}")
+    assert groups(ledger) == []
+
+
+def test_common_part_is_found_and_the_rest_is_cleared() -> None:
+    """Guards against refusing the sound parts that a crashing request shares."""
+    ledger = CrashLedger()
+    record_crash(ledger, 1, "first", "subject", "deadly")
+    record_crash(ledger, 2, "first", "subject", "deadly", at=NOW + 1)
+    assert groups(ledger, NOW + 1) == [{"first", "subject", "deadly"}]
+    assert ledger.record_served(("first", "other"), NOW + 2) == ["first"]
+    assert groups(ledger, NOW + 2) == [{"subject", "deadly"}]
+    record_crash(ledger, 3, "first", "elsewhere", "deadly", at=NOW + 3)
+    assert groups(ledger, NOW + 3) == [{"deadly"}]
+
+
+def test_served_part_is_released() -> None:
+    """Guards against a part that stays refused although servers survive it."""
+    ledger = CrashLedger()
+    record_crash(ledger, 1, "subject")
+    record_crash(ledger, 2, "subject")
+    assert groups(ledger) == [{"subject"}]
+    ledger.record_served(("subject",), NOW + 1)
+    assert groups(ledger, NOW + 1) == []
+
+
+def test_part_that_was_just_served_needs_more_crashes() -> None:
+    """Guards against refusing a common part after two crashes in a row."""
+    ledger = CrashLedger()
+    ledger.record_served(("common",), NOW - 1)
+    record_crash(ledger, 1, "common")
+    record_crash(ledger, 2, "common")
+    assert groups(ledger) == []
+    record_crash(ledger, 3, "common")
+    assert groups(ledger) == [{"common"}]
+
+
+def test_answer_that_had_begun_goes_before_requests_that_waited() -> None:
+    """Guards against blaming requests that waited behind the one that crashed.
+
+    They often move together from one ended server to the next.
+    """
+    ledger = CrashLedger()
+    for number in (1, 2):
+        record_crash(ledger, number, "waiting", has_begun=False)
+        record_crash(ledger, number, "deadly", f"own-{number}")
+    later = NOW + SETTLE_S
+    assert groups(ledger, later) == [{"deadly"}]
+    assert ledger.diagnose(later)[0].is_certain
+
+
+def test_requests_without_an_answer_are_considered_when_reports_are_in() -> None:
+    """Guards against a conclusion before other gateways have reported the crash."""
+    ledger = CrashLedger()
+    record_crash(ledger, 1, "waiting", has_begun=False)
+    record_crash(ledger, 2, "waiting", has_begun=False)
+    assert groups(ledger, NOW + SETTLE_S / 2) == []
+    assert groups(ledger, NOW + SETTLE_S) == [{"waiting"}]
+
+
+def test_two_deadly_parts_are_both_found() -> None:
+    """Guards against a second deadly part that hides behind the first."""
+    ledger = CrashLedger()
+    for number in range(4):
+        record_crash(ledger, number, "deadly-a", f"own-{number}")
+    for number in range(4, 6):
+        record_crash(ledger, number, "deadly-b", f"own-{number}")
+    assert groups(ledger) == [{"deadly-a"}, {"deadly-b"}]
+
+
+def test_explained_crash_is_no_evidence_against_another_part() -> None:
+    """Guards against blaming a part that was twice beside the deadly one."""
+    ledger = CrashLedger()
+    record_crash(ledger, 1, "deadly", "beside")
+    record_crash(ledger, 2, "deadly", "beside")
+    record_crash(ledger, 3, "deadly", "other")
+    assert groups(ledger) == [{"deadly"}]
+
+
+def test_unrelated_crashes_do_not_hide_the_cause() -> None:
+    """Guards against a cause that is missed because servers also crash otherwise."""
+    ledger = CrashLedger()
+    record_crash(ledger, 1, "deadly", "a")
+    record_crash(ledger, 2, "sound")
+    record_crash(ledger, 3, "deadly", "b")
+    assert groups(ledger) == [{"deadly"}]
+
+
+def test_evidence_of_others_counts_and_late_evidence_does_not_revive() -> None:
+    """Guards against evidence that returns from a gateway that missed the release."""
+    ledger = CrashLedger()
+    reports = tuple(
+        CrashReport(
+            boot=boot(number), age_s=2.0, begun_part_ids=("part",), waiting_part_ids=()
+        )
+        for number in (1, 2)
+    )
+    evidence = CrashEvidence(reports, {})
+    changed, _ = ledger.merge(evidence, NOW)
+    assert changed == [boot(1), boot(2)]
+    assert groups(ledger) == [{"part"}]
+    _, cleared = ledger.merge(CrashEvidence((), {"part": 1.0}), NOW)
+    assert cleared == ["part"]
+    assert ledger.merge(evidence, NOW) == ([], [])
+    assert groups(ledger) == []
+
+
+def test_ledger_is_bounded_and_forgets() -> None:
+    """Guards against memory that grows with the ids that callers send."""
+    ledger = CrashLedger()
+    many = [f"part-{number}" for number in range(10 * MAX_PARTS_PER_CRASH)]
+    for number in range(3 * MAX_CRASHES):
+        record_crash(ledger, number, *many)
+    assert len(ledger) == MAX_CRASHES
+    report = ledger.report(ledger.boots()[:1], (), NOW)
+    assert len(report.crashes[0].begun_part_ids) == MAX_PARTS_PER_CRASH
+    ledger.record_served([f"served-{n}" for n in range(2 * MAX_SERVED_PARTS)], NOW)
+    assert len(ledger._served_at_by_part) == MAX_SERVED_PARTS
+    ledger.drop_expired(NOW + CRASH_TTL_S)
+    assert len(ledger) == 0
