Treat a stream with neither an event nor a declared end as broken

What callers saw: a server that ends right after the head of a stream without a length or chunks closes the connection as a complete stream does. The gateway passed on an empty stream that looked complete, or ended a resumed one as complete.

Cause: with ends_by_close, any orderly close counted as the end of the body.

Change: such a stream without a single event is Lost; it is resumed elsewhere, or cut. Streams without a length that have events and end at the end of one are still complete.

Result: both cases of test_stream_without_a_length_or_an_event_is_no_answer failed before.

--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -169,8 +169,10 @@
     def events(self) -> Iterator[bytes | Lost]:
         """Yield whole server-sent events; a Lost, if any, is the last item."""
         self._sock.set_limit(MAX_EVENT_BYTES)
+        has_events = False
         try:
             while event := self._response.readline(EVENT_END):
+                has_events = True
                 yield bytes(event)
                 self._sock.set_limit(MAX_EVENT_BYTES)
         except Exception as error:
@@ -179,10 +181,15 @@
         # Even a complete body may end in the middle of an event.
         if not self._response.message_complete or self._response.read():
             yield self._sock.lost("the answer ended early")
+        elif not has_events and not self._declares_end():
+            # A server that ends after the head closes the connection, too.
+            yield self._sock.lost("the stream has neither an event nor an end")
 
     def _is_framed(self) -> bool:
-        if self._ends_by_close:
-            return True
+        return self._ends_by_close or self._declares_end()
+
+    def _declares_end(self) -> bool:
+        """Return whether the end of the body shows without the connection's."""
         if self.status in (204, 304) or self._response.method == "HEAD":
             return True
         is_chunked = "chunked" in self.headers.get("transfer-encoding", "").lower()
--- a/tests/test_short_answers.py
+++ b/tests/test_short_answers.py
@@ -96,6 +96,30 @@
     assert not received.is_whole
 
 
+def test_stream_without_a_length_ends_with_its_connection() -> None:
+    """Guards against losing streams that platform servers end by closing."""
+    with scripted_server(unframed_stream(event(1), event(2))) as server:
+        received = GatewayFrontEnd().send(server.port, events=True)
+    assert (received.status, received.body) == (200, event(1) + event(2))
+    assert received.is_whole
+
+
+@pytest.mark.parametrize("begun", [(), (event(1),)], ids=["first", "resumed"])
+def test_stream_without_a_length_or_an_event_is_no_answer(
+    begun: tuple[bytes, ...],
+) -> None:
+    """Guards against a server that ends after the head of a stream.
+
+    Its connection closes as at the end of a complete stream without a length.
+    """
+    scripts = [unframed_stream(*begun, HALF_EVENT)] if begun else []
+    with scripted_server(*scripts, unframed_stream()) as server:
+        ports = [server.port] * (len(scripts) + 1)
+        received = GatewayFrontEnd().send(*ports, is_repeatable=True, events=True)
+    assert received.status == (200 if begun else 502)
+    assert not (begun and received.is_whole)
+
+
 def test_stream_that_stops_in_an_event_goes_on_elsewhere() -> None:
     """Guards against losing an event when a stream moves to another server."""
     broken = unframed_stream(event(1), event(2), HALF_EVENT)
