--- a/tests/test_recorded_data.py
+++ b/tests/test_recorded_data.py
@@ -1,9 +1,10 @@
 """Messages and stored values that an earlier build wrote are read and written alike.
 
 The files under ``data/recorded`` hold one example a line: the name on the wire or the
-kind of a stored value, and the bytes in hexadecimal, as commit 4b42904 wrote them.
-During a rolling update, instances of both builds exchange messages and share stored
-values, so a renamed class or field must keep its outer name.
+kind of a stored value, and the bytes in hexadecimal, as commit 4b42904 wrote them, or
+the one that added the message. During a rolling update, instances of both builds
+exchange messages and share stored values, so a renamed class or field must keep its
+outer name.
 """
 
 from __future__ import annotations
