Close the connection after a refused body

What callers saw: after a 413 the connection stayed open, and the rest of the body was read as the next request. A request that stood in the body beyond the limit ran (request smuggling).

Cause: gevent was told not to read the rest of a refused body, but the answer did not close the connection. The same held for the product's own front end with chunked bodies. A request refused for its headers had its body read to the end without a limit.

Change: read_body serves both front ends; refusals that leave a part of the body close the connection. The gateway reads the body before it decodes the headers.

--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -26,7 +26,13 @@
     respond_whole,
     watch_caller,
 )
-from ..links.http_server import SOCKET_TIMEOUT_S, CallerHandler, request_headers
+from ..links.http_server import (
+    MAX_BODY_BYTES,
+    SOCKET_TIMEOUT_S,
+    CallerHandler,
+    read_body,
+    request_headers,
+)
 from ..settings import Endpoint
 from ..telemetry.logs import log_event
 from .admission import Admission, admit
@@ -179,14 +185,14 @@
     ) -> Iterable[bytes]:
         arrived_at = self.clock.now()
         headers = request_headers(environ)
+        body = read_body(environ, self._max_body_bytes())
+        if isinstance(body, Refusal):
+            return self._refuse(body, None, start_response, closing=True)
         head = self._codec.decode_request(
             environ["REQUEST_METHOD"], environ["siskinspool.target"], headers
         )
         if isinstance(head, Refusal):
             return self._refuse(head, None, start_response)
-        body = self._read_body(environ)
-        if isinstance(body, Refusal):
-            return self._refuse(body, head, start_response)
         # Read after the body has arrived, so that the newest desired state applies.
         admission = self._admit(head)
         if isinstance(admission, Refusal):
@@ -242,23 +248,17 @@
             if passage.result is not GateResult.OPEN:
                 task.end_quarantined()
 
-    def _read_body(self, environ: dict[str, Any]) -> bytes | Refusal:
+    def _max_body_bytes(self) -> int:
         limits = self.limits()
-        source = environ["wsgi.input"]
-        if limits is None:
-            return bytes(source.read())
-        try:
-            body = bytes(source.read(limits.max_body_bytes + 1))
-        except OSError:
-            return Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
-        if len(body) > limits.max_body_bytes:
-            # Stops the WSGI server from reading the rest of a chunked body.
-            source._chunked_input_error = True
-            return Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body is too large")
-        return body
+        return MAX_BODY_BYTES if limits is None else limits.max_body_bytes
 
     def _refuse(
-        self, refusal: Refusal, head: RequestHead | None, start_response: StartResponse
+        self,
+        refusal: Refusal,
+        head: RequestHead | None,
+        start_response: StartResponse,
+        *,
+        closing: bool = False,
     ) -> list[bytes]:
         log_event(
             logger,
@@ -272,9 +272,8 @@
             version=None if self._desired is None else self._desired.version,
         )
         item = self._codec.encode_refusal(refusal)
-        return respond_whole(
-            item, start_response, closing=self._should_close_connections
-        )
+        closing = closing or self._should_close_connections
+        return respond_whole(item, start_response, closing=closing)
 
     def _serve(
         self,
@@ -307,13 +306,13 @@
 
 
 class _FrontWsgiServer(WSGIServer):
-    """The WSGI server, with the operator's limit on idle connections."""
+    """The WSGI server, with the operator's limits on connections."""
 
     idle_timeout_s = SOCKET_TIMEOUT_S
 
 
 class _FrontHandler(CallerHandler):
-    """Applies the limit on idle connections."""
+    """Applies the operator's limits on idle connections and on heads."""
 
     def handle(self) -> None:
         """Serve the requests of one connection."""
--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -201,7 +201,7 @@
     ) -> Iterable[bytes]:
         request = read_request(environ)
         if isinstance(request, Refusal):
-            return respond_whole(refusal_item(request), start_response)
+            return respond_whole(refusal_item(request), start_response, closing=True)
         page = self._find_page(request)
         if page is not None:
             return respond_whole(page, start_response)
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -1,8 +1,9 @@
 """Limits and error handling for connections from callers.
 
 `CallerHandler` extends gevent's WSGI handler: it limits the header section, ends a cut
-answer without the final chunk, and logs connection errors. `read_request` reads a whole
-request within the body limit.
+answer without the final chunk, and logs connection errors. `read_body` reads a body
+within the limit on its size, and `read_request` a whole request. After a refusal that leaves a part of a body unread, the connection
+closes, because that part must not be read as the next request.
 """
 
 from __future__ import annotations
@@ -25,6 +26,8 @@
 MAX_HEADER_BYTES: Final = 16 * 1024
 # Timeout for each read or write on a caller's connection.
 SOCKET_TIMEOUT_S: Final = 30.0
+# A body is read in pieces of this size.
+PIECE_BYTES: Final = 64 * 1024
 
 
 class _RefusedRequestError(Exception):
@@ -38,7 +41,8 @@
 _HEADERS_TOO_LARGE: Final = Refusal(
     431, ErrorCode.HEADERS_TOO_LARGE, "the headers exceed 16 KB"
 )
-_BODY_TOO_LARGE: Final = Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body exceeds 8 MB")
+_BODY_TOO_LARGE: Final = Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body is too large")
+_BODY_INCOMPLETE: Final = Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
 _NOT_HTTP: Final = Refusal(
     400, ErrorCode.BAD_REQUEST, "the request line or the headers cannot be read"
 )
@@ -167,17 +171,39 @@
     return head.encode() + body
 
 
-def read_request(environ: dict[str, Any]) -> HttpRequest | Refusal:
-    """Return the request in a WSGI environment, including its body."""
+def read_body(environ: dict[str, Any], max_bytes: int) -> bytes | Refusal:
+    """Return the body of the request in a WSGI environment.
+
+    After a refusal the caller's connection must be closed (`respond_whole` with
+    ``closing``), since the rest of the body stays unread.
+    """
     source = environ["wsgi.input"]
-    try:
-        body = source.read(MAX_BODY_BYTES + 1)
-    except OSError:
-        return Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
-    if len(body) > MAX_BODY_BYTES:
-        # The body is chunked; this stops gevent from reading the rest of it.
-        source._chunked_input_error = True
-        return _BODY_TOO_LARGE
+    body = bytearray()
+    refusal: Refusal | None = None
+    while refusal is None:
+        try:
+            piece = source.read(PIECE_BYTES)
+        except OSError:
+            refusal = _BODY_INCOMPLETE
+        else:
+            if not piece:
+                return bytes(body)
+            body += piece
+            if len(body) > max_bytes:
+                refusal = _BODY_TOO_LARGE
+    # Stops gevent from reading the rest of the body.
+    source._chunked_input_error = True
+    return refusal
+
+
+def read_request(environ: dict[str, Any]) -> HttpRequest | Refusal:
+    """Return the request in a WSGI environment, including its body.
+
+    After a refusal the caller's connection must be closed, as with `read_body`.
+    """
+    body = read_body(environ, MAX_BODY_BYTES)
+    if isinstance(body, Refusal):
+        return body
     return HttpRequest(
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
--- /dev/null
+++ b/tests/builders_front_listener.py
@@ -0,0 +1,146 @@
+"""Runs the gateway's listener in one process, with its requests sent to one server."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import attrs
+import gevent
+from gevent import socket
+
+from siskinspool.core.clock import MonotonicClock
+from siskinspool.core.dispatcher import Dispatcher, Inbox
+from siskinspool.core.message import Incoming, Message, Outgoing
+from siskinspool.gateway.desired_state import DesiredState, RouteKind, WeightedService
+from siskinspool.gateway.front_task import FrontTask
+from siskinspool.gateway.gateway_metrics import GatewayMetrics
+from siskinspool.gateway.messages import (
+    FRONT_TASK,
+    ROUTING_TASK,
+    AssignServer,
+    ServerAssigned,
+)
+from siskinspool.gateway.request_context import RequestContext
+from siskinspool.gateway.servers import RegistryListed
+from siskinspool.links.server_link import HttpServerLink
+from siskinspool.platform.front_codec import PlatformFrontCodec
+from siskinspool.settings import Endpoint
+
+from .builders_gateway import desired_state, route
+
+PATH = "/status/1"
+
+
+class _OneServer(Inbox):
+    """Assigns the same server to each request."""
+
+    def __init__(self, dispatcher: Dispatcher, port: int) -> None:
+        self._dispatcher = dispatcher
+        self._port = port
+        dispatcher.register(ROUTING_TASK, self)
+
+    def post(self, incoming: Incoming) -> bool:
+        """Reply to a request for a server."""
+        if isinstance(incoming.message, AssignServer):
+            assigned = ServerAssigned("s1", "127.0.0.1", self._port)
+            sender = self._dispatcher.address(ROUTING_TASK)
+            self._dispatcher.send(sender, Outgoing(incoming.sender, assigned))
+        return True
+
+
+@attrs.frozen
+class FrontListener:
+    """A listener for requesters."""
+
+    port: int
+
+    def connect(self) -> socket.socket:
+        """Open a connection as a requester."""
+        sock = socket.create_connection(("127.0.0.1", self.port), 5.0)
+        sock.settimeout(5.0)
+        return sock
+
+
+@contextmanager
+def front_listener(server_port: int = 1, **limits: Any) -> Iterator[FrontListener]:
+    """Run a listener with a public route of the plain service ``desk``."""
+    dispatcher, clock = Dispatcher("g1"), MonotonicClock()
+    _OneServer(dispatcher, server_port)
+    codec = PlatformFrontCodec()
+    context = RequestContext(
+        dispatcher=dispatcher,
+        clock=clock,
+        link=HttpServerLink(),
+        codec=codec,
+        metrics=GatewayMetrics(),
+    )
+    front = FrontTask(context, codec, Endpoint(host="127.0.0.1", port=0))
+    front.start()
+    try:
+        for message in (limited_state(**limits), RegistryListed()):
+            _post(dispatcher, message)
+        with gevent.Timeout(5.0):
+            while not front.is_ready:
+                gevent.sleep(0.01)
+        yield FrontListener(front.port)
+    finally:
+        front.stop(0.1)
+
+
+def limited_state(**limits: Any) -> DesiredState:
+    """Return a desired state with a public route and changed limits."""
+    plain = route(
+        name="r-status",
+        prefix="/status/",
+        kind=RouteKind.SAFE,
+        services=(WeightedService("desk", 1),),
+        public=True,
+        resumable=False,
+        gap_target_s=None,
+    )
+    state = desired_state(plain)
+    return attrs.evolve(state, limits=attrs.evolve(state.limits, **limits))
+
+
+def request_head(*headers: str, request_id: str = "r1") -> bytes:
+    """Return the head of a request."""
+    lines = [
+        f"POST {PATH} HTTP/1.1",
+        "Host: site.example",
+        f"Request-Id: {request_id}",
+        *headers,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def read_answer(sock: socket.socket) -> bytes:
+    """Read until the connection closes."""
+    received = b""
+    while block := sock.recv(65_536):
+        received += block
+    return received
+
+
+def trickle(sock: socket.socket, data: bytes, pause_s: float) -> float:
+    """Send byte by byte until the peer closes; return the seconds until then."""
+    started_at = time.monotonic()
+    for number in range(len(data)):
+        try:
+            sock.sendall(data[number : number + 1])
+            sock.settimeout(pause_s)
+            received = sock.recv(65_536)
+        except TimeoutError:
+            continue
+        except OSError:
+            break
+        if not received:
+            break
+    return time.monotonic() - started_at
+
+
+def _post(dispatcher: Dispatcher, message: Message) -> None:
+    sender = dispatcher.address("test")
+    dispatcher.send(sender, Outgoing(dispatcher.address(FRONT_TASK), message))
