End stalled callers, and serve slow ones that keep moving

What callers saw: a caller that sends a byte of its headers or body now and then held its connection for ever; a caller that reads a large answer slowly but steadily was cut after the time limit of a single write.

Cause: the timeouts applied to each read and to each whole write. The operator's limit on the time for headers was decoded and not used.

Change: a header section has a time limit from its first byte (the operator's, or 10 s), bodies are read and answers written in pieces of 64 KB, each with its own limit.

--- a/src/siskinspool/core/errors.py
+++ b/src/siskinspool/core/errors.py
@@ -15,6 +15,7 @@
 
     BAD_REQUEST = "bad_request"
     METHOD_NOT_ALLOWED = "method_not_allowed"
+    REQUEST_TIMEOUT = "request_timeout"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     UNKNOWN_ROUTE = "unknown_route"
--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -27,6 +27,7 @@
     watch_caller,
 )
 from ..links.http_server import (
+    HEAD_TIMEOUT_S,
     MAX_BODY_BYTES,
     SOCKET_TIMEOUT_S,
     CallerHandler,
@@ -51,6 +52,8 @@
 # Requesters may reuse a connection up to the operator's idle limit; the listener waits
 # this much longer, to allow for delays.
 IDLE_MARGIN_S: Final = 2.0
+# The same for the operator's limit on the time of a header section.
+HEAD_MARGIN_S: Final = 0.5
 # Sent with refusals until the desired state is known.
 RETRY_AFTER_S: Final = 0.5
 
@@ -168,6 +171,8 @@
                 self._desired = desired
                 idle_s = desired.limits.idle_timeout_s
                 self._server.idle_timeout_s = idle_s + IDLE_MARGIN_S
+                head_s = desired.limits.header_timeout_s
+                self._server.head_timeout_s = head_s + HEAD_MARGIN_S
             case RegistryListed():
                 self._has_registry = True
             case IsolationChanged(isolated):
@@ -309,6 +314,7 @@
     """The WSGI server, with the operator's limits on connections."""
 
     idle_timeout_s = SOCKET_TIMEOUT_S
+    head_timeout_s = HEAD_TIMEOUT_S
 
 
 class _FrontHandler(CallerHandler):
@@ -319,4 +325,5 @@
         server = self.server
         assert isinstance(server, _FrontWsgiServer)
         self.idle_timeout_s = server.idle_timeout_s
+        self.head_timeout_s = server.head_timeout_s
         super().handle()
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -22,8 +22,9 @@
 from .answer_sink import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
 
 MAX_QUEUED_ITEMS: Final = 64
-# A caller that reads no byte for this long is disconnected.
-WRITE_TIMEOUT_S: Final = 30.0
+# Answers are written in pieces of this size. The timeout of the caller's socket applies
+# to each piece, so a slow reader is served, and one that stalls is disconnected.
+WRITE_PIECE_BYTES: Final = 64 * 1024
 
 # A caller that closed only its sending side must be able to detect a cut stream.
 _CALLER_GONE: Final = Refusal(
@@ -174,7 +175,12 @@
     headers = _answer_headers(item, closing)
     headers.append(("Content-Length", str(len(item.body))))
     start_response(status_line(item.status), headers)
-    return [item.body]
+    return list(_pieces(item.body))
+
+
+def _pieces(data: bytes) -> Iterator[bytes]:
+    for start in range(0, len(data), WRITE_PIECE_BYTES):
+        yield data[start : start + WRITE_PIECE_BYTES]
 
 
 def _answer_headers(
@@ -206,7 +212,7 @@
     while True:
         item = sink.next_item()
         if isinstance(item, StreamEvent):
-            yield item.data
+            yield from _pieces(item.data)
         elif isinstance(item, StreamEnd):
             if item.refusal is not None:
                 if data := sink.cut_event(item.refusal):
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -1,8 +1,9 @@
 """Limits and error handling for connections from callers.
 
-`CallerHandler` extends gevent's WSGI handler: it limits the header section, ends a cut
-answer without the final chunk, and logs connection errors. `read_body` reads a body
-within the limit on its size, and `read_request` a whole request. After a refusal that leaves a part of a body unread, the connection
+`CallerHandler` extends gevent's WSGI handler: it limits the size and the time of the
+header section, ends a cut answer without the final chunk, and logs connection errors.
+`read_body` reads a body within limits on its size and its pace, and `read_request` a
+whole request. After a refusal that leaves a part of a body unread, the connection
 closes, because that part must not be read as the next request.
 """
 
@@ -12,6 +13,7 @@
 from http import HTTPStatus
 from typing import Any, Final, cast
 
+import gevent
 from gevent.pywsgi import WSGIHandler
 
 from ..contracts.call import HttpRequest
@@ -26,8 +28,12 @@
 MAX_HEADER_BYTES: Final = 16 * 1024
 # Timeout for each read or write on a caller's connection.
 SOCKET_TIMEOUT_S: Final = 30.0
-# A body is read in pieces of this size.
+# Time for a header section, from its first byte.
+HEAD_TIMEOUT_S: Final = 10.0
+# A body is read in pieces of this size, each within this time: a slow caller is served,
+# and one that sends a byte now and then is not.
 PIECE_BYTES: Final = 64 * 1024
+PIECE_TIMEOUT_S: Final = 30.0
 
 
 class _RefusedRequestError(Exception):
@@ -41,7 +47,13 @@
 _HEADERS_TOO_LARGE: Final = Refusal(
     431, ErrorCode.HEADERS_TOO_LARGE, "the headers exceed 16 KB"
 )
+_HEADERS_TOO_SLOW: Final = Refusal(
+    408, ErrorCode.REQUEST_TIMEOUT, "the headers did not arrive in time"
+)
 _BODY_TOO_LARGE: Final = Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body is too large")
+_BODY_TOO_SLOW: Final = Refusal(
+    408, ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"
+)
 _BODY_INCOMPLETE: Final = Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
 _NOT_HTTP: Final = Refusal(
     400, ErrorCode.BAD_REQUEST, "the request line or the headers cannot be read"
@@ -67,6 +79,8 @@
     """Limits the header section and passes the socket to the application."""
 
     idle_timeout_s = SOCKET_TIMEOUT_S
+    head_timeout_s = HEAD_TIMEOUT_S
+    _head_timer: gevent.Timeout | None = None
 
     def handle(self) -> None:
         """Serve the requests of one connection."""
@@ -74,6 +88,26 @@
         self.socket.settimeout(self.idle_timeout_s)
         super().handle()
 
+    def handle_one_request(self) -> Any:
+        """Serve the next request of the connection."""
+        try:
+            return super().handle_one_request()
+        finally:
+            self._stop_head_timer()
+
+    def read_requestline(self) -> Any:
+        """Read the first line of a request; its time starts with the first byte."""
+        self.rfile.peek(1)
+        self._head_timer = gevent.Timeout.start_new(
+            self.head_timeout_s, TimeoutError("no head in time")
+        )
+        return super().read_requestline()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.close()
+            self._head_timer = None
+
     def read_request(self, raw_requestline: str) -> Any:
         """Read the head of a request; raise an exception to refuse it."""
         rfile = self.rfile
@@ -82,6 +116,7 @@
             valid = super().read_request(raw_requestline)
         finally:
             self.rfile = rfile
+            self._stop_head_timer()
         if not self._has_unambiguous_length():
             raise _RefusedRequestError(_NOT_HTTP)
         if (self.content_length or 0) > MAX_BODY_BYTES:
@@ -110,7 +145,11 @@
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Return the answer to a request that cannot be parsed."""
-        refusal = ex.refusal if isinstance(ex, _RefusedRequestError) else _NOT_HTTP
+        refusal = _NOT_HTTP
+        if isinstance(ex, _RefusedRequestError):
+            refusal = ex.refusal
+        elif isinstance(ex, TimeoutError):
+            refusal = _HEADERS_TOO_SLOW
         self.close_connection = True
         log_event(
             logger,
@@ -182,7 +221,10 @@
     refusal: Refusal | None = None
     while refusal is None:
         try:
-            piece = source.read(PIECE_BYTES)
+            with gevent.Timeout(PIECE_TIMEOUT_S, TimeoutError("no body in time")):
+                piece = source.read(PIECE_BYTES)
+        except TimeoutError:
+            refusal = _BODY_TOO_SLOW
         except OSError:
             refusal = _BODY_INCOMPLETE
         else:
