Send no order after a pause that ended the leadership term

What could happen: a leader that was paused between the decision on an order and its sending sent the order after its term, when a successor may give orders.

Cause: the term was checked when the order was decided; task inbox, greenlet and connection lie between that and the first byte.

Change: an order carries until when it may be sent (OrderPermit), and the link checks that right before the first byte, with the connection open.

--- a/src/siskinspool/gateway/leadership_term.py
+++ b/src/siskinspool/gateway/leadership_term.py
@@ -8,6 +8,17 @@
 
 # Timeout of an order; no order is given with less than this left of the term.
 ORDER_TIMEOUT_S: Final = 0.6
+# An order that has been given is still sent with this much left of the term.
+ORDER_TRANSFER_S: Final = 0.1
+
+
+@attrs.frozen
+class OrderPermit:
+    """The permission for one order; it may end before the order is sent."""
+
+    epoch: int
+    # The order must not be sent later, in seconds on the instance's clock.
+    until_s: float
 
 
 @attrs.define
@@ -33,6 +44,10 @@
         """End the term; no more orders may be given."""
         self.epoch = None
 
+    def permit(self) -> OrderPermit:
+        """Return the permission for an order of this term."""
+        return OrderPermit(self.epoch or 0, self._until_s - ORDER_TRANSFER_S)
+
     def allows_orders(self, now: float) -> bool:
         """Return whether an order can be given and answered within the term."""
         return (
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -294,6 +294,9 @@
     # Number of orders that the server must have accepted before this one.
     expected_count: int
     epoch: int
+    # The order must not be sent later, in seconds on the instance's clock: by then a
+    # successor may give orders.
+    until_s: float
 
 
 class OrderResult(StrEnum):
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from .desired_state import EngineSpec
+from .leadership_term import OrderPermit
 from .managed_server import ManagedServer
 from .messages import OrderKind, ServerOrder
 from .placement_choice import ServiceFleet
@@ -67,12 +68,12 @@
         fleet: ServiceFleet,
         server: ManagedServer,
         plan: PlacementPlan,
-        epoch: int,
+        permit: OrderPermit,
         now: float,
     ) -> NextStep:
         """Return the next step of a server's plan."""
         if plan.adapter:
-            return self._adapter_step(fleet, server, plan, epoch, now)
+            return self._adapter_step(fleet, server, plan, permit, now)
         spec = fleet.engine.model_by_name[plan.model]
         needs_store = server.needs_store(plan.model)
         if needs_store and not fleet.store_queue.can_start(server, plan, now):
@@ -85,19 +86,19 @@
             # Keep the server free for a plan that can be loaded sooner.
             return PlanWaits(now + RETRY_S)
         if fleet.engine.weights_mb - server.used_mb(fleet.engine) < spec.weights_mb:
-            return self._make_room(fleet, server, plan, epoch, now)
+            return self._make_room(fleet, server, plan, permit, now)
         if needs_store:
             bucket = self._load_bucket(server.record.service, fleet.engine, now)
             if not bucket.try_take(1, now):
                 return PlanWaits(now + bucket.wait_s(1, now))
-        return OrderDue(_order(epoch, server, OrderKind.LOAD, plan.model, ""))
+        return OrderDue(_order(permit, server, OrderKind.LOAD, plan.model, ""))
 
     def _make_room(
         self,
         fleet: ServiceFleet,
         server: ManagedServer,
         plan: PlacementPlan,
-        epoch: int,
+        permit: OrderPermit,
         now: float,
     ) -> NextStep:
         loaded_candidates = [
@@ -112,7 +113,7 @@
             return PlanVoid("victims_dearer")
         for name in loaded_candidates:
             if not server.is_recently_loaded(name, now):
-                return OrderDue(_order(epoch, server, OrderKind.UNLOAD, name, ""))
+                return OrderDue(_order(permit, server, OrderKind.UNLOAD, name, ""))
         if loaded_candidates:
             # Keep a recently loaded model until its requests have arrived.
             return PlanWaits(now + RETRY_S)
@@ -130,7 +131,7 @@
         fleet: ServiceFleet,
         server: ManagedServer,
         plan: PlacementPlan,
-        epoch: int,
+        permit: OrderPermit,
         now: float,
     ) -> NextStep:
         spec = fleet.engine.model_by_name[plan.model]
@@ -140,12 +141,12 @@
             server.used_mb(fleet.engine) + spec.adapter_mb <= fleet.engine.weights_mb
         )
         if fits:
-            load = _order(epoch, server, OrderKind.LOAD, plan.model, plan.adapter)
+            load = _order(permit, server, OrderKind.LOAD, plan.model, plan.adapter)
             return OrderDue(load)
         candidate = fleet.adapter_eviction_candidate(server, now)
         if candidate is None:
             return PlanVoid("adapters_in_use")
-        return OrderDue(_order(epoch, server, OrderKind.UNLOAD, *candidate))
+        return OrderDue(_order(permit, server, OrderKind.UNLOAD, *candidate))
 
     def _load_bucket(self, service: str, engine: EngineSpec, now: float) -> TokenBucket:
         """Return the token bucket of loads from the weight store.
@@ -167,7 +168,11 @@
 
 
 def _order(
-    epoch: int, server: ManagedServer, kind: OrderKind, model: str, adapter: str
+    permit: OrderPermit,
+    server: ManagedServer,
+    kind: OrderKind,
+    model: str,
+    adapter: str,
 ) -> ServerOrder:
     record = server.record
     return ServerOrder(
@@ -178,5 +183,6 @@
         model=model,
         adapter=adapter,
         expected_count=server.order_count or 0,
-        epoch=epoch,
+        epoch=permit.epoch,
+        until_s=permit.until_s,
     )
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -420,7 +420,7 @@
             or not server.is_usable(now)
         ):
             return PlanVoid("server_unusable")
-        return self._planner.next_step(fleet, server, plan, self._term.epoch or 0, now)
+        return self._planner.next_step(fleet, server, plan, self._term.permit(), now)
 
     def _handle_order_end(self, ended: OrderEnded, now: float) -> list[Outgoing]:
         order, result = ended.order, ended.result
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final, cast
 
@@ -205,9 +205,16 @@
 
     @abstractmethod
     def open_call(
-        self, request: ServerRequest, timeout_s: float
+        self,
+        request: ServerRequest,
+        timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Answer | NotSent | Lost:
-        """Send a request once and return the answer's head."""
+        """Send a request once and return the answer's head.
+
+        ``may_send`` is called right before the first byte is sent: the process may have
+        been paused since the caller decided to send.
+        """
 
 
 class HttpServerLink(ServerLink):
@@ -228,7 +235,10 @@
         self._ends_by_close = ends_by_close
 
     def open_call(
-        self, request: ServerRequest, timeout_s: float
+        self,
+        request: ServerRequest,
+        timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Answer | NotSent | Lost:
         """Send a request once and return the answer's head."""
         try:
@@ -237,6 +247,9 @@
             )
         except OSError as error:
             return NotSent(_reason(error))
+        if not may_send():
+            sock.close()
+            return NotSent("the permission to send has ended")
         limited_sock = _LimitedSocket(sock)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/siskinspool/platform/daemon.py
+++ b/src/siskinspool/platform/daemon.py
@@ -120,14 +120,15 @@
         registry_store = PlatformStore(settings.store, pause_s)
         return FeedTask(dispatcher, clock, operator_store, registry_store, listeners)
 
+    clock = BoottimeClock()
     parts = PlatformAdapters(
         store=PlatformStore(settings.store, watch_wait_s=MEMBERS_WAIT_S),
-        server_control=PlatformServerControl(),
+        server_control=PlatformServerControl(clock),
         codec=PlatformFrontCodec(),
         ready_path=READY_PATH,
         make_feed=make_feed,
     )
-    return GatewayInstance(settings, parts, BoottimeClock())
+    return GatewayInstance(settings, parts, clock)
 
 
 def _log_reload(path: Path, running: GatewaySettings) -> None:
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -4,10 +4,12 @@
 
 import json
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import gevent
 
+from ..core.clock import Clock
 from ..gateway.messages import OrderResult, ServerOrder
 from ..gateway.server_control import ServerControl
 from ..gateway.servers import Holdings
@@ -36,8 +38,9 @@
 class PlatformServerControl(ServerControl):
     """Sends orders to servers and reads their reports over HTTP."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._link = HttpServerLink()
+        self._clock = clock
 
     def send_order(self, order: ServerOrder, holder: str) -> OrderResult:
         """Send an order to its server, with an instance as its holder."""
@@ -53,7 +56,13 @@
         if order.adapter:
             body["adapter"] = order.adapter
         answer = self._call(
-            "POST", "/-/order", order.server_id, order.host, order.port, body
+            "POST",
+            "/-/order",
+            order.server_id,
+            order.host,
+            order.port,
+            body,
+            lambda: self._clock.now() < order.until_s,
         )
         if isinstance(answer, NotSent):
             return OrderResult.NOT_SENT
@@ -92,6 +101,7 @@
         host: str,
         port: int,
         body: dict[str, object] | None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Answer | NotSent | Lost:
         request = ServerRequest(
             host=host,
@@ -104,7 +114,7 @@
             },
             body=b"" if body is None else json.dumps(body).encode(),
         )
-        return self._link.open_call(request, CALL_TIMEOUT_S)
+        return self._link.open_call(request, CALL_TIMEOUT_S, may_send)
 
 
 def _log_unreadable_report(server_id: str, reason: str) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 import gevent
 import pytest
 
+from siskinspool.core.clock import MonotonicClock
 from siskinspool.gateway.messages import OrderKind, OrderResult, ServerOrder
 from siskinspool.links.server_link import (
     MAX_BODY_BYTES,
@@ -53,6 +56,7 @@
         adapter="",
         expected_count=0,
         epoch=1,
+        until_s=math.inf,
     )
 
 
@@ -109,7 +113,7 @@
 
 def test_order_and_report_time_out_on_trickling_bytes() -> None:
     """Guards against an order that never ends and blocks all further ones."""
-    control = PlatformServerControl()
+    control = PlatformServerControl(MonotonicClock())
     with endless_server(OK, b"X-A: b\r\n", 0.05) as server, gevent.Timeout(5.0):
         assert control.send_order(order(server), "g1") is OrderResult.UNKNOWN
     with endless_server(CHUNKED, chunk(b" "), 0.05) as server, gevent.Timeout(5.0):
