Let a planned stop wait for requests that are being read

What callers saw: a request whose head had been read and whose body was on its way when a planned stop found nothing running was cut off without an answer.

Cause: a request counted as running only after its body had been read and it had been admitted.

Change: it counts from its head on. The checks between reading and running move to _accept.

--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -106,7 +106,7 @@
         self._refuses_new = False
         self._gate = QuarantineGate()
         self._running: set[RequestTask] = set()
-        # Number of requests whose answer is not fully written yet.
+        # Number of requests that are being read or whose answer is not fully written.
         self._open_answers = 0
         self._idle = Signal()
         self._idle.set()
@@ -187,6 +187,19 @@
 
     def _application(
         self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterator[bytes]:
+        # Counts from the head on, so that a stop waits for requests being read.
+        self._open_answers += 1
+        self._idle.clear()
+        try:
+            yield from self._answer(environ, start_response)
+        finally:
+            self._open_answers -= 1
+            if self._open_answers == 0:
+                self._idle.set()
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         arrived_at = self.clock.now()
         headers = request_headers(environ)
@@ -198,27 +211,34 @@
         )
         if isinstance(head, Refusal):
             return self._refuse(head, None, start_response)
-        # Read after the body has arrived, so that the newest desired state applies.
+        # Decided after the body has arrived, so that the newest desired state applies.
+        request = self._accept(head, body, arrived_at)
+        if isinstance(request, Refusal):
+            return self._refuse(request, head, start_response)
+        return self._serve(request, environ, start_response)
+
+    def _accept(
+        self, head: RequestHead, body: bytes, arrived_at: float
+    ) -> GatewayRequest | Refusal:
+        """Return the request if it may run, or its refusal."""
         admission = self._admit(head)
         if isinstance(admission, Refusal):
-            return self._refuse(admission, head, start_response)
+            return admission
         passage = self._gate.check(head.shared_part_ids, self.clock.now())
         if passage.result is GateResult.CLOSED:
-            refusal = quarantine_refusal(
+            return quarantine_refusal(
                 may_have_run=False, retry_after_s=passage.retry_after_s
             )
-            return self._refuse(refusal, head, start_response)
         is_probe = passage.result is GateResult.PROBE
         if is_probe:
             self._start_probe(head, passage.part_ids)
-        request = GatewayRequest(
+        return GatewayRequest(
             head=head,
             body=body,
             admission=admission,
             arrived_at=arrived_at,
             is_probe=is_probe,
         )
-        return self._serve(request, environ, start_response)
 
     def _admit(self, head: RequestHead) -> Admission | Refusal:
         if self._refuses_new:
@@ -289,8 +309,6 @@
         sink = FrontSink(self._codec)
         task = RequestTask(request, self._context, sink)
         self._running.add(task)
-        self._open_answers += 1
-        self._idle.clear()
 
         def on_disconnect() -> None:
             task.cancel()
@@ -305,9 +323,6 @@
         finally:
             watcher.kill(block=False)
             task.cancel()
-            self._open_answers -= 1
-            if self._open_answers == 0:
-                self._idle.set()
 
 
 class _FrontWsgiServer(WSGIServer):
--- a/tests/builders_front_listener.py
+++ b/tests/builders_front_listener.py
@@ -55,7 +55,12 @@
 class FrontListener:
     """A listener for requesters."""
 
-    port: int
+    front: FrontTask
+
+    @property
+    def port(self) -> int:
+        """The port for requesters."""
+        return self.front.port
 
     def connect(self) -> socket.socket:
         """Open a connection as a requester."""
@@ -85,7 +90,7 @@
         with gevent.Timeout(5.0):
             while not front.is_ready:
                 gevent.sleep(0.01)
-        yield FrontListener(front.port)
+        yield FrontListener(front)
     finally:
         front.stop(0.1)
 
