Await the answer of a runner that is only silent

What callers saw: a patient request that must not run twice got the outcome "unknown" as soon as its runner's session had expired, and the answer of a runner that was only paused or cut off was dropped afterwards.

Cause: the owner of the shard took an expired session for the end of the instance. A restarted one has another incarnation, which the owner sees; an absent one may return.

Change: the owner waits 60 s for an absent runner of a non-idempotent request; a restarted one is given up at once, as before. Idempotent requests still run again at once.

--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -39,6 +39,9 @@
 ANSWER_TTL_S: Final = 24 * 3600.0
 # Limit of concurrent requests of this shard at one instance.
 RUNS_PER_INSTANCE: Final = 8
+# How long the answer to a non-idempotent request is awaited from an instance without a
+# session: it may only be paused or cut off.
+RUNNER_ABSENCE_S: Final = 60.0
 # Interval at which `RunPatient` is repeated until the runner confirms it.
 RUN_RESEND_INTERVAL_S: Final = 2.0
 # A request whose head is not written within this time is refused.
@@ -61,6 +64,8 @@
     waiters: list[Address] = attrs.field(factory=list)
     run_at: float = 0.0
     is_started: bool = False
+    # Since when the runner has no session; None while it has one.
+    runner_absent_since: float | None = None
     fetch: PartFetch | None = None
 
 
@@ -243,6 +248,8 @@
             return float("inf")
         if head.state is PatientState.ACCEPTED:
             return pending.deadline
+        if pending.runner_absent_since is not None:
+            return pending.runner_absent_since + RUNNER_ABSENCE_S
         is_fetching = pending.fetch is not None and pending.fetch.due_at() is not None
         if pending.is_started or is_fetching:
             return float("inf")
@@ -391,10 +398,12 @@
     ) -> None:
         runner = head.runner
         member = None if runner is None else members.get(runner.instance_id)
+        if member is not None:
+            pending.runner_absent_since = None
         if runner is None or member is None or member.incarnation != runner.incarnation:
             if head.request.idempotent:
                 pending.writer.start_write(_reset_to_accepted(head))
-            else:
+            elif member is not None or _is_absent_for_long(pending, now):
                 self._fail(pending, head, PatientFailure.OUTCOME_UNKNOWN)
         elif not pending.is_started and now >= pending.run_at:
             self._send_run(pending, head, runner, now)
@@ -437,5 +446,12 @@
         self._outgoing.append(Outgoing(recipient, message))
 
 
+def _is_absent_for_long(pending: PendingRequest, now: float) -> bool:
+    """Return whether an absent runner is given up; record since when it is absent."""
+    if pending.runner_absent_since is None:
+        pending.runner_absent_since = now
+    return now >= pending.runner_absent_since + RUNNER_ABSENCE_S
+
+
 def _reset_to_accepted(head: Head) -> Head:
     return attrs.evolve(head, state=PatientState.ACCEPTED, runner=None, token="")
--- a/tests/builders_patient.py
+++ b/tests/builders_patient.py
@@ -133,11 +133,12 @@
         self.sim.frozen.discard(instance)
         self.send(instance, CatalogChanged(self.catalog))
 
-    def announce(self) -> None:
+    def announce(self, absent: str | None = None) -> None:
         """Inform every instance of the current members."""
         members = {
             name: Member(name, str(number), "z", "127.0.0.1", 1)
             for name, number in self.incarnation_by_id.items()
+            if name != absent
         }
         for instance in self.incarnation_by_id:
             self.send(instance, MembershipChanged(members))
--- a/tests/test_patient.py
+++ b/tests/test_patient.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -13,6 +14,7 @@
     PatientRefused,
     PatientState,
 )
+from siskinspool.contracts.patient_shard import RUNNER_ABSENCE_S
 from siskinspool.machines.messages import CatalogChanged, OwnershipLost
 from tests.builders import catalog, team
 from tests.builders_claims import DeliveryOutcome
@@ -79,6 +81,34 @@
             assert head.failure is PatientFailure.OUTCOME_UNKNOWN
 
 
+@pytest.mark.parametrize("returns", [True, False], ids=["returns", "gone"])
+def test_runner_that_is_silent_is_not_given_up_at_once(returns: bool) -> None:
+    """Guards against dropping the answer of an instance that was only paused.
+
+    Its session expires meanwhile, and a non-idempotent request cannot run elsewhere.
+    """
+    cluster = PatientCluster()
+    cluster.move_owner("b")
+    request_id = cluster.submit()
+    while not cluster.starts:
+        cluster.sim.run(0.05)
+    cluster.sim.frozen.add("a")
+    cluster.announce(absent="a")
+    cluster.sim.run(RUNNER_ABSENCE_S / 2, step=0.5)
+    assert cluster.head(request_id).state is PatientState.RUNNING
+    if returns:
+        cluster.sim.frozen.discard("a")
+        cluster.announce()
+    cluster.sim.run(RUNNER_ABSENCE_S, step=0.5)
+    cluster.check()
+    head = cluster.head(request_id)
+    if returns:
+        assert head.state is PatientState.DONE
+    else:
+        assert head.failure is PatientFailure.OUTCOME_UNKNOWN
+    assert cluster.starts == [request_id]
+
+
 def fail_writes_until_reply(cluster: PatientCluster, request_id: str) -> PatientRefusal:
     """Let all writes fail until the request is refused; return the reason."""
     while request_id not in cluster.reply_by_id:
