Tell a finite time beside a probe, and name the refused parts

Cause: while a probe was on its way, the gate of its gateway told other requests with the same parts an infinite Retry-After until the next update. The detail of the refusal did not name the parts.

Change: the gate closes for the time after which a probe is repeated. Refusals and their log lines name the parts. A repair message carries four crashes at most.

--- a/src/siskinspool/gateway/evidence_exchange.py
+++ b/src/siskinspool/gateway/evidence_exchange.py
@@ -25,6 +25,7 @@
 FLUSH_DELAY_S: Final = 0.01
 REPAIR_INTERVAL_S: Final = 1.0
 MAX_CRASHES_PER_MESSAGE: Final = 8
+MAX_CRASHES_PER_REPAIR: Final = 4
 # Limit on what one gateway sends.
 BYTES_PER_S: Final = 1_000.0
 BURST_BYTES: Final = 32_000.0
@@ -106,8 +107,8 @@
         self, ledger: CrashLedger, now: float
     ) -> list[tuple[str, CrashEvidence]]:
         boots = ledger.boots()
-        if len(boots) > MAX_CRASHES_PER_MESSAGE:
-            boots = self._random.sample(boots, MAX_CRASHES_PER_MESSAGE)
+        if len(boots) > MAX_CRASHES_PER_REPAIR:
+            boots = self._random.sample(boots, MAX_CRASHES_PER_REPAIR)
         evidence = ledger.report(boots, (), now)
         recipients = self._choose(1)
         if not self._try_spend(_estimated_bytes(evidence), now):
--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -227,7 +227,9 @@
         passage = self._gate.check(head.shared_part_ids, self.clock.now())
         if passage.result is GateResult.CLOSED:
             return quarantine_refusal(
-                may_have_run=False, retry_after_s=passage.retry_after_s
+                passage.part_ids,
+                may_have_run=False,
+                retry_after_s=passage.retry_after_s,
             )
         is_probe = passage.result is GateResult.PROBE
         if is_probe:
@@ -261,7 +263,7 @@
             request=head.request_id,
             parts=",".join(sorted(part_ids)),
         )
-        self._gate.close(part_ids)
+        self._gate.close(part_ids, self.clock.now())
         quarantine = self.dispatcher.address(QUARANTINE_TASK)
         self.dispatcher.send(self.address, Outgoing(quarantine, ProbeStarted(part_ids)))
 
@@ -271,7 +273,7 @@
         for task in list(self._running):
             passage = self._gate.check(task.request.head.shared_part_ids, now)
             if passage.result is not GateResult.OPEN:
-                task.end_quarantined()
+                task.end_quarantined(passage.part_ids)
 
     def _max_body_bytes(self) -> int:
         limits = self.limits()
--- a/src/siskinspool/gateway/quarantine.py
+++ b/src/siskinspool/gateway/quarantine.py
@@ -28,6 +28,7 @@
 from .crash_ledger import MIN_CRASHES, CrashLedger, SuspectGroup
 from .evidence_exchange import EvidenceExchange
 from .messages import FRONT_TASK
+from .quarantine_gate import PROBE_TIMEOUT_S
 from .quarantine_messages import (
     QUARANTINE_TASK,
     AnswerBroken,
@@ -50,8 +51,6 @@
 # Interval at which one gateway after the other may send a probe. By then the result of
 # the previous probe is known.
 PROBE_STAGGER_S: Final = 1.0
-# A probe without a result is repeated after this time.
-PROBE_TIMEOUT_S: Final = 10.0
 # Crashes whose evidence a new gateway gets as an answer to its query.
 MAX_REPORTED_CRASHES: Final = 32
 
--- a/src/siskinspool/gateway/quarantine_gate.py
+++ b/src/siskinspool/gateway/quarantine_gate.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection
 from enum import Enum, auto
+from typing import Final
 
 import attrs
 
 from .quarantine_messages import QuarantinedParts
 
+# A probe without a result is repeated after this time.
+PROBE_TIMEOUT_S: Final = 10.0
+
 
 class GateResult(Enum):
     """Whether a request may be sent."""
@@ -40,10 +43,10 @@
         """Set the quarantined groups."""
         self._groups = groups
 
-    def close(self, part_ids: frozenset[str]) -> None:
-        """Let no further request with this group pass until the next update."""
+    def close(self, part_ids: frozenset[str], now: float) -> None:
+        """Let no further request with this group pass while a probe is running."""
         self._groups = tuple(
-            attrs.evolve(group, probe_from=math.inf)
+            attrs.evolve(group, probe_from=now + PROBE_TIMEOUT_S)
             if group.part_ids == part_ids
             else group
             for group in self._groups
--- a/src/siskinspool/gateway/request_abort.py
+++ b/src/siskinspool/gateway/request_abort.py
@@ -27,6 +27,10 @@
 class QuarantinedError(AbortedError):
     """The request's prompt is now known to crash servers."""
 
+    def __init__(self, part_ids: frozenset[str]) -> None:
+        super().__init__()
+        self._part_ids = part_ids
+
     def refusal(self, *, may_have_run: bool) -> Refusal:
         """Return a refusal that names the prompt."""
-        return quarantine_refusal(may_have_run=may_have_run)
+        return quarantine_refusal(self._part_ids, may_have_run=may_have_run)
--- a/src/siskinspool/gateway/request_refusals.py
+++ b/src/siskinspool/gateway/request_refusals.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Final
 
 from ..core.errors import ErrorCode
@@ -38,10 +39,13 @@
 
 
 def quarantine_refusal(
-    *, may_have_run: bool, retry_after_s: float | None = None
+    part_ids: Collection[str],
+    *,
+    may_have_run: bool,
+    retry_after_s: float | None = None,
 ) -> Refusal:
-    """Return the refusal of a request whose prompt crashes servers."""
-    detail = "servers have crashed on parts of the prompt"
+    """Return the refusal of a request with prompt parts that crash servers."""
+    detail = f"servers crash on prompts with the parts {','.join(sorted(part_ids))}"
     if may_have_run:
         return _unknown_outcome(502, ErrorCode.PROMPT_QUARANTINED, detail)
     return Refusal(
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -129,10 +129,10 @@
         """Answer at once because the instance is stopping."""
         self._abort(StoppingError())
 
-    def end_quarantined(self) -> None:
-        """Answer at once because the prompt crashes servers, unless it was served."""
+    def end_quarantined(self, part_ids: frozenset[str]) -> None:
+        """Answer at once because these parts crash servers, unless it was served."""
         if not self._prompt.is_served and not self.request.is_probe:
-            self._abort(QuarantinedError())
+            self._abort(QuarantinedError(part_ids))
 
     def _abort(self, reason: AbortedError) -> None:
         if self._greenlet is not None and not self._greenlet.dead:
--- a/tests/builders_quarantine.py
+++ b/tests/builders_quarantine.py
@@ -116,7 +116,7 @@
             self.refused.append(part_ids)
             return False
         if passage.result is GateResult.PROBE:
-            self.gate_by_id[gateway_id].close(passage.part_ids)
+            self.gate_by_id[gateway_id].close(passage.part_ids, self.now)
             self.post(gateway_id, ProbeStarted(passage.part_ids))
         chosen = self.rng.randrange(SERVER_COUNT) if server is None else server
         running = _Running(gateway_id, part_ids, self.now + ANSWER_S)
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -13,6 +13,12 @@
     PROBE_STAGGER_S,
     hold_s,
 )
+from siskinspool.gateway.quarantine_gate import (
+    PROBE_TIMEOUT_S,
+    GateResult,
+    QuarantineGate,
+)
+from siskinspool.gateway.quarantine_messages import QuarantinedParts
 
 from .builders_quarantine import ANSWER_S, DEADLY, QuarantineFleet, broken
 
@@ -162,3 +168,14 @@
     """Guards against an overflow after many crashes."""
     group = SuspectGroup(frozenset({"part"}), 64, 0.0, is_certain=False)
     assert hold_s(group) == MAX_HOLD_S
+
+
+def test_refusal_beside_a_probe_tells_a_finite_time() -> None:
+    """Guards against a Retry-After that no requester can read."""
+    gate = QuarantineGate()
+    gate.update((QuarantinedParts(frozenset({"part"}), probe_from=5.0),))
+    assert gate.check(["part", "own"], 6.0).result is GateResult.PROBE
+    gate.close(frozenset({"part"}), 6.0)
+    beside = gate.check(["part", "own"], 6.1)
+    assert beside.result is GateResult.CLOSED
+    assert 0.0 < beside.retry_after_s <= PROBE_TIMEOUT_S
