Split the orders to single servers off the placement decision

placement.py had 530 lines and two jobs: which server loads what, and the orders, reports and notifications of each server. No change of behaviour; the tests of the gateway pass unchanged.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -18,43 +18,32 @@
 from typing import Final
 
 from ..core.decision import Decision
-from ..core.message import Address, Incoming, Message, Outgoing
+from ..core.message import Address, Incoming, Outgoing
 from ..core.status import Status
 from ..store.kv import KvReply
 from ..store.kv_task import KV_TASK
 from ..telemetry.logs import log_event
-from .demand import target_name
 from .leadership_term import LeadershipTerm
 from .load_ledger import LoadLedger, LoadsHandedOver
-from .managed_server import ManagedServer
 from .managed_site import ManagedSite
 from .messages import (
-    LEADERSHIP_TASK,
-    ORDERS_TASK,
     PLACEMENT_TASK,
-    ROUTING_TASK,
     HoldingsRead,
     LeadershipExtended,
-    LeadershipFenced,
     LeadershipHeld,
     LeadershipLost,
     ModelExpected,
     ModelReady,
-    ModelUnloading,
     OrderEnded,
-    OrderKind,
-    OrderResult,
     PlacementRequest,
-    ReadHoldings,
-    ServerOrder,
 )
-from .order_planner import NextStep, OrderDue, OrderPlanner, PlanVoid, PlanWaits
+from .order_planner import OrderPlanner
 from .placement_choice import ServiceFleet
-from .placement_log import PlacementLog, log_order_result
+from .placement_log import PlacementLog
 from .placement_plan import PlacementPlan
 from .plan_moves import plan_moves
 from .preload import MAX_EXPECTED_PRELOADS, PlannedPreload, PreloadPlanner
-from .server_choice import ServerChoice
+from .server_orders import ServerOrders
 
 logger = logging.getLogger(__name__)
 
@@ -76,6 +65,9 @@
         self._next_tick_at = 0.0
         self._log = PlacementLog()
         self._ledger = LoadLedger()
+        self._orders = ServerOrders(
+            instance_id, self._site, self._term, self._planner, self._log
+        )
         # Placement requests that wait for the first reports, by (model, adapter,
         # gateway).
         self._pending_requests: dict[tuple[str, str, str], PlacementRequest] = {}
@@ -88,7 +80,7 @@
                 self._site.update_requesters(request, sender, now)
                 return self._handle_request(request, sender, now)
             case OrderEnded() as ended:
-                return self._handle_order_end(ended, now)
+                return self._orders.handle_order_end(ended, now)
             case HoldingsRead() as read:
                 return self._handle_report(read, now)
             case KvReply() as reply:
@@ -119,7 +111,7 @@
                 batch += self._plan_preloads(fleet, now)
         for server in list(self._site.server_by_id.values()):
             if server.record.service in self._site.engine_by_service:
-                batch += self._advance(server, now)
+                batch += self._orders.advance(server, now)
         if due := self._ledger.write(self._site.in_flight_loads(now), now):
             batch.append(Outgoing(Address(self._id, KV_TASK), due))
         return batch
@@ -160,13 +152,13 @@
         self._site.model_users.record_request(request.model, gateway, now)
         batch: list[Outgoing] = []
         for server in self._site.servers_to_check(request.silent_servers, now):
-            batch += self._read_report(server, now)
+            batch += self._orders.read_report(server, now)
         unread = [server for server in fleet.servers if server.order_count is None]
         if unread:
             # Without the reports a plan might load what is already there.
             self._pending_requests[(request.model, request.adapter, gateway)] = request
             for server in unread:
-                batch += self._advance(server, now)
+                batch += self._orders.advance(server, now)
             return batch
         if request.adapter:
             return batch + self._request_adapter(fleet, request, gateway, now)
@@ -177,16 +169,18 @@
     ) -> list[Outgoing]:
         model = request.model
         for server in fleet.servers:
-            self._drop_stale(server, now)
+            self._orders.drop_stale(server, now)
         silent = set(request.silent_servers)
         for server in fleet.servers:
             if server.needs_report and model in server.holdings.model_by_name:
                 # Read the report first; the gateway repeats its request.
-                return self._advance(server, now)
+                return self._orders.advance(server, now)
             if server.holds_model(model) and server.record.server_id not in silent:
                 self._log.log_shortage_end(server, model, fleet.shortages, now)
                 ready = ModelReady(model, request.adapter, server.record.server_id)
-                return [] if request.adapter else [self._to_routing(gateway, ready)]
+                return (
+                    [] if request.adapter else [self._orders.to_routing(gateway, ready)]
+                )
         for server in fleet.servers:
             plan = server.find_or_restore_plan(model, now)
             if plan is None:
@@ -199,11 +193,11 @@
                 sooner = fleet.find_sooner_choice(server, plan, now)
             if sooner is not None:
                 server.plans.remove(plan)
-                self._add_plan(fleet, plan, sooner, "sooner", now)
+                self._orders.add_plan(fleet, plan, sooner, "sooner", now)
                 server = sooner.server
-                batch = self._advance(server, now)
+                batch = self._orders.advance(server, now)
             expected = fleet.model_expected(request, server, now)
-            return [self._to_routing(gateway, expected), *batch]
+            return [self._orders.to_routing(gateway, expected), *batch]
         servers = [
             server
             for server in fleet.servers
@@ -216,29 +210,11 @@
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
             return []
         plan = PlacementPlan(model, "", {gateway: request.waiting}, now)
-        self._add_plan(fleet, plan, choice, "wanted", now)
-        reply = self._to_routing(
+        self._orders.add_plan(fleet, plan, choice, "wanted", now)
+        reply = self._orders.to_routing(
             gateway, fleet.model_expected(request, choice.server, now)
         )
-        return [reply, *self._advance(choice.server, now)]
-
-    def _add_plan(
-        self,
-        fleet: ServiceFleet,
-        plan: PlacementPlan,
-        choice: ServerChoice,
-        reason: str,
-        now: float,
-    ) -> None:
-        """Add a plan to the chosen server."""
-        self._log.log_plan(plan.model, choice, reason)
-        plan.eviction_candidates = choice.eviction_candidates
-        plan.eviction_cost_s = choice.eviction_cost_s
-        plan.planned_at = now
-        plan.is_started = False
-        choice.server.plans.append(plan)
-        fleet.invalidate_counts()
-        fleet.sort_plans(choice.server, now)
+        return [reply, *self._orders.advance(choice.server, now)]
 
     def _request_adapter(
         self, fleet: ServiceFleet, request: PlacementRequest, gateway: str, now: float
@@ -259,7 +235,7 @@
                 return []
             if server.holds_adapter(model, adapter) and not server.needs_report:
                 ready = ModelReady(model, adapter, server.record.server_id)
-                return [self._to_routing(gateway, ready)]
+                return [self._orders.to_routing(gateway, ready)]
         chosen = fleet.choose_holder(holders, request.near_server, now)
         if not fleet.has_adapter_slot(chosen, now):
             # Requests use all adapters of all holders.
@@ -269,10 +245,12 @@
         chosen.plans.append(
             PlacementPlan(model, adapter, {gateway: request.waiting}, now)
         )
-        batch += self._advance(chosen, now)
+        batch += self._orders.advance(chosen, now)
         if chosen.busy_until is not None:
             in_s = chosen.remaining_busy_s(fleet.engine, now)
-            batch.append(self._to_routing(gateway, ModelExpected(model, adapter, in_s)))
+            batch.append(
+                self._orders.to_routing(gateway, ModelExpected(model, adapter, in_s))
+            )
             if (
                 in_s > MAX_ADAPTER_WAIT_S
                 and model not in self._preload_planner.pending_models(fleet)
@@ -303,8 +281,8 @@
     ) -> list[Outgoing]:
         if preload is None:
             return []
-        self._add_plan(fleet, preload.plan, preload.choice, preload.reason, now)
-        return self._advance(preload.choice.server, now)
+        self._orders.add_plan(fleet, preload.plan, preload.choice, preload.reason, now)
+        return self._orders.advance(preload.choice.server, now)
 
     def _add_replica(
         self, fleet: ServiceFleet, model: str, now: float
@@ -317,158 +295,23 @@
         batch: list[Outgoing] = []
         for plan_move in plan_moves(fleet, now):
             plan_move.server.plans.remove(plan_move.plan)
-            self._add_plan(
+            self._orders.add_plan(
                 fleet, plan_move.plan, plan_move.choice, plan_move.reason, now
             )
-            batch += self._advance(plan_move.choice.server, now)
-        return batch
-
-    # Orders
-
-    def _advance(self, server: ManagedServer, now: float) -> list[Outgoing]:
-        """Give the next order for a server's plans, if one can be given now."""
-        if (
-            not self._term.allows_orders(now)
-            or server.pending_order is not None
-            or server.is_reading_report
-        ):
-            return []
-        batch = self._notify_loaded_adapters(server, now)
-        if now < max(server.wait_until, server.silent_until):
-            return batch
-        if server.needs_report:
-            return batch + self._read_report(server, now)
-        if server.busy_until is not None:
-            if now < server.busy_until:
-                return batch
-            if not server.mark_loaded_if_due(now):
-                return batch + self._read_report(server, now)
-            self._log.log_done_order(server, now)
-        self._drop_stale(server, now)
-        # No adapter can be loaded during a model load, and adapter loads take little
-        # time.
-        server.prioritize_quick_plans()
-        for plan in list(server.plans):
-            if not any(plan is other for other in server.plans):
-                # It was removed while an earlier void plan was replaced.
-                continue
-            if server.has_target(plan):
-                server.plans.remove(plan)
-                batch += self._notify_ready(server, plan, now)
-                continue
-            step = self._next_step(server, plan, now)
-            match step:
-                case OrderDue(order):
-                    server.pending_order = order
-                    plan.is_started = True
-                    if fleet := self._site.fleet(server.record.service, now):
-                        self._log.log_order(order, server, plan, fleet, now)
-                    batch += self._notify_unloading(order, now)
-                    return [*batch, self._to_orders(order)]
-                case PlanWaits(until):
-                    server.wait_for_plan(until, now)
-                case PlanVoid(reason):
-                    server.plans.remove(plan)
-                    self._log.log_dropped_plan(server, plan, reason, now)
-                    batch += self._replan(server.record.service, plan, now)
-                    if server.pending_order is not None:
-                        return batch
+            batch += self._orders.advance(plan_move.choice.server, now)
         return batch
 
-    def _replan(self, service: str, plan: PlacementPlan, now: float) -> list[Outgoing]:
-        """Find another server for a model whose plan is void."""
-        fleet = self._site.fleet(service, now)
-        if plan.adapter or plan.is_preload or fleet is None or plan.planned_at >= now:
-            # Gateways repeat their requests, and preloads are chosen again.
-            return []
-        spec = fleet.engine.model_by_name.get(plan.model)
-        if spec is None:
-            # A later desired state has removed the model.
-            return []
-        servers = [s for s in fleet.servers if plan.model not in s.planned_models()]
-        choice = fleet.choose(spec, servers, now, plan.waiting_requests)
-        if choice is None:
-            return []
-        self._add_plan(fleet, plan, choice, "plan_void", now)
-        return self._advance(choice.server, now)
-
-    def _drop_stale(self, server: ManagedServer, now: float) -> None:
-        for plan in server.drop_stale_plans(now):
-            self._log.log_dropped_plan(server, plan, "nobody_asks", now)
-
-    def _mark_silent(self, server: ManagedServer, now: float) -> None:
-        """Drop the plans of a server that does not answer."""
-        for plan in server.plans:
-            self._log.log_dropped_plan(server, plan, "server_silent", now)
-        server.mark_silent(now)
-
-    def _notify_unloading(self, order: ServerOrder, now: float) -> list[Outgoing]:
-        """Notify the gateways that use a model of its unload, ahead of the registry."""
-        if order.kind is not OrderKind.UNLOAD or order.adapter:
-            return []
-        unloading = ModelUnloading(order.model, order.server_id)
-        users = self._site.model_users.gateways(order.model, now)
-        return [self._to_routing(user, unloading) for user in users]
-
-    def _next_step(
-        self, server: ManagedServer, plan: PlacementPlan, now: float
-    ) -> NextStep:
-        fleet = self._site.fleet(server.record.service, now)
-        if (
-            fleet is None
-            or plan.model not in fleet.engine.model_by_name
-            or not server.is_usable(now)
-        ):
-            return PlanVoid("server_unusable")
-        return self._planner.next_step(fleet, server, plan, self._term.permit(), now)
-
-    def _handle_order_end(self, ended: OrderEnded, now: float) -> list[Outgoing]:
-        order, result = ended.order, ended.result
-        server = self._site.server_by_id.get(order.server_id)
-        log_order_result(ended)
-        batch: list[Outgoing] = []
-        if result is OrderResult.FENCED:
-            fenced = LeadershipFenced(order.epoch)
-            batch.append(Outgoing(Address(self._id, LEADERSHIP_TASK), fenced))
-        if server is None or server.pending_order != order:
-            return batch
-        server.pending_order = None
-        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS):
-            self._site.record_accepted(server, order, result, now)
-        elif result in (OrderResult.NOT_SENT, OrderResult.INVALID):
-            self._mark_silent(server, now)
-        else:
-            server.record_uncertain_order(now)
-        return batch + self._advance(server, now)
-
-    def _read_report(self, server: ManagedServer, now: float) -> list[Outgoing]:
-        server.is_reading_report = True
-        server.read_at = now
-        record = server.record
-        read = ReadHoldings(record.server_id, record.host, record.port)
-        return [self._to_orders(read)]
+    # Reports
 
     def _handle_report(self, read: HoldingsRead, now: float) -> list[Outgoing]:
         server = self._site.server_by_id.get(read.server_id)
         if server is None:
             return []
-        server.is_reading_report = False
-        if read.holdings is None:
-            self._mark_silent(server, now)
-            return []
-        server.silent_until = now
-        was_loading = server.loading_model is not None
-        restarted = server.holdings.born_ms != read.holdings.born_ms
-        is_current = server.update_report(read.holdings, now)
-        if was_loading and server.loading_model is None:
-            self._site.end_load(server, restarted, now)
-        self._log.log_done_order(server, now)
-        self._site.resume_load(server, now)
-        if not is_current or server.busy_until is not None:
-            server.wait_until = now + server.poll_interval_s(now)
-        return self._advance(server, now) + self._handle_pending_requests(now)
+        batch = self._orders.handle_report(server, read, now)
+        # A silent server's report unblocks no request.
+        return batch if read.holdings is None else batch + self._handle_pending(now)
 
-    def _handle_pending_requests(self, now: float) -> list[Outgoing]:
+    def _handle_pending(self, now: float) -> list[Outgoing]:
         """Handle the placement requests that were waiting for reports."""
         pending, self._pending_requests = self._pending_requests, {}
         batch: list[Outgoing] = []
@@ -476,33 +319,6 @@
             batch += self._handle_request(request, gateway, now)
         return batch
 
-    # Notifications
-
-    def _notify_ready(
-        self, server: ManagedServer, plan: PlacementPlan, now: float
-    ) -> list[Outgoing]:
-        ready = ModelReady(plan.model, plan.adapter, server.record.server_id)
-        if not plan.adapter:
-            shortages = self._site.shortages(server.record.service)
-            self._log.log_shortage_end(server, plan.model, shortages, now)
-        if plan.waiting_by_gateway:
-            server.record_runs({target_name(plan.model, plan.adapter): 0.0}, now)
-        return [
-            self._to_routing(gateway, ready)
-            for gateway in sorted(plan.waiting_by_gateway)
-        ]
-
-    def _notify_loaded_adapters(
-        self, server: ManagedServer, now: float
-    ) -> list[Outgoing]:
-        batch: list[Outgoing] = []
-        for (model, adapter), adapter_load in server.pop_loaded_adapters(now):
-            waiting = dict.fromkeys(adapter_load.waiting_gateways, 1)
-            batch += self._notify_ready(
-                server, PlacementPlan(model, adapter, waiting), now
-            )
-        return batch
-
     # Leadership
 
     def _handle_leadership(self, message: object, now: float) -> list[Outgoing]:
@@ -522,9 +338,3 @@
                     loads = LoadsHandedOver(self._site.in_flight_loads(now))
                     return [Outgoing(Address(successor_id, PLACEMENT_TASK), loads)]
         return []
-
-    def _to_routing(self, instance_id: str, message: Message) -> Outgoing:
-        return Outgoing(Address(instance_id, ROUTING_TASK), message)
-
-    def _to_orders(self, message: Message) -> Outgoing:
-        return Outgoing(Address(self._id, ORDERS_TASK), message)
