End a request from outside without sending it again

What callers saw: at the end of the grace period of a planned stop, a repeatable request that a server had not answered was sent to the next server instead of being answered with 504, and was then cut off without an answer. A request whose prompt parts became quarantined was sent on in the same way.

Cause: the exception that ends a request's greenlet was an Exception, which the link to the server takes for a failed connection.

Change: it is a BaseException, like gevent's own.

--- a/src/siskinspool/gateway/request_abort.py
+++ b/src/siskinspool/gateway/request_abort.py
@@ -8,8 +8,11 @@
 from .request_refusals import quarantine_refusal, stopping_refusal
 
 
-class AbortedError(Exception, ABC):
-    """Raised in a request's greenlet to end it."""
+class AbortedError(BaseException, ABC):
+    """Raised in a request's greenlet to end it.
+
+    It is no `Exception`, so that the link does not take it for a failed connection.
+    """
 
     @abstractmethod
     def refusal(self, *, may_have_run: bool) -> Refusal:
--- a/tests/builders_front_listener.py
+++ b/tests/builders_front_listener.py
@@ -18,7 +18,6 @@
 from siskinspool.gateway.front_task import FrontTask
 from siskinspool.gateway.gateway_metrics import GatewayMetrics
 from siskinspool.gateway.messages import (
-    FRONT_TASK,
     ROUTING_TASK,
     AssignServer,
     ServerAssigned,
@@ -57,6 +56,12 @@
 
     front: FrontTask
 
+    def post(self, message: Message) -> None:
+        """Send a message to the task of the listener."""
+        self.front.dispatcher.send(
+            self.front.dispatcher.address("test"), Outgoing(self.front.address, message)
+        )
+
     @property
     def port(self) -> int:
         """The port for requesters."""
@@ -85,12 +90,13 @@
     front = FrontTask(context, codec, Endpoint(host="127.0.0.1", port=0))
     front.start()
     try:
+        listener = FrontListener(front)
         for message in (limited_state(**limits), RegistryListed()):
-            _post(dispatcher, message)
+            listener.post(message)
         with gevent.Timeout(5.0):
             while not front.is_ready:
                 gevent.sleep(0.01)
-        yield FrontListener(front)
+        yield listener
     finally:
         front.stop(0.1)
 
@@ -121,8 +127,10 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
-def read_answer(sock: socket.socket) -> bytes:
-    """Read until the connection closes."""
+def read_answer(sock: socket.socket, *, first_only: bool = False) -> bytes:
+    """Read until the connection closes, or only the first bytes."""
+    if first_only:
+        return bytes(sock.recv(65_536))
     received = b""
     while block := sock.recv(65_536):
         received += block
@@ -144,8 +152,3 @@
         if not received:
             break
     return time.monotonic() - started_at
-
-
-def _post(dispatcher: Dispatcher, message: Message) -> None:
-    sender = dispatcher.address("test")
-    dispatcher.send(sender, Outgoing(dispatcher.address(FRONT_TASK), message))
--- a/tests/builders_scripted_server.py
+++ b/tests/builders_scripted_server.py
@@ -66,6 +66,24 @@
         listener.stop(timeout=0.1)
 
 
+@contextmanager
+def silent_server() -> Iterator[ScriptedServer]:
+    """Run a server that reads requests and never answers."""
+    server = ScriptedServer([])
+
+    def handle(sock: socket.socket, _: object) -> None:
+        while data := sock.recv(65_536):
+            server.requests.append(data)
+
+    listener = StreamServer(("127.0.0.1", 0), handle)
+    listener.start()
+    server.port = int(listener.server_port or 0)
+    try:
+        yield server
+    finally:
+        listener.stop(timeout=0.1)
+
+
 def answer(
     status: int,
     body: bytes,
