Judge crashes without an answer as soon as they settle

Cause: the decision woke for messages and repairs only, so a crash in which no answer had begun was considered up to a second later than its reports allow.

--- a/src/siskinspool/gateway/quarantine.py
+++ b/src/siskinspool/gateway/quarantine.py
@@ -67,6 +67,8 @@
         # Until when no further probe is sent for a group.
         self._probing_until_by_group: dict[frozenset[str], float] = {}
         self._groups: tuple[QuarantinedParts, ...] = ()
+        # When the next crash settles; None if all have.
+        self._settles_at: float | None = None
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle evidence from a request or another gateway."""
@@ -105,7 +107,9 @@
     def wake_at(self) -> float | None:
         """Return when messages are due or a crash settles."""
         due = self._exchange.wake_at(self._ledger)
-        return None if due == float("inf") else due
+        if self._settles_at is not None:
+            due = min(due, self._settles_at)
+        return None if due == math.inf else due
 
     def status(self, now: float) -> Status:
         """Return the known crashes and the quarantined parts."""
@@ -145,6 +149,7 @@
 
     def _update_groups(self, now: float) -> list[Outgoing]:
         """Notify the front if the quarantined groups have changed."""
+        self._settles_at = self._ledger.settles_at(now)
         suspects = self._ledger.diagnose(now)
         groups = tuple(self._quarantined(suspect) for suspect in suspects)
         if groups == self._groups:
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from siskinspool.gateway.crash_ledger import SuspectGroup
+from siskinspool.gateway.crash_ledger import SETTLE_S, SuspectGroup
 from siskinspool.gateway.quarantine import (
     CERTAIN_HOLD_S,
     MAX_HOLD_S,
@@ -179,3 +179,12 @@
     beside = gate.check(["part", "own"], 6.1)
     assert beside.result is GateResult.CLOSED
     assert 0.0 < beside.retry_after_s <= PROBE_TIMEOUT_S
+
+
+def test_crashes_without_an_answer_are_judged_as_soon_as_they_settle() -> None:
+    """Guards against a conclusion that waits for the next message or repair."""
+    fleet = QuarantineFleet(6)
+    for number in (1001, 1002):
+        fleet.post("g1", broken(number, DEADLY, has_begun=False))
+    fleet.run(SETTLE_S + 0.05)
+    assert all(fleet.quarantined(gateway) == [{DEADLY}] for gateway in fleet.ids)
