--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -41,7 +41,7 @@
 RUNS_PER_INSTANCE: Final = 8
 # How long the answer to a non-idempotent request is awaited from an instance without a
 # session: it may only be paused or cut off.
-RUNNER_ABSENCE_S: Final = 60.0
+RUNNER_ABSENCE_S: Final = 15.0
 # Interval at which `RunPatient` is repeated until the runner confirms it.
 RUN_RESEND_INTERVAL_S: Final = 2.0
 # A request whose head is not written within this time is refused.
