Name crashing parts in the usual terms

Found by reading the change as a newcomer: the stand-in and the tests used the users' word for a part that crashes servers, a local of the front had a vague name, and PromptOutcome kept an id that nothing read. No change of behaviour.

Result: formatter, linter and types clean; the tests of the quarantine pass.

--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -224,16 +224,16 @@
         admission = self._admit(head)
         if isinstance(admission, Refusal):
             return admission
-        passage = self._gate.check(head.shared_part_ids, self.clock.now())
-        if passage.result is GateResult.CLOSED:
+        gate_decision = self._gate.check(head.shared_part_ids, self.clock.now())
+        if gate_decision.result is GateResult.CLOSED:
             return quarantine_refusal(
-                passage.part_ids,
+                gate_decision.part_ids,
                 may_have_run=False,
-                retry_after_s=passage.retry_after_s,
+                retry_after_s=gate_decision.retry_after_s,
             )
-        is_probe = passage.result is GateResult.PROBE
+        is_probe = gate_decision.result is GateResult.PROBE
         if is_probe:
-            self._start_probe(head, passage.part_ids)
+            self._start_probe(head, gate_decision.part_ids)
         return GatewayRequest(
             head=head,
             body=body,
@@ -271,9 +271,9 @@
         """End the running requests whose prompt is now known to crash servers."""
         now = self.clock.now()
         for task in list(self._running):
-            passage = self._gate.check(task.request.head.shared_part_ids, now)
-            if passage.result is not GateResult.OPEN:
-                task.end_quarantined(passage.part_ids)
+            gate_decision = self._gate.check(task.request.head.shared_part_ids, now)
+            if gate_decision.result is not GateResult.OPEN:
+                task.end_quarantined(gate_decision.part_ids)
 
     def _max_body_bytes(self) -> int:
         limits = self.limits()
--- a/src/siskinspool/gateway/prompt_outcome.py
+++ b/src/siskinspool/gateway/prompt_outcome.py
@@ -29,7 +29,6 @@
     """The outcome of one request's sends, as far as its prompt is concerned."""
 
     def __init__(self, head: RequestHead, dispatcher: Dispatcher) -> None:
-        self._request_id = head.request_id
         self._part_ids = head.shared_part_ids
         self._dispatcher = dispatcher
         # A server has survived the prompt.
--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -5,8 +5,8 @@
 responses. ``GET /admin/seen`` returns the requests that it ran. ``POST /admin/faults``
 sets ``fail`` (status of all responses), ``cut_after`` (number of events after which a
 stream breaks), ``reset`` (connections are reset before a response), ``full``
-(status 503 with ``Not-Run``), ``deadly_part`` (id of a prompt part; the process ends as
-it begins to answer a request with it) and ``dies_silently`` (without a byte of that
+(status 503 with ``Not-Run``), ``crashing_part`` (id of a prompt part; the process ends
+as it begins to answer a request with it) and ``dies_silently`` (without a byte of that
 answer).
 """
 
@@ -51,7 +51,7 @@
     cut_after: int = 0
     reset: bool = False
     full: bool = False
-    deadly_part: str = ""
+    crashing_part: str = ""
     dies_silently: bool = False
 
 
@@ -144,8 +144,8 @@
         if not model:
             return Response(200, b"answer of " + request.body, headers=headers)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        is_deadly = faults.deadly_part in _part_ids(request)
-        events = self._crash() if is_deadly else self._events(first)
+        is_crashing = faults.crashing_part in _part_ids(request)
+        events = self._crash() if is_crashing else self._events(first)
         return Response(200, events, content_type="text/event-stream", headers=headers)
 
     def _crash(self) -> Iterator[bytes]:
--- a/tests/builders_quarantine.py
+++ b/tests/builders_quarantine.py
@@ -2,7 +2,7 @@
 
 `QuarantineFleet` runs the decisions with the messages between them, which take
 `LINK_S`. `send` runs a request at a gateway: a server begins to answer it after
-`ANSWER_S` and crashes if it has the deadly part, together with the requests that run
+`ANSWER_S` and crashes if it has the crashing part, together with the requests that run
 beside it.
 """
 
@@ -35,7 +35,7 @@
 
 LINK_S = 0.002
 ANSWER_S = 0.2
-DEADLY = "deadly"
+CRASHING = "crashing"
 # The requests that run at one server share its end.
 SERVER_COUNT = 10
 
@@ -75,7 +75,7 @@
         self.seed = seed
         self.now = 100.0
         self.sent_bytes_by_gateway: dict[str, int] = {}
-        # Times at which a request with the deadly part crashed a server.
+        # Times at which a request with the crashing part crashed a server.
         self.crashes: list[float] = []
         self.served: list[tuple[str, ...]] = []
         self.refused: list[tuple[str, ...]] = []
@@ -111,13 +111,13 @@
 
     def send(self, gateway_id: str, *part_ids: str, server: int | None = None) -> bool:
         """Send a request to a server; return whether the gate lets it through."""
-        passage = self.gate_by_id[gateway_id].check(part_ids, self.now)
-        if passage.result is GateResult.CLOSED:
+        gate_decision = self.gate_by_id[gateway_id].check(part_ids, self.now)
+        if gate_decision.result is GateResult.CLOSED:
             self.refused.append(part_ids)
             return False
-        if passage.result is GateResult.PROBE:
-            self.gate_by_id[gateway_id].close(passage.part_ids, self.now)
-            self.post(gateway_id, ProbeStarted(passage.part_ids))
+        if gate_decision.result is GateResult.PROBE:
+            self.gate_by_id[gateway_id].close(gate_decision.part_ids, self.now)
+            self.post(gateway_id, ProbeStarted(gate_decision.part_ids))
         chosen = self.rng.randrange(SERVER_COUNT) if server is None else server
         running = _Running(gateway_id, part_ids, self.now + ANSWER_S)
         self._running_by_server.setdefault(chosen, []).append(running)
@@ -169,7 +169,7 @@
         for running in [item for item in requests if item.begins_at <= self.now]:
             if running not in requests:
                 continue
-            if DEADLY in running.part_ids:
+            if CRASHING in running.part_ids:
                 self._crash(server, running)
                 return
             requests.remove(running)
--- a/tests/integration/test_gateway_crashing_requests.py
+++ b/tests/integration/test_gateway_crashing_requests.py
@@ -37,7 +37,7 @@
     names = [f"w{number}" for number in range(SERVER_COUNT)]
     servers = [site.add_server(name, "writers", "m0") for name in names]
     for server in servers:
-        set_faults(server, deadly_part=CRASHING_PART, **faults)
+        set_faults(server, crashing_part=CRASHING_PART, **faults)
     for name in ("g1", "g2"):
         site.add_gateway(name)
     site.wait_ready(*names)
--- a/tests/test_gateway_crash_ledger.py
+++ b/tests/test_gateway_crash_ledger.py
@@ -36,7 +36,7 @@
 def test_single_crash_proves_nothing() -> None:
     """Guards against refusing requests that were merely there when a server ended."""
     ledger = CrashLedger()
-    record_crash(ledger, 1, "first", "deadly")
+    record_crash(ledger, 1, "first", "crashing")
     assert groups(ledger) == []
 
 
@@ -51,13 +51,13 @@
 def test_common_part_is_found_and_the_rest_is_cleared() -> None:
     """Guards against refusing the sound parts that a crashing request shares."""
     ledger = CrashLedger()
-    record_crash(ledger, 1, "first", "subject", "deadly")
-    record_crash(ledger, 2, "first", "subject", "deadly", at=NOW + 1)
-    assert groups(ledger, NOW + 1) == [{"first", "subject", "deadly"}]
+    record_crash(ledger, 1, "first", "subject", "crashing")
+    record_crash(ledger, 2, "first", "subject", "crashing", at=NOW + 1)
+    assert groups(ledger, NOW + 1) == [{"first", "subject", "crashing"}]
     assert ledger.record_served(("first", "other"), NOW + 2) == ["first"]
-    assert groups(ledger, NOW + 2) == [{"subject", "deadly"}]
-    record_crash(ledger, 3, "first", "elsewhere", "deadly", at=NOW + 3)
-    assert groups(ledger, NOW + 3) == [{"deadly"}]
+    assert groups(ledger, NOW + 2) == [{"subject", "crashing"}]
+    record_crash(ledger, 3, "first", "elsewhere", "crashing", at=NOW + 3)
+    assert groups(ledger, NOW + 3) == [{"crashing"}]
 
 
 def test_served_part_is_released() -> None:
@@ -89,9 +89,9 @@
     ledger = CrashLedger()
     for number in (1, 2):
         record_crash(ledger, number, "waiting", has_begun=False)
-        record_crash(ledger, number, "deadly", f"own-{number}")
+        record_crash(ledger, number, "crashing", f"own-{number}")
     later = NOW + SETTLE_S
-    assert groups(ledger, later) == [{"deadly"}]
+    assert groups(ledger, later) == [{"crashing"}]
     assert ledger.diagnose(later)[0].is_certain
 
 
@@ -104,32 +104,32 @@
     assert groups(ledger, NOW + SETTLE_S) == [{"waiting"}]
 
 
-def test_two_deadly_parts_are_both_found() -> None:
-    """Guards against a second deadly part that hides behind the first."""
+def test_two_crashing_parts_are_both_found() -> None:
+    """Guards against a second crashing part that hides behind the first."""
     ledger = CrashLedger()
     for number in range(4):
-        record_crash(ledger, number, "deadly-a", f"own-{number}")
+        record_crash(ledger, number, "crashing-a", f"own-{number}")
     for number in range(4, 6):
-        record_crash(ledger, number, "deadly-b", f"own-{number}")
-    assert groups(ledger) == [{"deadly-a"}, {"deadly-b"}]
+        record_crash(ledger, number, "crashing-b", f"own-{number}")
+    assert groups(ledger) == [{"crashing-a"}, {"crashing-b"}]
 
 
 def test_explained_crash_is_no_evidence_against_another_part() -> None:
-    """Guards against blaming a part that was twice beside the deadly one."""
+    """Guards against blaming a part that was twice beside the crashing one."""
     ledger = CrashLedger()
-    record_crash(ledger, 1, "deadly", "beside")
-    record_crash(ledger, 2, "deadly", "beside")
-    record_crash(ledger, 3, "deadly", "other")
-    assert groups(ledger) == [{"deadly"}]
+    record_crash(ledger, 1, "crashing", "beside")
+    record_crash(ledger, 2, "crashing", "beside")
+    record_crash(ledger, 3, "crashing", "other")
+    assert groups(ledger) == [{"crashing"}]
 
 
 def test_unrelated_crashes_do_not_hide_the_cause() -> None:
     """Guards against a cause that is missed because servers also crash otherwise."""
     ledger = CrashLedger()
-    record_crash(ledger, 1, "deadly", "a")
+    record_crash(ledger, 1, "crashing", "a")
     record_crash(ledger, 2, "sound")
-    record_crash(ledger, 3, "deadly", "b")
-    assert groups(ledger) == [{"deadly"}]
+    record_crash(ledger, 3, "crashing", "b")
+    assert groups(ledger) == [{"crashing"}]
 
 
 def test_evidence_of_others_counts_and_late_evidence_does_not_revive() -> None:
