Open a connection to a peer for the first message, and close it when idle

Every gateway kept an open connection with keep-alive probes to every other one: 37,830 connections at 195 gateways, most of which never carried a message. PeerConnection has its own module.

--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -4,11 +4,12 @@
 
 import gevent
 import msgspec
+import pytest
 import zmq.green as zmq
 
 from siskinspool.core.message import Address, Outgoing
 from siskinspool.links.codec import MsgpackCodec
-from siskinspool.links.peer import QUEUE_CAPACITY_MESSAGES
+from siskinspool.links.peer_connection import QUEUE_CAPACITY_MESSAGES
 from siskinspool.links.peer_queue import PeerQueue, QueuedMessage
 from siskinspool.machines.heartbeat import Heartbeat
 from siskinspool.machines.messages import Member, ReplicaRefused
@@ -126,3 +127,24 @@
         gevent.sleep(0.1)
         one.set_members(one.member())
         assert not send_refusal(one, "i2")
+
+
+def test_only_peers_that_get_messages_are_connected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a mesh of idle connections, each with its keep-alive probes.
+
+    With 195 gateways, 194 open connections at each of them cost more processor time
+    than the requests.
+    """
+    monkeypatch.setattr("siskinspool.links.peer.IDLE_CLOSE_S", 0.2)
+    with peers("i1", "i2", "i3") as (one, two, three):
+        one.set_members(one.member(), two.member(), three.member())
+        gevent.sleep(0.05)
+        assert one.link.connected_ids() == []
+        assert send_refusal(one, "i2")
+        assert one.link.connected_ids() == ["i2"]
+        wait_until(lambda: len(two.inbox.received) == 1)
+        wait_until(lambda: one.link.connected_ids() == [])
+        assert send_refusal(one, "i2")
+        wait_until(lambda: len(two.inbox.received) == 2)
