Let gateways hear of changes through the change feed

The three watches of a gateway become sources of the change feed; the platform folder only decodes. KvTask no longer watches the shared prefix there. A planned stop tells the subscribers at its beginning.

--- a/src/siskinspool/gateway/bounds.py
+++ b/src/siskinspool/gateway/bounds.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..feed.feed_times import FeedTimes
+
 
 @attrs.frozen(kw_only=True)
 class Bounds:
@@ -13,6 +15,8 @@
     grace_s: float
     # Time after which a draining server must not receive requests any more.
     drain_s: float
+    # Time after which a new desired state must be in force.
+    config_s: float
     # Repeats that a service may get in the window: a ratio of its requests plus a fixed
     # number, over all instances.
     retry_ratio: float
@@ -34,3 +38,8 @@
     # Window and tolerance of the limit on loads from the weight store.
     load_window_s: float
     load_overage: float
+
+    @property
+    def feed_times(self) -> FeedTimes:
+        """The intervals of the change feed, for the tightest bound on a change."""
+        return FeedTimes.from_bound(min(self.drain_s, self.config_s))
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -22,11 +22,15 @@
 from ..core.dispatcher import Dispatcher
 from ..core.message import Outgoing
 from ..core.task import DecisionTask, Task
+from ..feed.change_feed import ChangeFeed
+from ..feed.feed_messages import CHANGE_FEED_TASK, StopFeeding
+from ..feed.watch_task import FeedSource, WatchTask
 from ..links.codec import MsgpackCodec
 from ..links.peer import PEERS_TASK, PeerLink
 from ..links.server_link import HttpServerLink
 from ..machines.messages import Member
 from ..settings import Endpoint
+from ..store.keys import SHARED_PREFIX
 from ..store.kv import KeyValueService
 from ..store.kv_events import EndSession
 from ..store.kv_task import KV_TASK, KvTask
@@ -76,6 +80,7 @@
 FEED_LISTENERS: Final = (FRONT_TASK, ROUTING_TASK, CAPS_TASK, PLACEMENT_TASK)
 STATUS_TASKS: Final = (
     MEMBERS_TASK,
+    CHANGE_FEED_TASK,
     ISOLATION_TASK,
     LEADERSHIP_TASK,
     ROUTING_TASK,
@@ -124,7 +129,9 @@
     server_control: ServerControl
     codec: FrontCodec
     ready_path: str
-    # Creates the task that forwards changes in the store to the listeners.
+    # The platform's keys to watch.
+    sources: tuple[FeedSource, ...]
+    # Creates the task that decodes their changes for the listeners.
     make_feed: Callable[[Dispatcher, Clock, tuple[str, ...]], Task]
 
 
@@ -171,9 +178,14 @@
             listen_host=settings.front.host,
             listen_port=self._front.port,
         )
+        sources = (
+            *parts.sources,
+            FeedSource(SHARED_PREFIX, parts.store, (MEMBERS_TASK, LEADERSHIP_TASK)),
+        )
         self._tasks: list[Task] = [
             peers,
-            *self._build_decisions(own_member),
+            *self._build_decisions(own_member, sources),
+            WatchTask(self._dispatcher, clock, sources),
             OrdersTask(self._dispatcher, clock, parts.server_control),
             self._front,
             self._pages,
@@ -205,6 +217,8 @@
         self._front.drain()
         leadership = self._dispatcher.address(LEADERSHIP_TASK)
         self._dispatcher.send(leadership, Outgoing(leadership, StopLeading()))
+        feed = self._dispatcher.address(CHANGE_FEED_TASK)
+        self._dispatcher.send(feed, Outgoing(feed, StopFeeding()))
         gevent.sleep(DRAIN_NOTICE_S)
         self._front.refuse_new()
         if not self._front.wait_idle(stop_at - self._clock.now()):
@@ -219,7 +233,9 @@
         for task in reversed(self._tasks):
             task.stop(0.1)
 
-    def _build_decisions(self, own_member: Member) -> list[Task]:
+    def _build_decisions(
+        self, own_member: Member, sources: tuple[FeedSource, ...]
+    ) -> list[Task]:
         settings, bounds = self._settings, self._settings.bounds
         now = self._clock.now()
         decision_by_name: dict[str, Decision] = {
@@ -232,8 +248,15 @@
                     LEADERSHIP_TASK,
                     ISOLATION_TASK,
                     QUARANTINE_TASK,
+                    CHANGE_FEED_TASK,
                 ),
             ),
+            CHANGE_FEED_TASK: ChangeFeed(
+                own_member,
+                {source.prefix: source.listeners for source in sources},
+                bounds.feed_times,
+                random.Random(),
+            ),
             ISOLATION_TASK: IsolationDetector(settings.instance_id),
             LEADERSHIP_TASK: Leadership(
                 own_member,
@@ -258,8 +281,14 @@
             self._clock,
             store,
             own_member,
-            watchers=(MEMBERS_TASK, LEADERSHIP_TASK),
-            health_watchers=(LEADERSHIP_TASK, CAPS_TASK, ISOLATION_TASK),
+            # The change feed watches the shared prefix.
+            watchers=(),
+            health_watchers=(
+                LEADERSHIP_TASK,
+                CAPS_TASK,
+                ISOLATION_TASK,
+                CHANGE_FEED_TASK,
+            ),
             workers=2,
             session_ttl_s=max(SESSION_TTL_S, self._settings.least_lease_s),
             renew_interval_s=RENEW_INTERVAL_S,
--- a/src/siskinspool/platform/daemon.py
+++ b/src/siskinspool/platform/daemon.py
@@ -22,19 +22,19 @@
 import gevent
 from gevent.event import Event
 
-from ..core.clock import Clock
-from ..core.dispatcher import Dispatcher
 from ..core.errors import SettingsError
-from ..core.task import Task
+from ..feed.watch_task import FeedSource
 from ..gateway.instance import (
     BoottimeClock,
     GatewayInstance,
     PlatformAdapters,
 )
 from ..telemetry.logs import BoundedHandler, configure_logging, log_event
-from .feeds import FeedTask
+from .desired_state import OPERATOR_PREFIX
+from .feeds import FEED_TASK, FeedTask
 from .front_codec import READY_PATH, PlatformFrontCodec
 from .server_calls import PlatformServerControl
+from .server_entries import SERVERS_PREFIX
 from .settings import SETTINGS_VARIABLE, GatewaySettings, read_settings
 from .store import PlatformStore
 
@@ -43,10 +43,6 @@
 EXIT_SETTINGS: Final = 2
 EXIT_INVARIANT: Final = 3
 STDOUT: Final = 1
-# Share of the bound on draining servers for which a registry watch pauses between two
-# calls. Servers write often, so reading their changes in batches saves calls to the
-# store; the rest of the bound covers the read and the requests in flight.
-REGISTRY_PAUSE_SHARE: Final = 0.4
 # Members and leaders change rarely, and a failed member is detected by its missing
 # answers.
 MEMBERS_WAIT_S: Final = 5.0
@@ -111,22 +107,20 @@
 
 def build_instance(settings: GatewaySettings) -> GatewayInstance:
     """Return a gateway on the users' platform with the given settings."""
-
-    def make_feed(
-        dispatcher: Dispatcher, clock: Clock, listeners: tuple[str, ...]
-    ) -> Task:
-        operator_store = PlatformStore(settings.store)
-        pause_s = settings.bounds.drain_s * REGISTRY_PAUSE_SHARE
-        registry_store = PlatformStore(settings.store, pause_s)
-        return FeedTask(dispatcher, clock, operator_store, registry_store, listeners)
-
+    pause_s = settings.bounds.feed_times.read_pause_s
+    operator_store = PlatformStore(settings.store, pause_s)
+    registry_store = PlatformStore(settings.store, pause_s)
     clock = BoottimeClock()
     parts = PlatformAdapters(
-        store=PlatformStore(settings.store, watch_wait_s=MEMBERS_WAIT_S),
+        store=PlatformStore(settings.store, pause_s, MEMBERS_WAIT_S),
         server_control=PlatformServerControl(clock),
         codec=PlatformFrontCodec(),
         ready_path=READY_PATH,
-        make_feed=make_feed,
+        sources=(
+            FeedSource(OPERATOR_PREFIX, operator_store, (FEED_TASK,)),
+            FeedSource(SERVERS_PREFIX, registry_store, (FEED_TASK,)),
+        ),
+        make_feed=FeedTask,
     )
     return GatewayInstance(settings, parts, clock)
 
--- a/src/siskinspool/platform/feeds.py
+++ b/src/siskinspool/platform/feeds.py
@@ -1,7 +1,6 @@
-"""Forwards changes of the operator's keys and the server registry as messages.
+"""Decodes changes of the operator's keys and the server registry.
 
-Two watches on the store cover the operator's keys and the registry of servers. An
-unreadable value is logged and not used; a version of the desired state that is not
+An unreadable value is logged and not used; a version of the desired state that is not
 newer than the current one is ignored.
 """
 
@@ -9,8 +8,6 @@
 
 import logging
 
-import gevent
-
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher
 from ..core.message import Incoming, Message, Outgoing
@@ -21,13 +18,11 @@
     ServerRemoved,
     ZoneEvacuated,
 )
-from ..store.kv import KeyValueService, KvChanged, WatchBroken, WatchListed
-from ..store.kv_watch import SharedWatch
+from ..store.kv import KvChanged, WatchBroken, WatchListed
 from ..telemetry.logs import log_event
 from .desired_state import (
     DESIRED_STATE_KEY,
     EVACUATION_PREFIX,
-    OPERATOR_PREFIX,
     UnreadableValue,
     decode_desired_state,
 )
@@ -42,36 +37,12 @@
     """Decodes changes in the store and notifies the listeners; task name ``feed``."""
 
     def __init__(
-        self,
-        dispatcher: Dispatcher,
-        clock: Clock,
-        operator_store: KeyValueService,
-        registry_store: KeyValueService,
-        listeners: tuple[str, ...],
+        self, dispatcher: Dispatcher, clock: Clock, listeners: tuple[str, ...]
     ) -> None:
-        """Initialize with a store for each watch and the tasks to notify of changes."""
+        """Initialize with the tasks to notify of changes."""
         super().__init__(FEED_TASK, dispatcher, clock)
         self._listeners = listeners
         self._version = 0
-        self._watches = (
-            SharedWatch(operator_store, clock, self._enqueue, OPERATOR_PREFIX),
-            SharedWatch(registry_store, clock, self._enqueue, SERVERS_PREFIX),
-        )
-        self._greenlets: list[gevent.Greenlet[..., None]] = []
-
-    def start(self) -> None:
-        """Start the task and its watches."""
-        super().start()
-        self._greenlets = [gevent.spawn(watch.run) for watch in self._watches]
-
-    def stop(self, timeout_s: float = 5.0) -> None:
-        """End the watches and the task."""
-        gevent.killall(self._greenlets, block=True, timeout=timeout_s)
-        super().stop(timeout_s)
-
-    def _enqueue(self, message: Message) -> None:
-        """Queue a message from a watch; runs in the watch's greenlet."""
-        self.dispatcher.send(self.address, Outgoing(self.address, message))
 
     def handle(self, incoming: Incoming) -> None:
         """Decode one change."""
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -114,6 +114,7 @@
     return Bounds(
         grace_s=reader.number("bounds.grace_s"),
         drain_s=reader.seconds("bounds.drain_ms"),
+        config_s=reader.seconds("bounds.config_apply_ms"),
         retry_ratio=reader.number("bounds.retry_budget_ratio"),
         retry_window_s=reader.number("bounds.budget_window_s"),
         retry_extra=reader.number("bounds.budget_extra_retries"),
--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -93,7 +93,10 @@
         renew_interval_s: float = RENEW_INTERVAL_S,
         takes_over: bool = False,
     ) -> None:
-        """Set the tasks that receive `KvChanged` and those that get health messages."""
+        """Set the tasks that receive `KvChanged` and those that get health messages.
+
+        Without tasks that receive `KvChanged` the shared prefix is not watched.
+        """
         super().__init__(KV_TASK, dispatcher, clock)
         self._service = service
         self._watchers = watchers
@@ -120,7 +123,9 @@
         """Start the task and the greenlets that use the service."""
         super().start()
         loops: list[Callable[[], None]] = [self._process_requests] * self._worker_count
-        loops += [self._keeper.run, self._watch.run, self._probe_head]
+        loops += [self._keeper.run, self._probe_head]
+        if self._watchers:
+            loops.append(self._watch.run)
         self._greenlets = [gevent.spawn(loop) for loop in loops]
 
     def stop(self, timeout_s: float = 5.0) -> None:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -39,6 +39,7 @@
     values: dict[str, Any] = {
         "grace_s": 8.0,
         "drain_s": 2.0,
+        "config_s": 2.0,
         "retry_ratio": 0.2,
         "retry_window_s": 10.0,
         "retry_extra": 58.0,
--- a/tests/integration/builders_gateway_site.py
+++ b/tests/integration/builders_gateway_site.py
@@ -274,6 +274,7 @@
 [bounds]
 grace_s = 6
 drain_ms = 2000
+config_apply_ms = 2000
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_extra_retries = 58
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -29,6 +29,7 @@
     "bounds": {
         "grace_s": 8,
         "drain_ms": 2000,
+        "config_apply_ms": 2000,
         "retry_budget_ratio": 0.2,
         "budget_window_s": 10,
         "budget_extra_retries": 58,
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -30,7 +30,6 @@
     messages,
     report_document,
 )
-from .builders_kv_service import InMemoryKeyValueService
 
 DEPTH = 100_000
 DEEP = b'{"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
@@ -111,9 +110,7 @@
     """A feed task that records the messages it sends."""
 
     def __init__(self) -> None:
-        clock = MonotonicClock()
-        store = InMemoryKeyValueService(clock.now)
-        super().__init__(Dispatcher("g1"), clock, store, store, ())
+        super().__init__(Dispatcher("g1"), MonotonicClock(), ())
         self.sent_messages: list[Message] = []
 
     def _notify_listeners(self, message: Message) -> None:
