Add a fault soak of real gateways, seeded and checked by its callers

The soak starts four gateways behind loopback proxies to the stand-in store, servers of both kinds and twelve callers that keep their connections open. Signals, restarts, changes of the desired state, cuts, delays, server faults and replacements come at seeded times and overlap. Promises are checked by what callers and servers saw: at most once, whole answers, true refusals, nothing to leaving servers, versions never back, no cut at a planned stop.

GatewaySite moved from the tests to the stand-ins, for both.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 export PYTHONPATH := src
 
-.PHONY: env check test fuzz demo measure format clean
+.PHONY: env check test fuzz soak demo measure format clean
 
 env: $(VENV)/.installed
 
@@ -28,6 +28,12 @@
 demo: env
 	$(BIN)/python -m siskinspool.standins.demo
 
+# Real gateways under seeded faults: make soak SEED=7 SECONDS=120
+SEED ?= 1
+SECONDS ?= 60
+soak: env
+	$(BIN)/python -m siskinspool.standins.soak.main --seed $(SEED) --seconds $(SECONDS)
+
 measure: env
 	$(BIN)/python -m siskinspool.standins.measure $(ARGS)
 
--- /dev/null
+++ b/src/siskinspool/standins/gateway_site.py
@@ -0,0 +1,225 @@
+"""Real gateway processes with stand-ins of the platform, for tests and the soak."""
+
+from __future__ import annotations
+
+import base64
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import attrs
+import gevent
+from gevent.subprocess import Popen
+
+from .processes import Process, TrialProcesses, call, call_json
+
+Answer = tuple[int, dict[str, str], bytes]
+HOST: Final = "site.example"
+KEY: Final = "k1"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [int(one.getsockname()[1]) for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+@attrs.define
+class Gateway:
+    """One gateway process with its ports."""
+
+    name: str
+    popen: Popen[bytes]
+    log_path: Path
+    front: int
+    ready: int
+    metrics: int
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request as a requester."""
+        sent = {
+            "Host": HOST,
+            "Request-Id": f"r{time.monotonic_ns()}",
+            "Deadline-Ms": "5000",
+            "Authorization": f"Bearer {KEY}",
+        }
+        sent |= headers or {}
+        return call(self.front, method, path, body, sent)
+
+    def is_ready(self) -> bool:
+        """Return whether the gateway is ready for new connections."""
+        try:
+            return call(self.ready, "GET", "/-/ready", timeout_s=1.0)[0] == 200
+        except OSError:
+            return False
+
+    def status(self) -> dict[str, Any]:
+        """Return the gateway's status page."""
+        return call_json(self.metrics, "GET", "/status")
+
+    def knows_members(self, *names: str) -> bool:
+        """Return whether this gateway's members are exactly the given ones."""
+        return bool(self.status()["members"]["members"] == sorted(names))
+
+    def log(self) -> str:
+        """Return the log of the process."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+
+def wait_until(condition: Any, timeout_s: float = 10.0) -> None:
+    """Wait until a condition holds; fail after the timeout."""
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < deadline, "the condition did not hold in time"
+        gevent.sleep(0.02)
+
+
+@attrs.define
+class GatewaySite:
+    """Store, servers and gateways of one test."""
+
+    bench: TrialProcesses
+    folder: Path
+    store: Process
+    gateways: dict[str, Gateway] = attrs.field(factory=dict)
+
+    def put(self, key: str, document: dict[str, Any] | bytes) -> None:
+        """Write a key as the operator or a server does."""
+        if not isinstance(document, bytes):
+            document = json.dumps(document).encode()
+        value = base64.b64encode(document).decode("ascii")
+        call_json(self.store.port, "POST", "/admin/put", {"key": key, "value": value})
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        call_json(self.store.port, "POST", "/admin/remove", {"key": key})
+
+    def store_faults(self, **faults: Any) -> None:
+        """Set faults of the store."""
+        call_json(self.store.port, "POST", "/admin/faults", faults)
+
+    def add_server(
+        self, server_id: str, service: str, *models: str, zone: str = "a"
+    ) -> Process:
+        """Start a server; servers of the service ``writers`` are model servers."""
+        port = free_ports(1)[0]
+        options = ["--port", str(port), "--server-id", server_id, "--service", service]
+        options += ["--store-port", str(self.store.port), "--zone", zone]
+        for model in models:
+            options += ["--model", model]
+        if service == "writers":
+            options.append("--engine")
+        module = "siskinspool.standins.platform_server"
+        return self.bench.start(server_id, module, *options)
+
+    def add_gateway(
+        self, name: str, zone: str = "a", store_port: int | None = None
+    ) -> Gateway:
+        """Start a gateway and return without waiting.
+
+        It reaches the store at ``store_port``, which may be that of a proxy.
+        """
+        front, ready, peer, metrics = free_ports(4)
+        settings = self.folder / f"{name}.toml"
+        port = self.store.port if store_port is None else store_port
+        settings.write_text(
+            _settings(name, zone, front, ready, peer, metrics, port),
+            encoding="utf-8",
+        )
+        popen = self._start_process(name)
+        log_path = self.folder / f"{name}.log"
+        gateway = Gateway(name, popen, log_path, front, ready, metrics)
+        self.gateways[name] = gateway
+        return gateway
+
+    def start_gateway(self, gateway: Gateway) -> None:
+        """Start the process of a gateway again, with its settings."""
+        gateway.popen = self._start_process(gateway.name)
+
+    def _start_process(self, name: str) -> Popen[bytes]:
+        settings = self.folder / f"{name}.toml"
+        command = [sys.executable, "-m", "siskinspool.platform.daemon", str(settings)]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            return Popen(command, stdout=log, stderr=log)
+
+    def wait_ready(self, *servers: str) -> None:
+        """Wait until all gateways are ready and know these servers."""
+        for gateway in self.gateways.values():
+            wait_until(gateway.is_ready)
+
+            def knows(gateway: Gateway = gateway) -> bool:
+                return set(servers) <= set(gateway.status()["routing"]["servers"])
+
+            wait_until(knows)
+
+    def leader(self) -> Gateway | None:
+        """Return the gateway that gives orders."""
+        for gateway in self.gateways.values():
+            alive = gateway.popen.poll() is None
+            if alive and gateway.status()["placement"].get("leading"):
+                return gateway
+        return None
+
+    def stop(self) -> None:
+        """End all gateways."""
+        for gateway in self.gateways.values():
+            if gateway.popen.poll() is None:
+                os.kill(gateway.popen.pid, signal.SIGKILL)
+                gateway.popen.wait(timeout=5)
+
+
+def _settings(
+    name: str,
+    zone: str,
+    front: int,
+    ready: int,
+    peer: int,
+    metrics: int,
+    store: int,
+) -> str:
+    return f"""
+node = "{name}"
+zone = "{zone}"
+ip = "127.0.0.1"
+internal_ports = [{peer}, {metrics}]
+bootstrap = true
+heartbeat_ms = 300
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[platform]
+addr = "127.0.0.1:{store}"
+ttl_min_ms = 1000
+[bounds]
+grace_s = 6
+drain_ms = 2000
+config_apply_ms = 2000
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_extra_retries = 58
+quota_window_s = 8
+quota_overage = 0.1
+quota_slack = 110000
+cold_overage = 1.5
+cold_slack = 5
+lease_ms = 3000
+require_fence = true
+ceiling_window_s = 5
+ceiling_overage = 1.1
+"""
--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -2,12 +2,12 @@
 
 The server writes its registry entry, accepts orders with holder, epoch number and
 expected count, reports its models and adapters, and serves event streams or plain
-responses. ``GET /admin/seen`` returns the requests that it ran. ``POST /admin/faults``
-sets ``fail`` (status of all responses), ``cut_after`` (number of events after which a
-stream breaks), ``reset`` (connections are reset before a response), ``full``
-(status 503 with ``Not-Run``), ``crashing_part`` (id of a prompt part; the process ends
-as it begins to answer a request with it) and ``dies_silently`` (without a byte of that
-answer).
+responses. ``GET /admin/seen`` returns the requests that it ran, with monotonic times.
+``POST /admin/faults`` sets ``fail`` (status of all responses), ``cut_after`` (number of
+events after which a stream breaks), ``reset`` (connections are reset before a
+response), ``full`` (status 503 with ``Not-Run``), ``crashing_part`` (id of a prompt
+part; the process ends as it begins to answer a request with it) and ``dies_silently``
+(without a byte of that answer).
 """
 
 from __future__ import annotations
@@ -126,6 +126,7 @@
         self._seen_requests.append(
             {
                 "id": request.headers.get("request-id", ""),
+                "at": time.monotonic(),
                 "path": request.path,
                 "query": request.query,
                 "headers": request.headers,
--- a/tests/integration/test_gateway_crashing_requests.py
+++ b/tests/integration/test_gateway_crashing_requests.py
@@ -7,16 +7,14 @@
 
 import pytest
 
+from siskinspool.standins.gateway_site import Gateway, GatewaySite, wait_until
 from siskinspool.standins.processes import Process
 
 from .builders_gateway_site import (
     CRASHING_PART,
-    Gateway,
-    GatewaySite,
     gateway_site,
     prompt_headers,
     set_faults,
-    wait_until,
 )
 
 SERVER_COUNT = 8
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -11,17 +11,16 @@
 import pytest
 from geventhttpclient.response import HTTPParseError
 
+from siskinspool.standins.gateway_site import GatewaySite, wait_until
 from siskinspool.standins.processes import call, call_json
 
 from .builders_gateway_site import (
-    GatewaySite,
     gateway_site,
     pieces,
     routes,
     seen,
     set_faults,
     site_config,
-    wait_until,
 )
 
 WHOLE = [f"piece {number}" for number in range(1, 7)]
