Move the members of a site to the core, and let messages tell what replaces them

Member and MembershipChanged are used by links, store, feed, gateway and machines; in machines.messages they made the lower layers import upwards, and a gateway import the product's own messages. PeerLink asks a message whether the next one replaces it instead of naming two classes of machines.

--- a/src/siskinspool/cli/connection.py
+++ b/src/siskinspool/cli/connection.py
@@ -11,7 +11,7 @@
 from gevent.pool import Pool
 from geventhttpclient import HTTPClient
 
-from ..machines.messages import Member
+from ..core.member import Member
 from ..manifest.publisher import (
     ActiveConfiguration,
     ConfigurationUnreadable,
--- a/src/siskinspool/contracts/claims.py
+++ b/src/siskinspool/contracts/claims.py
@@ -18,14 +18,9 @@
 import xxhash
 
 from ..core.decision import Decision
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
-from ..machines.messages import (
-    Member,
-    MembershipChanged,
-    OwnersChanged,
-    OwnershipGained,
-    OwnershipLost,
-)
+from ..machines.messages import OwnersChanged, OwnershipGained, OwnershipLost
 from ..store.keys import ANSWERS_PREFIX
 from ..store.kv import KvReply
 from .answer_parts import PartFetch, PartUpload
--- a/src/siskinspool/contracts/patient.py
+++ b/src/siskinspool/contracts/patient.py
@@ -14,12 +14,11 @@
 import xxhash
 
 from ..core.decision import Decision
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..machines.messages import (
     CatalogChanged,
-    Member,
-    MembershipChanged,
     OwnersChanged,
     OwnershipGained,
     OwnershipLost,
--- a/src/siskinspool/contracts/patient_shard.py
+++ b/src/siskinspool/contracts/patient_shard.py
@@ -12,9 +12,9 @@
 
 import attrs
 
+from ..core.member import Member
 from ..core.message import Address, Message, Outgoing
 from ..core.status import Status
-from ..machines.messages import Member
 from ..manifest.model import Catalog
 from ..store.keys import PATIENT_PREFIX
 from ..store.kv import KvList, KvListing, KvReply, KvRequest
--- a/src/siskinspool/contracts/quota_allocator.py
+++ b/src/siskinspool/contracts/quota_allocator.py
@@ -21,12 +21,12 @@
 import attrs
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Outgoing
 from ..core.status import Status
 from ..machines.messages import (
     CatalogChanged,
     FreshnessChanged,
-    MembershipChanged,
     OwnershipGained,
     OwnershipLost,
     ReleaseOwnership,
--- a/src/siskinspool/contracts/team_limits.py
+++ b/src/siskinspool/contracts/team_limits.py
@@ -17,15 +17,11 @@
 from typing import Final
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..machines.drain_messages import ReturnShares
-from ..machines.messages import (
-    CatalogChanged,
-    FreshnessChanged,
-    MembershipChanged,
-    OwnersChanged,
-)
+from ..machines.messages import CatalogChanged, FreshnessChanged, OwnersChanged
 from ..manifest.model import Team
 from .limits_partition import limits_partition
 from .peer_transfers import PeerTransfers
--- a/src/siskinspool/core/message.py
+++ b/src/siskinspool/core/message.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import attrs
 
 
@@ -14,6 +16,9 @@
 class Message:
     """Base class of all messages."""
 
+    # The next message of the class replaces it, so it may be dropped from a full queue.
+    is_replaceable: ClassVar[bool] = False
+
 
 @attrs.frozen
 class Address:
--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -24,6 +24,7 @@
 from .core.clock import Clock, MonotonicClock
 from .core.decision import Decision
 from .core.dispatcher import Dispatcher
+from .core.member import Member
 from .core.task import DecisionTask, Task
 from .links.call_task import CallContext
 from .links.codec import MsgpackCodec
@@ -35,7 +36,6 @@
 from .machines.drain import Drain
 from .machines.drain_messages import StartDrain
 from .machines.membership import Membership, MembershipSubscribers
-from .machines.messages import Member
 from .machines.orders_task import OrdersTask
 from .machines.ownership import Ownership
 from .machines.placement import Placement
--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -22,9 +22,9 @@
 from typing import Final
 
 from ..core.decision import Decision
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..machines.messages import Member, MembershipChanged
 from ..store.kv import KvChanged, WatchBroken, WatchListed
 from ..store.kv_events import KvReachability
 from ..telemetry.logs import log_event
--- a/src/siskinspool/feed/reader_choice.py
+++ b/src/siskinspool/feed/reader_choice.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from ..machines.messages import Member
+from ..core.member import Member
 from ..machines.rendezvous import score
 
 MEMBERS_PER_READER: Final = 24
--- a/src/siskinspool/feed/subscription.py
+++ b/src/siskinspool/feed/subscription.py
@@ -5,8 +5,8 @@
 import random
 from typing import Final
 
+from ..core.member import Member
 from ..core.message import Address, Outgoing
-from ..machines.messages import Member
 from .feed_messages import (
     CHANGE_FEED_TASK,
     FeedSubscribe,
--- a/src/siskinspool/gateway/caps.py
+++ b/src/siskinspool/gateway/caps.py
@@ -23,9 +23,9 @@
 import attrs
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..machines.messages import MembershipChanged
 from ..machines.rendezvous import winner
 from ..machines.session_validity import SessionValidity
 from ..store.kv_events import SessionGone, SessionRenewed
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -20,6 +20,7 @@
 from ..core.clock import Clock
 from ..core.decision import Decision
 from ..core.dispatcher import Dispatcher
+from ..core.member import Member
 from ..core.message import Outgoing
 from ..core.task import DecisionTask, Task
 from ..feed.change_feed import ChangeFeed
@@ -28,7 +29,6 @@
 from ..links.codec import MsgpackCodec
 from ..links.peer import PEERS_TASK, PeerLink
 from ..links.server_link import HttpServerLink
-from ..machines.messages import Member
 from ..settings import Endpoint
 from ..store.keys import SHARED_PREFIX
 from ..store.kv import KeyValueService
--- a/src/siskinspool/gateway/isolation.py
+++ b/src/siskinspool/gateway/isolation.py
@@ -18,9 +18,9 @@
 from typing import Final
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Outgoing
 from ..core.status import Status
-from ..machines.messages import MembershipChanged
 from ..store.kv_events import KvReachability
 from ..telemetry.logs import log_event
 from .messages import (
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -21,9 +21,9 @@
 
 from ..core.decision import Decision
 from ..core.malformed import MALFORMED_ERRORS
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..machines.messages import Member, MembershipChanged
 from ..machines.rendezvous import score
 from ..machines.session_validity import SessionValidity
 from ..store.keys import owner_key
--- a/src/siskinspool/gateway/membership.py
+++ b/src/siskinspool/gateway/membership.py
@@ -11,9 +11,9 @@
 import logging
 
 from ..core.decision import Decision
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Outgoing
 from ..core.status import Status
-from ..machines.messages import Member, MembershipChanged
 from ..store.keys import SESSION_PREFIX
 from ..store.kv import KvChanged
 from ..store.session_keeper import decode_session
--- a/src/siskinspool/gateway/quarantine.py
+++ b/src/siskinspool/gateway/quarantine.py
@@ -20,9 +20,9 @@
 from typing import Final
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Outgoing
 from ..core.status import Status
-from ..machines.messages import MembershipChanged
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .crash_ledger import MIN_CRASHES, CrashLedger, SuspectGroup
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -22,9 +22,9 @@
 
 from ..core.decision import Decision
 from ..core.errors import ErrorCode
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..machines.messages import MembershipChanged
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
--- a/src/siskinspool/links/peer.py
+++ b/src/siskinspool/links/peer.py
@@ -21,10 +21,9 @@
 
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher, PeerTransport
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Outgoing
 from ..core.task import Task
-from ..machines.heartbeat import Heartbeat
-from ..machines.messages import Member, MembershipChanged, ServerReport
 from ..telemetry.logs import log_event
 from .codec import Codec, Malformed, UnknownVersion
 from .peer_connection import LinkCounters, PeerConnection, configure
@@ -150,8 +149,7 @@
             log_event(logger, logging.ERROR, "message_not_encoded", error=str(error))
             self.counters.refused += 1
             return False
-        is_droppable = isinstance(outgoing.message, Heartbeat | ServerReport)
-        is_queued = connection.put(data, is_droppable)
+        is_queued = connection.put(data, outgoing.message.is_replaceable)
         if not is_queued:
             self.counters.refused += 1
         return is_queued
--- a/src/siskinspool/links/peer_connection.py
+++ b/src/siskinspool/links/peer_connection.py
@@ -13,7 +13,7 @@
 import zmq.green as zmq
 
 from ..core.clock import Clock
-from ..machines.messages import Member
+from ..core.member import Member
 from .peer_queue import PeerQueue, QueuedMessage
 
 QUEUE_CAPACITY_MESSAGES: Final = 1_000
--- a/src/siskinspool/machines/fleet.py
+++ b/src/siskinspool/machines/fleet.py
@@ -8,8 +8,9 @@
 
 from typing import Final
 
+from ..core.member import Member
 from ..manifest.model import Catalog, Server, ZoneState, empty_manifest
-from .messages import CheckpointTier, LeavingChanged, Member
+from .messages import CheckpointTier, LeavingChanged
 from .reservations import (
     IssuedOrder,
     Reservation,
--- a/src/siskinspool/machines/heartbeat.py
+++ b/src/siskinspool/machines/heartbeat.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import attrs
 import xxhash
 
@@ -26,6 +28,8 @@
 class Heartbeat(Message):
     """The state of an instance, as sent to one neighbour."""
 
+    is_replaceable: ClassVar[bool] = True
+
     # The sender's monotonic clock.
     sent_ms: int
     # `sent_ms` of the last heartbeat received from the recipient, or `UNKNOWN_MS`.
--- a/src/siskinspool/machines/known_servers.py
+++ b/src/siskinspool/machines/known_servers.py
@@ -14,13 +14,14 @@
 
 import attrs
 
+from ..core.member import MembershipChanged
 from ..core.status import Status
 from ..manifest.model import Catalog, Server, Service, empty_manifest
 from ..zones.preference import ZonePreference
 from ..zones.zone import WorkEligibility
 from .call_targets import ReplicaKey, ReplicaTarget, RouteTarget, Target
 from .candidate import Candidate
-from .messages import LeavingChanged, MembershipChanged, RampSlots, ServerReport
+from .messages import LeavingChanged, RampSlots, ServerReport
 from .prefix_index import PrefixIndex
 from .routing_messages import PrefixHint, RouteCall
 from .server_state import EndpointState, ServerState, ServiceState
--- a/src/siskinspool/machines/membership.py
+++ b/src/siskinspool/machines/membership.py
@@ -16,6 +16,7 @@
 
 from ..core.decision import Decision
 from ..core.malformed import MALFORMED_ERRORS
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..store.keys import CONFIG_HEAD, SESSION_PREFIX
@@ -29,8 +30,6 @@
     CatalogChanged,
     FreshnessChanged,
     LeavingChanged,
-    Member,
-    MembershipChanged,
     PeerRevisionSeen,
     ReleaseOwnership,
 )
--- a/src/siskinspool/machines/messages.py
+++ b/src/siskinspool/machines/messages.py
@@ -4,6 +4,7 @@
 
 import math
 from enum import StrEnum
+from typing import ClassVar
 
 import attrs
 
@@ -28,30 +29,6 @@
     REMOTE = "remote"
 
 
-@attrs.frozen
-class Member:
-    """An instance with a live session."""
-
-    instance_id: str
-    # Changes with every start of the process.
-    incarnation: str
-    zone: str
-    # Address on which the peer link listens.
-    host: str
-    port: int
-    draining: bool = False
-    # Address to which callers and operators connect.
-    listen_host: str = ""
-    listen_port: int = 0
-
-
-@attrs.frozen
-class MembershipChanged(Message):
-    """The instances with a live session, this one included."""
-
-    member_by_id: dict[str, Member]
-
-
 @attrs.frozen
 class OwnershipGained(Message):
     """This instance owns a partition from now on."""
@@ -133,6 +110,8 @@
 class ServerReport(Message):
     """A server's report on itself, as read by one instance."""
 
+    is_replaceable: ClassVar[bool] = True
+
     server_id: str
     # Changes with every start of the server.
     boot_id: str
--- a/src/siskinspool/machines/neighbours.py
+++ b/src/siskinspool/machines/neighbours.py
@@ -13,8 +13,8 @@
 
 import attrs
 
+from ..core.member import Member
 from .heartbeat import UNKNOWN_MS, Heartbeat
-from .messages import Member
 from .rendezvous import highest_by_pair_score, pair_score
 
 MAX_NEIGHBOURS: Final = 8
--- a/src/siskinspool/machines/ownership.py
+++ b/src/siskinspool/machines/ownership.py
@@ -27,6 +27,7 @@
 import attrs
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..store.keys import OWNER_PREFIX, owner_key, session_key
@@ -42,13 +43,7 @@
 )
 from ..store.kv_events import SessionGone, SessionRenewed
 from ..store.session_keeper import decode_session
-from .messages import (
-    MembershipChanged,
-    OwnersChanged,
-    OwnershipGained,
-    OwnershipLost,
-    ReleaseOwnership,
-)
+from .messages import OwnersChanged, OwnershipGained, OwnershipLost, ReleaseOwnership
 from .ownership_records import (
     NO_RECORD,
     OwnerRecord,
--- a/src/siskinspool/machines/ownership_state.py
+++ b/src/siskinspool/machines/ownership_state.py
@@ -7,8 +7,8 @@
 
 import attrs
 
+from ..core.member import Member
 from ..core.status import Status
-from .messages import Member
 from .ownership_records import NO_RECORD, OwnerRecord
 from .rendezvous import score
 
--- a/src/siskinspool/machines/placement.py
+++ b/src/siskinspool/machines/placement.py
@@ -18,6 +18,7 @@
 import attrs
 
 from ..core.decision import Decision
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..store.kv import KvReply
@@ -27,7 +28,6 @@
 from .messages import (
     CatalogChanged,
     LeavingChanged,
-    MembershipChanged,
     OrderResult,
     OrderSettled,
     OwnersChanged,
--- a/src/siskinspool/machines/reporting.py
+++ b/src/siskinspool/machines/reporting.py
@@ -15,12 +15,11 @@
 import attrs
 
 from ..core.decision import Decision
+from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..manifest.model import Catalog, Server, empty_manifest
 from .messages import (
     CatalogChanged,
-    Member,
-    MembershipChanged,
     OwnersChanged,
     ReplicaState,
     ServerReport,
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -20,6 +20,7 @@
 from ..contracts.call_queue import QueuedCall
 from ..core.decision import Decision
 from ..core.errors import ErrorCode, InvariantError
+from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..manifest.model import Catalog, RequestClass
@@ -29,7 +30,6 @@
 from .messages import (
     CatalogChanged,
     LeavingChanged,
-    MembershipChanged,
     OwnersChanged,
     RampSlots,
     ReplicaPlanned,
--- a/src/siskinspool/standins/slopes/samples.py
+++ b/src/siskinspool/standins/slopes/samples.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
+from ...core.member import Member, MembershipChanged
 from ...core.message import Address, Incoming, Message
-from ...machines.messages import (
-    Member,
-    MembershipChanged,
-    ReplicaState,
-    ReportedReplica,
-    ServerReport,
-)
+from ...machines.messages import ReplicaState, ReportedReplica, ServerReport
 from ...manifest.model import (
     Adapter,
     Catalog,
--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -20,9 +20,9 @@
 
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher
+from ..core.member import Member
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.task import Task
-from ..machines.messages import Member
 from ..machines.session_validity import SessionValidity
 from ..telemetry.logs import log_event
 from .keys import CONFIG_HEAD
--- a/src/siskinspool/store/session_keeper.py
+++ b/src/siskinspool/store/session_keeper.py
@@ -22,8 +22,8 @@
 
 from ..core.clock import Clock
 from ..core.malformed import MALFORMED_ERRORS
+from ..core.member import Member
 from ..core.message import Message
-from ..machines.messages import Member
 from ..telemetry.logs import log_event
 from .keys import session_key
 from .kv import KeyValueService, LostAnswerError, UnavailableError
--- a/src/siskinspool/telemetry/task.py
+++ b/src/siskinspool/telemetry/task.py
@@ -12,15 +12,11 @@
 
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher
+from ..core.member import MembershipChanged
 from ..core.message import Incoming, Message, Outgoing
 from ..core.status import GaugesReply, GetGauges
 from ..core.task import Task
-from ..machines.messages import (
-    CatalogChanged,
-    MembershipChanged,
-    OwnershipGained,
-    OwnershipLost,
-)
+from ..machines.messages import CatalogChanged, OwnershipGained, OwnershipLost
 from .histograms import HistogramSet
 from .messages import CallMeasured, GetHistograms, Histograms
 from .metrics import Metrics
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,8 +5,9 @@
 
 from __future__ import annotations
 
+from siskinspool.core.member import Member
 from siskinspool.core.message import Address, Incoming, Message
-from siskinspool.machines.messages import Member, ServerReport
+from siskinspool.machines.messages import ServerReport
 from siskinspool.manifest.model import (
     Adapter,
     Catalog,
--- a/tests/builders_change_feed.py
+++ b/tests/builders_change_feed.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.feed.change_feed import ChangeFeed
 from siskinspool.feed.feed_messages import (
@@ -30,7 +31,6 @@
 )
 from siskinspool.feed.feed_times import FeedTimes
 from siskinspool.links.codec import Malformed, MsgpackCodec
-from siskinspool.machines.messages import Member, MembershipChanged
 from siskinspool.store.kv import KvChanged, KvItem, WatchBroken
 from siskinspool.store.kv_events import KvReachability
 
--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -23,9 +23,10 @@
 )
 from siskinspool.contracts.claims import Claims
 from siskinspool.core.decision import Decision
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.links.codec import Decoded, MsgpackCodec
-from siskinspool.machines.messages import Member, MembershipChanged, OwnersChanged
+from siskinspool.machines.messages import OwnersChanged
 from siskinspool.store.kv import (
     KvAnswerLost,
     KvConflict,
--- a/tests/builders_cli.py
+++ b/tests/builders_cli.py
@@ -10,7 +10,7 @@
 from siskinspool.cli.connection import Connection, Json, NoAnswer
 from siskinspool.cli.main import main
 from siskinspool.cli.site_view import SiteView
-from siskinspool.machines.messages import Member
+from siskinspool.core.member import Member
 from siskinspool.standins.site import TrialSite
 
 from .builders import member
--- a/tests/builders_freshness.py
+++ b/tests/builders_freshness.py
@@ -10,13 +10,13 @@
 
 import attrs
 
+from siskinspool.core.member import Member
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.machines.heartbeat import Heartbeat
 from siskinspool.machines.membership import Membership, MembershipSubscribers
 from siskinspool.machines.messages import (
     CatalogChanged,
     FreshnessChanged,
-    Member,
     PeerRevisionSeen,
 )
 from siskinspool.store.keys import CONFIG_HEAD, session_key
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.gateway.bounds import Bounds
 from siskinspool.gateway.desired_state import (
@@ -29,7 +30,6 @@
     ServerRecord,
     ServerState,
 )
-from siskinspool.machines.messages import Member, MembershipChanged
 
 MODEL_MB = 70_000.0
 
--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -11,10 +11,10 @@
 
 from siskinspool.core.clock import MonotonicClock
 from siskinspool.core.dispatcher import Dispatcher, Inbox
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Incoming, Message
 from siskinspool.links.codec import MsgpackCodec
 from siskinspool.links.peer import PeerLink
-from siskinspool.machines.messages import Member, MembershipChanged
 
 from .builders import incoming
 
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -9,13 +9,9 @@
 
 import attrs
 
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Message, Outgoing
-from siskinspool.machines.messages import (
-    Member,
-    MembershipChanged,
-    OwnershipGained,
-    ReleaseOwnership,
-)
+from siskinspool.machines.messages import OwnershipGained, ReleaseOwnership
 from siskinspool.machines.ownership import Ownership
 from siskinspool.store.keys import OWNER_PREFIX, SESSION_PREFIX, session_key
 from siskinspool.store.kv import (
--- a/tests/builders_patient.py
+++ b/tests/builders_patient.py
@@ -22,11 +22,10 @@
 )
 from siskinspool.contracts.patient_record import Head
 from siskinspool.core.decision import Decision
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.machines.messages import (
     CatalogChanged,
-    Member,
-    MembershipChanged,
     OwnersChanged,
     OwnershipGained,
     OwnershipLost,
--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -9,12 +9,11 @@
 
 import attrs
 
+from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.machines.messages import (
     CatalogChanged,
     LeavingChanged,
-    Member,
-    MembershipChanged,
     OrderKind,
     OrderResult,
     OrderSettled,
--- a/tests/builders_quarantine.py
+++ b/tests/builders_quarantine.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from siskinspool.core.member import MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.gateway.messages import FRONT_TASK
 from siskinspool.gateway.quarantine import Quarantine
@@ -29,7 +30,6 @@
     ServerBoot,
 )
 from siskinspool.links.codec import MsgpackCodec
-from siskinspool.machines.messages import MembershipChanged
 
 from .builders_gateway import member
 
--- a/tests/builders_routing.py
+++ b/tests/builders_routing.py
@@ -8,12 +8,12 @@
 import attrs
 
 from siskinspool.contracts.fair_queue import FairQueue
+from siskinspool.core.member import MembershipChanged
 from siskinspool.core.message import Message, Outgoing
 from siskinspool.machines.candidate import Candidate, CandidateChooser
 from siskinspool.machines.messages import (
     CatalogChanged,
     LeavingChanged,
-    MembershipChanged,
     OwnersChanged,
     RampSlots,
     ReplicaState,
--- a/tests/builders_shares.py
+++ b/tests/builders_shares.py
@@ -25,12 +25,12 @@
 )
 from siskinspool.contracts.team_limits import TeamLimits
 from siskinspool.core.decision import Decision
+from siskinspool.core.member import MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
 from siskinspool.machines.drain_messages import ReturnShares
 from siskinspool.machines.messages import (
     CatalogChanged,
     FreshnessChanged,
-    MembershipChanged,
     OwnersChanged,
     OwnershipGained,
     OwnershipLost,
--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from siskinspool.core.member import Member
 from siskinspool.core.message import Address, Incoming, Message
 from siskinspool.feed.feed_messages import (
     FeedProof,
@@ -16,7 +17,6 @@
     StopFeeding,
 )
 from siskinspool.feed.reader_choice import MEMBERS_PER_READER, ReaderRanking
-from siskinspool.machines.messages import Member
 
 from .builders_change_feed import (
     BOUND_S,
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -7,12 +7,13 @@
 import pytest
 import zmq.green as zmq
 
+from siskinspool.core.member import Member
 from siskinspool.core.message import Address, Outgoing
 from siskinspool.links.codec import MsgpackCodec
 from siskinspool.links.peer_connection import QUEUE_CAPACITY_MESSAGES
 from siskinspool.links.peer_queue import PeerQueue, QueuedMessage
 from siskinspool.machines.heartbeat import Heartbeat
-from siskinspool.machines.messages import Member, ReplicaRefused
+from siskinspool.machines.messages import ReplicaRefused
 
 from .builders_membership import Peer, peers, wait_until
 
--- a/tests/test_reporting.py
+++ b/tests/test_reporting.py
@@ -5,12 +5,8 @@
 import attrs
 import pytest
 
-from siskinspool.machines.messages import (
-    CatalogChanged,
-    MembershipChanged,
-    ReplicaState,
-    ReportedReplica,
-)
+from siskinspool.core.member import MembershipChanged
+from siskinspool.machines.messages import CatalogChanged, ReplicaState, ReportedReplica
 from siskinspool.machines.report_messages import PollServer
 from siskinspool.machines.reporting import Reporting
 from tests import builders
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -17,12 +17,9 @@
 from siskinspool.contracts.trace_context import TRACEPARENT, trace_headers, trace_id
 from siskinspool.core.clock import MonotonicClock
 from siskinspool.core.dispatcher import Dispatcher
+from siskinspool.core.member import MembershipChanged
 from siskinspool.core.message import Outgoing
-from siskinspool.machines.messages import (
-    CatalogChanged,
-    MembershipChanged,
-    OwnershipGained,
-)
+from siskinspool.machines.messages import CatalogChanged, OwnershipGained
 from siskinspool.manifest.model import RequestClass
 from siskinspool.settings import Endpoint
 from siskinspool.telemetry.histograms import HistogramSet, merge_histograms
