--- a/src/siskinspool/gateway/demand.py
+++ b/src/siskinspool/gateway/demand.py
@@ -18,8 +18,11 @@
 TOKENS_HALF_LIFE_S: Final = 8.0
 # Half-life of counted requesters.
 REQUESTERS_HALF_LIFE_S: Final = 30.0
-# Demand that each waiting request adds to its model.
-TOKENS_PER_S_PER_WAITING_REQUEST: Final = 800.0
+# Each waiting request counts as this many requests per second for its model.
+REQUESTS_PER_S_PER_WAITING_REQUEST: Final = 0.16
+# Assumed size of a request until enough requests have been counted.
+PRIOR_REQUEST_TOKENS: Final = 5_000.0
+PRIOR_REQUESTS: Final = 10.0
 # Decayed counts below this value are dropped.
 MIN_COUNT: Final = 0.05
 # A gateway counts as a user of a model for this long after its last request for it.
@@ -90,6 +93,7 @@
         super().__init__(TOKENS_HALF_LIFE_S)
         # Demand for all models. Adapters are left out, as their models count already.
         self._total = _DecayingCount(0.0, 0.0)
+        self._requests = _DecayingCount(0.0, 0.0)
 
     def add(self, target: str, count: float, now: float) -> None:
         """Add prompt tokens to the demand for a target."""
@@ -97,6 +101,21 @@
         if "/" not in target:
             self._total = _DecayingCount(self._decayed(self._total, now) + count, now)
 
+    def add_requests(self, count: float, now: float) -> None:
+        """Add to the number of requests that the tokens belong to."""
+        self._requests = _DecayingCount(self._decayed(self._requests, now) + count, now)
+
+    def request_tokens(self, now: float) -> float:
+        """Return the recent mean size of a request, in tokens.
+
+        It converts between requests and tokens. Prompts of one customer are ten times
+        as long as those of another, so no fixed number of tokens stands for a request.
+        """
+        tokens = self._decayed(self._total, now)
+        requests = self._decayed(self._requests, now)
+        prior_tokens = PRIOR_REQUESTS * PRIOR_REQUEST_TOKENS
+        return (tokens + prior_tokens) / (requests + PRIOR_REQUESTS)
+
     def tokens_per_s(self, target: str, now: float) -> float:
         """Return the recent demand for a target, in tokens per second."""
         return self.rate_per_s(target, now)
@@ -107,9 +126,8 @@
         Only requests that are still waiting are passed in; refused requests that are to
         be retried are not among them.
         """
-        return (
-            self.tokens_per_s(model, now) + waiting * TOKENS_PER_S_PER_WAITING_REQUEST
-        )
+        waiting_per_s = waiting * REQUESTS_PER_S_PER_WAITING_REQUEST
+        return self.tokens_per_s(model, now) + waiting_per_s * self.request_tokens(now)
 
     def total_tokens_per_s(self, now: float) -> float:
         """Return the recent demand for all models, in tokens per second."""
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -133,6 +133,7 @@
             if adapter:
                 demand.add(model, tokens, now)
 
+        demand.add_requests(sum(report.requesters_by_model.values()), now)
         requesters = self.requesters(report.service)
         for model, count in report.requesters_by_model.items():
             requesters.add(model, count, now)
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -23,9 +23,8 @@
 
 # Cost in seconds of evictions that lose the whole demand.
 EVICTION_COST_S: Final = 20.0
-# Total demand is taken as at least this, in tokens per second, since below it single
-# requests would dominate.
-MIN_TOTAL_TOKENS_PER_S: Final = 2_000.0
+# Total demand is taken as at least this, since below it single requests would dominate.
+MIN_TOTAL_REQUESTS_PER_S: Final = 0.4
 # The only replica of a model is evicted only for a model with at least this share of
 # its demand.
 MIN_DEMAND_RATIO: Final = 0.3
@@ -40,7 +39,7 @@
 BUSY_COST_S: Final = 2.0
 # Additional value of a model in use, so that among models with little demand it is
 # evicted last.
-IN_USE_TOKENS_PER_S: Final = 500.0
+IN_USE_REQUESTS_PER_S: Final = 0.1
 # A plan is moved if another server would have the model ready this much sooner.
 MIN_TIME_GAIN_S: Final = 1.5
 # A plan is compared with other servers at most this often.
@@ -155,6 +154,11 @@
         """Return the demand for all models, in tokens per second."""
         return self.demand.total_tokens_per_s(now)
 
+    def _total_at_least_tokens_per_s(self, now: float) -> float:
+        """Return the total demand, or a minimum if there is hardly any."""
+        least = MIN_TOTAL_REQUESTS_PER_S * self.demand.request_tokens(now)
+        return max(self.total_tokens_per_s(now), least)
+
     def has_room(self, server: ManagedServer) -> bool:
         """Return whether the largest model fits on a server without an eviction."""
         sizes = [spec.weights_mb for spec in self.engine.model_by_name.values()]
@@ -398,7 +402,7 @@
         Meanwhile the server loads no adapter for its models, and no other model of
         which it has a copy.
         """
-        total = max(self.total_tokens_per_s(now), MIN_TOTAL_TOKENS_PER_S)
+        total = self._total_at_least_tokens_per_s(now)
         blocked = sum(
             self.tokens_per_s(model, now) / max(self.copies.count(model), 1)
             for model in server.copies()
@@ -411,7 +415,7 @@
     ) -> float:
         """Return the cost of evictions: lost demand and the wait for requests."""
         lost_demand = sum(self.replica_value(model, now) for model in evictions)
-        total = max(self.total_tokens_per_s(now), MIN_TOTAL_TOKENS_PER_S)
+        total = self._total_at_least_tokens_per_s(now)
         unload_s = sum(server.unload_s(model, now) for model in evictions)
         return EVICTION_COST_S * min(lost_demand / total, 1.0) + unload_s
 
@@ -441,6 +445,7 @@
         free_mb = self.engine.weights_mb - sum(
             self._memory_mb(server, name) for name in present
         )
+        in_use_tokens_per_s = IN_USE_REQUESTS_PER_S * self.demand.request_tokens(now)
         candidates = sorted(
             (
                 name
@@ -450,7 +455,7 @@
             key=lambda name: (
                 name in planned or name in evicted_later,
                 self.replica_value(name, now)
-                + IN_USE_TOKENS_PER_S * server.is_used(name, "", now),
+                + in_use_tokens_per_s * server.is_used(name, "", now),
                 self.copies.has_single_copy(name),
                 self.demand.last_added_at(name),
                 name,
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from siskinspool.gateway.demand import TokenDemand
 from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.messages import (
@@ -291,6 +293,34 @@
     assert {order.model for order in sent_orders} <= {"m2"}
 
 
+@pytest.mark.parametrize(
+    ("request_tokens", "is_evicted"), [(600, False), (9_000, True)]
+)
+def test_waiting_request_weighs_as_much_as_the_others(
+    request_tokens: int, is_evicted: bool
+) -> None:
+    """Guards against rare requests that evict models with many short requests.
+
+    A waiting request counted as 800 tokens per second, whatever the size of requests.
+    In a traced day of tsagaan-spool, with requests of some 600 tokens, a model with
+    two requests per second lost its only replica to one with a single request.
+    """
+    harness = PlacementHarness()
+    harness.send(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=75_000.0)))
+    harness.add_server("s1", "m0", on_disk=ALL_MODELS)
+    harness.add_server("s2", "m4", on_disk=frozenset({"m4"}))
+    harness.begin_term()
+    # Requests of m0 make up 1,300 tokens per second in both cases.
+    count = 15_000 / request_tokens
+    tokens = {"m0": count * request_tokens, "m4": 3 * count * request_tokens}
+    requesters = {"m0": count, "m4": 3 * count}
+    harness.send(DemandReport("writers", tokens, requesters_by_model=requesters))
+    found = orders(harness.request("m1"))
+    assert [order.model for order in found if order.server_id == "s1"] == (
+        ["m0"] if is_evicted else []
+    )
+
+
 def test_plan_moves_to_a_server_that_has_returned_with_a_copy() -> None:
     """Guards against a load of seconds for a model that a disk has again.
 
