Let only the sender of a peer connection probe it

Both ends of each connection sent keep-alive probes every second. The receiver now notices a lost sender by the time to live that the sender's probes state.

--- a/src/siskinspool/links/peer_connection.py
+++ b/src/siskinspool/links/peer_connection.py
@@ -82,6 +82,10 @@
         socket = self._context.socket(zmq.DEALER)
         try:
             configure(socket)
+            socket.setsockopt(zmq.HEARTBEAT_IVL, LINK_PING_INTERVAL_MS)
+            socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, LINK_PING_TIMEOUT_MS)
+            # The receiver needs no probes of its own to notice a lost sender.
+            socket.setsockopt(zmq.HEARTBEAT_TTL, LINK_PING_TIMEOUT_MS)
             socket.connect(f"tcp://{self.member.host}:{self.member.port}")
             while True:
                 self._send(socket, self.queue.get())
@@ -98,13 +102,11 @@
 
 
 def configure(socket: zmq.Socket[bytes]) -> None:
-    """Set the limits, keep-alive probes and reconnect times of a socket."""
+    """Set the limits and reconnect times of a socket."""
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
     socket.setsockopt(zmq.SNDHWM, SEND_BUFFER_MESSAGES)
     # Otherwise messages for a disconnected peer pile up inside ZeroMQ.
     socket.setsockopt(zmq.IMMEDIATE, 1)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, LINK_PING_INTERVAL_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, LINK_PING_TIMEOUT_MS)
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
     socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
