Use the readers again soon after an outage of the store

While the store was down for all, followers avoided one reader after the other for 9 s and more, and then kept instances that are no readers. They avoid one for 3 s now. The reader's choice of the next message is a method of its own, and the gauges are named like the others.

--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -152,8 +152,8 @@
     def gauges(self) -> dict[str, float]:
         """Return whether this instance reads, and for how many."""
         return {
-            "feed_is_reading": float(self._is_reading),
-            "feed_subscribers": float(len(self._subscribers)),
+            "feed.is_reading": float(self._is_reading),
+            "feed.subscribers": float(len(self._subscribers)),
         }
 
     # Changes
--- a/src/siskinspool/feed/subscribers.py
+++ b/src/siskinspool/feed/subscribers.py
@@ -94,7 +94,6 @@
 
         ``current_at`` is when this instance last knew that it missed no change.
         """
-        age_s = max(now - current_at, 0.0)
         copies = tuple(copies)
         # Most subscribers have been told the same.
         changes_by_told: dict[tuple[int, ...], tuple[PrefixChanges, ...] | None] = {}
@@ -108,23 +107,9 @@
                 # It has missed more than the log keeps and must list the keys.
                 del self._by_id[instance_id]
                 continue
-            has_changes = any(changes.changes for changes in prefixes)
-            if not has_changes and not self._is_proof_due(subscriber, current_at, now):
-                continue
-            subscriber.informed_at = now
-            subscriber.current_at = current_at
-            if not has_changes and subscriber.proofs_since < PROOFS_PER_UPDATE:
-                subscriber.proofs_since += 1
-                proof = FeedProof(subscriber.number, age_s)
-                batch.append(_to_instance(instance_id, proof))
-                continue
-            subscriber.told_by_prefix = {
-                changes.prefix: changes.revision for changes in prefixes
-            }
-            subscriber.number += 1
-            subscriber.proofs_since = 0
-            update = FeedUpdate(subscriber.number, age_s, prefixes)
-            batch.append(_to_instance(instance_id, update))
+            message = self._next_message(subscriber, prefixes, current_at, now)
+            if message is not None:
+                batch.append(_to_instance(instance_id, message))
         return batch
 
     def wake_at(self, current_at: float) -> float:
@@ -138,11 +123,33 @@
             default=float("inf"),
         )
 
-    def _is_proof_due(
-        self, subscriber: _Subscriber, current_at: float, now: float
-    ) -> bool:
-        is_newer = current_at > subscriber.current_at
-        return is_newer and now - subscriber.informed_at >= self._times.update_s
+    def _next_message(
+        self,
+        subscriber: _Subscriber,
+        prefixes: tuple[PrefixChanges, ...],
+        current_at: float,
+        now: float,
+    ) -> FeedUpdate | FeedProof | None:
+        """Return what a subscriber is to be told now, if anything."""
+        has_changes = any(changes.changes for changes in prefixes)
+        is_proof_due = (
+            current_at > subscriber.current_at
+            and now - subscriber.informed_at >= self._times.update_s
+        )
+        if not has_changes and not is_proof_due:
+            return None
+        subscriber.informed_at = now
+        subscriber.current_at = current_at
+        age_s = max(now - current_at, 0.0)
+        if not has_changes and subscriber.proofs_since < PROOFS_PER_UPDATE:
+            subscriber.proofs_since += 1
+            return FeedProof(subscriber.number, age_s)
+        subscriber.told_by_prefix = {
+            changes.prefix: changes.revision for changes in prefixes
+        }
+        subscriber.number += 1
+        subscriber.proofs_since = 0
+        return FeedUpdate(subscriber.number, age_s, prefixes)
 
 
 def _changes_after(
--- a/src/siskinspool/feed/subscription.py
+++ b/src/siskinspool/feed/subscription.py
@@ -15,8 +15,9 @@
 from .feed_times import FeedTimes
 from .reader_choice import ReaderRanking
 
-# How long an instance that was silent or is stopping is avoided.
-AVOID_RENEWALS: Final = 3.0
+# How long an instance that was silent or is stopping is avoided. After an outage of the
+# service, the readers should soon be used again.
+AVOID_RENEWALS: Final = 1.0
 _NEVER: Final = float("-inf")
 
 
--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -194,6 +194,18 @@
     assert all(CONFIG not in one.value_by_key for one in fleet.alive())
 
 
+def test_few_read_again_soon_after_an_outage_for_all() -> None:
+    """Guards against followers that avoid the readers long after an outage."""
+    fleet = settled(30)
+    fleet.refused = set(fleet.by_name)
+    fleet.run(6.0)
+    fleet.refused = set()
+    revision, at = change(fleet)
+    assert_seen_in_time(fleet, revision, at)
+    fleet.run(2 * SETTLE_S)
+    assert len(fleet.reading()) <= 4
+
+
 def test_removal_during_an_outage_reaches_all() -> None:
     """Guards against servers that an outage of the store keeps alive."""
     fleet = settled(9)
