--- a/src/siskinspool/feed/subscription.py
+++ b/src/siskinspool/feed/subscription.py
@@ -124,6 +124,9 @@
             self.avoid(self.feeder_id, now)
         if now < self._renew_at:
             return self._pop_farewells()
+        self._drop_expired_avoidances(now)
+        if self.feeder_id is not None and self._has_better_feeder():
+            self._drop_feeder()
         if self.feeder_id is None:
             self._choose(now)
         if self.feeder_id is None:
@@ -156,10 +159,12 @@
         others = reader_ids - self._avoided_until_by_id.keys() - {self._own.instance_id}
         return self.feeder_id not in reader_ids and bool(others)
 
-    def _choose(self, now: float) -> None:
+    def _drop_expired_avoidances(self, now: float) -> None:
         for instance_id, until in list(self._avoided_until_by_id.items()):
             if now >= until:
                 del self._avoided_until_by_id[instance_id]
+
+    def _choose(self, now: float) -> None:
         self.feeder_id = self._ranking.choose_feeder(
             self._own, self._avoided_until_by_id
         )
