Excuse sends of a soak only for gateways that a fault kept from hearing

The users' rule binds machines in touch, with a stable store. The soak records the gateway of each request and the time of each fault, and counts a send unless a fault of its gateway, or of the store, lies within 3 s before the announcement or between it and the send.

--- a/src/siskinspool/standins/soak/callers.py
+++ b/src/siskinspool/standins/soak/callers.py
@@ -74,6 +74,7 @@
         record = self._site.record
         request_id = f"{self._name}-{next(self._numbers)}"
         record.kind_by_id[request_id] = kind
+        record.gateway_by_id[request_id] = self._gateway.name
         body = f"body of {request_id}".encode()
         started_s = self._site.now_s()
         was_stopping = self._gateway.name in self._site.stopping
@@ -155,6 +156,7 @@
             self._pid, self._known = pid, 0
         request_id = f"probe-{self._gateway.name}-{next(self._numbers)}"
         self._site.record.kind_by_id[request_id] = RequestKind.SAFE
+        self._site.record.gateway_by_id[request_id] = self._gateway.name
         headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "2000"}
         headers["Authorization"] = f"Bearer {KEY}"
         client = HTTPClient(
--- a/src/siskinspool/standins/soak/faults.py
+++ b/src/siskinspool/standins/soak/faults.py
@@ -32,8 +32,9 @@
         name = _any_gateway(site, rng)
         if not site.signal_gateway(name, signal.SIGKILL):
             return ""
-        gevent.sleep(rng.uniform(0.1, 3.0))
-        site.restart_gateway(name)
+        with site.disturbed(name):
+            gevent.sleep(rng.uniform(0.1, 3.0))
+            site.restart_gateway(name)
         return f"{name} killed"
 
 
@@ -46,12 +47,13 @@
         site.stopping.add(name)
         if not site.signal_gateway(name, signal.SIGTERM):
             return ""
-        deadline_s = site.now_s() + GRACE_S
-        popen = site.site.gateways[name].popen
-        while popen.poll() is None and site.now_s() < deadline_s:
-            gevent.sleep(POLL_S)
-        site.signal_gateway(name, signal.SIGKILL)
-        site.restart_gateway(name)
+        with site.disturbed(name):
+            deadline_s = site.now_s() + GRACE_S
+            popen = site.site.gateways[name].popen
+            while popen.poll() is None and site.now_s() < deadline_s:
+                gevent.sleep(POLL_S)
+            site.signal_gateway(name, signal.SIGKILL)
+            site.restart_gateway(name)
         return f"{name} stopped"
 
 
@@ -63,8 +65,9 @@
         name = _any_gateway(site, rng)
         if not site.signal_gateway(name, signal.SIGSTOP):
             return ""
-        gevent.sleep(rng.uniform(0.3, 4.0))
-        site.signal_gateway(name, signal.SIGCONT)
+        with site.disturbed(name):
+            gevent.sleep(rng.uniform(0.3, 4.0))
+            site.signal_gateway(name, signal.SIGCONT)
         return f"{name} suspended"
 
 
@@ -75,13 +78,14 @@
         """Reset, freeze or delay the link, or lose its answers."""
         name = _any_gateway(site, rng)
         kind = rng.choice(["freeze", "delay_s", "refuse", "drop_answers"])
-        site.set_link_faults(name, **{kind: 0.2 if kind == "delay_s" else True})
-        if kind in ("refuse", "drop_answers"):
-            site.set_link_faults(name, cut=True)
-        gevent.sleep(rng.uniform(0.5, 4.0))
-        site.set_link_faults(name, **{kind: 0.0 if kind == "delay_s" else False})
-        if kind == "drop_answers":
-            site.set_link_faults(name, cut=True)
+        with site.disturbed(name):
+            site.set_link_faults(name, **{kind: 0.2 if kind == "delay_s" else True})
+            if kind in ("refuse", "drop_answers"):
+                site.set_link_faults(name, cut=True)
+            gevent.sleep(rng.uniform(0.5, 4.0))
+            site.set_link_faults(name, **{kind: 0.0 if kind == "delay_s" else False})
+            if kind == "drop_answers":
+                site.set_link_faults(name, cut=True)
         return f"store link of {name}: {kind}"
 
 
@@ -91,11 +95,13 @@
     def run(self, site: SoakSite, rng: random.Random) -> str:
         """Let the store fail for a while."""
         if rng.random() < 0.5:
-            site.site.store_faults(forget_history=True)
+            with site.disturbed(None):
+                site.site.store_faults(forget_history=True)
             return "store history forgotten"
-        site.site.store_faults(down=True)
-        gevent.sleep(rng.uniform(0.5, 3.0))
-        site.site.store_faults(down=False)
+        with site.disturbed(None):
+            site.site.store_faults(down=True)
+            gevent.sleep(rng.uniform(0.5, 3.0))
+            site.site.store_faults(down=False)
         return "store down"
 
 
--- a/src/siskinspool/standins/soak/site.py
+++ b/src/siskinspool/standins/soak/site.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, Final
 
@@ -13,7 +15,7 @@
 
 from ..gateway_site import HOST, KEY, Gateway, GatewaySite, wait_until
 from ..processes import Process, ProcessError, TrialProcesses, call_json
-from .record import ServerRun, SoakRecord
+from .record import Disturbance, ServerRun, SoakRecord
 
 GATEWAY_COUNT: Final = 4
 MODELS: Final = ("m0", "m1", "m2")
@@ -155,7 +157,9 @@
     def drain_server(self, server_id: str) -> None:
         """Let a server announce that it leaves."""
         call_json(self.server_by_id[server_id].port, "POST", "/admin/drain", {})
-        self.record.closed_at_by_server[server_id] = self.now_s() + DRAIN_S
+        drained_at = self.now_s()
+        self.record.drained_at_by_server[server_id] = drained_at
+        self.record.closed_at_by_server[server_id] = drained_at + DRAIN_S
 
     def end_server(self, server_id: str) -> None:
         """End a server after reading what it ran."""
@@ -164,6 +168,16 @@
         server.kill()
         self.site.remove(f"servers/{server_id}")
 
+    @contextmanager
+    def disturbed(self, gateway: str | None) -> Iterator[None]:
+        """Record a disturbance of a gateway, or of all, for the time of the context."""
+        disturbance = Disturbance(gateway, self.now_s())
+        self.record.disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.ended_s = self.now_s()
+
     def set_server_faults(self, server_id: str, **faults: Any) -> None:
         """Set faults of a server that still runs."""
         if server_id in self.server_by_id:
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -10,6 +10,7 @@
 
 from siskinspool.standins.soak.main import Soak
 from siskinspool.standins.soak.record import (
+    Disturbance,
     Promise,
     RequestKind,
     ServerRun,
@@ -65,3 +66,17 @@
         Promise.NO_SEND_TO_LEAVING,
         Promise.OWN_REQUESTS,
     }
+
+
+def test_send_to_a_leaving_server_is_excused_only_by_a_fault_of_its_gateway() -> None:
+    """Guards against an excuse that covers gateways which knew of the leaving."""
+    record = SoakRecord(
+        kind_by_id=dict.fromkeys(("r1", "r2"), RequestKind.SAFE),
+        gateway_by_id={"r1": "g1", "r2": "g2"},
+        disturbances=[Disturbance("g1", 4.0, 5.0), Disturbance(None, 0.0, 0.5)],
+        drained_at_by_server={"s1": 4.0},
+        closed_at_by_server={"s1": 6.0},
+    )
+    record.add_runs([ServerRun("r1", "s1", 6.5), ServerRun("r2", "s1", 6.5)])
+    record.check_runs()
+    assert [one.detail for one in record.broken] == ["r2 at s1"]
