End each gateway process of a soak, and tell a kill from a planned stop

Two faults that ended the same gateway both started it again, and one of the two processes was left behind (seeds 8 and 11). A kill during a planned stop counted as a cut of that stop.

--- a/src/siskinspool/standins/soak/faults.py
+++ b/src/siskinspool/standins/soak/faults.py
@@ -30,11 +30,14 @@
     def run(self, site: SoakSite, rng: random.Random) -> str:
         """Kill a gateway."""
         name = _any_gateway(site, rng)
+        popen = site.site.gateways[name].popen
+        # A kill during a planned stop cuts off what the stop would have finished.
+        site.stopping.discard(name)
         if not site.signal_gateway(name, signal.SIGKILL):
             return ""
         with site.disturbed(name):
             gevent.sleep(rng.uniform(0.1, 3.0))
-            site.restart_gateway(name)
+            site.restart_gateway(name, popen)
         return f"{name} killed"
 
 
@@ -44,16 +47,17 @@
     def run(self, site: SoakSite, rng: random.Random) -> str:
         """Stop a gateway; kill it after the grace period."""
         name = _any_gateway(site, rng)
-        site.stopping.add(name)
+        popen = site.site.gateways[name].popen
         if not site.signal_gateway(name, signal.SIGTERM):
             return ""
+        site.stopping.add(name)
         with site.disturbed(name):
             deadline_s = site.now_s() + GRACE_S
-            popen = site.site.gateways[name].popen
             while popen.poll() is None and site.now_s() < deadline_s:
                 gevent.sleep(POLL_S)
-            site.signal_gateway(name, signal.SIGKILL)
-            site.restart_gateway(name)
+            if popen.poll() is None:
+                popen.kill()
+            site.restart_gateway(name, popen)
         return f"{name} stopped"
 
 
--- a/src/siskinspool/standins/soak/site.py
+++ b/src/siskinspool/standins/soak/site.py
@@ -12,6 +12,7 @@
 
 import attrs
 import gevent
+from gevent.subprocess import Popen
 
 from ..gateway_site import HOST, KEY, Gateway, GatewaySite, wait_until
 from ..processes import Process, ProcessError, TrialProcesses, call_json
@@ -191,12 +192,13 @@
             int(proxy.ready_message["admin_port"]), "POST", "/admin/faults", faults
         )
 
-    def restart_gateway(self, name: str) -> None:
-        """Start a gateway again with its settings once its process has ended."""
+    def restart_gateway(self, name: str, ended: Popen[bytes]) -> None:
+        """Start a gateway again after the given process, unless another fault did."""
         gateway = self.site.gateways[name]
-        gateway.popen.wait()
-        self.stopping.discard(name)
-        self.site.start_gateway(gateway)
+        ended.wait()
+        if gateway.popen is ended:
+            self.stopping.discard(name)
+            self.site.start_gateway(gateway)
 
     def signal_gateway(self, name: str, number: int) -> bool:
         """Send a signal to a gateway; return whether it runs."""
