--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -14,9 +14,13 @@
     FeedUpdate,
     KeyChange,
     PrefixChanges,
+    PrefixListed,
     StopFeeding,
 )
+from siskinspool.feed.feed_times import FeedTimes
+from siskinspool.feed.prefix_copy import PrefixCopy
 from siskinspool.feed.reader_choice import MEMBERS_PER_READER, ReaderRanking
+from siskinspool.feed.subscribers import Subscribers
 
 from .builders_change_feed import (
     BOUND_S,
@@ -253,6 +257,22 @@
     assert len(set(fleet.reading()) - reading) <= 1
 
 
+def test_proof_tells_the_age_of_its_evidence() -> None:
+    """Guards against a reader that shows old evidence as new.
+
+    A process that was suspended sends what it had to send as soon as it goes on.
+    """
+    times = FeedTimes.from_bound(BOUND_S)
+    copy = PrefixCopy("op/")
+    copy.apply_listing(PrefixListed("op/", (), revision=5, read_at=0.0))
+    subscribers = Subscribers(times)
+    subscribers.add("g2", FeedSubscribe({"op/": 5}), {"op/": copy}, now=10.0)
+    told = [one.message for one in subscribers.pop_due([copy], 7.0, now=10.0)]
+    assert [one.age_s for one in told if isinstance(one, FeedUpdate)] == [3.0]
+    told = [one.message for one in subscribers.pop_due([copy], 9.5, now=11.0)]
+    assert [one.age_s for one in told if isinstance(one, FeedProof)] == [1.5]
+
+
 def test_lost_updates_are_sent_again() -> None:
     """Guards against a change that is lost with a connection between instances."""
     fleet = settled(9)
