Start on what a deployment's contracts say

Cause: a gateway read cold_overage and cold_slack whatever the contracts in force, so on a deployment without the contract "places" every process ended with code 2; Server-Load with a fourth figure was dropped whole.

Change: platform/contracts.py says which settings belong to which contract. Bounds are grouped by part, and an absent part is None ("no limit") instead of an invented number. A missing field of a contract in force is still an error. Server-Load is read with three or more figures; a malformed fourth costs only itself.

--- a/src/siskinspool/gateway/bounds.py
+++ b/src/siskinspool/gateway/bounds.py
@@ -1,4 +1,7 @@
-"""The bounds that an installation must keep, in seconds and counts."""
+"""The bounds that an installation must keep, in seconds and counts.
+
+A part of the bounds may be absent: then the installation sets no such limit.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +10,53 @@
 from ..feed.feed_times import FeedTimes
 
 
+@attrs.frozen(kw_only=True)
+class RetryBounds:
+    """Repeats that a service may get in a window, over all instances."""
+
+    # A ratio of the service's requests plus a fixed number.
+    ratio: float
+    window_s: float
+    extra: float
+
+
+@attrs.frozen(kw_only=True)
+class CapBounds:
+    """Tokens that a team may use beyond rate and burst, over all instances."""
+
+    window_s: float
+    # A share of rate and burst plus a fixed number.
+    overage: float
+    slack_tokens: float
+
+
+@attrs.frozen(kw_only=True)
+class ColdBounds:
+    """Requests per second that a cold server may get, over all instances."""
+
+    # A factor on the rate that the server can handle plus a fixed number.
+    overage: float
+    slack: float
+
+
+@attrs.frozen(kw_only=True)
+class OrderBounds:
+    """How the orders of successive holders are told apart."""
+
+    # Minimum time between orders of two holders to one server.
+    lease_s: float
+    # Orders with an epoch number lower than one already seen are refused.
+    epochs_checked: bool
+
+
+@attrs.frozen(kw_only=True)
+class LoadBounds:
+    """Window and tolerance of the limit on loads from the weight store."""
+
+    window_s: float
+    overage: float
+
+
 @attrs.frozen(kw_only=True)
 class Bounds:
     """Time limits and tolerances that the platform sets for the system."""
@@ -17,27 +67,15 @@
     drain_s: float
     # Time after which a new desired state must be in force.
     config_s: float
-    # Repeats that a service may get in the window: a ratio of its requests plus a fixed
-    # number, over all instances.
-    retry_ratio: float
-    retry_window_s: float
-    retry_extra: float
-    # Tokens that a team may use in the window beyond rate and burst: a share of these
-    # plus a fixed number, over all instances.
-    cap_window_s: float
-    cap_overage: float
-    cap_slack_tokens: float
-    # Requests per second that a cold server may get: a factor on the rate that it can
-    # handle plus a fixed number, over all instances.
-    cold_overage: float
-    cold_slack: float
-    # Minimum time between orders of two holders to one server.
-    holder_lease_s: float
-    # Servers refuse orders with an epoch number lower than one they have seen.
-    servers_check_epochs: bool
-    # Window and tolerance of the limit on loads from the weight store.
-    load_window_s: float
-    load_overage: float
+    orders: OrderBounds
+    # None: the installation does not limit repeats in total.
+    retry: RetryBounds | None
+    # None: no use beyond rate and burst is tolerated.
+    cap: CapBounds | None
+    # None: cold servers have no limit.
+    cold: ColdBounds | None
+    # None: loads are limited by the rate of the weight store alone.
+    load: LoadBounds | None
 
     @property
     def feed_times(self) -> FeedTimes:
--- a/src/siskinspool/gateway/caps.py
+++ b/src/siskinspool/gateway/caps.py
@@ -30,7 +30,7 @@
 from ..machines.session_validity import SessionValidity
 from ..store.kv_events import SessionGone, SessionRenewed
 from ..telemetry.logs import log_event
-from .bounds import Bounds
+from .bounds import CapBounds
 from .desired_state import DesiredState, Team
 from .messages import (
     CAPS_TASK,
@@ -87,7 +87,7 @@
 class CapEnforcer(Decision):
     """Grants or refuses tokens of the teams' caps."""
 
-    def __init__(self, instance_id: str, bounds: Bounds) -> None:
+    def __init__(self, instance_id: str, bounds: CapBounds | None) -> None:
         """Initialize with this gateway's id and the bounds of the site."""
         self._id = instance_id
         self._bounds = bounds
@@ -267,13 +267,17 @@
 
     def _slack(self, team: Team) -> float:
         bounds = self._bounds
-        window = team.tokens_per_s * bounds.cap_window_s + team.burst_tokens
-        return window * bounds.cap_overage + bounds.cap_slack_tokens
+        if bounds is None:
+            return 0.0
+        window = team.tokens_per_s * bounds.window_s + team.burst_tokens
+        return window * bounds.overage + bounds.slack_tokens
 
     def _local_size(self, team: Team) -> tuple[float, float]:
         """Return rate and capacity of a local bucket, used without the owner."""
+        if self._bounds is None:
+            return 0.0, 0.0
         slack_share = self._slack(team) * LOCAL_SLACK_SHARE / len(self._member_ids)
-        per_s = slack_share * (1 - LOCAL_BURST_SHARE) / self._bounds.cap_window_s
+        per_s = slack_share * (1 - LOCAL_BURST_SHARE) / self._bounds.window_s
         return per_s, slack_share * LOCAL_BURST_SHARE
 
     def _record_absent(self, present_ids: Collection[str], now: float) -> None:
--- a/src/siskinspool/gateway/cold_server_limit.py
+++ b/src/siskinspool/gateway/cold_server_limit.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ..machines.rendezvous import score
-from .bounds import Bounds
+from .bounds import ColdBounds
 from .token_bucket import TokenBucket
 
 # Rate and capacity of the bucket of a server without a limit.
@@ -48,7 +48,7 @@
 def ramp_share(
     server_id: str,
     per_s: float,
-    bounds: Bounds,
+    bounds: ColdBounds | None,
     own_id: str,
     sharing_ids: Collection[str],
 ) -> float:
@@ -59,11 +59,11 @@
     small to give each gateway one request, only the first gateways in the server's
     rendezvous order get any.
     """
-    if per_s <= 0:
+    if per_s <= 0 or bounds is None:
         return UNLIMITED_RATE
     if not sharing_ids:
         return 0.0
-    total_per_s = per_s * bounds.cold_overage + bounds.cold_slack
+    total_per_s = per_s * bounds.overage + bounds.slack
     share = total_per_s / (len(sharing_ids) + 1) / REQUESTS_PER_UNIT
     if share >= 1:
         return share
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -267,7 +267,7 @@
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
             ),
             ROUTING_TASK: Routing(settings.instance_id, settings.zone, bounds),
-            CAPS_TASK: CapEnforcer(settings.instance_id, bounds),
+            CAPS_TASK: CapEnforcer(settings.instance_id, bounds.cap),
             QUARANTINE_TASK: Quarantine(settings.instance_id, random.Random()),
             PLACEMENT_TASK: Placement(settings.instance_id, settings.first_start),
         }
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -257,8 +257,8 @@
         holder that is cut off from the store may give orders for longer, but servers
         that check epoch numbers refuse them after the first order of its successor.
         """
-        lease_s = self._bounds.holder_lease_s
-        if not self._bounds.servers_check_epochs:
+        lease_s = self._bounds.orders.lease_s
+        if not self._bounds.orders.epochs_checked:
             return lease_s
         return max(lease_s - self._session_silence_s, 0.0) + WAIT_MARGIN_S
 
@@ -290,7 +290,7 @@
         return self._notify(LeadershipExtended(until, detached))
 
     def _can_continue_detached(self, now: float) -> bool:
-        if not self._bounds.servers_check_epochs or self._last_unanswered_at is None:
+        if not self._bounds.orders.epochs_checked or self._last_unanswered_at is None:
             return False
         since = self._first_unanswered_at
         return (
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -85,7 +85,7 @@
         """Initialize with this gateway's id and zone and the bounds of the site."""
         self._id = instance_id
         self._zone = zone
-        self._retry_budget = SharedRetryBudget(bounds)
+        self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
         self._leader_id: str | None = None
         # The previous leader, whose term may not have ended yet while the next waits.
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -110,7 +110,7 @@
         return ramp_share(
             record.server_id,
             0.0 if service is None else service.cold_per_s,
-            self._bounds,
+            self._bounds.cold,
             self._id,
             self._ramp_members.sharing_ids(now),
         )
--- a/src/siskinspool/gateway/servers.py
+++ b/src/siskinspool/gateway/servers.py
@@ -94,3 +94,5 @@
     running: int
     waiting: int
     slots: int
+    # How long work takes at present, relative to the usual time; None if not stated.
+    slowdown: float | None = None
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -40,6 +40,10 @@
 # Longer numbers are not valid; Python refuses to convert those of several thousand.
 MAX_DIGITS: Final = 15
 _LOWEST_PRIORITY: Final = 9
+# Figures of a server's load: running, waiting, slots, and how long work takes in
+# percent of the usual time.
+KNOWN_LOAD_FIGURES: Final = 4
+USUAL_PERCENT: Final = 100
 # Headers that the system sets, or that would control a server's memory.
 _SYSTEM_HEADERS: Final = frozenset(
     {
@@ -214,9 +218,14 @@
 
 
 def _server_load(text: str) -> ServerLoad | None:
-    numbers = [_whole_number(part.strip()) for part in text.split(",")]
-    valid_numbers = [number for number in numbers if number is not None]
-    if len(numbers) != 3 or len(valid_numbers) != 3:
+    """Return the load that a server states; further figures may follow the known ones.
+
+    A malformed figure is absent. Without the first three there is no load.
+    """
+    figures = [_whole_number(part.strip()) for part in text.split(",")]
+    figures += [None] * (KNOWN_LOAD_FIGURES - len(figures))
+    running, waiting, slots, slowdown_percent = figures[:KNOWN_LOAD_FIGURES]
+    if running is None or waiting is None or slots is None:
         return None
-    running, waiting, slots = valid_numbers
-    return ServerLoad(running=running, waiting=waiting, slots=slots)
+    slowdown = slowdown_percent / USUAL_PERCENT if slowdown_percent else None
+    return ServerLoad(running=running, waiting=waiting, slots=slots, slowdown=slowdown)
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -13,9 +13,24 @@
 import attrs
 
 from ..core.errors import SettingsError
-from ..gateway.bounds import Bounds
+from ..gateway.bounds import (
+    Bounds,
+    CapBounds,
+    ColdBounds,
+    LoadBounds,
+    OrderBounds,
+    RetryBounds,
+)
 from ..gateway.instance import InstanceSettings
 from ..settings import Endpoint
+from .contracts import (
+    DEFAULT_CONFIG_S,
+    DEFAULT_DRAIN_S,
+    DEFAULT_GRACE_S,
+    DEFAULT_LEASE_S,
+    Contract,
+    missing_contracts,
+)
 
 # The environment variable with the path of the file; set by the platform.
 SETTINGS_VARIABLE: Final = "SISKINSPOOL_CONFIG"
@@ -92,6 +107,7 @@
         reader.faults.append("internal_ports: not two port numbers")
         ports = [0, 0]
     ip = reader.text("ip")
+    contracts = _read_contracts(reader)
     settings = GatewaySettings(
         instance_id=reader.text("node"),
         zone=reader.text("zone"),
@@ -103,28 +119,77 @@
         least_lease_s=reader.seconds("platform.ttl_min_ms"),
         heartbeat_s=reader.seconds("heartbeat_ms"),
         first_start=reader.flag("bootstrap"),
-        bounds=_read_bounds(reader),
+        bounds=_read_bounds(reader, contracts),
     )
     if reader.faults:
         raise SettingsError("\n".join(reader.faults))
     return settings
 
 
-def _read_bounds(reader: _SettingsReader) -> Bounds:
+def _read_contracts(reader: _SettingsReader) -> frozenset[str]:
+    names = reader.get("contracts", list, list(Contract))
+    reader.faults += [
+        f"contracts: {name} is required" for name in missing_contracts(names)
+    ]
+    return frozenset(str(name) for name in names)
+
+
+def _read_bounds(reader: _SettingsReader, contracts: frozenset[str]) -> Bounds:
+    grace_s, drain_s = DEFAULT_GRACE_S, DEFAULT_DRAIN_S
+    if Contract.DRAIN in contracts:
+        grace_s = reader.number("bounds.grace_s")
+        drain_s = reader.seconds("bounds.drain_ms")
+    config_s = DEFAULT_CONFIG_S
+    if Contract.CONFIG in contracts:
+        config_s = reader.seconds("bounds.config_apply_ms")
     return Bounds(
-        grace_s=reader.number("bounds.grace_s"),
-        drain_s=reader.seconds("bounds.drain_ms"),
-        config_s=reader.seconds("bounds.config_apply_ms"),
-        retry_ratio=reader.number("bounds.retry_budget_ratio"),
-        retry_window_s=reader.number("bounds.budget_window_s"),
-        retry_extra=reader.number("bounds.budget_extra_retries"),
-        cap_window_s=reader.number("bounds.quota_window_s"),
-        cap_overage=reader.number("bounds.quota_overage"),
-        cap_slack_tokens=reader.number("bounds.quota_slack"),
-        cold_overage=reader.number("bounds.cold_overage"),
-        cold_slack=reader.number("bounds.cold_slack"),
-        holder_lease_s=reader.seconds("bounds.lease_ms"),
-        servers_check_epochs=reader.flag("bounds.require_fence"),
-        load_window_s=reader.number("bounds.ceiling_window_s"),
-        load_overage=reader.number("bounds.ceiling_overage"),
+        grace_s=grace_s,
+        drain_s=drain_s,
+        config_s=config_s,
+        orders=_read_order_bounds(reader, contracts),
+        retry=_read_retry_bounds(reader) if Contract.RETRY in contracts else None,
+        cap=_read_cap_bounds(reader) if Contract.QUOTA in contracts else None,
+        cold=_read_cold_bounds(reader) if Contract.PLACES in contracts else None,
+        load=_read_load_bounds(reader) if Contract.ENGINE in contracts else None,
+    )
+
+
+def _read_order_bounds(
+    reader: _SettingsReader, contracts: frozenset[str]
+) -> OrderBounds:
+    if not contracts & {Contract.ENGINE, Contract.LEADER}:
+        return OrderBounds(lease_s=DEFAULT_LEASE_S, epochs_checked=False)
+    return OrderBounds(
+        lease_s=reader.seconds("bounds.lease_ms"),
+        epochs_checked=reader.flag("bounds.require_fence"),
+    )
+
+
+def _read_retry_bounds(reader: _SettingsReader) -> RetryBounds:
+    return RetryBounds(
+        ratio=reader.number("bounds.retry_budget_ratio"),
+        window_s=reader.number("bounds.budget_window_s"),
+        extra=reader.number("bounds.budget_extra_retries"),
+    )
+
+
+def _read_cap_bounds(reader: _SettingsReader) -> CapBounds:
+    return CapBounds(
+        window_s=reader.number("bounds.quota_window_s"),
+        overage=reader.number("bounds.quota_overage"),
+        slack_tokens=reader.number("bounds.quota_slack"),
+    )
+
+
+def _read_cold_bounds(reader: _SettingsReader) -> ColdBounds:
+    return ColdBounds(
+        overage=reader.number("bounds.cold_overage"),
+        slack=reader.number("bounds.cold_slack"),
+    )
+
+
+def _read_load_bounds(reader: _SettingsReader) -> LoadBounds:
+    return LoadBounds(
+        window_s=reader.number("bounds.ceiling_window_s"),
+        overage=reader.number("bounds.ceiling_overage"),
     )
--- a/src/siskinspool/standins/gateway_site.py
+++ b/src/siskinspool/standins/gateway_site.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
 
@@ -129,19 +130,23 @@
         return self.bench.start(server_id, module, *options)
 
     def add_gateway(
-        self, name: str, zone: str = "a", store_port: int | None = None
+        self,
+        name: str,
+        zone: str = "a",
+        store_port: int | None = None,
+        edit_settings: Callable[[dict[str, Any]], None] = lambda document: None,
     ) -> Gateway:
         """Start a gateway and return without waiting.
 
         It reaches the store at ``store_port``, which may be that of a proxy.
+        ``edit_settings`` may change its settings document before it is written.
         """
         front, ready, peer, metrics = free_ports(4)
         settings = self.folder / f"{name}.toml"
         port = self.store.port if store_port is None else store_port
-        settings.write_text(
-            _settings(name, zone, front, ready, peer, metrics, port),
-            encoding="utf-8",
-        )
+        document = default_settings(name, zone, front, ready, peer, metrics, port)
+        edit_settings(document)
+        settings.write_text(encode_settings(document), encoding="utf-8")
         popen = self._start_process(name)
         log_path = self.folder / f"{name}.log"
         gateway = Gateway(name, popen, log_path, front, ready, metrics)
@@ -184,7 +189,7 @@
                 gateway.popen.wait(timeout=5)
 
 
-def _settings(
+def default_settings(
     name: str,
     zone: str,
     front: int,
@@ -192,34 +197,55 @@
     peer: int,
     metrics: int,
     store: int,
-) -> str:
-    return f"""
-node = "{name}"
-zone = "{zone}"
-ip = "127.0.0.1"
-internal_ports = [{peer}, {metrics}]
-bootstrap = true
-heartbeat_ms = 300
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[platform]
-addr = "127.0.0.1:{store}"
-ttl_min_ms = 1000
-[bounds]
-grace_s = 6
-drain_ms = 2000
-config_apply_ms = 2000
-retry_budget_ratio = 0.2
-budget_window_s = 10
-budget_extra_retries = 58
-quota_window_s = 8
-quota_overage = 0.1
-quota_slack = 110000
-cold_overage = 1.5
-cold_slack = 5
-lease_ms = 3000
-require_fence = true
-ceiling_window_s = 5
-ceiling_overage = 1.1
-"""
+) -> dict[str, Any]:
+    """Return the settings of a gateway, with all contracts that it knows in force."""
+    return {
+        "node": name,
+        "zone": zone,
+        "ip": "127.0.0.1",
+        "internal_ports": [peer, metrics],
+        "bootstrap": True,
+        "heartbeat_ms": 300,
+        "contracts": [
+            "drain",
+            "config",
+            "retry",
+            "quota",
+            "places",
+            "engine",
+            "platform",
+        ],
+        "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+        "platform": {"addr": f"127.0.0.1:{store}", "ttl_min_ms": 1000},
+        "bounds": {
+            "grace_s": 6,
+            "drain_ms": 2000,
+            "config_apply_ms": 2000,
+            "retry_budget_ratio": 0.2,
+            "budget_window_s": 10,
+            "budget_extra_retries": 58,
+            "quota_window_s": 8,
+            "quota_overage": 0.1,
+            "quota_slack": 110000,
+            "cold_overage": 1.5,
+            "cold_slack": 5,
+            "lease_ms": 3000,
+            "require_fence": True,
+            "ceiling_window_s": 5,
+            "ceiling_overage": 1.1,
+        },
+    }
+
+
+def encode_settings(document: dict[str, Any]) -> str:
+    """Return a document of one level of tables as TOML."""
+    lines = [
+        f"{name} = {json.dumps(value)}"
+        for name, value in document.items()
+        if not isinstance(value, dict)
+    ]
+    for name, table in document.items():
+        if isinstance(table, dict):
+            lines.append(f"[{name}]")
+            lines += [f"{key} = {json.dumps(value)}" for key, value in table.items()]
+    return "\n".join(lines) + "\n"
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -9,7 +9,14 @@
 
 from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Address, Incoming, Message, Outgoing
-from siskinspool.gateway.bounds import Bounds
+from siskinspool.gateway.bounds import (
+    Bounds,
+    CapBounds,
+    ColdBounds,
+    LoadBounds,
+    OrderBounds,
+    RetryBounds,
+)
 from siskinspool.gateway.desired_state import (
     DesiredState,
     EngineSpec,
@@ -32,6 +39,10 @@
 )
 
 MODEL_MB = 70_000.0
+RETRY_BOUNDS = RetryBounds(ratio=0.2, window_s=10.0, extra=58.0)
+CAP_BOUNDS = CapBounds(window_s=8.0, overage=0.1, slack_tokens=110_000.0)
+COLD_BOUNDS = ColdBounds(overage=1.5, slack=5.0)
+LOAD_BOUNDS = LoadBounds(window_s=5.0, overage=1.1)
 
 
 def bounds(**changes: Any) -> Bounds:
@@ -40,18 +51,11 @@
         "grace_s": 8.0,
         "drain_s": 2.0,
         "config_s": 2.0,
-        "retry_ratio": 0.2,
-        "retry_window_s": 10.0,
-        "retry_extra": 58.0,
-        "cap_window_s": 8.0,
-        "cap_overage": 0.1,
-        "cap_slack_tokens": 110_000.0,
-        "cold_overage": 1.5,
-        "cold_slack": 5.0,
-        "holder_lease_s": 3.0,
-        "servers_check_epochs": True,
-        "load_window_s": 5.0,
-        "load_overage": 1.1,
+        "orders": OrderBounds(lease_s=3.0, epochs_checked=True),
+        "retry": RETRY_BOUNDS,
+        "cap": CAP_BOUNDS,
+        "cold": COLD_BOUNDS,
+        "load": LOAD_BOUNDS,
     }
     return Bounds(**values | changes)
 
--- a/tests/test_gateway_caps.py
+++ b/tests/test_gateway_caps.py
@@ -23,7 +23,7 @@
 from siskinspool.store.kv_events import SessionGone, SessionRenewed
 
 from .builders_gateway import (
-    bounds,
+    CAP_BOUNDS,
     desired_state,
     incoming,
     membership,
@@ -38,7 +38,7 @@
 
 def cap_enforcer(instance_id: str, now: float = 0.0) -> CapEnforcer:
     """Return the decision of a gateway with three members and a valid session."""
-    decision = CapEnforcer(instance_id, bounds())
+    decision = CapEnforcer(instance_id, CAP_BOUNDS)
     decision.handle(incoming(desired_state()), now)
     decision.handle(incoming(membership(*MEMBERS)), now)
     decision.handle(incoming(SessionRenewed("i", 1, now, 1000.0)), now)
@@ -56,14 +56,13 @@
     for _ in range(200):
         answer = messages(spend(decision, 5_000, 0.0))[0]
         granted += 5_000 if isinstance(answer, TokensGranted) else 0
-    limits = bounds()
-    whole = (30_000 * 8 + 60_000) * limits.cap_overage + limits.cap_slack_tokens
+    whole = (30_000 * 8 + 60_000) * CAP_BOUNDS.overage + CAP_BOUNDS.slack_tokens
     assert 30_000 < granted <= 60_000 + whole
 
 
 def test_large_request_is_granted_on_debt() -> None:
     """Guards against refusing forever a request that is larger than the burst."""
-    decision = CapEnforcer(OWNER, bounds())
+    decision = CapEnforcer(OWNER, CAP_BOUNDS)
     small = team(tokens_per_s=1_000.0, burst_tokens=2_000.0)
     decision.handle(incoming(desired_state(teams=(small,))), 0.0)
     decision.handle(incoming(membership(OWNER)), 0.0)
@@ -101,16 +100,15 @@
     """
     decisions = [cap_enforcer(name) for name in MEMBERS]
     granted, now = 0, 0.0
-    while now < bounds().cap_window_s:
+    while now < CAP_BOUNDS.window_s:
         for decision in decisions:
             for _ in range(20):
                 found = messages(spend(decision, 1_000, now))
                 found += messages(decision.on_time(now + OWNER_TIMEOUT_S))
                 granted += 1_000 * sum(isinstance(one, TokensGranted) for one in found)
         now += 0.1
-    limits = bounds()
-    base = 30_000 * limits.cap_window_s + 60_000
-    allowed = base * (1 + limits.cap_overage) + limits.cap_slack_tokens
+    base = 30_000 * CAP_BOUNDS.window_s + 60_000
+    allowed = base * (1 + CAP_BOUNDS.overage) + CAP_BOUNDS.slack_tokens
     assert base < granted <= allowed
 
 
@@ -125,7 +123,7 @@
 
 def test_uncapped_teams_need_no_owner() -> None:
     """Guards against round trips for teams without a cap."""
-    decision = CapEnforcer(OTHER, bounds())
+    decision = CapEnforcer(OTHER, CAP_BOUNDS)
     free = team(tokens_per_s=0.0)
     decision.handle(incoming(desired_state(teams=(free,))), 0.0)
     decision.handle(incoming(membership(*MEMBERS)), 0.0)
@@ -151,9 +149,8 @@
     granted 499,373 tokens in 8 s; the cap with all its slack was 440,961.
     """
     names = tuple(f"g{number}" for number in range(1, 7))
-    limits = bounds()
-    base = 30_000 * limits.cap_window_s + 60_000
-    allowed = base * (1 + limits.cap_overage) + limits.cap_slack_tokens
+    base = 30_000 * CAP_BOUNDS.window_s + 60_000
+    allowed = base * (1 + CAP_BOUNDS.overage) + CAP_BOUNDS.slack_tokens
     old_owner = winner("desk", names) or ""
     companion = next(name for name in names if name != old_owner)
     partitioned = (old_owner, companion)
@@ -197,7 +194,7 @@
         now += 0.1
     for end, _ in grants[:: len(names)]:
         used = sum(
-            tokens for at, tokens in grants if end - limits.cap_window_s < at <= end
+            tokens for at, tokens in grants if end - CAP_BOUNDS.window_s < at <= end
         )
         assert used <= allowed
 
@@ -270,14 +267,13 @@
     @invariant()
     def sum_is_within_the_cap(self) -> None:
         """Check each window that ends with a grant."""
-        limits = bounds()
-        base = 30_000 * limits.cap_window_s + 60_000
-        allowed = base * (1 + limits.cap_overage) + limits.cap_slack_tokens
+        base = 30_000 * CAP_BOUNDS.window_s + 60_000
+        allowed = base * (1 + CAP_BOUNDS.overage) + CAP_BOUNDS.slack_tokens
         for end, _ in self.grants[-20:]:
             used = sum(
                 tokens
                 for at, tokens in self.grants
-                if end - limits.cap_window_s < at <= end
+                if end - CAP_BOUNDS.window_s < at <= end
             )
             assert used <= allowed
 
--- a/tests/test_gateway_cold_servers.py
+++ b/tests/test_gateway_cold_servers.py
@@ -10,6 +10,7 @@
 from siskinspool.gateway.routing import Routing
 
 from .builders_gateway import (
+    COLD_BOUNDS,
     assign,
     bounds,
     desired_state,
@@ -20,7 +21,7 @@
 )
 
 COLD_PER_S = 7.5
-LIMIT_PER_S = COLD_PER_S * bounds().cold_overage + bounds().cold_slack
+LIMIT_PER_S = COLD_PER_S * COLD_BOUNDS.overage + COLD_BOUNDS.slack
 COLD = server("s1", "m0", cold_s=3.0)
 WARM = server("s1", "m0")
 
@@ -172,8 +173,7 @@
             at = number / 40
             found = messages(decision.handle(incoming(assign(f"r{number}")), at))
             total += sum(isinstance(one, ServerAssigned) for one in found)
-    limits = bounds()
-    assert 0 < total <= 7.5 * limits.cold_overage + limits.cold_slack
+    assert 0 < total <= 7.5 * COLD_BOUNDS.overage + COLD_BOUNDS.slack
 
 
 def test_cold_server_with_a_low_rate_is_used_by_few_gateways() -> None:
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from siskinspool.core.message import Message
+from siskinspool.gateway.bounds import OrderBounds
 from siskinspool.gateway.leadership import (
     LEADER_KEY,
     OUTAGE_SIGNAL_TTL_S,
@@ -112,20 +113,20 @@
     swap = candidate.attempt()
     found = candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9))
     wait_s = held(found).from_s - candidate.now
-    assert wait_s >= bounds().holder_lease_s - SILENCE_S
+    assert wait_s >= bounds().orders.lease_s - SILENCE_S
     assert held(found).epoch == 9
 
 
 def test_without_epoch_checks_a_successor_waits_for_the_whole_bound() -> None:
     """Guards against a paused holder whose orders no server refuses."""
-    candidate = Candidate(servers_check_epochs=False)
+    candidate = Candidate(orders=OrderBounds(lease_s=3.0, epochs_checked=False))
     candidate.renew()
     candidate.send(KvChanged(LEADER_KEY, record("g2"), 3))
     candidate.send(KvChanged(LEADER_KEY, None, 8))
     candidate.send(WatchListed("shared"))
     swap = candidate.attempt()
     found = candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9))
-    assert held(found).from_s - candidate.now >= bounds().holder_lease_s
+    assert held(found).from_s - candidate.now >= bounds().orders.lease_s
 
 
 def test_restarted_leader_takes_its_own_key_over_at_once() -> None:
@@ -177,7 +178,7 @@
     candidate.now += TTL_S
     found = candidate.send(KvReachability(False, candidate.now))
     assert found == [LeadershipExtended(candidate.now + OUTAGE_SIGNAL_TTL_S, True)]
-    strict = Candidate(servers_check_epochs=False)
+    strict = Candidate(orders=OrderBounds(lease_s=3.0, epochs_checked=False))
     strict.elect()
     strict.now += TTL_S
     assert strict.send(KvReachability(False, strict.now)) == []
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -20,7 +20,7 @@
 from siskinspool.gateway.servers import ServerState, ZoneEvacuated
 
 from .builders_gateway import (
-    bounds,
+    LOAD_BOUNDS,
     desired_state,
     engine,
     holdings,
@@ -171,11 +171,10 @@
                 started.append(harness.now if first_start else harness.now + 7.5)
                 harness.end(order, OrderResult.ACCEPTED)
                 harness.finish_load(order, 0.0)
-    limits = bounds()
-    allowed = 1.6 * limits.load_window_s * limits.load_overage + 3
+    allowed = 1.6 * LOAD_BOUNDS.window_s * LOAD_BOUNDS.overage + 3
     assert len(started) > 10
     for end in started:
-        window = [at for at in started if end - limits.load_window_s < at <= end]
+        window = [at for at in started if end - LOAD_BOUNDS.window_s < at <= end]
         assert len(window) <= allowed
 
 
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -29,6 +29,7 @@
 )
 
 from .builders_gateway import (
+    RETRY_BOUNDS,
     assign,
     bounds,
     desired_state,
@@ -245,8 +246,7 @@
         harness.assigned_server(f"again{number}", repeat=True) is not None
         for number in range(100)
     )
-    limits = bounds()
-    assert 0 < repeated <= 10 * limits.retry_ratio + limits.retry_extra / 9
+    assert 0 < repeated <= 10 * RETRY_BOUNDS.ratio + RETRY_BOUNDS.extra / 9
 
 
 def test_requests_with_a_shared_prompt_part_go_to_one_server() -> None:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -12,6 +12,7 @@
 from siskinspool.core.errors import SettingsError
 from siskinspool.gateway.desired_state import DesiredState, WeightedService
 from siskinspool.gateway.servers import Holdings, ServerRecord, ServerState
+from siskinspool.platform.contracts import REQUIRED_CONTRACTS, Contract
 from siskinspool.platform.desired_state import UnreadableValue, decode_desired_state
 from siskinspool.platform.server_entries import decode_report, decode_server_entry
 from siskinspool.platform.settings import decode_settings
@@ -25,6 +26,7 @@
     "internal_ports": [7600, 7615],
     "bootstrap": True,
     "heartbeat_ms": 1200,
+    "contracts": [str(contract) for contract in Contract],
     "listen": {"front": "10.1.0.25:8221", "ready": "10.1.0.25:8224"},
     "bounds": {
         "grace_s": 8,
@@ -52,7 +54,7 @@
     """Guards against confusing milliseconds with seconds."""
     settings = decode_settings(SETTINGS)
     assert settings.bounds.drain_s == 2.0
-    assert settings.bounds.holder_lease_s == 3.0
+    assert settings.bounds.orders.lease_s == 3.0
     assert settings.front.port == 8221
     assert settings.metrics.port == 7615
     assert settings.first_start
@@ -68,6 +70,59 @@
     assert "listen.front" in str(raised.value)
 
 
+OPTIONAL_CONTRACTS = sorted(set(Contract) - REQUIRED_CONTRACTS)
+# The bounds that only the named contract sets.
+BOUNDS_BY_CONTRACT = {
+    Contract.DRAIN: ("grace_s", "drain_ms"),
+    Contract.CONFIG: ("config_apply_ms",),
+    Contract.RETRY: (
+        "retry_budget_ratio",
+        "budget_window_s",
+        "budget_extra_retries",
+    ),
+    Contract.QUOTA: ("quota_window_s", "quota_overage", "quota_slack"),
+    Contract.PLACES: ("cold_overage", "cold_slack"),
+    Contract.ENGINE: ("ceiling_window_s", "ceiling_overage"),
+}
+
+
+def settings_with(contracts: list[Contract], *dropped_bounds: str) -> dict[str, Any]:
+    """Return settings with only these contracts and without some bounds."""
+    bounds = {
+        name: value
+        for name, value in SETTINGS["bounds"].items()
+        if name not in dropped_bounds
+    }
+    return SETTINGS | {"contracts": contracts, "bounds": bounds}
+
+
+@given(st.sets(st.sampled_from(OPTIONAL_CONTRACTS)))
+def test_each_combination_of_contracts_is_read(present: set[Contract]) -> None:
+    """Guards against a start that fails for a field of an absent contract."""
+    dropped = [
+        name
+        for contract, names in BOUNDS_BY_CONTRACT.items()
+        if contract not in present
+        for name in names
+    ]
+    if not present & {Contract.ENGINE, Contract.LEADER}:
+        dropped += ["lease_ms", "require_fence"]
+    contracts = [*present, *REQUIRED_CONTRACTS]
+    bounds = decode_settings(settings_with(contracts, *dropped)).bounds
+    assert (bounds.cold is None) == (Contract.PLACES not in present)
+    assert (bounds.retry is None) == (Contract.RETRY not in present)
+    assert (bounds.cap is None) == (Contract.QUOTA not in present)
+
+
+@pytest.mark.parametrize("contract", list(BOUNDS_BY_CONTRACT))
+def test_missing_fields_of_a_contract_in_force_are_named(contract: Contract) -> None:
+    """Guards against defaults that hide a fault in a contract that is in force."""
+    names = BOUNDS_BY_CONTRACT[contract]
+    with pytest.raises(SettingsError) as raised:
+        decode_settings(settings_with(list(Contract), *names))
+    assert all(f"bounds.{name} is missing" in str(raised.value) for name in names)
+
+
 def test_desired_state_is_decoded() -> None:
     """Guards against a wrong interpretation of routes, keys and caps."""
     state = decode_desired_state(encode(config_document()))
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from siskinspool.gateway.request import PromptPart, RequestHead, SendPlan
+from siskinspool.gateway.servers import ServerLoad
 from siskinspool.platform.headers import (
     answer_headers,
     decode_answer,
@@ -142,6 +143,22 @@
     assert isinstance(head, str | RequestHead)
 
 
+@pytest.mark.parametrize(
+    ("text", "slowdown"),
+    [
+        ("3,0,8", None),
+        ("3,0,8,250", 2.5),
+        ("3,0,8,55,7,new", 0.55),
+        ("3,0,8,fast", None),
+        ("3,0,8,0", None),
+    ],
+)
+def test_load_with_more_figures_is_used(text: str, slowdown: float | None) -> None:
+    """Guards against dropping the whole load of a server that states more."""
+    load = decode_answer(200, {"server-load": text}).load
+    assert load == ServerLoad(running=3, waiting=0, slots=8, slowdown=slowdown)
+
+
 def test_load_of_thousands_of_digits_is_ignored() -> None:
     """Guards against a server whose answer ends the request without one."""
     answer = decode_answer(200, {"server-load": f"1,0,{MANY_DIGITS}"})
