Add settings for the optional scheduling features

Cause: new scheduling must act only where a deployment asks for it. Change: SchedulingSettings, read from the optional table [scheduling]; the default is on where no contract limits started servers, off elsewhere. Routing and Placement get it; nothing uses it yet. Result: decoding, routing and placement tests pass.

--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -57,6 +57,7 @@
 from .quarantine_messages import QUARANTINE_TASK
 from .request_context import RequestContext
 from .routing import Routing
+from .scheduling_settings import SchedulingSettings
 from .server_control import OrdersTask, ServerControl
 
 INCARNATION_BYTES: Final = 6
@@ -120,6 +121,7 @@
     # The whole system starts for the first time.
     first_start: bool
     bounds: Bounds
+    scheduling: SchedulingSettings
 
 
 @attrs.frozen(kw_only=True)
@@ -266,10 +268,14 @@
                 now,
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
             ),
-            ROUTING_TASK: Routing(settings.instance_id, settings.zone, bounds),
+            ROUTING_TASK: Routing(
+                settings.instance_id, settings.zone, bounds, settings.scheduling
+            ),
             CAPS_TASK: CapEnforcer(settings.instance_id, bounds.cap),
             QUARANTINE_TASK: Quarantine(settings.instance_id, random.Random()),
-            PLACEMENT_TASK: Placement(settings.instance_id, settings.first_start),
+            PLACEMENT_TASK: Placement(
+                settings.instance_id, settings.first_start, settings.scheduling
+            ),
         }
         return [
             DecisionTask(name, self._dispatcher, self._clock, decision)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -43,6 +43,7 @@
 from .placement_plan import PlacementPlan
 from .plan_moves import plan_moves
 from .preload import MAX_EXPECTED_PRELOADS, PlannedPreload, PreloadPlanner
+from .scheduling_settings import SchedulingSettings
 from .server_orders import ServerOrders
 
 logger = logging.getLogger(__name__)
@@ -55,9 +56,12 @@
 class Placement(Decision):
     """Gives orders to servers while this instance leads."""
 
-    def __init__(self, instance_id: str, first_start: bool) -> None:
+    def __init__(
+        self, instance_id: str, first_start: bool, scheduling: SchedulingSettings
+    ) -> None:
         """Create the decision; ``first_start`` is true on the system's first start."""
         self._id = instance_id
+        self._scheduling = scheduling
         self._planner = OrderPlanner(first_start)
         self._preload_planner = PreloadPlanner(instance_id)
         self._site = ManagedSite()
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -46,6 +46,7 @@
     ServerAssigned,
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
+from .scheduling_settings import SchedulingSettings
 from .server_view import NON_PREFERRED_COST_S, ServerView
 from .server_views import ServerViews
 from .servers import (
@@ -81,9 +82,16 @@
 class Routing(Decision):
     """Assigns requests to servers and queues those that must wait."""
 
-    def __init__(self, instance_id: str, zone: str, bounds: Bounds) -> None:
-        """Initialize with this gateway's id and zone and the bounds of the site."""
+    def __init__(
+        self,
+        instance_id: str,
+        zone: str,
+        bounds: Bounds,
+        scheduling: SchedulingSettings,
+    ) -> None:
+        """Initialize with this gateway's id and zone and the settings of the site."""
         self._id = instance_id
+        self._scheduling = scheduling
         self._zone = zone
         self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -22,6 +22,7 @@
     RetryBounds,
 )
 from ..gateway.instance import InstanceSettings
+from ..gateway.scheduling_settings import SchedulingSettings
 from ..settings import Endpoint
 from .contracts import (
     DEFAULT_CONFIG_S,
@@ -66,6 +67,18 @@
             return fallback
         return value
 
+    def optional_table(self, name: str, fields: tuple[str, ...]) -> dict[str, Any]:
+        """Return a table of the project's own, or an empty one; names its faults."""
+        table = self._document.get(name, {})
+        if not isinstance(table, dict):
+            self.faults.append(f"{name}: not a table")
+            return {}
+        self.faults += [
+            f"{name}.{unknown} is not a known field"
+            for unknown in sorted(table.keys() - set(fields))
+        ]
+        return table
+
     def text(self, path: str) -> str:
         return str(self.get(path, str, ""))
 
@@ -102,12 +115,13 @@
 def decode_settings(document: dict[str, Any]) -> GatewaySettings:
     """Return the settings in a TOML document; raises SettingsError."""
     reader = _SettingsReader(document)
+    contracts = _read_contracts(reader)
+    bounds = _read_bounds(reader, contracts)
     ports = reader.get("internal_ports", list, [0, 0])
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
         reader.faults.append("internal_ports: not two port numbers")
         ports = [0, 0]
     ip = reader.text("ip")
-    contracts = _read_contracts(reader)
     settings = GatewaySettings(
         instance_id=reader.text("node"),
         zone=reader.text("zone"),
@@ -119,7 +133,8 @@
         least_lease_s=reader.seconds("platform.ttl_min_ms"),
         heartbeat_s=reader.seconds("heartbeat_ms"),
         first_start=reader.flag("bootstrap"),
-        bounds=_read_bounds(reader, contracts),
+        bounds=bounds,
+        scheduling=_read_scheduling(reader, bounds),
     )
     if reader.faults:
         raise SettingsError("\n".join(reader.faults))
@@ -154,6 +169,17 @@
     )
 
 
+def _read_scheduling(reader: _SettingsReader, bounds: Bounds) -> SchedulingSettings:
+    defaults = SchedulingSettings.from_bounds(bounds)
+    stated = reader.optional_table("scheduling", tuple(attrs.asdict(defaults)))
+    flags = {
+        name: reader.flag(f"scheduling.{name}")
+        for name in attrs.asdict(defaults)
+        if name in stated
+    }
+    return attrs.evolve(defaults, **flags)
+
+
 def _read_order_bounds(
     reader: _SettingsReader, contracts: frozenset[str]
 ) -> OrderBounds:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -31,6 +31,7 @@
 )
 from siskinspool.gateway.messages import AssignServer
 from siskinspool.gateway.request import PromptPart, RequestHead
+from siskinspool.gateway.scheduling_settings import SchedulingSettings
 from siskinspool.gateway.servers import (
     HeldModel,
     Holdings,
@@ -60,6 +61,11 @@
     return Bounds(**values | changes)
 
 
+def scheduling(**changes: bool) -> SchedulingSettings:
+    """Return settings with all optional features off but the given ones."""
+    return attrs.evolve(SchedulingSettings.all_set_to(False), **changes)
+
+
 def route(**changes: Any) -> Route:
     """Return a stream route of the service ``writers``."""
     values: dict[str, Any] = {
--- a/tests/builders_placement_harness.py
+++ b/tests/builders_placement_harness.py
@@ -26,6 +26,7 @@
     holdings,
     incoming,
     messages,
+    scheduling,
     server,
 )
 
@@ -38,7 +39,7 @@
 
     def __init__(self, first_start: bool = True) -> None:
         self.now = 100.0
-        self.decision = Placement("g1", first_start)
+        self.decision = Placement("g1", first_start, scheduling())
         self.reports: dict[str, Holdings] = {}
         # Servers that do not answer.
         self.silent: set[str] = set()
--- a/tests/builders_store_simulation.py
+++ b/tests/builders_store_simulation.py
@@ -55,6 +55,7 @@
     desired_state,
     engine,
     membership,
+    scheduling,
 )
 from .builders_store_plan import (
     DISK_LOAD_S,
@@ -104,9 +105,11 @@
         self._decision_by_address: dict[tuple[str, str], Decision] = {}
         for name in self._gateways:
             self._decision_by_address[(name, ROUTING_TASK)] = Routing(
-                name, "a", bounds(drain_s=3.0)
+                name, "a", bounds(drain_s=3.0), scheduling()
+            )
+            self._decision_by_address[(name, PLACEMENT_TASK)] = Placement(
+                name, True, scheduling()
             )
-            self._decision_by_address[(name, PLACEMENT_TASK)] = Placement(name, True)
         self._server_by_id: dict[str, ModelledServer] = {}
         self._store_ends: list[float] = []
         self._requester_by_id: dict[str, Requester] = {}
--- a/tests/test_gateway_cold_servers.py
+++ b/tests/test_gateway_cold_servers.py
@@ -17,6 +17,7 @@
     incoming,
     membership,
     messages,
+    scheduling,
     server,
 )
 
@@ -40,7 +41,7 @@
 
     def start(self, name: str) -> None:
         """Start a gateway that knows no others and no desired state."""
-        self.by_name[name] = Routing(name, "a", bounds())
+        self.by_name[name] = Routing(name, "a", bounds(), scheduling())
 
     def send(self, message: Message, *names: str) -> None:
         """Send a message to some gateways, or to all."""
@@ -165,7 +166,7 @@
     total = 0
     members = [f"g{number}" for number in range(1, 10)]
     for name in members:
-        decision = Routing(name, "a", bounds())
+        decision = Routing(name, "a", bounds(), scheduling())
         decision.handle(incoming(desired_state()), 0.0)
         decision.handle(incoming(membership(*members)), 0.0)
         decision.handle(incoming(server("s1", "m0", cold_s=3.0)), 0.0)
@@ -181,7 +182,7 @@
     members = [f"g{number}" for number in range(90)]
     served = 0
     for name in members:
-        decision = Routing(name, "a", bounds())
+        decision = Routing(name, "a", bounds(), scheduling())
         decision.handle(incoming(desired_state()), 0.0)
         decision.handle(incoming(membership(*members)), 0.0)
         decision.handle(incoming(server("s1", "m0", cold_s=3.0)), 0.0)
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -37,6 +37,7 @@
     incoming,
     membership,
     messages,
+    scheduling,
     server,
 )
 
@@ -46,7 +47,7 @@
 
     def __init__(self, *members: str) -> None:
         self.now = 50.0
-        self.decision = Routing("g1", "a", bounds())
+        self.decision = Routing("g1", "a", bounds(), scheduling())
         self.send(desired_state())
         self.send(membership("g1", *members))
 
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -27,6 +27,7 @@
     engine,
     incoming,
     messages,
+    scheduling,
     server,
 )
 from .builders_placement_harness import PlacementHarness, orders
@@ -54,7 +55,7 @@
 
 def test_each_requester_is_reported_as_new_once() -> None:
     """Guards against a requester that is counted again at each request."""
-    routing = Routing("g2", "a", bounds())
+    routing = Routing("g2", "a", bounds(), scheduling())
 
     def send(message: Message, now: float) -> list[PlacementRequest]:
         return placement_requests(messages(routing.handle(incoming(message), now)))
@@ -83,7 +84,7 @@
     Of 422 requesters 228 were refused twice, none three times. A slot of the weight
     store went to a model with 13 attempts, all of whose requesters had left.
     """
-    routing = Routing("g2", "a", bounds())
+    routing = Routing("g2", "a", bounds(), scheduling())
 
     def send(message: Message, now: float) -> list[PlacementRequest]:
         return placement_requests(messages(routing.handle(incoming(message), now)))
@@ -144,7 +145,7 @@
     """A routing decision that knows a leader and requests a model without a server."""
 
     def __init__(self) -> None:
-        self.routing = Routing("g2", "a", bounds())
+        self.routing = Routing("g2", "a", bounds(), scheduling())
         self.now = 100.0
         self.send(desired_state())
         self.send(server("s1", "m9"))
--- a/tests/test_gateway_store_demand.py
+++ b/tests/test_gateway_store_demand.py
@@ -20,6 +20,7 @@
     engine,
     incoming,
     messages,
+    scheduling,
 )
 from .builders_placement_harness import PlacementHarness, orders
 
@@ -147,7 +148,7 @@
 
 def test_new_leader_gets_the_requesters_at_once() -> None:
     """Guards against a new leader that assigns store slots before it has reports."""
-    routing = Routing("g1", "a", bounds())
+    routing = Routing("g1", "a", bounds(), scheduling())
     routing.handle(incoming(LeaderChanged("g2")), 100.0)
     routing.on_time(100.0)
     routing.handle(incoming(assign("r1", model="m7")), 100.1)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -11,6 +11,7 @@
 
 from siskinspool.core.errors import SettingsError
 from siskinspool.gateway.desired_state import DesiredState, WeightedService
+from siskinspool.gateway.scheduling_settings import SchedulingSettings
 from siskinspool.gateway.servers import Holdings, ServerRecord, ServerState
 from siskinspool.platform.contracts import REQUIRED_CONTRACTS, Contract
 from siskinspool.platform.desired_state import UnreadableValue, decode_desired_state
@@ -219,3 +220,16 @@
     data = json.dumps(entry_document(**{name: value})).encode()
     found = decode_server_entry("servers/x", data)
     assert isinstance(found, ServerRecord | UnreadableValue)
+
+
+def test_scheduling_features_are_on_where_no_contract_limits_started_servers() -> None:
+    """Guards against new scheduling on a deployment that does not ask for it."""
+    limited = decode_settings(SETTINGS)
+    assert limited.scheduling == SchedulingSettings.all_set_to(False)
+    contracts = list(set(Contract) - {Contract.PLACES})
+    free = decode_settings(settings_with(contracts, "cold_overage", "cold_slack"))
+    assert free.scheduling == SchedulingSettings.all_set_to(True)
+    chosen = SETTINGS | {"scheduling": {"fair_queueing": True}}
+    assert decode_settings(chosen).scheduling.fair_queueing
+    with pytest.raises(SettingsError, match=r"scheduling\.pace"):
+        decode_settings(SETTINGS | {"scheduling": {"pace": True}})
