Choose servers by estimated speed and load

Cause: the choice took all servers as equally fast, so slow ones got as many requests as fast ones; the load of a stream counted as new at its end. Change: package pace with estimates of lasting speed, short spells and present load, made from first events, gaps and short calls. With speed_estimates the server with the lowest expected time to a first event is chosen. Routing receives the load with the first event and the number of events at the end.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -114,6 +114,8 @@
     server_id: str
     result: AttemptResult
     load: ServerLoad | None = None
+    # Whole events of the answer; 0 if it is not a stream.
+    event_count: int = 0
 
 
 @attrs.frozen
@@ -122,6 +124,8 @@
 
     request_id: str
     server_id: str
+    # The load in the head of the answer.
+    load: ServerLoad | None = None
 
 
 @wire_as("WantModel")
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -314,6 +314,7 @@
                     server_id=assigned.server_id,
                     result=result,
                     load=load,
+                    event_count=self._prompt.event_count,
                 )
             )
 
@@ -406,7 +407,7 @@
         if self._log.first_byte_at is None:
             self._log.first_byte_at = self._now()
             received = FirstEventReceived(
-                self.request.head.request_id, assigned.server_id
+                self.request.head.request_id, assigned.server_id, answer_head.load
             )
             self._notify_routing(received)
         if self._stream_start is None:
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,7 +25,6 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .demand_reporter import DEMAND_INTERVAL_S, DemandReporter
@@ -47,7 +46,8 @@
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
-from .server_view import NON_PREFERRED_COST_S, ServerView
+from .server_selection import selection_for
+from .server_view import ServerView
 from .server_views import ServerViews
 from .servers import (
     RegistryInterrupted,
@@ -93,6 +93,7 @@
         self._id = instance_id
         self._scheduling = scheduling
         self._zone = zone
+        self._selection = selection_for(scheduling, zone)
         self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
         self._leader_id: str | None = None
@@ -114,9 +115,9 @@
                 self._requesters.remove(request_id)
                 self._views.forget_request(request_id)
                 return []
-            case FirstEventReceived(request_id, server_id):
+            case FirstEventReceived(request_id, server_id, load):
                 if view := self._views.by_id.get(server_id):
-                    view.record_first_event(request_id, now)
+                    view.record_first_event(request_id, load, now)
                 return []
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
@@ -251,24 +252,7 @@
             view for view in candidates if view.record.server_id not in call.avoided
         ]
         candidates = others or candidates
-        if len(candidates) < 2:
-            return candidates[0] if candidates else None
-        preferred = self._preferred_server(call, candidates)
-
-        def cost_s(view: ServerView) -> float:
-            cost = view.cost_s(call, self._zone, now)
-            return cost if view is preferred else cost + NON_PREFERRED_COST_S
-
-        return min(candidates, key=lambda view: (cost_s(view), view.record.server_id))
-
-    def _preferred_server(
-        self, call: AssignServer, candidates: list[ServerView]
-    ) -> ServerView | None:
-        """Return the server that all gateways prefer for the prompt's first part."""
-        if not call.parts:
-            return None
-        key = f"{call.model}/{call.adapter}/{call.parts[0].part_id}"
-        return max(candidates, key=lambda view: score(key, view.record.server_id))
+        return self._selection.select(candidates, call, now)
 
     def _may_serve(self, view: ServerView, call: AssignServer, now: float) -> bool:
         record = view.record
@@ -287,7 +271,9 @@
             return
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
-        view.record_end(ended.request_id, ended.result, ended.load, now)
+        view.record_end(
+            ended.request_id, ended.result, ended.load, now, ended.event_count
+        )
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         retry_after_s = RETRY_AFTER_S
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -14,6 +14,16 @@
 
 import attrs
 
+from ..pace.load import LoadFigure
+from ..pace.server_estimate import (
+    RUNNING_COST_S,
+    WAITING_COST_S,
+    FleetEstimate,
+    SendEnd,
+    ServerEstimate,
+    Work,
+)
+from ..pace.speed import PREFILL_TOKENS_PER_S
 from .demand import target_name
 from .desired_state import ServiceSpec
 from .messages import AssignServer, AttemptResult
@@ -22,12 +32,6 @@
 from .servers import ServerLoad, ServerRecord, ServerState
 from .token_bucket import TokenBucket
 
-# Prompt tokens that a server processes per second.
-PREFILL_TOKENS_PER_S: Final = 40_000.0
-# Time that each running request adds until a first event, over all steps.
-RUNNING_COST_S: Final = 0.004
-# Estimated delay for each waiting request at a full server.
-WAITING_COST_S: Final = 0.05
 # Cost of a server in another zone: the network delay and the price of the traffic.
 OTHER_ZONE_COST_S: Final = 0.03
 # Cost of a server other than the one that all gateways prefer for the first part of a
@@ -116,6 +120,8 @@
     # Requests that this gateway may send while the server is cold.
     cold_bucket: TokenBucket
     cache: PromptCache
+    # Its speed and load, for the choice by expected time.
+    estimate: ServerEstimate
     in_flight_by_request: dict[str, _InFlightRequest] = attrs.field(factory=dict)
     load: ServerLoad | None = None
     load_at: float = 0.0
@@ -139,6 +145,7 @@
         record: ServerRecord,
         service: ServiceSpec | None,
         cold_bucket: TokenBucket,
+        fleet: FleetEstimate,
         now: float,
     ) -> ServerView:
         """Return a view of a server that has just been seen."""
@@ -150,6 +157,7 @@
             cold_until=now + record.cold_s,
             cold_bucket=cold_bucket,
             cache=PromptCache(capacity),
+            estimate=ServerEstimate.of_fleet(fleet),
         )
 
     def is_open(self, now: float) -> bool:
@@ -242,6 +250,29 @@
             cost += unprocessed_tokens / PREFILL_TOKENS_PER_S
         return cost + self.current_failures(now) * FAILURE_COST_S
 
+    def expected_first_event_s(
+        self, call: AssignServer, own_zone: str, now: float
+    ) -> float:
+        """Return the time to the first event that the server's own answers suggest.
+
+        Includes the costs of another zone and of recent failures.
+        """
+        slots = self.record.slots
+        cost = self.estimate.expected_first_event_s(self._work(call), slots, now)
+        if self.record.zone != own_zone:
+            cost += OTHER_ZONE_COST_S
+        return cost + self.current_failures(now) * FAILURE_COST_S
+
+    def _work(self, call: AssignServer) -> Work:
+        if not call.model:
+            return Work(prefill_tokens=0, is_short_call=True)
+        target = target_name(call.model, call.adapter)
+        tokens = self.cache.missing_tokens(target, call.parts)
+        # Only the last part belongs to the request alone. Another gateway may have
+        # sent the others, and the server then has them in its cache.
+        last_tokens = call.parts[-1].tokens if call.parts else 0
+        return Work(prefill_tokens=tokens, is_exact=0 < tokens <= last_tokens)
+
     def _load(self, now: float) -> tuple[int, int]:
         """Return the running and waiting requests as far as they are known."""
         own_count = len(self.in_flight_by_request)
@@ -260,6 +291,8 @@
 
     def record_sent(self, call: AssignServer, now: float) -> None:
         """Record that a request is sent to the server."""
+        work = self._work(call)
+        self.estimate.record_sent(call.request_id, work, self.record.slots, now)
         target = target_name(call.model, call.adapter)
         unprocessed_tokens = self.cache.missing_tokens(target, call.parts)
         self.in_flight_by_request[call.request_id] = _InFlightRequest(
@@ -267,13 +300,21 @@
         )
         self.cache.add(target, call.parts)
 
-    def record_first_event(self, request_id: str, now: float) -> None:
+    def record_first_event(
+        self, request_id: str, load: ServerLoad | None, now: float
+    ) -> None:
         """Record the first event of a request: its prompt has been processed."""
+        self.estimate.record_first_event(request_id, _figure(load), now)
         request = self.in_flight_by_request.get(request_id)
         if request is not None:
             request.unprocessed_tokens = 0
             request.since = now
 
+    def forget_request(self, request_id: str) -> None:
+        """Drop a request that was cancelled after its assignment: it was not sent."""
+        self.in_flight_by_request.pop(request_id, None)
+        self.estimate.forget(request_id)
+
     def record_run(self, request_id: str, durations: RunDurations, now: float) -> None:
         """Record the run time of a request whose whole answer has arrived."""
         request = self.in_flight_by_request.get(request_id)
@@ -288,8 +329,15 @@
         result: AttemptResult,
         load: ServerLoad | None,
         now: float,
+        event_count: int = 0,
     ) -> None:
-        """Record the end of a send."""
+        """Record the end of a send, with the events of its answer."""
+        end = SendEnd(
+            is_answered=result is AttemptResult.ANSWERED,
+            events=event_count,
+            figure=_figure(load),
+        )
+        self.estimate.record_end(request_id, end, now)
         request = self.in_flight_by_request.pop(request_id, None)
         if load is not None:
             self.load = load
@@ -322,3 +370,14 @@
     def _record_failure(self, now: float) -> None:
         self.failures = self.current_failures(now) + 1
         self.failures_at = now
+
+
+def _figure(load: ServerLoad | None) -> LoadFigure | None:
+    if load is None:
+        return None
+    return LoadFigure(
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        slowdown=load.slowdown,
+    )
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from ..pace.server_estimate import FleetEstimate
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .cold_server_limit import RampMembers, full_bucket, ramp_share
@@ -28,6 +29,7 @@
         self._bounds = bounds
         self.by_id: dict[str, ServerView] = {}
         self.evacuated_zones: set[str] = set()
+        self._fleet_by_service: dict[str, FleetEstimate] = {}
         self._desired: DesiredState | None = None
         self.member_ids: tuple[str, ...] = (instance_id,)
         self._ramp_members = RampMembers(instance_id)
@@ -98,7 +100,9 @@
 
     def _new_view(self, record: ServerRecord, now: float) -> ServerView:
         bucket = full_bucket(self._ramp_share(record, now), now)
-        return ServerView.from_record(record, self._service(record), bucket, now)
+        fleet = self._fleet_by_service.setdefault(record.service, FleetEstimate())
+        service = self._service(record)
+        return ServerView.from_record(record, service, bucket, fleet, now)
 
     def _service(self, record: ServerRecord) -> ServiceSpec | None:
         if self._desired is None:
@@ -124,7 +128,7 @@
     def forget_request(self, request_id: str) -> None:
         """Drop a request that was cancelled after its assignment: it was not sent."""
         for view in self.by_id.values():
-            view.in_flight_by_request.pop(request_id, None)
+            view.forget_request(request_id)
 
     def remove(self, server_id: str, now: float) -> None:
         """Remove a server whose registry entry was removed."""
--- /dev/null
+++ b/tests/test_pace_estimates.py
@@ -0,0 +1,91 @@
+"""Speed estimates: lasting differences, spells, failures and uneven sites."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskinspool.gateway.server_views import ServerViews
+from siskinspool.gateway.servers import ServerState
+from siskinspool.pace.server_estimate import FleetEstimate
+
+from .builders_gateway import bounds, holdings, scheduling, server
+from .builders_pace import PROMPT, SLOTS, answer, estimate, figure
+from .builders_uneven_servers import SiteFigures, UnevenSite, uneven_servers
+
+SITE_SPEEDS = (0.55, 1.2, 1.2, 1.2)
+WARM_UP_S = 5.0
+END_S = 20.0
+
+
+def run_site(*, speed_estimates: bool) -> SiteFigures:
+    """Run 67 gateways and 12 servers, a quarter of them slow, with spells."""
+    servers = uneven_servers(12, SITE_SPEEDS, has_spells=True)
+    site = UnevenSite(
+        servers,
+        scheduling(speed_estimates=speed_estimates),
+        rate_at=lambda at: 260.0 * (1 + 0.55 * math.sin(2 * math.pi * at / 15.0)),
+    )
+    site.run(WARM_UP_S)
+    return site.run(END_S)
+
+
+def test_work_is_spread_by_speed() -> None:
+    """Guards against short chats that wait at a slow server while others are idle.
+
+    Without estimates, the slow servers get as many requests as the fast ones.
+    """
+    before = run_site(speed_estimates=False)
+    after = run_site(speed_estimates=True)
+    assert before.busiest_ratio() > 1.5
+    assert after.busiest_ratio() <= 1.3
+    assert after.wait_quantile_s(0.95) < 0.6 * before.wait_quantile_s(0.95)
+
+
+@given(st.sampled_from([0.55, 0.8, 1.2, 1.3]), st.integers(0, 9))
+def test_lasting_speed_is_told_from_spells(speed: float, first_spell: int) -> None:
+    """Guards against a server taken as slow for good because of its short spells."""
+    fleet = FleetEstimate()
+    usual, other = estimate(fleet), estimate(fleet)
+    now = 0.0
+    for number in range(60):
+        spell = 2.5 if (number + first_spell) % 7 == 0 else 1.0
+        now = answer(usual, 1.0, now, stated=figure())
+        now = answer(other, spell / speed, now, stated=figure(slowdown=spell / speed))
+    ratio = other.relative_speed / usual.relative_speed
+    assert ratio == pytest.approx(speed, rel=0.2)
+
+
+def test_failures_do_not_count_as_fast_answers() -> None:
+    """Guards against a server that attracts requests because it fails them quickly."""
+    failing = estimate()
+    for number in range(30):
+        answer(failing, 0.01, float(number), is_answered=False)
+    assert failing.relative_speed == 1.0
+
+
+def test_one_false_figure_changes_nothing_for_long() -> None:
+    """Guards against avoiding a server because of a single false answer."""
+    one = estimate()
+    usual_s = one.expected_first_event_s(PROMPT, SLOTS, 0.0)
+    one.record_figure(figure(slowdown=90.0), 0.0)
+    assert one.expected_first_event_s(PROMPT, SLOTS, 0.1) < 2 * usual_s
+    assert one.expected_first_event_s(PROMPT, SLOTS, 0.5) < 1.1 * usual_s
+
+
+def test_restarted_server_has_the_usual_speed() -> None:
+    """Guards against the speed of a process that no longer exists."""
+    views = ServerViews("g1", bounds())
+    for name in ("s1", "s2"):
+        views.update_record(server(name, "m0"), 0.0)
+    for number in range(20):
+        answer(views.by_id["s1"].estimate, 1.8, float(number))
+        answer(views.by_id["s2"].estimate, 1.0, float(number))
+    views.update_record(server("s1", "m0", state=ServerState.DRAINING), 20.0)
+    assert views.by_id["s1"].estimate.relative_speed < 0.8
+    restarted = server("s1", "m0", holdings=holdings("m0", born_ms=2))
+    views.update_record(restarted, 20.0)
+    assert views.by_id["s1"].estimate.relative_speed == 1.0
