Compare a random few servers, drawn by speed

Cause: load figures are some 200 ms old, so gateways that compare all servers send to the same one until its next figure. Change: with speed_estimates, four of the servers that are neither full, slowed nor failing are compared, drawn in proportion to their speed, besides the server that all gateways prefer for the prompt's first part.

--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -269,7 +269,11 @@
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
             ),
             ROUTING_TASK: Routing(
-                settings.instance_id, settings.zone, bounds, settings.scheduling
+                settings.instance_id,
+                settings.zone,
+                bounds,
+                settings.scheduling,
+                random.Random(),
             ),
             CAPS_TASK: CapEnforcer(settings.instance_id, bounds.cap),
             QUARANTINE_TASK: Quarantine(settings.instance_id, random.Random()),
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Sequence
 from typing import Final
 
@@ -88,12 +89,17 @@
         zone: str,
         bounds: Bounds,
         scheduling: SchedulingSettings,
+        rng: random.Random | None = None,
     ) -> None:
-        """Initialize with this gateway's id and zone and the settings of the site."""
+        """Initialize with this gateway's id and zone and the settings of the site.
+
+        Without a random source, one is seeded with the id, so runs can be repeated.
+        """
         self._id = instance_id
         self._scheduling = scheduling
         self._zone = zone
-        self._selection = selection_for(scheduling, zone)
+        rng = rng or random.Random(instance_id)
+        self._selection = selection_for(scheduling, zone, rng)
         self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
         self._leader_id: str | None = None
--- a/src/siskinspool/gateway/server_selection.py
+++ b/src/siskinspool/gateway/server_selection.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import random
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
 from ..machines.rendezvous import score
+from ..pace.sampling import RandomFew, Sampler
 from .messages import AssignServer
 from .scheduling_settings import SchedulingSettings
 from .server_view import NON_PREFERRED_COST_S, ServerView
@@ -61,17 +63,38 @@
 
 
 class LowestExpectedTime(ServerSelection):
-    """Takes the speed and the present spell of each server into account."""
+    """Compares a few servers, with the speed and the present spell of each."""
+
+    def __init__(self, zone: str, sampler: Sampler) -> None:
+        """Initialize with the zone of this gateway and the servers to compare."""
+        super().__init__(zone)
+        self._sampler = sampler
+
+    def compared(
+        self,
+        candidates: Sequence[ServerView],
+        preferred: ServerView | None,
+        now: float,
+    ) -> Sequence[ServerView]:
+        """Return a few servers and the preferred one, which may have the prompt."""
+        drawn = self._sampler.sample([view.contender(now) for view in candidates])
+        return [
+            view
+            for view in candidates
+            if view is preferred or view.record.server_id in drawn
+        ]
 
     def cost_s(self, view: ServerView, call: AssignServer, now: float) -> float:
         """Return the time to the first event that the server's answers suggest."""
         return view.expected_first_event_s(call, self._zone, now)
 
 
-def selection_for(scheduling: SchedulingSettings, zone: str) -> ServerSelection:
+def selection_for(
+    scheduling: SchedulingSettings, zone: str, rng: random.Random
+) -> ServerSelection:
     """Return the selection that the settings ask for."""
     if scheduling.speed_estimates:
-        return LowestExpectedTime(zone)
+        return LowestExpectedTime(zone, RandomFew(rng))
     return LowestCost(zone)
 
 
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -15,6 +15,7 @@
 import attrs
 
 from ..pace.load import LoadFigure
+from ..pace.sampling import Contender
 from ..pace.server_estimate import (
     RUNNING_COST_S,
     WAITING_COST_S,
@@ -263,6 +264,15 @@
             cost += OTHER_ZONE_COST_S
         return cost + self.current_failures(now) * FAILURE_COST_S
 
+    def contender(self, now: float) -> Contender:
+        """Return the server as one of those that may be compared."""
+        is_good = self.estimate.is_good(self.record.slots, now)
+        return Contender(
+            self.record.server_id,
+            self.estimate.relative_speed,
+            is_good and self.current_failures(now) < 1.0,
+        )
+
     def _work(self, call: AssignServer) -> Work:
         if not call.model:
             return Work(prefill_tokens=0, is_short_call=True)
--- a/src/siskinspool/pace/server_estimate.py
+++ b/src/siskinspool/pace/server_estimate.py
@@ -29,6 +29,8 @@
 BASE_S: Final = 0.005
 # With more waiting requests than this, a first event shows the queue, not the speed.
 MAX_WAITING_TO_MEASURE: Final = 0.5
+# A server that is slower than usual by this is in a spell.
+SLOW_SPELL_RATIO: Final = 1.5
 # A stream with fewer events gives no reliable time between events.
 MIN_EVENTS_TO_MEASURE: Final = 8
 
@@ -111,6 +113,12 @@
         nominal_s += 0.0 if work.is_short_call else pending_s
         return nominal_s * self.speed.time_ratio(_kind(work)) * self.spell.ratio(now)
 
+    def is_good(self, slots: int, now: float) -> bool:
+        """Return whether the server has a free slot and is not in a slow spell."""
+        load = self.current_load(slots, now)
+        has_free_slot = load.waiting < 1.0 and load.running < slots
+        return has_free_slot and self.spell.ratio(now) < SLOW_SPELL_RATIO
+
     def current_load(self, slots: int, now: float) -> Load:
         """Return the estimated load of the server."""
         return self.load.current(slots, self.in_flight, now)
--- a/tests/test_pace_estimates.py
+++ b/tests/test_pace_estimates.py
@@ -8,11 +8,24 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinspool.gateway.messages import ServerAssigned
+from siskinspool.gateway.request import PromptPart
+from siskinspool.gateway.routing import Routing
 from siskinspool.gateway.server_views import ServerViews
 from siskinspool.gateway.servers import ServerState
 from siskinspool.pace.server_estimate import FleetEstimate
 
-from .builders_gateway import bounds, holdings, scheduling, server
+from .builders_gateway import (
+    assign,
+    bounds,
+    desired_state,
+    holdings,
+    incoming,
+    membership,
+    messages,
+    scheduling,
+    server,
+)
 from .builders_pace import PROMPT, SLOTS, answer, estimate, figure
 from .builders_uneven_servers import SiteFigures, UnevenSite, uneven_servers
 
@@ -45,6 +58,22 @@
     assert after.wait_quantile_s(0.95) < 0.6 * before.wait_quantile_s(0.95)
 
 
+def test_gateways_agree_on_the_server_of_a_shared_prompt() -> None:
+    """Guards against processing a shared prompt at each server that is drawn."""
+    names = [f"g{number}" for number in range(8)]
+    parts = (PromptPart("shared", 6_000), PromptPart("own", 100))
+    chosen = set()
+    for name in names:
+        routing = Routing(name, "a", bounds(), scheduling(speed_estimates=True))
+        changes = [server(f"s{number}", "m0") for number in range(12)]
+        for change in (desired_state(), membership(*names), *changes):
+            routing.handle(incoming(change), 0.0)
+        for message in messages(routing.handle(incoming(assign(parts=parts)), 0.0)):
+            assert isinstance(message, ServerAssigned)
+            chosen.add(message.server_id)
+    assert len(chosen) == 1
+
+
 @given(st.sampled_from([0.55, 0.8, 1.2, 1.3]), st.integers(0, 9))
 def test_lasting_speed_is_told_from_spells(speed: float, first_spell: int) -> None:
     """Guards against a server taken as slow for good because of its short spells."""
