Adapt the sample and the limit to small and quick services

Cause: of three servers all were compared, so most gateways chose the same one; the limit's times fitted requests of a second, but plain calls take 15 ms. On sites with many servers each choice examined all of them. Change: at most half of the candidates are compared (two at least), from 32 that are examined. The limit's times are bounded by eight mean requests.

--- a/src/siskinspool/gateway/server_selection.py
+++ b/src/siskinspool/gateway/server_selection.py
@@ -77,12 +77,10 @@
         now: float,
     ) -> Sequence[ServerView]:
         """Return a few servers and the preferred one, which may have the prompt."""
-        drawn = self._sampler.sample([view.contender(now) for view in candidates])
-        return [
-            view
-            for view in candidates
-            if view is preferred or view.record.server_id in drawn
-        ]
+        examined = self._sampler.shortlist(candidates)
+        drawn = self._sampler.sample([view.contender(now) for view in examined])
+        compared = [view for view in examined if view.record.server_id in drawn]
+        return compared if preferred is None else [*compared, preferred]
 
     def cost_s(self, view: ServerView, call: AssignServer, now: float) -> float:
         """Return the time to the first event that the server's answers suggest."""
--- a/src/siskinspool/pace/pace_limit.py
+++ b/src/siskinspool/pace/pace_limit.py
@@ -21,6 +21,9 @@
 # or after the time for which the server says that it is cold. On a simulated site, 2 s
 # delayed full use by a second and left no less overshoot.
 RAMP_S: Final = 1.0
+# It is reached after the time of this many requests, if that is sooner: calls to plain
+# services take some 15 ms, and the other servers bear their load until then.
+RAMP_REQUESTS: Final = 8.0
 # Added for each answer without a queue, as a part of the sender's share of the slots.
 CLEAR_ANSWER_SHARE: Final = 1 / 8
 # The limit is multiplied by this on a queue or a failure.
@@ -51,6 +54,21 @@
     # How long the server says that it is cold.
     cold_s: float = 0.0
 
+    @property
+    def ramp_s(self) -> float:
+        """How long the limit grows to the sender's share."""
+        return max(self.cold_s, min(RAMP_S, RAMP_REQUESTS * self.in_flight_s))
+
+    @property
+    def settle_s(self) -> float:
+        """How long the limit stays at its maximum."""
+        return min(SETTLE_S, RAMP_REQUESTS * self.in_flight_s)
+
+    @property
+    def hold_s(self) -> float:
+        """How long answers belong to requests sent before a decrease."""
+        return min(HOLD_S, RAMP_REQUESTS * self.in_flight_s)
+
 
 _NO_START: Final = PaceStart(share=0.0, phase=0.0, in_flight_s=1.0)
 
@@ -111,7 +129,7 @@
         if self.is_active and now >= self._held_until:
             minimum = self._start.share * START_SHARE * DECREASE_RATIO
             self.limit = max(self.limit * DECREASE_RATIO, minimum)
-            self._held_until = now + HOLD_S
+            self._held_until = now + self._start.hold_s
             self._settling_since = None
 
     def _advance(self, now: float) -> None:
@@ -122,8 +140,7 @@
         self._updated_at = now
         granted = passed_s * self.limit / self._start.in_flight_s
         self._credit = min(self._credit + granted, 1.0)
-        ramp_s = max(self._start.cold_s, RAMP_S)
-        per_s = self._start.share * (1.0 - START_SHARE) / ramp_s
+        per_s = self._start.share * (1.0 - START_SHARE) / self._start.ramp_s
         self._increase(max(free_s, 0.0) * per_s, now)
 
     def _increase(self, amount: float, now: float) -> None:
@@ -135,5 +152,5 @@
             return
         if self._settling_since is None:
             self._settling_since = now
-        elif now >= self._settling_since + SETTLE_S:
+        elif now >= self._settling_since + self._start.settle_s:
             self.limit = math.inf
--- a/src/siskinspool/pace/sampling.py
+++ b/src/siskinspool/pace/sampling.py
@@ -10,7 +10,7 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from typing import Final
+from typing import Final, TypeVar
 
 import attrs
 
@@ -18,6 +18,12 @@
 # busiest server above 1.3 times the mean at low load; 6 sent fewer requests to the
 # servers that had cached their prompts.
 FEW: Final = 4
+# Fewer of a small number, since comparing nearly all is what the sample is to prevent.
+MIN_FEW: Final = 2
+# Servers that are examined for a sample, to bound its cost on a large site.
+MAX_CONTENDERS: Final = 32
+
+T = TypeVar("T")
 
 
 @attrs.frozen
@@ -34,6 +40,10 @@
 class Sampler(ABC):
     """Selects the servers to compare."""
 
+    @abstractmethod
+    def shortlist(self, servers: Sequence[T]) -> Sequence[T]:
+        """Return the servers to examine as contenders."""
+
     @abstractmethod
     def sample(self, contenders: Sequence[Contender]) -> set[str]:
         """Return the ids of the servers to compare; empty without contenders."""
@@ -42,16 +52,24 @@
 class RandomFew(Sampler):
     """Draws a few of the good servers, or of all if too few are good."""
 
-    def __init__(self, rng: random.Random, count: int = FEW) -> None:
+    def __init__(self, rng: random.Random, most: int = FEW) -> None:
+        """Initialize with a random source and the most servers to compare."""
         self._rng = rng
-        self._count = count
+        self._most = most
+
+    def shortlist(self, servers: Sequence[T]) -> Sequence[T]:
+        """Return all servers, or random ones of a large number."""
+        if len(servers) <= MAX_CONTENDERS:
+            return servers
+        return self._rng.sample(servers, MAX_CONTENDERS)
 
     def sample(self, contenders: Sequence[Contender]) -> set[str]:
         """Return the ids of servers drawn without repetition."""
+        count = min(self._most, max(len(contenders) // 2, MIN_FEW))
         good = [one for one in contenders if one.is_good]
-        drawn = good if len(good) >= self._count else contenders
+        drawn = good if len(good) >= count else contenders
         # The largest of these keys are a weighted sample (Efraimidis and Spirakis).
         ranked = sorted(
             drawn, key=lambda one: self._rng.random() ** (1.0 / one.speed), reverse=True
         )
-        return {one.server_id for one in ranked[: self._count]}
+        return {one.server_id for one in ranked[:count]}
