Choose by speed at the product's own front end, too

Cause: the front end of the entry instance takes all servers and services as equally fast. The new setting speed_estimates turns it on; it is off by default.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -44,6 +44,7 @@
 from .machines.report_poller import ReportPoller
 from .machines.reporting import Reporting
 from .machines.routing import Routing
+from .machines.speed_choices import SpeedChoices
 from .manifest.revisions import Revisions
 from .settings import Settings
 from .store.etcd import EtcdKeyValueService
@@ -259,6 +260,10 @@
                 settings.zone,
                 lambda: FairQueue(QUEUE_CAPACITY_CALLS),
                 random.Random(secrets.randbits(64)),
+                # By default, `Routing` compares two random candidates.
+                SpeedChoices(random.Random(secrets.randbits(64)))
+                if settings.speed_estimates
+                else None,
             ),
             "drain": Drain(instance_id, balancer_wait_s=settings.balancer_wait_s),
         }
--- a/src/siskinspool/machines/candidate.py
+++ b/src/siskinspool/machines/candidate.py
@@ -40,6 +40,18 @@
         return self.load_ratio + self.zone_rank * REMOTE_PENALTY - self.prefix_bonus
 
 
+@attrs.frozen(kw_only=True)
+class ServerRun:
+    """A call that a server has answered."""
+
+    server_id: str
+    # Changes with every start of the server; empty if unknown.
+    boot_id: str
+    took_s: float
+    # Mean of the recent calls of the same queue.
+    mean_s: float
+
+
 class CandidateChooser(ABC):
     """Strategy for choosing one server."""
 
@@ -47,6 +59,12 @@
     def choose(self, candidates: Sequence[Candidate]) -> Candidate | None:
         """Return the server to use; None if there is no candidate."""
 
+    def record_run(self, run: ServerRun) -> None:  # noqa: B027
+        """Record how long a call took; ignored by default."""
+
+    def keep_only(self, server_ids: frozenset[str]) -> None:  # noqa: B027
+        """Forget servers that have left the catalog; nothing is kept by default."""
+
 
 class TwoRandomChoices(CandidateChooser):
     """Compares two random candidates and the one with the longest cached prefix."""
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -25,7 +25,7 @@
 from ..core.status import Status
 from ..manifest.model import Catalog, RequestClass
 from .call_targets import ReplicaTarget, Target, resolve_target
-from .candidate import CandidateChooser, TwoRandomChoices
+from .candidate import CandidateChooser, ServerRun, TwoRandomChoices
 from .known_servers import Backend, KnownServers
 from .messages import (
     CatalogChanged,
@@ -242,10 +242,23 @@
         queue.running -= 1
         if failed is False:
             queue.record_service_time(now - running.sent_at)
+            self._record_run(running, queue.mean_service_s, now)
         if isinstance(target, ReplicaTarget):
             self._usage.record_ended(UsageKey(target.key, running.backend.entity.id))
         return self._dispatch_queue(target.queue_name, now)
 
+    def _record_run(
+        self, running: RunningCall, mean_s: float | None, now: float
+    ) -> None:
+        took_s = now - running.sent_at
+        run = ServerRun(
+            server_id=running.backend.entity.id,
+            boot_id=running.backend.state.boot_id,
+            took_s=took_s,
+            mean_s=took_s if mean_s is None else mean_s,
+        )
+        self._chooser.record_run(run)
+
     def _release_lost_calls(self, now: float) -> list[Outgoing]:
         if now < self._next_sweep_at:
             return []
@@ -407,6 +420,8 @@
 
     def _handle_catalog(self, catalog: Catalog, now: float) -> list[Outgoing]:
         self._servers.update_catalog(catalog)
+        backend_ids = catalog.server_by_id.keys() | catalog.service_by_id.keys()
+        self._chooser.keep_only(frozenset(backend_ids))
         teams = catalog.manifest.teams
         self._waiting.set_weights({team.id: team.weight for team in teams})
         batch: list[Outgoing] = []
--- a/src/siskinspool/settings.py
+++ b/src/siskinspool/settings.py
@@ -55,6 +55,8 @@
     session_renew_s: float = 3.0
     # Time that a stopping instance leaves the balancer to see that it is not ready.
     balancer_wait_s: float = 2.0
+    # Choose servers by the speed that their answers show.
+    speed_estimates: bool = False
 
 
 def load_settings(path: Path) -> Settings:
--- a/tests/builders_routing.py
+++ b/tests/builders_routing.py
@@ -160,9 +160,14 @@
 class RoutingHarness:
     """Drives one `Routing` with simulated time and keeps the messages it sent."""
 
-    def __init__(self, seed: int = 1, configured: bool = True) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        configured: bool = True,
+        chooser: CandidateChooser | None = None,
+    ) -> None:
         self.routing = Routing(
-            "i1", "a", lambda: FairQueue(10_000), random.Random(seed)
+            "i1", "a", lambda: FairQueue(10_000), random.Random(seed), chooser
         )
         self.now = 100.0
         self.sent: list[Outgoing] = []
