--- a/src/siskinspool/gateway/pages.py
+++ b/src/siskinspool/gateway/pages.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from typing import Any, Final
+from urllib.parse import parse_qsl
 
+import attrs
 import msgspec
 from gevent.pywsgi import WSGIServer
 
@@ -12,7 +14,9 @@
 from ..core.task import Task
 from ..links.caller import StartResponse, status_line
 from ..settings import Endpoint
+from .choice_explanation import ChoiceExplained, ExplainChoice
 from .front_task import FrontTask
+from .messages import ROUTING_TASK
 from .request_context import RequestContext
 
 STATUS_TIMEOUT_S: Final = 1.0
@@ -83,6 +87,9 @@
                 status, kind, body = 200, "text/plain", self._metrics.text()
             case "/status":
                 status, kind, body = 200, "application/json", self._status()
+            case "/explain":
+                body = self._explain(environ.get("QUERY_STRING", ""))
+                status, kind = 200 if body else 503, "application/json"
             case _:
                 status, kind, body = 404, "text/plain", b""
         start_response(status_line(status), [("Content-Type", kind)])
@@ -102,6 +109,19 @@
                 status[task] = answer.fields
         return msgspec.json.encode(status)
 
+    def _explain(self, query: str) -> bytes:
+        """Return where a request would go, empty if there is no answer in time."""
+        value_by_name = dict(parse_qsl(query))
+        question = ExplainChoice(
+            service=value_by_name.get("service", ""),
+            model=value_by_name.get("model", ""),
+            adapter=value_by_name.get("adapter", ""),
+        )
+        answer = self._ask(ROUTING_TASK, question)
+        if not isinstance(answer, ChoiceExplained):
+            return b""
+        return msgspec.json.encode(attrs.asdict(answer))
+
     def _ask(self, task: str, message: Message) -> Message | None:
         recipient = self.dispatcher.address(task)
         return self.dispatcher.ask(recipient, message, STATUS_TIMEOUT_S)
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -28,6 +28,7 @@
 from ..core.status import Status
 from ..telemetry.logs import log_event
 from .bounds import Bounds
+from .choice_explanation import ChoiceExplained, ExplainChoice, ServerFinding
 from .demand_reporter import DEMAND_INTERVAL_S, DemandReporter
 from .desired_state import DesiredState
 from .messages import (
@@ -47,7 +48,7 @@
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
-from .server_selection import selection_for
+from .server_selection import preferred_server, selection_for
 from .server_view import ServerView
 from .server_views import ServerViews
 from .servers import (
@@ -127,6 +128,8 @@
                 return []
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
+            case ExplainChoice() as question:
+                return [Outgoing(incoming.sender, self._explain(question, now))]
             case other:
                 self._handle_change(other, now)
         return self._serve_waiting(now)
@@ -260,6 +263,36 @@
         candidates = others or candidates
         return self._selection.select(candidates, call, now)
 
+    def _explain(self, question: ExplainChoice, now: float) -> ChoiceExplained:
+        call = question.as_call()
+        views = [
+            view
+            for view in self._views.by_id.values()
+            if view.record.service == question.service
+        ]
+        usable = {
+            view.record.server_id: view
+            for view in views
+            if self._may_serve(view, call, now)
+        }
+        chosen = self._choose_server(call, now)
+        preferred = preferred_server(list(usable.values()), call) if usable else None
+        findings = tuple(
+            ServerFinding.of_view(
+                view,
+                call,
+                now,
+                may_serve=view.record.server_id in usable,
+                cost_s=self._selection.cost_s(view, call, now),
+            )
+            for view in views
+        )
+        return ChoiceExplained(
+            "" if chosen is None else chosen.record.server_id,
+            "" if preferred is None else preferred.record.server_id,
+            findings,
+        )
+
     def _may_serve(self, view: ServerView, call: AssignServer, now: float) -> bool:
         record = view.record
         return (
--- a/tests/integration/test_gateway_site.py
+++ b/tests/integration/test_gateway_site.py
@@ -84,6 +84,8 @@
     assert gateway.send("GET", "/nowhere/1")[0] == 404
     assert gateway.send("GET", "/status/1", headers={"Request-Id": ""})[0] == 400
     assert gateway.send("GET", "/status/1")[0] == 200
+    explained = call_json(gateway.metrics, "GET", "/explain?service=desk")
+    assert explained["server_id"] == "d1"
 
 
 def test_unsafe_request_runs_once(site: GatewaySite) -> None:
--- a/tests/test_pace_estimates.py
+++ b/tests/test_pace_estimates.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinspool.gateway.choice_explanation import ChoiceExplained, ExplainChoice
 from siskinspool.gateway.messages import ServerAssigned
 from siskinspool.gateway.request import PromptPart
 from siskinspool.gateway.routing import Routing
@@ -118,3 +119,23 @@
     restarted = server("s1", "m0", holdings=holdings("m0", born_ms=2))
     views.update_record(restarted, 20.0)
     assert views.by_id["s1"].estimate.relative_speed == 1.0
+
+
+def test_explanation_agrees_with_the_choice_and_sends_nothing() -> None:
+    """Guards against an explanation that differs from the choice, or counts as one."""
+    routing = Routing("g1", "a", bounds(), scheduling(speed_estimates=True))
+    records = [server("s1", "m0"), server("s2", "m0"), server("s3", "m1")]
+    for message in (desired_state(), membership("g1"), *records):
+        routing.handle(incoming(message), 0.0)
+    parts = (PromptPart("shared", 6_000),)
+    question = ExplainChoice(service="writers", model="m0", parts=parts)
+    explained = messages(routing.handle(incoming(question), 0.0))[0]
+    assert isinstance(explained, ChoiceExplained)
+    assert explained.server_id == explained.preferred_id
+    by_id = {finding.server_id: finding for finding in explained.findings}
+    assert [by_id[name].may_serve for name in ("s1", "s2", "s3")] == [True, True, False]
+    assert not by_id["s3"].holds_model
+    assert all(finding.own_requests == 0 for finding in explained.findings)
+    sent = messages(routing.handle(incoming(assign(parts=parts)), 0.0))[0]
+    assert isinstance(sent, ServerAssigned)
+    assert sent.server_id == explained.server_id
