End the limit of an idle server in time; split the test builder

Cause: the limit of a server that got no requests began to settle only with its next request, and one builder module simulated both servers and site. Change: the time at which the limit reached its maximum is computed; /explain states the limit of now. Two builder modules.

--- a/src/siskinspool/gateway/choice_explanation.py
+++ b/src/siskinspool/gateway/choice_explanation.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from ..core.message import Message
@@ -83,7 +85,7 @@
         """Return the finding on a server."""
         record, estimate = view.record, view.estimate
         load = estimate.current_load(record.slots, now)
-        pace = estimate.pace
+        pace_limit = estimate.pace.current(now)
         return cls(
             server_id=record.server_id,
             zone=record.zone,
@@ -91,7 +93,7 @@
             is_open=view.is_open(now),
             holds_model=not call.model or view.holds(call.model, call.adapter, now),
             is_cold=view.is_cold(now),
-            pace_limit=pace.limit if pace.is_active else None,
+            pace_limit=pace_limit if math.isfinite(pace_limit) else None,
             own_requests=estimate.in_flight,
             running=load.running,
             waiting=load.waiting,
--- a/src/siskinspool/pace/pace_limit.py
+++ b/src/siskinspool/pace/pace_limit.py
@@ -102,6 +102,11 @@
         self._held_until = -math.inf
         self._settling_since = None
 
+    def current(self, now: float) -> float:
+        """Return the requests in flight that are allowed; infinite without a limit."""
+        self._advance(now)
+        return self.limit
+
     def may_send(self, in_flight: int, now: float) -> bool:
         """Return whether a further request may be sent."""
         self._advance(now)
@@ -120,8 +125,10 @@
     def record_clear_answer(self, now: float) -> None:
         """Record an answer that did not wait in a queue: additive increase."""
         self._advance(now)
-        if now >= self._held_until:
-            self._increase(self._start.share * CLEAR_ANSWER_SHARE, now)
+        if self.is_active and now >= self._held_until:
+            step = self._start.share * CLEAR_ANSWER_SHARE
+            self.limit = min(self.limit + step, self._maximum)
+            self._end_if_settled(now, now)
 
     def record_bad_sign(self, now: float) -> None:
         """Record a queue, a rejection or a failure: multiplicative decrease."""
@@ -132,25 +139,32 @@
             self._held_until = now + self._start.hold_s
             self._settling_since = None
 
+    @property
+    def _maximum(self) -> float:
+        return self._start.share * MAX_SHARE
+
     def _advance(self, now: float) -> None:
+        """Add what the time since the last step allows."""
         if not self.is_active or now <= self._updated_at:
             return
-        passed_s = now - self._updated_at
-        free_s = now - max(self._updated_at, self._held_until)
-        self._updated_at = now
-        granted = passed_s * self.limit / self._start.in_flight_s
+        granted = (now - self._updated_at) * self.limit / self._start.in_flight_s
         self._credit = min(self._credit + granted, 1.0)
+        since = max(self._updated_at, self._held_until)
+        self._updated_at = now
+        if now > since:
+            self._increase(since, now)
+
+    def _increase(self, since: float, now: float) -> None:
+        """Increase the limit with time, which may have reached its maximum before."""
         per_s = self._start.share * (1.0 - START_SHARE) / self._start.ramp_s
-        self._increase(max(free_s, 0.0) * per_s, now)
+        reached_at = since + (self._maximum - self.limit) / per_s
+        self.limit = min(self.limit + (now - since) * per_s, self._maximum)
+        self._end_if_settled(reached_at, now)
 
-    def _increase(self, amount: float, now: float) -> None:
-        if not self.is_active:
-            return
-        maximum = self._start.share * MAX_SHARE
-        self.limit = min(self.limit + amount, maximum)
-        if self.limit < maximum:
+    def _end_if_settled(self, reached_at: float, now: float) -> None:
+        if self.limit < self._maximum:
             return
         if self._settling_since is None:
-            self._settling_since = now
-        elif now >= self._settling_since + self._start.settle_s:
+            self._settling_since = reached_at
+        if now >= self._settling_since + self._start.settle_s:
             self.limit = math.inf
--- a/tests/builders_uneven_servers.py
+++ b/tests/builders_uneven_site.py
@@ -4,9 +4,7 @@
 
 import heapq
 import itertools
-import math
 import random
-from collections import OrderedDict, deque
 from collections.abc import Callable
 from statistics import fmean
 
@@ -22,91 +20,20 @@
 from siskinspool.gateway.request import PromptPart
 from siskinspool.gateway.routing import Routing
 from siskinspool.gateway.scheduling_settings import SchedulingSettings
-from siskinspool.gateway.servers import ServerLoad, ServerRecord
+from siskinspool.gateway.servers import ServerLoad
 
-from .builders_gateway import (
-    assign,
-    bounds,
-    desired_state,
-    membership,
-    server,
-)
+from .builders_gateway import assign, bounds, desired_state, membership
+from .builders_simulated_servers import Job, SimulatedServer
 
+GATEWAYS = 67
+# Shared first parts of prompts.
+PROMPTS = 200
 EVENT_GAP_S = 0.02
 EVENTS = 50
 PREFILL_TOKENS_PER_S = 40_000.0
 RUNNING_COST_S = 0.004
 SAMPLE_INTERVAL_S = 0.05
-CACHED_PARTS = 8
 TICK_S = 0.05
-SPELL_S = 0.6
-SPELL_SLOWDOWN = 2.5
-
-
-@attrs.define
-class Job:
-    """A request at a server."""
-
-    request_id: str
-    gateway: str
-    parts: tuple[PromptPart, ...]
-    sent_at: float
-    is_ended: bool = False
-
-
-@attrs.define
-class SimulatedServer:
-    """A server with slots; work takes longer by its speed and in spells."""
-
-    record: ServerRecord
-    speed: float = 1.0
-    spell_period_s: float = math.inf
-    spell_phase_s: float = 0.0
-    figure_age_s: float = 0.0
-    is_down: bool = False
-    running: list[Job] = attrs.field(factory=list)
-    waiting: deque[Job] = attrs.field(factory=deque)
-    loads: deque[tuple[float, ServerLoad]] = attrs.field(factory=deque)
-    cache: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
-    cache_hits: int = 0
-
-    def slowdown(self, at: float) -> float:
-        """Return how long work takes, relative to a server of speed 1."""
-        phase_s = (at + self.spell_phase_s) % self.spell_period_s
-        in_spell = self.spell_period_s < math.inf and phase_s < SPELL_S
-        return (SPELL_SLOWDOWN if in_spell else 1.0) / self.speed
-
-    def finish_at(self, start: float, work_s: float) -> float:
-        """Return when work of this length at speed 1 ends."""
-        at, step_s = start, 0.02
-        while work_s * (slowdown := self.slowdown(at)) > step_s:
-            work_s -= step_s / slowdown
-            at += step_s
-        return at + work_s * slowdown
-
-    def load(self, now: float) -> ServerLoad:
-        """Return the load that an answer states."""
-        current = ServerLoad(
-            running=len(self.running),
-            waiting=len(self.waiting),
-            slots=self.record.slots,
-            slowdown=self.slowdown(now),
-        )
-        self.loads.append((now, current))
-        while len(self.loads) > 1 and self.loads[1][0] <= now - self.figure_age_s:
-            self.loads.popleft()
-        return self.loads[0][1]
-
-    def prefill_tokens(self, parts: tuple[PromptPart, ...]) -> int:
-        """Return the tokens to process, and cache the shared first part."""
-        shared = parts[0]
-        is_cached = shared.part_id in self.cache
-        self.cache_hits += is_cached
-        self.cache[shared.part_id] = None
-        self.cache.move_to_end(shared.part_id)
-        if len(self.cache) > CACHED_PARTS:
-            self.cache.popitem(last=False)
-        return sum(part.tokens for part in parts[is_cached:])
 
 
 @attrs.define
@@ -121,11 +48,6 @@
         means = [fmean(values) for values in self.occupancies_by_server.values()]
         return max(means) / fmean(means)
 
-    def busiest_moment_ratio(self) -> float:
-        """Return the mean over time of the momentary maximum over the mean."""
-        moments = list(zip(*self.occupancies_by_server.values(), strict=True))
-        return fmean(max(values) / (fmean(values) or 1.0) for values in moments)
-
     def wait_quantile_s(self, share: float) -> float:
         """Return a quantile of the waits for the first event."""
         ordered = sorted(self.first_event_waits)
@@ -140,11 +62,7 @@
         servers: list[SimulatedServer],
         scheduling: SchedulingSettings,
         *,
-        gateways: int = 67,
-        seed: int = 1,
         rate_at: Callable[[float], float],
-        prompts: int = 200,
-        cold_bounded: bool = False,
     ) -> None:
         self.now = 0.0
         self._rate_at = rate_at
@@ -152,15 +70,13 @@
         # Requests that were at a server as it failed.
         self.lost = 0
         self.server_by_id = {one.record.server_id: one for one in servers}
-        self._prompts = prompts
-        self._rng = random.Random(seed)
+        self._rng = random.Random(1)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._job_by_id: dict[str, Job] = {}
-        names = [f"g{number}" for number in range(gateways)]
-        site_bounds = bounds() if cold_bounded else bounds(cold=None)
+        names = [f"g{number}" for number in range(GATEWAYS)]
         self.routing_by_name = {
-            name: Routing(name, "a", site_bounds, scheduling) for name in names
+            name: Routing(name, "a", bounds(cold=None), scheduling) for name in names
         }
         for message in (desired_state(), membership(*names)):
             self.announce(message)
@@ -210,7 +126,7 @@
     def _arrive(self) -> None:
         request_id = f"r{next(self._order)}"
         name = self._rng.choice(list(self.routing_by_name))
-        shared = PromptPart(f"p{self._rng.randrange(self._prompts)}", 1_000)
+        shared = PromptPart(f"p{self._rng.randrange(PROMPTS)}", 1_000)
         own = PromptPart(request_id, self._rng.randrange(200, 1_000))
         job = Job(request_id, name, (shared, own), self.now)
         self._job_by_id[request_id] = job
@@ -292,19 +208,3 @@
             samples = self.figures.occupancies_by_server.setdefault(server_id, [])
             samples.append(requests / one.record.slots)
         self.at(self.now + SAMPLE_INTERVAL_S, self._sample)
-
-
-def uneven_servers(
-    count: int, speeds: tuple[float, ...], *, has_spells: bool = False
-) -> list[SimulatedServer]:
-    """Return servers that hold ``m0``, with speeds in turn and figures 200 ms old."""
-    return [
-        SimulatedServer(
-            server(f"s{number:02}", "m0"),
-            speeds[number % len(speeds)],
-            spell_period_s=4.0 if has_spells else math.inf,
-            spell_phase_s=number * 1.37,
-            figure_age_s=0.2,
-        )
-        for number in range(count)
-    ]
--- a/tests/test_pace_estimates.py
+++ b/tests/test_pace_estimates.py
@@ -28,7 +28,8 @@
     server,
 )
 from .builders_pace import PROMPT, SLOTS, answer, estimate, figure
-from .builders_uneven_servers import SiteFigures, UnevenSite, uneven_servers
+from .builders_simulated_servers import uneven_servers
+from .builders_uneven_site import SiteFigures, UnevenSite
 
 SITE_SPEEDS = (0.55, 1.2, 1.2, 1.2)
 WARM_UP_S = 5.0
--- a/tests/test_pace_limit.py
+++ b/tests/test_pace_limit.py
@@ -21,12 +21,8 @@
 )
 
 from .builders_gateway import scheduling
-from .builders_uneven_servers import (
-    SAMPLE_INTERVAL_S,
-    SiteFigures,
-    UnevenSite,
-    uneven_servers,
-)
+from .builders_simulated_servers import uneven_servers
+from .builders_uneven_site import SAMPLE_INTERVAL_S, SiteFigures, UnevenSite
 
 DOWN_AT_S = 8.0
 UP_AT_S = 9.2
