--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Sequence
 from typing import Final
 
@@ -25,9 +26,9 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
+from .choice_explanation import ChoiceExplained, ExplainChoice, ServerFinding
 from .demand_reporter import DEMAND_INTERVAL_S, DemandReporter
 from .desired_state import DesiredState
 from .messages import (
@@ -47,7 +48,8 @@
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
-from .server_view import NON_PREFERRED_COST_S, ServerView
+from .server_selection import preferred_server, selection_for
+from .server_view import ServerView
 from .server_views import ServerViews
 from .servers import (
     RegistryInterrupted,
@@ -88,11 +90,17 @@
         zone: str,
         bounds: Bounds,
         scheduling: SchedulingSettings,
+        rng: random.Random | None = None,
     ) -> None:
-        """Initialize with this gateway's id and zone and the settings of the site."""
+        """Initialize with this gateway's id and zone and the settings of the site.
+
+        Without a random source, one is seeded with the id, so runs can be repeated.
+        """
         self._id = instance_id
         self._scheduling = scheduling
         self._zone = zone
+        rng = rng or random.Random(instance_id)
+        self._selection = selection_for(scheduling, zone, rng)
         self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
         self._leader_id: str | None = None
@@ -114,12 +122,14 @@
                 self._requesters.remove(request_id)
                 self._views.forget_request(request_id)
                 return []
-            case FirstEventReceived(request_id, server_id):
+            case FirstEventReceived(request_id, server_id, load):
                 if view := self._views.by_id.get(server_id):
-                    view.record_first_event(request_id, now)
+                    view.record_first_event(request_id, load, now)
                 return []
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
+            case ExplainChoice() as question:
+                return [Outgoing(incoming.sender, self._explain(question, now))]
             case other:
                 self._handle_change(other, now)
         return self._serve_waiting(now)
@@ -251,24 +261,37 @@
             view for view in candidates if view.record.server_id not in call.avoided
         ]
         candidates = others or candidates
-        if len(candidates) < 2:
-            return candidates[0] if candidates else None
-        preferred = self._preferred_server(call, candidates)
-
-        def cost_s(view: ServerView) -> float:
-            cost = view.cost_s(call, self._zone, now)
-            return cost if view is preferred else cost + NON_PREFERRED_COST_S
+        return self._selection.select(candidates, call, now)
 
-        return min(candidates, key=lambda view: (cost_s(view), view.record.server_id))
-
-    def _preferred_server(
-        self, call: AssignServer, candidates: list[ServerView]
-    ) -> ServerView | None:
-        """Return the server that all gateways prefer for the prompt's first part."""
-        if not call.parts:
-            return None
-        key = f"{call.model}/{call.adapter}/{call.parts[0].part_id}"
-        return max(candidates, key=lambda view: score(key, view.record.server_id))
+    def _explain(self, question: ExplainChoice, now: float) -> ChoiceExplained:
+        call = question.as_call()
+        views = [
+            view
+            for view in self._views.by_id.values()
+            if view.record.service == question.service
+        ]
+        usable = {
+            view.record.server_id: view
+            for view in views
+            if self._may_serve(view, call, now)
+        }
+        chosen = self._choose_server(call, now)
+        preferred = preferred_server(list(usable.values()), call) if usable else None
+        findings = tuple(
+            ServerFinding.of_view(
+                view,
+                call,
+                now,
+                may_serve=view.record.server_id in usable,
+                cost_s=self._selection.cost_s(view, call, now),
+            )
+            for view in views
+        )
+        return ChoiceExplained(
+            "" if chosen is None else chosen.record.server_id,
+            "" if preferred is None else preferred.record.server_id,
+            findings,
+        )
 
     def _may_serve(self, view: ServerView, call: AssignServer, now: float) -> bool:
         record = view.record
@@ -279,6 +302,7 @@
             and view.is_open(now)
             and (not call.model or view.holds(call.model, call.adapter, now))
             and (not view.is_cold(now) or view.cold_bucket.can_take(1, now))
+            and (not self._scheduling.adaptive_pace or view.estimate.may_send(now))
         )
 
     def _on_attempt_ended(self, ended: AttemptEnded, now: float) -> None:
@@ -287,7 +311,9 @@
             return
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
-        view.record_end(ended.request_id, ended.result, ended.load, now)
+        view.record_end(
+            ended.request_id, ended.result, ended.load, now, ended.event_count
+        )
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         retry_after_s = RETRY_AFTER_S
