Heed servers that state that they leave or pause

Cause: a gateway learned from the registry alone that a server is leaving, and held a server that answered 503 for 0.1 s, whatever Retry-After said. With the store down a leaving server got all its requests.

Change: server_signals decides from the heads of answers which starts of servers may be chosen. The head is reported as it arrives. After a pause a server is tried with few requests; requests without a chance are refused at once. The stand-in server sends both signals.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -9,6 +9,7 @@
 from ..core.errors import ErrorCode
 from ..core.message import Message
 from ..links.codec import wire, wire_as
+from ..server_signals.observations import Observation, ServerStart
 from .request import PromptPart
 from .servers import Holdings, ServerLoad
 
@@ -68,6 +69,11 @@
     # Start of the server in Unix milliseconds; None if not stated.
     born_ms: int | None = None
 
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that was chosen."""
+        return ServerStart(self.server_id, self.born_ms, self.host, self.port)
+
 
 @attrs.frozen
 class AssignRefused(Message):
@@ -114,6 +120,22 @@
     server_id: str
     result: AttemptResult
     load: ServerLoad | None = None
+    # What the answer states; see `AnswerHeadReceived`, which has reported it before.
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+
+    @property
+    def has_signal(self) -> bool:
+        """Return whether the server asks for no further request."""
+        return self.is_leaving or self.retry_after_s is not None
+
+
+@attrs.frozen
+class AnswerHeadReceived(Message):
+    """The head of an answer has arrived; a stream may go on for long after it."""
+
+    request_id: str
+    observation: Observation
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -95,6 +95,15 @@
     # The body has a content encoding, which no requester accepts.
     is_encoded: bool
     load: ServerLoad | None
+    # The server is leaving and wants no new request.
+    is_leaving: bool = False
+    # How long the server wants no request; None if it has stated no pause.
+    retry_after_s: float | None = None
+
+    @property
+    def has_signal(self) -> bool:
+        """Return whether the server asks for no further request."""
+        return self.is_leaving or self.retry_after_s is not None
 
     @property
     def is_event_stream(self) -> bool:
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -24,12 +24,14 @@
 from ..links.answer_sink import AnswerSink
 from ..links.guarded_sink import GuardedSink
 from ..links.server_link import Answer, Lost, NotSent, ServerRequest
+from ..server_signals.observations import observation
 from .answer_classification import NotRunAnswer, SentRequest, classify_answer
 from .desired_state import RouteKind
 from .event_stream import StreamPosition
 from .messages import (
     CAPS_TASK,
     ROUTING_TASK,
+    AnswerHeadReceived,
     AssignRefused,
     AssignServer,
     AttemptEnded,
@@ -270,7 +272,7 @@
         # From here on, if no answer arrives, it is unknown whether a server ran it.
         self._may_have_run = True
         result = AttemptResult.CANCELLED
-        load = None
+        answer_head: AnswerHead | None = None
         answer: Answer | None = None
         try:
             call_result = self._open_call(assigned)
@@ -287,7 +289,7 @@
             answer_head = self._context.codec.decode_answer(
                 answer.status, answer.headers
             )
-            load = answer_head.load
+            self._report_head(assigned, answer_head)
             rejection = classify_answer(answer_head, self._describe_sent(assigned))
             if isinstance(rejection, NotRunAnswer):
                 # This server does not count toward the route's limit, which limits
@@ -307,15 +309,8 @@
         finally:
             if answer is not None:
                 answer.close()
-            self._record_server_result(assigned.server_id, result)
-            self._notify_routing(
-                AttemptEnded(
-                    request_id=self.request.head.request_id,
-                    server_id=assigned.server_id,
-                    result=result,
-                    load=load,
-                )
-            )
+            self._record_server_result(assigned.server_id, result, answer_head)
+            self._notify_routing(self._attempt_ended(assigned, result, answer_head))
 
     def _open_call(self, assigned: ServerAssigned) -> Answer | NotSent | Lost:
         head, admission = self.request.head, self.request.admission
@@ -340,6 +335,32 @@
         )
         return self._context.link.open_call(request, remaining_s)
 
+    def _report_head(self, assigned: ServerAssigned, head: AnswerHead) -> None:
+        """Report what an answer's head states about its server as it arrives."""
+        if head.server_id not in ("", assigned.server_id):
+            # Another server has the address; its signals say nothing about this one.
+            return
+        stated = observation(
+            assigned.start,
+            self._now(),
+            is_leaving=head.is_leaving,
+            retry_after_s=head.retry_after_s,
+        )
+        request_id = self.request.head.request_id
+        self._notify_routing(AnswerHeadReceived(request_id, stated))
+
+    def _attempt_ended(
+        self, assigned: ServerAssigned, result: AttemptResult, head: AnswerHead | None
+    ) -> AttemptEnded:
+        return AttemptEnded(
+            request_id=self.request.head.request_id,
+            server_id=assigned.server_id,
+            result=result,
+            load=None if head is None else head.load,
+            is_leaving=head is not None and head.is_leaving,
+            retry_after_s=None if head is None else head.retry_after_s,
+        )
+
     def _describe_sent(self, assigned: ServerAssigned) -> SentRequest:
         return SentRequest(
             request_id=self.request.head.request_id,
@@ -430,8 +451,14 @@
             and self._remaining_s() > route.target_latency_s / 2
         )
 
-    def _record_server_result(self, server_id: str, result: AttemptResult) -> None:
+    def _record_server_result(
+        self, server_id: str, result: AttemptResult, head: AnswerHead | None
+    ) -> None:
         match result:
+            case AttemptResult.REJECTED if head is not None and head.has_signal:
+                # The signal already keeps it from being chosen, and after a pause it
+                # may take this request.
+                pass
             case (
                 AttemptResult.REJECTED
                 | AttemptResult.MODEL_MISSING
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -32,6 +32,7 @@
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
+    AnswerHeadReceived,
     AssignRefused,
     AssignServer,
     AttemptEnded,
@@ -102,6 +103,8 @@
         # When a placement request for each (service, model, adapter) is due again.
         self._next_request_at_by_target: dict[tuple[str, str, str], float] = {}
         self._demand = DemandReporter()
+        # Requests that were refused because all servers of their service were paused.
+        self._paused_refusals = 0
         # When waiting requests are checked next.
         self._next_check_at = 0.0
 
@@ -118,6 +121,10 @@
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, now)
                 return []
+            case AnswerHeadReceived(_, observation):
+                if not self._views.signals.observe(observation):
+                    return []
+                return self._refuse_paused(now) + self._serve_waiting(now)
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case other:
@@ -156,6 +163,7 @@
                     "zone": view.record.zone,
                     "open": view.is_open(now),
                     "own_requests": len(view.in_flight_by_request),
+                    "signals": self._views.signals.status(view.start, now),
                     "models": sorted(view.record.holdings.model_by_name),
                 }
                 for server_id, view in self._views.by_id.items()
@@ -169,7 +177,8 @@
         return {
             "routing.servers": float(len(self._views.by_id)),
             "routing.waiting": float(len(self._requesters.waiting_by_id)),
-        }
+            "routing.paused_refusals": float(self._paused_refusals),
+        } | self._views.signals.gauges()
 
     # Requests
 
@@ -192,6 +201,9 @@
         assigned = self._assign(waiting, now)
         if assigned is not None:
             return [assigned]
+        refusal = self._refuse_if_paused(waiting, now)
+        if refusal is not None:
+            return [refusal]
         self._requesters.add(waiting)
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         return self._request_placement(call, now)
@@ -287,7 +299,29 @@
             return
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
-        view.record_end(ended.request_id, ended.result, ended.load, now)
+        view.record_end(
+            ended.request_id,
+            ended.result,
+            ended.load,
+            now,
+            has_signal=ended.has_signal,
+        )
+
+    def _refuse_paused(self, now: float) -> list[Outgoing]:
+        """Refuse the waiting requests that no server can take in time."""
+        waiting_requests = list(self._requesters.waiting_by_id.values())
+        refused = [self._refuse_if_paused(item, now) for item in waiting_requests]
+        return [outgoing for outgoing in refused if outgoing is not None]
+
+    def _refuse_if_paused(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
+        """Refuse a request if all servers of its service are paused for too long."""
+        call = waiting.call
+        until = self._views.paused_until(call.service, call.excluded, now)
+        if until is None or until <= waiting.give_up_at:
+            return None
+        waiting.ready_at = until
+        self._paused_refusals += 1
+        return self._refuse(waiting, "its servers were paused", now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         retry_after_s = RETRY_AFTER_S
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from ..server_signals.observations import ServerStart
+from ..server_signals.server_signals import ServerSignals
 from .demand import target_name
 from .desired_state import ServiceSpec
 from .messages import AssignServer, AttemptResult
@@ -116,6 +118,9 @@
     # Requests that this gateway may send while the server is cold.
     cold_bucket: TokenBucket
     cache: PromptCache
+    # This start of the server; a new start gets a new view.
+    start: ServerStart
+    signals: ServerSignals
     in_flight_by_request: dict[str, _InFlightRequest] = attrs.field(factory=dict)
     load: ServerLoad | None = None
     load_at: float = 0.0
@@ -139,6 +144,7 @@
         record: ServerRecord,
         service: ServiceSpec | None,
         cold_bucket: TokenBucket,
+        signals: ServerSignals,
         now: float,
     ) -> ServerView:
         """Return a view of a server that has just been seen."""
@@ -150,14 +156,31 @@
             cold_until=now + record.cold_s,
             cold_bucket=cold_bucket,
             cache=PromptCache(capacity),
+            start=record.start,
+            signals=signals,
         )
 
     def is_open(self, now: float) -> bool:
         """Return whether the server may get a request."""
+        return (
+            self._is_in_use(now)
+            and now >= self.paused_until
+            and self.signals.permission(self.start, now).allows_next
+        )
+
+    def opens_at(self, now: float) -> float:
+        """Return when the server's pause ends; infinity if it is not in use.
+
+        Failures to connect do not count: the server may be back at any time.
+        """
+        if not self._is_in_use(now):
+            return math.inf
+        return self.signals.opens_at(self.start, now)
+
+    def _is_in_use(self, now: float) -> bool:
         return (
             self.record.state is ServerState.READY
             and not self.has_lost_address
-            and now >= self.paused_until
             and (self.drop_at is None or now < self.drop_at)
         )
 
@@ -260,6 +283,7 @@
 
     def record_sent(self, call: AssignServer, now: float) -> None:
         """Record that a request is sent to the server."""
+        self.signals.record_sent(self.start, now)
         target = target_name(call.model, call.adapter)
         unprocessed_tokens = self.cache.missing_tokens(target, call.parts)
         self.in_flight_by_request[call.request_id] = _InFlightRequest(
@@ -288,8 +312,10 @@
         result: AttemptResult,
         load: ServerLoad | None,
         now: float,
+        *,
+        has_signal: bool = False,
     ) -> None:
-        """Record the end of a send."""
+        """Record the end of a send; ``has_signal``: the server asked for no more."""
         request = self.in_flight_by_request.pop(request_id, None)
         if load is not None:
             self.load = load
@@ -303,6 +329,9 @@
                 self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
             case AttemptResult.FAILED | AttemptResult.LOST:
                 self._record_failure(now)
+            case AttemptResult.REJECTED if has_signal:
+                # The signal is the reason: the server still holds the model.
+                pass
             case AttemptResult.REJECTED if (
                 request is not None and request.model and not self._is_full(load)
             ):
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import logging
+import math
+import random
 from collections.abc import Iterable
 from typing import Final
 
+from ..server_signals.server_signals import ServerSignals
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .cold_server_limit import RampMembers, full_bucket, ramp_share
@@ -31,6 +34,8 @@
         self._desired: DesiredState | None = None
         self.member_ids: tuple[str, ...] = (instance_id,)
         self._ramp_members = RampMembers(instance_id)
+        # Seeded with the id, so that gateways try a server at different times.
+        self.signals = ServerSignals(random.Random(instance_id))
         # Changes of the registry do not arrive at the moment.
         self.is_interrupted = False
 
@@ -58,11 +63,7 @@
     def update_record(self, record: ServerRecord, now: float) -> None:
         """Add or update the view of a server from its registry entry."""
         view = self.by_id.get(record.server_id)
-        restarted = view is not None and (
-            view.record.holdings.born_ms != record.holdings.born_ms
-            or (view.record.host, view.record.port) != (record.host, record.port)
-        )
-        if view is None or restarted:
+        if view is None or view.start != record.start:
             view = self._new_view(record, now)
             self.by_id[record.server_id] = view
             log_event(
@@ -98,7 +99,9 @@
 
     def _new_view(self, record: ServerRecord, now: float) -> ServerView:
         bucket = full_bucket(self._ramp_share(record, now), now)
-        return ServerView.from_record(record, self._service(record), bucket, now)
+        return ServerView.from_record(
+            record, self._service(record), bucket, self.signals, now
+        )
 
     def _service(self, record: ServerRecord) -> ServiceSpec | None:
         if self._desired is None:
@@ -121,6 +124,27 @@
                 share = self._ramp_share(view.record, now)
                 view.cold_bucket.resize(share, share, now)
 
+    def paused_until(
+        self, service: str, excluded: frozenset[str], now: float
+    ) -> float | None:
+        """Return when the first paused server of a service opens.
+
+        None if a server has no pause, or if it is not known when one will be open.
+        """
+        if not self.signals.has_pauses:
+            return None
+        opens_at = min(
+            (
+                view.opens_at(now)
+                for server_id, view in self.by_id.items()
+                if view.record.service == service
+                and server_id not in excluded
+                and view.record.zone not in self.evacuated_zones
+            ),
+            default=math.inf,
+        )
+        return opens_at if now < opens_at < math.inf else None
+
     def forget_request(self, request_id: str) -> None:
         """Drop a request that was cancelled after its assignment: it was not sent."""
         for view in self.by_id.values():
--- a/src/siskinspool/gateway/servers.py
+++ b/src/siskinspool/gateway/servers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..core.message import Message
+from ..server_signals.observations import ServerStart
 
 
 class ServerState(StrEnum):
@@ -58,6 +59,11 @@
     cold_s: float
     holdings: Holdings
 
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that the entry describes."""
+        return ServerStart(self.server_id, self.holdings.born_ms, self.host, self.port)
+
 
 @attrs.frozen
 class ServerRemoved(Message):
--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -5,9 +5,11 @@
 responses. ``GET /admin/seen`` returns the requests that it ran, with monotonic times.
 ``POST /admin/faults`` sets ``fail`` (status of all responses), ``cut_after`` (number of
 events after which a stream breaks), ``reset`` (connections are reset before a
-response), ``full`` (status 503 with ``Not-Run``), ``crashing_part`` (id of a prompt
-part; the process ends as it begins to answer a request with it) and ``dies_silently``
-(without a byte of that answer).
+response), ``full`` (status 503 with ``Not-Run``), ``leaving`` (all responses say so),
+``event_s`` (seconds between events), ``retry_after`` (a pause of this many seconds is
+stated to each request),
+``crashing_part`` (id of a prompt part; the process ends as it begins to answer a
+request with it) and ``dies_silently`` (without a byte of that answer).
 """
 
 from __future__ import annotations
@@ -51,6 +53,12 @@
     cut_after: int = 0
     reset: bool = False
     full: bool = False
+    # `Server-Leaving` in all answers.
+    leaving: bool = False
+    # Time between events in seconds; 0 for the one of the settings.
+    event_s: float = 0.0
+    # `Retry-After` of an answer with 503 and `Not-Run` to each request; empty for none.
+    retry_after: str = ""
     crashing_part: str = ""
     dies_silently: bool = False
 
@@ -71,6 +79,8 @@
         self._write_count = 0
         self._faults = _Faults()
         self._seen_requests: list[Json] = []
+        # All requests that have arrived, also rejected ones, orders and reports.
+        self._arrivals: list[Json] = []
         self._port = 0
 
     def run_registration(self, port: int) -> None:
@@ -101,6 +111,14 @@
         """Return the response to a request."""
         if request.path.startswith("/admin/"):
             return self._handle_admin(request)
+        self._arrivals.append({"at": time.monotonic(), "path": request.path})
+        response = self._answer(request)
+        if self._faults.leaving:
+            headers = (*response.headers, ("Server-Leaving", "1"))
+            return attrs.evolve(response, headers=headers)
+        return response
+
+    def _answer(self, request: Request) -> Response:
         expected = request.headers.get("expect-instance", self._settings.server_id)
         if expected != self._settings.server_id:
             return self._misdirected_response(request)
@@ -116,6 +134,13 @@
 
     def _run_request(self, request: Request) -> Response:
         faults = self._faults
+        if faults.retry_after:
+            pause = ("Retry-After", faults.retry_after)
+            return Response(
+                503,
+                b"",
+                headers=(("Not-Run", "1"), pause, _request_id_header(request)),
+            )
         if faults.full:
             return Response(
                 503, b"", headers=(("Not-Run", "1"), _request_id_header(request))
@@ -160,7 +185,7 @@
         for number in range(first, STREAM_EVENTS + 1):
             if self._faults.cut_after and number > self._faults.cut_after:
                 raise CloseConnection
-            gevent.sleep(self._settings.event_s)
+            gevent.sleep(self._faults.event_s or self._settings.event_s)
             yield f"id: {number}\ndata: piece {number}\n\n".encode()
 
     def _handle_order(self, body: Json) -> Response:
@@ -218,7 +243,11 @@
             self._state = "draining"
             self.register()
         return Response.from_json(
-            {"seen": self._seen_requests, "orders": self._order_count}
+            {
+                "seen": self._seen_requests,
+                "arrivals": self._arrivals,
+                "orders": self._order_count,
+            }
         )
 
 
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -171,3 +171,42 @@
     assert isinstance(head, RequestHead)
     expected = (PromptPart("a1", 0), PromptPart("b2", 0), PromptPart("c3", 7))
     assert head.parts == expected
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "expected"),
+    [
+        (503, "2", 2.0),
+        (503, " 0.25 ", 0.25),
+        (503, "999999999", 999_999_999.0),
+        # No pause, or none that can be relied on.
+        (503, "", None),
+        (503, "0", None),
+        (503, "-1", None),
+        (503, "1e3", None),
+        (503, "nan", None),
+        (503, "Sun, 06 Dec 2026 09:00:00 GMT", None),
+        # The header was sent twice.
+        (503, "2, 5", None),
+        (503, "9" * 400, None),
+        # Other statuses speak of the request and not of the server.
+        (429, "2", None),
+        (200, "2", None),
+    ],
+)
+def test_only_a_sound_time_is_a_pause(
+    status: int, text: str, expected: float | None
+) -> None:
+    """Guards against a server that is out of use because of a malformed header."""
+    assert decode_answer(status, {"retry-after": text}).retry_after_s == expected
+
+
+@pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+@pytest.mark.parametrize(
+    ("text", "expected"), [("1", True), ("1, 1", True), ("0", False), ("", False)]
+)
+def test_leaving_is_read_from_any_answer(
+    status: int, text: str, expected: bool
+) -> None:
+    """Guards against a leaving server that is only noticed by a good answer."""
+    assert decode_answer(status, {"server-leaving": text}).is_leaving is expected
