Keep orders and report reads from paused and leaving servers

A model whose only holder paused for a moment was asked for at the leader at once.

Change: the calls to servers report what the heads of answers state; the routing tells its gateway's placement with ServerBlocked. The leader sends a blocked server nothing. No placement request while a holder is back within 1 s. read_holdings takes a ServerStart, so the call in test_endless_answers does too.

--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -52,6 +52,8 @@
     wait_until: float = 0.0
     # The server did not answer and is not used until this time.
     silent_until: float = 0.0
+    # The server has asked for no orders and reads until this time.
+    blocked_until: float = 0.0
     read_at: float = float("-inf")
     # The server is expected to be busy with an order until `busy_until`, and has been
     # known to be since `busy_since`.
@@ -113,8 +115,13 @@
         return order.model if self.needs_store(order.model) else ""
 
     def is_usable(self, now: float) -> bool:
-        """Return whether the server is ready and not excluded as silent."""
-        return self.record.state is ServerState.READY and now >= self.silent_until
+        """Return whether the server is ready, and neither silent nor blocked."""
+        return self.record.state is ServerState.READY and now >= self.unavailable_until
+
+    @property
+    def unavailable_until(self) -> float:
+        """When the next order or read may be sent."""
+        return max(self.silent_until, self.blocked_until)
 
     def mark_silent(self, now: float) -> None:
         """Exclude the server for a while, as it does not answer, and drop its plans."""
@@ -325,6 +332,8 @@
         shows that the report has to be read again.
         """
         restarted = record.holdings.born_ms != self.record.holdings.born_ms
+        if record.start != self.record.start:
+            self.blocked_until = 0.0
         self.record = record
         if restarted:
             self.holdings = record.holdings
@@ -426,7 +435,7 @@
             default=float("inf"),
         )
         if self.plans and self.pending_order is None and not self.is_reading_report:
-            steps = [self.wait_until, self.silent_until]
+            steps = [self.wait_until, self.unavailable_until]
             if self.busy_until is not None:
                 steps.append(self.busy_until)
             due = min(due, max(steps))
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -183,7 +183,7 @@
             for server in known
             if server is not None
             and not server.is_reading_report
-            and now >= server.silent_until
+            and now >= server.unavailable_until
             # A report read earlier may predate the last order.
             and now - server.changed_at >= REPORT_LAG_S
             and now - server.read_at > SILENT_READ_INTERVAL_S
@@ -377,7 +377,7 @@
             silent = {
                 server_id
                 for server_id in store.servers()
-                if now < self.server_by_id[server_id].silent_until
+                if now < self.server_by_id[server_id].unavailable_until
             }
             store.record_late_loads(now, silent)
             for server_id in store.servers():
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -134,10 +134,20 @@
 class AnswerHeadReceived(Message):
     """The head of an answer has arrived; a stream may go on for long after it."""
 
+    # Empty for an order or a report.
     request_id: str
     observation: Observation
 
 
+@attrs.frozen
+class ServerBlocked(Message):
+    """A server has stated that it wants no orders and no reads of its report."""
+
+    start: ServerStart
+    # On the instance's clock; infinity if it is leaving.
+    until: float
+
+
 @attrs.frozen
 class FirstEventReceived(Message):
     """The first event of a stream has arrived: its prompt has been processed."""
@@ -319,6 +329,13 @@
     # The order must not be sent later, in seconds on the instance's clock: by then a
     # successor may give orders.
     until_s: float
+    # Start of the server in Unix milliseconds; None if not stated.
+    born_ms: int | None = None
+
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that gets the order."""
+        return ServerStart(self.server_id, self.born_ms, self.host, self.port)
 
 
 class OrderResult(StrEnum):
@@ -354,6 +371,13 @@
     server_id: str
     host: str
     port: int
+    # Start of the server in Unix milliseconds; None if not stated.
+    born_ms: int | None = None
+
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that is asked."""
+        return ServerStart(self.server_id, self.born_ms, self.host, self.port)
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -185,4 +185,5 @@
         expected_count=server.order_count or 0,
         epoch=permit.epoch,
         until_s=permit.until_s,
+        born_ms=record.holdings.born_ms,
     )
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -36,6 +36,7 @@
     ModelReady,
     OrderEnded,
     PlacementRequest,
+    ServerBlocked,
 )
 from .order_planner import OrderPlanner
 from .placement_choice import ServiceFleet
@@ -87,6 +88,8 @@
                 return self._orders.handle_order_end(ended, now)
             case HoldingsRead() as read:
                 return self._handle_report(read, now)
+            case ServerBlocked() as blocked:
+                self._orders.block(blocked, now)
             case KvReply() as reply:
                 self._site.inherit_loads(self._ledger.handle_reply(reply), now)
             case LoadsHandedOver(loads):
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..server_signals.observations import Observation, ServerStart, observation
 from .servers import ServerLoad
 
 EVENT_STREAM: Final = "text/event-stream"
@@ -105,6 +106,17 @@
         """Return whether the server asks for no further request."""
         return self.is_leaving or self.retry_after_s is not None
 
+    def observation(self, server: ServerStart, at: float) -> Observation | None:
+        """Return what the answer states of the server that was asked.
+
+        None if another server has the address: its signals are its own.
+        """
+        if self.server_id not in ("", server.server_id):
+            return None
+        return observation(
+            server, at, is_leaving=self.is_leaving, retry_after_s=self.retry_after_s
+        )
+
     @property
     def is_event_stream(self) -> bool:
         """Return whether the body is an event stream, as far as the server states."""
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -24,7 +24,6 @@
 from ..links.answer_sink import AnswerSink
 from ..links.guarded_sink import GuardedSink
 from ..links.server_link import Answer, Lost, NotSent, ServerRequest
-from ..server_signals.observations import observation
 from .answer_classification import NotRunAnswer, SentRequest, classify_answer
 from .desired_state import RouteKind
 from .event_stream import StreamPosition
@@ -337,17 +336,10 @@
 
     def _report_head(self, assigned: ServerAssigned, head: AnswerHead) -> None:
         """Report what an answer's head states about its server as it arrives."""
-        if head.server_id not in ("", assigned.server_id):
-            # Another server has the address; its signals say nothing about this one.
-            return
-        stated = observation(
-            assigned.start,
-            self._now(),
-            is_leaving=head.is_leaving,
-            retry_after_s=head.retry_after_s,
-        )
-        request_id = self.request.head.request_id
-        self._notify_routing(AnswerHeadReceived(request_id, stated))
+        stated = head.observation(assigned.start, self._now())
+        if stated is not None:
+            request_id = self.request.head.request_id
+            self._notify_routing(AnswerHeadReceived(request_id, stated))
 
     def _attempt_ended(
         self, assigned: ServerAssigned, result: AttemptResult, head: AnswerHead | None
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -26,6 +26,7 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..machines.rendezvous import score
+from ..server_signals.observations import Observation
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .demand_reporter import DEMAND_INTERVAL_S, DemandReporter
@@ -45,6 +46,7 @@
     PlacementRequest,
     RequestCancelled,
     ServerAssigned,
+    ServerBlocked,
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
@@ -122,9 +124,7 @@
                     view.record_first_event(request_id, now)
                 return []
             case AnswerHeadReceived(_, observation):
-                if not self._views.signals.observe(observation):
-                    return []
-                return self._refuse_paused(now) + self._serve_waiting(now)
+                return self._on_answer_head(observation, now)
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case other:
@@ -307,6 +307,15 @@
             has_signal=ended.has_signal,
         )
 
+    def _on_answer_head(self, observation: Observation, now: float) -> list[Outgoing]:
+        signals = self._views.signals
+        if not signals.observe(observation):
+            return []
+        start = observation.start
+        blocked = ServerBlocked(start, signals.opens_at(start, now))
+        batch = [Outgoing(Address(self._id, PLACEMENT_TASK), blocked)]
+        return batch + self._refuse_paused(now) + self._serve_waiting(now)
+
     def _refuse_paused(self, now: float) -> list[Outgoing]:
         """Refuse the waiting requests that no server can take in time."""
         waiting_requests = list(self._requesters.waiting_by_id.values())
@@ -357,6 +366,8 @@
             return []
         if any(self._may_serve(view, call, now) for view in self._views.by_id.values()):
             return []
+        if self._views.is_holder_back_soon(call.model, call.adapter, now):
+            return []
         self._next_request_at_by_target[key] = now + PLACEMENT_REQUEST_INTERVAL_S
         waiting = requests_waiting_for(key, self._requesters.waiting_by_id.values())
         placement_request = PlacementRequest(
--- a/src/siskinspool/gateway/server_control.py
+++ b/src/siskinspool/gateway/server_control.py
@@ -14,8 +14,11 @@
 from ..core.dispatcher import Dispatcher
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.task import Task
+from ..server_signals.observations import Observation, ServerStart
 from .messages import (
     ORDERS_TASK,
+    ROUTING_TASK,
+    AnswerHeadReceived,
     HoldingsRead,
     OrderEnded,
     OrderResult,
@@ -25,19 +28,38 @@
 from .servers import Holdings
 
 
+class SignalListener(ABC):
+    """Is told what the heads of servers' answers to orders and reads state."""
+
+    @abstractmethod
+    def record_signals(self, stated: Observation) -> None:
+        """Record what the head of an answer states; must not block."""
+
+
 class ServerControl(ABC):
-    """A platform's calls to its servers; neither method raises."""
+    """A platform's calls to its servers; no method raises."""
+
+    _listener: SignalListener | None = None
 
     @abstractmethod
     def send_order(self, order: ServerOrder, holder: str) -> OrderResult:
         """Send an order with an instance as its holder; return the result."""
 
     @abstractmethod
-    def read_holdings(self, server_id: str, host: str, port: int) -> Holdings | None:
+    def read_holdings(self, server: ServerStart) -> Holdings | None:
         """Return a server's report, or None if it cannot be read."""
 
+    def listen(self, listener: SignalListener) -> None:
+        """Tell a listener from now on what the heads of answers state."""
+        self._listener = listener
+
+    def report_signals(self, stated: Observation) -> None:
+        """Tell the listener, if there is one, what the head of an answer states."""
+        if self._listener is not None:
+            self._listener.record_signals(stated)
 
-class OrdersTask(Task):
+
+class OrdersTask(Task, SignalListener):
     """Carries out the calls of the placement decision; task name ``orders``."""
 
     def __init__(
@@ -45,6 +67,7 @@
     ) -> None:
         super().__init__(ORDERS_TASK, dispatcher, clock)
         self._control = control
+        control.listen(self)
 
     def handle(self, incoming: Incoming) -> None:
         """Start one call."""
@@ -54,12 +77,18 @@
             case ReadHoldings() as read:
                 gevent.spawn(self._read, incoming.sender, read)
 
+    def record_signals(self, stated: Observation) -> None:
+        """Pass what a server states on to the routing."""
+        routing = self.dispatcher.address(ROUTING_TASK)
+        received = AnswerHeadReceived("", stated)
+        self.dispatcher.send(self.address, Outgoing(routing, received))
+
     def _order(self, sender: Address, order: ServerOrder) -> None:
         result = self._control.send_order(order, self.dispatcher.instance_id)
         self._answer(sender, OrderEnded(order, result))
 
     def _read(self, sender: Address, read: ReadHoldings) -> None:
-        holdings = self._control.read_holdings(read.server_id, read.host, read.port)
+        holdings = self._control.read_holdings(read.start)
         self._answer(sender, HoldingsRead(read.server_id, holdings))
 
     def _answer(self, sender: Address, message: Message) -> None:
--- a/src/siskinspool/gateway/server_orders.py
+++ b/src/siskinspool/gateway/server_orders.py
@@ -24,6 +24,7 @@
     OrderKind,
     OrderResult,
     ReadHoldings,
+    ServerBlocked,
     ServerOrder,
 )
 from .order_planner import NextStep, OrderDue, OrderPlanner, PlanVoid, PlanWaits
@@ -31,6 +32,7 @@
 from .placement_log import PlacementLog, log_order_result
 from .placement_plan import PlacementPlan
 from .server_choice import ServerChoice
+from .server_times import SILENCE_S
 
 
 class ServerOrders:
@@ -77,7 +79,7 @@
         ):
             return []
         batch = self._notify_loaded_adapters(server, now)
-        if now < max(server.wait_until, server.silent_until):
+        if now < max(server.wait_until, server.unavailable_until):
             return batch
         if server.needs_report:
             return batch + self.read_report(server, now)
@@ -146,6 +148,20 @@
             self._log.log_dropped_plan(server, plan, "server_silent", now)
         server.mark_silent(now)
 
+    def block(self, blocked: ServerBlocked, now: float) -> None:
+        """Send a server nothing until the end of its pause, or ever if it leaves."""
+        server = self._site.server_by_id.get(blocked.start.server_id)
+        if server is None or server.record.start != blocked.start:
+            return
+        server.blocked_until = blocked.until
+        if blocked.until <= now + SILENCE_S:
+            # Its plans go on after the pause sooner than elsewhere.
+            return
+        for plan in server.plans:
+            self._log.log_dropped_plan(server, plan, "server_blocked", now)
+        server.plans.clear()
+        server.needs_report = True
+
     def _notify_unloading(self, order: ServerOrder, now: float) -> list[Outgoing]:
         """Notify the gateways that use a model of its unload, ahead of the registry."""
         if order.kind is not OrderKind.UNLOAD or order.adapter:
@@ -191,7 +207,8 @@
         server.is_reading_report = True
         server.read_at = now
         record = server.record
-        read = ReadHoldings(record.server_id, record.host, record.port)
+        born_ms = record.holdings.born_ms
+        read = ReadHoldings(record.server_id, record.host, record.port, born_ms)
         return [self._to_orders(read)]
 
     def handle_report(
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -20,6 +20,8 @@
 
 # Entries that expired in an outage of the registry return within two seconds.
 RETURN_GRACE_S: Final = 2.0
+# A load on another server takes longer than this, except from a copy on its disk.
+SHORT_PAUSE_S: Final = 1.0
 
 
 class ServerViews:
@@ -145,6 +147,14 @@
         )
         return opens_at if now < opens_at < math.inf else None
 
+    def is_holder_back_soon(self, model: str, adapter: str, now: float) -> bool:
+        """Return whether a paused server with a model is back before a load ends."""
+        return self.signals.has_pauses and any(
+            now < view.opens_at(now) <= now + SHORT_PAUSE_S
+            and view.holds(model, adapter, now)
+            for view in self.by_id.values()
+        )
+
     def forget_request(self, request_id: str) -> None:
         """Drop a request that was cancelled after its assignment: it was not sent."""
         for view in self.by_id.values():
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -14,9 +14,10 @@
 from ..gateway.server_control import ServerControl
 from ..gateway.servers import Holdings
 from ..links.server_link import Answer, HttpServerLink, Lost, NotSent, ServerRequest
+from ..server_signals.observations import ServerStart
 from ..telemetry.logs import log_event
 from .desired_state import UnreadableValue
-from .headers import EXPECT_INSTANCE
+from .headers import EXPECT_INSTANCE, decode_answer
 from .server_entries import decode_report
 
 logger = logging.getLogger(__name__)
@@ -58,9 +59,7 @@
         answer = self._call(
             "POST",
             "/-/order",
-            order.server_id,
-            order.host,
-            order.port,
+            order.start,
             body,
             lambda: self._clock.now() < order.until_s,
         )
@@ -71,9 +70,10 @@
         answer.close()
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
 
-    def read_holdings(self, server_id: str, host: str, port: int) -> Holdings | None:
+    def read_holdings(self, server: ServerStart) -> Holdings | None:
         """Return a server's report, or None if it cannot be read."""
-        answer = self._call("GET", "/-/report", server_id, host, port, None)
+        server_id = server.server_id
+        answer = self._call("GET", "/-/report", server, None)
         if isinstance(answer, NotSent | Lost):
             _log_unreadable_report(server_id, answer.reason)
             return None
@@ -97,24 +97,31 @@
         self,
         method: str,
         path: str,
-        server_id: str,
-        host: str,
-        port: int,
+        server: ServerStart,
         body: dict[str, object] | None,
         may_send: Callable[[], bool] = lambda: True,
     ) -> Answer | NotSent | Lost:
         request = ServerRequest(
-            host=host,
-            port=port,
+            host=server.host,
+            port=server.port,
             method=method,
             uri=path,
             headers={
-                EXPECT_INSTANCE.title(): server_id,
+                EXPECT_INSTANCE.title(): server.server_id,
                 "Content-Type": "application/json",
             },
             body=b"" if body is None else json.dumps(body).encode(),
         )
-        return self._link.open_call(request, CALL_TIMEOUT_S, may_send)
+        answer = self._link.open_call(request, CALL_TIMEOUT_S, may_send)
+        if not isinstance(answer, NotSent | Lost):
+            self._report_head(server, answer)
+        return answer
+
+    def _report_head(self, server: ServerStart, answer: Answer) -> None:
+        head = decode_answer(answer.status, answer.headers)
+        stated = head.observation(server, self._clock.now())
+        if stated is not None:
+            self.report_signals(stated)
 
 
 def _log_unreadable_report(server_id: str, reason: str) -> None:
--- a/tests/integration/test_gateway_signals.py
+++ b/tests/integration/test_gateway_signals.py
@@ -9,7 +9,7 @@
 import gevent
 import pytest
 
-from siskinspool.standins.gateway_site import Gateway, GatewaySite
+from siskinspool.standins.gateway_site import Gateway, GatewaySite, wait_until
 from siskinspool.standins.processes import Process, call_json
 
 from .builders_gateway_site import (
@@ -128,6 +128,30 @@
     assert 'detail="its servers were paused"' in gateway.log()
 
 
+def test_paused_server_gets_no_orders(site: GatewaySite) -> None:
+    """Guards against orders and reads of reports that reach a paused server."""
+    paused = site.add_server("w1", "writers", "m0")
+    gateway = site.add_gateway("g1")
+    site.wait_ready("w1")
+    wait_until(lambda: site.leader() is not None)
+    headers = prompt_headers("p1", "p2")
+    assert gateway.send("POST", "/quote/a", b"", headers)[0] == 200
+    set_faults(paused, retry_after="1.8")
+    told_at = time.monotonic()
+    names = ["m0", "m1", "m2", "m1", "m2"]
+    sent = [
+        gevent.spawn(gateway.send, "POST", "/quote/a", b"", headers | {"Model": name})
+        for name in names
+    ]
+    gevent.sleep(0.1)
+    set_faults(paused, retry_after="")
+    gevent.joinall(sent, timeout=10)
+    found = arrivals(paused, told_at + UNDER_WAY_S, told_at + 1.8)
+    assert len(found) <= 2, found
+    later = arrivals(paused, told_at + 1.8, time.monotonic())
+    assert "/-/order" in later
+
+
 def test_service_is_back_soon_after_all_servers_were_paused(site: GatewaySite) -> None:
     """Guards against a queue that stays refused after its servers are free."""
     patient = [route | {"timeout_ms": 8000} for route in routes()]
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -45,6 +45,7 @@
 from . import builders
 from .builders_endless_server import PIECE_BYTES, EndlessServer, endless_server
 from .builders_membership import wait_until
+from .builders_signals import start
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -183,7 +184,7 @@
     with endless_server(OK, b"X-A: b\r\n", 0.05) as server, gevent.Timeout(5.0):
         assert control.send_order(order(server), "g1") is OrderResult.UNKNOWN
     with endless_server(CHUNKED, chunk(b" "), 0.05) as server, gevent.Timeout(5.0):
-        assert control.read_holdings("s1", "127.0.0.1", server.port) is None
+        assert control.read_holdings(start(port=server.port)) is None
 
 
 class _OneReply(Inbox):
--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -2,17 +2,31 @@
 
 from __future__ import annotations
 
+import math
+
+from siskinspool.core.clock import MonotonicClock
 from siskinspool.core.message import Message
 from siskinspool.gateway.messages import (
     AnswerHeadReceived,
     AssignRefused,
     AttemptEnded,
     AttemptResult,
+    LeaderChanged,
+    PlacementRequest,
+    ReadHoldings,
     ServerAssigned,
+    ServerBlocked,
+    ServerOrder,
 )
 from siskinspool.gateway.routing import WAITING_CHECK_INTERVAL_S, Routing
+from siskinspool.gateway.server_control import SignalListener
 from siskinspool.gateway.servers import ServerRemoved
-from siskinspool.server_signals.observations import Observation
+from siskinspool.platform.server_calls import PlatformServerControl
+from siskinspool.server_signals.observations import (
+    LeavingStated,
+    Observation,
+    PauseStated,
+)
 
 from .builders_gateway import (
     assign,
@@ -25,6 +39,9 @@
     scheduling,
     server,
 )
+from .builders_placement_harness import orders, ready_harness
+from .builders_scripted_server import answer as scripted_answer
+from .builders_scripted_server import scripted_server
 from .builders_signals import answer, leaving, pause, start
 
 
@@ -111,8 +128,68 @@
     assert 3.0 <= refused.retry_after_s <= 3.5
     assert site.request("r3", max_wait_s=4.0) == []
     # It waited for the pause, which is now longer than it can wait.
-    (refused,) = site.state(pause(start("s2"), site.now, 6.0))
-    assert isinstance(refused, AssignRefused)
+    found = site.state(pause(start("s2"), site.now, 6.0))
+    assert sum(isinstance(one, AssignRefused) for one in found) == 1
+
+
+def test_short_pause_of_the_only_holder_moves_no_model() -> None:
+    """Guards against a load elsewhere, and an eviction for it, for a moment's pause."""
+    site = SignalsHarness()
+    site.send(server("s1", "m0"))
+    site.send(server("s2"))
+    site.send(LeaderChanged("g1"))
+    site.state(pause(start("s1"), site.now, 0.5))
+    assert site.send(assign("r1")) == []
+    found = site.state(pause(start("s1"), site.now, 5.0))
+    assert [type(one) for one in found] == [ServerBlocked, PlacementRequest]
+
+
+def test_blocked_server_gets_no_orders_until_its_next_start() -> None:
+    """Guards against orders and reads of reports that reach a paused server."""
+    harness = ready_harness()
+    until = harness.now + 5.0
+    harness.send(ServerBlocked(start("s1"), until))
+    found = harness.request("m1")
+    for _ in range(19):
+        harness.now += 0.25
+        found += messages(harness.decision.on_time(harness.now))
+    assert not any(isinstance(one, ServerOrder | ReadHoldings) for one in found)
+    harness.now = until
+    assert [order.server_id for order in orders(harness.request("m1"))] == ["s1"]
+    harness = ready_harness()
+    harness.send(ServerBlocked(start("s1"), math.inf))
+    assert orders(harness.request("m1") + harness.advance_time(60.0)) == []
+    harness.reports["s1"] = holdings("m0", count=0, born_ms=2)
+    harness.send(server("s1", "m0", holdings=holdings("m0", born_ms=2)))
+    assert [order.server_id for order in orders(harness.request("m1"))] == ["s1"]
+
+
+def test_answers_to_orders_and_reads_state_signals() -> None:
+    """Guards against a signal that a leader without requests does not notice."""
+    stated: list[Observation] = []
+    control = PlatformServerControl(MonotonicClock())
+    control.listen(RecordingListener(stated))
+    scripts = [
+        scripted_answer(503, b"", b"Retry-After: 1.5"),
+        scripted_answer(421, b"", b"Server-Leaving: 1"),
+        # Another server has the address.
+        scripted_answer(421, b"", b"Server-Leaving: 1", b"Instance-Id: s9"),
+    ]
+    with scripted_server(*scripts) as one:
+        for _ in scripts:
+            control.read_holdings(start(port=one.port))
+    assert [type(item) for item in stated] == [PauseStated, LeavingStated]
+    assert stated[0].start == start(port=one.port)
+
+
+class RecordingListener(SignalListener):
+    """Keeps what answers state."""
+
+    def __init__(self, stated: list[Observation]) -> None:
+        self._stated = stated
+
+    def record_signals(self, stated: Observation) -> None:
+        self._stated.append(stated)
 
 
 def test_all_servers_paused_and_leaving_at_once() -> None:
