Count how often a prompt part is served before it is blamed

Cause: a part that most requests share is in any crash by chance.

Change: ServedShares counts the served requests by part. A part that was served shortly before is suspected only if it would be in its crashes by chance in at most 1 of 100 cases, or after eight crashes.

--- a/src/siskinspool/gateway/crash_ledger.py
+++ b/src/siskinspool/gateway/crash_ledger.py
@@ -9,6 +9,9 @@
 `diagnose` finds the parts that explain the crashes:
 
 - A part that was served after a crash did not cause it: the fault is deterministic.
+- A part that was served shortly before its first crash is suspected only if it would
+  hardly be in that many crashes by chance, given its share of the served requests
+  (`ServedShares`): a part that most requests share is in any crash.
 - The part in most of the crashes explains these. A part that was served shortly before
   the first of them comes last: a part that many requests share is in any crash by
   chance. Parts that occur in exactly the same crashes cannot be told apart and form one
@@ -30,9 +33,15 @@
 import attrs
 
 from .quarantine_messages import CrashEvidence, CrashReport, ServerBoot
+from .served_shares import ServedShares
 
 # Crashes that make a part suspect; one more for a part that was served shortly before.
 MIN_CRASHES: Final = 2
+# A part that was served shortly before is suspected only if it would hardly be in its
+# crashes by chance, while no request with it was served.
+MAX_CHANCE: Final = 0.01
+# So many crashes without such a request are enough, since each costs a server.
+MAX_REQUIRED_CRASHES: Final = 8
 RECENTLY_SERVED_S: Final = 30.0
 # Reports of one crash by several gateways arrive within this time. Requests without an
 # answer are considered only afterwards.
@@ -63,6 +72,8 @@
 
     at: float
     recorded_at: float
+    # Requests that this gateway had seen served by then.
+    served_count: int
     begun_part_ids: set[str] = attrs.field(factory=set)
     waiting_part_ids: set[str] = attrs.field(factory=set)
 
@@ -88,6 +99,7 @@
     def __init__(self) -> None:
         self._crash_by_boot: OrderedDict[ServerBoot, _Crash] = OrderedDict()
         self._served_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._shares = ServedShares()
 
     def __len__(self) -> int:
         """Return the number of known crashes."""
@@ -109,8 +121,12 @@
         begun, waiting = (part_ids, ()) if has_begun else ((), part_ids)
         return self._add(boot, begun, waiting, now, now)
 
-    def record_served(self, part_ids: Iterable[str], at: float) -> list[str]:
+    def record_served(self, part_ids: Collection[str], at: float) -> list[str]:
         """Record a served request; return the parts that are cleared by it."""
+        self._shares.record_request(part_ids, at)
+        return self._record_parts_served(part_ids, at)
+
+    def _record_parts_served(self, part_ids: Iterable[str], at: float) -> list[str]:
         cleared = []
         for part_id in part_ids:
             before = self._served_at_by_part.get(part_id, -math.inf)
@@ -139,7 +155,7 @@
                 changed.append(report.boot)
         cleared = []
         for part_id, age_s in evidence.served_age_s_by_part.items():
-            cleared += self.record_served([part_id], now - max(age_s, 0.0))
+            cleared += self._record_parts_served([part_id], now - max(age_s, 0.0))
         return changed, cleared
 
     def report(
@@ -177,7 +193,7 @@
             for boot, crash in self._crash_by_boot.items()
         }
         groups = []
-        while best := self._strongest(unexplained):
+        while best := self._strongest(unexplained, now):
             part_ids, boots = best
             crashes = [self._crash_by_boot[boot] for boot in boots]
             begun_count = sum(1 for crash in crashes if crash.begun_part_ids)
@@ -223,7 +239,7 @@
         if crash is None:
             if at <= now - CRASH_TTL_S:
                 return False
-            crash = _Crash(at, now)
+            crash = _Crash(at, now, self._shares.request_count)
             self._crash_by_boot[boot] = crash
             while len(self._crash_by_boot) > MAX_CRASHES:
                 self._crash_by_boot.popitem(last=False)
@@ -247,7 +263,7 @@
         }
 
     def _strongest(
-        self, suspects_by_boot: dict[ServerBoot, set[str]]
+        self, suspects_by_boot: dict[ServerBoot, set[str]], now: float
     ) -> tuple[frozenset[str], frozenset[ServerBoot]] | None:
         """Return the parts in most crashes with these crashes; None if too few."""
         boots_by_part: defaultdict[str, set[ServerBoot]] = defaultdict(set)
@@ -257,7 +273,7 @@
         enough = [
             (not self._was_served_before(part_id, boots), len(boots), part_id)
             for part_id, boots in boots_by_part.items()
-            if len(boots) >= self._min_crashes(part_id, boots)
+            if self._has_enough(part_id, boots, now)
         ]
         if not enough:
             return None
@@ -267,9 +283,30 @@
         )
         return group, frozenset(boots)
 
-    def _min_crashes(self, part_id: str, boots: Iterable[ServerBoot]) -> int:
-        was_served = self._was_served_before(part_id, boots)
-        return MIN_CRASHES + 1 if was_served else MIN_CRASHES
+    def _has_enough(
+        self, part_id: str, boots: Collection[ServerBoot], now: float
+    ) -> bool:
+        """Return whether a part is in enough crashes to be suspected."""
+        if not self._was_served_before(part_id, boots):
+            return len(boots) >= MIN_CRASHES
+        if len(boots) <= MIN_CRASHES:
+            return False
+        return (
+            len(boots) >= MAX_REQUIRED_CRASHES
+            or self._chance(part_id, boots, now) <= MAX_CHANCE
+        )
+
+    def _chance(self, part_id: str, boots: Collection[ServerBoot], now: float) -> float:
+        """Return how probable it is that a sound part is in these crashes.
+
+        Also counts that none of the requests served since the first crash has it. Each
+        crash is counted as if it had broken one request, so the result is too low for
+        a crash that broke several.
+        """
+        share = self._shares.share(part_id, now)
+        served_before = min(self._crash_by_boot[boot].served_count for boot in boots)
+        others = self._shares.request_count - served_before
+        return math.pow(share, len(boots)) * math.pow(1.0 - share, others)
 
     def _was_served_before(self, part_id: str, boots: Iterable[ServerBoot]) -> bool:
         """Return whether a part was served shortly before the first crash."""
--- a/tests/test_gateway_crash_ledger.py
+++ b/tests/test_gateway_crash_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import random
 
 from hypothesis import given, settings
@@ -11,6 +12,7 @@
     CRASH_TTL_S,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
+    MAX_REQUIRED_CRASHES,
     MAX_SERVED_PARTS,
     SETTLE_S,
     CrashLedger,
@@ -100,6 +102,29 @@
     assert groups(ledger, NOW + 2) == [{"subject", "real"}]
 
 
+def test_share_of_the_served_requests_decides_how_many_crashes_are_enough() -> None:
+    """Guards against a verdict by chance, and against a common part never suspected.
+
+    The shared beginning of nine requests in ten was held for three crashes that had
+    other causes, and all requests with it were refused.
+    """
+    ledger = CrashLedger()
+    for number in range(100):
+        ledger.record_served(["rare"] if number % 10 == 0 else ["common"], NOW - 1)
+    for number in range(MAX_REQUIRED_CRASHES):
+        assert groups(ledger) == []
+        if number == 3:
+            # Others are served meanwhile, so it is no chance that this part is not.
+            other = copy.deepcopy(ledger)
+            for _ in range(3):
+                other.record_served(["rare"], NOW)
+            assert groups(other) == [{"common"}]
+        record_crash(ledger, number, "common", f"own-{number}")
+    assert groups(ledger) == [{"common"}]
+    ledger.record_served(["common"], NOW + 1)
+    assert groups(ledger, NOW + 1) == []
+
+
 def test_verdict_on_parts_that_were_just_served_is_not_certain() -> None:
     """Guards against a long hold of a sound part, which nobody can then clear."""
     ledger = CrashLedger()
