Count only the asked server's own signals, and only answers as trials

Cause: a rejection with the signal of another server at the address excluded neither that server nor the asked one; a rejection after a pause counted as the answer that lets more requests through.

Change: signals of another server are dropped when the head is decoded; rejections without a signal are no observation.

Result: the unit, state machine and real-process tests of the signals pass.

--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -101,6 +101,12 @@
     # How long the server wants no request; None if it has stated no pause.
     retry_after_s: float | None = None
 
+    def for_server(self, server_id: str) -> AnswerHead:
+        """Return the head without the signals of another server at the address."""
+        if self.server_id in ("", server_id):
+            return self
+        return attrs.evolve(self, is_leaving=False, retry_after_s=None)
+
     @property
     def has_signal(self) -> bool:
         """Return whether the server asks for no further request."""
@@ -109,10 +115,13 @@
     def observation(self, server: ServerStart, at: float) -> Observation | None:
         """Return what the answer states of the server that was asked.
 
-        None if another server has the address: its signals are its own.
+        None if another server has the address: its signals are its own. None also for
+        a rejection without a signal, which does not show that the server is free.
         """
         if self.server_id not in ("", server.server_id):
             return None
+        if self.not_run and not self.has_signal:
+            return None
         return observation(
             server, at, is_leaving=self.is_leaving, retry_after_s=self.retry_after_s
         )
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -287,7 +287,7 @@
             answer = call_result
             answer_head = self._context.codec.decode_answer(
                 answer.status, answer.headers
-            )
+            ).for_server(assigned.server_id)
             self._report_head(assigned, answer_head)
             rejection = classify_answer(answer_head, self._describe_sent(assigned))
             if isinstance(rejection, NotRunAnswer):
--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -21,6 +21,7 @@
 from siskinspool.gateway.routing import WAITING_CHECK_INTERVAL_S, Routing
 from siskinspool.gateway.server_control import SignalListener
 from siskinspool.gateway.servers import ServerRemoved
+from siskinspool.platform.headers import decode_answer
 from siskinspool.platform.server_calls import PlatformServerControl
 from siskinspool.server_signals.observations import (
     LeavingStated,
@@ -172,6 +173,8 @@
     scripts = [
         scripted_answer(503, b"", b"Retry-After: 1.5"),
         scripted_answer(421, b"", b"Server-Leaving: 1"),
+        # It does not say that the server can take more after a pause.
+        scripted_answer(503, b"", b"Not-Run: 1"),
         # Another server has the address.
         scripted_answer(421, b"", b"Server-Leaving: 1", b"Instance-Id: s9"),
     ]
@@ -182,6 +185,19 @@
     assert stated[0].start == start(port=one.port)
 
 
+def test_rejection_by_another_server_at_the_address_is_no_signal() -> None:
+    """Guards against a request that goes to the same wrong server again and again.
+
+    A server is not excluded after a rejection with a signal, as the signal keeps it
+    from being chosen; that of another server does not.
+    """
+    headers = {"not-run": "1", "retry-after": "2", "instance-id": "s9"}
+    head = decode_answer(503, headers | {"server-leaving": "1"})
+    assert head.for_server("s9").has_signal
+    assert not head.for_server("s1").has_signal
+    assert head.observation(start("s1"), 1.0) is None
+
+
 class RecordingListener(SignalListener):
     """Keeps what answers state."""
 
