Use the decision on server signals in the other front end, too

Cause: servers of the product's own front end that state that they leave or pause got calls on; and where servers name no start, a leaving one would never have been used again.

Change: call tasks report the heads of answers with CallAnswered; KnownServers asks ServerSignals. The headers are decoded in one place. A leaving server without a named start is tried again 60 s after it last said so.

--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -44,6 +44,7 @@
 from ..core.message import Address, Message, Outgoing
 from ..core.outcome import Refusal, RunState
 from ..machines.routing_messages import (
+    CallAnswered,
     CallCancelled,
     CallDispatched,
     CallEnded,
@@ -51,6 +52,12 @@
     CallResult,
     RouteCall,
 )
+from ..server_signals.headers import (
+    UNAVAILABLE_STATUS,
+    stated_pause_s,
+    states_leaving,
+)
+from ..server_signals.observations import AnswerStarted, observation
 from ..telemetry.logs import log_event
 from ..telemetry.messages import CallMeasured
 from .answer_sink import (
@@ -431,6 +438,8 @@
                 self._is_sent = False
                 result = CallResult.FAILED_BEFORE_SEND
                 return answer
+            if isinstance(answer, Answer):
+                self._report_head(dispatched, answer)
             forwarded = (
                 answer
                 if isinstance(answer, Lost)
@@ -444,6 +453,17 @@
         finally:
             self._notify("routing", CallEnded(self.call.id, result, None))
 
+    def _report_head(self, dispatched: CallDispatched, answer: Answer) -> None:
+        """Report whether the server states that it is leaving or wants a pause."""
+        stated = observation(
+            dispatched.start,
+            self._context.clock.now(),
+            is_leaving=states_leaving(answer.headers),
+            retry_after_s=stated_pause_s(answer.status, answer.headers),
+        )
+        if answer.status != UNAVAILABLE_STATUS or not isinstance(stated, AnswerStarted):
+            self._notify("routing", CallAnswered(stated))
+
     def _timeout_s(self) -> float:
         if self.call.is_streamed:
             return max(STREAM_IDLE_TIMEOUT_S, self._remaining_s())
--- a/src/siskinspool/machines/known_servers.py
+++ b/src/siskinspool/machines/known_servers.py
@@ -17,6 +17,8 @@
 from ..core.member import MembershipChanged
 from ..core.status import Status
 from ..manifest.model import Catalog, Server, Service, empty_manifest
+from ..server_signals.observations import ServerStart
+from ..server_signals.server_signals import ServerSignals
 from ..zones.preference import ZonePreference
 from ..zones.zone import WorkEligibility
 from .call_targets import ReplicaKey, ReplicaTarget, RouteTarget, Target
@@ -35,6 +37,14 @@
     entity: Server | Service
     state: EndpointState
 
+    @property
+    def start(self) -> ServerStart:
+        """The present start of the server."""
+        entity = self.entity
+        return ServerStart(
+            entity.id, None, entity.host, entity.port, self.state.boot_id
+        )
+
 
 class KnownServers:
     """State of all servers; times are monotonic seconds."""
@@ -53,6 +63,7 @@
         self._service_by_id: dict[str, ServiceState] = {}
         self._holders_by_key: dict[ReplicaKey, set[str]] = {}
         self._prefix_index = PrefixIndex()
+        self.signals = ServerSignals(rng)
 
     def update_catalog(self, catalog: Catalog) -> None:
         """Apply a manifest revision."""
@@ -123,6 +134,7 @@
             for backend in self._filter_permitted(self._backends(target))
             if backend.entity.id not in request.excluded_server_ids
             and backend.state.accepts(now)
+            and self.signals.permission(backend.start, now).allows_next
         ]
         if not request.idempotent:
             # A probe often fails, and such a call cannot be tried again (R10).
@@ -160,6 +172,13 @@
         times = (b.state.breaker.next_probe_at() for b in self._backends(target))
         return min((at for at in times if at is not None and at > now), default=None)
 
+    def next_opening_at(self, target: Target, now: float) -> float | None:
+        """Return when the next paused server opens; None if none is paused."""
+        if not self.signals.has_pauses:
+            return None
+        times = (self.signals.opens_at(b.start, now) for b in self._backends(target))
+        return min((at for at in times if now < at < math.inf), default=None)
+
     def _backends(self, target: Target) -> Iterator[Backend]:
         if isinstance(target, ReplicaTarget):
             yield from self._holders(target.key)
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -40,6 +40,7 @@
 from .replica_demand import ReplicaDemand, ReplicaDemands
 from .replica_usage import ReplicaUsage, UsageKey
 from .routing_messages import (
+    CallAnswered,
     CallCancelled,
     CallDispatched,
     CallEnded,
@@ -117,6 +118,10 @@
                 return self._handle_route_call(message, incoming.sender, now)
             case CallEnded():
                 return self._handle_call_ended(message, now)
+            case CallAnswered(observation):
+                if self._servers.signals.observe(observation):
+                    return self._dispatch_all(now)
+                return []
             case CallCancelled():
                 return self._handle_cancelled(message, now)
             case CatalogChanged():
@@ -156,7 +161,8 @@
     def gauges(self) -> dict[str, float]:
         """Return the numbers of running and waiting calls."""
         running, waiting = len(self._running_by_id), len(self._waiting)
-        return {"calls.running": running, "calls.waiting": waiting}
+        counts = {"calls.running": float(running), "calls.waiting": float(waiting)}
+        return counts | self._servers.signals.gauges()
 
     def wake_at(self) -> float | None:
         """Return when `on_time` is due next."""
@@ -164,6 +170,7 @@
         times.append(self._usage.next_due_at())
         times.append(self._next_sweep_at if self._running_by_id else None)
         times.append(self._next_probe_at())
+        times.append(self._next_opening_at())
         return min((at for at in times if at is not None), default=None)
 
     # Calls
@@ -299,6 +306,7 @@
         backend = self._servers.backend(call.target, chosen.server_id)
         call_id = call.request.call_id
         backend.state.record_sent(call_id, now)
+        self._servers.signals.record_sent(backend.start, now)
         self._waiting.queue_for(call.target).running += 1
         self._running_by_id[call_id] = RunningCall(call, backend, now)
         if isinstance(call.target, ReplicaTarget):
@@ -434,6 +442,13 @@
         )
         return min((at for at in probes if at is not None), default=None)
 
+    def _next_opening_at(self) -> float | None:
+        openings = (
+            self._servers.next_opening_at(target, self._last_step_at)
+            for target in self._waiting.targets()
+        )
+        return min((at for at in openings if at is not None), default=None)
+
 
 def _refusal(
     reply_to: Address,
--- a/src/siskinspool/machines/routing_messages.py
+++ b/src/siskinspool/machines/routing_messages.py
@@ -10,6 +10,7 @@
 from ..core.message import Message
 from ..links.codec import wire
 from ..manifest.model import RequestClass
+from ..server_signals.observations import Observation, ServerStart
 
 
 class CallResult(StrEnum):
@@ -52,6 +53,11 @@
     # Empty for a plain service.
     boot_id: str
 
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that was chosen."""
+        return ServerStart(self.server_id, None, self.host, self.port, self.boot_id)
+
 
 @attrs.frozen
 class CallRefused(Message):
@@ -63,6 +69,13 @@
     retry_after_s: float | None = None
 
 
+@attrs.frozen
+class CallAnswered(Message):
+    """Reports what the head of a server's answer states, as it arrives."""
+
+    observation: Observation
+
+
 @attrs.frozen
 class CallEnded(Message):
     """Reports the end of a dispatched call and frees its concurrency."""
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 import math
-import re
 from collections.abc import Mapping
 from typing import Final
 
 from ..gateway.request import AnswerHead, PromptPart, RequestHead, SendPlan
 from ..gateway.servers import ServerLoad
+from ..server_signals.headers import stated_pause_s, states_leaving
 
 REQUEST_ID: Final = "request-id"
 DEADLINE_MS: Final = "deadline-ms"
@@ -33,8 +33,6 @@
 REQUEST_PRIORITY: Final = "request-priority"
 NOT_RUN: Final = "not-run"
 SERVER_LOAD: Final = "server-load"
-# The server is leaving and wants no new request.
-SERVER_LEAVING: Final = "server-leaving"
 RETRY_AFTER: Final = "retry-after"
 CONTENT_TYPE: Final = "content-type"
 CONTENT_ENCODING: Final = "content-encoding"
@@ -42,16 +40,11 @@
 _BEARER: Final = "bearer "
 # Longer numbers are not valid; Python refuses to convert those of several thousand.
 MAX_DIGITS: Final = 15
-# Seconds, with at most as many digits as a float keeps exactly. Dates, signs and lists
-# of values do not match.
-_SECONDS: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?", re.ASCII)
 _LOWEST_PRIORITY: Final = 9
 # Figures of a server's load: running, waiting, slots, and how long work takes in
 # percent of the usual time.
 KNOWN_LOAD_FIGURES: Final = 4
 USUAL_PERCENT: Final = 100
-# The status with which a server may state a pause.
-UNAVAILABLE_STATUS: Final = 503
 # Headers that the system sets, or that would control a server's memory.
 _SYSTEM_HEADERS: Final = frozenset(
     {
@@ -162,27 +155,11 @@
         content_type=headers.get(CONTENT_TYPE, "").partition(";")[0].strip().lower(),
         is_encoded=headers.get(CONTENT_ENCODING, "identity").lower() != "identity",
         load=_server_load(headers.get(SERVER_LOAD, "")),
-        is_leaving="1" in _list_items(headers.get(SERVER_LEAVING, "")),
-        retry_after_s=(
-            _seconds(headers.get(RETRY_AFTER, ""))
-            if status == UNAVAILABLE_STATUS
-            else None
-        ),
+        is_leaving=states_leaving(headers),
+        retry_after_s=stated_pause_s(status, headers),
     )
 
 
-def _list_items(text: str) -> list[str]:
-    """Return the items of a header, which may have been sent more than once."""
-    return [item.strip() for item in text.split(",")]
-
-
-def _seconds(text: str) -> float | None:
-    """Return a positive number of seconds, None for any other text."""
-    if _SECONDS.fullmatch(text.strip()) is None:
-        return None
-    return float(text) or None
-
-
 def answer_headers(headers: Mapping[str, str]) -> dict[str, str]:
     """Return the headers of an answer that are forwarded to the requester."""
     return {
--- a/src/siskinspool/server_signals/observations.py
+++ b/src/siskinspool/server_signals/observations.py
@@ -19,6 +19,13 @@
     born_ms: int | None
     host: str
     port: int
+    # Id of the start where servers state one; empty elsewhere.
+    boot_id: str = ""
+
+    @property
+    def is_named(self) -> bool:
+        """Whether another start of the server has another name."""
+        return self.born_ms is not None or self.boot_id != ""
 
 
 @attrs.frozen
--- a/src/siskinspool/server_signals/server_signals.py
+++ b/src/siskinspool/server_signals/server_signals.py
@@ -46,6 +46,9 @@
 # A pause is forgotten this long after its end, also if the server was not tried: it may
 # have been removed.
 UNTRIED_TTL_S: Final = 60.0
+# A restart does not show where servers name no start. One that leaves is tried again
+# after this time, by which it has ended or says so again.
+UNNAMED_LEAVING_S: Final = 60.0
 # Servers that are leaving are remembered beyond the removal of their registry entries,
 # which may return with the same start. Far more than leave within minutes.
 MAX_LEAVING: Final = 8192
@@ -57,14 +60,15 @@
     def __init__(self, rng: random.Random) -> None:
         """Initialize with the random source of the spread of openings."""
         self._rng = rng
-        self._leaving: OrderedDict[ServerStart, None] = OrderedDict()
+        # Until when a start counts as leaving.
+        self._leaving: OrderedDict[ServerStart, float] = OrderedDict()
         self._pause_by_start: dict[ServerStart, Pause] = {}
         self._leaving_count = 0
         self._pause_count = 0
 
     def permission(self, start: ServerStart, now: float) -> ServerPermission:
         """Return whether a server may be chosen."""
-        if start in self._leaving:
+        if self._is_leaving(start, now):
             return GONE
         pause = self._pause_by_start.get(start)
         if pause is None:
@@ -73,7 +77,7 @@
 
     def opens_at(self, start: ServerStart, now: float) -> float:
         """Return when a server may get its next request; infinity if it is leaving."""
-        if start in self._leaving:
+        if self._is_leaving(start, now):
             return math.inf
         pause = self._pause_by_start.get(start)
         return now if pause is None else pause.next_trial_at(now)
@@ -81,8 +85,8 @@
     def observe(self, observation: Observation) -> bool:
         """Apply the head of an answer; return whether a permission has changed."""
         match observation:
-            case LeavingStated(start):
-                return self._observe_leaving(start)
+            case LeavingStated(start, at):
+                return self._observe_leaving(start, at)
             case PauseStated(start, at, retry_after_s):
                 return self._observe_pause(start, at, retry_after_s)
             case AnswerStarted(start, at):
@@ -102,7 +106,7 @@
     def status(self, start: ServerStart, now: float) -> Status:
         """Return the signals of a server for operators."""
         return {
-            "leaving": start in self._leaving,
+            "leaving": self._is_leaving(start, now),
             "paused_s": self._paused_s(start, now),
         }
 
@@ -121,10 +125,15 @@
         pause = self._pause_by_start.get(start)
         return 0.0 if pause is None else round(max(pause.opens_at - now, 0.0), 3)
 
-    def _observe_leaving(self, start: ServerStart) -> bool:
-        if start in self._leaving:
+    def _is_leaving(self, start: ServerStart, now: float) -> bool:
+        until = self._leaving.get(start)
+        return until is not None and now < until
+
+    def _observe_leaving(self, start: ServerStart, at: float) -> bool:
+        was_leaving = self._is_leaving(start, at)
+        self._leaving[start] = math.inf if start.is_named else at + UNNAMED_LEAVING_S
+        if was_leaving:
             return False
-        self._leaving[start] = None
         while len(self._leaving) > MAX_LEAVING:
             self._leaving.popitem(last=False)
         self._pause_by_start.pop(start, None)
@@ -135,7 +144,7 @@
     def _observe_pause(
         self, start: ServerStart, at: float, retry_after_s: float
     ) -> bool:
-        if start in self._leaving or not retry_after_s > 0:
+        if self._is_leaving(start, at) or not retry_after_s > 0:
             return False
         pause_s = min(retry_after_s, MAX_PAUSE_S)
         ends_at = at + pause_s
@@ -185,5 +194,6 @@
         event,
         server=start.server_id,
         born_ms=start.born_ms,
+        boot=start.boot_id or None,
         pause_s=pause_s,
     )
--- a/tests/test_server_signals.py
+++ b/tests/test_server_signals.py
@@ -4,6 +4,7 @@
 
 import math
 
+import attrs
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -13,7 +14,11 @@
     MAY_BE_CHOSEN,
     MayBeChosenByMore,
 )
-from siskinspool.server_signals.server_signals import MAX_PAUSE_S, MAX_SPREAD_S
+from siskinspool.server_signals.server_signals import (
+    MAX_PAUSE_S,
+    MAX_SPREAD_S,
+    UNNAMED_LEAVING_S,
+)
 
 from .builders_signals import answer, leaving, pause, signals, start
 
@@ -32,6 +37,18 @@
     assert decision.permission(start("s9"), NOW) is MAY_BE_CHOSEN
 
 
+def test_leaving_server_without_a_named_start_is_tried_again() -> None:
+    """Guards against a restarted server that is never used, as no restart shows."""
+    decision = signals()
+    unnamed = attrs.evolve(start(), born_ms=None)
+    decision.observe(leaving(unnamed, NOW))
+    until = NOW + UNNAMED_LEAVING_S
+    assert decision.permission(unnamed, until - 0.1) is GONE
+    assert decision.permission(unnamed, until) is MAY_BE_CHOSEN
+    assert decision.observe(leaving(unnamed, until + 0.1))
+    assert decision.permission(unnamed, until + 0.2) is GONE
+
+
 def test_late_answer_of_a_shorter_pause_does_not_end_the_longer_one() -> None:
     """Guards against requests during a pause, after answers in another order."""
     decision = signals()
