--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -9,6 +9,7 @@
 from ..core.errors import ErrorCode
 from ..core.message import Message
 from ..links.codec import wire, wire_as
+from ..server_signals.observations import Observation, ServerStart
 from .request import PromptPart
 from .servers import Holdings, ServerLoad
 
@@ -68,6 +69,11 @@
     # Start of the server in Unix milliseconds; None if not stated.
     born_ms: int | None = None
 
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that was chosen."""
+        return ServerStart(self.server_id, self.born_ms, self.host, self.port)
+
 
 @attrs.frozen
 class AssignRefused(Message):
@@ -116,6 +122,32 @@
     load: ServerLoad | None = None
     # Whole events of the answer; 0 if it is not a stream.
     event_count: int = 0
+    # What the answer states; see `AnswerHeadReceived`, which has reported it before.
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+
+    @property
+    def has_signal(self) -> bool:
+        """Return whether the server asks for no further request."""
+        return self.is_leaving or self.retry_after_s is not None
+
+
+@attrs.frozen
+class AnswerHeadReceived(Message):
+    """The head of an answer has arrived; a stream may go on for long after it."""
+
+    # Empty for an order or a report.
+    request_id: str
+    observation: Observation
+
+
+@attrs.frozen
+class ServerBlocked(Message):
+    """A server has stated that it wants no orders and no reads of its report."""
+
+    start: ServerStart
+    # On the instance's clock; infinity if it is leaving.
+    until: float
 
 
 @attrs.frozen
@@ -301,6 +333,13 @@
     # The order must not be sent later, in seconds on the instance's clock: by then a
     # successor may give orders.
     until_s: float
+    # Start of the server in Unix milliseconds; None if not stated.
+    born_ms: int | None = None
+
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that gets the order."""
+        return ServerStart(self.server_id, self.born_ms, self.host, self.port)
 
 
 class OrderResult(StrEnum):
@@ -336,6 +375,13 @@
     server_id: str
     host: str
     port: int
+    # Start of the server in Unix milliseconds; None if not stated.
+    born_ms: int | None = None
+
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that is asked."""
+        return ServerStart(self.server_id, self.born_ms, self.host, self.port)
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -30,6 +30,7 @@
 from .messages import (
     CAPS_TASK,
     ROUTING_TASK,
+    AnswerHeadReceived,
     AssignRefused,
     AssignServer,
     AttemptEnded,
@@ -270,7 +271,7 @@
         # From here on, if no answer arrives, it is unknown whether a server ran it.
         self._may_have_run = True
         result = AttemptResult.CANCELLED
-        load = None
+        answer_head: AnswerHead | None = None
         answer: Answer | None = None
         try:
             call_result = self._open_call(assigned)
@@ -286,8 +287,8 @@
             answer = call_result
             answer_head = self._context.codec.decode_answer(
                 answer.status, answer.headers
-            )
-            load = answer_head.load
+            ).for_server(assigned.server_id)
+            self._report_head(assigned, answer_head)
             rejection = classify_answer(answer_head, self._describe_sent(assigned))
             if isinstance(rejection, NotRunAnswer):
                 # This server does not count toward the route's limit, which limits
@@ -307,16 +308,8 @@
         finally:
             if answer is not None:
                 answer.close()
-            self._record_server_result(assigned.server_id, result)
-            self._notify_routing(
-                AttemptEnded(
-                    request_id=self.request.head.request_id,
-                    server_id=assigned.server_id,
-                    result=result,
-                    load=load,
-                    event_count=self._prompt.event_count,
-                )
-            )
+            self._record_server_result(assigned.server_id, result, answer_head)
+            self._notify_routing(self._attempt_ended(assigned, result, answer_head))
 
     def _open_call(self, assigned: ServerAssigned) -> Answer | NotSent | Lost:
         head, admission = self.request.head, self.request.admission
@@ -341,6 +334,26 @@
         )
         return self._context.link.open_call(request, remaining_s)
 
+    def _report_head(self, assigned: ServerAssigned, head: AnswerHead) -> None:
+        """Report what an answer's head states about its server as it arrives."""
+        stated = head.observation(assigned.start, self._now())
+        if stated is not None:
+            request_id = self.request.head.request_id
+            self._notify_routing(AnswerHeadReceived(request_id, stated))
+
+    def _attempt_ended(
+        self, assigned: ServerAssigned, result: AttemptResult, head: AnswerHead | None
+    ) -> AttemptEnded:
+        return AttemptEnded(
+            request_id=self.request.head.request_id,
+            server_id=assigned.server_id,
+            result=result,
+            load=None if head is None else head.load,
+            is_leaving=head is not None and head.is_leaving,
+            retry_after_s=None if head is None else head.retry_after_s,
+            event_count=self._prompt.event_count,
+        )
+
     def _describe_sent(self, assigned: ServerAssigned) -> SentRequest:
         return SentRequest(
             request_id=self.request.head.request_id,
@@ -431,8 +444,14 @@
             and self._remaining_s() > route.target_latency_s / 2
         )
 
-    def _record_server_result(self, server_id: str, result: AttemptResult) -> None:
+    def _record_server_result(
+        self, server_id: str, result: AttemptResult, head: AnswerHead | None
+    ) -> None:
         match result:
+            case AttemptResult.REJECTED if head is not None and head.has_signal:
+                # The signal already keeps it from being chosen, and after a pause it
+                # may take this request.
+                pass
             case (
                 AttemptResult.REJECTED
                 | AttemptResult.MODEL_MISSING
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -26,6 +26,7 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..server_signals.observations import Observation
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .choice_explanation import ChoiceExplained, ExplainChoice, ServerFinding
@@ -33,6 +34,7 @@
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
+    AnswerHeadReceived,
     AssignRefused,
     AssignServer,
     AttemptEnded,
@@ -45,6 +47,7 @@
     PlacementRequest,
     RequestCancelled,
     ServerAssigned,
+    ServerBlocked,
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
@@ -110,6 +113,8 @@
         # When a placement request for each (service, model, adapter) is due again.
         self._next_request_at_by_target: dict[tuple[str, str, str], float] = {}
         self._demand = DemandReporter()
+        # Requests that were refused because all servers of their service were paused.
+        self._paused_refusals = 0
         # When waiting requests are checked next.
         self._next_check_at = 0.0
 
@@ -126,6 +131,8 @@
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, load, now)
                 return []
+            case AnswerHeadReceived(_, observation):
+                return self._on_answer_head(observation, now)
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case ExplainChoice() as question:
@@ -166,6 +173,7 @@
                     "zone": view.record.zone,
                     "open": view.is_open(now),
                     "own_requests": len(view.in_flight_by_request),
+                    "signals": self._views.signals.status(view.start, now),
                     "models": sorted(view.record.holdings.model_by_name),
                 }
                 for server_id, view in self._views.by_id.items()
@@ -179,7 +187,8 @@
         return {
             "routing.servers": float(len(self._views.by_id)),
             "routing.waiting": float(len(self._requesters.waiting_by_id)),
-        }
+            "routing.paused_refusals": float(self._paused_refusals),
+        } | self._views.signals.gauges()
 
     # Requests
 
@@ -202,6 +211,9 @@
         assigned = self._assign(waiting, now)
         if assigned is not None:
             return [assigned]
+        refusal = self._refuse_if_paused(waiting, now)
+        if refusal is not None:
+            return [refusal]
         self._requesters.add(waiting)
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         return self._request_placement(call, now)
@@ -312,9 +324,39 @@
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
         view.record_end(
-            ended.request_id, ended.result, ended.load, now, ended.event_count
+            ended.request_id,
+            ended.result,
+            ended.load,
+            now,
+            ended.event_count,
+            has_signal=ended.has_signal,
         )
 
+    def _on_answer_head(self, observation: Observation, now: float) -> list[Outgoing]:
+        signals = self._views.signals
+        if not signals.observe(observation):
+            return []
+        start = observation.start
+        blocked = ServerBlocked(start, signals.opens_at(start, now))
+        batch = [Outgoing(Address(self._id, PLACEMENT_TASK), blocked)]
+        return batch + self._refuse_paused(now) + self._serve_waiting(now)
+
+    def _refuse_paused(self, now: float) -> list[Outgoing]:
+        """Refuse the waiting requests that no server can take in time."""
+        waiting_requests = list(self._requesters.waiting_by_id.values())
+        refused = [self._refuse_if_paused(item, now) for item in waiting_requests]
+        return [outgoing for outgoing in refused if outgoing is not None]
+
+    def _refuse_if_paused(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
+        """Refuse a request if all servers of its service are paused for too long."""
+        call = waiting.call
+        until = self._views.paused_until(call.service, call.excluded, now)
+        if until is None or until <= waiting.give_up_at:
+            return None
+        waiting.ready_at = until
+        self._paused_refusals += 1
+        return self._refuse(waiting, "its servers were paused", now)
+
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         retry_after_s = RETRY_AFTER_S
         if waiting.ready_at is not None:
@@ -349,6 +391,8 @@
             return []
         if any(self._may_serve(view, call, now) for view in self._views.by_id.values()):
             return []
+        if self._views.is_holder_back_soon(call.model, call.adapter, now):
+            return []
         self._next_request_at_by_target[key] = now + PLACEMENT_REQUEST_INTERVAL_S
         waiting = requests_waiting_for(key, self._requesters.waiting_by_id.values())
         placement_request = PlacementRequest(
--- a/src/siskinspool/gateway/server_view.py
+++ b/src/siskinspool/gateway/server_view.py
@@ -25,6 +25,8 @@
     Work,
 )
 from ..pace.speed import PREFILL_TOKENS_PER_S
+from ..server_signals.observations import ServerStart
+from ..server_signals.server_signals import ServerSignals
 from .demand import target_name
 from .desired_state import ServiceSpec
 from .messages import AssignServer, AttemptResult
@@ -123,6 +125,9 @@
     cache: PromptCache
     # Its speed and load, for the choice by expected time.
     estimate: ServerEstimate
+    # This start of the server; a new start gets a new view.
+    start: ServerStart
+    signals: ServerSignals
     in_flight_by_request: dict[str, _InFlightRequest] = attrs.field(factory=dict)
     load: ServerLoad | None = None
     load_at: float = 0.0
@@ -147,6 +152,7 @@
         service: ServiceSpec | None,
         cold_bucket: TokenBucket,
         estimate: ServerEstimate,
+        signals: ServerSignals,
         now: float,
     ) -> ServerView:
         """Return a view of a server that has just been seen."""
@@ -159,14 +165,31 @@
             cold_bucket=cold_bucket,
             cache=PromptCache(capacity),
             estimate=estimate,
+            start=record.start,
+            signals=signals,
         )
 
     def is_open(self, now: float) -> bool:
         """Return whether the server may get a request."""
+        return (
+            self._is_in_use(now)
+            and now >= self.paused_until
+            and self.signals.permission(self.start, now).allows_next
+        )
+
+    def opens_at(self, now: float) -> float:
+        """Return when the server's pause ends; infinity if it is not in use.
+
+        Failures to connect do not count: the server may be back at any time.
+        """
+        if not self._is_in_use(now):
+            return math.inf
+        return self.signals.opens_at(self.start, now)
+
+    def _is_in_use(self, now: float) -> bool:
         return (
             self.record.state is ServerState.READY
             and not self.has_lost_address
-            and now >= self.paused_until
             and (self.drop_at is None or now < self.drop_at)
         )
 
@@ -307,6 +330,7 @@
         """Record that a request is sent to the server."""
         work = self._work(call)
         self.estimate.record_sent(call.request_id, work, self.record.slots, now)
+        self.signals.record_sent(self.start, now)
         target = target_name(call.model, call.adapter)
         unprocessed_tokens = self.cache.missing_tokens(target, call.parts)
         self.in_flight_by_request[call.request_id] = _InFlightRequest(
@@ -344,8 +368,13 @@
         load: ServerLoad | None,
         now: float,
         event_count: int = 0,
+        *,
+        has_signal: bool = False,
     ) -> None:
-        """Record the end of a send, with the events of its answer."""
+        """Record the end of a send, with the events of its answer.
+
+        ``has_signal``: the server asked for no more.
+        """
         end = SendEnd(
             result=_send_result(result),
             events=event_count,
@@ -368,6 +397,9 @@
                 self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
             case AttemptResult.FAILED | AttemptResult.LOST:
                 self._record_failure(now)
+            case AttemptResult.REJECTED if has_signal:
+                # The signal is the reason: the server still holds the model.
+                pass
             case AttemptResult.REJECTED if (
                 request is not None and request.model and not self._is_full(load)
             ):
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import logging
+import math
+import random
 from collections.abc import Iterable
 from typing import Final
 
 from ..machines.rendezvous import score
 from ..pace.server_estimate import FleetEstimate, ServerEstimate
+from ..server_signals.server_signals import ServerSignals
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .cold_server_limit import RampMembers, full_bucket, ramp_share
@@ -22,6 +25,8 @@
 # The servers that a gateway sees in its first seconds may have run for long.
 FIRST_SIGHT_S: Final = 2.0
 MAX_SCORE: Final = 2**64
+# A load on another server takes longer than this, except from a copy on its disk.
+SHORT_PAUSE_S: Final = 1.0
 
 
 class ServerViews:
@@ -39,6 +44,8 @@
         self._desired: DesiredState | None = None
         self.member_ids: tuple[str, ...] = (instance_id,)
         self._ramp_members = RampMembers(instance_id)
+        # Seeded with the id, so that gateways try a server at different times.
+        self.signals = ServerSignals(random.Random(instance_id))
         # Changes of the registry do not arrive at the moment.
         self.is_interrupted = False
 
@@ -68,10 +75,7 @@
     def update_record(self, record: ServerRecord, now: float) -> None:
         """Add or update the view of a server from its registry entry."""
         view = self.by_id.get(record.server_id)
-        restarted = view is not None and (
-            view.record.holdings.born_ms != record.holdings.born_ms
-            or (view.record.host, view.record.port) != (record.host, record.port)
-        )
+        restarted = view is not None and view.start != record.start
         if view is None or restarted:
             view = self._new_view(record, now)
             self.by_id[record.server_id] = view
@@ -112,7 +116,12 @@
     def _new_view(self, record: ServerRecord, now: float) -> ServerView:
         bucket = full_bucket(self._ramp_share(record, now), now)
         return ServerView.from_record(
-            record, self._service(record), bucket, self._new_estimate(record), now
+            record,
+            self._service(record),
+            bucket,
+            self._new_estimate(record),
+            self.signals,
+            now,
         )
 
     def _new_estimate(self, record: ServerRecord) -> ServerEstimate:
@@ -153,6 +162,35 @@
                 share = self._ramp_share(view.record, now)
                 view.cold_bucket.resize(share, share, now)
 
+    def paused_until(
+        self, service: str, excluded: frozenset[str], now: float
+    ) -> float | None:
+        """Return when the first paused server of a service opens.
+
+        None if a server has no pause, or if it is not known when one will be open.
+        """
+        if not self.signals.has_pauses:
+            return None
+        opens_at = min(
+            (
+                view.opens_at(now)
+                for server_id, view in self.by_id.items()
+                if view.record.service == service
+                and server_id not in excluded
+                and view.record.zone not in self.evacuated_zones
+            ),
+            default=math.inf,
+        )
+        return opens_at if now < opens_at < math.inf else None
+
+    def is_holder_back_soon(self, model: str, adapter: str, now: float) -> bool:
+        """Return whether a paused server with a model is back before a load ends."""
+        return self.signals.has_pauses and any(
+            now < view.opens_at(now) <= now + SHORT_PAUSE_S
+            and view.holds(model, adapter, now)
+            for view in self.by_id.values()
+        )
+
     def forget_request(self, request_id: str) -> None:
         """Drop a request that was cancelled after its assignment: it was not sent."""
         for view in self.by_id.values():
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -14,6 +14,7 @@
 
 from ..gateway.request import AnswerHead, PromptPart, RequestHead, SendPlan
 from ..gateway.servers import ServerLoad
+from ..server_signals.headers import stated_pause_s, states_leaving
 
 REQUEST_ID: Final = "request-id"
 DEADLINE_MS: Final = "deadline-ms"
@@ -154,6 +155,8 @@
         content_type=headers.get(CONTENT_TYPE, "").partition(";")[0].strip().lower(),
         is_encoded=headers.get(CONTENT_ENCODING, "identity").lower() != "identity",
         load=_server_load(headers.get(SERVER_LOAD, "")),
+        is_leaving=states_leaving(headers),
+        retry_after_s=stated_pause_s(status, headers),
     )
 
 
