Put the waiting order and the advice on Retry-After behind abstract classes

Routing sorted the waiting requests itself and computed Retry-After itself, so no other rule could be used. fairness.WaitingOrder and fairness.RetryAdvice now decide both, with the present rules as their first implementations. AssignServer states the team, which later orders need. No change of behaviour; the tests of routing pass unchanged.

--- /dev/null
+++ b/src/siskinspool/fairness/waiting_order.py
@@ -0,0 +1,40 @@
+"""Interface of the order in which waiting requests are offered a server."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class WaitingEntry:
+    """The attributes of a waiting request that determine its turn."""
+
+    request_id: str
+    service: str
+    # Empty if the request has no team.
+    team: str
+    # 0 is the most urgent.
+    priority: int
+    # When it began to wait, in monotonic seconds.
+    since: float
+    # What it takes of its team's share, in tokens.
+    cost: float
+
+
+# Assigns a server to a request; returns False if none is free for it.
+TryServe = Callable[[WaitingEntry], bool]
+
+
+class WaitingOrder(ABC):
+    """Decides which waiting request is offered a server next."""
+
+    @abstractmethod
+    def serve(self, entries: Iterable[WaitingEntry], try_serve: TryServe) -> None:
+        """Call ``try_serve`` once for each entry, the next in turn first."""
+
+    @abstractmethod
+    def record_served(self, entry: WaitingEntry) -> None:
+        """Record a request that got a server on arrival, without waiting."""
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -32,6 +32,8 @@
 
     request_id: str
     service: str
+    # Empty if the request has no team.
+    team: str
     # Empty for a plain service.
     model: str
     adapter: str
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -232,6 +232,7 @@
         call = AssignServer(
             request_id=head.request_id,
             service=admission.service,
+            team=admission.team,
             model=head.model,
             adapter=head.adapter,
             parts=head.parts,
--- a/src/siskinspool/gateway/requester_tracker.py
+++ b/src/siskinspool/gateway/requester_tracker.py
@@ -76,8 +76,7 @@
     def refuse(self, waiting: WaitingRequest, retry_after_s: float, now: float) -> None:
         """Keep the requester of a refused first attempt as pending until it retries."""
         call = waiting.call
-        time_s = call.timeout_s if call.deadline_s is None else call.deadline_s
-        pause_s = min(retry_after_s, (waiting.since + time_s - now) * RETRY_WAIT_RATIO)
+        pause_s = min(retry_after_s, waiting.remaining_s(now) * RETRY_WAIT_RATIO)
         retrying = _RetryingRequester(now + pause_s, now + waiting.reach_s(now))
         if (
             waiting.will_retry
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,6 +25,9 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..fairness.priority_order import PriorityOrder
+from ..fairness.retry_advice import ModelRetryAdvice, RefusedRequest, RetryAdvice
+from ..fairness.waiting_order import WaitingEntry, WaitingOrder
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
@@ -76,7 +79,6 @@
 LOAD_MARGIN_SHARE: Final = 0.25
 # The same share for an in-flight load, whose remaining time is known.
 IN_FLIGHT_LOAD_MARGIN_SHARE: Final = 0.03
-RETRY_AFTER_S: Final = 0.5
 
 
 class Routing(Decision):
@@ -99,6 +101,8 @@
         # The previous leader, whose term may not have ended yet while the next waits.
         self._previous_leader_id: str | None = None
         self._requesters = RequesterTracker()
+        self._order: WaitingOrder = PriorityOrder()
+        self._retry_advice: RetryAdvice = ModelRetryAdvice()
         # When a placement request for each (service, model, adapter) is due again.
         self._next_request_at_by_target: dict[tuple[str, str, str], float] = {}
         self._demand = DemandReporter()
@@ -191,6 +195,7 @@
             self._demand.count_requester(call, now)
         assigned = self._assign(waiting, now)
         if assigned is not None:
+            self._order.record_served(waiting.entry)
             return [assigned]
         self._requesters.add(waiting)
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
@@ -201,17 +206,19 @@
             return []
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         batch: list[Outgoing] = []
-        ordered = sorted(
-            self._requesters.waiting_by_id.values(),
-            key=lambda item: (item.call.priority, item.since),
-        )
-        for waiting in ordered:
+
+        def try_serve(entry: WaitingEntry) -> bool:
+            waiting = self._requesters.waiting_by_id[entry.request_id]
             assigned = self._assign(waiting, now)
-            if assigned is not None:
-                self._requesters.remove(waiting.call.request_id)
-                batch.append(assigned)
-            else:
-                batch += self._request_placement(waiting.call, now)
+            if assigned is None:
+                batch.extend(self._request_placement(waiting.call, now))
+                return False
+            self._requesters.remove(entry.request_id)
+            batch.append(assigned)
+            return True
+
+        waiting_requests = self._requesters.waiting_by_id.values()
+        self._order.serve([item.entry for item in waiting_requests], try_serve)
         return batch
 
     def _assign(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
@@ -290,9 +297,12 @@
         view.record_end(ended.request_id, ended.result, ended.load, now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
-        retry_after_s = RETRY_AFTER_S
-        if waiting.ready_at is not None:
-            retry_after_s = max(waiting.ready_at - now, RETRY_AFTER_S)
+        refused = RefusedRequest(
+            request_id=waiting.call.request_id,
+            ready_at=waiting.ready_at,
+            remaining_s=waiting.remaining_s(now),
+        )
+        retry_after_s = self._retry_advice.retry_after_s(refused, now)
         self._requesters.refuse(waiting, retry_after_s, now)
         log_event(
             logger,
--- a/src/siskinspool/gateway/waiting_request.py
+++ b/src/siskinspool/gateway/waiting_request.py
@@ -5,6 +5,8 @@
 import attrs
 
 from ..core.message import Address
+from ..fairness.request_cost import PLAIN_REQUEST_COST, request_cost
+from ..fairness.waiting_order import WaitingEntry
 from .messages import AssignServer
 
 # Service, model and adapter; the adapter is empty for the base model.
@@ -25,6 +27,19 @@
     ready_at: float | None = None
     # It has been reported to the leader.
     is_reported: bool = False
+    # Its attributes for the waiting order.
+    entry: WaitingEntry = attrs.field(init=False)
+
+    @entry.default
+    def _build_entry(self) -> WaitingEntry:
+        return WaitingEntry(
+            request_id=self.call.request_id,
+            service=self.call.service,
+            team=self.call.team,
+            priority=self.call.priority,
+            since=self.since,
+            cost=_cost(self.call),
+        )
 
     @property
     def target(self) -> TargetKey:
@@ -40,3 +55,18 @@
         """Return how much longer its requester can be served, including a retry."""
         reach_s = self.call.reach_s if self.will_retry else self.call.max_wait_s
         return max(self.since + reach_s - now, 0.0)
+
+    def remaining_s(self, now: float) -> float:
+        """Return how much longer its requester waits in total."""
+        call = self.call
+        time_s = call.timeout_s if call.deadline_s is None else call.deadline_s
+        return self.since + time_s - now
+
+
+def _cost(call: AssignServer) -> float:
+    if not call.model:
+        return PLAIN_REQUEST_COST
+    prompt_tokens = sum(part.tokens for part in call.parts)
+    if not call.parts:
+        prompt_tokens = max(call.tokens - call.output_tokens, 0)
+    return request_cost(prompt_tokens, call.output_tokens)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -217,6 +217,7 @@
     values: dict[str, Any] = {
         "request_id": request_id,
         "service": "writers",
+        "team": "desk",
         "model": "m0",
         "adapter": "",
         "parts": (PromptPart("p1", 800),),
