Share the places of a service fairly between the teams that wait

Waiting requests were ordered by priority and age, so a team's share depended on its number of requests, and most of them waited in the servers' own queues, where the gateways have no say. With fair_queueing on, FairOrder serves the team with the lowest start tag first, counted in cost, and leaves a tenth of the turns to less urgent kinds. A request is held at the gateway while the queue of its server is longer than a quarter of the server's slots, and an arrival does not overtake requests for the same model.

--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,8 +25,10 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..fairness.fair_order import FairOrder
 from ..fairness.priority_order import PriorityOrder
 from ..fairness.retry_advice import ModelRetryAdvice, RefusedRequest, RetryAdvice
+from ..fairness.server_places import ServerPlaces
 from ..fairness.waiting_order import WaitingEntry, WaitingOrder
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
@@ -60,7 +62,7 @@
     ZoneEvacuated,
 )
 from .shared_retry_budget import SharedRetryBudget
-from .waiting_request import WaitingRequest
+from .waiting_request import TargetKey, WaitingRequest
 
 logger = logging.getLogger(__name__)
 
@@ -79,6 +81,9 @@
 LOAD_MARGIN_SHARE: Final = 0.25
 # The same share for an in-flight load, whose remaining time is known.
 IN_FLIGHT_LOAD_MARGIN_SHARE: Final = 0.03
+# Servers are compared by the expected time to a first event, so where this many of the
+# best have no place, a further one is unlikely to be worth the choice.
+MAX_FULL_SERVERS_TRIED: Final = 3
 
 
 class Routing(Decision):
@@ -101,7 +106,10 @@
         # The previous leader, whose term may not have ended yet while the next waits.
         self._previous_leader_id: str | None = None
         self._requesters = RequesterTracker()
-        self._order: WaitingOrder = PriorityOrder()
+        self._order: WaitingOrder = (
+            FairOrder() if scheduling.fair_queueing else PriorityOrder()
+        )
+        self._places = ServerPlaces()
         self._retry_advice: RetryAdvice = ModelRetryAdvice()
         # When a placement request for each (service, model, adapter) is due again.
         self._next_request_at_by_target: dict[tuple[str, str, str], float] = {}
@@ -193,6 +201,10 @@
         waiting = self._requesters.new_request(sender, call, now)
         if waiting.is_fresh:
             self._demand.count_requester(call, now)
+        if self._must_queue(waiting):
+            self._requesters.add(waiting)
+            self._next_check_at = now
+            return []
         assigned = self._assign(waiting, now)
         if assigned is not None:
             self._order.record_served(waiting.entry)
@@ -201,16 +213,29 @@
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         return self._request_placement(call, now)
 
+    def _must_queue(self, arrived: WaitingRequest) -> bool:
+        """Return whether a request must not overtake those that wait already."""
+        if not self._scheduling.fair_queueing:
+            return False
+        waiting_requests = self._requesters.waiting_by_id.values()
+        return any(item.target == arrived.target for item in waiting_requests)
+
     def _serve_waiting(self, now: float) -> list[Outgoing]:
         if not self._requesters.waiting_by_id:
             return []
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         batch: list[Outgoing] = []
+        # Targets that no server can take now, whatever the request excludes.
+        blocked_targets: set[TargetKey] = set()
 
         def try_serve(entry: WaitingEntry) -> bool:
             waiting = self._requesters.waiting_by_id[entry.request_id]
+            if waiting.target in blocked_targets:
+                return False
             assigned = self._assign(waiting, now)
             if assigned is None:
+                if self._scheduling.fair_queueing and not waiting.call.excluded:
+                    blocked_targets.add(waiting.target)
                 batch.extend(self._request_placement(waiting.call, now))
                 return False
             self._requesters.remove(entry.request_id)
@@ -223,12 +248,13 @@
 
     def _assign(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
         call = waiting.call
-        view = self._choose_server(call, now)
+        view = self._choose_server_with_place(call, now)
         if view is None:
             return None
         if view.is_cold(now):
             view.cold_bucket.try_take(1, now)
         view.record_sent(call, now)
+        self._places.record_sent(view.record.server_id, now)
         record = view.record
         log_event(
             logger,
@@ -248,6 +274,21 @@
         )
         return Outgoing(waiting.sender, assigned)
 
+    def _choose_server_with_place(
+        self, call: AssignServer, now: float
+    ) -> ServerView | None:
+        """Return the best server, or None if the best few have no place."""
+        view = self._choose_server(call, now)
+        if not self._scheduling.fair_queueing:
+            return view
+        for _ in range(MAX_FULL_SERVERS_TRIED):
+            if view is None or self._places.is_free(view.record.server_id, now):
+                return view
+            excluded = call.excluded | {view.record.server_id}
+            call = attrs.evolve(call, excluded=excluded)
+            view = self._choose_server(call, now)
+        return None
+
     def _choose_server(self, call: AssignServer, now: float) -> ServerView | None:
         candidates = [
             view
@@ -295,6 +336,9 @@
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
         view.record_end(ended.request_id, ended.result, ended.load, now)
+        if (load := ended.load) is not None:
+            count = load.running + load.waiting
+            self._places.record_load(ended.server_id, count, load.slots, now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         refused = RefusedRequest(
@@ -420,6 +464,7 @@
                 self._views.update_record(record, now)
             case ServerRemoved(server_id):
                 self._views.remove(server_id, now)
+                self._places.forget(server_id)
             case RegistryInterrupted():
                 self._views.is_interrupted = True
             case RegistryListed():
--- /dev/null
+++ b/tests/test_fairness_overload.py
@@ -0,0 +1,63 @@
+"""Overload: who gets the places of a service, and what refused requesters are told."""
+
+from __future__ import annotations
+
+import pytest
+
+from .builders_gateway import scheduling
+from .builders_overload import (
+    OverloadReplay,
+    ReplayResult,
+    Stream,
+    burst_of_patient_kind,
+    flood_of_one_team,
+)
+
+BURST_FROM_S, BURST_TO_S = 2.0, 8.0
+NEIGHBOURS = ("b", "c", "d")
+
+
+def _replay(streams: list[Stream], *, is_fair: bool, gateways: int) -> ReplayResult:
+    settings = scheduling(fair_queueing=is_fair)
+    return OverloadReplay(settings, streams, gateways=gateways).run()
+
+
+@pytest.mark.parametrize("gateways", [1, 4])
+def test_flood_of_one_team_does_not_delay_its_neighbours(gateways: int) -> None:
+    """Guards against one team at 7 times its usual load that takes all places.
+
+    Without the fair order the neighbours wait behind the flood in the servers' queues,
+    and some are refused.
+    """
+    before = _replay(flood_of_one_team(), is_fair=False, gateways=gateways)
+    after = _replay(flood_of_one_team(), is_fair=True, gateways=gateways)
+    for team in NEIGHBOURS:
+        waits_before = before.waits(team, BURST_FROM_S, BURST_TO_S)
+        waits_after = after.waits(team, BURST_FROM_S, BURST_TO_S)
+        assert after.served_share(team, BURST_FROM_S, BURST_TO_S) == 1.0
+        assert before.served_share(team, BURST_FROM_S, BURST_TO_S) < 0.95
+        assert _median(waits_after) < 0.5 < _median(waits_before)
+    # What the neighbours do not need is lent to the flood.
+    ran = after.ran_by_team(BURST_FROM_S, BURST_TO_S)
+    assert sum(ran.values()) >= 0.97 * sum(
+        before.ran_by_team(BURST_FROM_S, BURST_TO_S).values()
+    )
+
+
+@pytest.mark.parametrize("gateways", [1, 4])
+def test_burst_of_a_patient_kind_delays_no_urgent_requests(gateways: int) -> None:
+    """Guards against a patient burst that fills the servers' queues.
+
+    The patient requests are served as well, and the queue is empty soon after.
+    """
+    after = _replay(burst_of_patient_kind(), is_fair=True, gateways=gateways)
+    for team in ("a", *NEIGHBOURS):
+        assert after.served_share(team, BURST_FROM_S, BURST_TO_S) == 1.0
+        assert _median(after.waits(team, BURST_FROM_S, BURST_TO_S)) < 0.5
+    for team in ("p", "q"):
+        assert after.served_share(team, BURST_FROM_S, BURST_TO_S) == 1.0
+    assert after.waiting_at(BURST_TO_S + 6.0) == 0
+
+
+def _median(values: list[float]) -> float:
+    return values[len(values) // 2]
