Share the usage of teams between the gateways

Each gateway sees only a part of each team's load, so a team that arrives at all gateways got a share at each of them. UsageExchange sums the cost per second by team over all gateways: at level n a gateway sends the sum over 2 ** n gateways to the one 2 ** n further on, one message of at most about 300 bytes each 0.25 s, the heaviest teams first. FairOrder charges the teams for it and forgets usage over 3 s. Without news a gateway keeps to its own view.

--- a/src/siskinspool/fairness/fair_order.py
+++ b/src/siskinspool/fairness/fair_order.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Iterable
 from typing import Final
@@ -17,10 +18,13 @@
 
 from .team_tags import TeamTags
 from .urgency_turns import UrgencyTurns
-from .waiting_order import TryServe, WaitingEntry, WaitingOrder
+from .waiting_order import TryServe, UsageClass, WaitingEntry, WaitingOrder
 
 # Tags without effect are removed when more teams than this have one.
 MAX_IDLE_TAGS: Final = 1_024
+# What a team has used is forgotten over about this time, so that news of other gateways
+# that was wrong or has ended does not hold a team back for long.
+USAGE_MEMORY_S: Final = 3.0
 
 
 class _ClassPass:
@@ -119,5 +123,21 @@
         tags = self._order(entry.service).tags(entry.priority)
         tags.charge(entry.team, entry.cost)
 
+    def record_elsewhere(
+        self, usages: Iterable[tuple[UsageClass, str, float]], elapsed_s: float
+    ) -> None:
+        """Charge the teams for what they use at other gateways.
+
+        Both this and the memory apply to the same tags, so that teams which wait here
+        are held to equal usage over all gateways.
+        """
+        factor = math.exp(-elapsed_s / USAGE_MEMORY_S)
+        for order in self._order_by_service.values():
+            for tags in order.tags_by_class.values():
+                tags.shrink_leads(factor)
+        for usage_class, team, cost_per_s in usages:
+            tags = self._order(usage_class.service).tags(usage_class.priority)
+            tags.charge_elsewhere(team, cost_per_s * elapsed_s)
+
     def _order(self, service: str) -> _ServiceOrder:
         return self._order_by_service.setdefault(service, _ServiceOrder())
--- a/src/siskinspool/fairness/priority_order.py
+++ b/src/siskinspool/fairness/priority_order.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from .waiting_order import TryServe, WaitingEntry, WaitingOrder
+from .waiting_order import TryServe, UsageClass, WaitingEntry, WaitingOrder
 
 
 class PriorityOrder(WaitingOrder):
@@ -17,3 +17,8 @@
 
     def record_served(self, entry: WaitingEntry) -> None:
         """Do nothing: what a team has used has no effect."""
+
+    def record_elsewhere(
+        self, usages: Iterable[tuple[UsageClass, str, float]], elapsed_s: float
+    ) -> None:
+        """Do nothing: what a team has used has no effect."""
--- a/src/siskinspool/fairness/team_tags.py
+++ b/src/siskinspool/fairness/team_tags.py
@@ -35,6 +35,19 @@
         self._virtual_time = max(self._virtual_time, tag)
         self._tag_by_team[team] = tag + cost / weight
 
+    def charge_elsewhere(self, team: str, cost: float) -> None:
+        """Advance the tag of a team that has been served at another place.
+
+        The virtual time stays: it is that of the requests served here.
+        """
+        self._tag_by_team[team] = max(self.tag(team), self._virtual_time) + cost
+
+    def shrink_leads(self, factor: float) -> None:
+        """Multiply how far the tags are ahead of the virtual time by a factor."""
+        for team, tag in self._tag_by_team.items():
+            lead = max(tag - self._virtual_time, 0.0)
+            self._tag_by_team[team] = tag - lead * (1.0 - factor)
+
     def drop_idle(self, waiting: Container[str]) -> None:
         """Drop the teams that do not wait and whose tag no longer has an effect."""
         for team, tag in list(self._tag_by_team.items()):
--- a/src/siskinspool/fairness/waiting_order.py
+++ b/src/siskinspool/fairness/waiting_order.py
@@ -11,6 +11,15 @@
 Target = tuple[str, str, str]
 
 
+@attrs.frozen
+class UsageClass:
+    """An urgency class of a service, within which teams share places."""
+
+    service: str
+    # 0 is the most urgent.
+    priority: int
+
+
 @attrs.frozen(kw_only=True)
 class WaitingEntry:
     """The attributes of a waiting request that determine its turn."""
@@ -31,6 +40,11 @@
         """Return the service whose places it waits for."""
         return self.target[0]
 
+    @property
+    def usage_class(self) -> UsageClass:
+        """Return the class in which its team is charged."""
+        return UsageClass(self.service, self.priority)
+
 
 # Assigns a server to a request; returns False if none is free for it.
 TryServe = Callable[[WaitingEntry], bool]
@@ -46,3 +60,12 @@
     @abstractmethod
     def record_served(self, entry: WaitingEntry) -> None:
         """Record a request that got a server on arrival, without waiting."""
+
+    @abstractmethod
+    def record_elsewhere(
+        self, usages: Iterable[tuple[UsageClass, str, float]], elapsed_s: float
+    ) -> None:
+        """Record the cost per second of teams at other gateways for a time.
+
+        It is called regularly, without usages if no news has arrived.
+        """
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -30,6 +30,8 @@
 from ..fairness.overload_control import OverloadControl
 from ..fairness.priority_order import PriorityOrder
 from ..fairness.retry_advice import ModelRetryAdvice, RefusedRequest, RetryAdvice
+from ..fairness.usage_exchange import REPORT_INTERVAL_S, UsageExchange
+from ..fairness.usage_messages import TeamUsageReport
 from ..fairness.waiting_order import WaitingEntry, WaitingOrder
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
@@ -38,6 +40,7 @@
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
+    ROUTING_TASK,
     AssignRefused,
     AssignServer,
     AttemptEnded,
@@ -110,6 +113,7 @@
         self._overload = OverloadControl()
         self._requesters = RequesterTracker(self._overload.kept)
         self._order: WaitingOrder = FairOrder() if self._is_fair else PriorityOrder()
+        self._usage = UsageExchange(instance_id)
         self._retry_advice: RetryAdvice = (
             ExpectedPlaceAdvice() if self._is_fair else ModelRetryAdvice()
         )
@@ -132,6 +136,9 @@
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, now)
                 return []
+            case TeamUsageReport() as report:
+                self._usage.record_report(report, now)
+                return []
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case other:
@@ -143,6 +150,8 @@
         batch = self._serve_waiting(now)
         if self._is_fair:
             batch += self._refuse_hopeless(now)
+            if self._has_other_members() and now >= self._usage.next_at:
+                batch += self._exchange_usage(now)
         for waiting in list(self._requesters.waiting_by_id.values()):
             if waiting.give_up_at <= now:
                 batch.append(self._refuse(waiting, "no server was free in time", now))
@@ -156,6 +165,8 @@
     def wake_at(self) -> float | None:
         """Return when the next action is due."""
         due = min(self._demand.next_at, self._requesters.wake_at())
+        if self._is_fair and self._has_other_members():
+            due = min(due, self._usage.next_at)
         if self._requesters.waiting_by_id:
             soonest = min(
                 item.give_up_at for item in self._requesters.waiting_by_id.values()
@@ -271,6 +282,7 @@
         view.record_sent(call, now)
         if self._is_fair:
             self._overload.places.record_sent(view.record.server_id, now)
+            self._usage.record_served(waiting.entry, now)
             self._overload.forecast.record_served(waiting.entry, now)
             self._overload.record_end(
                 waiting.promise, waiting.since, now, is_served=True
@@ -436,6 +448,19 @@
             )
         ]
 
+    def _has_other_members(self) -> bool:
+        return len(self._views.member_ids) > 1
+
+    def _exchange_usage(self, now: float) -> list[Outgoing]:
+        """Take over what teams use at other gateways, and tell one of them more."""
+        member_ids = self._views.member_ids
+        elsewhere = self._usage.used_elsewhere(len(member_ids), now)
+        self._order.record_elsewhere(elsewhere, REPORT_INTERVAL_S)
+        sent = self._usage.next_report(member_ids, now)
+        if sent is None:
+            return []
+        return [Outgoing(Address(sent.recipient_id, ROUTING_TASK), sent.report)]
+
     # Models
 
     def _request_placement(self, call: AssignServer, now: float) -> list[Outgoing]:
--- a/tests/builders_overload.py
+++ b/tests/builders_overload.py
@@ -31,6 +31,7 @@
 from siskinspool.gateway.routing import Routing
 from siskinspool.gateway.scheduling_settings import SchedulingSettings
 from siskinspool.gateway.servers import ServerLoad
+from siskinspool.links.codec import MsgpackCodec
 
 from .builders_gateway import assign, bounds, desired_state, membership, server
 
@@ -58,6 +59,8 @@
     max_wait_s: float = 4.0
     # Share of the requesters that send three requests each, one after the other.
     repeating_share: float = 0.0
+    # Its requesters use this many of the gateways; None means all.
+    gateways: int | None = None
 
 
 @attrs.define(kw_only=True)
@@ -116,6 +119,10 @@
             if item.ran_at is not None and from_s <= item.ran_at - START_S < to_s
         )
 
+    def bytes_per_s(self, run_s: float) -> float:
+        """Return the greatest rate at which a gateway sent to others."""
+        return max(self.bytes_sent_by_gateway.values(), default=0) / run_s
+
     def waiting_at(self, at_s: float) -> int:
         """Return how many requests waited at the gateways."""
         return self.waiting_by_tenth.get(round(at_s * 10), 0)
@@ -160,7 +167,7 @@
         self._random = random.Random(seed)
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        names = [f"g{number}" for number in range(gateways)]
+        self._names = names = [f"g{number}" for number in range(gateways)]
         self._routing_by_id = {
             name: Routing(name, "a", bounds(cold=None, retry=None), settings)
             for name in names
@@ -173,6 +180,7 @@
         self._waiting_by_tenth: dict[int, int] = {}
         self._refusals: list[tuple[float, float]] = []
         self._bytes: Counter[str] = Counter()
+        self._codec = MsgpackCodec()
         for name in names:
             self._tell(name, desired_state(cold_per_s=0.0))
             self._tell(name, membership(*names))
@@ -240,7 +248,7 @@
     ) -> None:
         stream = requester.stream
         gateway = self._gateway_by_request.setdefault(
-            request_id, self._random.choice(list(self._routing_by_id))
+            request_id, self._random.choice(self._names[: stream.gateways])
         )
         self._requester_by_request[request_id] = requester
         call = assign(
@@ -347,6 +355,8 @@
                     self._at(self._now + HOP_S, later)
                 case message if outgoing.recipient.task == ROUTING_TASK:
                     recipient = outgoing.recipient.instance_id
+                    sender = Address(gateway, ROUTING_TASK)
+                    self._bytes[gateway] += len(self._codec.encode(sender, outgoing))
                     later = partial(self._tell, recipient, message)
                     self._at(self._now + HOP_S, later)
 
@@ -379,3 +389,11 @@
 def immediate_retries() -> list[Stream]:
     """Return 1.4 times the capacity, a third of it in three requests each."""
     return usual_load(11.0, repeating_share=1 / 3)
+
+
+def team_at_one_gateway() -> list[Stream]:
+    """Return a team that floods all gateways and one that needs all of one."""
+    return [
+        Stream(team="a", per_s=60.0, to_s=20.0),
+        Stream(team="b", per_s=20.0, to_s=20.0, gateways=1),
+    ]
