Use the decisions of the package fairness in the other front end's queue

contracts/fair_queue.py had its own start-time fair queueing and its own rule on turns of patient calls. Both front ends now use TeamTags and UrgencyTurns; FairQueue keeps the entries, the deadlines and the limit on its length.

--- a/src/siskinspool/contracts/fair_queue.py
+++ b/src/siskinspool/contracts/fair_queue.py
@@ -1,13 +1,8 @@
 """Fair sharing of a pool's capacity between teams (M3, R3).
 
-The queue uses start-time weighted fair queueing: each team has a start tag, the virtual
-time at which its next entry may start. Popping an entry of cost c advances the tag by
-c / weight, and the team with the lowest tag is next. A team that was idle starts at the
-current virtual time, so it neither accumulates capacity nor waits for entries that
-others queued earlier.
-
-Urgent entries precede patient ones, but while patient entries wait, at least every
-tenth pop is patient. Within a team and class, the earliest deadline comes first.
+The decisions are those of the package `siskinspool.fairness`, weighted by team:
+`TeamTags` decides between teams, and `UrgencyTurns` between urgent and patient entries.
+Within a team and class, the earliest deadline comes first.
 
 A full queue refuses the team that fills it: an entry of a team below its weighted part
 of the capacity displaces the latest entry of the team furthest above its own part.
@@ -19,8 +14,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
-import attrs
-
+from ..fairness.team_tags import TeamTags
+from ..fairness.urgency_turns import UrgencyTurns
 from ..manifest.model import RequestClass
 from .call_queue import (
     AdmissionCheck,
@@ -31,73 +26,66 @@
     ServiceEstimate,
 )
 
-# While patient entries wait, one out of this many pops is patient.
-PATIENT_POP_INTERVAL: Final = 10
-
-
-@attrs.define
-class _TeamQueue:
-    """Entries of one team and class, ordered by deadline."""
-
-    start_tag: float = 0.0
-    # (deadline, arrival number, entry)
-    entries: list[tuple[float, int, QueuedCall]] = attrs.field(factory=list)
+# The urgency classes of the two kinds of calls; 0 is the most urgent.
+URGENCY_BY_CLASS: Final = {RequestClass.URGENT: 0, RequestClass.PATIENT: 1}
+CLASS_BY_URGENCY: Final = {
+    urgency: found for found, urgency in URGENCY_BY_CLASS.items()
+}
 
 
 class _ClassQueue:
-    """Start-time weighted fair queueing within one class."""
+    """The entries of one class by team, each team's ordered by deadline."""
 
     def __init__(self, weight_of: Callable[[str], float]) -> None:
         self._weight_of = weight_of
-        self._virtual_time = 0.0
-        self._queue_by_team: dict[str, _TeamQueue] = {}
+        self._tags = TeamTags()
+        # (deadline, arrival number, entry)
+        self._entries_by_team: dict[str, list[tuple[float, int, QueuedCall]]] = {}
         self.length = 0
 
     def add(self, entry: QueuedCall, number: int) -> None:
-        queue = self._queue_by_team.setdefault(entry.team, _TeamQueue())
-        if not queue.entries:
-            queue.start_tag = max(queue.start_tag, self._virtual_time)
-        insort(queue.entries, (entry.deadline_at, number, entry))
+        entries = self._entries_by_team.setdefault(entry.team, [])
+        if not entries:
+            self._tags.start_waiting(entry.team)
+        insort(entries, (entry.deadline_at, number, entry))
         self.length += 1
 
     def pop(
         self, now: float, admit: Callable[[QueuedCall], bool]
     ) -> tuple[int, QueuedCall] | None:
-        nonempty = [item for item in self._queue_by_team.items() if item[1].entries]
-        for team, queue in sorted(
-            nonempty, key=lambda item: (item[1].start_tag, item[0])
-        ):
-            for index, (deadline, number, entry) in enumerate(queue.entries):
+        teams = sorted(
+            self._entries_by_team, key=lambda team: (self._tags.tag(team), team)
+        )
+        for team in teams:
+            entries = self._entries_by_team[team]
+            for index, (deadline, number, entry) in enumerate(entries):
                 if deadline <= now or not admit(entry):
                     continue
-                del queue.entries[index]
-                self.length -= 1
-                self._virtual_time = max(self._virtual_time, queue.start_tag)
-                queue.start_tag += entry.cost / self._weight_of(team)
-                self._remove_idle_teams()
+                self._delete(team, index)
+                self._tags.charge(team, entry.cost, self._weight_of(team))
+                self._tags.drop_idle(self._entries_by_team)
                 return number, entry
         return None
 
-    def _remove_idle_teams(self) -> None:
-        """Remove idle teams whose start tag no longer has an effect."""
-        for team, queue in list(self._queue_by_team.items()):
-            if not queue.entries and queue.start_tag <= self._virtual_time:
-                del self._queue_by_team[team]
+    def _delete(self, team: str, index: int) -> None:
+        entries = self._entries_by_team[team]
+        del entries[index]
+        if not entries:
+            del self._entries_by_team[team]
+        self.length -= 1
 
     def remove(self, entry: QueuedCall, number: int) -> None:
-        queue = self._queue_by_team[entry.team]
-        index = bisect_left(queue.entries, (entry.deadline_at, number))
-        del queue.entries[index]
-        self.length -= 1
+        entries = self._entries_by_team[entry.team]
+        self._delete(entry.team, bisect_left(entries, (entry.deadline_at, number)))
 
     def latest(self, team: str) -> QueuedCall | None:
         """Return the team's entry with the latest deadline."""
-        queue = self._queue_by_team.get(team)
-        return queue.entries[-1][2] if queue and queue.entries else None
+        entries = self._entries_by_team.get(team)
+        return entries[-1][2] if entries else None
 
     def entries(self) -> Iterator[QueuedCall]:
-        for queue in self._queue_by_team.values():
-            for _, _, entry in queue.entries:
+        for entries in self._entries_by_team.values():
+            for _, _, entry in entries:
                 yield entry
 
 
@@ -116,7 +104,7 @@
         self._numbered_entry_by_id: dict[str, tuple[int, QueuedCall]] = {}
         self._waiting_count_by_team: dict[str, int] = {}
         self._next_number = 1
-        self._pops_since_patient = 0
+        self._turns = UrgencyTurns()
 
     def __len__(self) -> int:
         return len(self._numbered_entry_by_id)
@@ -150,7 +138,7 @@
             and not self._has_waiting_patient()
         ):
             # The interval counts from when the first patient entry starts to wait.
-            self._pops_since_patient = 0
+            self._turns.restart()
         self._queue_by_class[entry.request_class].add(entry, number)
         return CallEnqueued(displaced)
 
@@ -180,22 +168,24 @@
 
         Entries past their deadline are skipped; `expire` returns them for refusal.
         """
-        order = [RequestClass.URGENT, RequestClass.PATIENT]
-        if self._pops_since_patient >= PATIENT_POP_INTERVAL - 1:
-            order.reverse()
-        for request_class in order:
+        for urgency in self._turns.order(URGENCY_BY_CLASS.values()):
+            request_class = CLASS_BY_URGENCY[urgency]
             popped = self._queue_by_class[request_class].pop(now, admit)
             if popped is None:
                 continue
             entry = popped[1]
             self._remove_entry(entry)
-            if request_class is RequestClass.PATIENT:
-                self._pops_since_patient = 0
-            elif self._has_waiting_patient():
-                self._pops_since_patient += 1
+            self._turns.record_served(urgency, self._waiting_urgencies())
             return entry
         return None
 
+    def _waiting_urgencies(self) -> list[int]:
+        return [
+            URGENCY_BY_CLASS[request_class]
+            for request_class, queue in self._queue_by_class.items()
+            if queue.length > 0
+        ]
+
     def _remove_entry(self, entry: QueuedCall) -> None:
         del self._numbered_entry_by_id[entry.call_id]
         self._waiting_count_by_team[entry.team] -= 1
