Hold requests by the expected wait at the server, and keep no share from a team

A share of the slots as the limit held back short calls behind queues of milliseconds, and places kept for retries cost their team its turns while others waited. A request is now held while the server's queue takes more than 0.15 s of work, 0.3 s for the most urgent, by measured run times; a full server without news gets a request as often as the gateway's share of it comes free. Places are kept from first attempts only while no other team waits, since a retry is next in its team's turn anyway. Arrivals behind others are served in batches, and a later send of an attempt claims no second place.

--- a/src/siskinspool/fairness/expected_place_advice.py
+++ b/src/siskinspool/fairness/expected_place_advice.py
@@ -26,7 +26,12 @@
     def retry_after_s(self, refused: RefusedRequest, now: float) -> float:
         """Return the time until a place is expected, or a third of what remains."""
         expected_s = DEFAULT_RETRY_AFTER_S
-        known = [at for at in (refused.ready_at, refused.place_at) if at is not None]
+        # A time that has passed says nothing about the next place.
+        known = [
+            at
+            for at in (refused.ready_at, refused.place_at)
+            if at is not None and at > now
+        ]
         if known:
             expected_s = max(max(known) - now, MIN_RETRY_AFTER_S)
         longest_s = max(refused.remaining_s * MAX_REMAINING_SHARE, MIN_RETRY_AFTER_S)
--- a/src/siskinspool/fairness/server_places.py
+++ b/src/siskinspool/fairness/server_places.py
@@ -1,8 +1,8 @@
 """Whether a server has a place for one more request.
 
-Requests queue at a server in the order in which they arrive there, so a long queue at
-the server takes the order away from the gateways. They therefore hold a request back
-while the queue of the server is longer than the time between two figures requires.
+A server queues what it cannot run yet, in an order that the gateways do not decide.
+They therefore hold a request back while the queue at the server is expected to take
+longer than a short time.
 """
 
 from __future__ import annotations
@@ -11,34 +11,57 @@
 
 import attrs
 
-# Requests that may queue at a server, as a share of its slots. They keep the server
-# busy until the news of a free slot has brought further ones.
-SERVER_QUEUE_SHARE: Final = 0.25
-# A full server whose figure is older than this gets one more request, whose answer
-# brings a new figure.
-FIGURE_TTL_S: Final = 0.3
-# Share of the slots that may be kept for retries. It is not above the share that may
-# queue, so that a kept place that nobody claims leaves no slot idle.
-MAX_KEPT_SHARE: Final = SERVER_QUEUE_SHARE
+# The longest wait in a server's queue for which a request is sent there. It keeps the
+# server busy until the news of a free slot has brought further requests.
+MAX_SERVER_WAIT_S: Final = 0.15
+# The same for the most urgent requests: many servers take these first, and with many
+# gateways news of a free slot may come later than this.
+MAX_URGENT_SERVER_WAIT_S: Final = 0.3
+MOST_URGENT: Final = 0
+# At full load a gateway gets a figure of a server each time its share of the server's
+# slots has run. A full server without news for this many such times gets one request,
+# whose answer brings a new figure. So each gateway gets at least its share of a server,
+# also if others hear of free slots first.
+NEWS_INTERVALS: Final = 1.0
+MIN_FIGURE_TTL_S: Final = 0.1
+MAX_FIGURE_TTL_S: Final = 1.0
+# Weights of a new run time in the average. Run times include the wait in the server's
+# queue, so longer ones count less.
+SHORTER_RUN_WEIGHT: Final = 0.3
+LONGER_RUN_WEIGHT: Final = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class StatedLoad:
+    """The load that a server has stated."""
+
+    server_id: str
+    # Running and waiting requests.
+    count: int
+    slots: int
 
 
 @attrs.define
 class _ServerFigure:
     """The last stated load of a server; times are in monotonic seconds."""
 
-    # Running and waiting requests.
-    count: int
-    slots: int
+    stated: StatedLoad
     at: float
     # Requests that this gateway has sent since.
     sent: int = 0
     probed_at: float = 0.0
 
-    def is_full(self, kept: float = 0.0) -> bool:
-        """Return whether the stated load and the requests sent since fill it."""
-        queue_length = max(self.slots * SERVER_QUEUE_SHARE, 1.0)
-        kept = min(kept, self.slots * MAX_KEPT_SHARE)
-        return self.count + self.sent + kept >= self.slots + queue_length
+    def wait_s(self, run_s: float) -> float:
+        """Return the expected wait in the server's queue."""
+        slots = max(self.stated.slots, 1)
+        queued = self.stated.count + self.sent - slots + 1
+        return max(queued, 0) * run_s / slots
+
+
+@attrs.frozen
+class _SentRequest:
+    service: str
+    at: float
 
 
 class ServerPlaces:
@@ -46,29 +69,71 @@
 
     def __init__(self) -> None:
         self._figure_by_server: dict[str, _ServerFigure] = {}
-
-    def is_free(self, server_id: str, now: float, kept: float = 0.0) -> bool:
+        self._sent_by_request: dict[str, _SentRequest] = {}
+        self._run_s_by_service: dict[str, float] = {}
+        self._gateways = 1
+
+    def set_gateways(self, count: int) -> None:
+        """Set the number of gateways that send to the servers."""
+        self._gateways = max(count, 1)
+
+    def is_free(
+        self,
+        server_id: str,
+        service: str,
+        priority: int,
+        now: float,
+        kept: float = 0.0,
+    ) -> bool:
         """Return whether the server may get one more request.
 
         ``kept`` is the number of its places that are kept for others.
         """
         figure = self._figure_by_server.get(server_id)
-        if figure is None or not figure.is_full(kept):
+        run_s = self._run_s_by_service.get(service)
+        if figure is None or run_s is None:
+            return True
+        is_urgent = priority == MOST_URGENT
+        max_wait_s = MAX_URGENT_SERVER_WAIT_S if is_urgent else MAX_SERVER_WAIT_S
+        # Kept places are taken from the queue, so that they leave no slot idle.
+        kept_s = min(kept * run_s / max(figure.stated.slots, 1), max_wait_s)
+        if figure.wait_s(run_s) <= max_wait_s - kept_s:
             return True
-        return now >= max(figure.at, figure.probed_at) + FIGURE_TTL_S
+        news_s = run_s * self._gateways / max(figure.stated.slots, 1)
+        ttl_s = max(MIN_FIGURE_TTL_S, min(NEWS_INTERVALS * news_s, MAX_FIGURE_TTL_S))
+        return now >= max(figure.at, figure.probed_at) + ttl_s
 
-    def record_sent(self, server_id: str, now: float) -> None:
+    def record_sent(
+        self, request_id: str, server_id: str, service: str, now: float
+    ) -> None:
         """Record that a request is sent to the server."""
+        self._sent_by_request[request_id] = _SentRequest(service, now)
         figure = self._figure_by_server.get(server_id)
+        run_s = self._run_s_by_service.get(service)
         if figure is not None:
-            if figure.is_full():
+            if run_s is not None and figure.wait_s(run_s) > MAX_SERVER_WAIT_S:
                 figure.probed_at = now
             figure.sent += 1
 
-    def record_load(self, server_id: str, count: int, slots: int, now: float) -> None:
-        """Record the stated number of running and waiting requests of a server."""
-        self._figure_by_server[server_id] = _ServerFigure(count, slots, now)
-
-    def forget(self, server_id: str) -> None:
+    def record_end(
+        self, request_id: str, stated: StatedLoad | None, now: float, *, has_run: bool
+    ) -> None:
+        """Record the end of a send, with the load that its answer stated."""
+        sent = self._sent_by_request.pop(request_id, None)
+        if has_run and sent is not None:
+            self._record_run(sent.service, now - sent.at)
+        if stated is not None:
+            self._figure_by_server[stated.server_id] = _ServerFigure(stated, now)
+
+    def _record_run(self, service: str, took_s: float) -> None:
+        known_s = self._run_s_by_service.get(service, took_s)
+        weight = SHORTER_RUN_WEIGHT if took_s < known_s else LONGER_RUN_WEIGHT
+        self._run_s_by_service[service] = known_s + weight * (took_s - known_s)
+
+    def forget_request(self, request_id: str) -> None:
+        """Drop a request that was cancelled before it was sent."""
+        self._sent_by_request.pop(request_id, None)
+
+    def forget_server(self, server_id: str) -> None:
         """Drop the figures of a server that has left."""
         self._figure_by_server.pop(server_id, None)
--- a/src/siskinspool/fairness/waiting_order.py
+++ b/src/siskinspool/fairness/waiting_order.py
@@ -69,3 +69,13 @@
 
         It is called regularly, without usages if no news has arrived.
         """
+
+
+def contended_targets(entries: Iterable[WaitingEntry]) -> frozenset[Target]:
+    """Return the targets for which several teams wait."""
+    team_by_target: dict[Target, str] = {}
+    return frozenset(
+        entry.target
+        for entry in entries
+        if team_by_target.setdefault(entry.target, entry.team) != entry.team
+    )
--- a/src/siskinspool/gateway/requester_tracker.py
+++ b/src/siskinspool/gateway/requester_tracker.py
@@ -74,6 +74,9 @@
         )
 
     def _claim(self, call: AssignServer, now: float) -> Promise | None:
+        if call.repeat or call.excluded:
+            # A later send of an attempt that has had its place.
+            return None
         target = (call.service, call.model, call.adapter)
         return self._kept.claim(PromiseKey(call.team, target), now)
 
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -30,9 +30,10 @@
 from ..fairness.overload_control import OverloadControl
 from ..fairness.priority_order import PriorityOrder
 from ..fairness.retry_advice import ModelRetryAdvice, RefusedRequest, RetryAdvice
+from ..fairness.server_places import StatedLoad
 from ..fairness.usage_exchange import REPORT_INTERVAL_S, UsageExchange
 from ..fairness.usage_messages import TeamUsageReport
-from ..fairness.waiting_order import WaitingEntry, WaitingOrder
+from ..fairness.waiting_order import WaitingEntry, WaitingOrder, contended_targets
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
@@ -79,6 +80,9 @@
 # Waiting requests are checked at least this often, since the end of a server's pause
 # is not signalled.
 WAITING_CHECK_INTERVAL_S: Final = 0.05
+# The same after a request has arrived behind others; it limits how often a long line is
+# gone through.
+QUEUED_CHECK_DELAY_S: Final = 0.01
 # How much longer a load may take than the leader expects: at least this, or a share of
 # the expected time. Waiting without success costs more than an immediate refusal.
 LOAD_MARGIN_S: Final = 0.2
@@ -113,6 +117,8 @@
         self._overload = OverloadControl()
         self._requesters = RequesterTracker(self._overload.kept)
         self._order: WaitingOrder = FairOrder() if self._is_fair else PriorityOrder()
+        # Targets for which several teams wait.
+        self._contended_targets: frozenset[TargetKey] = frozenset()
         self._usage = UsageExchange(instance_id)
         self._retry_advice: RetryAdvice = (
             ExpectedPlaceAdvice() if self._is_fair else ModelRetryAdvice()
@@ -131,6 +137,7 @@
             case RequestCancelled(request_id):
                 self._requesters.remove(request_id)
                 self._views.forget_request(request_id)
+                self._overload.places.forget_request(request_id)
                 return []
             case FirstEventReceived(request_id, server_id):
                 if view := self._views.by_id.get(server_id):
@@ -219,7 +226,8 @@
             self._demand.count_requester(call, now)
         if self._must_queue(waiting):
             self._requesters.add(waiting)
-            self._next_check_at = now
+            due_at = now + QUEUED_CHECK_DELAY_S
+            self._next_check_at = min(self._next_check_at, due_at)
             return []
         assigned = self._assign(waiting, now)
         if assigned is not None:
@@ -258,8 +266,10 @@
             batch.append(assigned)
             return True
 
-        waiting_requests = self._requesters.waiting_by_id.values()
-        self._order.serve([item.entry for item in waiting_requests], try_serve)
+        entries = [item.entry for item in self._requesters.waiting_by_id.values()]
+        if self._is_fair:
+            self._contended_targets = contended_targets(entries)
+        self._order.serve(entries, try_serve)
         return batch
 
     def _is_blocked(self, failed: WaitingRequest, now: float) -> bool:
@@ -269,6 +279,7 @@
         # Places that are kept for its team do not hold back other requests.
         return (
             failed.promise is not None
+            or failed.target in self._contended_targets
             or self._overload.due_count(failed.entry, now) == 0
         )
 
@@ -281,7 +292,9 @@
             view.cold_bucket.try_take(1, now)
         view.record_sent(call, now)
         if self._is_fair:
-            self._overload.places.record_sent(view.record.server_id, now)
+            self._overload.places.record_sent(
+                call.request_id, view.record.server_id, call.service, now
+            )
             self._usage.record_served(waiting.entry, now)
             self._overload.forecast.record_served(waiting.entry, now)
             self._overload.record_end(
@@ -319,16 +332,22 @@
             if view is None:
                 return None
             server_id = view.record.server_id
-            if self._overload.places.is_free(server_id, now, kept):
+            if self._overload.places.is_free(
+                server_id, call.service, call.priority, now, kept
+            ):
                 return view
             call = attrs.evolve(call, excluded=call.excluded | {server_id})
             view = self._choose_server(call, now)
         return None
 
     def _kept_places_per_server(self, waiting: WaitingRequest, now: float) -> float:
-        """Return how many places each server keeps for retries of the same team."""
+        """Return how many places each server keeps for retries of the same team.
+
+        While other teams wait, none: they would get the places, and a retry is next in
+        its team's turn anyway.
+        """
         count = self._overload.due_count(waiting.entry, now)
-        if not count:
+        if not count or waiting.target in self._contended_targets:
             return 0.0
         servers = sum(
             self._may_serve(view, waiting.call, now)
@@ -383,10 +402,19 @@
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
         view.record_end(ended.request_id, ended.result, ended.load, now)
+        if self._is_fair:
+            self._record_place_left(ended, now)
+
+    def _record_place_left(self, ended: AttemptEnded, now: float) -> None:
+        stated = None
         if (load := ended.load) is not None:
             count = load.running + load.waiting
-            places = self._overload.places
-            places.record_load(ended.server_id, count, load.slots, now)
+            stated = StatedLoad(
+                server_id=ended.server_id, count=count, slots=load.slots
+            )
+        has_run = ended.result is AttemptResult.ANSWERED
+        places = self._overload.places
+        places.record_end(ended.request_id, stated, now, has_run=has_run)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         wait_s = self._overload.expected_wait_s(waiting.call.request_id)
@@ -414,6 +442,8 @@
             waited_s=now - waiting.since,
             leader=self._leader_id,
             expected_in_s=None if waiting.ready_at is None else waiting.ready_at - now,
+            place_in_s=wait_s,
+            retry_after_s=retry_after_s,
             detail=detail,
         )
         return Outgoing(
@@ -560,7 +590,7 @@
                 self._views.update_record(record, now)
             case ServerRemoved(server_id):
                 self._views.remove(server_id, now)
-                self._overload.places.forget(server_id)
+                self._overload.places.forget_server(server_id)
             case RegistryInterrupted():
                 self._views.is_interrupted = True
             case RegistryListed():
@@ -571,6 +601,7 @@
                 self._views.set_desired(desired, now)
             case MembershipChanged(member_by_id):
                 self._views.set_members(member_by_id, now)
+                self._overload.places.set_gateways(len(member_by_id))
             case LeaderChanged(leader_id):
                 if self._leader_id is not None:
                     self._previous_leader_id = self._leader_id
--- a/tests/builders_fairness.py
+++ b/tests/builders_fairness.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from siskinspool.fairness.retry_advice import RefusedRequest
+from siskinspool.fairness.server_places import StatedLoad
 from siskinspool.fairness.waiting_order import WaitingEntry, WaitingOrder
 
 TARGET = ("writers", "m0", "")
@@ -37,6 +38,11 @@
     return RefusedRequest(**values | changes)
 
 
+def stated_load(count: int, slots: int = 64) -> StatedLoad:
+    """Return the load of the server ``s1``."""
+    return StatedLoad(server_id="s1", count=count, slots=slots)
+
+
 def serve(
     order: WaitingOrder, waiting: list[WaitingEntry], places: int
 ) -> list[WaitingEntry]:
