Put what routing does under overload behind one abstract class

OverloadPolicy now holds the waiting order, the advice and the places, with PriorityPolicy for the behaviour with the flag off and FairPolicy for fair queueing.

--- a/src/siskinspool/fairness/kept_places.py
+++ b/src/siskinspool/fairness/kept_places.py
@@ -18,10 +18,9 @@
 
 import attrs
 
+from .promise import Promise
 from .waiting_order import Target
 
-# A place is kept for this long after the promised time.
-KEEP_S: Final = 1.0
 # A retry this much before the promised time still claims its place.
 EARLY_S: Final = 0.25
 # A claimed place must be given within this time after the retry's arrival.
@@ -40,23 +39,6 @@
     REFUSED = "promise_broken_refused"
 
 
-@attrs.frozen
-class Promise:
-    """A time at which a refused requester was told to come back."""
-
-    # When its refused attempt began to wait.
-    since: float
-    due_at: float
-
-    def is_open(self, now: float) -> bool:
-        """Return whether a retry may still claim the place."""
-        return now <= self.due_at + KEEP_S
-
-    def is_due(self, now: float) -> bool:
-        """Return whether the place is kept at this time."""
-        return self.due_at <= now <= self.due_at + KEEP_S
-
-
 @attrs.frozen
 class PromiseKey:
     """The team and target whose places are kept."""
--- a/src/siskinspool/fairness/server_places.py
+++ b/src/siskinspool/fairness/server_places.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from .waiting_order import WaitingEntry
+
 # The longest wait in a server's queue for which a request is sent there. It keeps the
 # server busy until the news of a free slot has brought further requests.
 MAX_SERVER_WAIT_S: Final = 0.15
@@ -80,8 +82,7 @@
     def is_free(
         self,
         server_id: str,
-        service: str,
-        priority: int,
+        entry: WaitingEntry,
         now: float,
         kept: float = 0.0,
     ) -> bool:
@@ -90,10 +91,10 @@
         ``kept`` is the number of its places that are kept for others.
         """
         figure = self._figure_by_server.get(server_id)
-        run_s = self._run_s_by_service.get(service)
+        run_s = self._run_s_by_service.get(entry.service)
         if figure is None or run_s is None:
             return True
-        is_urgent = priority == MOST_URGENT
+        is_urgent = entry.priority == MOST_URGENT
         max_wait_s = MAX_URGENT_SERVER_WAIT_S if is_urgent else MAX_SERVER_WAIT_S
         # Kept places are taken from the queue, so that they leave no slot idle.
         kept_s = min(kept * run_s / max(figure.stated.slots, 1), max_wait_s)
@@ -103,11 +104,10 @@
         ttl_s = max(MIN_FIGURE_TTL_S, min(NEWS_INTERVALS * news_s, MAX_FIGURE_TTL_S))
         return now >= max(figure.at, figure.probed_at) + ttl_s
 
-    def record_sent(
-        self, request_id: str, server_id: str, service: str, now: float
-    ) -> None:
+    def record_sent(self, entry: WaitingEntry, server_id: str, now: float) -> None:
         """Record that a request is sent to the server."""
-        self._sent_by_request[request_id] = _SentRequest(service, now)
+        service = entry.service
+        self._sent_by_request[entry.request_id] = _SentRequest(service, now)
         figure = self._figure_by_server.get(server_id)
         run_s = self._run_s_by_service.get(service)
         if figure is not None:
--- a/src/siskinspool/fairness/waiting_order.py
+++ b/src/siskinspool/fairness/waiting_order.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from .promise import Promise
+
 # Service, model and adapter.
 Target = tuple[str, str, str]
 
@@ -30,10 +32,17 @@
     team: str
     # 0 is the most urgent.
     priority: int
-    # When it began to wait, in monotonic seconds.
-    since: float
+    # In monotonic seconds.
+    arrived_at: float
     # What it takes of its team's share, in tokens.
     cost: float
+    # The place kept for it, if an earlier attempt was promised one.
+    promise: Promise | None = None
+
+    @property
+    def since(self) -> float:
+        """Return when it, or the attempt before it, began to wait."""
+        return self.arrived_at if self.promise is None else self.promise.since
 
     @property
     def service(self) -> str:
--- a/src/siskinspool/gateway/requester_tracker.py
+++ b/src/siskinspool/gateway/requester_tracker.py
@@ -15,7 +15,8 @@
 import attrs
 
 from ..core.message import Address
-from ..fairness.kept_places import KeptPlaces, Promise, PromiseKey
+from ..fairness.overload_policy import OverloadPolicy
+from ..fairness.promise import Promise
 from .deadline_tracker import DeadlineTracker
 from .messages import AssignServer, RequestersReport
 from .request_time import RETRY_WAIT_RATIO
@@ -48,13 +49,13 @@
 class RequesterTracker:
     """Tracks the pending requesters of one gateway; times are in seconds."""
 
-    def __init__(self, kept: KeptPlaces) -> None:
-        """Initialize with the places that are kept for later attempts."""
+    def __init__(self, policy: OverloadPolicy) -> None:
+        """Initialize with the policy that keeps places for later attempts."""
         self.waiting_by_id: dict[str, WaitingRequest] = {}
         self._retrying_by_target: dict[TargetKey, list[_RetryingRequester]] = {}
         self._report_by_target: dict[TargetKey, _LeaderReport] = {}
         self._deadlines = DeadlineTracker()
-        self._kept = kept
+        self._policy = policy
 
     def new_request(
         self, sender: Address, call: AssignServer, now: float
@@ -78,7 +79,7 @@
             # A later send of an attempt that has had its place.
             return None
         target = (call.service, call.model, call.adapter)
-        return self._kept.claim(PromiseKey(call.team, target), now)
+        return self._policy.claim(call.team, target, now)
 
     def add(self, waiting: WaitingRequest) -> None:
         """Track a request that waits for a server."""
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,15 +25,13 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
-from ..fairness.expected_place_advice import ExpectedPlaceAdvice
-from ..fairness.fair_order import FairOrder
-from ..fairness.overload_control import OverloadControl
-from ..fairness.priority_order import PriorityOrder
-from ..fairness.retry_advice import ModelRetryAdvice, RefusedRequest, RetryAdvice
+from ..fairness.fair_policy import FairPolicy
+from ..fairness.overload_policy import OverloadPolicy
+from ..fairness.priority_policy import PriorityPolicy
+from ..fairness.retry_advice import RefusedRequest
 from ..fairness.server_places import StatedLoad
-from ..fairness.usage_exchange import REPORT_INTERVAL_S, UsageExchange
 from ..fairness.usage_messages import TeamUsageReport
-from ..fairness.waiting_order import WaitingEntry, WaitingOrder, contended_targets
+from ..fairness.waiting_order import WaitingEntry
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
@@ -113,16 +111,10 @@
         self._leader_id: str | None = None
         # The previous leader, whose term may not have ended yet while the next waits.
         self._previous_leader_id: str | None = None
-        self._is_fair = scheduling.fair_queueing
-        self._overload = OverloadControl()
-        self._requesters = RequesterTracker(self._overload.kept)
-        self._order: WaitingOrder = FairOrder() if self._is_fair else PriorityOrder()
-        # Targets for which several teams wait.
-        self._contended_targets: frozenset[TargetKey] = frozenset()
-        self._usage = UsageExchange(instance_id)
-        self._retry_advice: RetryAdvice = (
-            ExpectedPlaceAdvice() if self._is_fair else ModelRetryAdvice()
+        self._policy: OverloadPolicy = (
+            FairPolicy(instance_id) if scheduling.fair_queueing else PriorityPolicy()
         )
+        self._requesters = RequesterTracker(self._policy)
         # When a placement request for each (service, model, adapter) is due again.
         self._next_request_at_by_target: dict[tuple[str, str, str], float] = {}
         self._demand = DemandReporter()
@@ -137,14 +129,14 @@
             case RequestCancelled(request_id):
                 self._requesters.remove(request_id)
                 self._views.forget_request(request_id)
-                self._overload.places.forget_request(request_id)
+                self._policy.forget_request(request_id)
                 return []
             case FirstEventReceived(request_id, server_id):
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, now)
                 return []
             case TeamUsageReport() as report:
-                self._usage.record_report(report, now)
+                self._policy.record_report(report, now)
                 return []
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
@@ -155,10 +147,8 @@
     def on_time(self, now: float) -> list[Outgoing]:
         """Serve or refuse waiting requests and report the demand."""
         batch = self._serve_waiting(now)
-        if self._is_fair:
-            batch += self._refuse_hopeless(now)
-            if self._has_other_members() and now >= self._usage.next_at:
-                batch += self._exchange_usage(now)
+        batch += self._refuse_hopeless(now)
+        batch += self._exchange_usage(now)
         for waiting in list(self._requesters.waiting_by_id.values()):
             if waiting.give_up_at <= now:
                 batch.append(self._refuse(waiting, "no server was free in time", now))
@@ -171,9 +161,11 @@
 
     def wake_at(self) -> float | None:
         """Return when the next action is due."""
-        due = min(self._demand.next_at, self._requesters.wake_at())
-        if self._is_fair and self._has_other_members():
-            due = min(due, self._usage.next_at)
+        due = min(
+            self._demand.next_at,
+            self._requesters.wake_at(),
+            self._policy.next_exchange_at,
+        )
         if self._requesters.waiting_by_id:
             soonest = min(
                 item.give_up_at for item in self._requesters.waiting_by_id.values()
@@ -203,7 +195,7 @@
         return {
             "routing.servers": float(len(self._views.by_id)),
             "routing.waiting": float(len(self._requesters.waiting_by_id)),
-            **self._overload.gauges(),
+            **self._policy.gauges(),
         }
 
     # Requests
@@ -224,25 +216,21 @@
         waiting = self._requesters.new_request(sender, call, now)
         if waiting.is_fresh:
             self._demand.count_requester(call, now)
-        if self._must_queue(waiting):
+        if self._policy.must_queue(waiting.entry, self._waiting_entries()):
             self._requesters.add(waiting)
             due_at = now + QUEUED_CHECK_DELAY_S
             self._next_check_at = min(self._next_check_at, due_at)
             return []
         assigned = self._assign(waiting, now)
         if assigned is not None:
-            self._order.record_served(waiting.entry)
+            self._policy.order.record_served(waiting.entry)
             return [assigned]
         self._requesters.add(waiting)
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         return self._request_placement(call, now)
 
-    def _must_queue(self, arrived: WaitingRequest) -> bool:
-        """Return whether a request must not overtake those that wait already."""
-        if not self._is_fair:
-            return False
-        waiting_requests = self._requesters.waiting_by_id.values()
-        return any(item.target == arrived.target for item in waiting_requests)
+    def _waiting_entries(self) -> list[WaitingEntry]:
+        return [item.entry for item in self._requesters.waiting_by_id.values()]
 
     def _serve_waiting(self, now: float) -> list[Outgoing]:
         if not self._requesters.waiting_by_id:
@@ -258,7 +246,7 @@
                 return False
             assigned = self._assign(waiting, now)
             if assigned is None:
-                if self._is_blocked(waiting, now):
+                if not waiting.call.excluded and self._policy.blocks_target(entry, now):
                     blocked_targets.add(waiting.target)
                 batch.extend(self._request_placement(waiting.call, now))
                 return False
@@ -266,23 +254,11 @@
             batch.append(assigned)
             return True
 
-        entries = [item.entry for item in self._requesters.waiting_by_id.values()]
-        if self._is_fair:
-            self._contended_targets = contended_targets(entries)
-        self._order.serve(entries, try_serve)
+        entries = self._waiting_entries()
+        self._policy.start_pass(entries)
+        self._policy.order.serve(entries, try_serve)
         return batch
 
-    def _is_blocked(self, failed: WaitingRequest, now: float) -> bool:
-        """Return whether what has no server leaves none for its target at all."""
-        if not self._is_fair or failed.call.excluded:
-            return False
-        # Places that are kept for its team do not hold back other requests.
-        return (
-            failed.promise is not None
-            or failed.target in self._contended_targets
-            or self._overload.due_count(failed.entry, now) == 0
-        )
-
     def _assign(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
         call = waiting.call
         view = self._choose_server_with_place(waiting, now)
@@ -291,15 +267,7 @@
         if view.is_cold(now):
             view.cold_bucket.try_take(1, now)
         view.record_sent(call, now)
-        if self._is_fair:
-            self._overload.places.record_sent(
-                call.request_id, view.record.server_id, call.service, now
-            )
-            self._usage.record_served(waiting.entry, now)
-            self._overload.forecast.record_served(waiting.entry, now)
-            self._overload.record_end(
-                waiting.promise, waiting.since, now, is_served=True
-            )
+        self._policy.record_sent(waiting.entry, view.record.server_id, now)
         record = view.record
         log_event(
             logger,
@@ -324,37 +292,21 @@
     ) -> ServerView | None:
         """Return the best server, or None if the best few have no place."""
         call = waiting.call
-        view = self._choose_server(call, now)
-        if not self._is_fair:
-            return view
-        kept = 0.0 if waiting.promise else self._kept_places_per_server(waiting, now)
+
+        def count_servers() -> int:
+            views = self._views.by_id.values()
+            return sum(self._may_serve(view, waiting.call, now) for view in views)
+
         for _ in range(MAX_FULL_SERVERS_TRIED):
+            view = self._choose_server(call, now)
             if view is None:
                 return None
             server_id = view.record.server_id
-            if self._overload.places.is_free(
-                server_id, call.service, call.priority, now, kept
-            ):
+            if self._policy.has_place(server_id, waiting.entry, count_servers, now):
                 return view
             call = attrs.evolve(call, excluded=call.excluded | {server_id})
-            view = self._choose_server(call, now)
         return None
 
-    def _kept_places_per_server(self, waiting: WaitingRequest, now: float) -> float:
-        """Return how many places each server keeps for retries of the same team.
-
-        While other teams wait, none: they would get the places, and a retry is next in
-        its team's turn anyway.
-        """
-        count = self._overload.due_count(waiting.entry, now)
-        if not count or waiting.target in self._contended_targets:
-            return 0.0
-        servers = sum(
-            self._may_serve(view, waiting.call, now)
-            for view in self._views.by_id.values()
-        )
-        return count / max(servers, 1)
-
     def _choose_server(self, call: AssignServer, now: float) -> ServerView | None:
         candidates = [
             view
@@ -402,10 +354,6 @@
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
         view.record_end(ended.request_id, ended.result, ended.load, now)
-        if self._is_fair:
-            self._record_place_left(ended, now)
-
-    def _record_place_left(self, ended: AttemptEnded, now: float) -> None:
         stated = None
         if (load := ended.load) is not None:
             count = load.running + load.waiting
@@ -413,24 +361,20 @@
                 server_id=ended.server_id, count=count, slots=load.slots
             )
         has_run = ended.result is AttemptResult.ANSWERED
-        places = self._overload.places
-        places.record_end(ended.request_id, stated, now, has_run=has_run)
+        self._policy.record_end(ended.request_id, stated, now, has_run=has_run)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
-        wait_s = self._overload.expected_wait_s(waiting.call.request_id)
+        wait_s = self._policy.expected_wait_s(waiting.call.request_id)
         refused = RefusedRequest(
             request_id=waiting.call.request_id,
             ready_at=waiting.ready_at,
             place_at=None if wait_s is None else now + wait_s,
             remaining_s=waiting.remaining_s(now),
         )
-        retry_after_s = self._retry_advice.retry_after_s(refused, now)
-        if self._is_fair:
-            self._overload.record_end(
-                waiting.promise, waiting.since, now, is_served=False
-            )
-            if waiting.will_retry:
-                self._overload.make_promise(waiting.entry, retry_after_s, now)
+        retry_after_s = self._policy.advice.retry_after_s(refused, now)
+        self._policy.record_refused(
+            waiting.entry, retry_after_s, now, will_retry=waiting.will_retry
+        )
         self._requesters.refuse(waiting, retry_after_s, now)
         log_event(
             logger,
@@ -453,7 +397,7 @@
 
     def _refuse_hopeless(self, now: float) -> list[Outgoing]:
         """Refuse the requests that get no place before they give up."""
-        if not self._overload.is_forecast_due(now):
+        if not self._policy.is_forecast_due(now):
             return []
         waiting_requests = list(self._requesters.waiting_by_id.values())
         call_by_target = {waiting.target: waiting.call for waiting in waiting_requests}
@@ -469,24 +413,20 @@
             for waiting in waiting_requests
             if waiting.target in held_targets
         ]
-        self._overload.update_forecast(held, now)
+        self._policy.update_forecast(held, now)
         return [
             self._refuse(waiting, "no place is expected in time", now)
             for waiting in waiting_requests
-            if self._overload.is_hopeless(
+            if self._policy.is_hopeless(
                 waiting.call.request_id, waiting.give_up_at, now
             )
         ]
 
-    def _has_other_members(self) -> bool:
-        return len(self._views.member_ids) > 1
-
     def _exchange_usage(self, now: float) -> list[Outgoing]:
-        """Take over what teams use at other gateways, and tell one of them more."""
-        member_ids = self._views.member_ids
-        elsewhere = self._usage.used_elsewhere(len(member_ids), now)
-        self._order.record_elsewhere(elsewhere, REPORT_INTERVAL_S)
-        sent = self._usage.next_report(member_ids, now)
+        """Tell another gateway what teams use."""
+        if now < self._policy.next_exchange_at:
+            return []
+        sent = self._policy.exchange_usage(now)
         if sent is None:
             return []
         return [Outgoing(Address(sent.recipient_id, ROUTING_TASK), sent.report)]
@@ -590,7 +530,7 @@
                 self._views.update_record(record, now)
             case ServerRemoved(server_id):
                 self._views.remove(server_id, now)
-                self._overload.places.forget_server(server_id)
+                self._policy.forget_server(server_id)
             case RegistryInterrupted():
                 self._views.is_interrupted = True
             case RegistryListed():
@@ -601,7 +541,7 @@
                 self._views.set_desired(desired, now)
             case MembershipChanged(member_by_id):
                 self._views.set_members(member_by_id, now)
-                self._overload.places.set_gateways(len(member_by_id))
+                self._policy.set_members(self._views.member_ids)
             case LeaderChanged(leader_id):
                 if self._leader_id is not None:
                     self._previous_leader_id = self._leader_id
--- a/src/siskinspool/gateway/waiting_request.py
+++ b/src/siskinspool/gateway/waiting_request.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..core.message import Address
-from ..fairness.kept_places import Promise
+from ..fairness.promise import Promise
 from ..fairness.request_cost import PLAIN_REQUEST_COST, request_cost
 from ..fairness.waiting_order import Target, WaitingEntry
 from .messages import AssignServer
@@ -40,8 +40,9 @@
             target=self.target,
             team=self.call.team,
             priority=self.call.priority,
-            since=self.since if self.promise is None else self.promise.since,
+            arrived_at=self.since,
             cost=_cost(self.call),
+            promise=self.promise,
         )
 
     @property
--- a/tests/builders_fairness.py
+++ b/tests/builders_fairness.py
@@ -21,7 +21,7 @@
         "target": TARGET,
         "team": team,
         "priority": 0,
-        "since": float(number),
+        "arrived_at": float(number),
         "cost": 1.0,
     }
     return WaitingEntry(**values | changes)
--- a/tests/test_fairness_decisions.py
+++ b/tests/test_fairness_decisions.py
@@ -10,13 +10,9 @@
 
 from siskinspool.fairness.expected_place_advice import ExpectedPlaceAdvice
 from siskinspool.fairness.fair_order import FairOrder
-from siskinspool.fairness.kept_places import (
-    KEEP_S,
-    KeptPlaces,
-    Promise,
-    PromiseKey,
-)
+from siskinspool.fairness.kept_places import KeptPlaces, PromiseKey
 from siskinspool.fairness.place_forecast import Line, PlaceForecast
+from siskinspool.fairness.promise import KEEP_S, Promise
 from siskinspool.fairness.server_places import MIN_FIGURE_TTL_S, ServerPlaces
 from siskinspool.fairness.urgency_turns import LESS_URGENT_INTERVAL
 
@@ -151,13 +147,13 @@
 def test_full_server_gets_single_requests_until_it_states_a_free_place() -> None:
     """Guards against a server that stays unused because its last figure was full."""
     places = ServerPlaces()
-    places.record_sent("r0", "s1", "writers", 9.0)
+    places.record_sent(waiting_entry(request_id="r0"), "s1", 9.0)
     assert _is_free(places, 9.5)
     # 18 more than the slots wait; a run takes 1 s.
     places.record_end("r0", stated_load(82), 10.0, has_run=True)
     assert not _is_free(places, 10.05)
     assert _is_free(places, 10.0 + MIN_FIGURE_TTL_S)
-    places.record_sent("r1", "s1", "writers", 10.2)
+    places.record_sent(waiting_entry(request_id="r1"), "s1", 10.2)
     assert not _is_free(places, 10.25)
     # 0.125 s of work wait.
     places.record_end("r1", stated_load(71), 10.6, has_run=False)
@@ -165,14 +161,14 @@
     assert not _is_free(places, 10.6, kept=3.0)
     assert _is_free(places, 10.6, priority=0, kept=3.0)
     for number in range(3):
-        places.record_sent(f"r{number + 2}", "s1", "writers", 10.6)
+        places.record_sent(waiting_entry(request_id=f"r{number + 2}"), "s1", 10.6)
     assert not _is_free(places, 10.65)
 
 
 def test_short_queue_of_short_calls_holds_nothing_back() -> None:
     """Guards against short calls that wait for news of a server with little to do."""
     places = ServerPlaces()
-    places.record_sent("r0", "s1", "writers", 9.985)
+    places.record_sent(waiting_entry(request_id="r0"), "s1", 9.985)
     places.record_end("r0", stated_load(30, slots=6), 10.0, has_run=True)
     assert _is_free(places, 10.0)
 
@@ -180,4 +176,4 @@
 def _is_free(
     places: ServerPlaces, now: float, *, priority: int = 1, kept: float = 0.0
 ) -> bool:
-    return places.is_free("s1", "writers", priority, now, kept)
+    return places.is_free("s1", waiting_entry(priority=priority), now, kept)
