Choose among all servers that have a place

Only the three servers with the lowest expected time were asked for a place. With many servers these were often ones whose figure was old, so slots elsewhere stayed idle while requests waited. The servers without a place are now left out before the choice; a full server still counts as better than one at which the request has failed.

--- a/src/siskinspool/fairness/fair_policy.py
+++ b/src/siskinspool/fairness/fair_policy.py
@@ -64,17 +64,13 @@
         """Note for which targets several teams wait."""
         self._contended = contended_targets(waiting)
 
-    def has_place(
-        self,
-        server_id: str,
-        entry: WaitingEntry,
-        count_servers: Callable[[], int],
-        now: float,
-    ) -> bool:
-        """Return whether a server's queue is short enough for a request."""
+    def full_servers(
+        self, entry: WaitingEntry, count_servers: Callable[[], int], now: float
+    ) -> frozenset[str]:
+        """Return the servers whose queue is too long for a request."""
         kept = self._kept_count(entry, now)
-        kept_here = kept / max(count_servers(), 1) if kept else 0.0
-        return self._places.is_free(server_id, entry, now, kept_here)
+        kept_each = kept / max(count_servers(), 1) if kept else 0.0
+        return self._places.full_servers(entry, now, kept_each)
 
     def blocks_target(self, failed: WaitingEntry, now: float) -> bool:
         """Return whether it had no place for other reasons than kept ones."""
--- a/src/siskinspool/fairness/overload_policy.py
+++ b/src/siskinspool/fairness/overload_policy.py
@@ -44,14 +44,10 @@
         """Prepare for offering servers to all waiting requests."""
 
     @abstractmethod
-    def has_place(
-        self,
-        server_id: str,
-        entry: WaitingEntry,
-        count_servers: Callable[[], int],
-        now: float,
-    ) -> bool:
-        """Return whether a server has a place for a request.
+    def full_servers(
+        self, entry: WaitingEntry, count_servers: Callable[[], int], now: float
+    ) -> frozenset[str]:
+        """Return the servers that have no place for a request.
 
         ``count_servers`` returns how many servers could serve it.
         """
--- a/src/siskinspool/fairness/priority_policy.py
+++ b/src/siskinspool/fairness/priority_policy.py
@@ -41,15 +41,11 @@
     def start_pass(self, waiting: Iterable[WaitingEntry]) -> None:
         """Do nothing."""
 
-    def has_place(
-        self,
-        server_id: str,
-        entry: WaitingEntry,
-        count_servers: Callable[[], int],
-        now: float,
-    ) -> bool:
-        """Return True: an open server has a place."""
-        return True
+    def full_servers(
+        self, entry: WaitingEntry, count_servers: Callable[[], int], now: float
+    ) -> frozenset[str]:
+        """Return none: an open server has a place."""
+        return frozenset()
 
     def blocks_target(self, failed: WaitingEntry, now: float) -> bool:
         """Return False: each request is tried on its own."""
--- a/src/siskinspool/fairness/server_places.py
+++ b/src/siskinspool/fairness/server_places.py
@@ -104,6 +104,16 @@
         ttl_s = max(MIN_FIGURE_TTL_S, min(NEWS_INTERVALS * news_s, MAX_FIGURE_TTL_S))
         return now >= max(figure.at, figure.probed_at) + ttl_s
 
+    def full_servers(
+        self, entry: WaitingEntry, now: float, kept: float = 0.0
+    ) -> frozenset[str]:
+        """Return the servers that may not get one more request."""
+        return frozenset(
+            server_id
+            for server_id in self._figure_by_server
+            if not self.is_free(server_id, entry, now, kept)
+        )
+
     def record_sent(self, entry: WaitingEntry, server_id: str, now: float) -> None:
         """Record that a request is sent to the server."""
         service = entry.service
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -87,9 +87,6 @@
 LOAD_MARGIN_SHARE: Final = 0.25
 # The same share for an in-flight load, whose remaining time is known.
 IN_FLIGHT_LOAD_MARGIN_SHARE: Final = 0.03
-# Servers are compared by the expected time to a first event, so where this many of the
-# best have no place, a further one is unlikely to be worth the choice.
-MAX_FULL_SERVERS_TRIED: Final = 3
 
 
 class Routing(Decision):
@@ -290,22 +287,23 @@
     def _choose_server_with_place(
         self, waiting: WaitingRequest, now: float
     ) -> ServerView | None:
-        """Return the best server, or None if the best few have no place."""
+        """Return the best server that has a place, or None if there is none."""
         call = waiting.call
 
         def count_servers() -> int:
             views = self._views.by_id.values()
-            return sum(self._may_serve(view, waiting.call, now) for view in views)
-
-        for _ in range(MAX_FULL_SERVERS_TRIED):
-            view = self._choose_server(call, now)
-            if view is None:
-                return None
-            server_id = view.record.server_id
-            if self._policy.has_place(server_id, waiting.entry, count_servers, now):
-                return view
-            call = attrs.evolve(call, excluded=call.excluded | {server_id})
-        return None
+            return sum(self._may_serve(view, call, now) for view in views)
+
+        full = self._policy.full_servers(waiting.entry, count_servers, now)
+        if not full:
+            return self._choose_server(call, now)
+        excluded = attrs.evolve(call, excluded=call.excluded | full)
+        view = self._choose_server(excluded, now)
+        if view is None or view.record.server_id not in call.avoided:
+            return view
+        # A full server is better than one at which the request has failed.
+        best = self._choose_server(call, now)
+        return view if best is view else None
 
     def _choose_server(self, call: AssignServer, now: float) -> ServerView | None:
         candidates = [
--- a/tests/builders_overload.py
+++ b/tests/builders_overload.py
@@ -407,3 +407,8 @@
         Stream(team="a", per_s=60.0, to_s=20.0),
         Stream(team="b", per_s=20.0, to_s=20.0, gateways=1),
     ]
+
+
+def scaled(streams: list[Stream], factor: int) -> list[Stream]:
+    """Return streams with a multiple of their rates."""
+    return [attrs.evolve(stream, per_s=stream.per_s * factor) for stream in streams]
--- a/tests/test_fairness_overload.py
+++ b/tests/test_fairness_overload.py
@@ -12,6 +12,7 @@
     burst_of_patient_kind,
     flood_of_one_team,
     immediate_retries,
+    scaled,
 )
 
 BURST_FROM_S, BURST_TO_S = 2.0, 8.0
@@ -89,3 +90,19 @@
     )
     assert after.gauges["routing.promise_kept"] > 10
     assert broken <= 0.1 * after.gauges["routing.promise_kept"]
+
+
+def test_no_slot_is_idle_while_requests_wait_at_many_servers() -> None:
+    """Guards against requests held back by old figures of a few servers.
+
+    With 12 gateways and 24 servers, each gateway has two thirds of a slot at a server
+    and hears of each only now and then.
+    """
+    streams = scaled(flood_of_one_team(), 12)
+    ran_by_flag = {}
+    for is_fair in (False, True):
+        settings = scheduling(fair_queueing=is_fair)
+        replay = OverloadReplay(settings, streams, gateways=12, servers=24)
+        result = replay.run(until_s=9.0)
+        ran_by_flag[is_fair] = result.ran_by_team(BURST_FROM_S, BURST_TO_S).total()
+    assert ran_by_flag[True] >= 0.99 * ran_by_flag[False]
