Bring the load stated at the start of a stream up to date

A stream's server states its load with the first event, but routing hears it at the end, so the figure is as old as the stream. ServerPlaces now adds the change of this gateway's own requests at the server since the first event.

--- a/src/siskinspool/fairness/fair_policy.py
+++ b/src/siskinspool/fairness/fair_policy.py
@@ -94,6 +94,10 @@
         if entry.promise is not None:
             self._kept.record_end(entry.arrived_at, now, is_served=True)
 
+    def record_first_event(self, request_id: str) -> None:
+        """Record the first event of a stream."""
+        self._places.record_first_event(request_id)
+
     def record_end(
         self, request_id: str, stated: StatedLoad | None, now: float, *, has_run: bool
     ) -> None:
--- a/src/siskinspool/fairness/overload_policy.py
+++ b/src/siskinspool/fairness/overload_policy.py
@@ -60,6 +60,10 @@
     def record_sent(self, entry: WaitingEntry, server_id: str, now: float) -> None:
         """Record that a request is sent to a server."""
 
+    @abstractmethod
+    def record_first_event(self, request_id: str) -> None:
+        """Record the first event of a stream."""
+
     @abstractmethod
     def record_end(
         self, request_id: str, stated: StatedLoad | None, now: float, *, has_run: bool
--- a/src/siskinspool/fairness/priority_policy.py
+++ b/src/siskinspool/fairness/priority_policy.py
@@ -54,6 +54,9 @@
     def record_sent(self, entry: WaitingEntry, server_id: str, now: float) -> None:
         """Do nothing."""
 
+    def record_first_event(self, request_id: str) -> None:
+        """Do nothing."""
+
     def record_end(
         self, request_id: str, stated: StatedLoad | None, now: float, *, has_run: bool
     ) -> None:
--- a/src/siskinspool/fairness/server_places.py
+++ b/src/siskinspool/fairness/server_places.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Final
 
 import attrs
@@ -60,10 +61,16 @@
         return max(queued, 0) * run_s / slots
 
 
-@attrs.frozen
+@attrs.define
 class _SentRequest:
+    """A request of this gateway at a server."""
+
     service: str
+    server_id: str
     at: float
+    # This gateway's requests at the server at the first event of a stream. The load of
+    # a stream is stated there, but reported at its end.
+    own_at_first_event: int | None = None
 
 
 class ServerPlaces:
@@ -72,6 +79,7 @@
     def __init__(self) -> None:
         self._figure_by_server: dict[str, _ServerFigure] = {}
         self._sent_by_request: dict[str, _SentRequest] = {}
+        self._own_count_by_server: Counter[str] = Counter()
         self._run_s_by_service: dict[str, float] = {}
         self._gateways = 1
 
@@ -117,7 +125,8 @@
     def record_sent(self, entry: WaitingEntry, server_id: str, now: float) -> None:
         """Record that a request is sent to the server."""
         service = entry.service
-        self._sent_by_request[entry.request_id] = _SentRequest(service, now)
+        self._sent_by_request[entry.request_id] = _SentRequest(service, server_id, now)
+        self._own_count_by_server[server_id] += 1
         figure = self._figure_by_server.get(server_id)
         run_s = self._run_s_by_service.get(service)
         if figure is not None:
@@ -129,12 +138,30 @@
         self, request_id: str, stated: StatedLoad | None, now: float, *, has_run: bool
     ) -> None:
         """Record the end of a send, with the load that its answer stated."""
-        sent = self._sent_by_request.pop(request_id, None)
+        sent = self._remove(request_id)
         if has_run and sent is not None:
             self._record_run(sent.service, now - sent.at)
         if stated is not None:
+            if sent is not None and sent.own_at_first_event is not None:
+                own_count = self._own_count_by_server[stated.server_id]
+                change = own_count - sent.own_at_first_event
+                stated = attrs.evolve(stated, count=max(stated.count + change, 0))
             self._figure_by_server[stated.server_id] = _ServerFigure(stated, now)
 
+    def record_first_event(self, request_id: str) -> None:
+        """Record the first event of a stream, with which its server states its load."""
+        sent = self._sent_by_request.get(request_id)
+        if sent is not None:
+            sent.own_at_first_event = self._own_count_by_server[sent.server_id]
+
+    def _remove(self, request_id: str) -> _SentRequest | None:
+        sent = self._sent_by_request.pop(request_id, None)
+        if sent is not None:
+            self._own_count_by_server[sent.server_id] -= 1
+            if not self._own_count_by_server[sent.server_id]:
+                del self._own_count_by_server[sent.server_id]
+        return sent
+
     def _record_run(self, service: str, took_s: float) -> None:
         known_s = self._run_s_by_service.get(service, took_s)
         weight = SHORTER_RUN_WEIGHT if took_s < known_s else LONGER_RUN_WEIGHT
@@ -142,7 +169,7 @@
 
     def forget_request(self, request_id: str) -> None:
         """Drop a request that was cancelled before it was sent."""
-        self._sent_by_request.pop(request_id, None)
+        self._remove(request_id)
 
     def forget_server(self, server_id: str) -> None:
         """Drop the figures of a server that has left."""
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -131,6 +131,7 @@
             case FirstEventReceived(request_id, server_id):
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, now)
+                self._policy.record_first_event(request_id)
                 return []
             case TeamUsageReport() as report:
                 self._policy.record_report(report, now)
--- a/tests/builders_overload.py
+++ b/tests/builders_overload.py
@@ -26,6 +26,7 @@
     AssignServer,
     AttemptEnded,
     AttemptResult,
+    FirstEventReceived,
     ServerAssigned,
 )
 from siskinspool.gateway.routing import Routing
@@ -163,7 +164,11 @@
         servers: int = 2,
         seed: int = 1,
         is_connected: bool = True,
+        is_streamed: bool = False,
     ) -> None:
+        # The load is stated at the first event and reported at the end.
+        self._is_streamed = is_streamed
+        self._load_by_request: dict[str, ServerLoad] = {}
         self._is_connected = is_connected
         self._now = START_S
         self._random = random.Random(seed)
@@ -313,6 +318,10 @@
         found.running += 1
         if requester.ran_at is None:
             requester.ran_at = self._now
+        if self._is_streamed:
+            self._load_by_request[request_id] = found.load
+            first_event = FirstEventReceived(request_id, found.name)
+            self._tell(self._gateway_by_request[request_id], first_event)
         run_s = stream.output_tokens * S_PER_TOKEN
         self._at(self._now + run_s, partial(self._finish, request_id, found))
 
@@ -326,8 +335,9 @@
             found.queue.popleft()()
 
     def _end(self, request_id: str, found: _Server, result: AttemptResult) -> None:
+        load = self._load_by_request.pop(request_id, found.load)
         ended = AttemptEnded(
-            request_id=request_id, server_id=found.name, result=result, load=found.load
+            request_id=request_id, server_id=found.name, result=result, load=load
         )
         self._tell(self._gateway_by_request[request_id], ended)
 
--- a/tests/test_fairness_overload.py
+++ b/tests/test_fairness_overload.py
@@ -106,3 +106,19 @@
         result = replay.run(until_s=9.0)
         ran_by_flag[is_fair] = result.ran_by_team(BURST_FROM_S, BURST_TO_S).total()
     assert ran_by_flag[True] >= 0.99 * ran_by_flag[False]
+
+
+@pytest.mark.parametrize("gateways", [1, 4])
+def test_load_stated_at_the_start_of_streams_leaves_no_slot_idle(gateways: int) -> None:
+    """Guards against figures that are as old as the stream that brings them."""
+    ran_by_flag = {}
+    for is_fair in (False, True):
+        settings = scheduling(fair_queueing=is_fair)
+        replay = OverloadReplay(
+            settings, flood_of_one_team(), gateways=gateways, is_streamed=True
+        )
+        result = replay.run()
+        ran_by_flag[is_fair] = result.ran_by_team(BURST_FROM_S, BURST_TO_S).total()
+    assert ran_by_flag[True] >= 0.99 * ran_by_flag[False]
+    for team in NEIGHBOURS:
+        assert result.served_share(team, BURST_FROM_S, BURST_TO_S) == 1.0
