--- a/src/siskinspool/gateway/choice_explanation.py
+++ b/src/siskinspool/gateway/choice_explanation.py
@@ -31,7 +31,8 @@
         """Return the request as `Routing` gets it, with the least urgency."""
         return AssignServer(
             request_id="",
-            service=self.service,
+            team="",
+        service=self.service,
             model=self.model,
             adapter=self.adapter,
             parts=self.parts,
--- a/src/siskinspool/gateway/requester_tracker.py
+++ b/src/siskinspool/gateway/requester_tracker.py
@@ -15,6 +15,8 @@
 import attrs
 
 from ..core.message import Address
+from ..fairness.overload_policy import OverloadPolicy
+from ..fairness.promise import Promise
 from .deadline_tracker import DeadlineTracker
 from .messages import AssignServer, RequestersReport
 from .request_time import RETRY_WAIT_RATIO
@@ -47,11 +49,13 @@
 class RequesterTracker:
     """Tracks the pending requesters of one gateway; times are in seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, policy: OverloadPolicy) -> None:
+        """Initialize with the policy that keeps places for later attempts."""
         self.waiting_by_id: dict[str, WaitingRequest] = {}
         self._retrying_by_target: dict[TargetKey, list[_RetryingRequester]] = {}
         self._report_by_target: dict[TargetKey, _LeaderReport] = {}
         self._deadlines = DeadlineTracker()
+        self._policy = policy
 
     def new_request(
         self, sender: Address, call: AssignServer, now: float
@@ -61,7 +65,21 @@
             call.route, call.deadline_s, call.timeout_s, now
         )
         give_up_at = now + call.max_wait_s
-        return WaitingRequest(sender, call, now, give_up_at, will_retry=not is_later)
+        return WaitingRequest(
+            sender,
+            call,
+            now,
+            give_up_at,
+            will_retry=not is_later,
+            promise=self._claim(call, now) if is_later else None,
+        )
+
+    def _claim(self, call: AssignServer, now: float) -> Promise | None:
+        if call.repeat or call.excluded:
+            # A later send of an attempt that has had its place.
+            return None
+        target = (call.service, call.model, call.adapter)
+        return self._policy.claim(call.team, target, now)
 
     def add(self, waiting: WaitingRequest) -> None:
         """Track a request that waits for a server."""
@@ -76,8 +94,7 @@
     def refuse(self, waiting: WaitingRequest, retry_after_s: float, now: float) -> None:
         """Keep the requester of a refused first attempt as pending until it retries."""
         call = waiting.call
-        time_s = call.timeout_s if call.deadline_s is None else call.deadline_s
-        pause_s = min(retry_after_s, (waiting.since + time_s - now) * RETRY_WAIT_RATIO)
+        pause_s = min(retry_after_s, waiting.remaining_s(now) * RETRY_WAIT_RATIO)
         retrying = _RetryingRequester(now + pause_s, now + waiting.reach_s(now))
         if (
             waiting.will_retry
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -26,6 +26,13 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..fairness.fair_policy import FairPolicy
+from ..fairness.overload_policy import OverloadPolicy
+from ..fairness.priority_policy import PriorityPolicy
+from ..fairness.retry_advice import RefusedRequest
+from ..fairness.server_places import StatedLoad
+from ..fairness.usage_messages import TeamUsageReport
+from ..fairness.waiting_order import WaitingEntry
 from ..server_signals.observations import Observation
 from ..telemetry.logs import log_event
 from .bounds import Bounds
@@ -34,6 +41,7 @@
 from .desired_state import DesiredState
 from .messages import (
     PLACEMENT_TASK,
+    ROUTING_TASK,
     AnswerHeadReceived,
     AssignRefused,
     AssignServer,
@@ -62,7 +70,7 @@
     ZoneEvacuated,
 )
 from .shared_retry_budget import SharedRetryBudget
-from .waiting_request import WaitingRequest
+from .waiting_request import TargetKey, WaitingRequest
 
 logger = logging.getLogger(__name__)
 
@@ -75,13 +83,15 @@
 # Waiting requests are checked at least this often, since the end of a server's pause
 # is not signalled.
 WAITING_CHECK_INTERVAL_S: Final = 0.05
+# The same after a request has arrived behind others; it limits how often a long line is
+# gone through.
+QUEUED_CHECK_DELAY_S: Final = 0.01
 # How much longer a load may take than the leader expects: at least this, or a share of
 # the expected time. Waiting without success costs more than an immediate refusal.
 LOAD_MARGIN_S: Final = 0.2
 LOAD_MARGIN_SHARE: Final = 0.25
 # The same share for an in-flight load, whose remaining time is known.
 IN_FLIGHT_LOAD_MARGIN_SHARE: Final = 0.03
-RETRY_AFTER_S: Final = 0.5
 
 
 class Routing(Decision):
@@ -109,7 +119,10 @@
         self._leader_id: str | None = None
         # The previous leader, whose term may not have ended yet while the next waits.
         self._previous_leader_id: str | None = None
-        self._requesters = RequesterTracker()
+        self._policy: OverloadPolicy = (
+            FairPolicy(instance_id) if scheduling.fair_queueing else PriorityPolicy()
+        )
+        self._requesters = RequesterTracker(self._policy)
         # When a placement request for each (service, model, adapter) is due again.
         self._next_request_at_by_target: dict[tuple[str, str, str], float] = {}
         self._demand = DemandReporter()
@@ -126,10 +139,15 @@
             case RequestCancelled(request_id):
                 self._requesters.remove(request_id)
                 self._views.forget_request(request_id)
+                self._policy.forget_request(request_id)
                 return []
             case FirstEventReceived(request_id, server_id, load):
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, load, now)
+                self._policy.record_first_event(request_id)
+                return []
+            case TeamUsageReport() as report:
+                self._policy.record_report(report, now)
                 return []
             case AnswerHeadReceived(_, observation):
                 return self._on_answer_head(observation, now)
@@ -144,6 +162,8 @@
     def on_time(self, now: float) -> list[Outgoing]:
         """Serve or refuse waiting requests and report the demand."""
         batch = self._serve_waiting(now)
+        batch += self._refuse_hopeless(now)
+        batch += self._exchange_usage(now)
         for waiting in list(self._requesters.waiting_by_id.values()):
             if waiting.give_up_at <= now:
                 batch.append(self._refuse(waiting, "no server was free in time", now))
@@ -156,7 +176,11 @@
 
     def wake_at(self) -> float | None:
         """Return when the next action is due."""
-        due = min(self._demand.next_at, self._requesters.wake_at())
+        due = min(
+            self._demand.next_at,
+            self._requesters.wake_at(),
+            self._policy.next_exchange_at,
+        )
         if self._requesters.waiting_by_id:
             soonest = min(
                 item.give_up_at for item in self._requesters.waiting_by_id.values()
@@ -188,7 +212,9 @@
             "routing.servers": float(len(self._views.by_id)),
             "routing.waiting": float(len(self._requesters.waiting_by_id)),
             "routing.paused_refusals": float(self._paused_refusals),
-        } | self._views.signals.gauges()
+            **self._views.signals.gauges(),
+            **self._policy.gauges(),
+        }
 
     # Requests
 
@@ -208,8 +234,14 @@
         waiting = self._requesters.new_request(sender, call, now)
         if waiting.is_fresh:
             self._demand.count_requester(call, now)
+        if self._policy.must_queue(waiting.entry, self._waiting_entries()):
+            self._requesters.add(waiting)
+            due_at = now + QUEUED_CHECK_DELAY_S
+            self._next_check_at = min(self._next_check_at, due_at)
+            return []
         assigned = self._assign(waiting, now)
         if assigned is not None:
+            self._policy.order.record_served(waiting.entry)
             return [assigned]
         refusal = self._refuse_if_paused(waiting, now)
         if refusal is not None:
@@ -218,32 +250,45 @@
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         return self._request_placement(call, now)
 
+    def _waiting_entries(self) -> list[WaitingEntry]:
+        return [item.entry for item in self._requesters.waiting_by_id.values()]
+
     def _serve_waiting(self, now: float) -> list[Outgoing]:
         if not self._requesters.waiting_by_id:
             return []
         self._next_check_at = now + WAITING_CHECK_INTERVAL_S
         batch: list[Outgoing] = []
-        ordered = sorted(
-            self._requesters.waiting_by_id.values(),
-            key=lambda item: (item.call.priority, item.since),
-        )
-        for waiting in ordered:
+        # Targets that no server can take now, whatever the request excludes.
+        blocked_targets: set[TargetKey] = set()
+
+        def try_serve(entry: WaitingEntry) -> bool:
+            waiting = self._requesters.waiting_by_id[entry.request_id]
+            if waiting.target in blocked_targets:
+                return False
             assigned = self._assign(waiting, now)
-            if assigned is not None:
-                self._requesters.remove(waiting.call.request_id)
-                batch.append(assigned)
-            else:
-                batch += self._request_placement(waiting.call, now)
+            if assigned is None:
+                if not waiting.call.excluded and self._policy.blocks_target(entry, now):
+                    blocked_targets.add(waiting.target)
+                batch.extend(self._request_placement(waiting.call, now))
+                return False
+            self._requesters.remove(entry.request_id)
+            batch.append(assigned)
+            return True
+
+        entries = self._waiting_entries()
+        self._policy.start_pass(entries)
+        self._policy.order.serve(entries, try_serve)
         return batch
 
     def _assign(self, waiting: WaitingRequest, now: float) -> Outgoing | None:
         call = waiting.call
-        view = self._choose_server(call, now)
+        view = self._choose_server_with_place(waiting, now)
         if view is None:
             return None
         if view.is_cold(now):
             view.cold_bucket.try_take(1, now)
         view.record_sent(call, now)
+        self._policy.record_sent(waiting.entry, view.record.server_id, now)
         record = view.record
         log_event(
             logger,
@@ -263,6 +308,27 @@
         )
         return Outgoing(waiting.sender, assigned)
 
+    def _choose_server_with_place(
+        self, waiting: WaitingRequest, now: float
+    ) -> ServerView | None:
+        """Return the best server that has a place, or None if there is none."""
+        call = waiting.call
+
+        def count_servers() -> int:
+            views = self._views.by_id.values()
+            return sum(self._may_serve(view, call, now) for view in views)
+
+        full = self._policy.full_servers(waiting.entry, count_servers, now)
+        if not full:
+            return self._choose_server(call, now)
+        excluded = attrs.evolve(call, excluded=call.excluded | full)
+        view = self._choose_server(excluded, now)
+        if view is None or view.record.server_id not in call.avoided:
+            return view
+        # A full server is better than one at which the request has failed.
+        best = self._choose_server(call, now)
+        return view if best is view else None
+
     def _choose_server(self, call: AssignServer, now: float) -> ServerView | None:
         candidates = [
             view
@@ -331,6 +397,14 @@
             ended.event_count,
             has_signal=ended.has_signal,
         )
+        stated = None
+        if (load := ended.load) is not None:
+            count = load.running + load.waiting
+            stated = StatedLoad(
+                server_id=ended.server_id, count=count, slots=load.slots
+            )
+        has_run = ended.result is AttemptResult.ANSWERED
+        self._policy.record_end(ended.request_id, stated, now, has_run=has_run)
 
     def _on_answer_head(self, observation: Observation, now: float) -> list[Outgoing]:
         signals = self._views.signals
@@ -358,9 +432,17 @@
         return self._refuse(waiting, "its servers were paused", now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
-        retry_after_s = RETRY_AFTER_S
-        if waiting.ready_at is not None:
-            retry_after_s = max(waiting.ready_at - now, RETRY_AFTER_S)
+        wait_s = self._policy.expected_wait_s(waiting.call.request_id)
+        refused = RefusedRequest(
+            request_id=waiting.call.request_id,
+            ready_at=waiting.ready_at,
+            place_at=None if wait_s is None else now + wait_s,
+            remaining_s=waiting.remaining_s(now),
+        )
+        retry_after_s = self._policy.advice.retry_after_s(refused, now)
+        self._policy.record_refused(
+            waiting.entry, retry_after_s, now, will_retry=waiting.will_retry
+        )
         self._requesters.refuse(waiting, retry_after_s, now)
         log_event(
             logger,
@@ -372,6 +454,8 @@
             waited_s=now - waiting.since,
             leader=self._leader_id,
             expected_in_s=None if waiting.ready_at is None else waiting.ready_at - now,
+            place_in_s=wait_s,
+            retry_after_s=retry_after_s,
             detail=detail,
         )
         return Outgoing(
@@ -379,6 +463,42 @@
             AssignRefused(ErrorCode.NO_SERVER, detail, retry_after_s),
         )
 
+    def _refuse_hopeless(self, now: float) -> list[Outgoing]:
+        """Refuse the requests that get no place before they give up."""
+        if not self._policy.is_forecast_due(now):
+            return []
+        waiting_requests = list(self._requesters.waiting_by_id.values())
+        call_by_target = {waiting.target: waiting.call for waiting in waiting_requests}
+        held_targets = {
+            target
+            for target, call in call_by_target.items()
+            if any(
+                self._may_serve(view, call, now) for view in self._views.by_id.values()
+            )
+        }
+        held = [
+            waiting.entry
+            for waiting in waiting_requests
+            if waiting.target in held_targets
+        ]
+        self._policy.update_forecast(held, now)
+        return [
+            self._refuse(waiting, "no place is expected in time", now)
+            for waiting in waiting_requests
+            if self._policy.is_hopeless(
+                waiting.call.request_id, waiting.give_up_at, now
+            )
+        ]
+
+    def _exchange_usage(self, now: float) -> list[Outgoing]:
+        """Tell another gateway what teams use."""
+        if now < self._policy.next_exchange_at:
+            return []
+        sent = self._policy.exchange_usage(now)
+        if sent is None:
+            return []
+        return [Outgoing(Address(sent.recipient_id, ROUTING_TASK), sent.report)]
+
     # Models
 
     def _request_placement(self, call: AssignServer, now: float) -> list[Outgoing]:
@@ -480,6 +600,7 @@
                 self._views.update_record(record, now)
             case ServerRemoved(server_id):
                 self._views.remove(server_id, now)
+                self._policy.forget_server(server_id)
             case RegistryInterrupted():
                 self._views.is_interrupted = True
             case RegistryListed():
@@ -490,6 +611,7 @@
                 self._views.set_desired(desired, now)
             case MembershipChanged(member_by_id):
                 self._views.set_members(member_by_id, now)
+                self._policy.set_members(self._views.member_ids)
             case LeaderChanged(leader_id):
                 if self._leader_id is not None:
                     self._previous_leader_id = self._leader_id
