--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -6,8 +6,9 @@
 ``POST /admin/faults`` sets ``fail`` (status of all responses), ``cut_after`` (number of
 events after which a stream breaks), ``reset`` (connections are reset before a
 response), ``full`` (status 503 with ``Not-Run``), ``crashing_part`` (id of a prompt
-part; the process ends as it begins to answer a request with it) and ``dies_silently``
-(without a byte of that answer).
+part; the process ends as it begins to answer a request with it), ``dies_silently``
+(without a byte of that answer), ``answer_bytes`` (size of plain responses),
+``event_bytes`` (least size of an event) and ``event_count`` (events of a stream).
 """
 
 from __future__ import annotations
@@ -53,6 +54,9 @@
     full: bool = False
     crashing_part: str = ""
     dies_silently: bool = False
+    answer_bytes: int = 0
+    event_bytes: int = 0
+    event_count: int = STREAM_EVENTS
 
 
 class PlatformServerApp(App):
@@ -143,7 +147,8 @@
         if faults.fail:
             return Response(faults.fail, b"failed", headers=headers)
         if not model:
-            return Response(200, b"answer of " + request.body, headers=headers)
+            answer = (b"answer of " + request.body).ljust(faults.answer_bytes, b".")
+            return Response(200, answer, headers=headers)
         first = int(request.headers.get("last-event-id", "0")) + 1
         is_crashing = faults.crashing_part in _part_ids(request)
         events = self._crash() if is_crashing else self._events(first)
@@ -157,11 +162,12 @@
         os._exit(CRASH_STATUS)
 
     def _events(self, first: int) -> Iterator[bytes]:
-        for number in range(first, STREAM_EVENTS + 1):
+        for number in range(first, self._faults.event_count + 1):
             if self._faults.cut_after and number > self._faults.cut_after:
                 raise CloseConnection
             gevent.sleep(self._settings.event_s)
-            yield f"id: {number}\ndata: piece {number}\n\n".encode()
+            data = f"piece {number}".ljust(self._faults.event_bytes, ".")
+            yield f"id: {number}\ndata: {data}\n\n".encode()
 
     def _handle_order(self, body: Json) -> Response:
         if body["fence"] < self._epoch:
