Bound the memory and descriptors that callers can take

A gateway kept every body that stopped short of its end, every answer that was not read and every connection, so a hundred callers could end it. Bodies and unread answers now draw on a memory budget derived from [limits]: a body is admitted by its length, or in steps if it is chunked; if room is short, the largest and slowest are shed (408, or the connection ends) and newcomers wait a bounded time (503). Streams wait for slow readers instead of buffering, and whole answers are written without a second copy. Chunked bodies are parsed in batches of 8 KB, one dense batch at a time. Listeners of both front ends and of the pages close the connection that has been idle longest once they have too many. The settings [limits] and [protection] are read.

--- a/src/siskinspool/core/errors.py
+++ b/src/siskinspool/core/errors.py
@@ -18,6 +18,7 @@
     REQUEST_TIMEOUT = "request_timeout"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    OVERLOADED = "overloaded"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_MODEL = "unknown_model"
     KEY_MISSING = "key_missing"
--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -12,7 +12,6 @@
 from typing import Any, Final
 
 from gevent.event import Event as Signal
-from gevent.pywsgi import WSGIServer
 
 from ..core.errors import ErrorCode
 from ..core.message import Incoming, Outgoing
@@ -32,9 +31,12 @@
     MAX_HEADER_BYTES,
     SOCKET_TIMEOUT_S,
     CallerHandler,
+    CallerServer,
+    ReceivedBody,
     read_body,
     request_headers,
 )
+from ..protection.caller_protection import AnswerBacklog, CallerProtection
 from ..settings import Endpoint
 from ..telemetry.logs import log_event
 from .admission import Admission, admit
@@ -76,8 +78,8 @@
 class FrontSink(CallerSink):
     """The sink for an answer to a requester; encodes refusals for the platform."""
 
-    def __init__(self, codec: FrontCodec) -> None:
-        super().__init__()
+    def __init__(self, codec: FrontCodec, backlog: AnswerBacklog | None = None) -> None:
+        super().__init__(backlog)
         self._codec = codec
 
     def refusal_item(self, refusal: Refusal) -> WholeAnswer:
@@ -93,10 +95,16 @@
     """Accepts requests and runs them; task name ``front``."""
 
     def __init__(
-        self, context: RequestContext, codec: FrontCodec, listen: Endpoint
+        self,
+        context: RequestContext,
+        codec: FrontCodec,
+        listen: Endpoint,
+        protection: CallerProtection | None = None,
     ) -> None:
         """Bind the listener; it accepts from `start` on."""
         super().__init__(FRONT_TASK, context.dispatcher, context.clock)
+        # The page of metrics shows its counters.
+        self.protection = protection or CallerProtection.with_defaults(context.clock)
         self._context = context
         self._codec = codec
         self._desired: DesiredState | None = None
@@ -114,8 +122,7 @@
         self._server = _FrontWsgiServer(
             (listen.host, listen.port),
             self._application,
-            log=None,
-            error_log=None,
+            self.protection,
             handler_class=_FrontHandler,
         )
         self._server.init_socket()
@@ -204,17 +211,30 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         arrived_at = self.clock.now()
-        headers = request_headers(environ)
         body = read_body(environ, self._max_body_bytes())
         if isinstance(body, Refusal):
-            return self._refuse(body, None, start_response, closing=True)
+            yield from self._refuse(body, None, start_response, closing=True)
+            return
+        try:
+            yield from self._answer_body(body, arrived_at, environ, start_response)
+        finally:
+            body.release()
+
+    def _answer_body(
+        self,
+        body: ReceivedBody,
+        arrived_at: float,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        headers = request_headers(environ)
         head = self._codec.decode_request(
             environ["REQUEST_METHOD"], environ["siskinspool.target"], headers
         )
         if isinstance(head, Refusal):
             return self._refuse(head, None, start_response)
         # Decided after the body has arrived, so that the newest desired state applies.
-        request = self._accept(head, body, arrived_at)
+        request = self._accept(head, body.data, arrived_at)
         if isinstance(request, Refusal):
             return self._refuse(request, head, start_response)
         return self._serve(request, environ, start_response)
@@ -288,7 +308,7 @@
         start_response: StartResponse,
         *,
         closing: bool = False,
-    ) -> list[bytes]:
+    ) -> Iterator[bytes]:
         log_event(
             logger,
             logging.INFO,
@@ -310,7 +330,8 @@
         environ: dict[str, Any],
         start_response: StartResponse,
     ) -> Iterator[bytes]:
-        sink = FrontSink(self._codec)
+        backlog = self.protection.open_answer()
+        sink = FrontSink(self._codec, backlog)
         task = RequestTask(request, self._context, sink)
         self._running.add(task)
 
@@ -318,6 +339,11 @@
             task.cancel()
             sink.close()
 
+        def on_shed() -> None:
+            on_disconnect()
+            environ["siskinspool.connection"].end()
+
+        backlog.on_shed(on_shed)
         watch = CallerWatch(environ["siskinspool.socket"], on_disconnect)
         task.start(on_end=lambda: self._running.discard(task))
         try:
@@ -329,7 +355,7 @@
             task.cancel()
 
 
-class _FrontWsgiServer(WSGIServer):
+class _FrontWsgiServer(CallerServer):
     """The WSGI server, with the operator's limits on connections."""
 
     idle_timeout_s = SOCKET_TIMEOUT_S
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -26,10 +26,17 @@
 from ..feed.change_feed import ChangeFeed
 from ..feed.feed_messages import CHANGE_FEED_TASK, StopFeeding
 from ..feed.watch_task import FeedSource, WatchTask
+from ..links.answer_budget import AnswerBudget
 from ..links.codec import MsgpackCodec
 from ..links.compressing_codec import CompressingCodec
 from ..links.peer import PEERS_TASK, PeerLink
 from ..links.server_link import HttpServerLink
+from ..protection.caller_protection import CallerProtection
+from ..protection.settings import (
+    MachineLimits,
+    ProtectionLimits,
+    ProtectionSettings,
+)
 from ..settings import Endpoint
 from ..store.keys import SHARED_PREFIX
 from ..store.kv import KeyValueService
@@ -122,6 +129,8 @@
     first_start: bool
     bounds: Bounds
     scheduling: SchedulingSettings
+    machine: MachineLimits
+    protection: ProtectionSettings
 
 
 @attrs.frozen(kw_only=True)
@@ -156,14 +165,24 @@
             former_member_s=FORMER_MEMBER_TTL_S,
         )
         self._dispatcher.attach_peer_transport(peers)
+        limits = ProtectionLimits.from_settings(settings.machine, settings.protection)
         self._context = RequestContext(
             dispatcher=self._dispatcher,
             clock=clock,
-            link=HttpServerLink(CONNECT_TIMEOUT_S, ends_by_close=True),
+            link=HttpServerLink(
+                CONNECT_TIMEOUT_S,
+                ends_by_close=True,
+                budget=AnswerBudget.within(limits.answer_read_bytes),
+            ),
             codec=parts.codec,
             metrics=GatewayMetrics(),
         )
-        self._front = FrontTask(self._context, parts.codec, settings.front)
+        self._front = FrontTask(
+            self._context,
+            parts.codec,
+            settings.front,
+            CallerProtection(limits, clock),
+        )
         self._pages = PagesTask(
             self._front,
             self._context,
--- a/src/siskinspool/gateway/pages.py
+++ b/src/siskinspool/gateway/pages.py
@@ -5,12 +5,14 @@
 from typing import Any, Final
 
 import msgspec
-from gevent.pywsgi import WSGIServer
 
 from ..core.message import Incoming, Message
 from ..core.status import GaugesReply, GetGauges, GetStatus, StatusReply
 from ..core.task import Task
 from ..links.caller import StartResponse, status_line
+from ..links.http_server import CallerHandler, CallerServer
+from ..protection.connection_table import ConnectionTable
+from ..protection.limit_counters import Limit
 from ..settings import Endpoint
 from .front_task import FrontTask
 from .request_context import RequestContext
@@ -36,9 +38,15 @@
         self._metrics = context.metrics
         self._ready_path = ready_path
         self._status_tasks = status_tasks
+        max_connections = front.protection.settings.page_connections
         self._servers = [
-            WSGIServer(
-                (endpoint.host, endpoint.port), application, log=None, error_log=None
+            CallerServer(
+                (endpoint.host, endpoint.port),
+                application,
+                front.protection,
+                handler_class=CallerHandler,
+                connections=ConnectionTable(max_connections),
+                eviction_limit=Limit.PAGE_CONNECTION,
             )
             for endpoint, application in (
                 (ready, self._serve_readiness),
@@ -93,6 +101,7 @@
             answer = self._ask(task, GetGauges())
             if isinstance(answer, GaugesReply):
                 self._metrics.set_gauges(answer.value_by_name)
+        self._metrics.set_gauges(self._front.protection.gauges())
 
     def _status(self) -> bytes:
         status = {}
--- a/src/siskinspool/links/answer_budget.py
+++ b/src/siskinspool/links/answer_budget.py
@@ -34,6 +34,11 @@
         self._held_by_server: dict[str, int] = {}
         self.held_bytes = 0
 
+    @classmethod
+    def within(cls, max_bytes: int) -> AnswerBudget:
+        """Return a budget of the usual limits, lowered to the process's memory."""
+        return cls(min(MAX_SERVER_BYTES, max_bytes), min(MAX_TOTAL_BYTES, max_bytes))
+
     def new_allowance(self, server: str) -> AnswerAllowance:
         """Return the allowance of a new answer; ``server`` is its address."""
         return AnswerAllowance(self, server)
--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -1,8 +1,9 @@
 """Sends the answer to the caller over WSGI.
 
-`CallerSink` puts the answer that a `CallTask` forwards into a bounded queue. The
-greenlet of the caller's connection writes the queued items, so a slow caller slows down
-reading from the server instead of filling memory.
+`CallerSink` puts the answer that a `CallTask` forwards into a queue that is bounded in
+items and in bytes (`AnswerBacklog`). The greenlet of the caller's connection writes the
+queued items, so a slow caller slows down reading from the server instead of filling
+memory.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from ..core.errors import ErrorCode
 from ..core.outcome import Refusal, RunState
+from ..protection.caller_protection import AnswerBacklog, CallerProtection
 from .answer_sink import PROBLEM_CONTENT_TYPE, AnswerSink, problem_body
 
 MAX_QUEUED_ITEMS: Final = 64
@@ -76,7 +78,11 @@
 class CallerSink(AnswerSink):
     """Queues the answer for the greenlet of the caller's connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, backlog: AnswerBacklog | None = None) -> None:
+        """Set the backlog in the memory budget of all callers; None for one apart."""
+        self._backlog = backlog or CallerProtection.with_defaults().open_answer()
+        # Bytes of the item that is being written.
+        self._writing_bytes = 0
         self._items: Queue[AnswerItem] = Queue(MAX_QUEUED_ITEMS)
         self._has_begun = False
         # Further items are dropped: the caller disconnected or its key was revoked.
@@ -128,6 +134,7 @@
         first_item: AnswerItem | None = None
         while not self._items.empty():
             item = self._items.get_nowait()
+            self._backlog.remove(_size(item))
             first_item = first_item or item
         is_stream_started = self._has_begun and not isinstance(
             first_item, StreamHead | WholeAnswer
@@ -140,12 +147,39 @@
         self.cut_short(_CALLER_GONE)
 
     def _put(self, item: AnswerItem) -> None:
+        size = _size(item)
+        if size and not self._is_closed:
+            self._backlog.wait_for_room(size)
         if not self._is_closed:
+            self._backlog.add(size)
             self._items.put(item)
 
     def next_item(self) -> AnswerItem:
-        """Wait for the next item."""
-        return self._items.get()
+        """Wait for the next item; the one before has been written."""
+        self._backlog.remove(self._writing_bytes)
+        self._writing_bytes = 0
+        item = self._items.get()
+        self._writing_bytes = _size(item)
+        return item
+
+    def record_written(self) -> None:
+        """Note that the caller has taken a piece of the answer."""
+        self._backlog.record_progress()
+
+    def release(self) -> None:
+        """Free the memory of what is left; nothing more is written."""
+        self._is_closed = True
+        self._backlog.close()
+
+
+def _size(item: AnswerItem) -> int:
+    """Return the bytes of an item that count for the memory."""
+    match item:
+        case StreamEvent(data):
+            return len(data)
+        case WholeAnswer(body=body):
+            return len(body)
+    return 0
 
 
 def refusal_item(refusal: Refusal) -> WholeAnswer:
@@ -168,12 +202,15 @@
 
 def respond_whole(
     item: WholeAnswer, start_response: StartResponse, *, closing: bool = False
-) -> list[bytes]:
-    """Send a whole answer; ``closing`` closes the connection after it."""
+) -> Iterator[bytes]:
+    """Send a whole answer; ``closing`` closes the connection after it.
+
+    The pieces are made as they are written, so that there is no second copy.
+    """
     headers = _answer_headers(item, closing)
     headers.append(("Content-Length", str(len(item.body))))
     start_response(status_line(item.status), headers)
-    return list(_pieces(item.body))
+    return _pieces(item.body)
 
 
 def _pieces(data: bytes) -> Iterator[bytes]:
@@ -198,8 +235,20 @@
     """Send an answer as it arrives; raise CutStreamError if it is cut.
 
     ``is_closing`` is called when the answer begins and returns whether the connection
-    closes after it.
+    closes after it. Afterwards the memory of the answer is free.
     """
+    try:
+        for piece in _respond(sink, start_response, is_closing):
+            yield piece
+            # The piece before has been written once the next one is asked for.
+            sink.record_written()
+    finally:
+        sink.release()
+
+
+def _respond(
+    sink: CallerSink, start_response: StartResponse, is_closing: Callable[[], bool]
+) -> Iterator[bytes]:
     item = sink.next_item()
     if isinstance(item, WholeAnswer):
         yield from respond_whole(item, start_response, closing=is_closing())
--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -15,7 +15,6 @@
 from typing import Any, Final
 
 import attrs
-from gevent.pywsgi import WSGIServer
 
 from ..contracts.api_key import redact_keys
 from ..contracts.call import Call, HttpRequest, authenticate, is_allowed, parse_call
@@ -41,6 +40,7 @@
 )
 from ..machines.messages import CatalogChanged, FreshnessChanged
 from ..manifest.model import Catalog, RequestClass, Team, empty_manifest
+from ..protection.caller_protection import CallerProtection
 from ..telemetry.logs import log_event
 from .call_task import CallContext, CallTask
 from .caller import (
@@ -53,7 +53,7 @@
 )
 from .caller_watch import CallerWatch
 from .frontend_messages import CallFinished
-from .http_server import CallerHandler, read_request
+from .http_server import CallerHandler, CallerServer, read_request
 from .patient_pages import accepted_page, patient_page, patient_refusal
 from .runner_messages import RunsInProgress
 from .status import InstanceState, StatusPages, model_list
@@ -101,12 +101,12 @@
         self._call_by_id: dict[str, CallTask] = {}
         # Number of patient requests that run at this instance.
         self._patient_run_count = 0
-        self._server = WSGIServer(
+        self._protection = CallerProtection.with_defaults(clock)
+        self._server = CallerServer(
             (settings.host, settings.port),
             self._application,
+            self._protection,
             handler_class=CallerHandler,
-            log=None,
-            error_log=None,
         )
 
     @property
@@ -199,9 +199,22 @@
     def _application(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        request = read_request(environ)
-        if isinstance(request, Refusal):
-            return respond_whole(refusal_item(request), start_response, closing=True)
+        received = read_request(environ)
+        if isinstance(received, Refusal):
+            refusal = refusal_item(received)
+            yield from respond_whole(refusal, start_response, closing=True)
+            return
+        try:
+            yield from self._answer(received.request, environ, start_response)
+        finally:
+            received.release()
+
+    def _answer(
+        self,
+        request: HttpRequest,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
         page = self._find_page(request)
         if page is not None:
             return respond_whole(page, start_response)
@@ -306,8 +319,16 @@
     def _run_call(
         self, call: Call, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        sink = CallerSink()
+        backlog = self._protection.open_answer()
+        sink = CallerSink(backlog)
         task = CallTask(call, self._context, sink)
+
+        def on_shed() -> None:
+            task.abandon()
+            sink.close()
+            environ["siskinspool.connection"].end()
+
+        backlog.on_shed(on_shed)
         watch = CallerWatch(environ["siskinspool.socket"], task.abandon)
         self._call_by_id[call.id] = task
         task.start()
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -3,9 +3,10 @@
 `CallerHandler` extends gevent's WSGI handler: it limits the size and the time of the
 header section and checks it, ends a cut answer without the final chunk, and logs
 connection errors.
-`read_body` reads a body within limits on its size and its pace, and `read_request` a
-whole request. After a refusal that leaves a part of a body unread, the connection
-closes, because that part must not be read as the next request.
+`CallerServer` keeps the number of connections within the limit of its table.
+`read_body` reads a body within limits on its size, its pace and the memory of all
+bodies, and `read_request` a whole request. After a refusal that leaves a part of a body
+unread, the connection closes, because that part must not be read as the next request.
 """
 
 from __future__ import annotations
@@ -14,12 +15,17 @@
 from http import HTTPStatus
 from typing import Any, Final, cast
 
+import attrs
 import gevent
-from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from ..contracts.call import HttpRequest
 from ..core.errors import ErrorCode
 from ..core.outcome import Refusal, RunState
+from ..protection.body_reader import BodyFailure, BodyReader
+from ..protection.caller_protection import BodyRoom, CallerProtection
+from ..protection.connection_table import Connection, ConnectionPhase, ConnectionTable
+from ..protection.limit_counters import Limit
 from ..telemetry.logs import log_event
 from .caller import CutStreamError, refusal_item
 from .header_section import HeaderSection, HeadersTooLargeError
@@ -32,10 +38,15 @@
 SOCKET_TIMEOUT_S: Final = 30.0
 # Time for a header section, from its first byte.
 HEAD_TIMEOUT_S: Final = 10.0
-# A body is read in pieces of this size, each within this time: a slow caller is served,
-# and one that sends a byte now and then is not.
-PIECE_BYTES: Final = 64 * 1024
+# Longest window of the least progress of a body: a slow caller is served, and one that
+# sends a byte now and then is not.
 PIECE_TIMEOUT_S: Final = 30.0
+# Callers that were refused for lack of room may come again after this time; a body
+# waits about as long for room.
+OVERLOAD_RETRY_S: Final = 1.0
+# New connections that are accepted before the others get their turn. Each holds a
+# descriptor until its greenlet has run.
+MAX_ACCEPT: Final = 20
 
 
 class _RefusedRequestError(Exception):
@@ -57,13 +68,102 @@
     408, ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"
 )
 _BODY_INCOMPLETE: Final = Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
+_BODY_SHED: Final = Refusal(
+    408,
+    ErrorCode.REQUEST_TIMEOUT,
+    "the body came too slowly while memory was short",
+    retry_after_s=OVERLOAD_RETRY_S,
+)
+_NO_ROOM: Final = Refusal(
+    503,
+    ErrorCode.OVERLOADED,
+    "there is no memory for the body at present",
+    retry_after_s=OVERLOAD_RETRY_S,
+)
+_NO_CONNECTION: Final = Refusal(
+    503,
+    ErrorCode.OVERLOADED,
+    "too many connections",
+    retry_after_s=OVERLOAD_RETRY_S,
+)
+_REFUSAL_BY_FAILURE: Final = {
+    BodyFailure.TOO_LARGE: _BODY_TOO_LARGE,
+    BodyFailure.TOO_SLOW: _BODY_TOO_SLOW,
+    BodyFailure.SHED: _BODY_SHED,
+    BodyFailure.NO_ROOM: _NO_ROOM,
+    BodyFailure.INCOMPLETE: _BODY_INCOMPLETE,
+}
 _NOT_HTTP: Final = Refusal(
     400, ErrorCode.BAD_REQUEST, "the request line or the headers cannot be read"
 )
 
 
+class CallerServer(WSGIServer):
+    """A WSGI server for callers, with a limit on connections."""
+
+    max_accept = MAX_ACCEPT
+
+    def __init__(
+        self,
+        listener: tuple[str, int],
+        application: Any,
+        protection: CallerProtection,
+        *,
+        handler_class: type[CallerHandler],
+        connections: ConnectionTable | None = None,
+        eviction_limit: Limit = Limit.CONNECTION_EVICTED,
+    ) -> None:
+        """Set the listener; ``connections`` replaces the table of the protection."""
+        super().__init__(
+            listener,
+            application,
+            log=None,
+            error_log=None,
+            handler_class=handler_class,
+        )
+        self.protection = protection
+        if connections is None:
+            connections = protection.connections
+        self._connections = connections
+        self._eviction_limit = eviction_limit
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve one connection, unless there are too many."""
+        now = self.protection.clock.now()
+        connection = Connection(sock, now)
+        ended = self._connections.add(connection, now)
+        if ended is connection:
+            self.protection.record(Limit.CONNECTION_REFUSED)
+            _refuse_connection(sock)
+            return
+        if ended is not None:
+            self.protection.record(self._eviction_limit)
+            ended.end()
+        try:
+            handler = self.handler_class(sock, address, self)
+            assert isinstance(handler, CallerHandler)
+            handler.connection = connection
+            handler.handle()
+        finally:
+            self._connections.remove(connection)
+
+
+def _refuse_connection(sock: Any) -> None:
+    """Answer that there are too many connections; never waits for the caller."""
+    sock.settimeout(0.0)
+    try:
+        sock.send(_encode_refusal(_NO_CONNECTION))
+    except OSError:
+        # Its buffer is empty, so it is gone.
+        pass
+    finally:
+        sock.close()
+
+
 class CallerHandler(WSGIHandler):
-    """Limits the header section and passes the socket to the application."""
+    """Limits the header section and passes the connection to the application."""
+
+    connection: Connection
 
     idle_timeout_s = SOCKET_TIMEOUT_S
     head_timeout_s = HEAD_TIMEOUT_S
@@ -78,6 +178,7 @@
 
     def handle_one_request(self) -> Any:
         """Serve the next request of the connection."""
+        self._enter(ConnectionPhase.IDLE)
         try:
             return super().handle_one_request()
         finally:
@@ -137,7 +238,10 @@
     def get_environ(self) -> dict[str, Any]:
         """Return the WSGI environment."""
         environ: dict[str, Any] = super().get_environ()
+        self._enter(ConnectionPhase.RUNNING)
         environ["siskinspool.socket"] = self.socket
+        environ["siskinspool.connection"] = self.connection
+        environ["siskinspool.protection"] = self._protection()
         # Requests to switch protocols are ignored (RFC 9110, section 7.8). gevent would
         # pass on the bare connection, where the next request follows the body.
         environ["wsgi.input"] = self.wsgi_input
@@ -145,6 +249,14 @@
         environ["siskinspool.target"] = self.path
         return environ
 
+    def _protection(self) -> CallerProtection:
+        server = self.server
+        assert isinstance(server, CallerServer)
+        return server.protection
+
+    def _enter(self, phase: ConnectionPhase) -> None:
+        self.connection.enter(phase, self._protection().clock.now())
+
     def log_error(self, msg: str, *args: object) -> None:
         """Log a connection error at debug level, since broken connections are normal.
 
@@ -183,35 +295,57 @@
     return head.encode() + body
 
 
-def read_body(environ: dict[str, Any], max_bytes: int) -> bytes | Refusal:
-    """Return the body of the request in a WSGI environment.
+@attrs.frozen
+class ReceivedBody:
+    """The body of a request, with the room that it takes until `release`."""
+
+    data: bytes = attrs.field(repr=False)
+    room: BodyRoom
+
+    def release(self) -> None:
+        """Free the room at the end of the request."""
+        self.room.release()
+
+
+def read_body(environ: dict[str, Any], max_bytes: int) -> ReceivedBody | Refusal:
+    """Return the body of the request in a WSGI environment; release it at the end.
 
     After a refusal the caller's connection must be closed (`respond_whole` with
     ``closing``), since the rest of the body stays unread.
     """
+    protection: CallerProtection = environ["siskinspool.protection"]
+    connection: Connection = environ["siskinspool.connection"]
     source = environ["wsgi.input"]
-    body = bytearray()
-    refusal: Refusal | None = None
-    while refusal is None:
-        try:
-            with gevent.Timeout(PIECE_TIMEOUT_S, TimeoutError("no body in time")):
-                piece = source.read(PIECE_BYTES)
-        except TimeoutError:
-            refusal = _BODY_TOO_SLOW
-        except OSError:
-            refusal = _BODY_INCOMPLETE
-        else:
-            if not piece:
-                return bytes(body)
-            body += piece
-            if len(body) > max_bytes:
-                refusal = _BODY_TOO_LARGE
-    # Stops gevent from reading the rest of the body.
-    source._chunked_input_error = True
-    return refusal
-
-
-def read_request(environ: dict[str, Any]) -> HttpRequest | Refusal:
+    room = protection.open_body()
+    reader = BodyReader(source, protection, connection, room, PIECE_TIMEOUT_S)
+    body: bytes | BodyFailure | None = None
+    try:
+        body = reader.read(max_bytes)
+    finally:
+        if not isinstance(body, bytes):
+            room.release()
+    if isinstance(body, BodyFailure):
+        # Stops gevent from reading the rest of the body.
+        source._chunked_input_error = True
+        return _REFUSAL_BY_FAILURE[body]
+    room.hold()
+    connection.enter(ConnectionPhase.RUNNING, protection.clock.now())
+    return ReceivedBody(body, room)
+
+
+@attrs.frozen
+class ReceivedRequest:
+    """A request with the room that its body takes until `release`."""
+
+    request: HttpRequest
+    room: BodyRoom
+
+    def release(self) -> None:
+        """Free the room at the end of the request."""
+        self.room.release()
+
+
+def read_request(environ: dict[str, Any]) -> ReceivedRequest | Refusal:
     """Return the request in a WSGI environment, including its body.
 
     After a refusal the caller's connection must be closed, as with `read_body`.
@@ -219,13 +353,14 @@
     body = read_body(environ, MAX_BODY_BYTES)
     if isinstance(body, Refusal):
         return body
-    return HttpRequest(
+    request = HttpRequest(
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
         query=environ.get("QUERY_STRING", ""),
         headers=request_headers(environ),
-        body=body,
+        body=body.data,
     )
+    return ReceivedRequest(request, body.room)
 
 
 def request_headers(environ: dict[str, Any]) -> dict[str, str]:
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -31,6 +31,8 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 MAX_EVENT_BYTES: Final = 1024 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+# Bodies up to this size are sent with the head, which saves a packet.
+MAX_COPIED_BODY_BYTES: Final = 16 * 1024
 
 
 @attrs.frozen
@@ -264,7 +266,8 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(timeout_s)
-            limited_sock.send_all(encode_request(request))
+            for part in encode_request(request):
+                limited_sock.send_all(part)
             limited_sock.set_limit(MAX_HEAD_BYTES)
             # The socket's timeout applies to each read; bytes may arrive one by one.
             with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
@@ -281,8 +284,11 @@
         return HttpAnswer(limited_sock, response, ends_by_close=self._ends_by_close)
 
 
-def encode_request(request: ServerRequest) -> bytes:
-    """Encode a request; header values must not contain line breaks."""
+def encode_request(request: ServerRequest) -> tuple[bytes, ...]:
+    """Encode a request in parts; header values must not contain line breaks.
+
+    A large body is a part of its own, so that no second copy is made of it.
+    """
     lines = [
         f"{request.method} {request.uri} HTTP/1.1",
         f"Host: {request.host_header or f'{request.host}:{request.port}'}",
@@ -295,7 +301,10 @@
             raise ValueError(f"header {name} contains a line break")
         lines.append(f"{name}: {value}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1", "replace") + request.body
+    encoded = head.encode("latin-1", "replace")
+    if len(request.body) > MAX_COPIED_BODY_BYTES:
+        return encoded, request.body
+    return (encoded + request.body,)
 
 
 def _reason(error: BaseException) -> str:
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -23,6 +23,7 @@
 )
 from ..gateway.instance import InstanceSettings
 from ..gateway.scheduling_settings import SchedulingSettings
+from ..protection.settings import MachineLimits, ProtectionSettings
 from ..settings import Endpoint
 from .contracts import (
     DEFAULT_CONFIG_S,
@@ -79,6 +80,13 @@
         ]
         return table
 
+    def optional_number(self, path: str, fallback: float) -> float:
+        """Return a number of a table that may be absent; unknown fields are ignored."""
+        table, _, name = path.partition(".")
+        fields = self._document.get(table, {})
+        is_stated = not isinstance(fields, dict) or name in fields
+        return self.number(path) if is_stated else fallback
+
     def text(self, path: str) -> str:
         return str(self.get(path, str, ""))
 
@@ -135,6 +143,8 @@
         first_start=reader.flag("bootstrap"),
         bounds=bounds,
         scheduling=_read_scheduling(reader, bounds),
+        machine=_read_machine(reader),
+        protection=_read_protection(reader),
     )
     if reader.faults:
         raise SettingsError("\n".join(reader.faults))
@@ -180,6 +190,25 @@
     return attrs.evolve(defaults, **flags)
 
 
+def _read_machine(reader: _SettingsReader) -> MachineLimits:
+    defaults = MachineLimits()
+    memory_mb = reader.optional_number("limits.memory_mb", defaults.memory_mb)
+    max_fds = reader.optional_number("limits.max_fds", defaults.max_fds)
+    return MachineLimits(memory_mb=memory_mb, max_fds=int(max_fds)).within_process()
+
+
+def _read_protection(reader: _SettingsReader) -> ProtectionSettings:
+    value_by_name = attrs.asdict(ProtectionSettings())
+    stated = reader.optional_table("protection", tuple(value_by_name))
+    values = {
+        # A field keeps the type of its default.
+        name: type(value)(reader.number(f"protection.{name}"))
+        for name, value in value_by_name.items()
+        if name in stated
+    }
+    return ProtectionSettings(**value_by_name | values)
+
+
 def _read_order_bounds(
     reader: _SettingsReader, contracts: frozenset[str]
 ) -> OrderBounds:
--- /dev/null
+++ b/src/siskinspool/protection/settings.py
@@ -0,0 +1,103 @@
+"""The machine's limits, the settings of the protection, and what follows from both.
+
+Each field of `ProtectionSettings` is a field of the optional table ``[protection]`` of
+the settings file.
+"""
+
+from __future__ import annotations
+
+import resource
+from typing import Final
+
+import attrs
+
+BYTES_PER_MB: Final = 1_000_000
+# Of a machine whose settings state no memory.
+DEFAULT_MEMORY_MB: Final = 300.0
+# The fewest that a machine of a deployment has.
+DEFAULT_MAX_FDS: Final = 1_638
+# The process cannot serve without any room, however small its machine is.
+MIN_BUDGET_BYTES: Final = 16 * BYTES_PER_MB
+MIN_CONNECTIONS: Final = 16
+
+
+@attrs.frozen(kw_only=True)
+class MachineLimits:
+    """What the machine gives this process."""
+
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_FDS
+
+    def within_process(self) -> MachineLimits:
+        """Return these limits, lowered to the process's own limit on descriptors."""
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft == resource.RLIM_INFINITY:
+            return self
+        return attrs.evolve(self, max_fds=min(self.max_fds, soft))
+
+
+@attrs.frozen(kw_only=True)
+class ProtectionSettings:
+    """The limits on callers; no caller inside the stated limits meets them."""
+
+    # Memory of the process itself: 56 MB were measured with two servers, and control
+    # messages at full size may take more.
+    process_mb: float = 96.0
+    # Part of the remaining memory that bodies and answers may take. The rest is for
+    # copies in passing, for connections and for what the allocator cannot reuse.
+    budget_share: float = 0.5
+    # Part of the budget that only small requests may take, and their size.
+    small_share: float = 0.25
+    small_bytes: int = 65_536
+    # Longest wait of a body for room in the budget, and the number that may wait.
+    body_wait_s: float = 2.0
+    waiting_bodies: int = 64
+    # A body must progress at this rate over each window. At the start some bytes are
+    # credited, so that a caller may begin slowly.
+    body_bytes_per_s: float = 2_048.0
+    body_window_s: float = 30.0
+    body_start_bytes: int = 16_384
+    # A body or an answer without progress for this long may be shed if room is short.
+    shed_after_s: float = 0.5
+    # Bytes of a stream that may wait for its caller.
+    backlog_bytes: int = 262_144
+    # Bytes of a chunked body that are parsed in one turn.
+    parse_turn_bytes: int = 8_192
+    # Descriptors kept back for files, and the part of the others for callers; each
+    # running request needs a further one for its server.
+    file_fds: int = 200
+    caller_fd_share: float = 0.5
+    # Memory counted for a connection, and the part of the memory for connections.
+    connection_bytes: int = 40_000
+    connection_share: float = 0.25
+    # Connections of each of the listeners for readiness and metrics.
+    page_connections: int = 32
+
+
+@attrs.frozen(kw_only=True)
+class ProtectionLimits:
+    """The limits of one process."""
+
+    settings: ProtectionSettings
+    budget_bytes: int
+    max_connections: int
+
+    @classmethod
+    def from_settings(
+        cls, machine: MachineLimits, settings: ProtectionSettings
+    ) -> ProtectionLimits:
+        """Derive the limits of a process on a machine."""
+        free_bytes = (machine.memory_mb - settings.process_mb) * BYTES_PER_MB
+        by_memory = free_bytes * settings.connection_share / settings.connection_bytes
+        free_fds = machine.max_fds - settings.file_fds
+        by_fds = free_fds * settings.caller_fd_share
+        return cls(
+            settings=settings,
+            budget_bytes=max(int(free_bytes * settings.budget_share), MIN_BUDGET_BYTES),
+            max_connections=max(int(min(by_memory, by_fds)), MIN_CONNECTIONS),
+        )
+
+    @property
+    def answer_read_bytes(self) -> int:
+        """Bytes of answers that are being read from servers and are not whole yet."""
+        return self.budget_bytes // 2
