--- a/src/siskinspool/links/caller.py
+++ b/src/siskinspool/links/caller.py
@@ -162,9 +162,9 @@
         self._writing_bytes = _size(item)
         return item
 
-    def record_written(self) -> None:
+    def record_written(self, size: int) -> None:
         """Note that the caller has taken a piece of the answer."""
-        self._backlog.record_progress()
+        self._backlog.record_progress(size)
 
     def release(self) -> None:
         """Free the memory of what is left; nothing more is written."""
@@ -241,7 +241,7 @@
         for piece in _respond(sink, start_response, is_closing):
             yield piece
             # The piece before has been written once the next one is asked for.
-            sink.record_written()
+            sink.record_written(len(piece))
     finally:
         sink.release()
 
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -130,7 +130,7 @@
     def handle(self, sock: Any, address: Any) -> None:
         """Serve one connection, unless there are too many."""
         now = self.protection.clock.now()
-        connection = Connection(sock, now)
+        connection = Connection.from_socket(sock, now)
         ended = self._connections.add(connection, now)
         if ended is connection:
             self.protection.record(Limit.CONNECTION_REFUSED)
--- a/src/siskinspool/protection/body_reader.py
+++ b/src/siskinspool/protection/body_reader.py
@@ -80,6 +80,8 @@
 
     def read(self, max_bytes: int) -> bytes | BodyFailure:
         """Return the body, of at most ``max_bytes``."""
+        now = self._protection.clock.now()
+        self._connection.enter(ConnectionPhase.READING, now)
         try:
             if self._source.chunked_input:
                 return self._read_chunks(max_bytes)
@@ -161,8 +163,8 @@
             now = clock.now()
             if data:
                 self._progress.record(len(data))
-                self._room.record_progress()
-                self._connection.enter(ConnectionPhase.READING, now)
+                self._room.record_progress(len(data))
+                self._connection.lag.record(len(data), now)
             if self._room.is_shed:
                 raise _BodyError(BodyFailure.SHED)
             if self._progress.is_too_slow(now):
--- a/src/siskinspool/protection/caller_protection.py
+++ b/src/siskinspool/protection/caller_protection.py
@@ -86,20 +86,22 @@
             self._waiting_bodies -= 1
 
     def _wait_for_room(self, reservation: Reservation, size: int) -> bool:
-        give_up_at = self.clock.now() + self.settings.body_wait_s
+        started_at = self.clock.now()
+        give_up_at = started_at + self.settings.body_wait_s
         while self.clock.now() < give_up_at and not reservation.is_shed:
-            self._shed_for(reservation, size, self.settings.shed_after_s)
+            self._shed_for(reservation, size, self.settings.shed_lag_s)
             self._room_freed.clear()
             self._room_freed.wait(CHECK_INTERVAL_S)
             if self._budget.try_grow(reservation, size):
+                reservation.lag.excuse(self.clock.now() - started_at)
                 return True
         return False
 
     def add_held(self, reservation: Reservation, size: int) -> None:
         """Add bytes that are already in memory; others are shed to make room."""
         self._budget.grow(reservation, size)
-        for idle_s in (self.settings.shed_after_s, 0.0):
-            self._shed_for(reservation, 0, idle_s)
+        for lag_s in (self.settings.shed_lag_s, 0.0):
+            self._shed_for(reservation, 0, lag_s)
 
     def free(self, reservation: Reservation, size: int) -> None:
         """Take bytes off a reservation that are no longer held."""
@@ -111,9 +113,9 @@
         self._budget.close(reservation)
         self._room_freed.set()
 
-    def _shed_for(self, reservation: Reservation, size: int, idle_s: float) -> None:
+    def _shed_for(self, reservation: Reservation, size: int, lag_s: float) -> None:
         now = self.clock.now()
-        for shed in self._budget.shed_for(reservation, size, idle_s, now):
+        for shed in self._budget.shed_for(reservation, size, lag_s, now):
             if shed.on_shed is not None:
                 shed.on_shed()
 
@@ -141,9 +143,9 @@
             self._reservation, missing
         )
 
-    def record_progress(self) -> None:
+    def record_progress(self, size: int) -> None:
         """Note that bytes of the body have arrived."""
-        self._reservation.progress_at = self._protection.clock.now()
+        self._reservation.lag.record(size, self._protection.clock.now())
 
     def hold(self) -> None:
         """Keep the room while the request runs; the body is whole."""
@@ -190,12 +192,12 @@
         """Count bytes that wait for the caller."""
         if not self._reservation.size:
             # Until now there was nothing to take.
-            self.record_progress()
+            self._reservation.lag.restart(self._protection.clock.now())
         self._protection.add_held(self._reservation, size)
 
-    def record_progress(self) -> None:
+    def record_progress(self, size: int) -> None:
         """Note that the caller has taken bytes."""
-        self._reservation.progress_at = self._protection.clock.now()
+        self._reservation.lag.record(size, self._protection.clock.now())
 
     def remove(self, size: int) -> None:
         """Count off bytes that were written or dropped."""
--- a/src/siskinspool/protection/connection_table.py
+++ b/src/siskinspool/protection/connection_table.py
@@ -9,8 +9,10 @@
 import attrs
 from gevent import socket
 
-# A connection that is reading a body is not ended within this time of its progress.
-READING_IDLE_S: Final = 1.0
+from .minimum_progress import TransferLag
+
+# A connection whose body lags less than this is not ended.
+READING_LAG_S: Final = 1.0
 
 
 class ConnectionPhase(StrEnum):
@@ -25,17 +27,22 @@
 
 @attrs.define(eq=False)
 class Connection:
-    """One connection of a caller; times are in seconds of the owner's clock."""
+    """One connection of a caller."""
 
-    socket: socket.socket = attrs.field(repr=False)
-    # Start of the phase, or the last progress in it.
-    active_at: float
+    sock: socket.socket = attrs.field(repr=False)
+    # Of the phase; only bodies that are being read progress.
+    lag: TransferLag
     phase: ConnectionPhase = ConnectionPhase.IDLE
 
+    @classmethod
+    def from_socket(cls, sock: socket.socket, now: float) -> Connection:
+        """Return a new connection."""
+        return cls(sock, TransferLag(now))
+
     def enter(self, phase: ConnectionPhase, now: float) -> None:
-        """Change the phase, or note progress in the same one."""
+        """Begin a phase."""
         self.phase = phase
-        self.active_at = now
+        self.lag.restart(now)
 
     def stop_reading(self) -> None:
         """Let a read see the end of the connection; an answer can still be sent."""
@@ -48,7 +55,7 @@
     def _shut_down(self, how: int) -> None:
         # The caller may have closed it before.
         with contextlib.suppress(OSError):
-            self.socket.shutdown(how)
+            self.sock.shutdown(how)
 
 
 class ConnectionTable:
@@ -79,16 +86,16 @@
         self._connections.pop(connection, None)
 
     def _choose(self, now: float) -> Connection | None:
-        """Return the connection that has been idle longest, or reads most slowly."""
-        for phase, idle_s in (
+        """Return the connection that has been idle longest, or lags most."""
+        for phase, lag_s in (
             (ConnectionPhase.IDLE, 0.0),
-            (ConnectionPhase.READING, READING_IDLE_S),
+            (ConnectionPhase.READING, READING_LAG_S),
         ):
             found = [
                 one
                 for one in self._connections
-                if one.phase is phase and now - one.active_at >= idle_s
+                if one.phase is phase and one.lag.lag_s(now) >= lag_s
             ]
             if found:
-                return min(found, key=lambda one: one.active_at)
+                return max(found, key=lambda one: one.lag.lag_s(now))
         return None
--- a/src/siskinspool/protection/memory_budget.py
+++ b/src/siskinspool/protection/memory_budget.py
@@ -2,7 +2,7 @@
 
 Each body and each answer has a `Reservation`. `MemoryBudget` decides whether one may
 grow, and which one goes first if room is short: the one with the most bytes times the
-time since its last progress.
+lag of its transfer.
 """
 
 from __future__ import annotations
@@ -12,15 +12,17 @@
 
 import attrs
 
-# Weight of a reservation that has just progressed, so that size still counts.
-MIN_IDLE_S: Final = 0.001
+from .minimum_progress import TransferLag
+
+# Weight of a reservation that does not lag, so that its size still counts.
+MIN_LAG_S: Final = 0.001
 
 
 @attrs.define(eq=False, kw_only=True)
 class Reservation:
-    """The bytes of one body or answer; times are in seconds of the owner's clock."""
+    """The bytes of one body or answer."""
 
-    progress_at: float
+    lag: TransferLag
     # Called once if the reservation is shed; None if its owner checks `is_shed`.
     on_shed: Callable[[], None] | None = None
     size: int = 0
@@ -46,7 +48,7 @@
 
     def open(self, now: float) -> Reservation:
         """Return a reservation without bytes."""
-        made = Reservation(progress_at=now)
+        made = Reservation(lag=TransferLag(now))
         self._reservations.add(made)
         return made
 
@@ -78,16 +80,16 @@
         self._reservations.discard(reservation)
 
     def shed_for(
-        self, reservation: Reservation, size: int, idle_s: float, now: float
+        self, reservation: Reservation, size: int, lag_s: float, now: float
     ) -> list[Reservation]:
         """Choose and mark others to shed, so that one may grow by some bytes.
 
-        Only those without progress for ``idle_s`` are chosen. The bytes of those
+        Only those that lag by ``lag_s`` at least are chosen. The bytes of those
         chosen earlier count as free.
         """
         missing = self._missing_bytes(reservation, size) - self._leaving_bytes
         chosen: list[Reservation] = []
-        for other in self._candidates(reservation, idle_s, now) if missing > 0 else ():
+        for other in self._candidates(reservation, lag_s, now) if missing > 0 else ():
             if missing <= 0:
                 break
             other.is_shed = True
@@ -102,7 +104,7 @@
         return self.used_bytes + size - limit
 
     def _candidates(
-        self, reservation: Reservation, idle_s: float, now: float
+        self, reservation: Reservation, lag_s: float, now: float
     ) -> list[Reservation]:
         found = [
             other
@@ -111,10 +113,10 @@
             and other.size
             and other.is_sheddable
             and not other.is_shed
-            and now - other.progress_at >= idle_s
+            and other.lag.lag_s(now) >= lag_s
         ]
         return sorted(
             found,
-            key=lambda other: other.size * max(now - other.progress_at, MIN_IDLE_S),
+            key=lambda other: other.size * max(other.lag.lag_s(now), MIN_LAG_S),
             reverse=True,
         )
--- a/src/siskinspool/protection/minimum_progress.py
+++ b/src/siskinspool/protection/minimum_progress.py
@@ -1,7 +1,41 @@
-"""The least progress of a body that is being read."""
+"""The least progress of a body that is being read, and how far a transfer lags."""
 
 from __future__ import annotations
 
+from typing import Final
+
+# A transfer at this rate does not lag. A twentieth of the slowest link, so that a
+# caller at fault is told from many callers on one link.
+NEEDED_BYTES_PER_S: Final = 32_768.0
+
+
+class TransferLag:
+    """How far a transfer is behind one at the needed rate, in seconds.
+
+    Each byte makes up for the time that it may take. A caller that sends a byte now and
+    then therefore lags almost as much as one that sends nothing.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start without a lag; times are in seconds of the owner's clock."""
+        self._done_at = now
+
+    def lag_s(self, now: float) -> float:
+        """Return the lag."""
+        return now - self._done_at
+
+    def record(self, size: int, now: float) -> None:
+        """Count transferred bytes; what is ahead of the rate is not credited."""
+        self._done_at = min(self._done_at + size / NEEDED_BYTES_PER_S, now)
+
+    def excuse(self, seconds: float) -> None:
+        """Leave out a time in which the caller was made to wait."""
+        self._done_at += seconds
+
+    def restart(self, now: float) -> None:
+        """Start again without a lag."""
+        self._done_at = now
+
 
 class MinimumProgress:
     """Counts received bytes in windows of a fixed length."""
--- a/src/siskinspool/protection/settings.py
+++ b/src/siskinspool/protection/settings.py
@@ -57,8 +57,8 @@
     body_bytes_per_s: float = 2_048.0
     body_window_s: float = 30.0
     body_start_bytes: int = 16_384
-    # A body or an answer without progress for this long may be shed if room is short.
-    shed_after_s: float = 0.5
+    # A body or an answer that lags this much may be shed if room is short.
+    shed_lag_s: float = 0.5
     # Bytes of a stream that may wait for its caller.
     backlog_bytes: int = 262_144
     # Bytes of a chunked body that are parsed in one turn.
--- /dev/null
+++ b/tests/builders_protection.py
@@ -0,0 +1,42 @@
+"""Builders for tests of the protection against uncontrolled callers."""
+
+from __future__ import annotations
+
+from gevent import socket
+
+from siskinspool.protection.connection_table import Connection, ConnectionPhase
+from siskinspool.protection.memory_budget import MemoryBudget, Reservation
+
+TOTAL_BYTES = 1_000_000
+SMALL_SHARE = 0.25
+SMALL_BYTES = 64_000
+
+
+def budget() -> MemoryBudget:
+    """Return a budget of `TOTAL_BYTES`."""
+    return MemoryBudget(TOTAL_BYTES, SMALL_SHARE, SMALL_BYTES)
+
+
+def reserved(budget: MemoryBudget, size: int, now: float = 0.0) -> Reservation:
+    """Return a reservation that got its bytes at a time."""
+    made = budget.open(now)
+    assert budget.try_grow(made, size)
+    return made
+
+
+def connection(phase: ConnectionPhase, now: float) -> Connection:
+    """Return a connection that entered a phase at a time."""
+    made = Connection.from_socket(socket.socket(), now)
+    made.enter(phase, now)
+    return made
+
+
+def chunked(body: bytes, sizes: list[int], ending: bytes = b"0\r\n\r\n") -> bytes:
+    """Return a body in chunks of these sizes, and the rest in one."""
+    encoded, position = b"", 0
+    for size in [*sizes, len(body)]:
+        chunk = body[position : position + size]
+        if chunk:
+            encoded += b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        position += size
+    return encoded + ending
