Read the limits on callers at the other front end

The product's own front end used the defaults of the protection whatever its machine had. Its settings now have the optional objects limits and protection, and its status page shows operators the counters. Values that would stop the process (a turn of no bytes, a share above 1) are faults of the settings.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -26,6 +26,7 @@
 from .core.dispatcher import Dispatcher
 from .core.member import Member
 from .core.task import DecisionTask, Task
+from .links.answer_budget import AnswerBudget
 from .links.call_task import CallContext
 from .links.codec import MsgpackCodec
 from .links.compressing_codec import CompressingCodec
@@ -45,6 +46,7 @@
 from .machines.reporting import Reporting
 from .machines.routing import Routing
 from .manifest.revisions import Revisions
+from .protection.caller_protection import CallerProtection
 from .settings import Settings
 from .store.etcd import EtcdKeyValueService
 from .store.instance_list import HttpInstanceList, InstanceListTask
@@ -122,10 +124,14 @@
         )
         self._dispatcher.attach_peer_transport(self._peer_link)
         self._retry_budget = RetryBudget()
+        self._protection = CallerProtection.from_settings(
+            settings.limits, settings.protection, clock
+        )
+        max_answer_bytes = self._protection.limits.answer_read_bytes
         self._call_context = CallContext(
             dispatcher=self._dispatcher,
             clock=clock,
-            link=HttpServerLink(),
+            link=HttpServerLink(budget=AnswerBudget.within(max_answer_bytes)),
             retry_budget=self._retry_budget,
         )
         self._frontend = self._build_frontend()
@@ -176,7 +182,12 @@
             incarnation=self._incarnation,
         )
         frontend = Frontend(
-            frontend_settings, self._dispatcher, self._clock, self._call_context, pages
+            frontend_settings,
+            self._dispatcher,
+            self._clock,
+            self._call_context,
+            pages,
+            self._protection,
         )
         frontend.listen()
         return frontend
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -32,11 +32,7 @@
 from ..links.peer import PEERS_TASK, PeerLink
 from ..links.server_link import HttpServerLink
 from ..protection.caller_protection import CallerProtection
-from ..protection.settings import (
-    MachineLimits,
-    ProtectionLimits,
-    ProtectionSettings,
-)
+from ..protection.settings import MachineLimits, ProtectionSettings
 from ..settings import Endpoint
 from ..store.keys import SHARED_PREFIX
 from ..store.kv import KeyValueService
@@ -165,24 +161,21 @@
             former_member_s=FORMER_MEMBER_TTL_S,
         )
         self._dispatcher.attach_peer_transport(peers)
-        limits = ProtectionLimits.from_settings(settings.machine, settings.protection)
+        protection = CallerProtection.from_settings(
+            settings.machine, settings.protection, clock
+        )
         self._context = RequestContext(
             dispatcher=self._dispatcher,
             clock=clock,
             link=HttpServerLink(
                 CONNECT_TIMEOUT_S,
                 ends_by_close=True,
-                budget=AnswerBudget.within(limits.answer_read_bytes),
+                budget=AnswerBudget.within(protection.limits.answer_read_bytes),
             ),
             codec=parts.codec,
             metrics=GatewayMetrics(),
         )
-        self._front = FrontTask(
-            self._context,
-            parts.codec,
-            settings.front,
-            CallerProtection(limits, clock),
-        )
+        self._front = FrontTask(self._context, parts.codec, settings.front, protection)
         self._pages = PagesTask(
             self._front,
             self._context,
--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -86,6 +86,7 @@
         clock: Clock,
         context: CallContext,
         pages: StatusPages,
+        protection: CallerProtection,
     ) -> None:
         super().__init__("frontend", dispatcher, clock)
         self._settings = settings
@@ -101,7 +102,7 @@
         self._call_by_id: dict[str, CallTask] = {}
         # Number of patient requests that run at this instance.
         self._patient_run_count = 0
-        self._protection = CallerProtection.with_defaults(clock)
+        self._protection = protection
         self._server = CallerServer(
             (settings.host, settings.port),
             self._application,
@@ -230,7 +231,8 @@
         if request.path == "/v1/models" and request.method == "GET":
             return self._models(request)
         if request.path == "/v1/status":
-            return self._pages.status(request, self._state())
+            gauges = self._protection.gauges()
+            return self._pages.status(request, self._state(), gauges)
         if request.path == "/v1/histograms":
             return self._pages.histograms(request)
         return None
--- a/src/siskinspool/links/status.py
+++ b/src/siskinspool/links/status.py
@@ -9,6 +9,7 @@
 
 import hmac
 import json
+from collections.abc import Mapping
 from typing import Any, Final
 
 import attrs
@@ -50,14 +51,20 @@
         self._operator_token = operator_token
         self._tasks = tasks
 
-    def status(self, request: HttpRequest, state: InstanceState) -> WholeAnswer:
-        """Return the status page."""
+    def status(
+        self,
+        request: HttpRequest,
+        state: InstanceState,
+        protection: Mapping[str, float],
+    ) -> WholeAnswer:
+        """Return the status page; operators also see the counters of the protection."""
         page: Json = {
             "instance": self._dispatcher.instance_id,
             "incarnation": self._incarnation,
             **attrs.asdict(state),
         }
         if self._is_operator(request):
+            page["protection"] = dict(protection)
             page["tasks"] = {task: self._ask(task) for task in self._tasks}
         return json_page(page)
 
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -194,7 +194,7 @@
     defaults = MachineLimits()
     memory_mb = reader.optional_number("limits.memory_mb", defaults.memory_mb)
     max_fds = reader.optional_number("limits.max_fds", defaults.max_fds)
-    return MachineLimits(memory_mb=memory_mb, max_fds=int(max_fds)).within_process()
+    return MachineLimits(memory_mb=memory_mb, max_fds=int(max_fds))
 
 
 def _read_protection(reader: _SettingsReader) -> ProtectionSettings:
@@ -206,7 +206,11 @@
         for name, value in value_by_name.items()
         if name in stated
     }
-    return ProtectionSettings(**value_by_name | values)
+    try:
+        return ProtectionSettings(**value_by_name | values)
+    except ValueError as error:
+        reader.faults.append(f"protection.{error}")
+        return ProtectionSettings()
 
 
 def _read_order_bounds(
--- a/src/siskinspool/protection/caller_protection.py
+++ b/src/siskinspool/protection/caller_protection.py
@@ -35,13 +35,19 @@
         self._waiting_bodies = 0
         self._room_freed = Event()
 
+    @classmethod
+    def from_settings(
+        cls, machine: MachineLimits, settings: ProtectionSettings, clock: Clock
+    ) -> CallerProtection:
+        """Return the protection of a process on a machine."""
+        machine = machine.within_process()
+        return cls(ProtectionLimits.from_settings(machine, settings), clock)
+
     @classmethod
     def with_defaults(cls, clock: Clock | None = None) -> CallerProtection:
         """Return the protection of a process whose settings state no limits."""
-        limits = ProtectionLimits.from_settings(
-            MachineLimits().within_process(), ProtectionSettings()
-        )
-        return cls(limits, clock or MonotonicClock())
+        clock = clock or MonotonicClock()
+        return cls.from_settings(MachineLimits(), ProtectionSettings(), clock)
 
     @property
     def settings(self) -> ProtectionSettings:
--- a/src/siskinspool/protection/settings.py
+++ b/src/siskinspool/protection/settings.py
@@ -19,6 +19,8 @@
 # The process cannot serve without any room, however small its machine is.
 MIN_BUDGET_BYTES: Final = 16 * BYTES_PER_MB
 MIN_CONNECTIONS: Final = 16
+# All other fields must be above zero.
+_MAY_BE_ZERO: Final = frozenset({"waiting_bodies", "body_start_bytes", "file_fds"})
 
 
 @attrs.frozen(kw_only=True)
@@ -73,6 +75,14 @@
     # Connections of each of the listeners for readiness and metrics.
     page_connections: int = 32
 
+    def __attrs_post_init__(self) -> None:
+        """Raise ValueError for a value that is out of range."""
+        for name, value in attrs.asdict(self).items():
+            if value < 0 or (value == 0 and name not in _MAY_BE_ZERO):
+                raise ValueError(f"{name}: {value} is not above zero")
+            if name.endswith("_share") and value > 1:
+                raise ValueError(f"{name}: {value} is above 1")
+
 
 @attrs.frozen(kw_only=True)
 class ProtectionLimits:
--- a/src/siskinspool/settings.py
+++ b/src/siskinspool/settings.py
@@ -15,6 +15,7 @@
 from .core.converter import describe_faults, make_converter
 from .core.errors import SettingsError
 from .core.malformed import MALFORMED_ERRORS
+from .protection.settings import MachineLimits, ProtectionSettings
 from .settings_rules import find_violations
 
 SECRET_FIELDS = ("operator_token",)
@@ -55,6 +56,9 @@
     session_renew_s: float = 3.0
     # Time that a stopping instance leaves the balancer to see that it is not ready.
     balancer_wait_s: float = 2.0
+    # What the machine gives this process, and the limits on callers.
+    limits: MachineLimits = attrs.field(factory=MachineLimits)
+    protection: ProtectionSettings = attrs.field(factory=ProtectionSettings)
 
 
 def load_settings(path: Path) -> Settings:
--- a/tests/test_protection.py
+++ b/tests/test_protection.py
@@ -230,6 +230,11 @@
     assert read.protection == attrs.evolve(
         ProtectionSettings(), body_wait_s=1.0, page_connections=8
     )
-    document["protection"] = {"body_wait": 1}
-    with pytest.raises(SettingsError, match=r"protection\.body_wait is not"):
-        decode_settings(document)
+    for faulty, words in (
+        ({"body_wait": 1}, r"protection\.body_wait is not"),
+        ({"parse_turn_bytes": 0}, r"protection\.parse_turn_bytes: 0 is not above"),
+        ({"budget_share": 1.5}, r"protection\.budget_share: 1\.5 is above 1"),
+    ):
+        document["protection"] = faulty
+        with pytest.raises(SettingsError, match=words):
+            decode_settings(document)
