--- a/src/siskinspool/gateway/pages.py
+++ b/src/siskinspool/gateway/pages.py
@@ -38,14 +38,16 @@
         self._metrics = context.metrics
         self._ready_path = ready_path
         self._status_tasks = status_tasks
-        max_connections = front.protection.settings.page_connections
+        settings = front.protection.settings
         self._servers = [
             CallerServer(
                 (endpoint.host, endpoint.port),
                 application,
                 front.protection,
                 handler_class=CallerHandler,
-                connections=ConnectionTable(max_connections),
+                connections=ConnectionTable(
+                    settings.page_connections, settings.shed_lag_s
+                ),
                 eviction_limit=Limit.PAGE_CONNECTION,
             )
             for endpoint, application in (
--- a/src/siskinspool/links/header_section.py
+++ b/src/siskinspool/links/header_section.py
@@ -35,12 +35,18 @@
     def __init__(self, rfile: Any, max_bytes: int) -> None:
         """Read from a binary file, at most ``max_bytes`` in total."""
         self._rfile = rfile
+        self._max_bytes = max_bytes
         self._remaining_bytes = max_bytes
         self._framing_values: dict[str, list[str]] = {
             CONTENT_LENGTH: [],
             TRANSFER_ENCODING: [],
         }
 
+    @property
+    def read_bytes(self) -> int:
+        """Bytes of the section that were read."""
+        return self._max_bytes - self._remaining_bytes
+
     def readline(self, limit: int = -1) -> bytes:
         """Return the next line; raise a ValueError if it is refused."""
         line: bytes = self._rfile.readline(limit)
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -130,7 +130,8 @@
     def handle(self, sock: Any, address: Any) -> None:
         """Serve one connection, unless there are too many."""
         now = self.protection.clock.now()
-        connection = Connection.from_socket(sock, now)
+        needed_bytes_per_s = self.protection.settings.needed_bytes_per_s
+        connection = Connection.from_socket(sock, needed_bytes_per_s, now)
         ended = self._connections.add(connection, now)
         if ended is connection:
             self.protection.record(Limit.CONNECTION_REFUSED)
@@ -164,6 +165,7 @@
     """Limits the header section and passes the connection to the application."""
 
     connection: Connection
+    _head_bytes = 0
 
     idle_timeout_s = SOCKET_TIMEOUT_S
     head_timeout_s = HEAD_TIMEOUT_S
@@ -207,6 +209,7 @@
         finally:
             self.rfile = rfile
             self._stop_head_timer()
+        self._head_bytes = section.read_bytes
         section.check_framing(self.request_version)
         if (self.content_length or 0) > MAX_BODY_BYTES:
             raise _RefusedRequestError(_BODY_TOO_LARGE)
@@ -242,6 +245,7 @@
         environ["siskinspool.socket"] = self.socket
         environ["siskinspool.connection"] = self.connection
         environ["siskinspool.protection"] = self._protection()
+        environ["siskinspool.head_bytes"] = self._head_bytes
         # Requests to switch protocols are ignored (RFC 9110, section 7.8). gevent would
         # pass on the bare connection, where the next request follows the body.
         environ["wsgi.input"] = self.wsgi_input
@@ -317,6 +321,7 @@
     connection: Connection = environ["siskinspool.connection"]
     source = environ["wsgi.input"]
     room = protection.open_body()
+    room.add_head(environ["siskinspool.head_bytes"])
     reader = BodyReader(source, protection, connection, room, PIECE_TIMEOUT_S)
     body: bytes | BodyFailure | None = None
     try:
--- a/src/siskinspool/protection/body_reader.py
+++ b/src/siskinspool/protection/body_reader.py
@@ -83,6 +83,8 @@
         now = self._protection.clock.now()
         self._connection.enter(ConnectionPhase.READING, now)
         try:
+            # The head counts, too.
+            self._reserve(0)
             if self._source.chunked_input:
                 return self._read_chunks(max_bytes)
             return self._read_length(max_bytes)
@@ -137,6 +139,7 @@
         self._reserve(len(body) + len(batch))
         chunks_before = decoder.chunk_count
         if is_dense:
+            self._protection.record(Limit.PARSE_TURN)
             with self._protection.parse_turn:
                 used = decoder.feed(batch, body)
                 # Held meanwhile, so that one batch of all is parsed in this time.
--- a/src/siskinspool/protection/caller_protection.py
+++ b/src/siskinspool/protection/caller_protection.py
@@ -25,12 +25,15 @@
         self.limits = limits
         self.clock = clock
         self.counters = LimitCounters()
-        self.connections = ConnectionTable(limits.max_connections)
         # Held while a batch of small chunks is parsed.
         self.parse_turn = BoundedSemaphore(1)
         settings = limits.settings
+        self.connections = ConnectionTable(limits.max_connections, settings.shed_lag_s)
         self._budget = MemoryBudget(
-            limits.budget_bytes, settings.small_share, settings.small_bytes
+            limits.budget_bytes,
+            settings.small_share,
+            settings.small_bytes,
+            settings.needed_bytes_per_s,
         )
         self._waiting_bodies = 0
         self._room_freed = Event()
@@ -132,6 +135,12 @@
     def __init__(self, protection: CallerProtection) -> None:
         self._protection = protection
         self._reservation = protection.open_reservation()
+        # Counted in addition to the body.
+        self._head_cost = 0
+
+    def add_head(self, size: int) -> None:
+        """Let the next `reserve` also cover a head of some bytes."""
+        self._head_cost = int(size * self._protection.settings.head_factor)
 
     @property
     def is_shed(self) -> bool:
@@ -144,7 +153,7 @@
 
     def reserve(self, size: int) -> bool:
         """Wait until the body may have this size; return False if it must not."""
-        missing = size - self._reservation.size
+        missing = size + self._head_cost - self._reservation.size
         return missing <= 0 or self._protection.wait_for_room(
             self._reservation, missing
         )
--- a/src/siskinspool/protection/connection_table.py
+++ b/src/siskinspool/protection/connection_table.py
@@ -4,16 +4,12 @@
 
 import contextlib
 from enum import StrEnum
-from typing import Final
 
 import attrs
 from gevent import socket
 
 from .minimum_progress import TransferLag
 
-# A connection whose body lags less than this is not ended.
-READING_LAG_S: Final = 1.0
-
 
 class ConnectionPhase(StrEnum):
     """What a connection is doing."""
@@ -35,9 +31,11 @@
     phase: ConnectionPhase = ConnectionPhase.IDLE
 
     @classmethod
-    def from_socket(cls, sock: socket.socket, now: float) -> Connection:
-        """Return a new connection."""
-        return cls(sock, TransferLag(now))
+    def from_socket(
+        cls, sock: socket.socket, needed_bytes_per_s: float, now: float
+    ) -> Connection:
+        """Return a new connection, whose bodies lag below a rate."""
+        return cls(sock, TransferLag(needed_bytes_per_s, now))
 
     def enter(self, phase: ConnectionPhase, now: float) -> None:
         """Begin a phase."""
@@ -61,9 +59,10 @@
 class ConnectionTable:
     """The open connections of a listener, up to a limit."""
 
-    def __init__(self, max_connections: int) -> None:
-        """Set how many connections may be open."""
+    def __init__(self, max_connections: int, reading_lag_s: float) -> None:
+        """Set how many may be open, and how much a body lags whose one may end."""
         self._max_connections = max_connections
+        self._reading_lag_s = reading_lag_s
         self._connections: dict[Connection, None] = {}
 
     def __len__(self) -> int:
@@ -89,7 +88,7 @@
         """Return the connection that has been idle longest, or lags most."""
         for phase, lag_s in (
             (ConnectionPhase.IDLE, 0.0),
-            (ConnectionPhase.READING, READING_LAG_S),
+            (ConnectionPhase.READING, self._reading_lag_s),
         ):
             found = [
                 one
--- a/src/siskinspool/protection/memory_budget.py
+++ b/src/siskinspool/protection/memory_budget.py
@@ -35,9 +35,17 @@
     """The bytes of all bodies and answers of a process."""
 
     def __init__(
-        self, total_bytes: int, small_share: float = 0.0, small_bytes: int = 0
+        self,
+        total_bytes: int,
+        small_share: float,
+        small_bytes: int,
+        needed_bytes_per_s: float,
     ) -> None:
-        """Set the size, the share kept for small reservations, and their size."""
+        """Set the size, the share kept for small reservations, and their size.
+
+        A transfer lags if it is slower than ``needed_bytes_per_s``.
+        """
+        self._needed_bytes_per_s = needed_bytes_per_s
         self._total_bytes = total_bytes
         self._large_bytes = int(total_bytes * (1 - small_share))
         self._small_bytes = small_bytes
@@ -48,7 +56,7 @@
 
     def open(self, now: float) -> Reservation:
         """Return a reservation without bytes."""
-        made = Reservation(lag=TransferLag(now))
+        made = Reservation(lag=TransferLag(self._needed_bytes_per_s, now))
         self._reservations.add(made)
         return made
 
--- a/src/siskinspool/protection/minimum_progress.py
+++ b/src/siskinspool/protection/minimum_progress.py
@@ -2,12 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Final
-
-# A transfer at this rate does not lag. A twentieth of the slowest link, so that a
-# caller at fault is told from many callers on one link.
-NEEDED_BYTES_PER_S: Final = 32_768.0
-
 
 class TransferLag:
     """How far a transfer is behind one at the needed rate, in seconds.
@@ -16,8 +10,9 @@
     then therefore lags almost as much as one that sends nothing.
     """
 
-    def __init__(self, now: float) -> None:
-        """Start without a lag; times are in seconds of the owner's clock."""
+    def __init__(self, bytes_per_s: float, now: float) -> None:
+        """Set the needed rate; times are in seconds of the owner's clock."""
+        self._bytes_per_s = bytes_per_s
         self._done_at = now
 
     def lag_s(self, now: float) -> float:
@@ -26,7 +21,7 @@
 
     def record(self, size: int, now: float) -> None:
         """Count transferred bytes; what is ahead of the rate is not credited."""
-        self._done_at = min(self._done_at + size / NEEDED_BYTES_PER_S, now)
+        self._done_at = min(self._done_at + size / self._bytes_per_s, now)
 
     def excuse(self, seconds: float) -> None:
         """Leave out a time in which the caller was made to wait."""
--- a/src/siskinspool/protection/settings.py
+++ b/src/siskinspool/protection/settings.py
@@ -48,9 +48,13 @@
     # Part of the remaining memory that bodies and answers may take. The rest is for
     # copies in passing, for connections and for what the allocator cannot reuse.
     budget_share: float = 0.5
-    # Part of the budget that only small requests may take, and their size.
+    # Part of the budget that only small requests may take, and their size: a body of
+    # 64 KB and what a usual head counts.
     small_share: float = 0.25
-    small_bytes: int = 65_536
+    small_bytes: int = 98_304
+    # Memory counted for each byte of a head: 85 headers of 13 KB took 145 KB, as they
+    # are kept as parsed lines, as the WSGI environment and by the request.
+    head_factor: float = 10.0
     # Longest wait of a body for room in the budget, and the number that may wait.
     body_wait_s: float = 2.0
     waiting_bodies: int = 64
@@ -59,7 +63,11 @@
     body_bytes_per_s: float = 2_048.0
     body_window_s: float = 30.0
     body_start_bytes: int = 16_384
-    # A body or an answer that lags this much may be shed if room is short.
+    # A transfer at this rate does not lag. A twentieth of the slowest link, so that a
+    # caller at fault is told from many callers on one link.
+    needed_bytes_per_s: float = 32_768.0
+    # A body or an answer that lags this much may be shed if room is short, and the
+    # connection of such a body may be ended if there are too many.
     shed_lag_s: float = 0.5
     # Bytes of a stream that may wait for its caller.
     backlog_bytes: int = 262_144
--- a/tests/builders_protection.py
+++ b/tests/builders_protection.py
@@ -10,11 +10,12 @@
 TOTAL_BYTES = 1_000_000
 SMALL_SHARE = 0.25
 SMALL_BYTES = 64_000
+NEEDED_BYTES_PER_S = 32_000.0
 
 
 def budget() -> MemoryBudget:
     """Return a budget of `TOTAL_BYTES`."""
-    return MemoryBudget(TOTAL_BYTES, SMALL_SHARE, SMALL_BYTES)
+    return MemoryBudget(TOTAL_BYTES, SMALL_SHARE, SMALL_BYTES, NEEDED_BYTES_PER_S)
 
 
 def reserved(budget: MemoryBudget, size: int, now: float = 0.0) -> Reservation:
@@ -26,7 +27,7 @@
 
 def connection(phase: ConnectionPhase, now: float) -> Connection:
     """Return a connection that entered a phase at a time."""
-    made = Connection.from_socket(socket.socket(), now)
+    made = Connection.from_socket(socket.socket(), NEEDED_BYTES_PER_S, now)
     made.enter(phase, now)
     return made
 
--- a/tests/test_protection.py
+++ b/tests/test_protection.py
@@ -176,7 +176,7 @@
 
 def test_connections_make_room_in_order() -> None:
     """Guards against ending a running request, or refusing beside idle connections."""
-    table = ConnectionTable(4)
+    table = ConnectionTable(4, reading_lag_s=1.0)
     running = connection(ConnectionPhase.RUNNING, 0.0)
     reading = connection(ConnectionPhase.READING, 1.0)
     newer = connection(ConnectionPhase.IDLE, 3.0)
