End shed and evicted connections without error reports

gevent wakes a reader or writer whose connection the process shuts down with an OSError. A search for callers to shed that finds none is not repeated within 10 ms, since each takes a millisecond among thousands of callers.

--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -176,7 +176,11 @@
         """Serve the requests of one connection."""
         # Also applies while waiting for a head, so that idle connections are closed.
         self.socket.settimeout(self.idle_timeout_s)
-        super().handle()
+        try:
+            super().handle()
+        except OSError as error:
+            # A refusal could not be sent, as the connection has ended.
+            self.log_error(type(error).__name__)
 
     def handle_one_request(self) -> Any:
         """Serve the next request of the connection."""
@@ -271,7 +275,7 @@
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Close the connection after an exception in the application."""
-        if isinstance(v, CutStreamError):
+        if isinstance(v, CutStreamError) or self.connection.is_ended:
             # Without the final chunk the caller can detect the cut answer (R8).
             self.close_connection = True
             return
--- a/src/siskinspool/protection/body_reader.py
+++ b/src/siskinspool/protection/body_reader.py
@@ -91,7 +91,9 @@
         except _BodyError as error:
             failure = error.failure
         except (MalformedChunkError, OSError):
-            failure = BodyFailure.INCOMPLETE
+            # A reader that is woken because its body is shed gets an OSError.
+            is_shed = self._room.is_shed
+            failure = BodyFailure.SHED if is_shed else BodyFailure.INCOMPLETE
         if failure in _LIMIT_BY_FAILURE:
             self._protection.record(_LIMIT_BY_FAILURE[failure])
         return failure
--- a/src/siskinspool/protection/caller_protection.py
+++ b/src/siskinspool/protection/caller_protection.py
@@ -16,6 +16,9 @@
 
 # A waiting body looks for room, and for others to shed, at least this often.
 CHECK_INTERVAL_S: Final = 0.1
+# After a search for others to shed that found none, the next one with the same lag.
+# A search among thousands of callers takes a millisecond.
+SEARCH_INTERVAL_S: Final = 0.01
 
 
 class CallerProtection:
@@ -37,6 +40,8 @@
         )
         self._waiting_bodies = 0
         self._room_freed = Event()
+        # Until when no search is made, by the lag that is searched for.
+        self._next_search_at_by_lag: dict[float, float] = {}
 
     @classmethod
     def from_settings(
@@ -124,7 +129,15 @@
 
     def _shed_for(self, reservation: Reservation, size: int, lag_s: float) -> None:
         now = self.clock.now()
-        for shed in self._budget.shed_for(reservation, size, lag_s, now):
+        if (
+            now < self._next_search_at_by_lag.get(lag_s, now)
+            or self._budget.shortage_bytes(reservation, size) <= 0
+        ):
+            return
+        found = self._budget.shed_for(reservation, size, lag_s, now)
+        if not found:
+            self._next_search_at_by_lag[lag_s] = now + SEARCH_INTERVAL_S
+        for shed in found:
             if shed.on_shed is not None:
                 shed.on_shed()
 
--- a/src/siskinspool/protection/connection_table.py
+++ b/src/siskinspool/protection/connection_table.py
@@ -29,6 +29,8 @@
     # Of the phase; only bodies that are being read progress.
     lag: TransferLag
     phase: ConnectionPhase = ConnectionPhase.IDLE
+    # The process has ended it; errors on its socket follow from that.
+    is_ended: bool = False
 
     @classmethod
     def from_socket(
@@ -48,6 +50,7 @@
 
     def end(self) -> None:
         """Let the connection's greenlet see the end of the connection."""
+        self.is_ended = True
         self._shut_down(socket.SHUT_RDWR)
 
     def _shut_down(self, how: int) -> None:
--- a/src/siskinspool/protection/memory_budget.py
+++ b/src/siskinspool/protection/memory_budget.py
@@ -87,6 +87,10 @@
         self.shrink(reservation, reservation.size)
         self._reservations.discard(reservation)
 
+    def shortage_bytes(self, reservation: Reservation, size: int) -> int:
+        """Return how many bytes are to be shed, so that one may grow by some bytes."""
+        return self._missing_bytes(reservation, size) - self._leaving_bytes
+
     def shed_for(
         self, reservation: Reservation, size: int, lag_s: float, now: float
     ) -> list[Reservation]:
@@ -95,7 +99,7 @@
         Only those that lag by ``lag_s`` at least are chosen. The bytes of those
         chosen earlier count as free.
         """
-        missing = self._missing_bytes(reservation, size) - self._leaving_bytes
+        missing = self.shortage_bytes(reservation, size)
         chosen: list[Reservation] = []
         for other in self._candidates(reservation, lag_s, now) if missing > 0 else ():
             if missing <= 0:
--- a/tests/builders_front_listener.py
+++ b/tests/builders_front_listener.py
@@ -28,6 +28,7 @@
 from siskinspool.gateway.servers import RegistryListed
 from siskinspool.links.server_link import HttpServerLink
 from siskinspool.platform.front_codec import PlatformFrontCodec
+from siskinspool.protection.caller_protection import CallerProtection
 from siskinspool.settings import Endpoint
 
 from .builders_gateway import desired_state, route
@@ -80,7 +81,10 @@
 
 @contextmanager
 def front_listener(
-    server_port: int | None = 1, **limits: Any
+    server_port: int | None = 1,
+    *,
+    protection: CallerProtection | None = None,
+    **limits: Any,
 ) -> Iterator[FrontListener]:
     """Run a listener with a public route of the plain service ``desk``."""
     dispatcher, clock = Dispatcher("g1"), MonotonicClock()
@@ -93,7 +97,8 @@
         codec=codec,
         metrics=GatewayMetrics(),
     )
-    front = FrontTask(context, codec, Endpoint(host="127.0.0.1", port=0))
+    endpoint = Endpoint(host="127.0.0.1", port=0)
+    front = FrontTask(context, codec, endpoint, protection)
     front.start()
     try:
         listener = FrontListener(front)
