--- a/src/siskinspool/protection/body_reader.py
+++ b/src/siskinspool/protection/body_reader.py
@@ -83,8 +83,6 @@
         now = self._protection.clock.now()
         self._connection.enter(ConnectionPhase.READING, now)
         try:
-            # The head counts, too.
-            self._reserve(0)
             if self._source.chunked_input:
                 return self._read_chunks(max_bytes)
             return self._read_length(max_bytes)
@@ -102,9 +100,11 @@
         length = self._source.content_length or 0
         if length > max_bytes:
             raise _BodyError(BodyFailure.TOO_LARGE)
+        # The head counts, too. In one step, as a body that waits to be admitted and
+        # holds some room already could be shed.
+        self._reserve(length)
         if not length:
             return b""
-        self._reserve(length)
         self._source._send_100_continue()
         body = bytearray()
         while len(body) < length:
--- a/src/siskinspool/protection/memory_budget.py
+++ b/src/siskinspool/protection/memory_budget.py
@@ -85,6 +85,8 @@
     def close(self, reservation: Reservation) -> None:
         """End a reservation; may be called more than once."""
         self.shrink(reservation, reservation.size)
+        # It refers to the request, whose body would stay until a garbage collection.
+        reservation.on_shed = None
         self._reservations.discard(reservation)
 
     def shortage_bytes(self, reservation: Reservation, size: int) -> int:
--- a/tests/integration/builders_uncontrolled_callers.py
+++ b/tests/integration/builders_uncontrolled_callers.py
@@ -101,7 +101,13 @@
 class SlowReader(Caller):
     """Sends a whole request and reads its answer slowly."""
 
-    request: bytes
+    request: bytes = attrs.field(repr=False)
+
+    @classmethod
+    def with_whole_body(cls) -> Caller:
+        """Return a caller whose answer repeats its large body."""
+        head = request_head("POST", "/deposit/1", f"Content-Length: {MAX_BODY_BYTES}")
+        return cls(head + b"x" * MAX_BODY_BYTES)
 
     def run(self, sock: socket.socket) -> None:
         """Send the request."""
--- a/tests/integration/test_uncontrolled_callers.py
+++ b/tests/integration/test_uncontrolled_callers.py
@@ -97,6 +97,14 @@
         check_process(machine)
 
 
+def test_whole_bodies_with_slow_readers(machine: SmallMachine) -> None:
+    """Guards against requests that outlive their end with body and answer."""
+    with crowd(machine.gateway.front) as callers:
+        callers.add(100, SlowReader.with_whole_body())
+        callers.wait()
+        check_process(machine)
+
+
 @pytest.mark.parametrize("form", CONNECTION_FORMS)
 def test_connections_of_the_front(machine: SmallMachine, form: str) -> None:
     """Guards against spending all descriptors on callers' connections."""
