--- a/src/siskinspool/gateway/choice_explanation.py
+++ b/src/siskinspool/gateway/choice_explanation.py
@@ -32,7 +32,7 @@
         return AssignServer(
             request_id="",
             team="",
-        service=self.service,
+            service=self.service,
             model=self.model,
             adapter=self.adapter,
             parts=self.parts,
--- a/src/siskinspool/gateway/pages.py
+++ b/src/siskinspool/gateway/pages.py
@@ -7,12 +7,14 @@
 
 import attrs
 import msgspec
-from gevent.pywsgi import WSGIServer
 
 from ..core.message import Incoming, Message
 from ..core.status import GaugesReply, GetGauges, GetStatus, StatusReply
 from ..core.task import Task
 from ..links.caller import StartResponse, status_line
+from ..links.http_server import CallerHandler, CallerServer
+from ..protection.connection_table import ConnectionTable
+from ..protection.limit_counters import Limit
 from ..settings import Endpoint
 from .choice_explanation import ChoiceExplained, ExplainChoice
 from .front_task import FrontTask
@@ -40,9 +42,17 @@
         self._metrics = context.metrics
         self._ready_path = ready_path
         self._status_tasks = status_tasks
+        settings = front.protection.settings
         self._servers = [
-            WSGIServer(
-                (endpoint.host, endpoint.port), application, log=None, error_log=None
+            CallerServer(
+                (endpoint.host, endpoint.port),
+                application,
+                front.protection,
+                handler_class=CallerHandler,
+                connections=ConnectionTable(
+                    settings.page_connections, settings.shed_lag_s
+                ),
+                eviction_limit=Limit.PAGE_CONNECTION,
             )
             for endpoint, application in (
                 (ready, self._serve_readiness),
@@ -100,6 +110,7 @@
             answer = self._ask(task, GetGauges())
             if isinstance(answer, GaugesReply):
                 self._metrics.set_gauges(answer.value_by_name)
+        self._metrics.set_gauges(self._front.protection.gauges())
 
     def _status(self) -> bytes:
         status = {}
