--- /dev/null
+++ b/src/siskinspool/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties: what one gateway, the holder, does for the whole deployment."""
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -23,6 +23,15 @@
 from ..core.member import Member
 from ..core.message import Outgoing
 from ..core.task import DecisionTask, Task
+from ..duties.duty_calls import DutyCalls, UsageEncoding
+from ..duties.duty_messages import (
+    DUTY_TASK,
+    SCALING_TASK,
+    USAGE_COUNTS_TASK,
+    USAGE_WINDOWS_TASK,
+)
+from ..duties.duty_parts import build_duty_tasks
+from ..duties.duty_settings import DutySettings
 from ..feed.change_feed import ChangeFeed
 from ..feed.feed_messages import CHANGE_FEED_TASK, StopFeeding
 from ..feed.watch_task import FeedSource, WatchTask
@@ -79,7 +88,15 @@
 SESSION_END_TIMEOUT_S: Final = 0.3
 
 # Tasks that receive changes of the desired state, the servers and the evacuations.
-FEED_LISTENERS: Final = (FRONT_TASK, ROUTING_TASK, CAPS_TASK, PLACEMENT_TASK)
+FEED_LISTENERS: Final = (
+    FRONT_TASK,
+    ROUTING_TASK,
+    CAPS_TASK,
+    PLACEMENT_TASK,
+    SCALING_TASK,
+)
+# Where a deployment has no duties, these tasks do not exist and get no messages.
+DUTY_TASKS: Final = (USAGE_COUNTS_TASK, USAGE_WINDOWS_TASK, SCALING_TASK, DUTY_TASK)
 STATUS_TASKS: Final = (
     MEMBERS_TASK,
     CHANGE_FEED_TASK,
@@ -89,6 +106,7 @@
     CAPS_TASK,
     PLACEMENT_TASK,
     QUARANTINE_TASK,
+    *DUTY_TASKS,
 )
 
 
@@ -122,6 +140,8 @@
     first_start: bool
     bounds: Bounds
     scheduling: SchedulingSettings
+    # None: the deployment has no duties.
+    duties: DutySettings | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -136,6 +156,8 @@
     sources: tuple[FeedSource, ...]
     # Creates the task that decodes their changes for the listeners.
     make_feed: Callable[[Dispatcher, Clock, tuple[str, ...]], Task]
+    usage_encoding: UsageEncoding
+    make_duty_calls: Callable[[DutySettings], DutyCalls]
 
 
 class GatewayInstance:
@@ -195,6 +217,15 @@
             self._build_store_task(parts.store, own_member),
             parts.make_feed(self._dispatcher, clock, FEED_LISTENERS),
         ]
+        if settings.duties is not None:
+            self._tasks += build_duty_tasks(
+                self._dispatcher,
+                clock,
+                own_member,
+                settings.duties,
+                parts.make_duty_calls(settings.duties),
+                parts.usage_encoding,
+            )
 
     @property
     def ports(self) -> dict[str, int]:
@@ -252,6 +283,7 @@
                     ISOLATION_TASK,
                     QUARANTINE_TASK,
                     CHANGE_FEED_TASK,
+                    *DUTY_TASKS,
                 ),
             ),
             CHANGE_FEED_TASK: ChangeFeed(
@@ -264,7 +296,7 @@
             LEADERSHIP_TASK: Leadership(
                 own_member,
                 bounds,
-                (ROUTING_TASK, PLACEMENT_TASK),
+                (ROUTING_TASK, PLACEMENT_TASK, *DUTY_TASKS),
                 now,
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
             ),
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -21,6 +21,7 @@
 from ..core.errors import ErrorCode
 from ..core.message import Address, Message, Outgoing
 from ..core.outcome import Refusal
+from ..duties.usage_mark import UsageMark
 from ..links.answer_sink import AnswerSink
 from ..links.guarded_sink import GuardedSink
 from ..links.server_link import Answer, Lost, NotSent, ServerRequest
@@ -90,6 +91,13 @@
         self._sink = GuardedSink(sink)
         self._log = RequestLog(request, context)
         self._prompt = PromptOutcome(request.head, context.dispatcher)
+        self._usage = UsageMark(
+            request.admission.team,
+            context.dispatcher,
+            context.clock,
+            is_stream=request.admission.route.kind is RouteKind.STREAM,
+            is_resumed=bool(request.head.last_event_id),
+        )
         self._request_time = RequestTime.from_request(request)
         self._stream_position = StreamPosition.from_header(request.head.last_event_id)
         # Servers that rejected the request, and servers at which it failed.
@@ -266,6 +274,7 @@
         self._send_count += 1
         self._run_count += 1
         self._prompt.start_send()
+        self._usage.record_sent()
         may_have_run_before = self._may_have_run
         # From here on, if no answer arrives, it is unknown whether a server ran it.
         self._may_have_run = True
@@ -276,6 +285,7 @@
             call_result = self._open_call(assigned)
             if isinstance(call_result, NotSent):
                 result = AttemptResult.NOT_SENT
+                self._usage.record_not_run()
                 self._run_count -= 1
                 self._may_have_run = may_have_run_before
                 return self._report_failure(assigned, result, call_result.reason)
@@ -292,6 +302,7 @@
             if isinstance(rejection, NotRunAnswer):
                 # This server does not count toward the route's limit, which limits
                 # the servers that run a request.
+                self._usage.record_not_run()
                 self._run_count -= 1
                 self._may_have_run = may_have_run_before
             if rejection is not None:
@@ -393,6 +404,7 @@
                 return result, self._report_failure(assigned, result, "a gap in ids")
             if self._stream_position.accepts(event):
                 self._begin_stream(assigned, answer, answer_head)
+                self._usage.record_event()
                 self._sink.send_event(event)
         self._prompt.record_served()
         self._begin_stream(assigned, answer, answer_head)
--- a/src/siskinspool/platform/contracts.py
+++ b/src/siskinspool/platform/contracts.py
@@ -9,7 +9,8 @@
 - ``quota``: no use beyond a team's rate and burst is tolerated.
 - ``places``: servers that have just started have no limit on their requests.
 - ``engine``: no orders are given, as no service has models to place.
-- ``leader``: no usage is reported and no number of servers is ordered.
+- ``leader``: no usage is reported and no number of servers is ordered, and the table
+  ``cloud`` is not read.
 
 Parts of the desired state that belong to a contract (teams, engines) are optional when
 decoded, so they need no entry here.
@@ -42,6 +43,9 @@
 DEFAULT_DRAIN_S: Final = 2.0
 DEFAULT_CONFIG_S: Final = 2.0
 DEFAULT_LEASE_S: Final = 3.0
+# Where usage is not reported.
+DEFAULT_USAGE_WINDOW_S: Final = 5.0
+DEFAULT_USAGE_LATE_S: Final = 10.0
 
 
 def missing_contracts(contracts: Collection[str]) -> list[str]:
--- a/src/siskinspool/platform/daemon.py
+++ b/src/siskinspool/platform/daemon.py
@@ -31,6 +31,7 @@
 )
 from ..telemetry.logs import BoundedHandler, configure_logging, log_event
 from .desired_state import OPERATOR_PREFIX
+from .duty_calls import PlatformDutyCalls, PlatformUsageEncoding
 from .feeds import FEED_TASK, FeedTask
 from .front_codec import READY_PATH, PlatformFrontCodec
 from .server_calls import PlatformServerControl
@@ -121,6 +122,8 @@
             FeedSource(SERVERS_PREFIX, registry_store, (FEED_TASK,)),
         ),
         make_feed=FeedTask,
+        usage_encoding=PlatformUsageEncoding(),
+        make_duty_calls=lambda duties: PlatformDutyCalls(duties.cloud),
     )
     return GatewayInstance(settings, parts, clock)
 
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ..core.errors import SettingsError
+from ..duties.duty_settings import Duty, DutySettings
 from ..gateway.bounds import (
     Bounds,
     CapBounds,
@@ -29,6 +30,8 @@
     DEFAULT_DRAIN_S,
     DEFAULT_GRACE_S,
     DEFAULT_LEASE_S,
+    DEFAULT_USAGE_LATE_S,
+    DEFAULT_USAGE_WINDOW_S,
     Contract,
     missing_contracts,
 )
@@ -91,6 +94,12 @@
             self.faults.append(f"{path}: {value} is negative")
         return value
 
+    def positive(self, path: str) -> float:
+        value = self.number(path)
+        if value == 0:
+            self.faults.append(f"{path}: zero is not allowed")
+        return value
+
     def seconds(self, path: str) -> float:
         return self.number(path) / MS_PER_S
 
@@ -135,6 +144,7 @@
         first_start=reader.flag("bootstrap"),
         bounds=bounds,
         scheduling=_read_scheduling(reader, bounds),
+        duties=_read_duties(reader, bounds) if Contract.LEADER in contracts else None,
     )
     if reader.faults:
         raise SettingsError("\n".join(reader.faults))
@@ -180,6 +190,26 @@
     return attrs.evolve(defaults, **flags)
 
 
+def _read_duties(reader: _SettingsReader, bounds: Bounds) -> DutySettings:
+    names = reader.get("cloud.duties", list, [])
+    unknown = [name for name in names if name not in list(Duty)]
+    reader.faults += [f"cloud.duties: {name!r} is not known" for name in unknown]
+    duties = frozenset(Duty(name) for name in names if name not in unknown)
+    window_s, late_s = DEFAULT_USAGE_WINDOW_S, DEFAULT_USAGE_LATE_S
+    if Duty.USAGE in duties:
+        window_s = reader.positive("bounds.usage_window_s")
+        late_s = reader.positive("bounds.usage_late_s")
+    return DutySettings(
+        cloud=reader.endpoint("cloud.addr"),
+        duties=duties,
+        calls_per_s=reader.positive("cloud.duties_per_s"),
+        usage_window_s=window_s,
+        usage_late_s=late_s,
+        lease_s=bounds.orders.lease_s,
+        epochs_checked=bounds.orders.epochs_checked,
+    )
+
+
 def _read_order_bounds(
     reader: _SettingsReader, contracts: frozenset[str]
 ) -> OrderBounds:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -45,6 +45,14 @@
         "require_fence": True,
         "ceiling_window_s": 5,
         "ceiling_overage": 1.1,
+        "usage_window_s": 5,
+        "usage_off": 0.05,
+        "usage_late_s": 10,
+    },
+    "cloud": {
+        "addr": "10.200.1.9:8230",
+        "duties": ["usage", "scale"],
+        "duties_per_s": 50,
     },
     "platform": {"addr": "10.200.1.7:8225", "ttl_min_ms": 1000},
     "a_field_of_tomorrow": [1, 2],
@@ -84,6 +92,7 @@
     Contract.QUOTA: ("quota_window_s", "quota_overage", "quota_slack"),
     Contract.PLACES: ("cold_overage", "cold_slack"),
     Contract.ENGINE: ("ceiling_window_s", "ceiling_overage"),
+    Contract.LEADER: ("usage_window_s", "usage_late_s"),
 }
 
 
@@ -109,7 +118,9 @@
     if not present & {Contract.ENGINE, Contract.LEADER}:
         dropped += ["lease_ms", "require_fence"]
     contracts = [*present, *REQUIRED_CONTRACTS]
-    bounds = decode_settings(settings_with(contracts, *dropped)).bounds
+    settings = decode_settings(settings_with(contracts, *dropped))
+    assert (settings.duties is None) == (Contract.LEADER not in present)
+    bounds = settings.bounds
     assert (bounds.cold is None) == (Contract.PLACES not in present)
     assert (bounds.retry is None) == (Contract.RETRY not in present)
     assert (bounds.cap is None) == (Contract.QUOTA not in present)
