Order the numbers of servers by observed work

Services with an autoscale range in the desired state get orders for each zone. Every gateway reports its running and waiting requests to the holder once a second. A rise is followed at once, over the boot time of a server; servers are given up when the peak of the last 20 s did not need them. A lost or evacuated zone gets the least number of its range, and the other zones replace its servers.

--- a/src/siskinspool/duties/duty_messages.py
+++ b/src/siskinspool/duties/duty_messages.py
@@ -67,6 +67,39 @@
     decided_through: int
 
 
+# Work, for scaling
+
+
+@attrs.frozen
+class GetWork(Message):
+    """Request the work that this gateway has at present."""
+
+
+@attrs.frozen
+class ServiceWork:
+    """A gateway's requests of one service."""
+
+    service: str
+    waiting: int
+    # Requests sent to the servers of each zone, without those that have ended.
+    running_by_zone: dict[str, int]
+
+
+@attrs.frozen
+class WorkObserved(Message):
+    """Reply to `GetWork`; services without work are left out."""
+
+    works: tuple[ServiceWork, ...]
+
+
+@wire
+@attrs.frozen
+class WorkReport(Message):
+    """The present work of the sender, for the holder."""
+
+    works: tuple[ServiceWork, ...]
+
+
 # True time
 
 
--- a/src/siskinspool/duties/duty_parts.py
+++ b/src/siskinspool/duties/duty_parts.py
@@ -10,9 +10,10 @@
 from ..core.member import Member
 from ..core.task import DecisionTask, Task
 from .duty_calls import DutyCalls, UsageEncoding
-from .duty_messages import USAGE_COUNTS_TASK, USAGE_WINDOWS_TASK
+from .duty_messages import SCALING_TASK, USAGE_COUNTS_TASK, USAGE_WINDOWS_TASK
 from .duty_settings import Duty, DutySettings
 from .duty_task import DutyTask
+from .scaling import Scaling
 from .usage_counts import UsageCounts
 from .usage_windows import UsageWindows
 from .wall_clock_task import WallClockTask
@@ -33,10 +34,10 @@
         decision_by_name[USAGE_COUNTS_TASK] = UsageCounts(
             own, settings.usage_window_s, random.Random(), clock.now()
         )
-        decision_by_name[USAGE_WINDOWS_TASK] = UsageWindows(
-            own.instance_id, settings, encoding
-        )
+        decision_by_name[USAGE_WINDOWS_TASK] = UsageWindows(own, settings, encoding)
         tasks.append(WallClockTask(dispatcher, clock))
+    if Duty.SCALE in settings.duties:
+        decision_by_name[SCALING_TASK] = Scaling(own, settings, clock.now())
     return tasks + [
         DecisionTask(name, dispatcher, clock, decision)
         for name, decision in decision_by_name.items()
--- a/src/siskinspool/duties/usage_windows.py
+++ b/src/siskinspool/duties/usage_windows.py
@@ -53,15 +53,15 @@
     """Collects the counts and decides the windows."""
 
     def __init__(
-        self, instance_id: str, settings: DutySettings, encoding: UsageEncoding
+        self, own: Member, settings: DutySettings, encoding: UsageEncoding
     ) -> None:
-        self._id = instance_id
+        self._id = own.instance_id
         self._settings = settings
         self._encoding = encoding
         self._term = HolderTerm(settings)
         self._ledger = UsageLedger(epoch=0)
         self._counts = WindowCounts()
-        self._live_sources: set[str] = set()
+        self._live_sources = {source_name(own)}
         # True time minus the instance's clock.
         self._offset_s: float | None = None
         self._next_check_at: float | None = None
--- a/src/siskinspool/gateway/desired_state.py
+++ b/src/siskinspool/gateway/desired_state.py
@@ -96,6 +96,16 @@
     model_by_name: dict[str, ModelSpec]
 
 
+@attrs.frozen(kw_only=True)
+class AutoscaleSpec:
+    """The range of a service's number of servers in each zone."""
+
+    min_servers: int
+    max_servers: int
+    # Time from an order until the server is ready.
+    boot_s: float
+
+
 @attrs.frozen(kw_only=True)
 class ServiceSpec:
     """A set of servers that can serve the same requests."""
@@ -108,6 +118,8 @@
     cold_per_s: float
     # None for a plain service.
     engine: EngineSpec | None
+    # None: the number of servers is not ordered.
+    autoscale: AutoscaleSpec | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -25,6 +25,7 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..duties.duty_messages import GetWork, WorkObserved
 from ..machines.rendezvous import score
 from ..telemetry.logs import log_event
 from .bounds import Bounds
@@ -58,6 +59,7 @@
 )
 from .shared_retry_budget import SharedRetryBudget
 from .waiting_request import WaitingRequest
+from .work_observation import observe_work
 
 logger = logging.getLogger(__name__)
 
@@ -118,6 +120,8 @@
                 if view := self._views.by_id.get(server_id):
                     view.record_first_event(request_id, now)
                 return []
+            case GetWork():
+                return [Outgoing(incoming.sender, self._observe_work())]
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case other:
@@ -402,6 +406,10 @@
         reports = self._demand.pop_reports(self._views.by_id.values(), now)
         return [Outgoing(recipient, report) for report in reports]
 
+    def _observe_work(self) -> WorkObserved:
+        waiting = self._requesters.waiting_by_id.values()
+        return observe_work(self._views.by_id.values(), waiting)
+
     # Changes
 
     def _handle_change(self, message: object, now: float) -> None:
--- a/src/siskinspool/platform/desired_state.py
+++ b/src/siskinspool/platform/desired_state.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Final, Literal
+from typing import Annotated, Final, Literal
 
 import msgspec
 
 from ..core.malformed import MALFORMED_ERRORS
 from ..gateway.desired_state import (
+    AutoscaleSpec,
     DesiredState,
     EngineSpec,
     ModelSpec,
@@ -31,6 +32,7 @@
 MS_PER_S: Final = 1000.0
 # A `gap_target_ms` or a cap of zero means "none".
 NONE: Final = 0
+DEFAULT_BOOT_S: Final = 8.0
 
 
 @dataclass(frozen=True)
@@ -83,12 +85,19 @@
     loads_per_s: float = 0.0
 
 
+class _Autoscale(msgspec.Struct):
+    min: Annotated[int, msgspec.Meta(ge=0)]
+    max: Annotated[int, msgspec.Meta(ge=0)]
+    boot_s: Annotated[float, msgspec.Meta(ge=0)] = DEFAULT_BOOT_S
+
+
 class _Service(msgspec.Struct):
     name: str
     health_path: str = "/health"
     cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: _Engine | None = None
+    autoscale: _Autoscale | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -165,6 +174,15 @@
         cold_s=service.cold_s,
         cold_per_s=service.cold_per_s,
         engine=None if service.engine is None else _engine(service.engine),
+        autoscale=None if service.autoscale is None else _autoscale(service.autoscale),
+    )
+
+
+def _autoscale(autoscale: _Autoscale) -> AutoscaleSpec:
+    return AutoscaleSpec(
+        min_servers=autoscale.min,
+        max_servers=max(autoscale.min, autoscale.max),
+        boot_s=autoscale.boot_s,
     )
 
 
