Keep the counts of a gateway that is cut off from the store

A new holder decided windows as soon as the gateways with a session had sent their counts. The holder now waits after its election, and for all sources that have reported counts of the window.

--- a/src/siskinspool/duties/usage_windows.py
+++ b/src/siskinspool/duties/usage_windows.py
@@ -1,7 +1,8 @@
 """The ``usage_windows`` decision: decides each window once and reports it.
 
-Only the holder decides. A window is decided when all gateways' counts are final, at the
-latest some time before its report is due. Windows are reported in order, each after the
+Only the holder decides. A window is decided when the counts of all gateways, and of all
+others that reported counts of it, are final, at the latest some time before its report
+is due. Windows are reported in order, each after the
 platform has taken the one before.
 """
 
@@ -43,7 +44,8 @@
 # platform need some time.
 EARLIEST_PART: Final = 0.2
 LATEST_PART: Final = 0.6
-# A new holder gets the counts of all gateways and witnesses within this time.
+# A new holder gets the counts of all gateways and witnesses within this time, also
+# those of its predecessor, which may have lost its session.
 COLLECT_S: Final = 1.5
 # An order that was lost between the tasks is given again after this time.
 ORDER_REPEAT_S: Final = 5.0
@@ -162,12 +164,12 @@
         ended_s = now + (self._offset_s or 0.0) - (window + 1) * settings.usage_window_s
         if ended_s < EARLIEST_PART * settings.usage_late_s:
             return False
-        if self._live_sources <= self._counts.final_sources(window):
+        if now < self._term.began_at + COLLECT_S:
+            return False
+        expected = self._live_sources | self._counts.sources(window)
+        if expected <= self._counts.final_sources(window):
             return True
-        return (
-            ended_s >= LATEST_PART * settings.usage_late_s
-            and now >= self._term.began_at + COLLECT_S
-        )
+        return ended_s >= LATEST_PART * settings.usage_late_s
 
     # Reporting
 
--- a/src/siskinspool/duties/window_counts.py
+++ b/src/siskinspool/duties/window_counts.py
@@ -81,6 +81,10 @@
                 totals[team] += count
         return {team: totals[team] for team in sorted(totals) if totals[team] > 0}
 
+    def sources(self, window: int) -> set[str]:
+        """Return the sources with counts of a window."""
+        return set(self._by_window.get(window, {}))
+
     def final_sources(self, window: int) -> set[str]:
         """Return the sources whose counts of a window are final."""
         by_source = self._by_window.get(window, {})
