--- a/tests/integration/test_duties_usage.py
+++ b/tests/integration/test_duties_usage.py
@@ -60,7 +60,8 @@
 
 def test_killed_holder_is_replaced(site: DutySite) -> None:
     """Guards against lost windows, differing repeats and mixed holders."""
-    gevent.sleep(1.5)
+    # The windows in which the gateways started are decided late.
+    wait_until(site.counts_by_window, 15.0)
     holder = site.holder()
     assert holder is not None
     sent = send_plain(site.site.gateways.values(), 2.5, gevent.sleep)
