--- a/src/siskinspool/duties/duty_parts.py
+++ b/src/siskinspool/duties/duty_parts.py
@@ -34,7 +34,9 @@
         decision_by_name[USAGE_COUNTS_TASK] = UsageCounts(
             own, settings.usage_window_s, random.Random(), clock.now()
         )
-        decision_by_name[USAGE_WINDOWS_TASK] = UsageWindows(own, settings, encoding)
+        decision_by_name[USAGE_WINDOWS_TASK] = UsageWindows(
+            own, settings, encoding, clock.now()
+        )
         tasks.append(WallClockTask(dispatcher, clock))
     if Duty.SCALE in settings.duties:
         decision_by_name[SCALING_TASK] = Scaling(own, settings, clock.now())
--- a/src/siskinspool/duties/duty_queue.py
+++ b/src/siskinspool/duties/duty_queue.py
@@ -68,11 +68,13 @@
         self._in_flight_by_subject[order.subject] = order
         return order
 
-    def finish(self, order: DutyOrder, result: DutyResult, now: float) -> bool:
+    def finish(
+        self, order: DutyOrder, result: DutyResult, now: float, *, may_repeat: bool
+    ) -> bool:
         """End a call; return whether the order is finished, or else sent again."""
         self._in_flight_by_subject.pop(order.subject, None)
         retry_s = _RETRY_S_BY_RESULT.get(result)
-        if retry_s is None:
+        if retry_s is None or not may_repeat:
             return True
         newer = self._pending_by_subject.get(order.subject)
         repeated = order if newer is None else newer.order
--- a/src/siskinspool/duties/duty_task.py
+++ b/src/siskinspool/duties/duty_task.py
@@ -53,7 +53,7 @@
     ) -> None:
         super().__init__(DUTY_TASK, dispatcher, clock)
         self._calls = calls
-        self._term = HolderTerm(settings)
+        self._term = HolderTerm(settings, clock.now())
         self._call_count_by_result = dict.fromkeys(DutyResult, 0)
         self._orders = DutyQueue(settings.calls_per_s, clock.now())
 
@@ -109,9 +109,9 @@
 
     def _on_ended(self, order: DutyOrder, result: DutyResult, now: float) -> None:
         self._call_count_by_result[result] += 1
-        is_finished = self._orders.finish(order, result, now)
-        if order.epoch != self._term.epoch:
-            self._orders.clear()
+        is_current = order.epoch == self._term.epoch
+        is_finished = self._orders.finish(order, result, now, may_repeat=is_current)
+        if not is_current:
             return
         if result is DutyResult.REFUSED_EPOCH:
             self._term.refuse(order.epoch)
--- a/src/siskinspool/duties/holder_term.py
+++ b/src/siskinspool/duties/holder_term.py
@@ -27,6 +27,8 @@
     """
 
     settings: DutySettings
+    # When this process started; it may not know of a holder before that time.
+    started_at: float
     # None while this instance is not the holder.
     epoch: int | None = None
     began_at: float = 0.0
@@ -50,21 +52,27 @@
         """Stop acting on an epoch number that the platform has refused."""
         self._refused_epoch = max(self._refused_epoch, epoch)
 
-    def allows_calls(self, now: float) -> bool:
-        """Return whether a call may be sent now."""
+    def is_valid(self, now: float) -> bool:
+        """Return whether this instance is the holder, even if it may not call yet."""
         return (
             self.epoch is not None
             and self.epoch > self._refused_epoch
-            and self._from_s <= now < self._until_s - SEND_MARGIN_S
+            and now < self._until_s - SEND_MARGIN_S
         )
 
+    def allows_calls(self, now: float) -> bool:
+        """Return whether a call may be sent now."""
+        return self.is_valid(now) and now >= self._from_s
+
     def calls_from_s(self) -> float:
         """Return when the first call may be sent if the term lasts."""
         return self._from_s
 
     def _first_call_at(self, from_s: float, now: float) -> float:
+        wait_s = self.settings.lease_s
+        if not self.settings.epochs_checked:
+            wait_s += UNCHECKED_WAIT_S
         if from_s <= now:
-            # There is no other holder whose calls may be recent.
-            return now
-        extra_s = 0.0 if self.settings.epochs_checked else UNCHECKED_WAIT_S
-        return max(from_s, now + self.settings.lease_s + extra_s)
+            # No other holder is known whose calls may be recent.
+            return max(now, self.started_at + wait_s)
+        return max(from_s, now + wait_s)
--- a/src/siskinspool/duties/scale_total.py
+++ b/src/siskinspool/duties/scale_total.py
@@ -31,14 +31,17 @@
         spec: AutoscaleSpec,
         zones: Collection[ZoneState],
         now: float,
+        *,
+        is_settled: bool = True,
     ) -> int:
         """Record the present work and return the number of servers.
 
-        The number stays when a zone is lost, so the others replace its servers.
+        The number stays when a zone is lost, so the others replace its servers. Until
+        ``is_settled`` it follows the servers that are present.
         """
         self._demand.record(work, now)
         total = self._total
-        if total is None:
+        if total is None or not is_settled:
             total = sum(zone.ordered for zone in zones)
         wanted = self._demand.servers_wanted(slots, spec.boot_s)
         kept = self._demand.servers_kept(slots, now)
--- a/src/siskinspool/duties/scaling.py
+++ b/src/siskinspool/duties/scaling.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Collection
 from typing import Final
 
 import attrs
@@ -61,12 +62,22 @@
     ordered_at_by_zone: dict[str, float] = attrs.field(factory=dict)
 
 
+def _is_urgent(total: int, zones: Collection[ZoneState]) -> bool:
+    """Return whether to order servers before those of the last holder have started.
+
+    What the last holder ordered is unknown, so an order could end servers that start.
+    """
+    return total > sum(zone.ordered for zone in zones) or not all(
+        zone.is_usable for zone in zones
+    )
+
+
 class Scaling(Decision):
     """Reports the work of a gateway, and as the holder orders servers."""
 
     def __init__(self, own: Member, settings: DutySettings, now: float) -> None:
         self._id = own.instance_id
-        self._term = HolderTerm(settings)
+        self._term = HolderTerm(settings, now)
         self._zones = ZoneHealth()
         self._zones.set_members({own.zone}, now)
         self._work = WorkTotals()
@@ -159,7 +170,12 @@
         state = self._state_by_service.setdefault(service, _ScaledService())
         zones = self._zone_states(service, state, now)
         work = self._work.total(service, now)
-        total = state.total.update(work, slots, spec, zones.values(), now)
+        is_settled = now >= self._term.began_at + COLLECT_S + spec.boot_s
+        total = state.total.update(
+            work, slots, spec, zones.values(), now, is_settled=is_settled
+        )
+        if not is_settled and not _is_urgent(total, zones.values()):
+            return []
         planned = plan_zones(spec, zones, total)
         return [
             self._order(state, service, zone, desired, now)
--- a/src/siskinspool/duties/usage_counts.py
+++ b/src/siskinspool/duties/usage_counts.py
@@ -42,7 +42,7 @@
 REPEAT_S: Final = 1.0
 # A window is final this long after its end, in case true time is adjusted.
 FINAL_AFTER_S: Final = 0.3
-CLOCK_INTERVAL_S: Final = 2.0
+CLOCK_INTERVAL_S: Final = 5.0
 CLOCKS_PER_ROUND: Final = 8
 # Until the first round of clocks is answered, requests wait for their window.
 FIRST_ROUND_S: Final = 1.0
--- a/src/siskinspool/duties/usage_windows.py
+++ b/src/siskinspool/duties/usage_windows.py
@@ -55,12 +55,16 @@
     """Collects the counts and decides the windows."""
 
     def __init__(
-        self, own: Member, settings: DutySettings, encoding: UsageEncoding
+        self,
+        own: Member,
+        settings: DutySettings,
+        encoding: UsageEncoding,
+        now: float,
     ) -> None:
         self._id = own.instance_id
         self._settings = settings
         self._encoding = encoding
-        self._term = HolderTerm(settings)
+        self._term = HolderTerm(settings, now)
         self._ledger = UsageLedger(epoch=0)
         self._counts = WindowCounts()
         self._live_sources = {source_name(own)}
@@ -134,7 +138,8 @@
     # Deciding
 
     def _advance(self, now: float) -> list[Outgoing]:
-        if self._term.epoch is None:
+        # A holder that was frozen may not know yet that it has been replaced.
+        if not self._term.is_valid(now):
             return []
         decision = self._next_decision(now)
         request = self._ledger.pop_request(decision, now)
--- a/tests/builders_duties.py
+++ b/tests/builders_duties.py
@@ -161,7 +161,7 @@
                     own, settings.usage_window_s, self._rng, self.now
                 ),
                 USAGE_WINDOWS_TASK: UsageWindows(
-                    own, settings, PlatformUsageEncoding()
+                    own, settings, PlatformUsageEncoding(), self.now
                 ),
             },
         )
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -4,12 +4,21 @@
 
 import math
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
+from siskinspool.core.message import Message
+from siskinspool.duties.duty_messages import ScaleOrder, ServiceWork, WorkReport
 from siskinspool.duties.scale_plan import ZoneState, plan_zones
 from siskinspool.duties.scale_total import ScaleTotal
+from siskinspool.duties.scaling import REPEAT_S, Scaling
 from siskinspool.gateway.desired_state import AutoscaleSpec
+from siskinspool.gateway.messages import LeadershipExtended, LeadershipHeld
+from siskinspool.gateway.servers import ZoneEvacuated
+
+from .builders_duties import TERM_S, duty_settings
+from .builders_gateway import desired_state, incoming, member, messages, server
 
 SPEC = AutoscaleSpec(min_servers=13, max_servers=30, boot_s=8.0)
 SLOTS = 64.0
@@ -85,3 +94,62 @@
     assert counts[15] == 60
     assert counts[59] == 26
     assert counts[62] == 60
+
+
+class HolderOfTwoZones:
+    """A holder with 20 servers in each of the zones a and b, run second by second."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.scaling = Scaling(member("g1"), duty_settings(), 0.0)
+        state = desired_state()
+        service = attrs.evolve(state.service_by_name["writers"], autoscale=SPEC)
+        scaled = {**state.service_by_name, "writers": service}
+        self.tell(attrs.evolve(state, service_by_name=scaled))
+        self.add_servers(20)
+        self.tell(LeadershipHeld(1, 0.0))
+        self.tell(LeadershipExtended(TERM_S))
+
+    def tell(self, message: Message) -> None:
+        """Pass a message to the decision."""
+        self.scaling.handle(incoming(message), self.now)
+
+    def add_servers(self, count: int) -> None:
+        """Register servers so that each zone has this many."""
+        for zone_name in "ab":
+            for number in range(count):
+                self.tell(server(f"{zone_name}-{number}", zone=zone_name))
+
+    def run(self, seconds: int, work: float) -> list[tuple[str, int]]:
+        """Return the orders of some seconds with this work."""
+        orders = []
+        for _ in range(seconds):
+            self.now += 1.0
+            running = {"a": round(work / 2), "b": round(work / 2)}
+            self.tell(WorkReport((ServiceWork("writers", 0, running),)))
+            for order in messages(self.scaling.on_time(self.now)):
+                if isinstance(order, ScaleOrder):
+                    orders.append((order.zone, order.desired))
+        return orders
+
+
+def test_new_holder_does_not_end_servers_that_start() -> None:
+    """Guards against orders from the servers present while others still boot."""
+    holder = HolderOfTwoZones()
+    work = 40 * SLOTS * 0.6
+    assert holder.run(8, work) == []
+    holder.add_servers(24)
+    assert set(holder.run(4, work)) == {("a", 24), ("b", 24)}
+
+
+def test_orders_are_repeated_and_evacuated_zones_are_replaced() -> None:
+    """Guards against an old order that is executed late and stays in force."""
+    holder = HolderOfTwoZones()
+    work = 40 * SLOTS * 0.69
+    first = holder.run(15, work)
+    assert set(first) == {("a", 20), ("b", 20)}
+    repeats = holder.run(round(2 * REPEAT_S), work)
+    assert sorted(repeats) == [("a", 20), ("a", 20), ("b", 20), ("b", 20)]
+    holder.tell(ZoneEvacuated("b", True))
+    orders = dict(holder.run(2, work))
+    assert orders == {"a": 30, "b": 13}
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -10,7 +10,11 @@
 from hypothesis import strategies as st
 
 from siskinspool.core.errors import SettingsError
-from siskinspool.gateway.desired_state import DesiredState, WeightedService
+from siskinspool.gateway.desired_state import (
+    AutoscaleSpec,
+    DesiredState,
+    WeightedService,
+)
 from siskinspool.gateway.scheduling_settings import SchedulingSettings
 from siskinspool.gateway.servers import Holdings, ServerRecord, ServerState
 from siskinspool.platform.contracts import REQUIRED_CONTRACTS, Contract
@@ -151,9 +155,22 @@
     engine = state.service_by_name["writers"].engine
     assert engine is not None
     assert engine.model_by_name["m0"].disk_load_s == 1.2
+    assert state.service_by_name["writers"].autoscale is None
     assert "k1" not in repr(state)
 
 
+def test_range_of_servers_is_decoded() -> None:
+    """Guards against servers that are ordered out of the operator's range."""
+    document = config_document()
+    document["services"][0]["autoscale"] = {"min": 13, "max": 30, "boot_s": 8.0}
+    state = decode_desired_state(encode(document))
+    assert isinstance(state, DesiredState)
+    spec = state.service_by_name["writers"].autoscale
+    assert spec == AutoscaleSpec(min_servers=13, max_servers=30, boot_s=8.0)
+    document["services"][0]["autoscale"]["min"] = -1
+    assert isinstance(decode_desired_state(encode(document)), UnreadableValue)
+
+
 def test_the_longest_prefix_wins() -> None:
     """Guards against a route that hides routes with a longer prefix."""
     short = config_document()["routes"][0]
