--- a/src/siskinspool/duties/duty_messages.py
+++ b/src/siskinspool/duties/duty_messages.py
@@ -35,6 +35,11 @@
     at_s: float
 
 
+@attrs.frozen
+class FinishCounting(Message):
+    """The process is about to end: report all counts, as the last ones."""
+
+
 @wire
 @attrs.frozen
 class UsageReport(Message):
--- a/src/siskinspool/duties/usage_counts.py
+++ b/src/siskinspool/duties/usage_counts.py
@@ -22,6 +22,7 @@
     USAGE_WINDOWS_TASK,
     WALL_CLOCK_TASK,
     ClockRead,
+    FinishCounting,
     ReadClock,
     TrueTimeEstimated,
     UsageReceived,
@@ -72,6 +73,7 @@
         self._next_number = 0
         self._next_clock_at = now
         self._next_report_at = now
+        self._is_finished = False
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle a request's start, a report to witness or a change of members."""
@@ -85,6 +87,9 @@
             case UsageReceived() as received:
                 self._witnessed.drop_through(received.decided_through)
                 self._counts.confirm(received)
+            case FinishCounting():
+                self._is_finished = True
+                return self._report(now)
             case ClockRead(number, unix_s):
                 return self._record_clock(incoming.sender, number, unix_s, now)
             case MembershipChanged(member_by_id):
@@ -150,6 +155,8 @@
             return []
         self._place_waiting()
         final_through = self._window(now - FINAL_AFTER_S) - 1
+        if self._is_finished:
+            final_through = self._window(now)
         self._counts.open_through(self._window(now), final_through)
         reports = self._counts.pop_reports(REPEAT_S, now)
         recipients = [
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -29,6 +29,7 @@
     SCALING_TASK,
     USAGE_COUNTS_TASK,
     USAGE_WINDOWS_TASK,
+    FinishCounting,
 )
 from ..duties.duty_parts import build_duty_tasks
 from ..duties.duty_settings import DutySettings
@@ -258,6 +259,8 @@
         if not self._front.wait_idle(stop_at - self._clock.now()):
             self._front.end_requests()
             self._front.wait_idle(STOP_MARGIN_S / 2)
+        counts = self._dispatcher.address(USAGE_COUNTS_TASK)
+        self._dispatcher.send(counts, Outgoing(counts, FinishCounting()))
         self._dispatcher.ask(
             self._dispatcher.address(KV_TASK), EndSession(), SESSION_END_TIMEOUT_S
         )
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -7,7 +7,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from siskinspool.core.message import Address, Outgoing
-from siskinspool.duties.duty_messages import UsageReport
+from siskinspool.duties.duty_messages import (
+    USAGE_COUNTS_TASK,
+    FinishCounting,
+    UsageReport,
+)
 from siskinspool.links.codec import MsgpackCodec
 
 from .builders_duties import DutySimulation
@@ -133,6 +137,19 @@
     assert simulation.counts(window) == {"smiths": 50}
 
 
+def test_stopped_gateway_reports_its_last_counts() -> None:
+    """Guards against counts lost in a planned stop, and windows that wait for them."""
+    simulation = DutySimulation(NAMES)
+    simulation.elect("g1")
+    simulation.run(6.0)
+    window = simulation.window()
+    simulation.run_request("g4")
+    simulation.tell("g4", USAGE_COUNTS_TASK, FinishCounting())
+    simulation.kill("g4")
+    simulation.run(7.5)
+    assert simulation.counts(window) == {"smiths": 1}
+
+
 def test_report_size_at_full_scale() -> None:
     """Guards against reports that use up the bytes allowed for control.
 
