--- a/tests/integration/test_duties_scaling.py
+++ b/tests/integration/test_duties_scaling.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 from pathlib import Path
 from typing import Any
 
@@ -9,7 +11,13 @@
 
 from siskinspool.standins.gateway_site import wait_until
 
-from .builders_duties import DutySite, duty_site
+from .builders_duties import (
+    LEASE_S,
+    DutySite,
+    alternations_within,
+    duty_site,
+    epochs_never_fall,
+)
 from .builders_gateway_site import site_config
 
 RANGE = {"min": 1, "max": 4, "boot_s": 2.0}
@@ -47,3 +55,26 @@
         gevent.sleep(1.0)
         for one in site.executed("/scale"):
             assert RANGE["min"] <= one["decoded"]["desired"] <= RANGE["max"]
+
+
+def test_killed_holder_is_replaced_without_mixed_orders(tmp_path: Path) -> None:
+    """Guards against orders of two holders for one zone next to each other."""
+    with duty_site(tmp_path, duties=("scale",), requires_epoch=False) as site:
+        site.site.put("op/config", scaled_config(2))
+        site.site.add_server("d1", "desk", zone="a")
+        gateways = [site.add_gateway(name, zone="a") for name in ("g1", "g2")]
+        site.site.wait_ready("d1")
+        site.set_faults(late_calls=1, late_s=2.0, lose_answers=1)
+        wait_until(lambda: last_orders(site) == {"a": 1}, 20.0)
+        holder = site.executed("/scale")[-1]["holder"]
+        killed = next(one for one in gateways if one.name == holder)
+        os.kill(killed.popen.pid, signal.SIGKILL)
+        killed.popen.wait(timeout=5)
+
+        def has_successor() -> bool:
+            return any(one["holder"] != holder for one in site.executed("/scale"))
+
+        wait_until(has_successor, 25.0)
+        calls = site.executed("/scale")
+        assert epochs_never_fall(calls)
+        assert alternations_within(calls, LEASE_S) == 0
