--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -26,6 +26,7 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..duties.duty_messages import GetWork, WorkObserved
 from ..fairness.fair_policy import FairPolicy
 from ..fairness.overload_policy import OverloadPolicy
 from ..fairness.priority_policy import PriorityPolicy
@@ -71,6 +72,7 @@
 )
 from .shared_retry_budget import SharedRetryBudget
 from .waiting_request import TargetKey, WaitingRequest
+from .work_observation import observe_work
 
 logger = logging.getLogger(__name__)
 
@@ -151,6 +153,8 @@
                 return []
             case AnswerHeadReceived(_, observation):
                 return self._on_answer_head(observation, now)
+            case GetWork():
+                return [Outgoing(incoming.sender, self._observe_work())]
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case ExplainChoice() as question:
@@ -592,6 +596,10 @@
         reports = self._demand.pop_reports(self._views.by_id.values(), now)
         return [Outgoing(recipient, report) for report in reports]
 
+    def _observe_work(self) -> WorkObserved:
+        waiting = self._requesters.waiting_by_id.values()
+        return observe_work(self._views.by_id.values(), waiting)
+
     # Changes
 
     def _handle_change(self, message: object, now: float) -> None:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -10,7 +10,11 @@
 from hypothesis import strategies as st
 
 from siskinspool.core.errors import SettingsError
-from siskinspool.gateway.desired_state import DesiredState, WeightedService
+from siskinspool.gateway.desired_state import (
+    AutoscaleSpec,
+    DesiredState,
+    WeightedService,
+)
 from siskinspool.gateway.scheduling_settings import SchedulingSettings
 from siskinspool.gateway.servers import Holdings, ServerRecord, ServerState
 from siskinspool.platform.contracts import REQUIRED_CONTRACTS, Contract
@@ -45,6 +49,14 @@
         "require_fence": True,
         "ceiling_window_s": 5,
         "ceiling_overage": 1.1,
+        "usage_window_s": 5,
+        "usage_off": 0.05,
+        "usage_late_s": 10,
+    },
+    "cloud": {
+        "addr": "10.200.1.9:8230",
+        "duties": ["usage", "scale"],
+        "duties_per_s": 50,
     },
     "platform": {"addr": "10.200.1.7:8225", "ttl_min_ms": 1000},
     "a_field_of_tomorrow": [1, 2],
@@ -84,6 +96,7 @@
     Contract.QUOTA: ("quota_window_s", "quota_overage", "quota_slack"),
     Contract.PLACES: ("cold_overage", "cold_slack"),
     Contract.ENGINE: ("ceiling_window_s", "ceiling_overage"),
+    Contract.LEADER: ("usage_window_s", "usage_late_s"),
 }
 
 
@@ -109,7 +122,9 @@
     if not present & {Contract.ENGINE, Contract.LEADER}:
         dropped += ["lease_ms", "require_fence"]
     contracts = [*present, *REQUIRED_CONTRACTS]
-    bounds = decode_settings(settings_with(contracts, *dropped)).bounds
+    settings = decode_settings(settings_with(contracts, *dropped))
+    assert (settings.duties is None) == (Contract.LEADER not in present)
+    bounds = settings.bounds
     assert (bounds.cold is None) == (Contract.PLACES not in present)
     assert (bounds.retry is None) == (Contract.RETRY not in present)
     assert (bounds.cap is None) == (Contract.QUOTA not in present)
@@ -140,9 +155,22 @@
     engine = state.service_by_name["writers"].engine
     assert engine is not None
     assert engine.model_by_name["m0"].disk_load_s == 1.2
+    assert state.service_by_name["writers"].autoscale is None
     assert "k1" not in repr(state)
 
 
+def test_range_of_servers_is_decoded() -> None:
+    """Guards against servers that are ordered out of the operator's range."""
+    document = config_document()
+    document["services"][0]["autoscale"] = {"min": 13, "max": 30, "boot_s": 8.0}
+    state = decode_desired_state(encode(document))
+    assert isinstance(state, DesiredState)
+    spec = state.service_by_name["writers"].autoscale
+    assert spec == AutoscaleSpec(min_servers=13, max_servers=30, boot_s=8.0)
+    document["services"][0]["autoscale"]["min"] = -1
+    assert isinstance(decode_desired_state(encode(document)), UnreadableValue)
+
+
 def test_the_longest_prefix_wins() -> None:
     """Guards against a route that hides routes with a longer prefix."""
     short = config_document()["routes"][0]
