Consider each busy model for a replica

Cause: only the busiest model was considered for one more replica.

Change: the candidates are a class of their own (replica_candidates); with replica_scaling all busy models are considered, the busiest first. Without it nothing changes.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -44,6 +44,7 @@
 from .placement_plan import PlacementPlan
 from .plan_moves import plan_moves
 from .preload import MAX_EXPECTED_PRELOADS, PlannedPreload, PreloadPlanner
+from .replica_candidates import AllBusyModels, BusiestModel
 from .scheduling_settings import SchedulingSettings
 from .server_orders import ServerOrders
 
@@ -62,9 +63,11 @@
     ) -> None:
         """Create the decision; ``first_start`` is true on the system's first start."""
         self._id = instance_id
-        self._scheduling = scheduling
         self._planner = OrderPlanner(first_start)
-        self._preload_planner = PreloadPlanner(instance_id)
+        self._preload_planner = PreloadPlanner(
+            instance_id,
+            AllBusyModels() if scheduling.replica_scaling else BusiestModel(),
+        )
         self._site = ManagedSite()
         self._term = LeadershipTerm()
         self._next_tick_at = 0.0
--- a/src/siskinspool/gateway/preload.py
+++ b/src/siskinspool/gateway/preload.py
@@ -13,6 +13,7 @@
 
 from .placement_choice import ServiceFleet
 from .placement_plan import PlacementPlan
+from .replica_candidates import OVERLOAD_TOKENS_PER_S, ReplicaCandidates
 from .server_choice import ServerChoice
 from .weight_store_queue import QUIET_TOKENS_PER_S
 
@@ -23,14 +24,6 @@
 # A replica must be worth this many times as much as its evictions.
 MIN_REPLICA_GAIN: Final = 3.0
 
-# Prompt tokens per second of each replica above which another is added. Requests start
-# to queue well below the rate at which a server processes prompts.
-REPLICA_TOKENS_PER_S: Final = 10_000.0
-# Above this rate requests spend more time in the queue of a server than in execution.
-OVERLOAD_TOKENS_PER_S: Final = 20_000.0
-# Prompt tokens per second above which a model gets a second replica.
-SECOND_REPLICA_TOKENS_PER_S: Final = 1_500.0
-
 
 @attrs.frozen
 class PlannedPreload:
@@ -45,15 +38,14 @@
 class PreloadPlanner:
     """Chooses the preloads of the leader."""
 
-    def __init__(self, leader_id: str) -> None:
+    def __init__(self, leader_id: str, candidates: ReplicaCandidates) -> None:
         """Create a planner; preloads wait under the leader's own instance id."""
         self._leader_id = leader_id
+        self._candidates = candidates
 
     def next_preload(self, fleet: ServiceFleet, now: float) -> PlannedPreload | None:
         """Return the most useful replica or first copy to load, if there is one."""
-        model = self._model_to_replicate(fleet, now)
-        replica = None if model is None else self.plan_replica(fleet, model, now)
-        return replica or self._plan_first_copy(fleet, now)
+        return self._next_replica(fleet, now) or self._plan_first_copy(fleet, now)
 
     def plan_replica(
         self, fleet: ServiceFleet, model: str, now: float
@@ -114,35 +106,15 @@
             if plan.waiting_by_gateway.keys() == {self._leader_id}
         }
 
-    def _model_to_replicate(self, fleet: ServiceFleet, now: float) -> str | None:
-        """Return the model that most needs one more replica, if any does.
-
-        Replicas of a model are added one at a time, unless its servers would be
-        overloaded even with the replicas that are still to be loaded.
-        """
+    def _next_replica(self, fleet: ServiceFleet, now: float) -> PlannedPreload | None:
+        """Return a replica of the model that most needs one and can have one."""
         pending = self.pending_models(fleet)
         if len(pending) > len(fleet.servers) // 2:
             return None
-        tokens_per_s_by_model = {
-            model: tokens_per_s
-            for model in fleet.engine.model_by_name
-            if 0 < (planned := fleet.planned_replicas(model)) < len(fleet.servers)
-            and (
-                (tokens_per_s := fleet.demand.tokens_per_s(model, now) / planned)
-                >= OVERLOAD_TOKENS_PER_S
-                or model not in pending
-            )
-        }
-        busiest = max(
-            tokens_per_s_by_model, key=tokens_per_s_by_model.__getitem__, default=None
-        )
-        if busiest is None:
-            return None
-        has_single_replica = fleet.planned_replicas(busiest) == 1
-        min_tokens_per_s = (
-            SECOND_REPLICA_TOKENS_PER_S if has_single_replica else REPLICA_TOKENS_PER_S
-        )
-        return busiest if tokens_per_s_by_model[busiest] >= min_tokens_per_s else None
+        for model in self._candidates.models(fleet, pending, now):
+            if replica := self.plan_replica(fleet, model, now):
+                return replica
+        return None
 
     def _plan_first_copy(
         self, fleet: ServiceFleet, now: float
--- a/src/siskinspool/gateway/scheduling_settings.py
+++ b/src/siskinspool/gateway/scheduling_settings.py
@@ -17,8 +17,8 @@
     speed_estimates: bool
     # Share the places of a service between the teams that wait.
     fair_queueing: bool
-    # Give store slots to further replicas of models whose servers are overloaded.
-    replicas_from_store: bool
+    # Add replicas of each busy model, not only of the busiest one.
+    replica_scaling: bool
 
     @classmethod
     def all_set_to(cls, is_on: bool) -> SchedulingSettings:
@@ -27,7 +27,7 @@
             adaptive_pace=is_on,
             speed_estimates=is_on,
             fair_queueing=is_on,
-            replicas_from_store=is_on,
+            replica_scaling=is_on,
         )
 
     @classmethod
--- a/tests/builders_placement_harness.py
+++ b/tests/builders_placement_harness.py
@@ -37,9 +37,9 @@
 class PlacementHarness:
     """A placement decision in a leadership term; the test answers its orders."""
 
-    def __init__(self, first_start: bool = True) -> None:
+    def __init__(self, first_start: bool = True, **features: bool) -> None:
         self.now = 100.0
-        self.decision = Placement("g1", first_start, scheduling())
+        self.decision = Placement("g1", first_start, scheduling(**features))
         self.reports: dict[str, Holdings] = {}
         # Servers that do not answer.
         self.silent: set[str] = set()
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -39,6 +39,21 @@
     return orders(harness.advance_time(1.3))
 
 
+def carry_out_orders(harness: PlacementHarness, ticks: int) -> list[ServerOrder]:
+    """Let servers carry out all orders of some ticks at once; return the orders."""
+    sent_orders: list[ServerOrder] = []
+    for _ in range(ticks):
+        found = orders(harness.advance_time(0.25))
+        while found:
+            sent_orders += found
+            found = [
+                next_order
+                for order in found
+                for next_order in finish_order(harness, order)
+            ]
+    return sent_orders
+
+
 def test_room_of_one_plan_is_not_used_for_another() -> None:
     """Guards against an eviction whose cost was not considered by any plan.
 
@@ -189,22 +204,34 @@
     harness.add_server("s2", "m0", "m2", on_disk=copies)
     harness.begin_term()
     harness.send(DemandReport("writers", {"m0": 3_000_000, "m1": 3_000, "m2": 3_000}))
-    sent_orders: list[ServerOrder] = []
-    for _ in range(8):
-        found = orders(harness.advance_time(0.25))
-        while found:
-            sent_orders += found
-            found = [
-                next_order
-                for order in found
-                for next_order in finish_order(harness, order)
-            ]
+    sent_orders = carry_out_orders(harness, ticks=8)
     assert "m5" in {
         order.model for order in sent_orders if order.kind is OrderKind.LOAD
     }
     assert "m0" not in {order.model for order in sent_orders}
 
 
+@pytest.mark.parametrize("replica_scaling", [True, False])
+def test_model_that_cannot_get_a_replica_does_not_block_the_others(
+    replica_scaling: bool,
+) -> None:
+    """Guards against busy models with copies that stay on a single server.
+
+    For 20 s the busiest model, whose only copy was on its own server, was the only
+    candidate, while six others with 20,000 tokens per second had copies elsewhere.
+    """
+    harness = PlacementHarness(replica_scaling=replica_scaling)
+    harness.send(desired_state(engine_spec=engine(*ALL_MODELS, weights_mb=145_000.0)))
+    harness.add_server("s1", "m0", "m1", on_disk=frozenset({"m0", "m1"}))
+    for number in range(2, 5):
+        harness.add_server(f"s{number}", "m2", "m3", on_disk=ALL_MODELS - {"m0"})
+    harness.begin_term()
+    harness.send(DemandReport("writers", {"m0": 1_600_000, "m1": 400_000}))
+    found = carry_out_orders(harness, ticks=8)
+    loaded = {order.model for order in found if order.kind is OrderKind.LOAD}
+    assert ("m1" in loaded) == replica_scaling
+
+
 def test_room_made_for_one_model_is_not_given_to_another() -> None:
     """Guards against an evicted model that is planned in its own place again.
 
