--- a/src/siskinspool/protection/settings.py
+++ b/src/siskinspool/protection/settings.py
@@ -42,8 +42,8 @@
 class ProtectionSettings:
     """The limits on callers; no caller inside the stated limits meets them."""
 
-    # Memory of the process itself: 56 MB were measured with two servers, and control
-    # messages at full size may take more.
+    # Memory of the process itself, with the state of its servers and its messages to
+    # other gateways. Nothing of it depends on callers.
     process_mb: float = 96.0
     # Part of the remaining memory that bodies and answers may take. The rest is for
     # copies in passing, for connections and for what the allocator cannot reuse.
