Move the servers that may get a request out of routing

Change: ServerCandidates holds which servers may get a request, the choice and its explanation; no change of behaviour.

--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -37,7 +37,7 @@
 from ..server_signals.observations import Observation
 from ..telemetry.logs import log_event
 from .bounds import Bounds
-from .choice_explanation import ChoiceExplained, ExplainChoice, ServerFinding
+from .choice_explanation import ExplainChoice
 from .demand_reporter import DEMAND_INTERVAL_S, DemandReporter
 from .desired_state import DesiredState
 from .messages import (
@@ -60,7 +60,8 @@
 )
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
-from .server_selection import preferred_server, selection_for
+from .server_candidates import ServerCandidates
+from .server_selection import selection_for
 from .server_view import ServerView
 from .server_views import ServerViews
 from .servers import (
@@ -112,12 +113,12 @@
         Without a random source, one is seeded with the id, so runs can be repeated.
         """
         self._id = instance_id
-        self._scheduling = scheduling
-        self._zone = zone
-        rng = rng or random.Random(instance_id)
-        self._selection = selection_for(scheduling, zone, rng)
         self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
+        rng = rng or random.Random(instance_id)
+        self._candidates = ServerCandidates(
+            self._views, selection_for(scheduling, zone, rng), scheduling.adaptive_pace
+        )
         self._leader_id: str | None = None
         # The previous leader, whose term may not have ended yet while the next waits.
         self._previous_leader_id: str | None = None
@@ -158,7 +159,9 @@
             case AttemptEnded() as ended:
                 self._on_attempt_ended(ended, now)
             case ExplainChoice() as question:
-                return [Outgoing(incoming.sender, self._explain(question, now))]
+                return [
+                    Outgoing(incoming.sender, self._candidates.explain(question, now))
+                ]
             case other:
                 self._handle_change(other, now)
         return self._serve_waiting(now)
@@ -318,75 +321,19 @@
         """Return the best server that has a place, or None if there is none."""
         call = waiting.call
 
-        def count_servers() -> int:
-            views = self._views.by_id.values()
-            return sum(self._may_serve(view, call, now) for view in views)
-
-        full = self._policy.full_servers(waiting.entry, count_servers, now)
+        full = self._policy.full_servers(
+            waiting.entry, lambda: self._candidates.count(call, now), now
+        )
         if not full:
-            return self._choose_server(call, now)
+            return self._candidates.choose(call, now)
         excluded = attrs.evolve(call, excluded=call.excluded | full)
-        view = self._choose_server(excluded, now)
+        view = self._candidates.choose(excluded, now)
         if view is None or view.record.server_id not in call.avoided:
             return view
         # A full server is better than one at which the request has failed.
-        best = self._choose_server(call, now)
+        best = self._candidates.choose(call, now)
         return view if best is view else None
 
-    def _choose_server(self, call: AssignServer, now: float) -> ServerView | None:
-        candidates = [
-            view
-            for view in self._views.by_id.values()
-            if self._may_serve(view, call, now)
-        ]
-        others = [
-            view for view in candidates if view.record.server_id not in call.avoided
-        ]
-        candidates = others or candidates
-        return self._selection.select(candidates, call, now)
-
-    def _explain(self, question: ExplainChoice, now: float) -> ChoiceExplained:
-        call = question.as_call()
-        views = [
-            view
-            for view in self._views.by_id.values()
-            if view.record.service == question.service
-        ]
-        usable = {
-            view.record.server_id: view
-            for view in views
-            if self._may_serve(view, call, now)
-        }
-        chosen = self._choose_server(call, now)
-        preferred = preferred_server(list(usable.values()), call) if usable else None
-        findings = tuple(
-            ServerFinding.of_view(
-                view,
-                call,
-                now,
-                may_serve=view.record.server_id in usable,
-                cost_s=self._selection.cost_s(view, call, now),
-            )
-            for view in views
-        )
-        return ChoiceExplained(
-            "" if chosen is None else chosen.record.server_id,
-            "" if preferred is None else preferred.record.server_id,
-            findings,
-        )
-
-    def _may_serve(self, view: ServerView, call: AssignServer, now: float) -> bool:
-        record = view.record
-        return (
-            record.service == call.service
-            and record.server_id not in call.excluded
-            and record.zone not in self._views.evacuated_zones
-            and view.is_open(now)
-            and (not call.model or view.holds(call.model, call.adapter, now))
-            and (not view.is_cold(now) or view.cold_bucket.can_take(1, now))
-            and (not self._scheduling.adaptive_pace or view.estimate.may_send(now))
-        )
-
     def _on_attempt_ended(self, ended: AttemptEnded, now: float) -> None:
         view = self._views.by_id.get(ended.server_id)
         if view is None:
@@ -476,9 +423,7 @@
         held_targets = {
             target
             for target, call in call_by_target.items()
-            if any(
-                self._may_serve(view, call, now) for view in self._views.by_id.values()
-            )
+            if self._candidates.count(call, now)
         }
         held = [
             waiting.entry
@@ -513,7 +458,7 @@
         key = (call.service, call.model, call.adapter)
         if now < self._next_request_at_by_target.get(key, now):
             return []
-        if any(self._may_serve(view, call, now) for view in self._views.by_id.values()):
+        if self._candidates.count(call, now):
             return []
         if self._views.is_holder_back_soon(call.model, call.adapter, now):
             return []
@@ -521,9 +466,9 @@
         waiting = requests_waiting_for(key, self._requesters.waiting_by_id.values())
         placement_request = PlacementRequest(
             *key,
-            near_server=self._preferred_adapter_server(call, now),
+            near_server=self._candidates.preferred_for_adapter(call, now),
             waiting=len(waiting),
-            silent_servers=self._silent_servers(call, now),
+            silent_servers=self._candidates.silent_servers(call, now),
             reach_s=self._requesters.report(key, now),
             fresh_reach_s=pop_fresh_reach(waiting, now),
         )
@@ -538,24 +483,6 @@
             for message in batch
         ]
 
-    def _silent_servers(self, call: AssignServer, now: float) -> tuple[str, ...]:
-        """Return the servers that hold a model but are not open."""
-        return tuple(
-            server_id
-            for server_id, view in self._views.by_id.items()
-            if view.record.service == call.service
-            and view.record.holdings.model_by_name.get(call.model) is not None
-            and not view.is_open(now)
-        )
-
-    def _preferred_adapter_server(self, call: AssignServer, now: float) -> str:
-        """Return the server on which this gateway would prefer an adapter."""
-        if not call.adapter:
-            return ""
-        base_model_call = attrs.evolve(call, adapter="")
-        view = self._choose_server(base_model_call, now)
-        return "" if view is None else view.record.server_id
-
     def _on_model_ready(self, ready: ModelReady, now: float) -> None:
         if not ready.adapter:
             # An adapter can be requested as soon as its model is ready. The model
