Send the counts of calls as whole numbers again

Cause: the merge of the server signals made the gauges calls.running and calls.waiting floats, so statsd got "0.0" in place of "0". Change: the counts stay whole.

--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -161,7 +161,7 @@
     def gauges(self) -> dict[str, float]:
         """Return the numbers of running and waiting calls."""
         running, waiting = len(self._running_by_id), len(self._waiting)
-        counts = {"calls.running": float(running), "calls.waiting": float(waiting)}
+        counts: dict[str, float] = {"calls.running": running, "calls.waiting": waiting}
         return counts | self._servers.signals.gauges()
 
     def wake_at(self) -> float | None:
