Do not charge a new start of a server with its old requests

Cause: requests of an earlier start end at the view of the new one; they counted as ended there, and their failures halved the limit of the server that had just returned. Change: an end without a send is ignored. Result: the new test fails before and passes.

--- a/src/siskinspool/pace/server_estimate.py
+++ b/src/siskinspool/pace/server_estimate.py
@@ -208,13 +208,16 @@
     def record_end(self, request_id: str, end: SendEnd, now: float) -> None:
         """Record the end of a send; only whole answers say anything about the speed."""
         sent = self._sent_by_request.pop(request_id, None)
+        if sent is None:
+            # It was sent to an earlier start of the server.
+            return
         self.load.record_ended()
         # A stream states its load as it begins, which is long ago at its end.
-        if end.figure is not None and (sent is None or not sent.has_figure):
+        if end.figure is not None and not sent.has_figure:
             self.record_figure(end.figure, now)
         if end.result is SendResult.FAILED:
             self.pace.record_bad_sign(now)
-        if sent is not None and end.result is SendResult.ANSWERED:
+        if end.result is SendResult.ANSWERED:
             self.fleet.record_in_flight(now - sent.sent_at)
             self._record_times(sent, end.events, now)
             if sent.work.is_short_call:
--- a/tests/test_pace_estimates.py
+++ b/tests/test_pace_estimates.py
@@ -4,6 +4,7 @@
 
 import math
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,7 +15,7 @@
 from siskinspool.gateway.routing import Routing
 from siskinspool.gateway.server_views import ServerViews
 from siskinspool.gateway.servers import ServerState
-from siskinspool.pace.server_estimate import FleetEstimate
+from siskinspool.pace.server_estimate import FleetEstimate, SendEnd, SendResult
 
 from .builders_gateway import (
     assign,
@@ -140,3 +141,13 @@
     sent = messages(routing.handle(incoming(assign(parts=parts)), 0.0))[0]
     assert isinstance(sent, ServerAssigned)
     assert sent.server_id == explained.server_id
+
+
+def test_ends_of_an_earlier_start_do_not_count_for_the_new_one() -> None:
+    """Guards against a restarted server that its own broken requests slow down."""
+    server = estimate()
+    server.begin_pace(SLOTS, cold_s=0.0, now=0.0)
+    before = attrs.asdict(server.pace)
+    failed = SendEnd(result=SendResult.FAILED, events=0)
+    server.record_end("sent-before-the-restart", failed, 0.1)
+    assert attrs.asdict(server.pace) == before
