Try a lost zone for a time only, and keep ordering without servers

Cause: a zone that was lost for over a minute counted as usable for good, so a dead zone got all further servers; without any ready server nothing was ordered. Change: a lost zone is tried for 15 s each minute; the last known slots count. Result: the new test on zones fails before and passes; the second change has no test of its own.

--- a/src/siskinspool/duties/scaling.py
+++ b/src/siskinspool/duties/scaling.py
@@ -60,6 +60,8 @@
     total: ScaleTotal = attrs.field(factory=ScaleTotal)
     ordered_by_zone: dict[str, int] = attrs.field(factory=dict)
     ordered_at_by_zone: dict[str, float] = attrs.field(factory=dict)
+    # Mean slots of its servers, as last known; 0 if it has had none.
+    slots: float = 0.0
 
 
 def _is_urgent(total: int, zones: Collection[ZoneState]) -> bool:
@@ -163,11 +165,12 @@
         )
 
     def _scale(self, service: str, spec: AutoscaleSpec, now: float) -> list[Outgoing]:
-        slots = self._zones.mean_slots(service)
+        state = self._state_by_service.setdefault(service, _ScaledService())
+        # After the loss of all servers, the last known size counts.
+        slots = state.slots = self._zones.mean_slots(service) or state.slots
         if slots == 0:
-            # Without any server it is unknown what one can take.
+            # Without any server so far it is unknown what one can take.
             return []
-        state = self._state_by_service.setdefault(service, _ScaledService())
         zones = self._zone_states(service, state, now)
         work = self._work.total(service, now)
         is_settled = now >= self._term.began_at + COLLECT_S + spec.boot_s
--- a/src/siskinspool/duties/zone_health.py
+++ b/src/siskinspool/duties/zone_health.py
@@ -13,8 +13,10 @@
 # A zone in which nothing is left counts as lost after this time: servers that restart
 # together, and gateways between two sessions, are back by then.
 LOST_AFTER_S: Final = 4.0
-# Nothing shows that a lost zone without gateways is back, so it is then tried again.
+# Nothing shows that a lost zone without gateways is back, so it is tried again at this
+# interval, each time for longer than a server takes to start.
 LOST_TTL_S: Final = 60.0
+TRIAL_S: Final = 15.0
 # Entries that expired in an outage of the registry return within two seconds.
 RETURN_GRACE_S: Final = 2.0
 
@@ -83,7 +85,9 @@
         if zone.empty_since is None:
             return True
         empty_s = now - zone.empty_since
-        return empty_s < LOST_AFTER_S or empty_s > LOST_TTL_S
+        if empty_s < LOST_TTL_S:
+            return empty_s < LOST_AFTER_S
+        return empty_s % LOST_TTL_S < TRIAL_S
 
     def ready_servers(self, service: str) -> Counter[str]:
         """Return the number of a service's servers that stay, by zone."""
--- a/tests/test_duties_scaling.py
+++ b/tests/test_duties_scaling.py
@@ -13,6 +13,7 @@
 from siskinspool.duties.scale_plan import ZoneState, plan_zones
 from siskinspool.duties.scale_total import ScaleTotal
 from siskinspool.duties.scaling import REPEAT_S, Scaling
+from siskinspool.duties.zone_health import ZoneHealth
 from siskinspool.gateway.desired_state import AutoscaleSpec
 from siskinspool.gateway.messages import LeadershipExtended, LeadershipHeld
 from siskinspool.gateway.servers import ZoneEvacuated
@@ -153,3 +154,12 @@
     holder.tell(ZoneEvacuated("b", True))
     orders = dict(holder.run(2, work))
     assert orders == {"a": 30, "b": 13}
+
+
+def test_lost_zone_gets_servers_only_for_a_trial() -> None:
+    """Guards against a zone without power that gets all further servers for good."""
+    health = ZoneHealth()
+    health.update_server(server("s1", zone="b"), 0.0)
+    health.remove_server("s1", 1.0)
+    usable = [health.is_usable("b", 1.0 + after_s) for after_s in (1, 30, 61, 90, 121)]
+    assert usable == [True, False, True, False, True]
