Forget requests whose server has left in the fairness policy

Cause: a request whose server was removed while it ran stayed in the counts of requests in flight for ever. Change: it is dropped. Found by reading; no test.

--- a/src/siskinspool/fairness/fair_policy.py
+++ b/src/siskinspool/fairness/fair_policy.py
@@ -105,7 +105,7 @@
         self._places.record_end(request_id, stated, now, has_run=has_run)
 
     def forget_request(self, request_id: str) -> None:
-        """Drop a request that was cancelled before it was sent."""
+        """Drop a request that was not sent, or whose server has left."""
         self._places.forget_request(request_id)
 
     def forget_server(self, server_id: str) -> None:
--- a/src/siskinspool/fairness/overload_policy.py
+++ b/src/siskinspool/fairness/overload_policy.py
@@ -72,7 +72,7 @@
 
     @abstractmethod
     def forget_request(self, request_id: str) -> None:
-        """Drop a request that was cancelled before it was sent."""
+        """Drop a request that was not sent, or whose server has left."""
 
     @abstractmethod
     def forget_server(self, server_id: str) -> None:
--- a/src/siskinspool/fairness/server_places.py
+++ b/src/siskinspool/fairness/server_places.py
@@ -102,8 +102,7 @@
         run_s = self._run_s_by_service.get(entry.service)
         if figure is None or run_s is None:
             return True
-        is_urgent = entry.priority == MOST_URGENT
-        max_wait_s = MAX_URGENT_SERVER_WAIT_S if is_urgent else MAX_SERVER_WAIT_S
+        max_wait_s = _max_wait_s(entry)
         # Kept places are taken from the queue, so that they leave no slot idle.
         kept_s = min(kept * run_s / max(figure.stated.slots, 1), max_wait_s)
         if figure.wait_s(run_s) <= max_wait_s - kept_s:
@@ -131,6 +130,7 @@
         run_s = self._run_s_by_service.get(service)
         if figure is not None:
             if run_s is not None and figure.wait_s(run_s) > MAX_SERVER_WAIT_S:
+                # Its answer brings a new figure, however urgent it is.
                 figure.probed_at = now
             figure.sent += 1
 
@@ -168,9 +168,15 @@
         self._run_s_by_service[service] = known_s + weight * (took_s - known_s)
 
     def forget_request(self, request_id: str) -> None:
-        """Drop a request that was cancelled before it was sent."""
+        """Drop a request that was not sent, or whose server has left."""
         self._remove(request_id)
 
     def forget_server(self, server_id: str) -> None:
         """Drop the figures of a server that has left."""
         self._figure_by_server.pop(server_id, None)
+
+
+def _max_wait_s(entry: WaitingEntry) -> float:
+    """Return the longest wait in a server's queue for which a request is sent."""
+    is_urgent = entry.priority == MOST_URGENT
+    return MAX_URGENT_SERVER_WAIT_S if is_urgent else MAX_SERVER_WAIT_S
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -337,6 +337,7 @@
     def _on_attempt_ended(self, ended: AttemptEnded, now: float) -> None:
         view = self._views.by_id.get(ended.server_id)
         if view is None:
+            self._policy.forget_request(ended.request_id)
             return
         if ended.result is AttemptResult.ANSWERED:
             self._demand.record_answer(view, ended.request_id, now)
