--- a/src/siskinspool/gateway/choice_explanation.py
+++ b/src/siskinspool/gateway/choice_explanation.py
@@ -1,7 +1,8 @@
 """Explains which server a request would get now, and why, without sending it.
 
 `Routing` answers `ExplainChoice` with the result of the same functions that choose a
-server for a real request.
+server for a real request. Whether a server has a place at the moment
+(`OverloadPolicy.full_servers`) is not considered.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
     parts: tuple[PromptPart, ...] = ()
 
     def as_call(self) -> AssignServer:
-        """Return the request as `Routing` gets it, with the least urgency."""
+        """Return the request as `Routing` gets it, with the highest priority."""
         return AssignServer(
             request_id="",
             team="",
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -155,7 +155,7 @@
     try:
         sock.send(_encode_refusal(_NO_CONNECTION))
     except OSError:
-        # Its buffer is empty, so it is gone.
+        # The send buffer of a new connection has room, so the caller has gone.
         pass
     finally:
         sock.close()
@@ -362,13 +362,17 @@
     body = read_body(environ, MAX_BODY_BYTES)
     if isinstance(body, Refusal):
         return body
-    request = HttpRequest(
-        method=environ["REQUEST_METHOD"],
-        path=environ["PATH_INFO"],
-        query=environ.get("QUERY_STRING", ""),
-        headers=request_headers(environ),
-        body=body.data,
-    )
+    try:
+        request = HttpRequest(
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"],
+            query=environ.get("QUERY_STRING", ""),
+            headers=request_headers(environ),
+            body=body.data,
+        )
+    except BaseException:
+        body.release()
+        raise
     return ReceivedRequest(request, body.room)
 
 
--- a/src/siskinspool/pace/load.py
+++ b/src/siskinspool/pace/load.py
@@ -10,16 +10,14 @@
 # Half-life of a stated load. After that, requests that it counts have ended and other
 # senders have added some, so the server's mean load says as much.
 LOAD_HALF_LIFE_S: Final = 1.0
-# The same for a server that has just started: its load changes within a second, and on
-# a simulated site, senders that went by older figures filled it to 1.9 times the mean
-# and then avoided it.
+# The same for a server that has just started, as its load changes within a second.
+# Senders that go by older figures overfill it and then avoid it.
 CHANGING_HALF_LIFE_S: Final = 0.25
 CHANGING_S: Final = 6.0
 # Weight of the newest figure in the mean of all servers.
 NEWEST_FIGURE_WEIGHT: Final = 0.15
-# The same for the difference of a server from that mean. On a simulated site where each
-# server holds three of 24 models, the busiest server had 1.57 times the mean without
-# the difference and 1.45 with it; twice the weight filled returned servers further.
+# The same for the difference of a server from that mean; a larger weight overfills
+# servers that have returned.
 NEWEST_DIFFERENCE_WEIGHT: Final = 0.1
 
 
--- a/src/siskinspool/pace/pace_limit.py
+++ b/src/siskinspool/pace/pace_limit.py
@@ -14,12 +14,10 @@
 
 import attrs
 
-# The senders together begin with this part of the slots. Servers whose contract states
-# a limit take 7.5 requests a second with 64 slots while they are cold.
+# The senders together begin with this part of the slots.
 START_SHARE: Final = 1 / 8
 # The limit reaches the sender's share of the slots after this time without bad signs,
-# or after the time for which the server says that it is cold. On a simulated site, 2 s
-# delayed full use by a second and left no less overshoot.
+# or after the time for which the server says that it is cold.
 RAMP_S: Final = 1.0
 # It is reached after the time of this many requests, if that is sooner: calls to plain
 # services take some 15 ms, and the other servers bear their load until then.
--- a/src/siskinspool/pace/sampling.py
+++ b/src/siskinspool/pace/sampling.py
@@ -14,9 +14,8 @@
 
 import attrs
 
-# Servers that are compared. On a simulated site with 24 servers, 2 and 3 left the
-# busiest server above 1.3 times the mean at low load; 6 sent fewer requests to the
-# servers that had cached their prompts.
+# Servers that are compared. Fewer leave the load uneven; more concentrate the requests
+# of all senders on the same server.
 FEW: Final = 4
 # Fewer of a small number, since comparing nearly all is what the sample is to prevent.
 MIN_FEW: Final = 2
--- a/src/siskinspool/protection/settings.py
+++ b/src/siskinspool/protection/settings.py
@@ -52,8 +52,8 @@
     # 64 KB and what a usual head counts.
     small_share: float = 0.25
     small_bytes: int = 98_304
-    # Memory counted for each byte of a head: 85 headers of 13 KB took 145 KB, as they
-    # are kept as parsed lines, as the WSGI environment and by the request.
+    # Memory counted for each byte of a head, which is kept as parsed lines, as the WSGI
+    # environment and by the request.
     head_factor: float = 10.0
     # Longest wait of a body for room in the budget, and the number that may wait.
     body_wait_s: float = 2.0
--- a/src/siskinspool/server_signals/server_signals.py
+++ b/src/siskinspool/server_signals/server_signals.py
@@ -70,7 +70,7 @@
         """Return whether a server may be chosen."""
         if self._is_leaving(start, now):
             return GONE
-        pause = self._pause_by_start.get(start)
+        pause = self._current_pause(start, now)
         if pause is None:
             return MAY_BE_CHOSEN
         return MayBeChosenByMore(pause.remaining_trials(now))
@@ -79,7 +79,7 @@
         """Return when a server may get its next request; infinity if it is leaving."""
         if self._is_leaving(start, now):
             return math.inf
-        pause = self._pause_by_start.get(start)
+        pause = self._current_pause(start, now)
         return now if pause is None else pause.next_trial_at(now)
 
     def observe(self, observation: Observation) -> bool:
@@ -125,6 +125,14 @@
         pause = self._pause_by_start.get(start)
         return 0.0 if pause is None else round(max(pause.opens_at - now, 0.0), 3)
 
+    def _current_pause(self, start: ServerStart, now: float) -> Pause | None:
+        """Return the pause of a server, unless it ended long ago."""
+        pause = self._pause_by_start.get(start)
+        if pause is not None and now > pause.opens_at + UNTRIED_TTL_S:
+            del self._pause_by_start[start]
+            return None
+        return pause
+
     def _is_leaving(self, start: ServerStart, now: float) -> bool:
         until = self._leaving.get(start)
         return until is not None and now < until
