Read settings without a list of contracts as before

Change: without the list all contracts but leader are in force. Result: the new test; the decoding tests pass.

--- a/src/siskinspool/platform/contracts.py
+++ b/src/siskinspool/platform/contracts.py
@@ -38,6 +38,9 @@
 
 # Without the store nothing of the desired state and the servers is known.
 REQUIRED_CONTRACTS: Final = frozenset({Contract.PLATFORM})
+# Settings without a list of contracts were written for the parts that existed before
+# the list was read.
+DEFAULT_CONTRACTS: Final = tuple(set(Contract) - {Contract.LEADER})
 # Bounds where no contract sets them.
 DEFAULT_GRACE_S: Final = 5.0
 DEFAULT_DRAIN_S: Final = 2.0
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, Final
 
@@ -28,6 +29,7 @@
 from ..settings import Endpoint
 from .contracts import (
     DEFAULT_CONFIG_S,
+    DEFAULT_CONTRACTS,
     DEFAULT_DRAIN_S,
     DEFAULT_GRACE_S,
     DEFAULT_LEASE_S,
@@ -90,6 +92,12 @@
         is_stated = not isinstance(fields, dict) or name in fields
         return self.number(path) if is_stated else fallback
 
+    def optional_list(self, name: str, fallback: Iterable[str]) -> list[Any]:
+        """Return a list at the top level, or the fallback if it is absent."""
+        if name not in self._document:
+            return list(fallback)
+        return list(self.get(name, list, []))
+
     def text(self, path: str) -> str:
         return str(self.get(path, str, ""))
 
@@ -162,7 +170,7 @@
 
 
 def _read_contracts(reader: _SettingsReader) -> frozenset[str]:
-    names = reader.get("contracts", list, list(Contract))
+    names = reader.optional_list("contracts", DEFAULT_CONTRACTS)
     reader.faults += [
         f"contracts: {name} is required" for name in missing_contracts(names)
     ]
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -261,3 +261,11 @@
     assert decode_settings(chosen).scheduling.fair_queueing
     with pytest.raises(SettingsError, match=r"scheduling\.pace"):
         decode_settings(SETTINGS | {"scheduling": {"pace": True}})
+
+
+def test_settings_without_a_list_of_contracts_are_read_as_before() -> None:
+    """Guards against settings that a gateway read until it knew the list."""
+    older = {name: value for name, value in SETTINGS.items() if name != "contracts"}
+    settings = decode_settings(older)
+    assert settings.bounds.cold is not None and settings.duties is None
+    assert settings.scheduling == SchedulingSettings.all_set_to(False)
