--- a/review/site2.py
+++ b/review/site2.py
@@ -1,9 +1,10 @@
 """A small deployment for the scripts of the second review.
 
-`Site` holds the stand-ins (the platform's store, the servers) in this process and starts
-gateways as separate processes with the command of the deploy file. Everything listens on
-loopback addresses and uses the real clock. Only the standard library is used. The
-stand-ins behave as a sound store and sound servers; a case changes single servers.
+`Site` holds the stand-ins (the platform's store, the servers) in this process and
+starts gateways as separate processes with the command of the deploy file. Everything
+listens on loopback addresses and uses the real clock. Only the standard library is
+used. The stand-ins behave as a sound store and sound servers; a case changes single
+servers.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import base64
 import itertools
 import json
+import logging
 import os
 import shutil
 import signal
@@ -22,12 +24,14 @@
 import time
 import tomllib
 from pathlib import Path
-from urllib.parse import parse_qs, unquote
+from urllib.parse import parse_qs
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "site.example"
 KEY = "key-of-smiths"
 ENV_NAMES = ("PATH", "HOME", "JAVA_HOME", "LANG")
+# asyncio reports each write to a channel that the other side has reset.
+logging.getLogger("asyncio").setLevel(logging.CRITICAL)
 
 
 def free_port(host: str) -> int:
@@ -99,7 +103,7 @@
     body: bytes = b"",
     timeout_s: float = 30.0,
 ) -> Message | str:
-    """Send one request on a channel of its own; return the answer or what went wrong."""
+    """Send one request on a channel of its own; return the answer or what failed."""
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -584,6 +588,15 @@
 # The deployment
 
 
+def request_headers(request_id: str) -> dict[str, str]:
+    return {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Deadline-Ms": "4000",
+        "Authorization": f"Bearer {KEY}",
+    }
+
+
 class Site:
     """The stand-ins and the gateways of one run."""
 
@@ -592,6 +605,8 @@
         self.store = Store()
         self.servers: list[Server] = []
         self.gateways: list[Gateway] = []
+        # Processes that a case starts besides.
+        self.processes: list[subprocess.Popen] = []
         self.ids = itertools.count(1)
 
     async def start(self, config: dict, servers: list[Server]) -> None:
@@ -634,15 +649,14 @@
         return None
 
     def request_headers(self, **headers: str) -> dict[str, str]:
-        made = {
-            "Host": HOST,
-            "Request-Id": f"{next(self.ids):016x}",
-            "Deadline-Ms": "4000",
-            "Authorization": f"Bearer {KEY}",
-        }
+        made = request_headers(f"{next(self.ids):016x}")
         return made | {name.replace("_", "-"): text for name, text in headers.items()}
 
     async def end(self) -> None:
+        for process in self.processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for gateway in self.gateways:
             gateway.send_signal(signal.SIGCONT)
             await gateway.stop()
