--- a/review/site2.py
+++ b/review/site2.py
@@ -443,7 +443,9 @@
 
     def __init__(self, site: Site, number: int, settings: dict) -> None:
         self.site, self.name = site, f"front-{number}"
-        self.ip = f"127.0.0.{10 + number}"
+        # Other runs on this machine have other addresses.
+        net, part = divmod(os.getpid(), 200)
+        self.ip = f"127.{10 + part}.{net % 250}.{10 + number}"
         ports = {free_port(self.ip) for _ in range(40)}
         self.front, self.ready, self.peer, self.metrics = sorted(ports)[:4]
         self.settings_path = site.folder / f"{self.name}.toml"
