End a chunked answer at its last chunk, and drop the trailers

Cause: the parser takes each trailer for a header and keeps it as objects. Measured on answers of 1 MB: lines `a:` cost 16 bytes of memory and 420 ns of processor time for each byte received, a body in large chunks 1.1 bytes and 1 ns.

Change: a chunked body is whole once the chunk of size zero has arrived (RFC 9112, section 8). `ServerResponse` ends the answer at the first byte of a trailer and reads nothing after it. Both front ends use it, and the caller gets the whole body instead of a 502.

--- a/src/siskinspool/links/server_response.py
+++ b/src/siskinspool/links/server_response.py
@@ -4,6 +4,10 @@
 more data after it: garbage, or another answer. The HTTP client's parser treats such
 bytes as the next answer, whose status, headers and body then replace or extend those
 of the first. `ServerResponse` stops after the first final answer and drops the rest.
+
+A chunked body is whole once the chunk of size zero has arrived (RFC 9112, section 8).
+The trailers after it are dropped, too: nobody uses them, they may never end, and the
+parser would keep each line as objects that take many times its bytes.
 """
 
 from __future__ import annotations
@@ -42,6 +46,13 @@
         self._status = super().get_code()
         return super()._on_headers_complete()
 
+    def _on_header_field(self, string: str) -> None:
+        if self.headers_complete:
+            self._on_message_complete()
+            # Stops the parser before it reads the trailers.
+            raise HTTPParseError("trailers after the body")
+        super()._on_header_field(string)
+
     def _on_message_begin(self) -> None:
         if self._has_ended:
             # Stops the parser before it reads the head of another answer.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,8 @@
 
 import math
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import attrs
 import gevent
@@ -49,6 +50,9 @@
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+# The shortest header lines, which cost the most memory for each byte.
+SHORT_LINES = b"a:\r\n" * (PIECE_BYTES // 4)
+EVENT = b"data: 1\n\n"
 # Bytes that the operating system buffers in addition to those read.
 BUFFER_BYTES = 8 * 1024 * 1024
 
@@ -124,6 +128,37 @@
         assert server.sent_bytes < MAX_BODY_BYTES + BUFFER_BYTES
 
 
+@contextmanager
+def peak_memory() -> Iterator[Callable[[], int]]:
+    """Trace allocations; the result returns the peak in bytes."""
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize("as_events", [False, True], ids=["body", "events"])
+def test_endless_trailers_take_no_memory(as_events: bool) -> None:
+    """Guards against a single answer that takes many times the bytes it sent.
+
+    The parser kept each trailer as objects: 130 MB for one answer of 8 MB.
+    """
+    beginning = CHUNKED + chunk(EVENT) + b"0\r\n"
+    with (
+        endless_server(beginning, SHORT_LINES) as server,
+        gevent.Timeout(30.0),
+        peak_memory() as peak_bytes,
+    ):
+        answer = HttpServerLink().open_call(request(server), 20.0)
+        assert not isinstance(answer, NotSent | Lost)
+        parts = list(answer.events()) if as_events else [answer.read_all()]
+        answer.close()
+        # The chunk of size zero ends the body, whatever follows it.
+        assert parts == [EVENT]
+        assert peak_bytes() < MAX_EVENT_BYTES
+
+
 @pytest.mark.parametrize("as_events", [False, True], ids=["bodies", "events"])
 def test_many_endless_answers_share_a_budget(as_events: bool) -> None:
     """Guards against many large answers at once that fill the memory of an instance.
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -47,6 +47,18 @@
     assert (received.status, received.body) == (200, b"ran")
 
 
+def test_trailers_without_end_do_not_lose_an_answer(front: FrontEnd) -> None:
+    """Guards against reading on after the chunk that ends the body (R8)."""
+    trailers = b"a:\r\n" * 1_000
+    script = stream(event(1), DONE, end=b"0\r\n") + trailers
+    with scripted_server(script, script.replace(b"event-stream", b"plain")) as server:
+        streamed = front.send(server.port, events=True)
+        plain = front.send(server.port)
+    for received in (streamed, plain):
+        assert (received.status, received.body) == (200, event(1) + DONE)
+        assert received.is_whole
+
+
 def test_answer_after_a_stream_stays_out_of_it(front: FrontEnd) -> None:
     """Guards against the body of a refusal being sent as an event of a stream."""
     expected_body = event(1) + event(2) + DONE
