Count what the parser makes of an answer, not only its bytes

One answer in chunks of one byte keeps the processor for half a second.

Cause: the limits on an answer count received bytes. A header line `a:` of 4 bytes is kept as some 64 bytes of objects, and the first 64 KB of an answer are exempt from the budget, so a head of 64 KB took 1 MB, uncounted. A chunk of one byte costs 63 ns of processor time for each received byte, a large one 1 ns (probe of 8 MB each).

Pieces that arrive one by one cost nothing extra. Both front ends build their link with `HttpServerLink.from_protection`.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -26,7 +26,6 @@
 from .core.dispatcher import Dispatcher
 from .core.member import Member
 from .core.task import DecisionTask, Task
-from .links.answer_budget import AnswerBudget
 from .links.call_task import CallContext
 from .links.codec import MsgpackCodec
 from .links.compressing_codec import CompressingCodec
@@ -128,11 +127,10 @@
         self._protection = CallerProtection.from_settings(
             settings.limits, settings.protection, clock
         )
-        max_answer_bytes = self._protection.limits.answer_read_bytes
         self._call_context = CallContext(
             dispatcher=self._dispatcher,
             clock=clock,
-            link=HttpServerLink(budget=AnswerBudget.within(max_answer_bytes)),
+            link=HttpServerLink.from_protection(self._protection),
             retry_budget=self._retry_budget,
         )
         self._frontend = self._build_frontend()
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -36,7 +36,6 @@
 from ..feed.change_feed import ChangeFeed
 from ..feed.feed_messages import CHANGE_FEED_TASK, StopFeeding
 from ..feed.watch_task import FeedSource, WatchTask
-from ..links.answer_budget import AnswerBudget
 from ..links.codec import MsgpackCodec
 from ..links.compressing_codec import CompressingCodec
 from ..links.peer import PEERS_TASK, PeerLink
@@ -190,10 +189,8 @@
         self._context = RequestContext(
             dispatcher=self._dispatcher,
             clock=clock,
-            link=HttpServerLink(
-                CONNECT_TIMEOUT_S,
-                ends_by_close=True,
-                budget=AnswerBudget.within(protection.limits.answer_read_bytes),
+            link=HttpServerLink.from_protection(
+                protection, CONNECT_TIMEOUT_S, ends_by_close=True
             ),
             codec=parts.codec,
             metrics=GatewayMetrics(),
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -7,9 +7,9 @@
 
 `open_call` sends the request once. `NotSent` means that no byte of it was sent; any
 later failure is `Lost`: the server may have run the call. A faulty server may send
-unlimited data, so the head, the body and each event have a size limit, all unfinished
-answers share a budget (`AnswerBudget`), and the head has a time limit. Bytes after the
-answer belong to no call and are dropped (`ServerResponse`).
+unlimited data, so the head, the body and each event have a limit (`AnswerSocket`), all
+unfinished answers share a budget (`AnswerBudget`), and the head has a time limit. Bytes
+after the answer belong to no call and are dropped (`ServerResponse`).
 """
 
 from __future__ import annotations
@@ -17,13 +17,15 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import Final, cast
+from typing import Final
 
 import attrs
 import gevent
 from gevent import socket
 
-from .answer_budget import AnswerAllowance, AnswerBudget
+from ..protection.caller_protection import CallerProtection
+from .answer_budget import AnswerBudget
+from .answer_socket import AnswerSocket
 from .server_response import ServerResponse
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -67,64 +69,6 @@
     has_begun: bool = False
 
 
-class _AnswerTooLargeError(Exception):
-    """A server's answer exceeds a size limit."""
-
-
-class _LimitedSocket:
-    """A socket for `ServerResponse` that limits the number of received bytes.
-
-    It remembers whether the server has sent anything, and whether it has closed or
-    reset the connection.
-    """
-
-    def __init__(self, sock: socket.socket, allowance: AnswerAllowance) -> None:
-        self._sock = sock
-        self._allowance = allowance
-        self._remaining_bytes = 0
-        self._has_received = False
-        self._is_disconnected = False
-
-    def set_limit(self, size: int) -> None:
-        """Set how many bytes may be received from now on, without the earlier ones."""
-        self._remaining_bytes = size
-        self._allowance.release()
-
-    def recv(self, size: int) -> bytes:
-        """Receive some bytes."""
-        try:
-            data = self._sock.recv(size)
-        except ConnectionError:
-            self._is_disconnected = True
-            raise
-        if data:
-            self._has_received = True
-        else:
-            self._is_disconnected = True
-        self._remaining_bytes -= len(data)
-        if self._remaining_bytes < 0:
-            raise _AnswerTooLargeError("the answer is too large")
-        self._allowance.add(len(data))
-        return data
-
-    def send_all(self, data: bytes) -> None:
-        """Send a whole request."""
-        try:
-            self._sock.sendall(data)
-        except ConnectionError:
-            self._is_disconnected = True
-            raise
-
-    def lost(self, reason: str) -> Lost:
-        """Return the outcome of a call whose answer is not complete."""
-        return Lost(reason, self._is_disconnected, self._has_received)
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._sock.close()
-        self._allowance.release()
-
-
 class Answer(ABC):
     """An answer whose head was received."""
 
@@ -148,7 +92,7 @@
     """An answer with its own connection."""
 
     def __init__(
-        self, sock: _LimitedSocket, response: ServerResponse, *, ends_by_close: bool
+        self, sock: AnswerSocket, response: ServerResponse, *, ends_by_close: bool
     ) -> None:
         """Initialise; ``ends_by_close`` accepts answers without a length."""
         self._sock = sock
@@ -164,14 +108,14 @@
         """Return the whole body, or Lost if it is incomplete."""
         if not self._is_framed():
             # Without a length, a truncated body would look complete.
-            return self._sock.lost("the answer has neither a length nor chunks")
+            return self._lost("the answer has neither a length nor chunks")
         self._sock.set_limit(MAX_BODY_BYTES)
         try:
             body = bytes(self._response.read())
         except Exception as error:
-            return self._sock.lost(_reason(error))
+            return self._lost(_reason(error))
         if not self._response.message_complete:
-            return self._sock.lost("the answer ended early")
+            return self._lost("the answer ended early")
         return body
 
     def events(self) -> Iterator[bytes | Lost]:
@@ -184,14 +128,17 @@
                 yield bytes(event)
                 self._sock.set_limit(MAX_EVENT_BYTES)
         except Exception as error:
-            yield self._sock.lost(_reason(error))
+            yield self._lost(_reason(error))
             return
         # Even a complete body may end in the middle of an event.
         if not self._response.message_complete or self._response.read():
-            yield self._sock.lost("the answer ended early")
+            yield self._lost("the answer ended early")
         elif not has_events and not self._declares_end():
             # A server that ends after the head closes the connection, too.
-            yield self._sock.lost("the stream has neither an event nor an end")
+            yield self._lost("the stream has neither an event nor an end")
+
+    def _lost(self, reason: str) -> Lost:
+        return _lost(self._sock, reason)
 
     def _is_framed(self) -> bool:
         return self._ends_by_close or self._declares_end()
@@ -244,6 +191,21 @@
         self._ends_by_close = ends_by_close
         self._budget = budget or AnswerBudget()
 
+    @classmethod
+    def from_protection(
+        cls,
+        protection: CallerProtection,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        *,
+        ends_by_close: bool = False,
+    ) -> HttpServerLink:
+        """Return the link of a front end, within the limits of its process."""
+        return cls(
+            connect_timeout_s,
+            ends_by_close=ends_by_close,
+            budget=AnswerBudget.within(protection.limits.answer_read_bytes),
+        )
+
     def open_call(
         self,
         request: ServerRequest,
@@ -262,26 +224,24 @@
             sock.close()
             return NotSent("the permission to send has ended")
         allowance = self._budget.new_allowance(f"{request.host}:{request.port}")
-        limited_sock = _LimitedSocket(sock, allowance)
+        answer_sock = AnswerSocket(sock, allowance)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(timeout_s)
             for part in encode_request(request):
-                limited_sock.send_all(part)
-            limited_sock.set_limit(MAX_HEAD_BYTES)
+                answer_sock.send_all(part)
+            answer_sock.set_limit(MAX_HEAD_BYTES)
             # The socket's timeout applies to each read; bytes may arrive one by one.
             with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
-                response = ServerResponse(
-                    cast(socket.socket, limited_sock), method=request.method
-                )
+                response = ServerResponse(answer_sock, request.method)
         except Exception as error:
-            limited_sock.close()
-            return limited_sock.lost(_reason(error))
+            answer_sock.close()
+            return _lost(answer_sock, _reason(error))
         except BaseException:
             # The call was cancelled while waiting for the answer's head.
-            limited_sock.close()
+            answer_sock.close()
             raise
-        return HttpAnswer(limited_sock, response, ends_by_close=self._ends_by_close)
+        return HttpAnswer(answer_sock, response, ends_by_close=self._ends_by_close)
 
 
 def encode_request(request: ServerRequest) -> tuple[bytes, ...]:
@@ -307,5 +267,10 @@
     return (encoded + request.body,)
 
 
+def _lost(sock: AnswerSocket, reason: str) -> Lost:
+    """Return the outcome of a call whose answer is not complete."""
+    return Lost(reason, sock.is_disconnected, sock.has_received)
+
+
 def _reason(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"[:200]
--- a/src/siskinspool/links/server_response.py
+++ b/src/siskinspool/links/server_response.py
@@ -12,10 +12,13 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, cast
 
+from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
+from .answer_socket import CHUNK_COST_BYTES, FIELD_COST_BYTES, AnswerSocket
+
 # Lower codes are interim answers that precede the final one.
 MIN_FINAL_STATUS: Final = 200
 
@@ -27,6 +30,15 @@
     # answer.
     _status = 0
     _has_ended = False
+    # Of the heads and header lines in the latest bytes.
+    _parsed_cost_bytes = 0
+    # Parts of the body in the latest bytes.
+    _part_count = 0
+
+    def __init__(self, sock: AnswerSocket, method: str) -> None:
+        """Read the head of the answer to a request with this method."""
+        self._answer_sock = sock
+        super().__init__(cast(socket.socket, sock), method=method)
 
     def get_code(self) -> int:
         """Return the status code."""
@@ -36,11 +48,18 @@
         """Parse bytes; ignore those after the final answer."""
         if self._has_ended:
             return
+        self._parsed_cost_bytes = 0
+        self._part_count = 0
         try:
             super().feed(data)
         except HTTPParseError:
             if not self._has_ended:
                 raise
+        if not self._has_ended:
+            # A large chunk, too, has a part in each of its pieces.
+            chunk_count = max(self._part_count - 1, 0)
+            chunks_cost_bytes = chunk_count * CHUNK_COST_BYTES
+            self._answer_sock.record_parsed(self._parsed_cost_bytes + chunks_cost_bytes)
 
     def _on_headers_complete(self) -> int | bool | None:
         self._status = super().get_code()
@@ -53,12 +72,21 @@
             raise HTTPParseError("trailers after the body")
         super()._on_header_field(string)
 
+    def _flush_header(self) -> None:
+        self._parsed_cost_bytes += FIELD_COST_BYTES
+        super()._flush_header()
+
     def _on_message_begin(self) -> None:
         if self._has_ended:
             # Stops the parser before it reads the head of another answer.
             raise HTTPParseError("bytes after the answer")
+        self._parsed_cost_bytes += FIELD_COST_BYTES
         super()._on_message_begin()
 
+    def _on_body(self, buf: bytearray) -> None:
+        self._part_count += 1
+        super()._on_body(buf)
+
     def _on_message_complete(self) -> None:
         self._has_ended = self._status >= MIN_FINAL_STATUS
         super()._on_message_complete()
--- a/tests/builders_endless_server.py
+++ b/tests/builders_endless_server.py
@@ -1,7 +1,8 @@
-"""A faulty server for tests that sends bytes endlessly until its peer closes."""
+"""Faulty servers for tests that send bytes endlessly until their peer closes."""
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -42,6 +43,70 @@
             self.connections_open -= 1
 
 
+class ReadySocket(ABC):
+    """A connection on which the next bytes have always arrived.
+
+    A greenlet that reads from it is never switched by the socket.
+    """
+
+    def __init__(self) -> None:
+        self.received_bytes = 0
+
+    def recv(self, size: int) -> bytes:
+        """Return the next bytes."""
+        data = self.next_piece()
+        assert len(data) <= size
+        self.received_bytes += len(data)
+        return data
+
+    @abstractmethod
+    def next_piece(self) -> bytes:
+        """Return the next bytes, empty at the end."""
+
+    def sendall(self, data: bytes) -> None:
+        """Send nothing."""
+        return
+
+    def setsockopt(self, *option: int) -> None:
+        """Set nothing."""
+        return
+
+    def settimeout(self, timeout_s: float) -> None:
+        """Set nothing."""
+        return
+
+    def close(self) -> None:
+        """Close nothing."""
+        return
+
+
+class EndlessSocket(ReadySocket):
+    """Has a beginning and then the same piece without end."""
+
+    def __init__(self, beginning: bytes, piece: bytes) -> None:
+        super().__init__()
+        self._beginning = beginning
+        self._piece = piece
+
+    def next_piece(self) -> bytes:
+        """Return the beginning once, and then the piece."""
+        data = self._beginning or self._piece
+        self._beginning = b""
+        return data
+
+
+class TricklingSocket(ReadySocket):
+    """Has the bytes of an answer one at a time."""
+
+    def __init__(self, data: bytes) -> None:
+        super().__init__()
+        self._data = data
+
+    def next_piece(self) -> bytes:
+        """Return the next byte."""
+        return self._data[self.received_bytes : self.received_bytes + 1]
+
+
 @contextmanager
 def endless_server(
     beginning: bytes, piece: bytes, pause_s: float = 0.0
--- a/tests/builders_scripted_server.py
+++ b/tests/builders_scripted_server.py
@@ -4,7 +4,7 @@
 
 import struct
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import attrs
 from gevent import socket
@@ -82,8 +82,9 @@
         request = sock.recv(65_536)
         server.requests.append(request)
         sock.sendall(beginning.replace(REQUEST_ID_PLACEHOLDER, _request_id(request)))
-        while sock.recv(65_536):
-            pass
+        with suppress(ConnectionError):
+            while sock.recv(65_536):
+                pass
 
     listener = StreamServer(("127.0.0.1", 0), handle)
     listener.start()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 import attrs
 import gevent
 import pytest
+from gevent import socket
 
 from siskinspool.core.clock import MonotonicClock
 from siskinspool.core.dispatcher import Dispatcher, Inbox
@@ -44,14 +45,22 @@
 from siskinspool.platform.server_calls import PlatformServerControl
 
 from . import builders
-from .builders_endless_server import PIECE_BYTES, EndlessServer, endless_server
+from .builders_endless_server import (
+    PIECE_BYTES,
+    EndlessServer,
+    EndlessSocket,
+    TricklingSocket,
+    endless_server,
+)
 from .builders_membership import wait_until
+from .builders_scripted_server import ScriptedServer, hanging_server
 from .builders_signals import start
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 # The shortest header lines, which cost the most memory for each byte.
 SHORT_LINES = b"a:\r\n" * (PIECE_BYTES // 4)
+ONE_BYTE_CHUNKS = b"1\r\na\r\n" * (PIECE_BYTES // 6)
 EVENT = b"data: 1\n\n"
 # Bytes that the operating system buffers in addition to those read.
 BUFFER_BYTES = 8 * 1024 * 1024
@@ -62,16 +71,14 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-def request(server: EndlessServer) -> ServerRequest:
+ANY_REQUEST = ServerRequest(
+    host="127.0.0.1", port=80, method="GET", uri="/", headers={}, body=b""
+)
+
+
+def request(server: EndlessServer | ScriptedServer) -> ServerRequest:
     """Return a request for a server."""
-    return ServerRequest(
-        host="127.0.0.1",
-        port=server.port,
-        method="GET",
-        uri="/",
-        headers={},
-        body=b"",
-    )
+    return attrs.evolve(ANY_REQUEST, port=server.port)
 
 
 def order(server: EndlessServer) -> ServerOrder:
@@ -159,6 +166,44 @@
         assert peak_bytes() < MAX_EVENT_BYTES
 
 
+def test_many_unfinished_heads_take_the_memory_of_their_bytes() -> None:
+    """Guards against heads that take many times the bytes that their limit allows.
+
+    The parser kept each short line as objects, some 1 MB for a head of 60 KB.
+    """
+    heads = 60
+    beginning = OK + SHORT_LINES * 15
+    assert len(beginning) < MAX_HEAD_BYTES
+    with hanging_server(beginning) as server, peak_memory() as peak_bytes:
+        target = request(server)
+        link = HttpServerLink()
+        reading = [gevent.spawn(link.open_call, target, 2.0) for _ in range(heads)]
+        gevent.joinall(reading)
+        assert all(isinstance(one.value, Lost) for one in reading)
+        assert peak_bytes() < 2 * heads * EXEMPT_BYTES
+
+
+def test_body_of_tiny_chunks_is_aborted_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against chunks that cost many times the processor time of their bytes."""
+    source = EndlessSocket(CHUNKED, ONE_BYTE_CHUNKS)
+    monkeypatch.setattr(socket, "create_connection", lambda *_: source)
+    answer = HttpServerLink().open_call(ANY_REQUEST, 60.0)
+    assert not isinstance(answer, NotSent | Lost)
+    assert isinstance(answer.read_all(), Lost)
+    assert source.received_bytes < MAX_BODY_BYTES // 10
+
+
+def test_trickling_answer_is_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against counting the pieces that arrive instead of lines and chunks."""
+    body = b"a" * 200_000
+    head = OK + b"X-Long-Name: value\r\n" * 50 + b"Content-Length: 200000\r\n\r\n"
+    source = TricklingSocket(head + body)
+    monkeypatch.setattr(socket, "create_connection", lambda *_: source)
+    answer = HttpServerLink().open_call(ANY_REQUEST, 60.0)
+    assert not isinstance(answer, NotSent | Lost)
+    assert answer.read_all() == body
+
+
 @pytest.mark.parametrize("as_events", [False, True], ids=["bodies", "events"])
 def test_many_endless_answers_share_a_budget(as_events: bool) -> None:
     """Guards against many large answers at once that fill the memory of an instance.
