Let other greenlets run while an answer arrives

What callers saw: as long as a server's bytes have always arrived, the greenlet that reads them keeps the process. A stream whose events are dropped as repetitions has no limit, so the process hangs, and the deadline of the request cannot end it.

Cause: gevent switches on a socket only if it must wait. Between two blocks of 4 KB the reader parses, but never switches.

Change: `AnswerSocket` lets the others run after each 64 KB of what it counts, received bytes and the parser's work together.

Measured: the four new tests failed before; the one on dropped events read ten million events past its timeout of 0.1 s.

--- a/src/siskinspool/links/answer_socket.py
+++ b/src/siskinspool/links/answer_socket.py
@@ -5,12 +5,16 @@
 bytes. An `AnswerSocket` therefore counts the received bytes and what the parser makes
 of them (`record_parsed`) together, against the limit of the answer and against the
 memory that all unfinished answers share (`AnswerAllowance`).
+
+A socket on which bytes have always arrived never switches its greenlet, so the other
+greenlets get their turn after each `TURN_BYTES` of the same count.
 """
 
 from __future__ import annotations
 
 from typing import Final
 
+import gevent
 from gevent import socket
 
 from .answer_budget import AnswerAllowance
@@ -21,6 +25,8 @@
 # Cost of a chunk in addition to its bytes: what the processor does with plain bytes in
 # the same time.
 CHUNK_COST_BYTES: Final = 64
+# Cost of what is received before the other greenlets run.
+TURN_BYTES: Final = 64 * 1024
 
 
 class AnswerTooLargeError(Exception):
@@ -39,6 +45,8 @@
         self._sock = sock
         self._allowance = allowance
         self._remaining_bytes = 0
+        # Cost of what was received since the others had their turn.
+        self._turn_bytes = 0
         self.has_received = False
         self.is_disconnected = False
 
@@ -52,6 +60,9 @@
 
     def recv(self, size: int) -> bytes:
         """Receive some bytes; raise an error if they exceed a limit."""
+        if self._turn_bytes >= TURN_BYTES:
+            self._turn_bytes = 0
+            gevent.sleep(0)
         try:
             data = self._sock.recv(size)
         except ConnectionError:
@@ -69,6 +80,7 @@
         self._count(cost_bytes)
 
     def _count(self, cost_bytes: int) -> None:
+        self._turn_bytes += cost_bytes
         self._remaining_bytes -= cost_bytes
         if self._remaining_bytes < 0:
             raise AnswerTooLargeError("the answer is too large")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import tracemalloc
 from collections.abc import Callable, Iterator
@@ -22,6 +23,7 @@
     MAX_SERVER_BYTES,
     AnswerBudget,
 )
+from siskinspool.links.answer_socket import TURN_BYTES
 from siskinspool.links.server_link import (
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -204,6 +206,64 @@
     assert answer.read_all() == body
 
 
+@contextmanager
+def turns_of_others() -> Iterator[Callable[[], int]]:
+    """Run another greenlet; the result returns how often it had its turn."""
+    turns = 0
+
+    def run() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            gevent.sleep(0)
+
+    beside = gevent.spawn(run)
+    try:
+        yield lambda: turns
+    finally:
+        beside.kill()
+
+
+@pytest.mark.parametrize(
+    ("beginning", "piece", "bytes_per_turn"),
+    [
+        (CHUNKED, chunk(b"a" * (PIECE_BYTES - 16)), TURN_BYTES),
+        (CHUNKED + b"1;", b"a" * PIECE_BYTES, TURN_BYTES),
+        (CHUNKED, ONE_BYTE_CHUNKS, 2 * PIECE_BYTES),
+    ],
+    ids=["body", "extension", "one-byte-chunks"],
+)
+def test_others_run_while_a_body_is_read(
+    monkeypatch: pytest.MonkeyPatch, beginning: bytes, piece: bytes, bytes_per_turn: int
+) -> None:
+    """Guards against an answer that keeps the process to itself while it arrives."""
+    source = EndlessSocket(beginning, piece)
+    monkeypatch.setattr(socket, "create_connection", lambda *_: source)
+    answer = HttpServerLink().open_call(ANY_REQUEST, 60.0)
+    assert not isinstance(answer, NotSent | Lost)
+    with turns_of_others() as turns:
+        assert isinstance(answer.read_all(), Lost)
+        # A turn comes after the block that reaches its size, and none after the end.
+        max_bytes = (turns() + 1) * (bytes_per_turn + PIECE_BYTES)
+        assert source.received_bytes <= max_bytes
+
+
+def test_timeout_ends_a_stream_of_events_that_are_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that hangs as long as a server sends events.
+
+    A stream has no size limit, and repeated events are not forwarded.
+    """
+    source = EndlessSocket(CHUNKED, chunk(EVENT) * 100)
+    monkeypatch.setattr(socket, "create_connection", lambda *_: source)
+    answer = HttpServerLink().open_call(ANY_REQUEST, 60.0)
+    assert not isinstance(answer, NotSent | Lost)
+    with pytest.raises(gevent.Timeout), gevent.Timeout(0.1):
+        for _ in itertools.islice(answer.events(), 10_000_000):
+            pass
+
+
 @pytest.mark.parametrize("as_events", [False, True], ids=["bodies", "events"])
 def test_many_endless_answers_share_a_budget(as_events: bool) -> None:
     """Guards against many large answers at once that fill the memory of an instance.
