Limit what an answer of the store may cost

This was found by looking for the same cause on related paths; no run of the users has shown it.

Cause: the library's HTTP client reads until an answer ends. Nothing limits its bytes or its header lines, and as long as bytes have arrived the greenlet is never switched, so that no timeout ends the call. JSON of short values, such as `[],`, takes some 20 times its bytes once it is decoded.

Change: `BoundedClient` limits a head to 64 KB and 100 lines, and an answer to 8 MB (platform's store), 16 MB (etcd, status pages for the command line) or 4 MB (list of instances), and lets the others run after each 64 KB. A call beyond that counts as lost, and a watch lists again. The answers of the platform's store are decoded into types; other JSON is not kept.

--- a/src/siskinspool/cli/connection.py
+++ b/src/siskinspool/cli/connection.py
@@ -9,7 +9,6 @@
 import attrs
 import click
 from gevent.pool import Pool
-from geventhttpclient import HTTPClient
 
 from ..core.member import Member
 from ..manifest.publisher import (
@@ -18,6 +17,7 @@
     NoConfiguration,
     Publisher,
 )
+from ..store.bounded_client import BoundedClient
 from ..store.etcd import EtcdKeyValueService
 from ..store.keys import SESSION_PREFIX
 from ..store.kv import LostAnswerError, UnavailableError
@@ -25,6 +25,7 @@
 from .output import ExitStatus, fail
 
 INSTANCE_TIMEOUT_S: Final = 3.0
+MAX_STATUS_BYTES: Final = 16 * 1024 * 1024
 # Bounds the duration of a command when many instances do not answer.
 MAX_PARALLEL_REQUESTS: Final = 50
 Json = dict[str, Any]
@@ -102,12 +103,13 @@
 
     def fetch(self, member: Member, path: str) -> Json | NoAnswer:
         """Return the JSON object that an instance answers at a path."""
-        client = HTTPClient(
+        client = BoundedClient(
             member.listen_host,
-            port=member.listen_port,
-            connection_timeout=INSTANCE_TIMEOUT_S,
-            network_timeout=INSTANCE_TIMEOUT_S,
-            concurrency=1,
+            member.listen_port,
+            connect_timeout_s=INSTANCE_TIMEOUT_S,
+            timeout_s=INSTANCE_TIMEOUT_S,
+            connections=1,
+            max_answer_bytes=MAX_STATUS_BYTES,
         )
         headers = {}
         if self.operator_token:
--- a/src/siskinspool/platform/store.py
+++ b/src/siskinspool/platform/store.py
@@ -10,16 +10,16 @@
 
 import base64
 import binascii
-import json
 from collections.abc import Iterator
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
 import gevent
-from geventhttpclient import HTTPClient
+import msgspec
 
 from ..core.malformed import MALFORMED_ERRORS
 from ..settings import Endpoint
+from ..store.bounded_client import BoundedClient
 from ..store.kv import (
     KeyValueService,
     KvItem,
@@ -39,9 +39,41 @@
 # within the time after which a machine counts as disconnected (3 s).
 WATCH_WAIT_S: Final = 2.2
 WATCH_MARGIN_S: Final = 0.4
+# A page has at most one value of 1 MB more than its 1 MB, encoded as base64.
+MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 _JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
 Json = dict[str, Any]
+_Field = TypeVar("_Field")
+
+
+class _Item(msgspec.Struct):
+    """A key in an answer; without a value it does not exist or was removed."""
+
+    key: str
+    rev: int
+    value: str | None = None
+    removed: bool | int = False
+
+
+class _Answer(msgspec.Struct):
+    """The fields of all answers.
+
+    Only these are decoded: other JSON could take many times the memory of its bytes.
+    """
+
+    key: str | None = None
+    rev: int | None = None
+    value: str | None = None
+    items: list[_Item] | None = None
+    events: list[_Item] | None = None
+    current_rev: int | None = None
+    truncated: bool | int = False
+    lease: int | None = None
+    ttl_ms: int | None = None
+
+
+_answer_decoder: Final = msgspec.json.Decoder(_Answer)
 
 
 class PlatformStore(KeyValueService):
@@ -62,7 +94,10 @@
     def get(self, key: str) -> KvItem | None:
         """Return the item of a key, or None if it does not exist."""
         status, answer = self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
-        return None if status == 404 else _decode_item(answer)
+        if status == 404:
+            return None
+        key = _required(answer.key, "key")
+        return _decode_item(_Item(key, _required(answer.rev, "rev"), answer.value))
 
     def list(self, prefix: str) -> tuple[KvItem, ...]:
         """Return the keys with a prefix, in key order."""
@@ -81,19 +116,17 @@
         finally:
             client.close()
 
-    def _read_pages(self, client: HTTPClient, prefix: str) -> Snapshot:
+    def _read_pages(self, client: BoundedClient, prefix: str) -> Snapshot:
         items: list[KvItem] = []
         revision: int | None = None
         path = f"/-/kv-range?prefix={quote(prefix, safe='')}"
         after = ""
         while True:
             _, answer = _send(client, "GET", path + after, None)
-            items += [
-                _decode_item(entry) for entry in _typed_field(answer, "items", list)
-            ]
+            items += [_decode_item(item) for item in _required(answer.items, "items")]
             if revision is None:
-                revision = _typed_field(answer, "current_rev", int)
-            if not answer.get("truncated") or not items:
+                revision = _required(answer.current_rev, "current_rev")
+            if not answer.truncated or not items:
                 return Snapshot(tuple(items), revision)
             after = f"&after={quote(items[-1].key, safe='')}"
 
@@ -118,14 +151,14 @@
         """Return a new lease; ``ttl_s`` is the requested time to live."""
         _, answer = self._call("POST", "/-/kv-lease", {"ttl_ms": round(ttl_s * 1000)})
         return Lease(
-            lease_id=int(_typed_field(answer, "lease", int)),
-            ttl_s=_typed_field(answer, "ttl_ms", int) / 1000,
+            lease_id=_required(answer.lease, "lease"),
+            ttl_s=_required(answer.ttl_ms, "ttl_ms") / 1000,
         )
 
     def keep_alive(self, lease_id: int) -> float | None:
         """Renew a lease; return the time to live, or None if it no longer exists."""
         status, answer = self._call("POST", f"/-/kv-keep/{lease_id}", {})
-        return None if status == 404 else _typed_field(answer, "ttl_ms", int) / 1000
+        return None if status == 404 else _required(answer.ttl_ms, "ttl_ms") / 1000
 
     def revoke_lease(self, lease_id: int) -> None:
         """End a lease and delete the keys attached to it."""
@@ -142,9 +175,9 @@
                 _, answer = _send(
                     client, "GET", f"{path}&after={after}&wait_ms={wait_ms}", None
                 )
-                for event in _typed_field(answer, "events", list):
+                for event in _required(answer.events, "events"):
                     yield _decode_event(event)
-                after = max(after, _typed_field(answer, "current_rev", int))
+                after = max(after, _required(answer.current_rev, "current_rev"))
                 yield WatchEvent(None, None, after)
                 gevent.sleep(self._watch_pause_s)
         except LostAnswerError:
@@ -160,18 +193,18 @@
         body |= {"writes": [], "remove": []} | change
         status, answer = self._call("POST", "/-/kv-txn", body)
         if status == 200:
-            return SwapResult(True, value, _typed_field(answer, "rev", int))
+            return SwapResult(True, value, _required(answer.rev, "rev"))
         if status == 404:
             raise UnavailableError("the lease of the write has expired")
-        for entry in _typed_field(answer, "items", list):
-            if entry.get("key") == key and "value" in entry:
+        for entry in _required(answer.items, "items"):
+            if entry.key == key and entry.value is not None:
                 item = _decode_item(entry)
                 return SwapResult(False, item.value, item.revision)
         return SwapResult(False, None, 0)
 
     def _call(
         self, method: str, path: str, body: Json | None = None
-    ) -> tuple[int, Json]:
+    ) -> tuple[int, _Answer]:
         client = self._client
         try:
             return _send(client, method, path, body)
@@ -182,21 +215,22 @@
                 self._client = self._new_client(CALL_TIMEOUT_S, CONNECTIONS)
             raise
 
-    def _new_client(self, timeout_s: float, connections: int) -> HTTPClient:
-        return HTTPClient(
+    def _new_client(self, timeout_s: float, connections: int) -> BoundedClient:
+        return BoundedClient(
             self._store.host,
-            port=self._store.port,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=timeout_s,
-            concurrency=connections,
+            self._store.port,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            timeout_s=timeout_s,
+            connections=connections,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
 
 
 def _send(
-    client: HTTPClient, method: str, path: str, body: Json | None
-) -> tuple[int, Json]:
+    client: BoundedClient, method: str, path: str, body: Json | None
+) -> tuple[int, _Answer]:
     """Send one call; return its status (200, 404 or 412) and its body."""
-    data = b"" if body is None else json.dumps(body).encode()
+    data = b"" if body is None else msgspec.json.encode(body)
     try:
         response = client.request(method, path, body=data, headers=_JSON_HEADERS)
         status = int(response.status_code)
@@ -210,33 +244,28 @@
     if status not in (200, 404, 412):
         raise LostAnswerError(f"the store answers {status}")
     try:
-        answer = json.loads(content) if content else {}
+        answer = _answer_decoder.decode(content or b"{}")
     except MALFORMED_ERRORS as error:
-        raise LostAnswerError("the store's answer is not JSON") from error
-    if not isinstance(answer, dict):
-        raise LostAnswerError("the store's answer is not a JSON object")
+        raise LostAnswerError(f"cannot decode the store's answer: {error}") from error
     return status, answer
 
 
-def _typed_field(answer: Json, name: str, kind: type) -> Any:
-    value = answer.get(name)
-    if not isinstance(value, kind):
-        raise LostAnswerError(f"the store's answer has no valid field {name}")
-    return value
+def _required(field: _Field | None, name: str) -> _Field:
+    if field is None:
+        raise LostAnswerError(f"the store's answer has no field {name}")
+    return field
 
 
-def _decode_item(entry: Any) -> KvItem:
+def _decode_item(item: _Item) -> KvItem:
     try:
-        value = base64.b64decode(entry["value"], validate=True)
-        return KvItem(key=str(entry["key"]), value=value, revision=int(entry["rev"]))
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        raise LostAnswerError(
-            f"cannot decode an item of the store: {error!r}"
-        ) from error
+        value = base64.b64decode(_required(item.value, "value"), validate=True)
+    except (ValueError, binascii.Error) as error:
+        raise LostAnswerError(f"cannot decode a value of the store: {error}") from error
+    return KvItem(key=item.key, value=value, revision=item.rev)
 
 
-def _decode_event(event: Any) -> WatchEvent:
-    if isinstance(event, dict) and event.get("removed"):
-        return WatchEvent(str(event.get("key")), None, _typed_field(event, "rev", int))
+def _decode_event(event: _Item) -> WatchEvent:
+    if event.removed:
+        return WatchEvent(event.key, None, event.rev)
     item = _decode_item(event)
     return WatchEvent(item.key, item.value, item.revision)
--- a/src/siskinspool/store/etcd.py
+++ b/src/siskinspool/store/etcd.py
@@ -16,11 +16,11 @@
 import math
 import socket
 from collections.abc import Iterator
+from http.client import HTTPException
 from typing import Any, Final
 
-from geventhttpclient import HTTPClient
-
 from ..core.malformed import MALFORMED_ERRORS
+from .bounded_client import BoundedClient
 from .kv import (
     KeyValueService,
     KvItem,
@@ -37,6 +37,8 @@
 # more often than this.
 WATCH_TIMEOUT_S: Final = 10.0
 CONNECTIONS: Final = 16
+# The largest answer lists the records of all servers, some 1.3 KB each.
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 
 Json = dict[str, Any]
 
@@ -75,12 +77,13 @@
     ) -> None:
         self._host = host
         self._port = port
-        self._client = HTTPClient(
+        self._client = BoundedClient(
             host,
-            port=port,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=request_timeout_s,
-            concurrency=CONNECTIONS,
+            port,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            timeout_s=request_timeout_s,
+            connections=CONNECTIONS,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
 
     def get(self, key: str) -> KvItem | None:
@@ -137,12 +140,13 @@
 
     def watch(self, prefix: str, from_revision: int) -> Iterator[WatchEvent]:
         """Yield changes under a prefix from a revision on, until the link fails."""
-        client = HTTPClient(
+        client = BoundedClient(
             self._host,
-            port=self._port,
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=WATCH_TIMEOUT_S,
-            concurrency=1,
+            self._port,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            timeout_s=WATCH_TIMEOUT_S,
+            connections=1,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
         request = {
             "create_request": {
@@ -157,8 +161,9 @@
                 "/v3/watch", body=json.dumps(request), headers=_JSON_HEADERS
             )
             for line in _read_lines(response):
+                client.renew_limit(response)
                 yield from _parse_watch_events(json.loads(line).get("result", {}))
-        except (OSError, *MALFORMED_ERRORS) as error:
+        except (OSError, HTTPException, *MALFORMED_ERRORS) as error:
             raise LostAnswerError(str(error)) from error
         finally:
             client.close()
--- a/src/siskinspool/store/instance_list.py
+++ b/src/siskinspool/store/instance_list.py
@@ -13,7 +13,6 @@
 
 import attrs
 import msgspec
-from geventhttpclient import HTTPClient
 
 from ..core.clock import Clock
 from ..core.dispatcher import Dispatcher
@@ -22,12 +21,15 @@
 from ..core.task import Task
 from ..machines.messages import LeavingChanged
 from ..telemetry.logs import log_event
+from .bounded_client import BoundedClient
 
 logger = logging.getLogger(__name__)
 
 INSTANCE_LIST_TASK: Final = "instance_list"
 POLL_INTERVAL_S: Final = 1.0
 REQUEST_TIMEOUT_S: Final = 2.0
+# Some 100 bytes for each of 7,000 instances and servers, several times over.
+MAX_LIST_BYTES: Final = 4 * 1024 * 1024
 
 
 class ListedKind(StrEnum):
@@ -76,12 +78,13 @@
     """Reads the list from ``GET /v1/instances``."""
 
     def __init__(self, host: str, port: int) -> None:
-        self._client = HTTPClient(
+        self._client = BoundedClient(
             host,
-            port=port,
-            connection_timeout=REQUEST_TIMEOUT_S,
-            network_timeout=REQUEST_TIMEOUT_S,
-            concurrency=1,
+            port,
+            connect_timeout_s=REQUEST_TIMEOUT_S,
+            timeout_s=REQUEST_TIMEOUT_S,
+            connections=1,
+            max_answer_bytes=MAX_LIST_BYTES,
         )
 
     def read(self) -> tuple[ListedEntry, ...]:
