End a connection whose body nobody reads

What callers would see: three clients that send a chunked body without end to the readiness or the metrics address keep the whole gateway busy; an ordinary deposit gets no answer within 4 s.

Cause: the pages read no bodies, and gevent then reads the rest of a body, to find the next request, without a limit and without a switch while bytes have arrived. Both front ends read bodies within limits before they answer.

Change: `CallerHandler` closes the connection after an answer if the body was not read, and says so in the head.

Measured: test_body_that_nobody_reads_ends_the_connection failed before.

--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -5,7 +5,7 @@
 connection errors.
 `CallerServer` keeps the number of connections within the limit of its table.
 `read_body` reads a body within limits on its size, its pace and the memory of all
-bodies, and `read_request` a whole request. After a refusal that leaves a part of a body
+bodies, and `read_request` a whole request. After an answer that leaves a part of a body
 unread, the connection closes, because that part must not be read as the next request.
 """
 
@@ -257,6 +257,27 @@
         environ["siskinspool.target"] = self.path
         return environ
 
+    def finalize_headers(self) -> None:
+        """Complete the head of an answer.
+
+        A body that the application has not read ends the connection: gevent would read
+        it, however long it is, to find the next request.
+        """
+        super().finalize_headers()
+        if not self._has_unread_body():
+            return
+        self.close_connection = True
+        _stop_reading(self.wsgi_input)
+        headers = cast(list[tuple[bytes, bytes]], self.response_headers)
+        if all(name.lower() != b"connection" for name, _ in headers):
+            headers.append((b"Connection", b"close"))
+
+    def _has_unread_body(self) -> bool:
+        source: Any = self.wsgi_input
+        return bool(
+            source.chunked_input or source.position < (source.content_length or 0)
+        )
+
     def _protection(self) -> CallerProtection:
         server = self.server
         assert isinstance(server, CallerServer)
@@ -315,6 +336,11 @@
         self.room.release()
 
 
+def _stop_reading(source: Any) -> None:
+    """Keep gevent from reading the rest of a body; ``source`` is its WSGI input."""
+    source._chunked_input_error = True
+
+
 def read_body(environ: dict[str, Any], max_bytes: int) -> ReceivedBody | Refusal:
     """Return the body of the request in a WSGI environment; release it at the end.
 
@@ -334,8 +360,7 @@
         if not isinstance(body, bytes):
             room.release()
     if isinstance(body, BodyFailure):
-        # Stops gevent from reading the rest of the body.
-        source._chunked_input_error = True
+        _stop_reading(source)
         return _REFUSAL_BY_FAILURE[body]
     room.hold()
     connection.enter(ConnectionPhase.RUNNING, protection.clock.now())
--- a/tests/builders_front_listener.py
+++ b/tests/builders_front_listener.py
@@ -26,6 +26,8 @@
 )
 from siskinspool.gateway.request_context import RequestContext
 from siskinspool.gateway.servers import RegistryListed
+from siskinspool.links.caller import StartResponse, status_line
+from siskinspool.links.http_server import CallerHandler, CallerServer
 from siskinspool.links.server_link import HttpServerLink
 from siskinspool.platform.front_codec import PlatformFrontCodec
 from siskinspool.protection.caller_protection import CallerProtection
@@ -112,6 +114,27 @@
         front.stop(0.1)
 
 
+@contextmanager
+def page_listener() -> Iterator[int]:
+    """Run a listener that answers 200 and reads no bodies; return its port."""
+
+    def answer(_: dict[str, Any], start_response: StartResponse) -> list[bytes]:
+        start_response(status_line(200), [("Content-Length", "0")])
+        return []
+
+    server = CallerServer(
+        ("127.0.0.1", 0),
+        answer,
+        CallerProtection.with_defaults(),
+        handler_class=CallerHandler,
+    )
+    server.start()
+    try:
+        yield int(server.server_port or 0)
+    finally:
+        server.stop(timeout=0.1)
+
+
 def limited_state(**limits: Any) -> DesiredState:
     """Return a desired state with a public route and changed limits."""
     plain = route(
--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import gevent
 import pytest
+from gevent import socket
+
+from siskinspool.links.http_server import MAX_BODY_BYTES
 
 from .builders_front_listener import (
     FrontListener,
     front_listener,
+    page_listener,
     read_answer,
     request_head,
 )
@@ -106,3 +111,37 @@
     ):
         received = smuggle(front, head, b"")
     assert received.startswith(b"HTTP/1.1 " + status)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [b"Transfer-Encoding: chunked", b"Content-Length: 8000000"],
+    ids=["chunked", "length"],
+)
+def test_body_that_nobody_reads_ends_the_connection(head: bytes) -> None:
+    """Guards against reading a body without end on an address that ignores bodies.
+
+    Three such bodies on the readiness address of a gateway kept its whole process busy.
+    """
+    piece = b"1000\r\n" + b"a" * 0x1000 + b"\r\n"
+    sent_bytes = 0
+    with page_listener() as port, gevent.Timeout(10.0):
+        sock = socket.create_connection(("127.0.0.1", port))
+        sock.sendall(b"POST /-/ready HTTP/1.1\r\nHost: a\r\n" + head + b"\r\n\r\n")
+        answer = sock.recv(65_536)
+        with pytest.raises(OSError):
+            while sent_bytes < MAX_BODY_BYTES:
+                sock.sendall(piece)
+                sent_bytes += len(piece)
+    assert answer.startswith(b"HTTP/1.1 200 OK")
+    assert b"Connection: close" in answer
+
+
+def test_page_without_a_body_keeps_the_connection() -> None:
+    """Guards against a new connection for each probe."""
+    request = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+    with page_listener() as port, gevent.Timeout(10.0):
+        sock = socket.create_connection(("127.0.0.1", port))
+        for _ in range(2):
+            sock.sendall(request)
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 200 OK")
