Limit the report of a server to 1 MB

A report had the limit of any body, 8 MB, and its names are kept as objects: one of 8 MB with 900,000 short names was accepted.

Change: both readers of reports, the platform's and the product's, pass `MAX_REPORT_BYTES` to `Answer.read_all`. A larger report counts as unreadable.

The report of a server with all 1,700 models in memory and on disk and 8,700 adapters on disk has 281 KB and is read.

--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -33,6 +33,9 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 MAX_EVENT_BYTES: Final = 1024 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+# Of a server's report, whose names are kept as objects. The names of 1,700 models and
+# 8,700 adapters take less than a third of it.
+MAX_REPORT_BYTES: Final = 1024 * 1024
 # Bodies up to this size are sent with the head, which saves a packet.
 MAX_COPIED_BODY_BYTES: Final = 16 * 1024
 
@@ -76,8 +79,8 @@
     headers: dict[str, str]
 
     @abstractmethod
-    def read_all(self) -> bytes | Lost:
-        """Return the whole body, or Lost if it is incomplete."""
+    def read_all(self, max_bytes: int = MAX_BODY_BYTES) -> bytes | Lost:
+        """Return the whole body, or Lost if it is incomplete or too large."""
 
     @abstractmethod
     def events(self) -> Iterator[bytes | Lost]:
@@ -104,12 +107,12 @@
             for name, value in response.items()
         }
 
-    def read_all(self) -> bytes | Lost:
-        """Return the whole body, or Lost if it is incomplete."""
+    def read_all(self, max_bytes: int = MAX_BODY_BYTES) -> bytes | Lost:
+        """Return the whole body, or Lost if it is incomplete or too large."""
         if not self._is_framed():
             # Without a length, a truncated body would look complete.
             return self._lost("the answer has neither a length nor chunks")
-        self._sock.set_limit(MAX_BODY_BYTES)
+        self._sock.set_limit(max_bytes)
         try:
             body = bytes(self._response.read())
         except Exception as error:
--- a/src/siskinspool/machines/report_poller.py
+++ b/src/siskinspool/machines/report_poller.py
@@ -18,7 +18,13 @@
 from ..core.dispatcher import Dispatcher
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.task import Task
-from ..links.server_link import Lost, NotSent, ServerLink, ServerRequest
+from ..links.server_link import (
+    MAX_REPORT_BYTES,
+    Lost,
+    NotSent,
+    ServerLink,
+    ServerRequest,
+)
 from .messages import (
     CheckpointTier,
     ReplicaState,
@@ -74,7 +80,7 @@
         if isinstance(answer, NotSent | Lost):
             raise ValueError(answer.reason)
         try:
-            body = answer.read_all()
+            body = answer.read_all(MAX_REPORT_BYTES)
         finally:
             answer.close()
     if isinstance(body, Lost):
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -13,7 +13,14 @@
 from ..gateway.messages import OrderResult, ServerOrder
 from ..gateway.server_control import ServerControl
 from ..gateway.servers import Holdings
-from ..links.server_link import Answer, HttpServerLink, Lost, NotSent, ServerRequest
+from ..links.server_link import (
+    MAX_REPORT_BYTES,
+    Answer,
+    HttpServerLink,
+    Lost,
+    NotSent,
+    ServerRequest,
+)
 from ..server_signals.observations import ServerStart
 from ..telemetry.logs import log_event
 from .desired_state import UnreadableValue
@@ -80,7 +87,7 @@
         try:
             # Bytes may arrive one at a time, each within the connection's own timeout.
             with gevent.Timeout(CALL_TIMEOUT_S, TimeoutError("no report in time")):
-                data = answer.read_all()
+                data = answer.read_all(MAX_REPORT_BYTES)
         finally:
             answer.close()
         if isinstance(data, Lost) or answer.status != 200:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import json
 import math
 import tracemalloc
 from collections.abc import Callable, Iterator
@@ -28,6 +29,7 @@
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
     MAX_HEAD_BYTES,
+    MAX_REPORT_BYTES,
     HttpServerLink,
     Lost,
     NotSent,
@@ -55,7 +57,7 @@
     endless_server,
 )
 from .builders_membership import wait_until
-from .builders_scripted_server import ScriptedServer, hanging_server
+from .builders_scripted_server import ScriptedServer, hanging_server, scripted_server
 from .builders_signals import start
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -366,6 +368,35 @@
         assert server.sent_bytes < MAX_BODY_BYTES + BUFFER_BYTES
 
 
+def test_report_of_many_names_takes_little_memory() -> None:
+    """Guards against a report within the limit on bodies that takes ten times it."""
+    names = [f"{number:x}" for number in range(900_000)]
+    body = json.dumps({"seq": 1, "loading": names}).encode()
+    del names
+    control = PlatformServerControl(MonotonicClock())
+    script = OK + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    assert MAX_REPORT_BYTES < len(body) < MAX_BODY_BYTES + BUFFER_BYTES
+    with scripted_server(script) as server, peak_memory() as peak_bytes:
+        assert control.read_holdings(start(port=server.port)) is None
+        assert peak_bytes() < 4 * MAX_REPORT_BYTES + len(script)
+
+
+def test_report_of_the_largest_server_is_read() -> None:
+    """Guards against a limit on reports that a server of the target size meets."""
+    adapters = [
+        f"model-{number % 1_700:04}/adapter-{number}" for number in range(8_700)
+    ]
+    models = [f"model-{number:04}" for number in range(1_700)]
+    available = {"in_memory": models, "on_disk": models + adapters}
+    body = json.dumps({"seq": 1, "available": available}).encode()
+    script = OK + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    with scripted_server(script) as server:
+        control = PlatformServerControl(MonotonicClock())
+        holdings = control.read_holdings(start(port=server.port))
+    assert holdings is not None
+    assert len(holdings.on_disk) == 10_400
+
+
 def test_endless_answer_to_an_order_is_aborted() -> None:
     """Guards against an answer to an order that fills the memory of an instance."""
     piece = chunk(b"a" * PIECE_BYTES)
