Play servers whose answers never end against a real gateway

The platform's stand-in of a server has a new fault, `endless`: a head, chunks, a chunk extension or trailers that are sent until the caller closes.

--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -9,8 +9,9 @@
 ``event_s`` (seconds between events), ``retry_after`` (a pause of this many seconds is
 stated to each request), ``crashing_part`` (id of a prompt part; the process ends as it
 begins to answer a request with it), ``dies_silently`` (without a byte of that answer),
-``answer_bytes`` (size of plain responses), ``event_bytes`` (least size of an event) and
-``event_count`` (events of a stream).
+``answer_bytes`` (size of plain responses), ``event_bytes`` (least size of an event),
+``event_count`` (events of a stream) and ``endless`` (a key of `ENDLESS_ANSWERS`: what
+each response has without end).
 """
 
 from __future__ import annotations
@@ -27,11 +28,28 @@
 import gevent
 
 from .processes import call_json
-from .wsgi import App, CloseConnection, Json, Request, Response, serve
+from .wsgi import (
+    App,
+    CloseConnection,
+    EndlessAnswer,
+    Json,
+    Request,
+    Response,
+    serve,
+)
 
 HEARTBEAT_S: Final = 0.3
 STREAM_EVENTS: Final = 6
 CRASH_STATUS: Final = 1
+_SHORT_LINES: Final = b"a:\r\n" * 4_096
+_CHUNKED: Final = b"Transfer-Encoding: chunked\r\n\r\n"
+# What follows the usual lines of a head, and then comes without end.
+ENDLESS_ANSWERS: Final = {
+    "head": (b"", _SHORT_LINES),
+    "chunks": (_CHUNKED, b"1\r\na\r\n" * 4_096),
+    "extension": (_CHUNKED + b"4;", b"a" * 16_384),
+    "trailers": (_CHUNKED + b"4\r\ndone\r\n0\r\n", _SHORT_LINES),
+}
 
 
 @attrs.define(kw_only=True)
@@ -65,6 +83,8 @@
     answer_bytes: int = 0
     event_bytes: int = 0
     event_count: int = STREAM_EVENTS
+    # A key of `ENDLESS_ANSWERS`; empty for none.
+    endless: str = ""
 
 
 class PlatformServerApp(App):
@@ -169,6 +189,11 @@
             ("Server-Stamp", f"stamp-{self._settings.server_id}"),
             ("Server-Load", "1,0,8"),
         )
+        if faults.endless:
+            rest, piece = ENDLESS_ANSWERS[faults.endless]
+            lines = "".join(f"{name}: {text}\r\n" for name, text in headers)
+            head = f"HTTP/1.1 200 OK\r\n{lines}".encode()
+            raise EndlessAnswer(head + rest, piece)
         if faults.fail:
             return Response(faults.fail, b"failed", headers=headers)
         if not model:
--- a/src/siskinspool/standins/wsgi.py
+++ b/src/siskinspool/standins/wsgi.py
@@ -79,6 +79,27 @@
     """Raised by an application to reset the connection without a response."""
 
 
+class EndlessAnswer(Exception):  # noqa: N818 - control flow, not an error
+    """Raised by an application to send bytes until the peer closes."""
+
+    def __init__(self, beginning: bytes, piece: bytes) -> None:
+        """Set the bytes that are sent first, and those that are sent without end."""
+        super().__init__("an answer without end")
+        self.beginning = beginning
+        self.piece = piece
+
+    def send(self, sock: socket.socket) -> None:
+        """Send on a connection; return when the peer has closed it."""
+        try:
+            sock.sendall(self.beginning)
+            while True:
+                sock.sendall(self.piece)
+                gevent.sleep(0)
+        except OSError:
+            # The peer has closed.
+            return
+
+
 class _ResettableHandler(WSGIHandler):
     """Passes the socket of the connection to the application."""
 
@@ -122,6 +143,9 @@
         except CloseConnection:
             reset_connection(environ["siskinspool.socket"])
             raise
+        except EndlessAnswer as answer:
+            answer.send(environ["siskinspool.socket"])
+            raise CloseConnection from answer
         reason = _REASON_BY_STATUS.get(response.status, "Status")
         headers = [("Content-Type", response.content_type), *response.headers]
         body = response.body
