Share the limit on what is received between servers and store

`AnswerSocket` and `BoundedClient` counted and switched each in its own way; both use `ReceiveLimit` now.

--- a/src/siskinspool/links/answer_socket.py
+++ b/src/siskinspool/links/answer_socket.py
@@ -4,19 +4,17 @@
 objects, and needs as much processor time for a line or a chunk as for hundreds of plain
 bytes. An `AnswerSocket` therefore counts the received bytes and what the parser makes
 of them (`record_parsed`) together, against the limit of the answer and against the
-memory that all unfinished answers share (`AnswerAllowance`).
-
-A socket on which bytes have always arrived never switches its greenlet, so the other
-greenlets get their turn after each `TURN_BYTES` of the same count.
+memory that all unfinished answers share (`AnswerAllowance`). The same count decides
+when other greenlets have their turn (`ReceiveLimit`).
 """
 
 from __future__ import annotations
 
 from typing import Final
 
-import gevent
 from gevent import socket
 
+from ..protection.receive_limit import ReceiveLimit
 from .answer_budget import AnswerAllowance
 
 # Cost of a header line, or of the head of an interim answer, in addition to its bytes:
@@ -25,12 +23,6 @@
 # Cost of a chunk in addition to its bytes: what the processor does with plain bytes in
 # the same time.
 CHUNK_COST_BYTES: Final = 64
-# Cost of what is received before the other greenlets run.
-TURN_BYTES: Final = 64 * 1024
-
-
-class AnswerTooLargeError(Exception):
-    """A server's answer exceeds a limit."""
 
 
 class AnswerSocket:
@@ -44,9 +36,7 @@
         """Set the connection, and the answer's part of the budget of all answers."""
         self._sock = sock
         self._allowance = allowance
-        self._remaining_bytes = 0
-        # Cost of what was received since the others had their turn.
-        self._turn_bytes = 0
+        self._limit = ReceiveLimit()
         self.has_received = False
         self.is_disconnected = False
 
@@ -55,14 +45,12 @@
 
         The cost is in bytes.
         """
-        self._remaining_bytes = size
+        self._limit.renew(size)
         self._allowance.release()
 
     def recv(self, size: int) -> bytes:
         """Receive some bytes; raise an error if they exceed a limit."""
-        if self._turn_bytes >= TURN_BYTES:
-            self._turn_bytes = 0
-            gevent.sleep(0)
+        self._limit.take_turn()
         try:
             data = self._sock.recv(size)
         except ConnectionError:
@@ -80,10 +68,7 @@
         self._count(cost_bytes)
 
     def _count(self, cost_bytes: int) -> None:
-        self._turn_bytes += cost_bytes
-        self._remaining_bytes -= cost_bytes
-        if self._remaining_bytes < 0:
-            raise AnswerTooLargeError("the answer is too large")
+        self._limit.count(cost_bytes)
         self._allowance.add(cost_bytes)
 
     def send_all(self, data: bytes) -> None:
--- a/src/siskinspool/store/bounded_client.py
+++ b/src/siskinspool/store/bounded_client.py
@@ -10,18 +10,17 @@
 
 from typing import Any, Final
 
-import gevent
 from gevent import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.header import Headers
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
+from ..protection.receive_limit import ReceiveLimit
+
 # Of a head and its trailers together; callers, too, may send so many.
 MAX_HEADER_LINES: Final = 100
 MAX_HEAD_BYTES: Final = 64 * 1024
-# Bytes that are received before the other greenlets run.
-TURN_BYTES: Final = 64 * 1024
 
 
 class _BoundedSocket(socket.socket):
@@ -29,19 +28,13 @@
 
     def __init__(self, *kind: int) -> None:
         super().__init__(*kind)
-        self.remaining_bytes = 0
-        self._turn_bytes = 0
+        self.limit = ReceiveLimit()
 
     def recv(self, *args: Any) -> bytes:
-        """Receive some bytes; raise ConnectionAbortedError beyond the limit."""
-        if self._turn_bytes >= TURN_BYTES:
-            self._turn_bytes = 0
-            gevent.sleep(0)
+        """Receive some bytes; raise TooMuchReceivedError beyond the limit."""
+        self.limit.take_turn()
         data: bytes = super().recv(*args)
-        self._turn_bytes += len(data)
-        self.remaining_bytes -= len(data)
-        if self.remaining_bytes < 0:
-            raise ConnectionAbortedError("the answer is too large")
+        self.limit.count(len(data))
         return data
 
 
@@ -70,12 +63,12 @@
         """Return a connection for one call."""
         sock = super().get_socket()
         assert isinstance(sock, _BoundedSocket)
-        sock.remaining_bytes = MAX_HEAD_BYTES
+        sock.limit.renew(MAX_HEAD_BYTES)
         return sock
 
 
 class BoundedClient(HTTPClient):
-    """A client of one host; answers beyond a limit raise ConnectionAbortedError."""
+    """A client of one host; answers beyond a limit raise TooMuchReceivedError."""
 
     def __init__(
         self,
@@ -117,4 +110,4 @@
         """Count the bytes of an answer from zero; for a stream of messages."""
         sock = response._sock
         if isinstance(sock, _BoundedSocket):
-            sock.remaining_bytes = self._max_answer_bytes
+            sock.limit.renew(self._max_answer_bytes)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -24,7 +24,6 @@
     MAX_SERVER_BYTES,
     AnswerBudget,
 )
-from siskinspool.links.answer_socket import TURN_BYTES
 from siskinspool.links.server_link import (
     MAX_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -47,6 +46,7 @@
 from siskinspool.machines.report_messages import PollServer
 from siskinspool.machines.report_poller import ReportPoller
 from siskinspool.platform.server_calls import PlatformServerControl
+from siskinspool.protection.receive_limit import TURN_BYTES
 
 from . import builders
 from .builders_endless_server import (
