--- a/src/siskinspool/links/server_response.py
+++ b/src/siskinspool/links/server_response.py
@@ -30,9 +30,9 @@
     # answer.
     _status = 0
     _has_ended = False
-    # Of the heads and header lines in the latest bytes.
-    _parsed_cost_bytes = 0
-    # Parts of the body in the latest bytes.
+    # Cost of the heads and header lines in the latest block.
+    _head_cost_bytes = 0
+    # Parts of the body in the latest block.
     _part_count = 0
 
     def __init__(self, sock: AnswerSocket, method: str) -> None:
@@ -48,7 +48,7 @@
         """Parse bytes; ignore those after the final answer."""
         if self._has_ended:
             return
-        self._parsed_cost_bytes = 0
+        self._head_cost_bytes = 0
         self._part_count = 0
         try:
             super().feed(data)
@@ -56,10 +56,10 @@
             if not self._has_ended:
                 raise
         if not self._has_ended:
-            # A large chunk, too, has a part in each of its pieces.
+            # The first part is free: each block of a large chunk has one.
             chunk_count = max(self._part_count - 1, 0)
-            chunks_cost_bytes = chunk_count * CHUNK_COST_BYTES
-            self._answer_sock.record_parsed(self._parsed_cost_bytes + chunks_cost_bytes)
+            cost_bytes = self._head_cost_bytes + chunk_count * CHUNK_COST_BYTES
+            self._answer_sock.record_parsed(cost_bytes)
 
     def _on_headers_complete(self) -> int | bool | None:
         self._status = super().get_code()
@@ -73,14 +73,14 @@
         super()._on_header_field(string)
 
     def _flush_header(self) -> None:
-        self._parsed_cost_bytes += FIELD_COST_BYTES
+        self._head_cost_bytes += FIELD_COST_BYTES
         super()._flush_header()
 
     def _on_message_begin(self) -> None:
         if self._has_ended:
             # Stops the parser before it reads the head of another answer.
             raise HTTPParseError("bytes after the answer")
-        self._parsed_cost_bytes += FIELD_COST_BYTES
+        self._head_cost_bytes += FIELD_COST_BYTES
         super()._on_message_begin()
 
     def _on_body(self, buf: bytearray) -> None:
