Keep a conflict of the store without a revision a conflict

Cause: the typed answers of the platform's store required `rev` in each item, so a conflict whose item states only the name of a missing key would have counted as a lost answer. Found when the change was read again; no run showed it.

Change: `rev` is required only where it is used, as before.

Measured: test_conflict_with_a_missing_key_is_a_conflict failed before.

--- a/src/siskinspool/platform/store.py
+++ b/src/siskinspool/platform/store.py
@@ -51,7 +51,7 @@
     """A key in an answer; without a value it does not exist or was removed."""
 
     key: str
-    rev: int
+    rev: int | None = None
     value: str | None = None
     removed: bool | int = False
 
@@ -97,7 +97,7 @@
         if status == 404:
             return None
         key = _required(answer.key, "key")
-        return _decode_item(_Item(key, _required(answer.rev, "rev"), answer.value))
+        return _decode_item(_Item(key, answer.rev, answer.value))
 
     def list(self, prefix: str) -> tuple[KvItem, ...]:
         """Return the keys with a prefix, in key order."""
@@ -261,11 +261,11 @@
         value = base64.b64decode(_required(item.value, "value"), validate=True)
     except (ValueError, binascii.Error) as error:
         raise LostAnswerError(f"cannot decode a value of the store: {error}") from error
-    return KvItem(key=item.key, value=value, revision=item.rev)
+    return KvItem(key=item.key, value=value, revision=_required(item.rev, "rev"))
 
 
 def _decode_event(event: _Item) -> WatchEvent:
     if event.removed:
-        return WatchEvent(event.key, None, event.rev)
+        return WatchEvent(event.key, None, _required(event.rev, "rev"))
     item = _decode_item(event)
     return WatchEvent(item.key, item.value, item.revision)
--- a/tests/test_endless_store.py
+++ b/tests/test_endless_store.py
@@ -13,7 +13,7 @@
 from siskinspool.store.etcd import MAX_ANSWER_BYTES as ETCD_BYTES
 from siskinspool.store.etcd import EtcdKeyValueService
 from siskinspool.store.instance_list import HttpInstanceList, ListUnavailableError
-from siskinspool.store.kv import KeyValueService, LostAnswerError
+from siskinspool.store.kv import KeyValueService, LostAnswerError, SwapResult
 
 from .builders_endless_server import PIECE_BYTES, EndlessServer, endless_server
 from .builders_scripted_server import scripted_server
@@ -93,3 +93,12 @@
     finally:
         tracemalloc.stop()
     assert peak_bytes < 4 * MAX_ANSWER_BYTES
+
+
+def test_conflict_with_a_missing_key_is_a_conflict() -> None:
+    """Guards against a lost answer where the store states only the key's name."""
+    body = b'{"items":[{"key":"k"}]}'
+    head = b"HTTP/1.1 412 Precondition Failed\r\nContent-Length: %d\r\n\r\n"
+    with scripted_server(head % len(body) + body) as server:
+        store = PlatformStore(Endpoint(host="127.0.0.1", port=server.port))
+        assert store.delete("k", 7) == SwapResult(False, None, 0)
