--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -77,16 +77,19 @@
     ) -> None:
         """Log an order that is given, and count an unload that no plan named.
 
-        For a load from the weight store the line has the value of its slot.
+        For a load from the weight store the line has the value of its slot, and the
+        number of parallel loads as the leader counts them, with their limit.
         """
         planned = order.model in plan.eviction_candidates
         if order.kind is OrderKind.UNLOAD and not order.adapter and not planned:
             self.unloads_unplanned += 1
         shortages = fleet.shortages
         shortage = shortages.get(plan.model)
-        slot_use = source = None
+        slot_use = source = parallel_loads = store_limit = None
         if server.ordered_store_load:
             slot_use = fleet.store_queue.slot_use(plan, now)
+            parallel_loads = fleet.store_queue.started_loads(now)
+            store_limit = fleet.store.limit
         if order.kind is OrderKind.LOAD and not order.adapter:
             source = server.weight_source(order.model)
         log_event(
@@ -102,6 +105,8 @@
             turn_requesters=None if slot_use is None else slot_use.requesters,
             next_model=None if slot_use is None else slot_use.next_model,
             next_requesters=None if slot_use is None else slot_use.next_requesters,
+            parallel_loads=parallel_loads,
+            store_limit=store_limit,
         )
 
     def log_shortage_end(
--- a/src/siskinspool/gateway/weight_store_queue.py
+++ b/src/siskinspool/gateway/weight_store_queue.py
@@ -135,7 +135,7 @@
         Such a load blocks a server for seconds, and keeps the store from loading models
         that requests wait for.
         """
-        return 2 * self._started_loads(now) < self.store.limit and not self._plans()
+        return 2 * self.started_loads(now) < self.store.limit and not self._plans()
 
     def has_free_slot(self, now: float) -> bool:
         """Return whether another load would run at full speed."""
@@ -193,7 +193,7 @@
             return True
         if self.demand.total_tokens_per_s(now) < QUIET_TOKENS_PER_S:
             return True
-        started = self._started_loads(now)
+        started = self.started_loads(now)
         return started + 1 <= len(self.servers) * STORE_SERVERS_SHARE
 
     def due_plans_on_busy_servers(
@@ -242,6 +242,10 @@
         free_slots = self._free_slots(now, now + SLOT_LEAD_S)
         return rank.is_worth_slot and len(preceding) < free_slots
 
+    def started_loads(self, now: float) -> int:
+        """Return the number of loads in flight, with those about to start."""
+        return self.store.running_at(now, now) + self._starting_loads()
+
     def slot_use(self, plan: PlacementPlan, now: float) -> StoreSlotUse:
         """Return the value of a plan's slot, and of the best waiting alternative."""
         others = {other.model for _, other in self.unstarted_plans()} - {plan.model}
@@ -276,10 +280,6 @@
             if server.plans or not server.is_idle
         )
 
-    def _started_loads(self, now: float) -> int:
-        """Return the number of loads in flight, with those about to start."""
-        return self.store.running_at(now, now) + self._starting_loads()
-
     def _free_slots(self, now: float, at: float) -> int:
         """Return how many more loads can run at full speed from a time on.
 
--- a/tests/test_gateway_placement_log.py
+++ b/tests/test_gateway_placement_log.py
@@ -5,9 +5,14 @@
 import pytest
 
 from siskinspool.gateway.messages import OrderKind, OrderResult
+from siskinspool.gateway.store_limit import INITIAL_LIMIT
 
 from .builders_gateway import desired_state, engine, holdings
-from .builders_placement_harness import PlacementHarness, orders
+from .builders_placement_harness import (
+    PlacementHarness,
+    harness_with_full_store,
+    orders,
+)
 
 
 def busy_unload() -> PlacementHarness:
@@ -59,3 +64,16 @@
     assert "model=m1" in dropped[0]
     assert "why=nobody_asks" in dropped[0]
     assert harness.decision.gauges()["placement.plans_dropped"] == 1
+
+
+def test_load_from_the_store_is_logged_with_the_parallel_loads(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against slow loads of which no log line shows how many ran beside them."""
+    caplog.set_level("INFO")
+    harness_with_full_store()
+    given = [line for line in caplog.messages if "event=order_given" in line]
+    loads = [line for line in given if "kind=load" in line and "source=store" in line]
+    assert len(loads) == INITIAL_LIMIT
+    for number, line in enumerate(loads, start=1):
+        assert f"parallel_loads={number} store_limit={INITIAL_LIMIT}" in line
