--- a/tests/builders_store_plan.py
+++ b/tests/builders_store_plan.py
@@ -31,6 +31,8 @@
 # A request counts as served if its server has it this long before its requester leaves.
 FIRST_EVENT_S = 0.3
 RUN_S = 0.5
+# Time from the end of all gateways to the orders of the next leader.
+RESTART_S = 1.3
 
 
 @attrs.frozen
@@ -78,6 +80,8 @@
     crashed: int = 6
     # At this time another gateway becomes the leader.
     succession_at_s: float | None = None
+    # At this time all gateways end at once; they are back after ``RESTART_S``.
+    restart_at_s: float | None = None
 
     def with_seed(self, seed: int) -> DayPlan:
         """Return the same day with another random seed."""
@@ -147,6 +151,8 @@
     # Started loads from the store, and those whose server then served a requester.
     store_loads: int
     useful_store_loads: int
+    # Greatest number of parallel loads in the store as a load started in traffic.
+    max_parallel_loads: int
     requesters: int
     served: int
 
--- a/tests/builders_store_simulation.py
+++ b/tests/builders_store_simulation.py
@@ -15,6 +15,7 @@
 from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable
 from functools import partial
+from unittest import mock
 
 import attrs
 
@@ -46,7 +47,7 @@
     ServerRemoved,
     ServerState,
 )
-from siskinspool.store.kv import KvGet, KvValue
+from siskinspool.store.kv import KvConflict, KvGet, KvReply, KvSwap, KvSwapped, KvValue
 from siskinspool.store.kv_task import KV_TASK
 
 from .builders_gateway import (
@@ -68,6 +69,7 @@
     MODELS_IN_MEMORY,
     MODELS_ON_DISK,
     REGISTRY_READ_INTERVAL_S,
+    RESTART_S,
     RUN_S,
     STORE_LOAD_S,
     TRAFFIC_START_S,
@@ -103,15 +105,13 @@
         self._leader = "g1"
         self._epoch = 1
         self._decision_by_address: dict[tuple[str, str], Decision] = {}
-        for name in self._gateways:
-            self._decision_by_address[(name, ROUTING_TASK)] = Routing(
-                name, "a", bounds(drain_s=3.0), scheduling()
-            )
-            self._decision_by_address[(name, PLACEMENT_TASK)] = Placement(
-                name, True, scheduling()
-            )
+        # The value and revision of the ledger in the platform's store.
+        self._ledger: tuple[bytes | None, int] = (None, 0)
         self._server_by_id: dict[str, ModelledServer] = {}
         self._store_ends: list[float] = []
+        self._max_parallel_loads = 0
+        # Requests that have no answer yet.
+        self._waiting_ids: set[str] = set()
         self._requester_by_id: dict[str, Requester] = {}
         self._requesters: list[Requester] = []
         self._call_by_id: dict[str, tuple[AssignServer, float]] = {}
@@ -119,7 +119,11 @@
         self._served_at: dict[tuple[str, str], list[float]] = defaultdict(list)
 
     def run(self) -> DayResult:
-        """Run the simulation to the end of the day."""
+        """Run the simulation to the end of the day, with its own time of day."""
+        with mock.patch("time.time", lambda: self._now):
+            return self._run()
+
+    def _run(self) -> DayResult:
         self._prepare()
         end_at = TRAFFIC_START_S + self._plan.traffic_s
         while self._events and self._now < end_at:
@@ -149,10 +153,7 @@
 
     def _prepare(self) -> None:
         plan = self._plan
-        for name in self._gateways:
-            for task in (ROUTING_TASK, PLACEMENT_TASK):
-                self._handle_now(name, task, self._desired)
-            self._handle_now(name, ROUTING_TASK, membership(*self._gateways))
+        self._start_gateways(first_start=True)
         self._begin_term()
         common = self._names[: -plan.without_copy]
         weights = [1.0 / (rank + 3.0) for rank in range(len(common))]
@@ -181,6 +182,21 @@
             self._schedule_at(
                 TRAFFIC_START_S + plan.succession_at_s, self._change_leader
             )
+        if plan.restart_at_s is not None:
+            self._schedule_at(TRAFFIC_START_S + plan.restart_at_s, self._restart)
+
+    def _start_gateways(self, *, first_start: bool) -> None:
+        for name in self._gateways:
+            self._decision_by_address[(name, ROUTING_TASK)] = Routing(
+                name, "a", bounds(drain_s=3.0), scheduling()
+            )
+            self._decision_by_address[(name, PLACEMENT_TASK)] = Placement(
+                name, first_start, scheduling()
+            )
+        for name in self._gateways:
+            for task in (ROUTING_TASK, PLACEMENT_TASK):
+                self._handle_now(name, task, self._desired)
+            self._handle_now(name, ROUTING_TASK, membership(*self._gateways))
 
     def _add_server(
         self, server_id: str, at: float, disk: OrderedDict[str, None]
@@ -270,6 +286,20 @@
         self._leader, self._epoch = "g2", self._epoch + 1
         self._begin_term(wait_s=1.3)
 
+    def _restart(self) -> None:
+        """End all gateways at once; only the platform's store and the servers last."""
+        self._start_gateways(first_start=False)
+        for server in self._server_by_id.values():
+            if server.joined_at < self._now:
+                self._publish(server)
+        self._epoch += 1
+        self._begin_term(wait_s=RESTART_S)
+        interrupted, self._waiting_ids = sorted(self._waiting_ids), set()
+        for request_id in interrupted:
+            requester = self._requester_by_id[request_id]
+            if requester.attempts == 1:
+                self._schedule_after(RESTART_S, partial(self._ask, requester))
+
     # Messages
 
     def _handle_now(self, instance: str, task: str, message: Message) -> None:
@@ -284,9 +314,8 @@
 
     def _deliver(self, sender: str, outgoing: Outgoing) -> None:
         to, message = outgoing.recipient, outgoing.message
-        if to.task == KV_TASK and isinstance(message, KvGet):
-            found = KvValue(message.request_id, message.key, None, 0)
-            self._handle_now(sender, PLACEMENT_TASK, found)
+        if to.task == KV_TASK and isinstance(message, KvGet | KvSwap):
+            self._handle_now(sender, PLACEMENT_TASK, self._answer_ledger(message))
         elif to.task == ORDERS_TASK:
             self._handle_order(sender, message)
         elif to.task == "requester":
@@ -295,6 +324,15 @@
             incoming = Incoming(Address(sender, "peer"), message)
             self._send(to.instance_id, decision.handle(incoming, self._now))
 
+    def _answer_ledger(self, request: KvGet | KvSwap) -> KvReply:
+        value, revision = self._ledger
+        if isinstance(request, KvGet):
+            return KvValue(request.request_id, request.key, value, revision)
+        if request.expected_revision != revision:
+            return KvConflict(request.request_id, request.key, value, revision)
+        self._ledger = (request.value, revision + 1)
+        return KvSwapped(request.request_id, request.key, revision + 1)
+
     # Servers
 
     def _handle_order(self, leader: str, message: Message) -> None:
@@ -337,7 +375,10 @@
     def _begin_store_load(self) -> float:
         """Return the duration of a load, given by the loads running at its start."""
         self._store_ends = [at for at in self._store_ends if at > self._now]
-        slowdown = (len(self._store_ends) + 1) / self._plan.store_at_once
+        parallel_loads = len(self._store_ends) + 1
+        if self._now >= TRAFFIC_START_S:
+            self._max_parallel_loads = max(self._max_parallel_loads, parallel_loads)
+        slowdown = parallel_loads / self._plan.store_at_once
         took_s = STORE_LOAD_S * max(slowdown, 1.0)
         self._store_ends.append(self._now + took_s)
         return took_s
@@ -387,6 +428,7 @@
         self._send_call(gateway, call)
 
     def _send_call(self, gateway: str, call: AssignServer) -> None:
+        self._waiting_ids.add(call.request_id)
         decision = self._decision_by_address[(gateway, ROUTING_TASK)]
         incoming = Incoming(Address(f"{call.request_id}@{gateway}", "requester"), call)
         self._send(gateway, decision.handle(incoming, self._now))
@@ -394,6 +436,10 @@
     def _handle_answer(self, sender: str, message: Message) -> None:
         request_id, _, gateway = sender.partition("@")
         requester = self._requester_by_id[request_id]
+        if request_id not in self._waiting_ids:
+            # Its gateway has ended since.
+            return
+        self._waiting_ids.remove(request_id)
         if isinstance(message, ServerAssigned):
             self._run_request(gateway, request_id, message.server_id)
         elif isinstance(message, AssignRefused) and requester.attempts == 1:
@@ -452,6 +498,7 @@
                 )
                 for store_load in self._store_loads
             ),
+            max_parallel_loads=self._max_parallel_loads,
             requesters=len(self._requesters),
             served=sum(served.values()),
         )
--- a/tests/test_gateway_store_day.py
+++ b/tests/test_gateway_store_day.py
@@ -33,7 +33,8 @@
         f"and {sum(one.min_starved for one in results) / days:.2f} at least; "
         f"turns {sum(one.store_loads for one in results) / days:.2f}, "
         f"that served {sum(one.useful_store_loads for one in results) / days:.2f}; "
-        f"served {sum(one.served / one.requesters for one in results) / days:.3f}"
+        f"served {sum(one.served / one.requesters for one in results) / days:.3f}; "
+        f"parallel loads {max(one.max_parallel_loads for one in results)}"
     )
 
 
@@ -54,3 +55,33 @@
         starved += sum(len(one.starved_models) for one in results)
         allowed += sum(one.max_starved for one in results)
     assert starved <= allowed
+
+
+RESTART_DAY = DayPlan(
+    seed=0,
+    store_at_once=3,
+    without_copy=27,
+    traffic_s=44.0,
+    crash_at_s=12.4,
+    succession_at_s=5.5,
+    restart_at_s=13.0,
+)
+
+
+@pytest.mark.timeout(60 + 30 * DAYS)
+def test_names_starve_no_more_after_all_gateways_have_ended() -> None:
+    """Guards against a store that runs too many loads, and then too few.
+
+    After a change of the leader and the end of all gateways, five loads ran in a store
+    that carries three; none was ready in time, and then two ran at a time.
+    """
+    results = [
+        StoreDaySimulation(RESTART_DAY.with_seed(FIRST_SEED + number)).run()
+        for number in range(2 * DAYS)
+    ]
+    print(f"restart: {summary(results)}")
+    starved = sum(len(one.starved_models) for one in results)
+    assert starved <= sum(one.max_starved for one in results)
+    # One more than the store carries may be tried.
+    most = RESTART_DAY.store_at_once + 1
+    assert all(one.max_parallel_loads <= most for one in results)
