Try one more parallel load from the weight store at a time

Callers saw models that are never served (SHORT): three loads that began after a change of the leader took 11 to 13.7 s in place of 7.8 s, and nobody who had waited for them was still there.

Cause: the limit rises by one when loads at the limit were on time, as a trial. A successor took the raised limit over as if it had proved itself, and cannot see how the trial ends, as it does not know when an inherited load began. Until the end of the trial, further loads started at the raised limit, too.

Change: a successor gets the number that has proved itself. While the load that tries one more runs, the others keep to that number.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -273,7 +273,7 @@
         unix_offset_s = time.time() - now
         return {
             service: ServiceLoads(
-                store.limit,
+                store.limit_to_hand_over,
                 frozenset(
                     entry
                     for server in self.server_by_id.values()
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -4,10 +4,13 @@
 number, which the platform does not publish. A server does nothing else while it loads,
 so slow loads waste the time of servers. The limit is estimated from the durations of
 loads: a late load shows how many the store really carries, and a load that is on time
-at the limit raises the limit by one. The duration of a load depends on the loads
-running at its start; later ones do not slow it down. An in-flight load that is late
-lowers the limit until its end shows the exact number. When a server is lost, its load
-continues in the store for its expected duration.
+at the limit raises the limit by one, on trial. The duration of a load depends on the
+loads running at its start; later ones do not slow it down. An in-flight load that is
+late lowers the limit until its end shows the exact number. When a server is lost, its
+load continues in the store for its expected duration.
+
+Only one load at a time tries a higher limit; until its end is seen, the others keep to
+the number that has proved itself.
 """
 
 from __future__ import annotations
@@ -90,13 +93,31 @@
         self._slow_at = -math.inf
         # The highest number of parallel loads known to run at full speed.
         self._proven_concurrency = 0
+        # The learned limit is one more than has proved itself.
+        self._is_on_trial = False
         # When the loads of lost servers end in the store.
         self._lost_load_ends: list[float] = []
 
     @property
     def limit(self) -> int:
         """Return how many loads the store carries at full speed."""
-        return min((self._learned_limit, *self._late_limit_by_server.values()))
+        limit = min((self._learned_limit, *self._late_limit_by_server.values()))
+        return min(limit, self._proven_concurrency) if self._is_trial_running else limit
+
+    @property
+    def limit_to_hand_over(self) -> int:
+        """Return the limit for a successor, which cannot see the end of a trial."""
+        if self._is_on_trial:
+            return min(self.limit, self._proven_concurrency)
+        return self.limit
+
+    @property
+    def _is_trial_running(self) -> bool:
+        """Return whether a load is in flight that tries a higher limit."""
+        return self._is_on_trial and any(
+            load.concurrent_loads > self._proven_concurrency
+            for load in self._running_by_server.values()
+        )
 
     @property
     def running(self) -> int:
@@ -143,7 +164,7 @@
 
         If the store carries more, the limit is raised after a while.
         """
-        self._learned_limit = limit
+        self._learned_limit, self._is_on_trial = limit, False
         self._slow_concurrency, self._slow_at = limit + 1, now
 
     def resume(self, server_id: str, remaining_s: float, now: float) -> None:
@@ -191,23 +212,10 @@
             return
         took_s = now - load.since
         previous_limit = self._learned_limit
-        is_slow = load.is_slow(took_s)
-        if not is_slow:
-            self._proven_concurrency = max(
-                self._proven_concurrency, load.concurrent_loads
-            )
-        if is_slow and load.concurrent_loads > 1:
-            self._proven_concurrency = min(
-                self._proven_concurrency, load.concurrent_loads - 1
-            )
-            self._learned_limit = min(load.estimated_limit(took_s), previous_limit)
-            self._slow_concurrency, self._slow_at = self._learned_limit + 1, now
-        elif (
-            not is_slow
-            and load.concurrent_loads >= previous_limit
-            and self._can_raise_limit(now)
-        ):
-            self._learned_limit += 1
+        if load.is_slow(took_s):
+            self._record_slow_load(load, took_s, now)
+        else:
+            self._record_load_on_time(load, now)
         if self._learned_limit != previous_limit:
             log_event(
                 logger,
@@ -220,6 +228,28 @@
                 at_once=load.concurrent_loads,
             )
 
+    def _record_load_on_time(self, load: _RunningLoad, now: float) -> None:
+        """Raise the proven number, and the limit on trial if it was used up."""
+        if load.concurrent_loads >= self._proven_concurrency:
+            self._proven_concurrency = load.concurrent_loads
+        if self._learned_limit <= self._proven_concurrency:
+            self._is_on_trial = False
+        if load.concurrent_loads >= self._learned_limit and self._can_raise_limit(now):
+            self._learned_limit += 1
+            self._is_on_trial = True
+
+    def _record_slow_load(self, load: _RunningLoad, took_s: float, now: float) -> None:
+        """Lower the limit to what the duration of a load shows."""
+        if load.concurrent_loads == 1:
+            return
+        self._proven_concurrency = min(
+            self._proven_concurrency, load.concurrent_loads - 1
+        )
+        estimate = load.estimated_limit(took_s)
+        if estimate < self._learned_limit:
+            self._learned_limit, self._is_on_trial = estimate, False
+        self._slow_concurrency, self._slow_at = self._learned_limit + 1, now
+
     def _can_raise_limit(self, now: float) -> bool:
         """Return whether one more parallel load may be tried."""
         is_known_slow = self._learned_limit + 1 >= self._slow_concurrency
--- a/tests/test_gateway_store_limit.py
+++ b/tests/test_gateway_store_limit.py
@@ -316,3 +316,57 @@
     for number in range(INITIAL_LIMIT):
         store.end(f"s{number}", 106.2)
     assert store.limit == 4
+
+
+def store_on_trial() -> StoreLoads:
+    """Return a store whose limit of four is on trial, after three loads on time."""
+    store = StoreLoads()
+    for number in range(3):
+        store.begin(f"s{number}", FULL_SPEED_S, 100.0)
+    for number in range(3):
+        store.end(f"s{number}", 106.1)
+    return store
+
+
+def test_limit_on_trial_is_not_handed_over() -> None:
+    """Guards against a successor that runs four loads where three are carried.
+
+    The fourth load had just begun as the leader was replaced, and took 11 s.
+    """
+    store = store_on_trial()
+    assert (store.limit, store.limit_to_hand_over) == (4, 3)
+    for number in range(4):
+        store.begin(f"s{number}", FULL_SPEED_S, 106.2)
+    assert store.limit_to_hand_over == 3
+    # The trial has succeeded.
+    store.end("s3", 112.3)
+    assert store.limit_to_hand_over == 4
+
+
+def test_one_load_at_a_time_tries_a_higher_limit() -> None:
+    """Guards against further slow loads before the first one shows the limit.
+
+    While a load of 11 s ran as the fourth, three more began as soon as others ended.
+    """
+    store = store_on_trial()
+    for number in range(4):
+        store.begin(f"s{number}", FULL_SPEED_S, 106.2)
+    store.end("s0", 112.3)
+    assert store.running >= store.limit
+    store.end("s1", 112.3)
+    assert store.running < store.limit
+    # The trial has failed.
+    store.end("s3", 106.2 + FULL_SPEED_S * 4 / 3)
+    assert store.limit == 3
+
+
+def test_lost_trial_is_repeated() -> None:
+    """Guards against a limit that is never tried again after a server was lost."""
+    store = store_on_trial()
+    for number in range(4):
+        store.begin(f"s{number}", FULL_SPEED_S, 106.2)
+    store.record_lost_server("s3")
+    store.drop_ended_loads(106.2 + 2 * FULL_SPEED_S)
+    for number in range(3):
+        store.end(f"s{number}", 112.3)
+    assert store.limit == 4
