Keep the number of parallel loads that has proved itself after a single slow load

Cause: a load that was counted as one of three took 10.9 s, as it ran beside a load that was not counted. Its time lowered the limit to two, though three had run at full speed before, and a limit that proved too high is not tried again for 60 s.

Change: a number of loads that ran at full speed is a lower bound of the limit. One slow load at that number or below changes nothing; only if a load that began after it is slow, too, the number is given up. The ledger hands the number over.

--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -57,6 +57,8 @@
     # Number of parallel loads that the weight store carries at full speed.
     limit: int
     loads: frozenset[LoadEntry]
+    # The highest number of parallel loads that have run at full speed; 0 if unknown.
+    proven_concurrency: int = 0
 
 
 LoadsByService = dict[str, ServiceLoads]
@@ -84,6 +86,7 @@
 class _Service(msgspec.Struct):
     limit: Annotated[int, msgspec.Meta(le=MAX_LIMIT)]
     loads: list[_Entry]
+    proven_concurrency: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT)] = 0
 
 
 class LoadLedger:
@@ -165,6 +168,7 @@
                         service_loads.loads, key=lambda one: one.server_id
                     )
                 ],
+                service_loads.proven_concurrency,
             )
             for service, service_loads in loads_by_service.items()
         }
@@ -184,6 +188,7 @@
             frozenset(
                 LoadEntry(**msgspec.structs.asdict(entry)) for entry in service.loads
             ),
+            service.proven_concurrency,
         )
         for name, service in services.items()
         if service.limit >= 1
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -280,6 +280,7 @@
                     if server.record.service == service
                     and (entry := self._load_entry(server, store, unix_offset_s, now))
                 ),
+                store.proven_concurrency,
             )
             for service, store in self._store_by_service.items()
         }
@@ -309,7 +310,9 @@
     def inherit_loads(self, loads_by_service: LoadsByService, now: float) -> None:
         """Take over the in-flight loads that an earlier leader has recorded."""
         for service, service_loads in loads_by_service.items():
-            self.store_loads(service).inherit_limit(service_loads.limit, now)
+            self.store_loads(service).inherit_limit(
+                service_loads.limit, now, service_loads.proven_concurrency
+            )
             for entry in service_loads.loads:
                 known = self._inherited_by_server.get(entry.server_id)
                 if known is None or not known.is_later_than(entry):
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -10,7 +10,9 @@
 load continues in the store for its expected duration.
 
 Only one load at a time tries a higher limit; until its end is seen, the others keep to
-the number that has proved itself.
+the number that has proved itself. A load that is late although no more loads were
+counted than once ran at full speed has probably run beside uncounted ones, so a single
+one of them does not lower the limit.
 """
 
 from __future__ import annotations
@@ -95,6 +97,8 @@
         self._proven_concurrency = 0
         # The learned limit is one more than has proved itself.
         self._is_on_trial = False
+        # When a load was last slow that was not counted as one of too many.
+        self._contradicted_at: float | None = None
         # When the loads of lost servers end in the store.
         self._lost_load_ends: list[float] = []
 
@@ -111,6 +115,11 @@
             return min(self.limit, self._proven_concurrency)
         return self.limit
 
+    @property
+    def proven_concurrency(self) -> int:
+        """Return the highest number of parallel loads known to run at full speed."""
+        return self._proven_concurrency
+
     @property
     def _is_trial_running(self) -> bool:
         """Return whether a load is in flight that tries a higher limit."""
@@ -159,12 +168,15 @@
         self._running_by_server[server_id] = load
         return load.expected_s(self.limit)
 
-    def inherit_limit(self, limit: int, now: float) -> None:
+    def inherit_limit(
+        self, limit: int, now: float, proven_concurrency: int = 0
+    ) -> None:
         """Take over the limit of an earlier leader, assuming that one more is slow.
 
         If the store carries more, the limit is raised after a while.
         """
         self._learned_limit, self._is_on_trial = limit, False
+        self._proven_concurrency = min(proven_concurrency, limit)
         self._slow_concurrency, self._slow_at = limit + 1, now
 
     def resume(self, server_id: str, remaining_s: float, now: float) -> None:
@@ -184,11 +196,14 @@
             took_s = now - load.since
             if server_id in silent_servers:
                 continue
-            if load.concurrent_loads == 1 or not load.is_slow(took_s):
+            if load.concurrent_loads <= max(self._proven_concurrency, 1):
+                continue
+            if not load.is_slow(took_s):
                 continue
             limit = load.estimated_limit(took_s)
             if load.concurrent_loads > MIN_LATE_LIMIT:
                 limit = min(limit, load.concurrent_loads - 1)
+            limit = max(limit, self._proven_concurrency)
             previous_limit = self.limit
             self._late_limit_by_server[server_id] = limit
             if self.limit != previous_limit:
@@ -232,6 +247,7 @@
         """Raise the proven number, and the limit on trial if it was used up."""
         if load.concurrent_loads >= self._proven_concurrency:
             self._proven_concurrency = load.concurrent_loads
+            self._contradicted_at = None
         if self._learned_limit <= self._proven_concurrency:
             self._is_on_trial = False
         if load.concurrent_loads >= self._learned_limit and self._can_raise_limit(now):
@@ -239,13 +255,17 @@
             self._is_on_trial = True
 
     def _record_slow_load(self, load: _RunningLoad, took_s: float, now: float) -> None:
-        """Lower the limit to what the duration of a load shows."""
+        """Lower the limit, unless the load has run beside uncounted ones."""
         if load.concurrent_loads == 1:
             return
-        self._proven_concurrency = min(
-            self._proven_concurrency, load.concurrent_loads - 1
-        )
-        estimate = load.estimated_limit(took_s)
+        if load.concurrent_loads <= self._proven_concurrency:
+            if self._contradicted_at is None:
+                self._contradicted_at = now
+            if load.since <= self._contradicted_at:
+                return
+            # It has happened again since.
+            self._proven_concurrency = load.concurrent_loads - 1
+        estimate = max(load.estimated_limit(took_s), self._proven_concurrency)
         if estimate < self._learned_limit:
             self._learned_limit, self._is_on_trial = estimate, False
         self._slow_concurrency, self._slow_at = self._learned_limit + 1, now
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -208,3 +208,12 @@
     assert [(one.server_id, one.model, one.order_count) for one in entries] == [
         (order.server_id, "m1", order.expected_count + 1)
     ]
+
+
+def test_number_of_loads_that_ran_at_full_speed_is_handed_over() -> None:
+    """Guards against a limit that a successor lowers after a load beside lost ones."""
+    loads = {"writers": ServiceLoads(4, frozenset(), proven_concurrency=3)}
+    assert decode_loads(encode_loads(loads)) == loads
+    # Written by a gateway of an earlier build.
+    early = decode_loads(b'{"writers": {"limit": 4, "loads": []}}')
+    assert early["writers"].proven_concurrency == 0
--- a/tests/test_gateway_store_limit.py
+++ b/tests/test_gateway_store_limit.py
@@ -370,3 +370,31 @@
     for number in range(3):
         store.end(f"s{number}", 112.3)
     assert store.limit == 4
+
+
+def test_handed_over_number_is_kept_after_slow_loads() -> None:
+    """Guards against a store of which a third stays unused for the rest of the day.
+
+    Beside two loads that were not counted, one that was counted as one of three took
+    10.9 s in place of 7.8 s, and from then on two ran at a time.
+    """
+    first = store_on_trial()
+    store = StoreLoads()
+    store.inherit_limit(first.limit_to_hand_over, 100.0, first.proven_concurrency)
+    for number in range(3):
+        store.begin(f"s{number}", FULL_SPEED_S, 100.0)
+    store.record_late_loads(108.0)
+    assert store.limit == 3
+    store.end("s2", 100.0 + FULL_SPEED_S * 5 / 3)
+    assert store.limit == 3
+
+
+def test_number_that_is_slow_again_and_again_is_lowered() -> None:
+    """Guards against a number that proved itself once and is never given up."""
+    store = store_on_trial()
+    for at in (110.0, 130.0):
+        for number in range(3):
+            store.begin(f"s{number}", FULL_SPEED_S, at)
+        for number in range(3):
+            store.end(f"s{number}", at + FULL_SPEED_S * 1.5)
+    assert store.limit == 2
