Count the loads of an earlier leader on lost servers

Callers saw models that are never served (SHORT): three loads began as four, five and five in a store that carries three, took 11 to 13.7 s, and nobody who had waited for them was still there.

Cause: an inherited load counted only once its server's report showed it. A server that has crashed never shows it, and the weight store goes on with the load. Loads of lost servers were counted by the leader that had started them, and loads of an earlier leader on sound servers, but not both at once.

Change: a recorded load counts from the start of the term until its server's report shows that it has ended, or for its time.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -12,6 +12,7 @@
 from .demand import REQUESTERS_HALF_LIFE_S, ModelUsers, RecentCounts, TokenDemand
 from .desired_state import DesiredState, EngineSpec
 from .fleet_copies import FleetCopiesCache
+from .inherited_loads import InheritedLoads, remaining_s
 from .load_ledger import LoadEntry, LoadsByService, ServiceLoads
 from .managed_server import ManagedServer
 from .messages import (
@@ -57,8 +58,8 @@
         self._requesters_by_service: dict[str, RecentCounts] = {}
         self._store_by_service: dict[str, StoreLoads] = {}
         self._shortages_by_service: dict[str, Shortages] = {}
-        # Loads that an earlier leader started, by server.
-        self._inherited_by_server: dict[str, LoadEntry] = {}
+        # Loads that an earlier leader started.
+        self._inherited = InheritedLoads()
         self._copies_by_service: dict[str, FleetCopiesCache] = {}
         # Servers whose entries have lapsed, with the time until which they may return.
         self._lapsed_by_id: dict[str, tuple[ManagedServer, float]] = {}
@@ -314,22 +315,32 @@
                 service_loads.limit, now, service_loads.proven_concurrency
             )
             for entry in service_loads.loads:
-                known = self._inherited_by_server.get(entry.server_id)
-                if known is None or not known.is_later_than(entry):
-                    # The ledger may be read after a newer entry was handed over.
-                    self._inherited_by_server[entry.server_id] = entry
+                self._inherited.add(entry)
+                self._expect_load(service, entry, now)
         for server in self.server_by_id.values():
             self.resume_load(server, now)
 
+    def _expect_load(self, service: str, entry: LoadEntry, now: float) -> None:
+        """Count a load that its server may not have shown yet."""
+        engine = self.engine_by_service.get(service)
+        spec = None if engine is None else engine.model_by_name.get(entry.model)
+        if spec is None:
+            return
+        store = self.store_loads(service)
+        store.expect(entry.server_id, remaining_s(entry, spec), now)
+
     def resume_load(self, server: ManagedServer, now: float) -> None:
-        """Recognize an earlier leader's load that keeps a server busy."""
-        entry = self._inherited_by_server.get(server.record.server_id)
+        """Recognize an earlier leader's load that keeps a server busy, or its end."""
+        store = self.store_loads(server.record.service)
+        if self._inherited.has_ended(server):
+            store.drop_expected(server.record.server_id)
+            return
+        entry = self._inherited.current(server)
         engine = self.engine_by_service.get(server.record.service)
-        if entry is None or engine is None or not server.has_unknown_order:
+        if entry is None or engine is None:
             return
         spec = engine.model_by_name.get(entry.model)
-        orders = (server.holdings.born_ms, server.order_count)
-        if spec is None or orders != (entry.born_ms, entry.order_count):
+        if spec is None:
             return
         log_event(
             logger,
@@ -339,11 +350,9 @@
             model=entry.model,
             ends_at_unix_s=entry.ends_at_unix_s,
         )
-        remaining_s = entry.ends_at_unix_s - time.time()
-        remaining_s = min(max(remaining_s, 0.0), spec.store_load_s)
-        server.resume_load(entry.model, remaining_s, now)
-        store = self.store_loads(server.record.service)
-        store.resume(entry.server_id, remaining_s, now)
+        in_s = remaining_s(entry, spec)
+        server.resume_load(entry.model, in_s, now)
+        store.resume(entry.server_id, in_s, now)
 
     def requesters(self, service: str) -> RecentCounts:
         """Return the decaying counts of a service's requesters, served or not."""
@@ -395,6 +404,6 @@
         # does, and they report each new requester only once.
         for shortages in self._shortages_by_service.values():
             shortages.drop_abandoned(now)
-        self._inherited_by_server.clear()
+        self._inherited.clear()
         for server in self.server_by_id.values():
             server.reset_plans()
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -101,6 +101,9 @@
         self._contradicted_at: float | None = None
         # When the loads of lost servers end in the store.
         self._lost_load_ends: list[float] = []
+        # When the loads end that an earlier leader has recorded, while their servers'
+        # reports do not show whether they are still in flight.
+        self._inherited_load_end_by_server: dict[str, float] = {}
 
     @property
     def limit(self) -> int:
@@ -131,7 +134,11 @@
     @property
     def running(self) -> int:
         """Return the number of loads whose end has not been seen."""
-        return len(self._running_by_server) + len(self._lost_load_ends)
+        return len(self._running_by_server) + len(self._unseen_load_ends())
+
+    def _unseen_load_ends(self) -> list[float]:
+        """Return when the loads end whose end no report will show."""
+        return [*self._lost_load_ends, *self._inherited_load_end_by_server.values()]
 
     def running_at(self, now: float, at: float) -> int:
         """Return how many of the loads now in flight run at a time.
@@ -146,8 +153,8 @@
             and now <= load.since + load.full_speed_s + END_DETECTION_S
             for load in self._running_by_server.values()
         )
-        lost = sum(until > at for until in self._lost_load_ends)
-        return len(self._running_by_server) - ended + lost
+        unseen = sum(until > at for until in self._unseen_load_ends())
+        return len(self._running_by_server) - ended + unseen
 
     def ends_at(self, server_id: str) -> float:
         """Return the expected end of a server's load."""
@@ -179,8 +186,21 @@
         self._proven_concurrency = min(proven_concurrency, limit)
         self._slow_concurrency, self._slow_at = limit + 1, now
 
+    def expect(self, server_id: str, remaining_s: float, now: float) -> None:
+        """Count a load of an earlier leader that its server has not shown yet.
+
+        If the server is lost, the load continues in the store for its time.
+        """
+        if remaining_s > 0 and server_id not in self._running_by_server:
+            self._inherited_load_end_by_server[server_id] = now + remaining_s
+
+    def drop_expected(self, server_id: str) -> None:
+        """Record that an expected load has ended."""
+        self._inherited_load_end_by_server.pop(server_id, None)
+
     def resume(self, server_id: str, remaining_s: float, now: float) -> None:
         """Record an earlier leader's load, whose duration does not affect the limit."""
+        self.drop_expected(server_id)
         load = _RunningLoad(now, 0.0, self.running_at(now, now) + 1, remaining_s)
         self._running_by_server[server_id] = load
 
@@ -284,8 +304,13 @@
         self._late_limit_by_server.pop(server_id, None)
 
     def drop_ended_loads(self, now: float) -> None:
-        """Drop the loads of lost servers that are due to have ended."""
+        """Drop the loads that are due to have ended and whose end no report shows."""
         self._lost_load_ends = [until for until in self._lost_load_ends if until > now]
+        self._inherited_load_end_by_server = {
+            server_id: until
+            for server_id, until in self._inherited_load_end_by_server.items()
+            if until > now
+        }
 
     def wait_s(
         self, queued_s: Iterable[float], now: float, unrecorded_s: Iterable[float] = ()
@@ -297,7 +322,7 @@
         take about as long again as it is late.
         """
         ends = [self.ends_at(server_id) for server_id in self._running_by_server]
-        ends_in_s = [abs(end - now) for end in (*ends, *self._lost_load_ends)]
+        ends_in_s = [abs(end - now) for end in (*ends, *self._unseen_load_ends())]
         ends_in_s += unrecorded_s
         heapify(ends_in_s)
         limit, begin_s = self.limit, 0.0
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -4,6 +4,8 @@
 
 import time
 
+import pytest
+
 from siskinspool.core.message import Message
 from siskinspool.gateway.load_ledger import (
     LEDGER_KEY,
@@ -217,3 +219,41 @@
     # Written by a gateway of an earlier build.
     early = decode_loads(b'{"writers": {"limit": 4, "loads": []}}')
     assert early["writers"].proven_concurrency == 0
+
+
+def started_loads(harness: PlacementHarness) -> list[str]:
+    """Request four models; return those whose loads start."""
+    found = []
+    for model in ("m1", "m2", "m3", "m4"):
+        for order in orders(
+            harness.request(model, reach_s=(11.0,)) + harness.advance_time(0.1)
+        ):
+            found.append(order.model)
+            harness.end(order, OrderResult.ACCEPTED)
+    return found
+
+
+@pytest.mark.parametrize("born_ms", [1, 2], ids=["gone", "restarted"])
+def test_load_of_a_predecessor_on_a_lost_server_holds_its_slot(born_ms: int) -> None:
+    """Guards against loads that slow each other down after crashes and a succession.
+
+    A server crashed in the middle of a load, the next leader did not count it, and
+    three loads began as four and five of three.
+    """
+    harness = harness_with_servers(busy=False)
+    server_id = "s9" if born_ms == 1 else "s1"
+    harness.reports["s1"] = holdings(count=0, on_disk=frozenset(), born_ms=born_ms)
+    entry = LoadEntry(server_id, 1, "m5", 2, ends_in(5))
+    begin_term_with_ledger(harness, ServiceLoads(2, frozenset({entry})))
+    assert started_loads(harness) == ["m1"]
+    assert len(orders(harness.advance_time(6.0))) == 1
+
+
+@pytest.mark.parametrize("count", [2, 3], ids=["done", "later-order"])
+def test_load_of_a_predecessor_that_has_ended_holds_no_slot(count: int) -> None:
+    """Guards against a store that stays unused until an old entry expires."""
+    harness = harness_with_servers(busy=False)
+    harness.reports["s1"] = holdings(count=count, on_disk=frozenset())
+    entry = LoadEntry("s1", 1, "m5", 2, ends_in(5))
+    begin_term_with_ledger(harness, ServiceLoads(2, frozenset({entry})))
+    assert len(started_loads(harness)) == 2
