Record the requesters of models without a copy for the next leader

Cause: the requesters so far, by which slots of the weight store are given out, are known to the leader and reported again by the gateways after a change of the leader. If all gateways end at once, nobody knows them any more.

Change: the leader's record in the platform's store has them for at most 64 models without a copy, with the time. It is written when it was before, as a load begins. Of the record and of what gateways report the higher count holds, so nothing counts twice.

--- a/src/siskinspool/gateway/demand.py
+++ b/src/siskinspool/gateway/demand.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, KeysView, Mapping
 from typing import Final
 
 import attrs
@@ -25,6 +25,8 @@
 PRIOR_REQUESTS: Final = 10.0
 # Decayed counts below this value are dropped.
 MIN_COUNT: Final = 0.05
+# A leader records the requesters of at most this many models for its successor.
+MAX_RECORDED_MODELS: Final = 64
 # A gateway counts as a user of a model for this long after its last request for it.
 USER_TTL_S: Final = 20.0
 
@@ -57,6 +59,12 @@
         entry.count = self._decayed(entry, now) + count
         entry.updated_at = now
 
+    def raise_to(self, target: str, count: float, now: float) -> None:
+        """Raise the count of a target to at least this one."""
+        entry = self._count_by_target.setdefault(target, _DecayingCount(0.0, now))
+        entry.count = max(self._decayed(entry, now), count)
+        entry.updated_at = now
+
     def rate_per_s(self, target: str, now: float) -> float:
         """Return the recent rate of a target per second."""
         entry = self._count_by_target.get(target)
@@ -69,7 +77,7 @@
         entry = self._count_by_target.get(target)
         return float("-inf") if entry is None else entry.updated_at
 
-    def targets(self) -> Iterable[str]:
+    def targets(self) -> KeysView[str]:
         """Return the targets that have been counted."""
         return self._count_by_target.keys()
 
@@ -86,6 +94,43 @@
         return float(entry.count * 0.5 ** (age_s / self._half_life_s))
 
 
+class RequesterCounts(RecentCounts):
+    """All requesters so far, by model.
+
+    After a change of the leader the gateways report their counts again, and the last
+    leader's record of them is inherited. Neither is complete: a gateway that has ended
+    reports nothing, and the record is older. The higher one counts.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(REQUESTERS_HALF_LIFE_S)
+        self._inherited = RecentCounts(REQUESTERS_HALF_LIFE_S)
+
+    def inherit(self, count_by_model: Mapping[str, float], now: float) -> None:
+        """Take over the counts that an earlier leader has recorded."""
+        for model, count in count_by_model.items():
+            self._inherited.raise_to(model, count, now)
+
+    def rate_per_s(self, target: str, now: float) -> float:
+        """Return the recent rate of a model's requesters per second."""
+        inherited = self._inherited.rate_per_s(target, now)
+        return max(super().rate_per_s(target, now), inherited)
+
+    def all_targets(self) -> set[str]:
+        """Return the models that have had requesters."""
+        return self.targets() | self._inherited.targets()
+
+    def largest(self, models: Iterable[str], now: float) -> dict[str, float]:
+        """Return the counts of the models with most requesters, for a successor."""
+        found = {model: self.rate_per_s(model, now) for model in models}
+        ordered = sorted(found, key=lambda model: (-found[model], model))
+        counts = {
+            model: round(found[model] / self._rate_per_count, 2)
+            for model in ordered[:MAX_RECORDED_MODELS]
+        }
+        return {model: count for model, count in counts.items() if count >= MIN_COUNT}
+
+
 class TokenDemand(RecentCounts):
     """Recent demand for each model and adapter, in prompt tokens."""
 
--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -1,15 +1,17 @@
-"""In-flight loads that a leader records in the platform's store for its successor.
+"""What a leader records in the platform's store for its successor.
 
 A report says that a server is busy but not what it loads, and the number of loads that
 the weight store can carry is estimated from their durations. So the leader writes both
-to one key, which no task watches, when a load from the weight store begins. A new
-leader reads the key once. An entry is used only if the server reports the same start
-time and order count, so stale entries do no harm.
+to one key, which no task watches, when a load from the weight store begins. Beside them
+it writes the requesters so far of the models without a copy, which nobody knows any
+more if all gateways end at once. A new leader reads the key once. An entry is used only
+if the server reports the same start time and order count, so stale entries do no harm.
 """
 
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Annotated, Final
 
 import attrs
@@ -59,6 +61,10 @@
     loads: frozenset[LoadEntry]
     # The highest number of parallel loads that have run at full speed; 0 if unknown.
     proven_concurrency: int = 0
+    # Requesters so far of models without a copy, decayed to the time of the record.
+    requesters_by_model: dict[str, float] = attrs.field(factory=dict)
+    # In seconds of Unix time; 0 if not recorded.
+    recorded_at_unix_s: int = 0
 
 
 LoadsByService = dict[str, ServiceLoads]
@@ -87,6 +93,8 @@
     limit: Annotated[int, msgspec.Meta(le=MAX_LIMIT)]
     loads: list[_Entry]
     proven_concurrency: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT)] = 0
+    requesters_by_model: dict[str, Annotated[float, msgspec.Meta(ge=0)]] = {}
+    recorded_at_unix_s: Count = 0
 
 
 class LoadLedger:
@@ -128,8 +136,16 @@
                 self._revision = None
         return {}
 
-    def write(self, loads: LoadsByService, now: float) -> Message | None:
-        """Return the request that is due, if any: a write of new loads or a read."""
+    def write(
+        self,
+        loads: LoadsByService,
+        now: float,
+        with_requesters: Callable[[LoadsByService], LoadsByService] = lambda one: one,
+    ) -> Message | None:
+        """Return the request that is due, if any: a write of new loads or a read.
+
+        ``with_requesters`` completes what is written, and is called only for a write.
+        """
         if self._is_request_pending and now < self._requested_at + RETRY_S:
             return None
         if self._is_request_pending or self._revision is None:
@@ -142,9 +158,8 @@
         ):
             return None
         self._written = loads
-        swap = KvSwap(
-            self._request_id(), LEDGER_KEY, self._revision, encode_loads(loads)
-        )
+        value = encode_loads(with_requesters(loads))
+        swap = KvSwap(self._request_id(), LEDGER_KEY, self._revision, value)
         return self._start_request(swap, now)
 
     def _request_id(self) -> str:
@@ -169,6 +184,8 @@
                     )
                 ],
                 service_loads.proven_concurrency,
+                service_loads.requesters_by_model,
+                service_loads.recorded_at_unix_s,
             )
             for service, service_loads in loads_by_service.items()
         }
@@ -189,6 +206,8 @@
                 LoadEntry(**msgspec.structs.asdict(entry)) for entry in service.loads
             ),
             service.proven_concurrency,
+            service.requesters_by_model,
+            service.recorded_at_unix_s,
         )
         for name, service in services.items()
         if service.limit >= 1
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -7,9 +7,16 @@
 from collections.abc import Iterable
 from typing import Final
 
+import attrs
+
 from ..core.status import Status
 from ..telemetry.logs import log_event
-from .demand import REQUESTERS_HALF_LIFE_S, ModelUsers, RecentCounts, TokenDemand
+from .demand import (
+    REQUESTERS_HALF_LIFE_S,
+    ModelUsers,
+    RequesterCounts,
+    TokenDemand,
+)
 from .desired_state import DesiredState, EngineSpec
 from .fleet_copies import FleetCopiesCache
 from .inherited_loads import InheritedLoads, remaining_s
@@ -55,7 +62,7 @@
         self.model_users = ModelUsers()
         self._evacuated_zones: set[str] = set()
         self._demand_by_service: dict[str, TokenDemand] = {}
-        self._requesters_by_service: dict[str, RecentCounts] = {}
+        self._requesters_by_service: dict[str, RequesterCounts] = {}
         self._store_by_service: dict[str, StoreLoads] = {}
         self._shortages_by_service: dict[str, Shortages] = {}
         # Loads that an earlier leader started.
@@ -314,6 +321,7 @@
             self.store_loads(service).inherit_limit(
                 service_loads.limit, now, service_loads.proven_concurrency
             )
+            self._inherit_requesters(service, service_loads, now)
             for entry in service_loads.loads:
                 self._inherited.add(entry)
                 self._expect_load(service, entry, now)
@@ -354,13 +362,44 @@
         server.resume_load(entry.model, in_s, now)
         store.resume(entry.server_id, in_s, now)
 
-    def requesters(self, service: str) -> RecentCounts:
+    def requesters(self, service: str) -> RequesterCounts:
         """Return the decaying counts of a service's requesters, served or not."""
-        found = self._requesters_by_service.get(service)
-        if found is None:
-            found = RecentCounts(REQUESTERS_HALF_LIFE_S)
-            self._requesters_by_service[service] = found
-        return found
+        return self._requesters_by_service.setdefault(service, RequesterCounts())
+
+    def with_requesters(self, loads: LoadsByService, now: float) -> LoadsByService:
+        """Add the requesters of the models without a copy to a record of loads."""
+        return {
+            service: attrs.evolve(
+                service_loads,
+                requesters_by_model=self._scarce_requesters(service, now),
+                recorded_at_unix_s=int(time.time()),
+            )
+            for service, service_loads in loads.items()
+        }
+
+    def _scarce_requesters(self, service: str, now: float) -> dict[str, float]:
+        fleet = self.fleet(service, now)
+        if fleet is None:
+            return {}
+        requesters = fleet.requesters
+        scarce = (
+            model
+            for model in requesters.all_targets()
+            if model in fleet.engine.model_by_name and not fleet.copies.count(model)
+        )
+        return requesters.largest(scarce, now)
+
+    def _inherit_requesters(
+        self, service: str, recorded: ServiceLoads, now: float
+    ) -> None:
+        """Take over the requesters so far that an earlier leader has recorded."""
+        age_s = max(time.time() - recorded.recorded_at_unix_s, 0.0)
+        decay = 0.5 ** (age_s / REQUESTERS_HALF_LIFE_S)
+        counts = {
+            model: count * decay
+            for model, count in recorded.requesters_by_model.items()
+        }
+        self.requesters(service).inherit(counts, now)
 
     def shortages(self, service: str) -> Shortages:
         """Return the shortages of a service."""
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import Final
 
 from ..core.decision import Decision
@@ -122,7 +123,10 @@
         for server in list(self._site.server_by_id.values()):
             if server.record.service in self._site.engine_by_service:
                 batch += self._orders.advance(server, now)
-        if due := self._ledger.write(self._site.in_flight_loads(now), now):
+        loads = self._site.in_flight_loads(now)
+        if due := self._ledger.write(
+            loads, now, partial(self._site.with_requesters, now=now)
+        ):
             batch.append(Outgoing(Address(self._id, KV_TASK), due))
         return batch
 
@@ -345,6 +349,10 @@
             case LeadershipLost(successor_id):
                 self._term.end()
                 if successor_id:
-                    loads = LoadsHandedOver(self._site.in_flight_loads(now))
-                    return [Outgoing(Address(successor_id, PLACEMENT_TASK), loads)]
+                    loads = self._site.in_flight_loads(now)
+                    handed_over = LoadsHandedOver(
+                        self._site.with_requesters(loads, now)
+                    )
+                    recipient = Address(successor_id, PLACEMENT_TASK)
+                    return [Outgoing(recipient, handed_over)]
         return []
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from .demand import REQUESTERS_HALF_LIFE_S, RecentCounts, TokenDemand, target_name
+from .demand import RequesterCounts, TokenDemand, target_name
 from .desired_state import EngineSpec, ModelSpec
 from .fleet_copies import FleetCopies, FleetCopiesCache
 from .managed_server import ManagedServer
@@ -61,9 +61,7 @@
     store: StoreLoads = attrs.field(factory=StoreLoads)
     shortages: Shortages = attrs.field(factory=Shortages)
     # All requesters so far, by model.
-    requesters: RecentCounts = attrs.field(
-        factory=lambda: RecentCounts(REQUESTERS_HALF_LIFE_S)
-    )
+    requesters: RequesterCounts = attrs.field(factory=RequesterCounts)
     # The servers whose copies count, including servers that are briefly silent.
     staying: list[ManagedServer] = attrs.field(factory=list)
     # Servers whose entries have just lapsed and that may return with their disks.
--- a/src/siskinspool/gateway/preload.py
+++ b/src/siskinspool/gateway/preload.py
@@ -79,12 +79,12 @@
         model = max(
             (
                 name
-                for name in fleet.requesters.targets()
+                for name in fleet.requesters.all_targets()
                 if name in fleet.engine.model_by_name
                 and name not in planned
                 and not fleet.copies.count(name)
             ),
-            key=lambda name: queue.expected_requesters(name, now),
+            key=lambda name: (queue.expected_requesters(name, now), name),
             default=None,
         )
         if model is None or not queue.is_next(model, now):
--- a/src/siskinspool/gateway/weight_store_queue.py
+++ b/src/siskinspool/gateway/weight_store_queue.py
@@ -20,7 +20,7 @@
 
 import attrs
 
-from .demand import RecentCounts, TokenDemand
+from .demand import RequesterCounts, TokenDemand
 from .desired_state import EngineSpec, ModelSpec
 from .fleet_copies import FleetCopies
 from .managed_server import ManagedServer
@@ -86,7 +86,7 @@
     store: StoreLoads
     shortages: Shortages
     # All requesters so far, by model.
-    requesters: RecentCounts
+    requesters: RequesterCounts
     copies: FleetCopies
 
     def wait_s(
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -4,9 +4,11 @@
 
 import time
 
+import attrs
 import pytest
 
 from siskinspool.core.message import Message
+from siskinspool.gateway.demand import MAX_RECORDED_MODELS, RequesterCounts
 from siskinspool.gateway.load_ledger import (
     LEDGER_KEY,
     LoadEntry,
@@ -257,3 +259,69 @@
     entry = LoadEntry("s1", 1, "m5", 2, ends_in(5))
     begin_term_with_ledger(harness, ServiceLoads(2, frozenset({entry})))
     assert len(started_loads(harness)) == 2
+
+
+def ledger_of_a_leader() -> ServiceLoads:
+    """Return what a leader records; ``m5`` has had four requesters, who have left."""
+    harness = harness_with_servers(busy=False)
+    read = requests(harness.begin_term())[0]
+    harness.send(KvValue(read.request_id, LEDGER_KEY, None, 0))
+    harness.send(DemandReport("writers", {"m0": 100}, requesters_by_model={"m5": 4}))
+    order = orders(harness.request("m1", reach_s=(11.0,)))[0]
+    harness.end(order, OrderResult.ACCEPTED)
+    swap = requests(harness.advance_time(0.25))[0]
+    assert isinstance(swap, KvSwap)
+    return decode_loads(swap.value)["writers"]
+
+
+def first_load(recorded: ServiceLoads) -> str:
+    """Return the first model that a new leader loads while one waits for ``m2``."""
+    harness = harness_with_servers(busy=False)
+    # The load of a lost server holds the only slot for a moment.
+    entry = LoadEntry("s9", 1, "m0", 2, ends_in(2))
+    one_slot = attrs.evolve(recorded, limit=1, loads=frozenset({entry}))
+    begin_term_with_ledger(harness, one_slot)
+    found = orders(harness.request("m2", reach_s=(11.0,)))
+    for _ in range(20):
+        found += orders(harness.advance_time(0.25))
+    return found[0].model
+
+
+def test_requesters_are_known_after_all_gateways_have_ended() -> None:
+    """Guards against slots that go by chance once nobody knows the requesters so far.
+
+    All gateways ended at once. From then on models with one requester were loaded, and
+    one that had had four and got three more was never loaded.
+    """
+    recorded = ledger_of_a_leader()
+    assert recorded.requesters_by_model["m5"] == pytest.approx(4.0, abs=0.1)
+    assert first_load(recorded) == "m5"
+
+
+def test_requesters_of_an_old_record_do_not_count() -> None:
+    """Guards against slots for models that were requested long ago."""
+    recorded = ledger_of_a_leader()
+    an_hour_ago = recorded.recorded_at_unix_s - 3_600
+    old = attrs.evolve(recorded, recorded_at_unix_s=an_hour_ago)
+    assert first_load(old) == "m2"
+
+
+def test_recorded_and_reported_requesters_are_not_added() -> None:
+    """Guards against requesters that count twice after a change of the leader."""
+    requesters = RequesterCounts()
+    requesters.add("m5", 3.0, 100.0)
+    before = requesters.rate_per_s("m5", 100.0)
+    requesters.inherit({"m5": 2.0}, 100.0)
+    assert requesters.rate_per_s("m5", 100.0) == before
+    requesters.inherit({"m5": 6.0}, 100.0)
+    assert requesters.rate_per_s("m5", 100.0) == pytest.approx(2 * before)
+
+
+def test_record_of_requesters_is_bounded() -> None:
+    """Guards against a record that grows with the number of models."""
+    requesters = RequesterCounts()
+    names = [f"m{number:04}" for number in range(1_700)]
+    for number, name in enumerate(names):
+        requesters.add(name, number, 100.0)
+    largest = requesters.largest(names, 100.0)
+    assert set(largest) == set(names[-MAX_RECORDED_MODELS:])
--- a/tests/test_gateway_weight_store_queue.py
+++ b/tests/test_gateway_weight_store_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from siskinspool.gateway.demand import RecentCounts, TokenDemand
+from siskinspool.gateway.demand import RequesterCounts, TokenDemand
 from siskinspool.gateway.demand_reporter import DemandReporter
 from siskinspool.gateway.fleet_copies import FleetCopies
 from siskinspool.gateway.managed_server import ManagedServer
@@ -226,7 +226,7 @@
         TokenDemand(),
         StoreLoads(),
         shortages,
-        RecentCounts(20.0),
+        RequesterCounts(),
         FleetCopies(spec, [busy, idle]),
     )
     assert not queue.can_start(idle, without, 100.0)
