Keep the message of handed-over loads as earlier builds write it

Cause: added fields to ServiceLoads, which is also part of the wire message LoadsHandedOver; test_recorded_message_is_read_and_written_alike failed since then. An earlier build would have read the message, but the recorded bytes are the contract.

Change: the ledger has a record of its own, ServiceRecord, whose further fields are left out when they are empty. A leader that is cut off hands over loads and limit as before; the gateways that are still there report their requesters themselves.

--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -59,6 +59,12 @@
     # Number of parallel loads that the weight store carries at full speed.
     limit: int
     loads: frozenset[LoadEntry]
+
+
+@attrs.frozen
+class ServiceRecord(ServiceLoads):
+    """What the ledger holds of one service."""
+
     # The highest number of parallel loads that have run at full speed; 0 if unknown.
     proven_concurrency: int = 0
     # Requesters so far of models without a copy, decayed to the time of the record.
@@ -68,6 +74,7 @@
 
 
 LoadsByService = dict[str, ServiceLoads]
+RecordsByService = dict[str, ServiceRecord]
 
 
 @wire
@@ -89,7 +96,7 @@
     ends_at_unix_s: Count
 
 
-class _Service(msgspec.Struct):
+class _Service(msgspec.Struct, omit_defaults=True):
     limit: Annotated[int, msgspec.Meta(le=MAX_LIMIT)]
     loads: list[_Entry]
     proven_concurrency: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT)] = 0
@@ -105,7 +112,7 @@
         self._revision: int | None = None
         # Whether the key still holds what an earlier leader wrote.
         self._is_inherited = False
-        self._written: LoadsByService = {}
+        self._written: dict[str, ServiceLoads] = {}
         self._requested_at = float("-inf")
         self._is_request_pending = False
         self._next_request = 0
@@ -117,8 +124,8 @@
         self._written = {}
         return self._start_request(KvGet(self._request_id(), LEDGER_KEY), now)
 
-    def handle_reply(self, reply: KvReply) -> LoadsByService:
-        """Handle a reply; return the earlier leader's loads when first read."""
+    def handle_reply(self, reply: KvReply) -> RecordsByService:
+        """Handle a reply; return the earlier leader's record when first read."""
         if not reply.request_id.endswith(f"-{self._next_request}"):
             return {}
         match reply:
@@ -126,8 +133,9 @@
                 self._is_request_pending = False
                 is_first, self._is_inherited = self._is_inherited, False
                 self._revision = revision
-                self._written = {} if value is None else decode_loads(value)
-                return self._written if is_first else {}
+                records = {} if value is None else decode_loads(value)
+                self._written = dict(records)
+                return records if is_first else {}
             case KvSwapped(_, _, revision):
                 self._is_request_pending = False
                 self._revision = revision
@@ -140,11 +148,11 @@
         self,
         loads: LoadsByService,
         now: float,
-        with_requesters: Callable[[LoadsByService], LoadsByService] = lambda one: one,
+        complete: Callable[[LoadsByService], RecordsByService],
     ) -> Message | None:
         """Return the request that is due, if any: a write of new loads or a read.
 
-        ``with_requesters`` completes what is written, and is called only for a write.
+        ``complete`` adds what else is recorded, and is called only for a write.
         """
         if self._is_request_pending and now < self._requested_at + RETRY_S:
             return None
@@ -158,7 +166,7 @@
         ):
             return None
         self._written = loads
-        value = encode_loads(with_requesters(loads))
+        value = encode_loads(complete(loads))
         swap = KvSwap(self._request_id(), LEDGER_KEY, self._revision, value)
         return self._start_request(swap, now)
 
@@ -171,36 +179,34 @@
         return request
 
 
-def encode_loads(loads_by_service: LoadsByService) -> bytes:
-    """Encode the entries as JSON."""
+def encode_loads(record_by_service: RecordsByService) -> bytes:
+    """Encode the records as JSON."""
     return msgspec.json.encode(
         {
             service: _Service(
-                service_loads.limit,
+                record.limit,
                 [
                     _Entry(**attrs.asdict(entry))
-                    for entry in sorted(
-                        service_loads.loads, key=lambda one: one.server_id
-                    )
+                    for entry in sorted(record.loads, key=lambda one: one.server_id)
                 ],
-                service_loads.proven_concurrency,
-                service_loads.requesters_by_model,
-                service_loads.recorded_at_unix_s,
+                record.proven_concurrency,
+                record.requesters_by_model,
+                record.recorded_at_unix_s,
             )
-            for service, service_loads in loads_by_service.items()
+            for service, record in record_by_service.items()
         }
     )
 
 
-def decode_loads(value: bytes) -> LoadsByService:
-    """Decode a ledger value; log a warning and return no entries if it is malformed."""
+def decode_loads(value: bytes) -> RecordsByService:
+    """Decode a ledger value; log a warning and return nothing if it is malformed."""
     try:
         services = msgspec.json.decode(value, type=dict[str, _Service])
     except MALFORMED_ERRORS as error:
         log_event(logger, logging.WARNING, "load_ledger_unreadable", error=str(error))
         return {}
     return {
-        name: ServiceLoads(
+        name: ServiceRecord(
             service.limit,
             frozenset(
                 LoadEntry(**msgspec.structs.asdict(entry)) for entry in service.loads
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterable
 from typing import Final
 
-import attrs
-
 from ..core.status import Status
 from ..telemetry.logs import log_event
 from .demand import (
@@ -20,7 +18,13 @@
 from .desired_state import DesiredState, EngineSpec
 from .fleet_copies import FleetCopiesCache
 from .inherited_loads import InheritedLoads, remaining_s
-from .load_ledger import LoadEntry, LoadsByService, ServiceLoads
+from .load_ledger import (
+    LoadEntry,
+    LoadsByService,
+    RecordsByService,
+    ServiceLoads,
+    ServiceRecord,
+)
 from .managed_server import ManagedServer
 from .messages import (
     DemandReport,
@@ -288,7 +292,6 @@
                     if server.record.service == service
                     and (entry := self._load_entry(server, store, unix_offset_s, now))
                 ),
-                store.proven_concurrency,
             )
             for service, store in self._store_by_service.items()
         }
@@ -315,13 +318,18 @@
         ends_at = round(unix_offset_s + store.ends_at(server_id))
         return LoadEntry(server_id, born_ms, loading, known, ends_at)
 
+    def inherit_record(self, record_by_service: RecordsByService, now: float) -> None:
+        """Take over what an earlier leader has recorded."""
+        self.inherit_loads(dict(record_by_service), now)
+        for service, recorded in record_by_service.items():
+            store = self.store_loads(service)
+            store.inherit_limit(recorded.limit, now, recorded.proven_concurrency)
+            self._inherit_requesters(service, recorded, now)
+
     def inherit_loads(self, loads_by_service: LoadsByService, now: float) -> None:
         """Take over the in-flight loads that an earlier leader has recorded."""
         for service, service_loads in loads_by_service.items():
-            self.store_loads(service).inherit_limit(
-                service_loads.limit, now, service_loads.proven_concurrency
-            )
-            self._inherit_requesters(service, service_loads, now)
+            self.store_loads(service).inherit_limit(service_loads.limit, now)
             for entry in service_loads.loads:
                 self._inherited.add(entry)
                 self._expect_load(service, entry, now)
@@ -366,13 +374,15 @@
         """Return the decaying counts of a service's requesters, served or not."""
         return self._requesters_by_service.setdefault(service, RequesterCounts())
 
-    def with_requesters(self, loads: LoadsByService, now: float) -> LoadsByService:
-        """Add the requesters of the models without a copy to a record of loads."""
+    def record(self, loads: LoadsByService, now: float) -> RecordsByService:
+        """Return what the next leader needs to know, with the in-flight loads."""
         return {
-            service: attrs.evolve(
-                service_loads,
-                requesters_by_model=self._scarce_requesters(service, now),
-                recorded_at_unix_s=int(time.time()),
+            service: ServiceRecord(
+                service_loads.limit,
+                service_loads.loads,
+                self.store_loads(service).proven_concurrency,
+                self._scarce_requesters(service, now),
+                int(time.time()),
             )
             for service, service_loads in loads.items()
         }
@@ -390,7 +400,7 @@
         return requesters.largest(scarce, now)
 
     def _inherit_requesters(
-        self, service: str, recorded: ServiceLoads, now: float
+        self, service: str, recorded: ServiceRecord, now: float
     ) -> None:
         """Take over the requesters so far that an earlier leader has recorded."""
         age_s = max(time.time() - recorded.recorded_at_unix_s, 0.0)
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -95,7 +95,7 @@
             case ServerBlocked() as blocked:
                 self._orders.block(blocked, now)
             case KvReply() as reply:
-                self._site.inherit_loads(self._ledger.handle_reply(reply), now)
+                self._site.inherit_record(self._ledger.handle_reply(reply), now)
             case LoadsHandedOver(loads):
                 self._site.inherit_loads(loads, now)
             case other:
@@ -124,9 +124,7 @@
             if server.record.service in self._site.engine_by_service:
                 batch += self._orders.advance(server, now)
         loads = self._site.in_flight_loads(now)
-        if due := self._ledger.write(
-            loads, now, partial(self._site.with_requesters, now=now)
-        ):
+        if due := self._ledger.write(loads, now, partial(self._site.record, now=now)):
             batch.append(Outgoing(Address(self._id, KV_TASK), due))
         return batch
 
@@ -350,9 +348,6 @@
                 self._term.end()
                 if successor_id:
                     loads = self._site.in_flight_loads(now)
-                    handed_over = LoadsHandedOver(
-                        self._site.with_requesters(loads, now)
-                    )
                     recipient = Address(successor_id, PLACEMENT_TASK)
-                    return [Outgoing(recipient, handed_over)]
+                    return [Outgoing(recipient, LoadsHandedOver(loads))]
         return []
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -14,6 +14,7 @@
     LoadEntry,
     LoadsHandedOver,
     ServiceLoads,
+    ServiceRecord,
     decode_loads,
     encode_loads,
 )
@@ -51,7 +52,7 @@
     return harness
 
 
-def begin_term_with_ledger(harness: PlacementHarness, loads: ServiceLoads) -> None:
+def begin_term_with_ledger(harness: PlacementHarness, loads: ServiceRecord) -> None:
     """Begin a term, and answer the read of the ledger."""
     read = requests(harness.begin_term())[0]
     value = encode_loads({"writers": loads})
@@ -67,7 +68,7 @@
     """
     harness = harness_with_servers(busy=True)
     entry = LoadEntry("s0", 1, "m1", 2, ends_in(4))
-    begin_term_with_ledger(harness, ServiceLoads(2, frozenset({entry})))
+    begin_term_with_ledger(harness, ServiceRecord(2, frozenset({entry})))
     harness.request("m2", reach_s=(11.0,))
     answer = harness.request("m1", reach_s=(11.0,))
     found = orders(answer + harness.advance_time(0.3))
@@ -123,7 +124,7 @@
     of_an_earlier_order = LoadEntry("s0", 1, "m1", 1, ends_in(4))
     of_an_earlier_start = LoadEntry("s0", 0, "m1", 2, ends_in(4))
     entries = frozenset({of_an_earlier_order, of_an_earlier_start})
-    begin_term_with_ledger(harness, ServiceLoads(2, entries))
+    begin_term_with_ledger(harness, ServiceRecord(2, entries))
     found = orders(harness.request("m1", reach_s=(11.0,)) + harness.advance_time(0.3))
     assert [order.model for order in found] == ["m1"]
 
@@ -135,7 +136,7 @@
     when the next leader started four more.
     """
     harness = harness_with_servers(busy=False)
-    begin_term_with_ledger(harness, ServiceLoads(2, frozenset()))
+    begin_term_with_ledger(harness, ServiceRecord(2, frozenset()))
     found = []
     for model in ("m1", "m2", "m3", "m4"):
         for order in orders(
@@ -193,7 +194,7 @@
     handed_over = {"writers": ServiceLoads(2, frozenset({newer}))}
     harness.send(LoadsHandedOver(handed_over), "g1")
     older = LoadEntry("s0", 1, "m3", 1, ends_in(0))
-    value = encode_loads({"writers": ServiceLoads(2, frozenset({older}))})
+    value = encode_loads({"writers": ServiceRecord(2, frozenset({older}))})
     harness.send(KvValue(read.request_id, LEDGER_KEY, value, 9))
     harness.send(DemandReport("writers", {"m0": 100}))
     answer = harness.request("m1", reach_s=(11.0,))
@@ -216,7 +217,7 @@
 
 def test_number_of_loads_that_ran_at_full_speed_is_handed_over() -> None:
     """Guards against a limit that a successor lowers after a load beside lost ones."""
-    loads = {"writers": ServiceLoads(4, frozenset(), proven_concurrency=3)}
+    loads = {"writers": ServiceRecord(4, frozenset(), proven_concurrency=3)}
     assert decode_loads(encode_loads(loads)) == loads
     # Written by a gateway of an earlier build.
     early = decode_loads(b'{"writers": {"limit": 4, "loads": []}}')
@@ -246,7 +247,7 @@
     server_id = "s9" if born_ms == 1 else "s1"
     harness.reports["s1"] = holdings(count=0, on_disk=frozenset(), born_ms=born_ms)
     entry = LoadEntry(server_id, 1, "m5", 2, ends_in(5))
-    begin_term_with_ledger(harness, ServiceLoads(2, frozenset({entry})))
+    begin_term_with_ledger(harness, ServiceRecord(2, frozenset({entry})))
     assert started_loads(harness) == ["m1"]
     assert len(orders(harness.advance_time(6.0))) == 1
 
@@ -257,11 +258,11 @@
     harness = harness_with_servers(busy=False)
     harness.reports["s1"] = holdings(count=count, on_disk=frozenset())
     entry = LoadEntry("s1", 1, "m5", 2, ends_in(5))
-    begin_term_with_ledger(harness, ServiceLoads(2, frozenset({entry})))
+    begin_term_with_ledger(harness, ServiceRecord(2, frozenset({entry})))
     assert len(started_loads(harness)) == 2
 
 
-def ledger_of_a_leader() -> ServiceLoads:
+def ledger_of_a_leader() -> ServiceRecord:
     """Return what a leader records; ``m5`` has had four requesters, who have left."""
     harness = harness_with_servers(busy=False)
     read = requests(harness.begin_term())[0]
@@ -274,7 +275,7 @@
     return decode_loads(swap.value)["writers"]
 
 
-def first_load(recorded: ServiceLoads) -> str:
+def first_load(recorded: ServiceRecord) -> str:
     """Return the first model that a new leader loads while one waits for ``m2``."""
     harness = harness_with_servers(busy=False)
     # The load of a lost server holds the only slot for a moment.
