Log the software version of servers, and what a request takes up

Change: server_seen and server_assigned name the version, request_ended the last event and the attempt in Resumes.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -70,6 +70,7 @@
     port: int
     # Start of the server in Unix milliseconds; None if not stated.
     born_ms: int | None = None
+    software_version: str = ""
 
     @property
     def start(self) -> ServerStart:
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -49,6 +49,8 @@
     last_event_id: str
     # All headers as received, by name in lower case.
     headers: dict[str, str] = attrs.field(repr=False)
+    # Id of the attempt that began the stream; empty if the request begins one.
+    resumed_id: str = ""
 
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
--- a/src/siskinspool/gateway/request_log.py
+++ b/src/siskinspool/gateway/request_log.py
@@ -76,6 +76,8 @@
             adapter=head.adapter,
             granted_by=self.granted_by,
             outcome=outcome,
+            last_event=head.last_event_id,
+            resumes=head.resumed_id,
             status=None if refusal is None else refusal.status,
             detail=None if refusal is None else refusal.detail,
             server=server_id,
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -303,6 +303,7 @@
             "server_assigned",
             request=call.request_id,
             server=record.server_id,
+            software=record.software_version,
             model=call.model,
             adapter=call.adapter,
             waited_s=now - waiting.since,
@@ -311,7 +312,11 @@
             repeat=call.repeat,
         )
         assigned = ServerAssigned(
-            record.server_id, record.host, record.port, record.holdings.born_ms
+            record.server_id,
+            record.host,
+            record.port,
+            record.holdings.born_ms,
+            record.software_version,
         )
         return Outgoing(waiting.sender, assigned)
 
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -88,6 +88,7 @@
                 server=record.server_id,
                 service=record.service,
                 zone=record.zone,
+                software=record.software_version,
                 state=record.state,
                 cold_s=record.cold_s,
             )
--- a/src/siskinspool/gateway/servers.py
+++ b/src/siskinspool/gateway/servers.py
@@ -53,6 +53,8 @@
     host: str
     port: int
     zone: str
+    # Version of the server's software. Versions have no order.
+    software_version: str
     slots: int
     state: ServerState
     # How much longer the server is cold, from the time the entry was written.
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -26,6 +26,8 @@
 PROMPT_PREFIX: Final = "prompt-prefix"
 # Id of the last event that the requester has received.
 LAST_EVENT_ID: Final = "last-event-id"
+# Id of the attempt that brought the first event of the stream.
+RESUMES: Final = "resumes"
 AUTHORIZATION: Final = "authorization"
 TENANT: Final = "tenant"
 EXPECT_INSTANCE: Final = "expect-instance"
@@ -107,6 +109,7 @@
         output_tokens=_length_hint(headers.get(LENGTH_HINT, "")),
         parts=_prompt_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID, ""),
+        resumed_id=headers.get(RESUMES, "").strip(),
         headers=dict(headers),
     )
 
--- a/src/siskinspool/platform/server_entries.py
+++ b/src/siskinspool/platform/server_entries.py
@@ -56,6 +56,8 @@
     service: str
     addr: str
     zone: str
+    # Of the server's software, not of its weights.
+    version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0
@@ -89,6 +91,7 @@
         host=endpoint.host,
         port=endpoint.port,
         zone=entry.zone,
+        software_version=entry.version,
         slots=entry.slots,
         state=ServerState(entry.state),
         cold_s=max(entry.cold_ms, 0) / MS_PER_S,
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -184,6 +184,7 @@
         "host": "127.0.0.1",
         "port": 1000,
         "zone": "a",
+        "software_version": "v1",
         "slots": 64,
         "state": ServerState.READY,
         "cold_s": 0.0,
