--- a/src/siskinspool/standins/gateway_site.py
+++ b/src/siskinspool/standins/gateway_site.py
@@ -116,12 +116,18 @@
         call_json(self.store.port, "POST", "/admin/faults", faults)
 
     def add_server(
-        self, server_id: str, service: str, *models: str, zone: str = "a"
+        self,
+        server_id: str,
+        service: str,
+        *models: str,
+        zone: str = "a",
+        software_version: str = "v1",
     ) -> Process:
         """Start a server; servers of the service ``writers`` are model servers."""
         port = free_ports(1)[0]
         options = ["--port", str(port), "--server-id", server_id, "--service", service]
         options += ["--store-port", str(self.store.port), "--zone", zone]
+        options += ["--software-version", software_version]
         for model in models:
             options += ["--model", model]
         if service == "writers":
--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -62,6 +62,7 @@
     store_port: int
     # None for a plain server.
     models: list[str] | None
+    software_version: str = "v1"
     load_s: float = 0.2
     event_s: float = 0.02
 
@@ -121,7 +122,7 @@
             "service": self._settings.service,
             "addr": f"127.0.0.1:{self._port}",
             "zone": self._settings.zone,
-            "version": "v1",
+            "version": self._settings.software_version,
             "slots": 8,
             "state": self._state,
             "cold_ms": 0,
@@ -299,6 +300,7 @@
 @click.option("--store-port", required=True, type=int)
 @click.option("--model", "models", multiple=True, help="A model loaded at the start.")
 @click.option("--engine/--plain", default=False)
+@click.option("--software-version", default="v1")
 def main(
     port: int,
     server_id: str,
@@ -307,6 +309,7 @@
     store_port: int,
     models: tuple[str, ...],
     engine: bool,
+    software_version: str,
 ) -> None:
     """Run the stand-in for a server of the platform."""
     settings = PlatformServerSettings(
@@ -315,6 +318,7 @@
         zone=zone,
         store_port=store_port,
         models=list(models) if engine else None,
+        software_version=software_version,
     )
     app = PlatformServerApp(settings)
     gevent.spawn(app.run_registration, port)
