Let a stream go on only at the software version that began it

Callers saw streams joined from two software versions of the servers (ORDER): a stream of v1.1 whose server crashed was completed by a server of v1, with 200 and nothing in the answer to show it, and take-ups went to any version.

Cause: a stream was identified by its last event alone. Nothing read the version in a server's registry entry, nor Resumes.

Change: a request whose stream has begun is assigned only servers of the version that began it, within one answer and when it is taken up. A take-up goes to the service of the request that it names.

--- a/src/siskinspool/core/errors.py
+++ b/src/siskinspool/core/errors.py
@@ -37,6 +37,7 @@
     IDEMPOTENCY_UNAVAILABLE = "idempotency_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
     STORE_UNAVAILABLE = "store_unavailable"
     NOT_CURRENT = "not_current"
     DRAINING = "draining"
--- a/src/siskinspool/gateway/admission.py
+++ b/src/siskinspool/gateway/admission.py
@@ -51,7 +51,8 @@
             tokens = team.plain_tokens
     return Admission(
         route=route,
-        service=_pick_service(route, head.request_id),
+        # A stream goes on at the service that began it.
+        service=_pick_service(route, head.resumed_id or head.request_id),
         team=team_name,
         tokens=tokens,
         priority=priority,
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -47,6 +47,7 @@
 from ..store.kv import KeyValueService
 from ..store.kv_events import EndSession
 from ..store.kv_task import KV_TASK, KvTask
+from ..streams.stream_messages import STREAMS_TASK
 from .bounds import Bounds
 from .caps import CapEnforcer
 from .front_task import FrontCodec, FrontTask
@@ -71,6 +72,7 @@
 from .routing import Routing
 from .scheduling_settings import SchedulingSettings
 from .server_control import OrdersTask, ServerControl
+from .stream_origins import StreamOrigins
 
 INCARNATION_BYTES: Final = 6
 # A server accepts a connection within a round trip or, if its accept queue is full,
@@ -94,6 +96,7 @@
 FEED_LISTENERS: Final = (
     FRONT_TASK,
     ROUTING_TASK,
+    STREAMS_TASK,
     CAPS_TASK,
     PLACEMENT_TASK,
     SCALING_TASK,
@@ -109,6 +112,7 @@
     CAPS_TASK,
     PLACEMENT_TASK,
     QUARANTINE_TASK,
+    STREAMS_TASK,
     *DUTY_TASKS,
 )
 
@@ -294,6 +298,7 @@
                     LEADERSHIP_TASK,
                     ISOLATION_TASK,
                     QUARANTINE_TASK,
+                    STREAMS_TASK,
                     CHANGE_FEED_TASK,
                     *DUTY_TASKS,
                 ),
@@ -321,6 +326,9 @@
             ),
             CAPS_TASK: CapEnforcer(settings.instance_id, bounds.cap),
             QUARANTINE_TASK: Quarantine(settings.instance_id, random.Random()),
+            STREAMS_TASK: StreamOrigins(
+                settings.instance_id, settings.first_start, now
+            ),
             PLACEMENT_TASK: Placement(
                 settings.instance_id, settings.first_start, settings.scheduling
             ),
--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -55,6 +55,8 @@
     max_wait_s: float
     # How long the requester can be served if it retries after a refusal.
     reach_s: float
+    # The version of the servers' software that began the stream; empty for any.
+    software_version: str = ""
     # The route, its timeout, and the remaining time that the requester states.
     route: str
     timeout_s: float
--- a/src/siskinspool/gateway/request_refusals.py
+++ b/src/siskinspool/gateway/request_refusals.py
@@ -14,6 +14,7 @@
 from .messages import AssignRefused
 
 RETRY_AFTER_S: Final = 0.3
+UNKNOWN_ORIGIN_RETRY_S: Final = 5.0
 
 
 def deadline_refusal(detail: str, *, may_have_run: bool) -> Refusal:
@@ -53,6 +54,19 @@
     )
 
 
+def unknown_origin_refusal() -> Refusal:
+    """Return the refusal of a stream of which nobody knows the software version.
+
+    A later attempt will hardly know more.
+    """
+    return Refusal(
+        503,
+        ErrorCode.STREAM_ORIGIN_UNKNOWN,
+        "the software version that began the stream is not known",
+        retry_after_s=UNKNOWN_ORIGIN_RETRY_S,
+    )
+
+
 def no_server_refusal(
     refused: AssignRefused | None, detail: str, *, may_have_run: bool
 ) -> Refusal:
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -57,6 +57,7 @@
     stopping_refusal,
 )
 from .request_time import RequestTime
+from .stream_origin_finder import StreamOriginFinder
 
 # Longest wait for the decision on tokens; the timeout for the owner is far shorter.
 CAPS_TIMEOUT_S: Final = 0.5
@@ -101,6 +102,7 @@
         )
         self._request_time = RequestTime.from_request(request)
         self._stream_position = StreamPosition.from_header(request.head.last_event_id)
+        self._origin = StreamOriginFinder(request, context)
         # Servers that rejected the request, and servers at which it failed.
         self._rejecting_servers: set[str] = set()
         self._failed_servers: set[str] = set()
@@ -172,7 +174,7 @@
     def _run(self) -> None:
         timer = gevent.Timeout.start_new(max(self._remaining_s(), 0.001))
         try:
-            refusal = self._spend_tokens()
+            refusal = self._origin.find_taken_up() or self._spend_tokens()
             if refusal is None:
                 refusal = self._run_attempts()
         except gevent.Timeout as expired:
@@ -233,6 +235,8 @@
                 return self._final_failure(detail)
             if self._may_have_run and not self._may_repeat():
                 return self._final_failure(detail)
+            if self._stream_start is not None and not self._origin.confirm():
+                return self._final_failure(f"{detail}; its version is not known")
 
     def _request_server(self) -> ServerAssigned | AssignRefused | None:
         head, admission = self.request.head, self.request.admission
@@ -252,6 +256,7 @@
             avoided=frozenset(self._failed_servers),
             repeat=self._has_arrived,
             max_wait_s=max_wait_s,
+            software_version=self._origin.software_version,
             reach_s=self._request_time.reach_s(now),
             route=admission.route.name,
             timeout_s=admission.route.timeout_s,
@@ -437,6 +442,7 @@
             )
             self._notify_routing(received)
         if self._stream_start is None:
+            self._origin.begin(assigned)
             # A stream resumed at another server keeps the headers of the first one.
             self._stream_start = answer_head
             headers = self._context.codec.answer_headers(answer.headers)
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -250,7 +250,8 @@
         if assigned is not None:
             self._policy.order.record_served(waiting.entry)
             return [assigned]
-        refusal = self._refuse_if_paused(waiting, now)
+        refusal = self._refuse_if_version_gone(waiting, now)
+        refusal = refusal or self._refuse_if_paused(waiting, now)
         if refusal is not None:
             return [refusal]
         self._requesters.add(waiting)
@@ -274,7 +275,10 @@
                 return False
             assigned = self._assign(waiting, now)
             if assigned is None:
-                if not waiting.call.excluded and self._policy.blocks_target(entry, now):
+                is_for_any = not waiting.call.excluded and (
+                    not waiting.call.software_version
+                )
+                if is_for_any and self._policy.blocks_target(entry, now):
                     blocked_targets.add(waiting.target)
                 batch.extend(self._request_placement(waiting.call, now))
                 return False
@@ -388,6 +392,17 @@
         self._paused_refusals += 1
         return self._refuse(waiting, "its servers were paused", now)
 
+    def _refuse_if_version_gone(
+        self, waiting: WaitingRequest, now: float
+    ) -> Outgoing | None:
+        """Refuse a stream to go on if no server of its software version is left."""
+        call = waiting.call
+        if not call.software_version or self._views.has_version(
+            call.service, call.software_version
+        ):
+            return None
+        return self._refuse(waiting, "its software version is gone", now)
+
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         wait_s = self._policy.expected_wait_s(waiting.call.request_id)
         refused = RefusedRequest(
--- a/src/siskinspool/gateway/server_candidates.py
+++ b/src/siskinspool/gateway/server_candidates.py
@@ -38,6 +38,7 @@
         record = view.record
         return (
             record.service == call.service
+            and call.software_version in ("", record.software_version)
             and record.server_id not in call.excluded
             and record.zone not in self._views.evacuated_zones
             and view.is_open(now)
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -184,6 +184,16 @@
         )
         return opens_at if now < opens_at < math.inf else None
 
+    def has_version(self, service: str, software_version: str) -> bool:
+        """Return whether a server of a service that may get requests has a version."""
+        return any(
+            view.record.service == service
+            and view.record.software_version == software_version
+            and view.record.state is ServerState.READY
+            and view.record.zone not in self.evacuated_zones
+            for view in self.by_id.values()
+        )
+
     def is_holder_back_soon(self, model: str, adapter: str, now: float) -> bool:
         """Return whether a paused server with a model is back before a load ends."""
         return self.signals.has_pauses and any(
--- a/tests/builders_front_ends.py
+++ b/tests/builders_front_ends.py
@@ -21,6 +21,7 @@
 )
 from siskinspool.contracts.retry_budget import RetryBudget
 from siskinspool.core.clock import Clock, MonotonicClock
+from siskinspool.core.decision import Decision
 from siskinspool.core.dispatcher import Dispatcher, Inbox
 from siskinspool.core.errors import ErrorCode
 from siskinspool.core.message import Incoming, Message, Outgoing
@@ -36,6 +37,7 @@
 )
 from siskinspool.gateway.request_context import GatewayRequest, RequestContext
 from siskinspool.gateway.request_task import RequestTask
+from siskinspool.gateway.stream_origins import StreamOrigins
 from siskinspool.links.call_task import CallContext, CallTask
 from siskinspool.links.caller import CallerSink, CutStreamError, respond
 from siskinspool.links.server_link import HttpServerLink
@@ -46,6 +48,7 @@
 )
 from siskinspool.manifest.model import RequestClass
 from siskinspool.platform.front_codec import PlatformFrontCodec
+from siskinspool.streams.stream_messages import STREAMS_TASK
 
 from .builders_gateway import head, route
 
@@ -95,7 +98,9 @@
             case AssignServer() if port is None:
                 return AssignRefused(ErrorCode.NO_SERVER, "no further server", 0.1)
             case AssignServer():
-                return ServerAssigned(f"s{port}", "127.0.0.1", port or 0)
+                return ServerAssigned(
+                    f"s{port}", "127.0.0.1", port or 0, software_version="v1"
+                )
             case RouteCall(call_id=call_id) if port is None:
                 return CallRefused(call_id, ErrorCode.NO_SERVER, "no server", 0.1)
             case RouteCall(call_id=call_id):
@@ -103,6 +108,24 @@
         return None
 
 
+class _DecisionInbox(Inbox):
+    """Runs a decision without a task of its own."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, task: str, decision: Decision, clock: Clock
+    ) -> None:
+        self._dispatcher, self._task = dispatcher, task
+        self._decision, self._clock = decision, clock
+        dispatcher.register(task, self)
+
+    def post(self, incoming: Incoming) -> bool:
+        """Let the decision handle a message."""
+        sender = self._dispatcher.address(self._task)
+        for outgoing in self._decision.handle(incoming, self._clock.now()):
+            self._dispatcher.send(sender, outgoing)
+        return True
+
+
 class _ClaimsStub(Inbox):
     """Grants every claim and stores the recorded outcomes."""
 
@@ -168,6 +191,8 @@
         """Send a request; its attempts go to servers on these ports, in order."""
         dispatcher, clock = Dispatcher("g1"), MonotonicClock()
         _ServerAssignmentStub(dispatcher, ROUTING_TASK, list(ports))
+        origins = StreamOrigins("g1", True, clock.now())
+        _DecisionInbox(dispatcher, STREAMS_TASK, origins, clock)
         codec = PlatformFrontCodec()
         context = RequestContext(
             dispatcher=dispatcher,
