Take no answer for one whose status is above 599

Cause: the parser accepts any three digits; a status of 600 reached the caller.

Change: the link to servers, which both front ends use, takes only 200 to 599.

Evidence: the four cases of status 600 of test_answer_without_a_final_status_is_no_answer failed before.

--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -236,6 +236,10 @@
             # The socket's timeout applies to each read; bytes may arrive one by one.
             with gevent.Timeout(timeout_s, TimeoutError("no head in time")):
                 response = ServerResponse(answer_sock, request.method)
+            if not response.has_valid_status:
+                raise ValueError(
+                    f"no final answer has the status {response.get_code()}"
+                )
         except Exception as error:
             answer_sock.close()
             return _lost(answer_sock, _reason(error))
--- a/src/siskinspool/links/server_response.py
+++ b/src/siskinspool/links/server_response.py
@@ -21,6 +21,8 @@
 
 # Lower codes are interim answers that precede the final one.
 MIN_FINAL_STATUS: Final = 200
+# Higher codes have no meaning (RFC 9110, section 15).
+MAX_FINAL_STATUS: Final = 599
 EVENT_END: Final = b"\n\n"
 
 
@@ -41,6 +43,11 @@
         self._answer_sock = sock
         super().__init__(cast(socket.socket, sock), method=method)
 
+    @property
+    def has_valid_status(self) -> bool:
+        """Return whether the status is one of a final answer."""
+        return MIN_FINAL_STATUS <= self._status <= MAX_FINAL_STATUS
+
     def get_code(self) -> int:
         """Return the status code."""
         return self._status
--- a/tests/builders_front_ends.py
+++ b/tests/builders_front_ends.py
@@ -177,7 +177,11 @@
 
     @abstractmethod
     def send(
-        self, *ports: int, is_repeatable: bool = False, events: bool = False
+        self,
+        *ports: int,
+        is_repeatable: bool = False,
+        events: bool = False,
+        body: bytes = b"sheet",
     ) -> ReceivedAnswer:
         """Send a request; its attempts go to servers on these ports, in order."""
 
@@ -186,7 +190,11 @@
     """The platform's front end."""
 
     def send(
-        self, *ports: int, is_repeatable: bool = False, events: bool = False
+        self,
+        *ports: int,
+        is_repeatable: bool = False,
+        events: bool = False,
+        body: bytes = b"sheet",
     ) -> ReceivedAnswer:
         """Send a request; its attempts go to servers on these ports, in order."""
         dispatcher, clock = Dispatcher("g1"), MonotonicClock()
@@ -210,7 +218,7 @@
             keeps_authorization=False,
         )
         request = GatewayRequest(
-            head=head(), body=b"sheet", admission=admission, arrived_at=clock.now()
+            head=head(), body=body, admission=admission, arrived_at=clock.now()
         )
         sink = FrontSink(codec)
         task = RequestTask(request, context, sink)
@@ -229,7 +237,11 @@
         self.finished: list[FinishClaim] = []
 
     def send(
-        self, *ports: int, is_repeatable: bool = False, events: bool = False
+        self,
+        *ports: int,
+        is_repeatable: bool = False,
+        events: bool = False,
+        body: bytes = b"sheet",
     ) -> ReceivedAnswer:
         """Send a request; its attempts go to servers on these ports, in order."""
         dispatcher, clock = Dispatcher("i1"), MonotonicClock()
@@ -242,7 +254,7 @@
             retry_budget=RetryBudget(),
         )
         sink = CallerSink()
-        call = _call(clock, is_repeatable, events, self._idempotency_key)
+        call = _call(clock, is_repeatable, events, self._idempotency_key, body)
         task = CallTask(call, context, sink)
         task.start()
         self.inject_fault(task)
@@ -276,7 +288,9 @@
     )
 
 
-def _call(clock: Clock, is_repeatable: bool, events: bool, key: str) -> Call:
+def _call(
+    clock: Clock, is_repeatable: bool, events: bool, key: str, body: bytes
+) -> Call:
     return Call(
         id="c1",
         team="",
@@ -293,5 +307,5 @@
         method="POST",
         uri="/v1/chat/completions",
         headers={},
-        body=b"{}",
+        body=body,
     )
--- a/tests/builders_scripted_server.py
+++ b/tests/builders_scripted_server.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager, suppress
 
 import attrs
+import gevent
 from gevent import socket
 from gevent.server import StreamServer
 
@@ -66,6 +67,30 @@
         listener.stop(timeout=0.1)
 
 
+@contextmanager
+def early_answer_server(beginning: bytes, delay_s: float) -> Iterator[ScriptedServer]:
+    """Run a server that answers once it has a head, and resets the connection.
+
+    It does so after a delay, and reads nothing more of the body.
+    """
+    server = ScriptedServer([])
+
+    def handle(sock: socket.socket, _: object) -> None:
+        request = sock.recv(4_096)
+        server.requests.append(request)
+        sock.sendall(beginning.replace(REQUEST_ID_PLACEHOLDER, _request_id(request)))
+        gevent.sleep(delay_s)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+    listener = StreamServer(("127.0.0.1", 0), handle)
+    listener.start()
+    server.port = int(listener.server_port or 0)
+    try:
+        yield server
+    finally:
+        listener.stop(timeout=0.1)
+
+
 @contextmanager
 def silent_server() -> Iterator[ScriptedServer]:
     """Run a server that reads requests and never answers."""
--- a/tests/test_short_answers.py
+++ b/tests/test_short_answers.py
@@ -8,6 +8,7 @@
 from .builders_scripted_server import (
     RESET,
     answer,
+    early_answer_server,
     event,
     refusal,
     scripted_server,
@@ -19,6 +20,8 @@
 DONE = b"data: [DONE]\n\n"
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 HEAD_END = b"\r\n\r\n"
+# Larger than what the sockets buffer.
+UPLOAD = b"x" * 6_000_000
 HALF_EVENT = b"id: 3\ndata: pie"
 
 
@@ -144,3 +147,28 @@
         received = front.send(server.port, events=True)
     assert (received.status, received.body) == (200, body)
     assert received.is_whole
+
+
+@pytest.mark.parametrize("events", [False, True], ids=["plain", "stream"])
+@pytest.mark.parametrize("status", [b"000", b"099", b"100", b"101", b"199", b"600"])
+def test_answer_without_a_final_status_is_no_answer(
+    front: FrontEnd, status: bytes, events: bool
+) -> None:
+    """Guards against forwarding an answer whose status is none of a final answer."""
+    script = answer(200, b"ran").replace(b" 200 ", b" %b " % status)
+    with scripted_server(script) as server:
+        assert front.send(server.port, events=events).status == 502
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05], ids=["at-once", "later"])
+@pytest.mark.parametrize("begins", [unframed(b"the whole"), unframed_stream(event(1))])
+def test_early_answer_that_is_reset_during_an_upload_is_no_answer(
+    front: FrontEnd, begins: bytes, delay_s: float
+) -> None:
+    """Guards against a part of a body that passes for all of it.
+
+    The error of a failed write may hide the reset from the reads that follow.
+    """
+    with early_answer_server(begins, delay_s) as server:
+        received = front.send(server.port, body=UPLOAD)
+    assert received.status == 502
