Decode only the known fields of etcd's answers

Cause: etcd's answers were decoded as arbitrary JSON, which takes many times its bytes; only the platform's store had typed answers.

Change: EtcdAnswer with the fields that are read; a conflict has one response.

Measured: test_answer_of_many_short_values_takes_little_memory covers both stores; its case of etcd and test_conflict_of_many_responses_is_a_lost_answer are new.

--- a/src/siskinspool/store/etcd.py
+++ b/src/siskinspool/store/etcd.py
@@ -21,6 +21,13 @@
 
 from ..core.malformed import MALFORMED_ERRORS
 from .bounded_client import BoundedClient
+from .etcd_messages import (
+    EtcdAnswer,
+    EtcdEntry,
+    EtcdResult,
+    answer_decoder,
+    conflict_decoder,
+)
 from .kv import (
     KeyValueService,
     KvItem,
@@ -61,11 +68,11 @@
     return b"\0"
 
 
-def _parse_item(entry: Json) -> KvItem:
+def _parse_item(entry: EtcdEntry) -> KvItem:
     return KvItem(
-        key=_decode(entry["key"]).decode(),
-        value=_decode(entry.get("value", "")),
-        revision=int(entry["mod_revision"]),
+        key=_decode(entry.key).decode(),
+        value=_decode(entry.value),
+        revision=int(entry.mod_revision),
     )
 
 
@@ -89,8 +96,7 @@
     def get(self, key: str) -> KvItem | None:
         """Return a key, or None if it does not exist."""
         answer = self._call("/v3/kv/range", {"key": _encode(key.encode())})
-        items = answer.get("kvs", [])
-        return _parse_item(items[0]) if items else None
+        return _parse_item(answer.kvs[0]) if answer.kvs else None
 
     def list(self, prefix: str) -> tuple[KvItem, ...]:
         """Return all keys with a prefix, in key order."""
@@ -101,7 +107,7 @@
             "sort_order": "ASCEND",
         }
         answer = self._call("/v3/kv/range", body)
-        return tuple(_parse_item(entry) for entry in answer.get("kvs", []))
+        return tuple(_parse_item(entry) for entry in answer.kvs)
 
     def swap(
         self, key: str, expected_revision: int, value: bytes, lease_id: int | None
@@ -111,27 +117,29 @@
         if lease_id is not None:
             put["lease"] = str(lease_id)
         answer = self._transaction(key, expected_revision, {"request_put": put})
-        if not answer.get("succeeded", False):
+        if not answer.succeeded:
             return self._conflict(answer)
-        return SwapResult(True, value, int(answer["header"]["revision"]))
+        return SwapResult(True, value, int(answer.header.revision))
 
     def delete(self, key: str, expected_revision: int) -> SwapResult:
         """Delete a key if its revision is the expected one."""
         remove = {"request_delete_range": {"key": _encode(key.encode())}}
         answer = self._transaction(key, expected_revision, remove)
-        if not answer.get("succeeded", False):
+        if not answer.succeeded:
             return self._conflict(answer)
-        return SwapResult(True, None, int(answer["header"]["revision"]))
+        return SwapResult(True, None, int(answer.header.revision))
 
     def grant_lease(self, ttl_s: float) -> Lease:
         """Grant a lease; the service rounds up to whole seconds."""
         answer = self._call("/v3/lease/grant", {"TTL": str(math.ceil(ttl_s))})
-        return Lease(int(answer["ID"]), float(answer["TTL"]))
+        if answer.lease_id is None or answer.ttl_s is None:
+            raise LostAnswerError("the answer states no lease")
+        return Lease(int(answer.lease_id), float(answer.ttl_s))
 
     def keep_alive(self, lease_id: int) -> float | None:
         """Renew a lease; return the time to live, or None if the lease is gone."""
         answer = self._call("/v3/lease/keepalive", {"ID": str(lease_id)})
-        ttl_s = float(answer.get("result", {}).get("TTL", 0))
+        ttl_s = float(answer.result.ttl_s)
         return ttl_s if ttl_s > 0 else None
 
     def revoke_lease(self, lease_id: int) -> None:
@@ -162,13 +170,15 @@
             )
             for line in _read_lines(response):
                 client.renew_limit(response)
-                yield from _parse_watch_events(json.loads(line).get("result", {}))
+                yield from _parse_watch_events(answer_decoder.decode(line).result)
         except (OSError, HTTPException, *MALFORMED_ERRORS) as error:
             raise LostAnswerError(str(error)) from error
         finally:
             client.close()
 
-    def _transaction(self, key: str, expected_revision: int, success: Json) -> Json:
+    def _transaction(
+        self, key: str, expected_revision: int, success: Json
+    ) -> EtcdAnswer:
         name = _encode(key.encode())
         body = {
             "compare": [
@@ -185,14 +195,18 @@
         return self._call("/v3/kv/txn", body)
 
     @staticmethod
-    def _conflict(answer: Json) -> SwapResult:
-        entries = answer["responses"][0]["response_range"].get("kvs", [])
+    def _conflict(answer: EtcdAnswer) -> SwapResult:
+        try:
+            (response,) = conflict_decoder.decode(answer.responses)
+        except MALFORMED_ERRORS as error:
+            raise LostAnswerError(f"cannot decode a conflict: {error}") from error
+        entries = response.response_range.kvs
         if not entries:
             return SwapResult(False, None, 0)
         item = _parse_item(entries[0])
         return SwapResult(False, item.value, item.revision)
 
-    def _call(self, path: str, body: Json) -> Json:
+    def _call(self, path: str, body: Json) -> EtcdAnswer:
         try:
             response = self._client.post(
                 path, body=json.dumps(body), headers=_JSON_HEADERS
@@ -210,10 +224,9 @@
         if status != 200:
             raise LostAnswerError(f"the key-value service answers {status}")
         try:
-            answer: Json = json.loads(data)
+            return answer_decoder.decode(data)
         except MALFORMED_ERRORS as error:
-            raise LostAnswerError("the answer is not JSON") from error
-        return answer
+            raise LostAnswerError(f"cannot decode the answer: {error}") from error
 
 
 _JSON_HEADERS: Final = {"Content-Type": "application/json"}
@@ -224,16 +237,10 @@
         yield line
 
 
-def _parse_watch_events(result: Json) -> Iterator[WatchEvent]:
-    revision = int(result.get("header", {}).get("revision", 0))
-    events = result.get("events", [])
-    if not events:
-        yield WatchEvent(None, None, revision)
-    for event in events:
-        entry = event["kv"]
-        is_deleted = event.get("type") == "DELETE"
-        yield WatchEvent(
-            key=_decode(entry["key"]).decode(),
-            value=None if is_deleted else _decode(entry.get("value", "")),
-            revision=int(entry["mod_revision"]),
-        )
+def _parse_watch_events(result: EtcdResult) -> Iterator[WatchEvent]:
+    if not result.events:
+        yield WatchEvent(None, None, int(result.header.revision))
+    for event in result.events:
+        item = _parse_item(event.kv)
+        value = None if event.type == "DELETE" else item.value
+        yield WatchEvent(item.key, value, item.revision)
--- a/tests/test_endless_store.py
+++ b/tests/test_endless_store.py
@@ -16,7 +16,7 @@
 from siskinspool.store.kv import KeyValueService, LostAnswerError, SwapResult
 
 from .builders_endless_server import PIECE_BYTES, EndlessServer, endless_server
-from .builders_scripted_server import scripted_server
+from .builders_scripted_server import ScriptedServer, scripted_server
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -39,11 +39,11 @@
 }
 
 
-def platform_store(server: EndlessServer) -> KeyValueService:
+def platform_store(server: EndlessServer | ScriptedServer) -> KeyValueService:
     return PlatformStore(Endpoint(host="127.0.0.1", port=server.port))
 
 
-def etcd(server: EndlessServer) -> KeyValueService:
+def etcd(server: EndlessServer | ScriptedServer) -> KeyValueService:
     return EtcdKeyValueService("127.0.0.1", server.port)
 
 
@@ -81,20 +81,33 @@
         assert server.connections_open == 0
 
 
-def test_answer_of_many_short_values_takes_little_memory() -> None:
+@pytest.mark.parametrize(
+    ("connect", "field"), [(platform_store, b"items"), (etcd, b"kvs")]
+)
+def test_answer_of_many_short_values_takes_little_memory(
+    connect: Callable[[ScriptedServer], KeyValueService], field: bytes
+) -> None:
     """Guards against JSON that takes many times its bytes once it is decoded."""
-    body = b'{"items":[' + SHORT_VALUES + b"[]]}"
+    body = b'{"' + field + b'":[' + SHORT_VALUES + b"[]]}"
     answer = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
     tracemalloc.start()
     try:
         with scripted_server(answer) as server, pytest.raises(LostAnswerError):
-            PlatformStore(Endpoint(host="127.0.0.1", port=server.port)).list("k")
+            connect(server).list("k")
         _, peak_bytes = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
     assert peak_bytes < 4 * MAX_ANSWER_BYTES
 
 
+def test_conflict_of_many_responses_is_a_lost_answer() -> None:
+    """Guards against responses to reads that no transaction has asked for."""
+    body = b'{"responses":[' + b'{"response_range":{}},' * 1_000 + b"{}]}"
+    answer = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    with scripted_server(answer) as server, pytest.raises(LostAnswerError):
+        etcd(server).delete("k", 7)
+
+
 def test_conflict_with_a_missing_key_is_a_conflict() -> None:
     """Guards against a lost answer where the store states only the key's name."""
     body = b'{"items":[{"key":"k"}]}'
