Let the socket, not the limit, yield to other greenlets

ReceiveLimit decides when its reader yields and does nothing itself, as other plain classes of protection/; a turn is named a yield, the term of the field.

--- a/src/siskinspool/links/answer_socket.py
+++ b/src/siskinspool/links/answer_socket.py
@@ -5,13 +5,14 @@
 bytes. An `AnswerSocket` therefore counts the received bytes and what the parser makes
 of them (`record_parsed`) together, against the limit of the answer and against the
 memory that all unfinished answers share (`AnswerAllowance`). The same count decides
-when other greenlets have their turn (`ReceiveLimit`).
+when the reader yields to other greenlets (`ReceiveLimit`).
 """
 
 from __future__ import annotations
 
 from typing import Final
 
+import gevent
 from gevent import socket
 
 from ..protection.receive_limit import ReceiveLimit
@@ -50,7 +51,8 @@
 
     def recv(self, size: int) -> bytes:
         """Receive some bytes; raise an error if they exceed a limit."""
-        self._limit.take_turn()
+        if self._limit.should_yield():
+            gevent.sleep(0)
         try:
             data = self._sock.recv(size)
         except ConnectionError:
--- a/src/siskinspool/protection/receive_limit.py
+++ b/src/siskinspool/protection/receive_limit.py
@@ -1,18 +1,16 @@
-"""Limits what is received from one peer, and how long it keeps the process busy.
+"""Decides how much is received from one peer, and when its reader yields.
 
 A socket on which bytes have always arrived never switches its greenlet, so that no
 other greenlet runs and no timeout fires. `ReceiveLimit` counts the cost of what is
-received, in bytes, and lets the others run after each `TURN_BYTES` of it.
+received, in bytes; the socket that uses it yields after each `YIELD_BYTES` of it.
 """
 
 from __future__ import annotations
 
 from typing import Final
 
-import gevent
-
-# Cost of what is received before the other greenlets run.
-TURN_BYTES: Final = 64 * 1024
+# Cost of what is received before the reader yields to the other greenlets.
+YIELD_BYTES: Final = 64 * 1024
 
 
 class TooMuchReceivedError(ConnectionError):
@@ -24,22 +22,23 @@
 
     def __init__(self) -> None:
         self._remaining_bytes = 0
-        # Cost since the others had their turn.
-        self._turn_bytes = 0
+        # Cost since the reader yielded.
+        self._unyielded_bytes = 0
 
     def renew(self, size: int) -> None:
         """Set the cost of what may be received from now on, in bytes."""
         self._remaining_bytes = size
 
-    def take_turn(self) -> None:
-        """Let the others run if it is time; called before more is received."""
-        if self._turn_bytes >= TURN_BYTES:
-            self._turn_bytes = 0
-            gevent.sleep(0)
+    def should_yield(self) -> bool:
+        """Return whether to yield before more is received; a yes is given once."""
+        is_due = self._unyielded_bytes >= YIELD_BYTES
+        if is_due:
+            self._unyielded_bytes = 0
+        return is_due
 
     def count(self, cost_bytes: int) -> None:
         """Count what was received; raise TooMuchReceivedError beyond the limit."""
-        self._turn_bytes += cost_bytes
+        self._unyielded_bytes += cost_bytes
         self._remaining_bytes -= cost_bytes
         if self._remaining_bytes < 0:
-            raise TooMuchReceivedError("the answer is too large")
+            raise TooMuchReceivedError("the peer has sent too much")
--- a/src/siskinspool/store/bounded_client.py
+++ b/src/siskinspool/store/bounded_client.py
@@ -3,13 +3,14 @@
 The library's client reads until an answer ends. A peer may send bytes without end, and
 as long as they have always arrived, the greenlet that reads them is never switched.
 `BoundedClient` limits the bytes of a head, those of an answer and the number of header
-lines, each of which is kept as objects, and lets other greenlets run in between.
+lines, each of which is kept as objects, and yields to other greenlets in between.
 """
 
 from __future__ import annotations
 
 from typing import Any, Final
 
+import gevent
 from gevent import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
@@ -32,7 +33,8 @@
 
     def recv(self, *args: Any) -> bytes:
         """Receive some bytes; raise TooMuchReceivedError beyond the limit."""
-        self.limit.take_turn()
+        if self.limit.should_yield():
+            gevent.sleep(0)
         data: bytes = super().recv(*args)
         self.limit.count(len(data))
         return data
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -47,7 +47,7 @@
 from siskinspool.machines.report_messages import PollServer
 from siskinspool.machines.report_poller import ReportPoller
 from siskinspool.platform.server_calls import PlatformServerControl
-from siskinspool.protection.receive_limit import TURN_BYTES
+from siskinspool.protection.receive_limit import YIELD_BYTES
 
 from . import builders
 from .builders_endless_server import (
@@ -154,7 +154,7 @@
 def test_endless_trailers_take_no_memory(as_events: bool) -> None:
     """Guards against a single answer that takes many times the bytes it sent.
 
-    The parser kept each trailer as objects: 130 MB for one answer of 8 MB.
+    The parser kept each trailer as objects: 128 MB for one answer of 8 MB.
     """
     beginning = CHUNKED + chunk(EVENT) + b"0\r\n"
     with (
@@ -210,44 +210,47 @@
 
 
 @contextmanager
-def turns_of_others() -> Iterator[Callable[[], int]]:
-    """Run another greenlet; the result returns how often it had its turn."""
-    turns = 0
+def runs_of_others() -> Iterator[Callable[[], int]]:
+    """Start another greenlet; the result returns how often it has run."""
+    runs = 0
 
     def run() -> None:
-        nonlocal turns
+        nonlocal runs
         while True:
-            turns += 1
+            runs += 1
             gevent.sleep(0)
 
     beside = gevent.spawn(run)
     try:
-        yield lambda: turns
+        yield lambda: runs
     finally:
         beside.kill()
 
 
 @pytest.mark.parametrize(
-    ("beginning", "piece", "bytes_per_turn"),
+    ("beginning", "piece", "bytes_per_yield"),
     [
-        (CHUNKED, chunk(b"a" * (PIECE_BYTES - 16)), TURN_BYTES),
-        (CHUNKED + b"1;", b"a" * PIECE_BYTES, TURN_BYTES),
+        (CHUNKED, chunk(b"a" * (PIECE_BYTES - 16)), YIELD_BYTES),
+        (CHUNKED + b"1;", b"a" * PIECE_BYTES, YIELD_BYTES),
         (CHUNKED, ONE_BYTE_CHUNKS, 2 * PIECE_BYTES),
     ],
     ids=["body", "extension", "one-byte-chunks"],
 )
 def test_others_run_while_a_body_is_read(
-    monkeypatch: pytest.MonkeyPatch, beginning: bytes, piece: bytes, bytes_per_turn: int
+    monkeypatch: pytest.MonkeyPatch,
+    beginning: bytes,
+    piece: bytes,
+    bytes_per_yield: int,
 ) -> None:
     """Guards against an answer that keeps the process to itself while it arrives."""
     source = EndlessSocket(beginning, piece)
     monkeypatch.setattr(socket, "create_connection", lambda *_: source)
     answer = HttpServerLink().open_call(ANY_REQUEST, 60.0)
     assert not isinstance(answer, NotSent | Lost)
-    with turns_of_others() as turns:
+    with runs_of_others() as runs:
         assert isinstance(answer.read_all(), Lost)
-        # A turn comes after the block that reaches its size, and none after the end.
-        max_bytes = (turns() + 1) * (bytes_per_turn + PIECE_BYTES)
+        # The reader yields after the block that reaches the size, not after the end.
+        max_bytes = (runs() + 1) * (bytes_per_yield + PIECE_BYTES)
         assert source.received_bytes <= max_bytes
 
 
