--- a/src/siskinspool/gateway/front_task.py
+++ b/src/siskinspool/gateway/front_task.py
@@ -27,11 +27,13 @@
 from ..links.caller_watch import CallerWatch
 from ..links.http_server import (
     HEAD_TIMEOUT_S,
-    MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
     SOCKET_TIMEOUT_S,
     CallerHandler,
     CallerServer,
+)
+from ..links.received_request import (
+    MAX_BODY_BYTES,
     ReceivedBody,
     read_body,
     request_headers,
--- a/src/siskinspool/links/frontend.py
+++ b/src/siskinspool/links/frontend.py
@@ -53,8 +53,9 @@
 )
 from .caller_watch import CallerWatch
 from .frontend_messages import CallFinished
-from .http_server import CallerHandler, CallerServer, read_request
+from .http_server import CallerHandler, CallerServer
 from .patient_pages import accepted_page, patient_page, patient_refusal
+from .received_request import read_request
 from .runner_messages import RunsInProgress
 from .status import InstanceState, StatusPages, model_list
 
--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -4,9 +4,8 @@
 header section and checks it, ends a cut answer without the final chunk, and logs
 connection errors.
 `CallerServer` keeps the number of connections within the limit of its table.
-`read_body` reads a body within limits on its size, its pace and the memory of all
-bodies, and `read_request` a whole request. After an answer that leaves a part of a body
-unread, the connection closes, because that part must not be read as the next request.
+After an answer that leaves a part of a body unread, the connection closes, because that
+part must not be read as the next request. `received_request` reads the bodies.
 """
 
 from __future__ import annotations
@@ -15,35 +14,31 @@
 from http import HTTPStatus
 from typing import Any, Final, cast
 
-import attrs
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from ..contracts.call import HttpRequest
 from ..core.errors import ErrorCode
 from ..core.outcome import Refusal, RunState
-from ..protection.body_reader import BodyFailure, BodyReader
-from ..protection.caller_protection import BodyRoom, CallerProtection
+from ..protection.caller_protection import CallerProtection
 from ..protection.connection_table import Connection, ConnectionPhase, ConnectionTable
 from ..protection.limit_counters import Limit
 from ..telemetry.logs import log_event
 from .caller import CutStreamError, refusal_item
 from .header_section import HeaderSection, HeadersTooLargeError
+from .received_request import (
+    BODY_TOO_LARGE,
+    MAX_BODY_BYTES,
+    OVERLOAD_RETRY_S,
+    stop_reading_body,
+)
 
 logger = logging.getLogger(__name__)
 
-MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
 # Timeout for each read or write on a caller's connection.
 SOCKET_TIMEOUT_S: Final = 30.0
 # Time for a header section, from its first byte.
 HEAD_TIMEOUT_S: Final = 10.0
-# Longest window of the least progress of a body: a slow caller is served, and one that
-# sends a byte now and then is not.
-PIECE_TIMEOUT_S: Final = 30.0
-# Callers that were refused for lack of room may come again after this time; a body
-# waits about as long for room.
-OVERLOAD_RETRY_S: Final = 1.0
 # New connections that are accepted before the others get their turn. Each holds a
 # descriptor until its greenlet has run.
 MAX_ACCEPT: Final = 20
@@ -63,36 +58,12 @@
 _HEADERS_TOO_SLOW: Final = Refusal(
     408, ErrorCode.REQUEST_TIMEOUT, "the headers did not arrive in time"
 )
-_BODY_TOO_LARGE: Final = Refusal(413, ErrorCode.BODY_TOO_LARGE, "the body is too large")
-_BODY_TOO_SLOW: Final = Refusal(
-    408, ErrorCode.REQUEST_TIMEOUT, "the body did not arrive in time"
-)
-_BODY_INCOMPLETE: Final = Refusal(400, ErrorCode.BAD_REQUEST, "the body ended early")
-_BODY_SHED: Final = Refusal(
-    408,
-    ErrorCode.REQUEST_TIMEOUT,
-    "the body came too slowly while memory was short",
-    retry_after_s=OVERLOAD_RETRY_S,
-)
-_NO_ROOM: Final = Refusal(
-    503,
-    ErrorCode.OVERLOADED,
-    "there is no memory for the body at present",
-    retry_after_s=OVERLOAD_RETRY_S,
-)
 _NO_CONNECTION: Final = Refusal(
     503,
     ErrorCode.OVERLOADED,
     "too many connections",
     retry_after_s=OVERLOAD_RETRY_S,
 )
-_REFUSAL_BY_FAILURE: Final = {
-    BodyFailure.TOO_LARGE: _BODY_TOO_LARGE,
-    BodyFailure.TOO_SLOW: _BODY_TOO_SLOW,
-    BodyFailure.SHED: _BODY_SHED,
-    BodyFailure.NO_ROOM: _NO_ROOM,
-    BodyFailure.INCOMPLETE: _BODY_INCOMPLETE,
-}
 _NOT_HTTP: Final = Refusal(
     400, ErrorCode.BAD_REQUEST, "the request line or the headers cannot be read"
 )
@@ -216,7 +187,7 @@
         self._head_bytes = section.read_bytes
         section.check_framing(self.request_version)
         if (self.content_length or 0) > MAX_BODY_BYTES:
-            raise _RefusedRequestError(_BODY_TOO_LARGE)
+            raise _RefusedRequestError(BODY_TOO_LARGE)
         return valid
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
@@ -267,7 +238,7 @@
         if not self._has_unread_body():
             return
         self.close_connection = True
-        _stop_reading(self.wsgi_input)
+        stop_reading_body(self.wsgi_input)
         headers = cast(list[tuple[bytes, bytes]], self.response_headers)
         if all(name.lower() != b"connection" for name, _ in headers):
             headers.append((b"Connection", b"close"))
@@ -322,92 +293,3 @@
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
-
-
-@attrs.frozen
-class ReceivedBody:
-    """The body of a request, with the room that it takes until `release`."""
-
-    data: bytes = attrs.field(repr=False)
-    room: BodyRoom
-
-    def release(self) -> None:
-        """Free the room at the end of the request."""
-        self.room.release()
-
-
-def _stop_reading(source: Any) -> None:
-    """Keep gevent from reading the rest of a body; ``source`` is its WSGI input."""
-    source._chunked_input_error = True
-
-
-def read_body(environ: dict[str, Any], max_bytes: int) -> ReceivedBody | Refusal:
-    """Return the body of the request in a WSGI environment; release it at the end.
-
-    After a refusal the caller's connection must be closed (`respond_whole` with
-    ``closing``), since the rest of the body stays unread.
-    """
-    protection: CallerProtection = environ["siskinspool.protection"]
-    connection: Connection = environ["siskinspool.connection"]
-    source = environ["wsgi.input"]
-    room = protection.open_body()
-    room.add_head(environ["siskinspool.head_bytes"])
-    reader = BodyReader(source, protection, connection, room, PIECE_TIMEOUT_S)
-    body: bytes | BodyFailure | None = None
-    try:
-        body = reader.read(max_bytes)
-    finally:
-        if not isinstance(body, bytes):
-            room.release()
-    if isinstance(body, BodyFailure):
-        _stop_reading(source)
-        return _REFUSAL_BY_FAILURE[body]
-    room.hold()
-    connection.enter(ConnectionPhase.RUNNING, protection.clock.now())
-    return ReceivedBody(body, room)
-
-
-@attrs.frozen
-class ReceivedRequest:
-    """A request with the room that its body takes until `release`."""
-
-    request: HttpRequest
-    room: BodyRoom
-
-    def release(self) -> None:
-        """Free the room at the end of the request."""
-        self.room.release()
-
-
-def read_request(environ: dict[str, Any]) -> ReceivedRequest | Refusal:
-    """Return the request in a WSGI environment, including its body.
-
-    After a refusal the caller's connection must be closed, as with `read_body`.
-    """
-    body = read_body(environ, MAX_BODY_BYTES)
-    if isinstance(body, Refusal):
-        return body
-    try:
-        request = HttpRequest(
-            method=environ["REQUEST_METHOD"],
-            path=environ["PATH_INFO"],
-            query=environ.get("QUERY_STRING", ""),
-            headers=request_headers(environ),
-            body=body.data,
-        )
-    except BaseException:
-        body.release()
-        raise
-    return ReceivedRequest(request, body.room)
-
-
-def request_headers(environ: dict[str, Any]) -> dict[str, str]:
-    """Return the headers in a WSGI environment by lower-case name."""
-    headers = {
-        name[5:].replace("_", "-").lower(): text
-        for name, text in environ.items()
-        if name.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        headers["content-type"] = environ["CONTENT_TYPE"]
-    return headers
--- a/tests/test_refused_bodies.py
+++ b/tests/test_refused_bodies.py
@@ -6,7 +6,7 @@
 import pytest
 from gevent import socket
 
-from siskinspool.links.http_server import MAX_BODY_BYTES
+from siskinspool.links.received_request import MAX_BODY_BYTES
 
 from .builders_front_listener import (
     FrontListener,
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -52,7 +52,7 @@
 
 def test_body_that_stalls_ends_with_a_refusal(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a body that arrives byte by byte without an end."""
-    monkeypatch.setattr("siskinspool.links.http_server.PIECE_TIMEOUT_S", 0.5)
+    monkeypatch.setattr("siskinspool.links.received_request.PIECE_TIMEOUT_S", 0.5)
     with front_listener() as front:
         sock = front.connect()
         sock.sendall(request_head("Content-Length: 2000"))
@@ -61,7 +61,7 @@
 
 def test_slow_but_steady_body_is_read(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against cutting a large request only because it takes long."""
-    monkeypatch.setattr("siskinspool.links.http_server.PIECE_TIMEOUT_S", 0.5)
+    monkeypatch.setattr("siskinspool.links.received_request.PIECE_TIMEOUT_S", 0.5)
     with (
         scripted_server(answer(200, b"ran")) as server,
         front_listener(server.port) as front,
