Refuse a stream at once that no server of its version can go on with

Cause: a take-up whose model is held only by servers of other versions waited for a server until its time was over. Models are loaded without regard to the software version, so waiting rarely helps.

Change: it is refused at once unless a server of its version holds the model; an adapter is loaded beside its model within a moment.

--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -250,7 +250,7 @@
         if assigned is not None:
             self._policy.order.record_served(waiting.entry)
             return [assigned]
-        refusal = self._refuse_if_version_gone(waiting, now)
+        refusal = self._refuse_if_cannot_go_on(waiting, now)
         refusal = refusal or self._refuse_if_paused(waiting, now)
         if refusal is not None:
             return [refusal]
@@ -392,16 +392,14 @@
         self._paused_refusals += 1
         return self._refuse(waiting, "its servers were paused", now)
 
-    def _refuse_if_version_gone(
+    def _refuse_if_cannot_go_on(
         self, waiting: WaitingRequest, now: float
     ) -> Outgoing | None:
-        """Refuse a stream to go on if no server of its software version is left."""
+        """Refuse a stream that can go on at no server of its software version."""
         call = waiting.call
-        if not call.software_version or self._views.has_version(
-            call.service, call.software_version
-        ):
+        if not call.software_version or self._views.has_holder_of_version(call, now):
             return None
-        return self._refuse(waiting, "its software version is gone", now)
+        return self._refuse(waiting, "no server of its version holds the model", now)
 
     def _refuse(self, waiting: WaitingRequest, detail: str, now: float) -> Outgoing:
         wait_s = self._policy.expected_wait_s(waiting.call.request_id)
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -15,6 +15,7 @@
 from .bounds import Bounds
 from .cold_server_limit import RampMembers, full_bucket, ramp_share
 from .desired_state import DesiredState, ServiceSpec
+from .messages import AssignServer
 from .server_view import ServerView
 from .servers import ServerRecord, ServerState
 
@@ -184,13 +185,18 @@
         )
         return opens_at if now < opens_at < math.inf else None
 
-    def has_version(self, service: str, software_version: str) -> bool:
-        """Return whether a server of a service that may get requests has a version."""
+    def has_holder_of_version(self, call: AssignServer, now: float) -> bool:
+        """Return whether a stream may go on, now or after a pause of its servers.
+
+        An adapter is loaded beside its model within a moment; a model is loaded without
+        regard to the software version.
+        """
         return any(
-            view.record.service == service
-            and view.record.software_version == software_version
+            view.record.service == call.service
+            and view.record.software_version == call.software_version
             and view.record.state is ServerState.READY
             and view.record.zone not in self.evacuated_zones
+            and (not call.model or view.holds(call.model, "", now))
             for view in self.by_id.values()
         )
 
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from siskinspool.core.message import Message
 from siskinspool.gateway.messages import (
     AssignRefused,
@@ -45,9 +47,9 @@
 class RoutingHarness:
     """Drives a routing decision step by step."""
 
-    def __init__(self, *members: str) -> None:
+    def __init__(self, *members: str, **features: bool) -> None:
         self.now = 50.0
-        self.decision = Routing("g1", "a", bounds(), scheduling())
+        self.decision = Routing("g1", "a", bounds(), scheduling(**features))
         self.send(desired_state())
         self.send(membership("g1", *members))
 
@@ -420,3 +422,46 @@
     assert harness.assigned_server("r1", avoided=avoided) == "s1"
     harness.send(server("s2", "m0", zone="b"))
     assert harness.assigned_server("r2", avoided=avoided) == "s2"
+
+
+def version_harness(**features: bool) -> RoutingHarness:
+    """Return a harness with a server of each of two software versions."""
+    harness = RoutingHarness(**features)
+    harness.send(server("s1", "m0", software_version="v1"))
+    harness.send(server("s2", "m0", software_version="v1.1"))
+    return harness
+
+
+def test_stream_goes_on_only_at_its_software_version() -> None:
+    """Guards against a stream that is joined from two software versions."""
+    harness = version_harness()
+    for number in range(20):
+        request_id = f"r{number}"
+        assert harness.assigned_server(request_id, software_version="v1.1") == "s2"
+    assert harness.assigned_server("any", avoided=frozenset({"s2"})) == "s1"
+
+
+@pytest.mark.parametrize("held", [(), ("m1",)], ids=["gone", "another-model"])
+def test_stream_that_cannot_go_on_is_refused_at_once(held: tuple[str, ...]) -> None:
+    """Guards against a stream that waits for a server until its time is over."""
+    harness = version_harness()
+    if held:
+        harness.send(server("s2", *held, software_version="v1.1"))
+    else:
+        harness.send(ServerRemoved("s2"))
+    answers = harness.request("r1", software_version="v1.1")
+    assert any(isinstance(answer, AssignRefused) for answer in answers)
+
+
+def test_stream_that_waits_for_its_version_holds_up_no_other_request() -> None:
+    """Guards against a queue that stands still behind a stream to go on."""
+    harness = version_harness(fair_queueing=True)
+    harness.send(server("s2", "m0", software_version="v1.1", cold_s=60.0))
+    harness.send(server("s1", "m0", software_version="v1", state=ServerState.DRAINING))
+    waiting = [f"r{number}" for number in range(30)]
+    for request_id in waiting:
+        harness.request(request_id, software_version="v1.1")
+    assert harness.assigned_server("new") is None
+    found = harness.send(server("s3", "m0", software_version="v1"))
+    assigned = [one for one in found if isinstance(one, ServerAssigned)]
+    assert [one.server_id for one in assigned] == ["s3"]
