Forward no position in a stream from the product's own front end

Cause: the product's front end never resumes a stream itself, but it passed a caller's Last-Event-Id to whatever server it chose.

Change: the header is not forwarded; the stream begins anew.

Evidence: test_position_in_a_stream_is_not_forwarded_by_the_product failed before.

--- a/src/siskinspool/contracts/call.py
+++ b/src/siskinspool/contracts/call.py
@@ -30,7 +30,8 @@
 MAX_IDEMPOTENCY_KEY_CHARS: Final = 255
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that often carry
-# credentials. They are not forwarded.
+# credentials. They are not forwarded. Nor is the position in a stream: a call begins
+# its stream anew, as any server may get it, whatever its software version.
 _DROPPED_HEADERS: Final = frozenset(
     {
         "authorization",
@@ -41,6 +42,7 @@
         "host",
         "idempotency-key",
         "keep-alive",
+        "last-event-id",
         "proxy-authorization",
         "proxy-connection",
         "te",
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -193,6 +193,11 @@
     assert received.is_whole
 
 
+def test_position_in_a_stream_is_not_forwarded_by_the_product() -> None:
+    """Guards against a stream that goes on at another software version."""
+    assert forwarded_headers({"last-event-id": "3", "accept": "a"}) == {"accept": "a"}
+
+
 def test_broken_stream_of_the_product_is_not_resumed() -> None:
     """Guards against sending another answer in a stream that has begun."""
     with scripted_server(BROKEN, answer(500, b"failed\n\n")) as server:
