--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from siskinspool.contracts.call import forwarded_headers
+
 from .builders_front_ends import FrontEnd, GatewayFrontEnd, ProductFrontEnd
 from .builders_scripted_server import (
     REQUEST_ID_PLACEHOLDER,
