Tell the second recorder of a stream less often

Cause: a gateway of 59 sent 48 messages and 4.5 KB a second while several software versions served, most of them single streams for the recorder that only stands in for the first one.

Change: the second recorder is told each 0.5 s. The streams to be told move to a class of their own.

--- a/src/siskinspool/gateway/stream_origins.py
+++ b/src/siskinspool/gateway/stream_origins.py
@@ -32,11 +32,10 @@
 from ..streams.known_versions import KnownVersions
 from ..streams.origin_archive import ARCHIVE_PREFIX, OriginArchive, decode_streams
 from ..streams.origin_archive import REQUEST_PREFIX as ARCHIVE_REQUEST_PREFIX
-from ..streams.origin_table import OriginTable, OwnStreams, add_key
+from ..streams.origin_table import OriginTable, OwnStreams
 from ..streams.stream_messages import (
     STREAMS_TASK,
     FindStreamOrigin,
-    KeysByOrigin,
     StreamBegun,
     StreamOriginAsked,
     StreamOriginFound,
@@ -45,6 +44,7 @@
     StreamsRecorded,
     stream_key,
 )
+from ..streams.untold_streams import UntoldStreams
 from .desired_state import DesiredState, RouteKind
 from .servers import (
     RegistryInterrupted,
@@ -54,8 +54,10 @@
 )
 
 RECORDERS: Final = 2
-# New streams are told to the recorders together.
-TELL_INTERVAL_S: Final = 0.05
+# New streams are told to the recorders together: soon to the one that archives them,
+# later to the other, which stands in for it.
+ARCHIVED_INTERVAL_S: Final = 0.05
+SPARE_INTERVAL_S: Final = 0.5
 # Recorders answer within a round trip, or once they have read the archive.
 ASK_TIMEOUT_S: Final = 0.4
 MAX_QUESTIONS: Final = 1_024
@@ -105,10 +107,11 @@
         self._ranking = ReaderRanking.from_members({})
         self._version_by_server: dict[str, str] = {}
         self._mixed_services: set[str] = set()
-        # Streams that are to be told, by recorder.
-        self._untold_by_recorder: dict[str, KeysByOrigin] = {}
-        self._untold_archived_by_recorder: dict[str, KeysByOrigin] = {}
-        self._next_tell_at = 0.0
+        # For the first and the second recorder of each stream.
+        self._untold = (
+            UntoldStreams(ARCHIVED_INTERVAL_S, is_archived=True),
+            UntoldStreams(SPARE_INTERVAL_S, is_archived=False),
+        )
         self._question_by_number: dict[int, _Question] = {}
         self._next_number = 1
         # Questions of instances that wait for the archive.
@@ -142,8 +145,9 @@
         batch: list[Outgoing] = []
         self._versions.drop_gone(now)
         self._own.drop(now - self._versions.stream_s)
-        if now >= self._next_tell_at:
-            batch += self._tell(now)
+        for untold in self._untold:
+            for recorder, message in untold.pop_due(now).items():
+                batch.append(Outgoing(Address(recorder, STREAMS_TASK), message))
         if request := self._versions.request(self._may_write, now):
             batch.append(self._to_store(request))
         if self._archive.needs_listing and self._may_list(now):
@@ -159,13 +163,17 @@
     def wake_at(self) -> float | None:
         """Return when the next message or request is due."""
         due = [question.answer_by for question in self._question_by_number.values()]
-        if self._untold_by_recorder or self._untold_archived_by_recorder:
-            due.append(self._next_tell_at)
         if self._archive.needs_listing:
             due.append(self._listed_at + LIST_INTERVAL_S)
-        for at in (self._versions.due_at(self._may_write), self._archive.due_at()):
-            if at is not None:
-                due.append(at)
+        due += [
+            at
+            for at in (
+                *(untold.due_at() for untold in self._untold),
+                self._versions.due_at(self._may_write),
+                self._archive.due_at(),
+            )
+            if at is not None
+        ]
         return min(due, default=None)
 
     def status(self, now: float) -> Status:
@@ -216,11 +224,9 @@
 
     def _queue(self, service: str, version: str, key: int) -> None:
         """Queue a stream for its recorders; the first one also archives it."""
-        for position, recorder in enumerate(self._recorders(key)):
-            untold = self._untold_by_recorder
-            if position == 0:
-                untold = self._untold_archived_by_recorder
-            add_key(untold.setdefault(recorder, {}), service, version, key)
+        recorders = self._recorders(key)
+        for untold, recorder in zip(self._untold, recorders, strict=False):
+            untold.add(recorder, service, version, key)
 
     def _recorders(self, key: int) -> list[str]:
         """Return the instances that record a stream, the first one first."""
@@ -228,19 +234,6 @@
         text = str(key)
         return sorted(readers, key=lambda name: score(text, name))[-RECORDERS:][::-1]
 
-    def _tell(self, now: float) -> list[Outgoing]:
-        self._next_tell_at = now + TELL_INTERVAL_S
-        batch: list[Outgoing] = []
-        for is_archived, untold in (
-            (True, self._untold_archived_by_recorder),
-            (False, self._untold_by_recorder),
-        ):
-            for recorder, keys_by_origin in untold.items():
-                message = StreamsRecorded(keys_by_origin, is_archived)
-                batch.append(Outgoing(Address(recorder, STREAMS_TASK), message))
-            untold.clear()
-        return batch
-
     # Questions
 
     def _find(
