Rest while the archive of streams is read

Cause: while the listing of the archive had no reply, the decision on streams asked to be woken at a time that had passed, so the process spun. Found in reading.

Change: no wake-up for a listing that is under way.

Measured: test_instance_rests_while_the_store_does_not_answer failed before.

--- a/src/siskinspool/gateway/stream_origins.py
+++ b/src/siskinspool/gateway/stream_origins.py
@@ -163,7 +163,7 @@
     def wake_at(self) -> float | None:
         """Return when the next message or request is due."""
         due = [question.answer_by for question in self._question_by_number.values()]
-        if self._archive.needs_listing:
+        if self._archive.needs_listing and not self._is_listing:
             due.append(self._listed_at + LIST_INTERVAL_S)
         due += [
             at
--- a/tests/builders_streams.py
+++ b/tests/builders_streams.py
@@ -46,6 +46,8 @@
 
     item_by_key: dict[str, KvItem] = attrs.field(factory=dict)
     is_down: bool = False
+    # Nothing is answered.
+    is_silent: bool = False
     _revision: int = 0
     _copy: dict[str, KvItem] = attrs.field(factory=dict)
 
@@ -88,6 +90,8 @@
         self.decision_by_name: dict[str, StreamOrigins] = {}
         self.record_by_id: dict[str, ServerRecord] = {}
         self.sent: Counter[str] = Counter()
+        # How often the instances have been woken.
+        self.wakes = 0
         self._order = itertools.count()
         self._in_flight: list[tuple[float, int, str, Outgoing]] = []
         self._answers: dict[str, Message] = {}
@@ -177,6 +181,7 @@
                 self._deliver(sender, outgoing)
             else:
                 self.now = wake_at + 0.000_1
+                self.wakes += 1
                 self._send(name, self.decision_by_name[name].on_time(self.now))
 
     def _send(self, sender: str, batch: list[Outgoing]) -> None:
@@ -189,6 +194,8 @@
         to, message = outgoing.recipient, outgoing.message
         if to.task == KV_TASK:
             assert isinstance(message, KvGet | KvList | KvSwap)
+            if self.store.is_silent:
+                return
             self.post(sender, self.store.answer(message), KV_TASK)
         elif to.task != STREAMS_TASK:
             self._answers[to.task] = message
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -238,6 +238,16 @@
     assert site.find("g0", "next") == "v1"
 
 
+def test_instance_rests_while_the_store_does_not_answer() -> None:
+    """Guards against a process that spins until the archive has been read."""
+    site = mixed_site(1)
+    site.store.is_silent = True
+    site.wakes = 0
+    site.begin("g0", "r1", "s1")
+    site.advance(5.0)
+    assert site.wakes < 50
+
+
 def test_unreadable_values_of_the_store_are_left_out() -> None:
     """Guards against an instance that fails on what another program has written."""
     assert decode_versions(b'{"writers": {"v1": -1}}') is None
