Give up a listing of the archive of streams without a reply

Cause: a reply that is lost would have kept the archive from being read or written for good.

Change: the listing is repeated after five seconds.

--- a/src/siskinspool/gateway/stream_origins.py
+++ b/src/siskinspool/gateway/stream_origins.py
@@ -63,6 +63,8 @@
 MAX_QUESTIONS: Final = 1_024
 # The archive is read at most this often, and only for a stream that is not known.
 LIST_INTERVAL_S: Final = 1.0
+# A listing without a reply is given up after this time.
+LIST_TIMEOUT_S: Final = 5.0
 LIST_REQUEST_ID: Final = "streams-list"
 # How long a stream may last before the desired state is known, and in relation to the
 # longest timeout of a route: a requester may take its stream up several times.
@@ -163,8 +165,9 @@
     def wake_at(self) -> float | None:
         """Return when the next message or request is due."""
         due = [question.answer_by for question in self._question_by_number.values()]
-        if self._archive.needs_listing and not self._is_listing:
-            due.append(self._listed_at + LIST_INTERVAL_S)
+        if self._archive.needs_listing:
+            wait_s = LIST_TIMEOUT_S if self._is_listing else LIST_INTERVAL_S
+            due.append(self._listed_at + wait_s)
         due += [
             at
             for at in (
@@ -271,7 +274,7 @@
             told = StreamOriginTold(asked.number, version or "")
             return [Outgoing(sender, told)]
         self._listeners.append((sender, asked))
-        return [] if self._is_listing else [self._list(now)]
+        return [self._list(now)] if self._may_list(now) else []
 
     def _handle_told(self, told: StreamOriginTold) -> list[Outgoing]:
         question = self._question_by_number.get(told.number)
@@ -286,7 +289,8 @@
     # The archive
 
     def _may_list(self, now: float) -> bool:
-        return not self._is_listing and now >= self._listed_at + LIST_INTERVAL_S
+        wait_s = LIST_TIMEOUT_S if self._is_listing else LIST_INTERVAL_S
+        return now >= self._listed_at + wait_s
 
     def _list(self, now: float) -> Outgoing:
         self._is_listing, self._listed_at = True, now
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -246,6 +246,10 @@
     site.begin("g0", "r1", "s1")
     site.advance(5.0)
     assert site.wakes < 50
+    site.store.is_silent = False
+    site.advance(6.0)
+    site.start("g0")
+    assert site.find("g0", "r1") == "v1"
 
 
 def test_unreadable_values_of_the_store_are_left_out() -> None:
