--- a/src/siskinspool/gateway/admission.py
+++ b/src/siskinspool/gateway/admission.py
@@ -52,7 +52,7 @@
     return Admission(
         route=route,
         # A stream goes on at the service that began it.
-        service=_pick_service(route, head.resumed_id or head.request_id),
+        service=_pick_service(route, head.stream_id),
         team=team_name,
         tokens=tokens,
         priority=priority,
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -52,6 +52,11 @@
     # Id of the attempt that began the stream; empty if the request begins one.
     resumed_id: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """The id of the attempt that began the stream, if the request takes one up."""
+        return (self.last_event_id and self.resumed_id) or self.request_id
+
     @property
     def shared_part_ids(self) -> tuple[str, ...]:
         """The ids of the parts that other requests may have, too.
--- a/src/siskinspool/gateway/store_limit.py
+++ b/src/siskinspool/gateway/store_limit.py
@@ -97,7 +97,8 @@
         self._proven_concurrency = 0
         # The learned limit is one more than has proved itself.
         self._is_on_trial = False
-        # When a load was last slow that was not counted as one of too many.
+        # When a load was first slow at no more than the proven number, since the last
+        # one that ran at full speed at it.
         self._contradicted_at: float | None = None
         # When the loads of lost servers end in the store.
         self._lost_load_ends: list[float] = []
@@ -183,7 +184,9 @@
         If the store carries more, the limit is raised after a while.
         """
         self._learned_limit, self._is_on_trial = limit, False
-        self._proven_concurrency = min(proven_concurrency, limit)
+        # A leader that is cut off hands over no proven number; its ledger has one.
+        proven = max(proven_concurrency, self._proven_concurrency)
+        self._proven_concurrency = min(proven, limit)
         self._slow_concurrency, self._slow_at = limit + 1, now
 
     def expect(self, server_id: str, remaining_s: float, now: float) -> None:
--- a/src/siskinspool/gateway/stream_origins.py
+++ b/src/siskinspool/gateway/stream_origins.py
@@ -197,11 +197,9 @@
 
     def _begin(self, begun: StreamBegun, now: float) -> None:
         stream = self._own.add(begun, now)
-        version = stream.software_version
-        if not self._is_confirmed(begun):
-            version = ""
+        version = stream.software_version if self._is_confirmed(begun) else ""
         self._table.add(stream.service, version, stream.key)
-        if self._is_mixed(stream.service, now):
+        if self._track_mixed(stream.service, now):
             self._queue(stream.service, version, stream.key)
 
     def _is_confirmed(self, begun: StreamBegun) -> bool:
@@ -210,10 +208,10 @@
         known = self._version_by_server.get(server_id, begun.software_version)
         return known == begun.software_version
 
-    def _is_mixed(self, service: str, now: float) -> bool:
-        """Return whether a service has several versions.
+    def _track_mixed(self, service: str, now: float) -> bool:
+        """Return whether a service has several versions now.
 
-        When that begins, the recorders are told of the streams under way.
+        If it has not had several before, the streams under way are queued, too.
         """
         if not self._versions.is_mixed(service, now):
             self._mixed_services.discard(service)
@@ -260,17 +258,16 @@
     def _known_version(self, service: str, key: int, now: float) -> str | None:
         """Return the version of a stream; empty if it is doubtful, None if unknown."""
         version = self._table.find(service, key)
-        return (
-            version
-            if version is not None
-            else (self._versions.only_version(service, now) or None)
-        )
+        if version is None:
+            version = self._versions.only_version(service, now) or None
+        return version
 
     def _answer(
         self, sender: Address, asked: StreamOriginAsked, now: float
     ) -> list[Outgoing]:
         version = self._known_version(asked.service, asked.key, now)
-        if version is not None or not (self._is_listing or self._may_list(now)):
+        waits = self._is_listing or self._may_list(now)
+        if version is not None or not waits or len(self._listeners) >= MAX_QUESTIONS:
             told = StreamOriginTold(asked.number, version or "")
             return [Outgoing(sender, told)]
         self._listeners.append((sender, asked))
@@ -355,7 +352,7 @@
         self._versions.update(server_id, record.service, version, now)
         if known != version:
             self._withdraw(record, now)
-        self._is_mixed(record.service, now)
+        self._track_mixed(record.service, now)
 
     def _withdraw(self, record: ServerRecord, now: float) -> None:
         """Mark the streams as doubtful that may have begun at a restarted server.
--- a/src/siskinspool/streams/known_versions.py
+++ b/src/siskinspool/streams/known_versions.py
@@ -166,7 +166,7 @@
             history.drop_gone(now - 2 * self.stream_s)
 
     def _delay_write(self, now: float) -> None:
-        if not self._request_id:
+        if self._record is not None and not self._request_id:
             self._next_request_at = max(self._next_request_at, now + WRITE_DELAY_S)
 
     def _history(self, service: str) -> VersionHistory:
--- a/tests/test_gateway_store_limit.py
+++ b/tests/test_gateway_store_limit.py
@@ -398,3 +398,11 @@
         for number in range(3):
             store.end(f"s{number}", at + FULL_SPEED_S * 1.5)
     assert store.limit == 2
+
+
+def test_limit_that_is_handed_over_keeps_the_number_of_the_ledger() -> None:
+    """Guards against a message of the last leader that hides what its ledger has."""
+    store = StoreLoads()
+    store.inherit_limit(3, 100.0, 3)
+    store.inherit_limit(3, 100.1)
+    assert store.proven_concurrency == 3
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -191,6 +191,23 @@
     assert site.find("g0", "unknown") == ""
 
 
+def test_versions_are_read_while_servers_keep_registering() -> None:
+    """Guards against a start that takes nothing up until the registry is at rest."""
+    site = mixed_site()
+    site.remove_server("s1")
+    site.advance(0.5)
+    site.start(*site.names)
+    for number in range(10):
+        site.add_server(f"n{number}", "v1.1")
+        site.advance(0.1)
+    assert site.find("g0", "unknown") == ""
+    site.advance(DEFAULT_STREAM_S)
+    for number in range(10):
+        site.add_server(f"m{number}", "v1.1")
+        site.advance(0.1)
+        assert site.find("g0", "unknown") == "v1.1"
+
+
 def test_stream_at_a_server_that_had_restarted_unnoticed_is_doubtful() -> None:
     """Guards against a version that an outdated entry of the registry names."""
     site = mixed_site()
