--- a/src/siskinspool/gateway/stream_origins.py
+++ b/src/siskinspool/gateway/stream_origins.py
@@ -66,9 +66,8 @@
 # A listing without a reply is given up after this time.
 LIST_TIMEOUT_S: Final = 5.0
 LIST_REQUEST_ID: Final = "streams-list"
-# How long a stream may last before the desired state is known, and in relation to the
-# longest timeout of a route: a requester may take its stream up several times.
-DEFAULT_STREAM_S: Final = 60.0
+# How long a stream may last, in relation to the longest timeout of a route: a requester
+# may take its stream up several times.
 STREAM_TIMEOUT_RATIO: Final = 2.0
 # A server's own clock may differ from this instance's by this much.
 CLOCK_MARGIN_S: Final = 2.0
@@ -94,14 +93,11 @@
         now: float,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
-        """Initialize; on the first start of the system no stream is older."""
+        """Initialize; ``first_start`` is true on the system's first start."""
         self._id = instance_id
         self._wall_clock = wall_clock
-        self._versions = KnownVersions(
-            DEFAULT_STREAM_S,
-            wall_clock,
-            float("-inf") if first_start else float("inf"),
-            now,
+        self._versions = KnownVersions.at_start(
+            now, wall_clock, first_start=first_start
         )
         self._table = OriginTable()
         self._own = OwnStreams()
--- a/src/siskinspool/streams/known_versions.py
+++ b/src/siskinspool/streams/known_versions.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Self
 
 import attrs
 
@@ -23,6 +23,8 @@
 )
 
 REQUEST_PREFIX: Final = "versions-"
+# How long a stream may last, as long as the timeouts of the routes are not known.
+DEFAULT_STREAM_S: Final = 60.0
 # A request without a reply, or without success, is repeated after this time.
 RETRY_S: Final = 1.0
 # Several servers of a new version register at about the same time.
@@ -52,6 +54,14 @@
     _next_request_at: float = 0.0
     _written: VersionRecord = attrs.field(factory=dict)
 
+    @classmethod
+    def at_start(
+        cls, now: float, wall_clock: Callable[[], float], *, first_start: bool
+    ) -> Self:
+        """Return what a new instance knows; on the first start no stream is older."""
+        complete_from = float("-inf") if first_start else float("inf")
+        return cls(DEFAULT_STREAM_S, wall_clock, complete_from, started_at=now)
+
     def update(self, server_id: str, service: str, version: str, now: float) -> None:
         """Record a server's registry entry."""
         if self._service_by_server.get(server_id, service) != service:
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -5,8 +5,8 @@
 import pytest
 
 from siskinspool.gateway.servers import RegistryInterrupted, RegistryListed
-from siskinspool.gateway.stream_origins import DEFAULT_STREAM_S
 from siskinspool.store.kv import KvItem
+from siskinspool.streams.known_versions import DEFAULT_STREAM_S
 from siskinspool.streams.origin_archive import (
     ARCHIVE_PREFIX,
     SLOTS,
