--- a/tests/builders_scripted_server.py
+++ b/tests/builders_scripted_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 
 import attrs
@@ -55,18 +55,27 @@
 
 
 @contextmanager
-def scripted_server(*scripts: bytes) -> Iterator[ScriptedServer]:
-    """Run a server on a free port."""
-    server = ScriptedServer(list(scripts))
-    listener = StreamServer(("127.0.0.1", 0), server.handle)
+def _listening(
+    server: ScriptedServer, handle: Callable[[socket.socket, object], None]
+) -> Iterator[None]:
+    """Let a function handle the connections to a free port."""
+    listener = StreamServer(("127.0.0.1", 0), handle)
     listener.start()
     server.port = int(listener.server_port or 0)
     try:
-        yield server
+        yield
     finally:
         listener.stop(timeout=0.1)
 
 
+@contextmanager
+def scripted_server(*scripts: bytes) -> Iterator[ScriptedServer]:
+    """Run a server on a free port."""
+    server = ScriptedServer(list(scripts))
+    with _listening(server, server.handle):
+        yield server
+
+
 @contextmanager
 def early_answer_server(beginning: bytes, delay_s: float) -> Iterator[ScriptedServer]:
     """Run a server that answers once it has a head, and resets the connection.
@@ -82,13 +91,8 @@
         gevent.sleep(delay_s)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
-    listener = StreamServer(("127.0.0.1", 0), handle)
-    listener.start()
-    server.port = int(listener.server_port or 0)
-    try:
+    with _listening(server, handle):
         yield server
-    finally:
-        listener.stop(timeout=0.1)
 
 
 @contextmanager
@@ -111,13 +115,8 @@
             while sock.recv(65_536):
                 pass
 
-    listener = StreamServer(("127.0.0.1", 0), handle)
-    listener.start()
-    server.port = int(listener.server_port or 0)
-    try:
+    with _listening(server, handle):
         yield server
-    finally:
-        listener.stop(timeout=0.1)
 
 
 def answer(
--- a/tests/integration/test_gateway_stream_versions.py
+++ b/tests/integration/test_gateway_stream_versions.py
@@ -105,6 +105,17 @@
             received += block
 
 
+def site_with_streams(site: GatewaySite) -> tuple[MixedService, Gateway, Gateway]:
+    """Return a service, the gateway that has begun streams, and another one."""
+    service = mixed_service(site)
+    first, other = site.add_gateway("g1"), site.add_gateway("g2")
+    wait_for_service(site)
+    service.set_faults(event_s=0.1)
+    for number in range(STREAMS):
+        begin_stream(first, f"first{number}", number)
+    return service, first, other
+
+
 def take_up(gateway: Gateway, request_id: str, begun_id: str, number: int) -> Answer:
     """Take a stream up after its second event."""
     headers = prompt(number) | {
@@ -189,12 +200,7 @@
     site: GatewaySite,
 ) -> None:
     """Guards against streams that requesters join from two software versions."""
-    service = mixed_service(site)
-    first, other = site.add_gateway("g1"), site.add_gateway("g2")
-    wait_for_service(site)
-    service.set_faults(event_s=0.1)
-    for number in range(STREAMS):
-        begin_stream(first, f"first{number}", number)
+    service, first, other = site_with_streams(site)
     os.kill(first.popen.pid, signal.SIGKILL)
     assert take_up_all(other, service) >= STREAMS / 2
 
@@ -203,12 +209,7 @@
     site: GatewaySite,
 ) -> None:
     """Guards against streams that are joined because nobody knows how they began."""
-    service = mixed_service(site)
-    first, other = site.add_gateway("g1"), site.add_gateway("g2")
-    wait_for_service(site)
-    service.set_faults(event_s=0.1)
-    for number in range(STREAMS):
-        begin_stream(first, f"first{number}", number)
+    service, _, other = site_with_streams(site)
     # What the last second brought may be lost.
     time.sleep(1.0)
     kill_all(site)
