Wait for a leader that a started gateway has not seen

Cause: a new leader waited only if it had seen another holder of the key. One that starts after the key has ended has seen none, and took that for the first start of the system, though the settings say which start is the first.

Change: without a holder that it has seen, a new leader waits, too, unless it is the system's first start.

Evidence: test_started_leader_waits_for_a_holder_that_it_has_not_seen failed before (no wait).

--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -316,6 +316,7 @@
                 (ROUTING_TASK, PLACEMENT_TASK, *DUTY_TASKS),
                 now,
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
+                first_start=settings.first_start,
             ),
             ROUTING_TASK: Routing(
                 settings.instance_id,
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -4,7 +4,8 @@
 revision of the write that took the key is the epoch number of the leadership term, so a
 later leader has a higher number. A new leader waits for the time that the platform
 requires between the orders of two holders, unless it was the last holder itself or
-there was no holder before.
+there was no holder before. An instance that starts after the first start of the system
+may not have seen the last holder, whose key has ended already.
 
 The leader may give orders while its session is valid. Where servers check epoch
 numbers, it may also continue while the store does not answer: a successor has a higher
@@ -100,13 +101,17 @@
         watchers: tuple[str, ...],
         now: float,
         session_silence_s: float = 0.0,
+        *,
+        first_start: bool,
     ) -> None:
         """Create the decision for a member; ``watchers`` are the tasks to notify.
 
+        On the system's first start there was no holder before.
         A session ends at the earliest ``session_silence_s`` after its holder's last
         renewal, and the leader's key ends with it.
         """
         self._session_silence_s = session_silence_s
+        self._first_start = first_start
         self._own = own
         self._bounds = bounds
         self._watchers = watchers
@@ -236,9 +241,7 @@
     def _begin_term(self, epoch: int, now: float) -> list[Outgoing]:
         if self._term is not None and self._term.epoch == epoch:
             return []
-        wait_s = 0.0
-        if self._last_holder_id not in (None, self._own.instance_id):
-            wait_s = self._successor_wait_s()
+        wait_s = self._successor_wait_s() if self._follows_another() else 0.0
         self._term = _Term(epoch, now + wait_s)
         log_event(
             logger, logging.INFO, "leader_began", epoch=epoch, orders_after_s=wait_s
@@ -250,6 +253,12 @@
             batch.append(Outgoing(last_holder, LeaderSucceeded(epoch)))
         return batch + self._extend_term(now)
 
+    def _follows_another(self) -> bool:
+        """Return whether another instance may have been the last holder."""
+        if self._last_holder_id is None:
+            return not self._first_start
+        return self._last_holder_id != self._own.instance_id
+
     def _successor_wait_s(self) -> float:
         """Return how long the last holder's orders may still be recent.
 
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -40,7 +40,14 @@
 class Candidate:
     """A leadership decision; the test plays the platform's store."""
 
-    def __init__(self, name: str = "g1", incarnation: str = "1", **changes: object):
+    def __init__(
+        self,
+        name: str = "g1",
+        incarnation: str = "1",
+        *,
+        first_start: bool = True,
+        **changes: object,
+    ):
         self.now = 10.0
         self.own = member(name, incarnation)
         self.decision = Leadership(
@@ -49,6 +56,7 @@
             ("watcher",),
             self.now,
             session_silence_s=SILENCE_S,
+            first_start=first_start,
         )
         self.send(membership(name))
 
@@ -93,6 +101,17 @@
     assert held(found) == LeadershipHeld(5, candidate.now)
 
 
+def test_started_leader_waits_for_a_holder_that_it_has_not_seen() -> None:
+    """Guards against orders of two holders within the bound after a kill of all.
+
+    The key of the last leader had ended when the others were back.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(first_start=False, orders=orders)
+    found = candidate.elect(revision=5)
+    assert held(found) == LeadershipHeld(5, candidate.now + 3.0)
+
+
 def test_no_attempt_without_a_session_or_a_listing() -> None:
     """Guards against a key without a session, and one that is taken unlisted."""
     candidate = Candidate()
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -66,7 +66,7 @@
 def test_deeply_nested_record_of_the_leader_names_none() -> None:
     """Guards against gateways that keep following a replaced leader."""
     own = member("g1")
-    leadership = Leadership(own, bounds(), ("routing",), 100.0)
+    leadership = Leadership(own, bounds(), ("routing",), 100.0, first_start=True)
     batch = leadership.handle(incoming(KvChanged(LEADER_KEY, DEEP, 7)), 100.0)
     assert LeaderChanged(None) in messages(batch)
 
