--- a/src/siskinspool/streams/origin_archive.py
+++ b/src/siskinspool/streams/origin_archive.py
@@ -26,7 +26,7 @@
     KvSwapped,
 )
 from ..telemetry.logs import log_event
-from .stream_messages import KeysByOrigin
+from .stream_messages import KeysByOrigin, RecordedStream, recorded_streams
 
 logger = logging.getLogger(__name__)
 
@@ -69,18 +69,18 @@
 
     def __init__(self, instance_id: str) -> None:
         self._instance_id = instance_id
-        self._pending: deque[tuple[str, str, int]] = deque(maxlen=MAX_PENDING_STREAMS)
+        self._pending: deque[RecordedStream] = deque(maxlen=MAX_PENDING_STREAMS)
         self._revision_by_slot: dict[int, int] = {}
         self._slot = 0
         self._slot_since = float("-inf")
         # The streams that the current key holds.
-        self._slot_streams: list[tuple[str, str, int]] = []
+        self._slot_streams: list[RecordedStream] = []
         # The keys of an earlier start are known, so they are not overwritten first.
         self.is_resumed = False
         self._number = 0
         # The request in flight, and the streams that it writes.
         self._request_id = ""
-        self._written: list[tuple[str, str, int]] = []
+        self._written: list[RecordedStream] = []
         self._sent_at = float("-inf")
 
     def resume(self, items: Iterable[KvItem]) -> None:
@@ -98,12 +98,7 @@
 
     def add(self, keys_by_origin: KeysByOrigin) -> None:
         """Add streams to the next write."""
-        self._pending.extend(
-            (service, version, key)
-            for service, keys_by_version in keys_by_origin.items()
-            for version, keys in keys_by_version.items()
-            for key in keys
-        )
+        self._pending.extend(recorded_streams(keys_by_origin))
 
     def due_at(self) -> float | None:
         """Return when the next write is due, or None if there is nothing to write."""
@@ -168,8 +163,9 @@
         self._request_id, self._written = "", []
 
 
-def _encode(streams: Iterable[tuple[str, str, int]]) -> bytes:
+def _encode(streams: Iterable[RecordedStream]) -> bytes:
     keys: dict[str, dict[str, list[int]]] = {}
-    for service, version, key in streams:
-        keys.setdefault(service, {}).setdefault(version, []).append(key)
+    for stream in streams:
+        keys_by_version = keys.setdefault(stream.service, {})
+        keys_by_version.setdefault(stream.software_version, []).append(stream.key)
     return msgspec.msgpack.encode(keys)
--- a/src/siskinspool/streams/origin_table.py
+++ b/src/siskinspool/streams/origin_table.py
@@ -9,7 +9,12 @@
 import attrs
 
 from ..server_signals.observations import ServerStart
-from .stream_messages import KeysByOrigin, StreamBegun, stream_key
+from .stream_messages import (
+    KeysByOrigin,
+    StreamBegun,
+    recorded_streams,
+    stream_key,
+)
 
 # Some 10 MB. A recorder of 24 instances with 32 new streams a second each fills it in
 # over a minute.
@@ -38,10 +43,8 @@
 
     def add_all(self, keys_by_origin: KeysByOrigin) -> None:
         """Add the streams of a message or of an archive."""
-        for service, keys_by_version in keys_by_origin.items():
-            for version, keys in keys_by_version.items():
-                for key in keys:
-                    self.add(service, version, key)
+        for stream in recorded_streams(keys_by_origin):
+            self.add(stream.service, stream.software_version, stream.key)
 
     def __len__(self) -> int:
         """Return the number of streams."""
--- a/src/siskinspool/streams/stream_messages.py
+++ b/src/siskinspool/streams/stream_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -25,6 +26,23 @@
     return int.from_bytes(digest, "big")
 
 
+@attrs.frozen
+class RecordedStream:
+    """A stream and the version that it has begun at; empty if it is doubtful."""
+
+    service: str
+    software_version: str
+    key: int
+
+
+def recorded_streams(keys_by_origin: KeysByOrigin) -> Iterator[RecordedStream]:
+    """Yield the streams of a message or of an archive."""
+    for service, keys_by_version in keys_by_origin.items():
+        for version, keys in keys_by_version.items():
+            for key in keys:
+                yield RecordedStream(service, version, key)
+
+
 @attrs.frozen
 class StreamBegun(Message):
     """The first event of a stream is about to be passed on."""
