Release the slot of a recorded load that its server does not carry out

Cause: a recorded load counted until a report with its order count or a higher one showed its end. A server that has never accepted the order reports a lower count.

Change: it is over, too, if the server does nothing. An order that arrives later is counted as an unknown one, as before.

Evidence: the case not-accepted of test_load_of_a_predecessor_that_does_not_run_holds_no_slot failed before.

--- a/src/siskinspool/gateway/inherited_loads.py
+++ b/src/siskinspool/gateway/inherited_loads.py
@@ -40,17 +40,16 @@
         shown = (server.holdings.born_ms, server.order_count)
         return entry if shown == (entry.born_ms, entry.order_count) else None
 
-    def has_ended(self, server: ManagedServer) -> bool:
-        """Return whether the report of a server shows the end of its entry's load.
+    def is_over(self, server: ManagedServer) -> bool:
+        """Return whether the report of a server shows that its entry's load is over.
 
-        It does not after a restart, which loses the load but does not end it in the
-        weight store.
+        It is if a later order was accepted, or if the server does nothing: then the
+        load has ended, or its order was never accepted. After a restart it is not: the
+        server has lost the load, but the weight store has not.
         """
         entry = self._entry_by_server.get(server.record.server_id)
         count = server.order_count
-        if entry is None or count is None:
-            return False
-        if server.holdings.born_ms != entry.born_ms or count < entry.order_count:
+        if entry is None or count is None or server.holdings.born_ms != entry.born_ms:
             return False
         return count > entry.order_count or server.busy_until is None
 
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -348,7 +348,7 @@
     def resume_load(self, server: ManagedServer, now: float) -> None:
         """Recognize an earlier leader's load that keeps a server busy, or its end."""
         store = self.store_loads(server.record.service)
-        if self._inherited.has_ended(server):
+        if self._inherited.is_over(server):
             store.drop_expected(server.record.server_id)
             return
         entry = self._inherited.current(server)
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -252,8 +252,10 @@
     assert len(orders(harness.advance_time(6.0))) == 1
 
 
-@pytest.mark.parametrize("count", [2, 3], ids=["done", "later-order"])
-def test_load_of_a_predecessor_that_has_ended_holds_no_slot(count: int) -> None:
+@pytest.mark.parametrize(
+    "count", [1, 2, 3], ids=["not-accepted", "done", "later-order"]
+)
+def test_load_of_a_predecessor_that_does_not_run_holds_no_slot(count: int) -> None:
     """Guards against a store that stays unused until an old entry expires."""
     harness = harness_with_servers(busy=False)
     harness.reports["s1"] = holdings(count=count, on_disk=frozenset())
