--- a/review/rig3/site.py
+++ b/review/rig3/site.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
-import random
 import shutil
 import signal
 import subprocess
@@ -201,18 +201,22 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+# Ports outside the range of outgoing connections; runs at the same time get others.
+FIRST_PORT, PORT_BLOCK, PORT_BLOCKS = 12000, 100, 200
+_next_ports = itertools.count(FIRST_PORT + os.getpid() % PORT_BLOCKS * PORT_BLOCK)
+
+
 def free_ports(count):
-    """Return free ports outside the range of outgoing connections."""
+    """Return free ports that this process has not given out yet."""
     found = []
     while len(found) < count:
-        port = random.randrange(12000, 32000)
+        port = next(_next_ports)
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in found:
-            found.append(port)
+        found.append(port)
     return found
 
 
