--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,8 +8,8 @@
 from collections import Counter  # noqa: E402
 
 import gevent  # noqa: E402
-from rig3.server import Server  # noqa: E402
-from rig3.site import (  # noqa: E402
+from rig3_server import Server  # noqa: E402
+from rig3_site import (  # noqa: E402
     BOUNDS,
     CannotRunError,
     config,
--- a/review/rig3/site.py
+++ b/review/rig3_site.py
@@ -19,7 +19,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 
 CONTRACTS = [
     "base", "drain", "config", "cost", "retry", "recover", "fleet", "stream",
@@ -309,7 +309,7 @@
     """Run a case; write its record; exit with 1, 0 or 2 as the issue says."""
     folder = Path(sys.argv[0]).resolve().parent
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    from .store import Store
+    from rig3_store import Store
 
     store = Store()
     site = Site(store)
