--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -12,6 +12,12 @@
 clock goes on. A watch whose connection goes silent counts as open until its call times
 out, so a change may be late by that time. Everything else rests on revisions
 (`PrefixCopy`), so messages may be lost, doubled, late or out of order.
+
+A service that returns from an older copy begins a new era. Its answers then prove
+nothing about copies of the era before: a reader lists all prefixes again as soon as any
+call shows the new era, and tells its subscribers the differences. To the listeners a
+return is an outage, since keys may be missing until their writers write them again: a
+removal that the first listing of an era shows is published after `REWRITE_GRACE_S`.
 """
 
 from __future__ import annotations
@@ -22,17 +28,21 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+import attrs
+
 from ..core.decision import Decision
 from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..store.kv import KvChanged, WatchBroken, WatchListed
 from ..store.kv_events import KvReachability
+from ..store.revision import era_of
 from ..telemetry.logs import log_event
 from .feed_messages import (
     WATCH_TASK,
     FeedEnding,
     FeedProof,
+    FeedReturned,
     FeedSubscribe,
     FeedUnsubscribe,
     FeedUpdate,
@@ -54,6 +64,18 @@
 logger = logging.getLogger(__name__)
 
 _NEVER: Final = float("-inf")
+# After the service has returned from an older copy, the writers of the keys that it
+# lacks write them again within this time.
+REWRITE_GRACE_S: Final = 2.0
+
+
+@attrs.frozen
+class _HeldRemoval:
+    """A key that is missing since a return, and when it counts as removed."""
+
+    prefix: str
+    removal: KeyChange
+    due_at: float
 
 
 class ChangeFeed(Decision):
@@ -90,7 +112,12 @@
         # answered the last one.
         self._reached_at = _NEVER
         self._is_answered = True
+        # The service's era by its last answer, and the one for which the prefixes were
+        # last listed because of a return.
+        self._era = 0
+        self._relisted_era = 0
         self._outage = OutageDetector()
+        self._held_removal_by_key: dict[str, _HeldRemoval] = {}
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle a change from the watches or another instance, or a subscription."""
@@ -99,8 +126,9 @@
             case PrefixListed() as listed:
                 batch = self._handle_listing(listed, now)
             case PrefixChanges() as changes:
-                self._unconfirmed_prefixes.discard(changes.prefix)
-                batch, _ = self._apply(changes)
+                if era_of(changes.revision) >= self._era:
+                    self._unconfirmed_prefixes.discard(changes.prefix)
+                batch, _ = self._apply(changes, now)
             case WatchBroken(prefix, _):
                 self._broken_prefixes.add(prefix)
             case KvReachability() as reachability:
@@ -113,7 +141,11 @@
             case FeedUnsubscribe():
                 self._subscribers.remove(incoming.sender.instance_id)
             case FeedUpdate() as update:
-                batch = self._handle_update(incoming.sender, update, now)
+                batch = self._handle_update(incoming.sender, update, {}, now)
+            case FeedReturned(update, last_by_prefix):
+                batch = self._handle_update(
+                    incoming.sender, update, last_by_prefix, now
+                )
             case FeedProof(number, age_s) if _is_valid_age(age_s):
                 sender_id = incoming.sender.instance_id
                 self._subscription.record_proof(sender_id, number, age_s, now)
@@ -132,12 +164,14 @@
         if not self._is_listed():
             return None if self._is_listing else _NEVER
         due = self._subscription.wake_at()
+        held = self._held_removal_by_key.values()
+        removal_due = min((one.due_at for one in held), default=float("inf"))
         if self._must_read() and self._has_open_watches():
             due = max(due, self._reached_at + self._times.silence_s)
             due = min(due, self._subscribers.wake_at(self._reached_at))
         elif not self._is_reading and self._is_answered:
             due = min(due, self._subscription.lost_at())
-        return max(due, self._settled_at)
+        return min(max(due, self._settled_at), removal_due)
 
     def status(self, now: float) -> Status:
         """Return who reads, through whom this instance hears, and how old that is."""
@@ -166,10 +200,25 @@
         self._unconfirmed_prefixes.discard(prefix)
         self._broken_prefixes.discard(prefix)
         self._interrupted_prefixes.discard(prefix)
-        changes = self._copy_by_prefix[prefix].apply_listing(
-            listed, is_after_outage=is_after_outage
+        copy = self._copy_by_prefix[prefix]
+        known_revision = copy.revision
+        if known_revision is not None and listed.revision < known_revision:
+            log_event(
+                logger,
+                logging.WARNING,
+                "feed_listing_outdated",
+                prefix=prefix,
+                revision=listed.revision,
+                known=known_revision,
+            )
+        is_return = _is_later_era(listed.revision, known_revision)
+        changes = copy.apply_listing(
+            listed, is_after_outage=is_after_outage or is_return
         )
-        batch = self._publish(prefix, changes)
+        if is_return:
+            batch = self._publish_return(prefix, changes, now)
+        else:
+            batch = self._publish(prefix, changes)
         batch += self._notify(prefix, WatchListed(prefix))
         if self._is_listing and self._is_listed():
             self._is_listing = False
@@ -178,7 +227,11 @@
         return batch
 
     def _handle_update(
-        self, sender: Address, update: FeedUpdate, now: float
+        self,
+        sender: Address,
+        update: FeedUpdate,
+        last_before_return_by_prefix: dict[str, int],
+        now: float,
     ) -> list[Outgoing]:
         if not self._is_valid(update):
             log_event(
@@ -187,7 +240,8 @@
             return []
         batch: list[Outgoing] = []
         for changes in update.prefixes:
-            published, is_complete = self._apply(changes)
+            last_before_return = last_before_return_by_prefix.get(changes.prefix, 0)
+            published, is_complete = self._apply(changes, now, last_before_return)
             batch += published
             if not is_complete:
                 log_event(
@@ -221,10 +275,17 @@
             for changes in update.prefixes
         )
 
-    def _apply(self, changes: PrefixChanges) -> tuple[list[Outgoing], bool]:
+    def _apply(
+        self, changes: PrefixChanges, now: float, last_before_return: int = 0
+    ) -> tuple[list[Outgoing], bool]:
         """Publish what is new; return whether all changes before it are known."""
         prefix = changes.prefix
-        applied = self._copy_by_prefix[prefix].apply_changes(changes)
+        copy = self._copy_by_prefix[prefix]
+        known_revision = copy.revision
+        applied = copy.apply_changes(changes, last_before_return)
+        if _is_later_era(copy.revision, known_revision):
+            batch = self._publish_return(prefix, applied.changes, now)
+            return [*batch, *self._notify(prefix, WatchListed(prefix))], True
         batch = self._publish(prefix, applied.changes)
         if batch and changes.is_relisted:
             # Keys may have expired in an outage though their owners are alive.
@@ -235,9 +296,40 @@
             ]
         return batch, applied.is_complete
 
+    def _publish_return(
+        self, prefix: str, changes: list[KeyChange], now: float
+    ) -> list[Outgoing]:
+        """Publish the first changes of an era, after the notice of an interruption."""
+        log_event(
+            logger,
+            logging.WARNING,
+            "store_returned",
+            prefix=prefix,
+            revision=self._copy_by_prefix[prefix].revision,
+            changes=len(changes),
+        )
+        present = [change for change in changes if change.value is not None]
+        batch = self._notify(prefix, WatchBroken(prefix, "returned"))
+        batch += self._publish(prefix, present)
+        for change in changes:
+            if change.value is None:
+                due_at = now + REWRITE_GRACE_S
+                held = _HeldRemoval(prefix, change, due_at)
+                self._held_removal_by_key[change.key] = held
+        return batch
+
+    def _publish_held_removals(self, now: float) -> list[Outgoing]:
+        """Publish the removals whose keys have not been written again in time."""
+        batch: list[Outgoing] = []
+        for held in list(self._held_removal_by_key.values()):
+            if now >= held.due_at:
+                batch += self._publish(held.prefix, [held.removal])
+        return batch
+
     def _publish(self, prefix: str, changes: Iterable[KeyChange]) -> list[Outgoing]:
         batch = []
         for change in changes:
+            self._held_removal_by_key.pop(change.key, None)
             changed = KvChanged(change.key, change.value, change.revision)
             batch += self._notify(prefix, changed)
         return batch
@@ -255,9 +347,11 @@
         self._subscribers.drop_expired(now)
         if not self._is_listed():
             return self._list()
+        batch = self._publish_held_removals(now)
         if now < self._settled_at:
-            return []
-        batch = self._update_reading(now)
+            return batch
+        batch += self._relist_after_return()
+        batch += self._update_reading(now)
         batch += self._update_interruptions(now)
         if self._must_read() and self._is_current(now):
             batch += self._subscription.end()
@@ -286,6 +380,24 @@
             return self._start_reading(self._revisions(), "no_feed")
         return []
 
+    def _relist_after_return(self) -> list[Outgoing]:
+        """List all prefixes again if the service has returned from an older copy.
+
+        Only an instance that reads does so at once; the others hear of the changes
+        through it, or begin to read when their proof is too old.
+        """
+        if not self._is_reading or self._is_of_era() or self._relisted_era == self._era:
+            return []
+        self._relisted_era = self._era
+        return self._start_reading({}, "returned")
+
+    def _is_of_era(self) -> bool:
+        """Return whether all copies are of the service's present era."""
+        return all(
+            copy.revision is not None and era_of(copy.revision) >= self._era
+            for copy in self._copy_by_prefix.values()
+        )
+
     def _read_for_others(self, now: float) -> list[Outgoing]:
         """Start reading; what others rely on must be known to be recent."""
         if self._is_reading and not self._unconfirmed_prefixes:
@@ -345,7 +457,9 @@
     def _record_reachability(self, reachability: KvReachability, now: float) -> None:
         self._is_answered = reachability.is_reachable
         if reachability.is_reachable:
-            self._reached_at = max(self._reached_at, reachability.sent_at)
+            self._era = max(self._era, reachability.era)
+            if self._is_of_era():
+                self._reached_at = max(self._reached_at, reachability.sent_at)
             self._outage.record_answer()
         else:
             self._outage.record_failure(reachability.sent_at, now)
@@ -396,5 +510,12 @@
         return Outgoing(Address(self._id, WATCH_TASK), message)
 
 
+def _is_later_era(revision: int | None, known_revision: int | None) -> bool:
+    """Return whether a revision is of a later era than one that was known before."""
+    if revision is None or known_revision is None:
+        return False
+    return era_of(revision) > era_of(known_revision)
+
+
 def _is_valid_age(age_s: float) -> bool:
     return math.isfinite(age_s) and age_s >= 0
--- a/src/siskinspool/feed/feed_messages.py
+++ b/src/siskinspool/feed/feed_messages.py
@@ -67,6 +67,20 @@
     prefixes: tuple[PrefixChanges, ...]
 
 
+@wire
+@attrs.frozen
+class FeedReturned(Message):
+    """An update that leads across a return of the service from an older copy.
+
+    Its changes are the differences from the sender's last revision before the return. A
+    receiver that knows more of the era before needs a listing.
+    """
+
+    update: FeedUpdate
+    # Only of the prefixes whose changes lead across the return.
+    last_before_return_by_prefix: dict[str, int]
+
+
 @wire
 @attrs.frozen
 class FeedProof(Message):
--- a/src/siskinspool/feed/prefix_copy.py
+++ b/src/siskinspool/feed/prefix_copy.py
@@ -6,6 +6,11 @@
 
 The last changes are kept for subscribers. Of the values, only large ones are kept:
 their next versions are sent as deltas.
+
+A service that returns from an older copy has another history from then on. The first
+listing of the new era replaces what was known: its differences are the changes between
+the last revision known before and the listing. They are right only for an instance
+that knew no more of the era before, and say nothing of the new era before the listing.
 """
 
 from __future__ import annotations
@@ -16,6 +21,8 @@
 
 import attrs
 
+from ..store.kv import KvItem
+from ..store.revision import era_of, number_of
 from .feed_messages import KeyChange, PrefixChanges, PrefixListed
 from .value_delta import apply_delta, encode_delta
 
@@ -23,6 +30,8 @@
 MAX_LOGGED_BYTES: Final = 1_000_000
 # Values of this size or more are sent as deltas.
 LARGE_VALUE_BYTES: Final = 4_096
+# Returns of the service are rare; who was told of none of the last ones lists the keys.
+MAX_KNOWN_ERAS: Final = 4
 
 
 @attrs.frozen
@@ -54,11 +63,17 @@
         self.revision: int | None = None
         self._revision_by_key: dict[str, int] = {}
         self._large_value_by_key: dict[str, bytes] = {}
+        # Of the last write of each key, to tell which keys a return has changed.
+        self._digest_by_key: dict[str, int] = {}
         # By revision.
         self._log: list[_LoggedChange] = []
         self._log_bytes = 0
         # The log contains all changes after this revision.
         self._log_after = 0
+        # The listing that began the present era, and the last revision that was known
+        # of each era before it.
+        self._era_listed_at = 0
+        self._last_by_era: dict[int, int] = {}
 
     def apply_listing(
         self, listed: PrefixListed, *, is_after_outage: bool = False
@@ -69,10 +84,12 @@
             self._log_after = listed.revision
         elif listed.revision < known_revision:
             return []
+        else:
+            self._enter_era(listed.revision)
         changes = [
             KeyChange(item.key, item.value, item.revision)
             for item in listed.items
-            if self._is_new(item.key, item.revision)
+            if self._is_new(item.key, item.revision) and not self._is_known(item)
         ]
         listed_keys = {item.key for item in listed.items}
         changes += [
@@ -84,10 +101,18 @@
         self.revision = listed.revision
         return changes
 
-    def apply_changes(self, update: PrefixChanges) -> AppliedChanges:
-        """Apply the changes that are new, as far as those before them are known."""
-        if self.revision is None or update.after > self.revision:
+    def apply_changes(
+        self, update: PrefixChanges, last_before_return: int = 0
+    ) -> AppliedChanges:
+        """Apply the changes that are new, as far as those before them are known.
+
+        If they lead across a return of the service, they are the differences from what
+        was known at ``last_before_return``.
+        """
+        if not self._is_continued_by(update, last_before_return):
             return AppliedChanges([], is_complete=False)
+        assert self.revision is not None
+        self._enter_era(update.revision)
         applied: list[KeyChange] = []
         for change in sorted(update.changes, key=_revision_of):
             if not self._is_new(change.key, change.revision):
@@ -102,7 +127,11 @@
 
     def has_changes_after(self, after: int) -> bool:
         """Return whether all changes since a revision are known."""
-        return self.revision is not None and after >= self._log_after
+        if self.revision is None or after < self._log_after:
+            return False
+        if era_of(after) == era_of(self.revision):
+            return after >= self._era_listed_at
+        return after <= self._last_by_era.get(era_of(after), 0)
 
     def changes_after(self, after: int) -> PrefixChanges:
         """Return the changes since a revision (see `has_changes_after`)."""
@@ -119,6 +148,34 @@
             is_relisted=any(entry.is_after_outage for entry in logged),
         )
 
+    def last_before_return(self, after: int) -> int | None:
+        """Return the last revision of an earlier era; None for the present one."""
+        return self._last_by_era.get(era_of(after))
+
+    def _is_continued_by(self, update: PrefixChanges, last_before_return: int) -> bool:
+        """Return whether no change is missing between this copy and an update's."""
+        known_revision = self.revision
+        if known_revision is None or update.after > known_revision:
+            return False
+        if era_of(update.after) == era_of(update.revision):
+            return True
+        return known_revision >= update.revision or known_revision <= last_before_return
+
+    def _enter_era(self, revision: int) -> None:
+        """Record where the era of a new revision begins, if it is a new one."""
+        assert self.revision is not None
+        if era_of(revision) <= era_of(self.revision):
+            return
+        self._last_by_era[era_of(self.revision)] = self.revision
+        self._era_listed_at = revision
+        while len(self._last_by_era) > MAX_KNOWN_ERAS:
+            del self._last_by_era[min(self._last_by_era)]
+
+    def _is_known(self, item: KvItem) -> bool:
+        """Return whether a key still has the write that it had in an earlier era."""
+        digest = _digest(item.value, item.revision)
+        return self._digest_by_key.get(item.key) == digest
+
     def _resolve(self, change: KeyChange) -> KeyChange | None:
         """Return a change with its full value, or None if its base is not known."""
         if not change.base_revision:
@@ -139,8 +196,11 @@
             logged = self._to_logged(change)
             if change.value is None:
                 self._revision_by_key.pop(change.key, None)
+                self._digest_by_key.pop(change.key, None)
             else:
                 self._revision_by_key[change.key] = change.revision
+                digest = _digest(change.value, change.revision)
+                self._digest_by_key[change.key] = digest
             if change.value is None or len(change.value) < LARGE_VALUE_BYTES:
                 self._large_value_by_key.pop(change.key, None)
             else:
@@ -169,6 +229,11 @@
             self._log_after = dropped.change.revision
 
 
+def _digest(value: bytes, revision: int) -> int:
+    """Return a digest of a write: the value, and the number without its era."""
+    return hash((value, number_of(revision)))
+
+
 def _revision_of(change: KeyChange) -> int:
     return change.revision
 
--- a/src/siskinspool/feed/subscribers.py
+++ b/src/siskinspool/feed/subscribers.py
@@ -12,6 +12,7 @@
     CHANGE_FEED_TASK,
     FeedEnding,
     FeedProof,
+    FeedReturned,
     FeedSubscribe,
     FeedUpdate,
     PrefixChanges,
@@ -108,7 +109,10 @@
                 del self._by_id[instance_id]
                 continue
             message = self._next_message(subscriber, prefixes, current_at, now)
-            if message is not None:
+            if isinstance(message, FeedUpdate):
+                marked = _mark_return(message, copies)
+                batch.append(_to_instance(instance_id, marked))
+            elif message is not None:
                 batch.append(_to_instance(instance_id, message))
         return batch
 
@@ -164,7 +168,19 @@
     return tuple(prefixes)
 
 
+def _mark_return(
+    update: FeedUpdate, copies: tuple[PrefixCopy, ...]
+) -> FeedUpdate | FeedReturned:
+    """Return an update with what it starts from if it leads across a return."""
+    last_by_prefix = {
+        copy.prefix: last
+        for copy, changes in zip(copies, update.prefixes, strict=True)
+        if (last := copy.last_before_return(changes.after)) is not None
+    }
+    return FeedReturned(update, last_by_prefix) if last_by_prefix else update
+
+
 def _to_instance(
-    instance_id: str, message: FeedUpdate | FeedProof | FeedEnding
+    instance_id: str, message: FeedUpdate | FeedReturned | FeedProof | FeedEnding
 ) -> Outgoing:
     return Outgoing(Address(instance_id, CHANGE_FEED_TASK), message)
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -316,6 +316,7 @@
                 (ROUTING_TASK, PLACEMENT_TASK, *DUTY_TASKS),
                 now,
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
+                session_ttl_s=max(SESSION_TTL_S, settings.least_lease_s),
                 first_start=settings.first_start,
             ),
             ROUTING_TASK: Routing(
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -7,6 +7,10 @@
 there was no holder before. An instance that starts after the first start of the system
 may not have seen the last holder, whose key has ended already.
 
+A store that returns from an older copy may lack the leader's key while its holder still
+gives orders. A successor then waits until that holder's session has certainly ended.
+Revisions contain the store's era, so epoch numbers rise across a return.
+
 The leader may give orders while its session is valid. Where servers check epoch
 numbers, it may also continue while the store does not answer: a successor has a higher
 number, and the first order refused with FENCED ends the term.
@@ -41,6 +45,7 @@
 )
 from ..store.kv_events import KvReachability, SessionGone, SessionRenewed
 from ..store.kv_task import KV_TASK
+from ..store.revision import era_of
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .messages import (
@@ -101,15 +106,17 @@
         watchers: tuple[str, ...],
         now: float,
         session_silence_s: float = 0.0,
+        session_ttl_s: float = 0.0,
         *,
         first_start: bool,
     ) -> None:
         """Create the decision for a member; ``watchers`` are the tasks to notify.
 
         On the system's first start there was no holder before.
-        A session ends at the earliest ``session_silence_s`` after its holder's last
-        renewal, and the leader's key ends with it.
+        A session ends between ``session_silence_s`` and ``session_ttl_s`` after its
+        holder's last renewal, and the leader's key ends with it.
         """
+        self._session_ttl_s = session_ttl_s
         self._session_silence_s = session_silence_s
         self._first_start = first_start
         self._own = own
@@ -122,6 +129,8 @@
         self._holder: _LeaderRecord | None = None
         self._revision = 0
         self._last_holder_id: str | None = None
+        # The revision at which the last holder's key was seen.
+        self._last_held_revision = 0
         self._term: _Term | None = None
         # When the next attempt to take the key is due.
         self._attempt_at: float | None = None
@@ -211,14 +220,18 @@
     ) -> list[Outgoing]:
         if revision < self._revision:
             return []
-        self._revision = revision
+        known_revision, self._revision = self._revision, revision
         if self._holder is not None:
             self._last_holder_id = self._holder.instance_id
+            self._last_held_revision = known_revision
         self._holder = None if value is None else _decode(value)
         if value is not None and self._holder is None:
             log_event(logger, logging.WARNING, "leader_record_unreadable")
         batch = self._notify_leader()
         if self._holder is not None and self._is_own(self._holder):
+            if self._is_leaving:
+                # The store has returned from a copy that has the key once more.
+                return [*batch, self._delete_key(revision)]
             return batch + self._begin_term(revision, now)
         if self._term is not None:
             batch += self._end_term("replaced")
@@ -241,7 +254,7 @@
     def _begin_term(self, epoch: int, now: float) -> list[Outgoing]:
         if self._term is not None and self._term.epoch == epoch:
             return []
-        wait_s = self._successor_wait_s() if self._follows_another() else 0.0
+        wait_s = self._successor_wait_s(epoch) if self._follows_another() else 0.0
         self._term = _Term(epoch, now + wait_s)
         log_event(
             logger, logging.INFO, "leader_began", epoch=epoch, orders_after_s=wait_s
@@ -259,16 +272,23 @@
             return not self._first_start
         return self._last_holder_id != self._own.instance_id
 
-    def _successor_wait_s(self) -> float:
+    def _successor_wait_s(self, epoch: int) -> float:
         """Return how long the last holder's orders may still be recent.
 
         A holder that died gave its last order before its session began to run out. A
         holder that is cut off from the store may give orders for longer, but servers
         that check epoch numbers refuse them after the first order of its successor.
+
+        A return of the store may have removed the key of a holder that does not know it
+        yet, so its session may still last for its whole time.
         """
         lease_s = self._bounds.orders.lease_s
+        last_revision = self._last_held_revision
+        is_after_return = last_revision > 0 and era_of(last_revision) < era_of(epoch)
         if not self._bounds.orders.epochs_checked:
-            return lease_s
+            return lease_s + (self._session_ttl_s if is_after_return else 0.0)
+        if is_after_return:
+            return lease_s + WAIT_MARGIN_S
         return max(lease_s - self._session_silence_s, 0.0) + WAIT_MARGIN_S
 
     def _end_term(self, reason: str, successor_id: str = "") -> list[Outgoing]:
@@ -358,7 +378,10 @@
             return []
         epoch = self._term.epoch
         batch = self._end_term("leaving")
-        return [*batch, self._to_store(KvDelete("leader-end", LEADER_KEY, epoch))]
+        return [*batch, self._delete_key(epoch)]
+
+    def _delete_key(self, revision: int) -> Outgoing:
+        return self._to_store(KvDelete("leader-end", LEADER_KEY, revision))
 
     def _notify_leader(self) -> list[Outgoing]:
         holder = self._holder
--- a/src/siskinspool/gateway/load_ledger.py
+++ b/src/siskinspool/gateway/load_ledger.py
@@ -4,8 +4,10 @@
 the weight store can carry is estimated from their durations. So the leader writes both
 to one key, which no task watches, when a load from the weight store begins. Beside them
 it writes the requesters so far of the models without a copy, which nobody knows any
-more if all gateways end at once. A new leader reads the key once. An entry is used only
-if the server reports the same start time and order count, so stale entries do no harm.
+more if all gateways end at once. A new leader reads the key once. The
+leader reads it again after an interruption of the registry, in which the store may have
+lost the record. An entry is used only if the server reports the same start time and
+order count, so stale entries do no harm.
 """
 
 from __future__ import annotations
@@ -124,6 +126,13 @@
         self._written = {}
         return self._start_request(KvGet(self._request_id(), LEDGER_KEY), now)
 
+    def read_again(self) -> None:
+        """Compare the store's record with what was written, before the next write.
+
+        A store that has returned from an older copy holds an older record.
+        """
+        self._revision = None
+
     def handle_reply(self, reply: KvReply) -> RecordsByService:
         """Handle a reply; return the earlier leader's record when first read."""
         if not reply.request_id.endswith(f"-{self._next_request}"):
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -48,6 +48,7 @@
 from .replica_candidates import AllBusyModels, BusiestModel
 from .scheduling_settings import SchedulingSettings
 from .server_orders import ServerOrders
+from .servers import RegistryListed
 
 logger = logging.getLogger(__name__)
 
@@ -98,6 +99,8 @@
                 self._site.inherit_record(self._ledger.handle_reply(reply), now)
             case LoadsHandedOver(loads):
                 self._site.inherit_loads(loads, now)
+            case RegistryListed():
+                self._ledger.read_again()
             case other:
                 if not self._site.handle_change(other, sender, now):
                     return self._handle_leadership(other, now)
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -77,6 +77,8 @@
         """Add or update the view of a server from its registry entry."""
         view = self.by_id.get(record.server_id)
         restarted = view is not None and view.start != record.start
+        if self._is_outdated(record, view):
+            return
         if view is None or restarted:
             view = self._new_view(record, now)
             self.by_id[record.server_id] = view
@@ -115,6 +117,20 @@
             )
         view.update_record(record, now)
 
+    def _is_outdated(self, record: ServerRecord, view: ServerView | None) -> bool:
+        """Return whether an entry is older than the known one of the same start.
+
+        A registry that returns from an older copy may call a server ready that has
+        begun to leave; the server writes its entry again.
+        """
+        return (
+            self.is_interrupted
+            and view is not None
+            and view.start == record.start
+            and view.record.state is ServerState.DRAINING
+            and record.state is ServerState.READY
+        )
+
     def _new_view(self, record: ServerRecord, now: float) -> ServerView:
         bucket = full_bucket(self._ramp_share(record, now), now)
         return ServerView.from_record(
--- a/src/siskinspool/platform/store.py
+++ b/src/siskinspool/platform/store.py
@@ -4,18 +4,24 @@
 mean that nothing was done, 412 is a conflict, 404 a missing key or lease, 410 a watch
 whose start revision is no longer available. A call without an answer raises
 LostAnswerError, because it may still take effect.
+
+The store may return from an older copy and then gives revisions out again. The header
+``Store-Era`` of all answers counts these returns; it becomes part of each revision.
 """
 
 from __future__ import annotations
 
 import base64
 import binascii
+import logging
 from collections.abc import Iterator
 from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
+import attrs
 import gevent
 import msgspec
+from geventhttpclient.response import HTTPSocketPoolResponse
 
 from ..core.malformed import MALFORMED_ERRORS
 from ..settings import Endpoint
@@ -30,6 +36,10 @@
     UnavailableError,
     WatchEvent,
 )
+from ..store.revision import MAX_ERA, era_of, make_revision, number_of
+from ..telemetry.logs import log_event
+
+logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S: Final = 0.5
 # The store answers in milliseconds; a connection may also fail without a reset.
@@ -41,6 +51,7 @@
 WATCH_MARGIN_S: Final = 0.4
 # A page has at most one value of 1 MB more than its 1 MB, encoded as base64.
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
+ERA_HEADER: Final = "Store-Era"
 _JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
 Json = dict[str, Any]
@@ -76,6 +87,36 @@
 _answer_decoder: Final = msgspec.json.Decoder(_Answer)
 
 
+@attrs.frozen
+class _Reply:
+    """The status (200, 404 or 412), the store's era and the body of an answer."""
+
+    status: int
+    era: int
+    answer: _Answer
+
+    def revision(self, number: int | None, field: str) -> int:
+        """Return the revision with a number of this answer."""
+        return make_revision(self.era, _required(number, field))
+
+    def item(self, item: _Item) -> KvItem:
+        """Return a key that this answer contains with its value."""
+        try:
+            value = base64.b64decode(_required(item.value, "value"), validate=True)
+        except (ValueError, binascii.Error) as error:
+            raise LostAnswerError(
+                f"cannot decode a value of the store: {error}"
+            ) from error
+        return KvItem(item.key, value, self.revision(item.rev, "rev"))
+
+    def event(self, item: _Item) -> WatchEvent:
+        """Return a change that this answer contains."""
+        if item.removed:
+            return WatchEvent(item.key, None, self.revision(item.rev, "rev"))
+        changed = self.item(item)
+        return WatchEvent(changed.key, changed.value, changed.revision)
+
+
 class PlatformStore(KeyValueService):
     """Adapter to the platform's store."""
 
@@ -90,14 +131,21 @@
         self._watch_wait_s = watch_wait_s
         self._watch_pause_s = watch_pause_s
         self._client = self._new_client(CALL_TIMEOUT_S, CONNECTIONS)
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The highest era of all answers so far."""
+        return self._era
 
     def get(self, key: str) -> KvItem | None:
         """Return the item of a key, or None if it does not exist."""
-        status, answer = self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
-        if status == 404:
+        reply = self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
+        if reply.status == 404:
             return None
+        answer = reply.answer
         key = _required(answer.key, "key")
-        return _decode_item(_Item(key, answer.rev, answer.value))
+        return reply.item(_Item(key, answer.rev, answer.value))
 
     def list(self, prefix: str) -> tuple[KvItem, ...]:
         """Return the keys with a prefix, in key order."""
@@ -107,7 +155,8 @@
         """Return the keys with a prefix and the revision to watch from.
 
         The keys are read in pages; the revision is that of the first page, so that a
-        watch from there misses no change made between the pages.
+        watch from there misses no change made between the pages. All pages are of one
+        era.
         """
         # A listing often follows a failure, after which idle connections may be silent.
         client = self._new_client(CALL_TIMEOUT_S, 1)
@@ -122,10 +171,12 @@
         path = f"/-/kv-range?prefix={quote(prefix, safe='')}"
         after = ""
         while True:
-            _, answer = _send(client, "GET", path + after, None)
-            items += [_decode_item(item) for item in _required(answer.items, "items")]
+            reply = self._send(client, "GET", path + after)
+            answer = reply.answer
+            items += [reply.item(item) for item in _required(answer.items, "items")]
             if revision is None:
-                revision = _required(answer.current_rev, "current_rev")
+                revision = reply.revision(answer.current_rev, "current_rev")
+            _check_same_era(reply, revision)
             if not answer.truncated or not items:
                 return Snapshot(tuple(items), revision)
             after = f"&after={quote(items[-1].key, safe='')}"
@@ -149,7 +200,8 @@
 
     def grant_lease(self, ttl_s: float) -> Lease:
         """Return a new lease; ``ttl_s`` is the requested time to live."""
-        _, answer = self._call("POST", "/-/kv-lease", {"ttl_ms": round(ttl_s * 1000)})
+        body = {"ttl_ms": round(ttl_s * 1000)}
+        answer = self._call("POST", "/-/kv-lease", body).answer
         return Lease(
             lease_id=_required(answer.lease, "lease"),
             ttl_s=_required(answer.ttl_ms, "ttl_ms") / 1000,
@@ -157,8 +209,10 @@
 
     def keep_alive(self, lease_id: int) -> float | None:
         """Renew a lease; return the time to live, or None if it no longer exists."""
-        status, answer = self._call("POST", f"/-/kv-keep/{lease_id}", {})
-        return None if status == 404 else _required(answer.ttl_ms, "ttl_ms") / 1000
+        reply = self._call("POST", f"/-/kv-keep/{lease_id}", {})
+        if reply.status == 404:
+            return None
+        return _required(reply.answer.ttl_ms, "ttl_ms") / 1000
 
     def revoke_lease(self, lease_id: int) -> None:
         """End a lease and delete the keys attached to it."""
@@ -172,12 +226,13 @@
         wait_ms = round(self._watch_wait_s * 1000)
         try:
             while True:
-                _, answer = _send(
-                    client, "GET", f"{path}&after={after}&wait_ms={wait_ms}", None
-                )
-                for event in _required(answer.events, "events"):
-                    yield _decode_event(event)
-                after = max(after, _required(answer.current_rev, "current_rev"))
+                call = f"{path}&after={number_of(after)}&wait_ms={wait_ms}"
+                reply = self._send(client, "GET", call)
+                _check_same_era(reply, after)
+                for event in _required(reply.answer.events, "events"):
+                    yield reply.event(event)
+                current = reply.revision(reply.answer.current_rev, "current_rev")
+                after = max(after, current)
                 yield WatchEvent(None, None, after)
                 gevent.sleep(self._watch_pause_s)
         except LostAnswerError:
@@ -189,25 +244,27 @@
     def _transaction(
         self, key: str, expected_revision: int, change: Json, value: bytes | None
     ) -> SwapResult:
-        body: Json = {"expect": [{"key": key, "rev": expected_revision}]}
-        body |= {"writes": [], "remove": []} | change
-        status, answer = self._call("POST", "/-/kv-txn", body)
-        if status == 200:
-            return SwapResult(True, value, _required(answer.rev, "rev"))
-        if status == 404:
+        if expected_revision and era_of(expected_revision) < self._era:
+            # The store may have given the number to another write of this key.
+            return _conflict(self.get(key))
+        expected = {"key": key, "rev": number_of(expected_revision)}
+        body: Json = {"expect": [expected], "writes": [], "remove": []} | change
+        reply = self._call("POST", "/-/kv-txn", body)
+        if reply.status == 200:
+            if expected_revision:
+                _check_same_era(reply, expected_revision)
+            return SwapResult(True, value, reply.revision(reply.answer.rev, "rev"))
+        if reply.status == 404:
             raise UnavailableError("the lease of the write has expired")
-        for entry in _required(answer.items, "items"):
+        for entry in _required(reply.answer.items, "items"):
             if entry.key == key and entry.value is not None:
-                item = _decode_item(entry)
-                return SwapResult(False, item.value, item.revision)
-        return SwapResult(False, None, 0)
+                return _conflict(reply.item(entry))
+        return _conflict(None)
 
-    def _call(
-        self, method: str, path: str, body: Json | None = None
-    ) -> tuple[int, _Answer]:
+    def _call(self, method: str, path: str, body: Json | None = None) -> _Reply:
         client = self._client
         try:
-            return _send(client, method, path, body)
+            return self._send(client, method, path, body)
         except LostAnswerError:
             # The idle connections may have failed in the same way. Running calls keep
             # using the earlier client until they end.
@@ -215,6 +272,20 @@
                 self._client = self._new_client(CALL_TIMEOUT_S, CONNECTIONS)
             raise
 
+    def _send(
+        self, client: BoundedClient, method: str, path: str, body: Json | None = None
+    ) -> _Reply:
+        """Send one call; an answer from before a return of the store is no answer."""
+        reply = _send(client, method, path, body)
+        if reply.era < self._era:
+            raise LostAnswerError("the answer is older than the store's return")
+        if reply.era > self._era:
+            log_event(
+                logger, logging.INFO, "store_era", era=reply.era, before=self._era
+            )
+            self._era = reply.era
+        return reply
+
     def _new_client(self, timeout_s: float, connections: int) -> BoundedClient:
         return BoundedClient(
             self._store.host,
@@ -226,10 +297,7 @@
         )
 
 
-def _send(
-    client: BoundedClient, method: str, path: str, body: Json | None
-) -> tuple[int, _Answer]:
-    """Send one call; return its status (200, 404 or 412) and its body."""
+def _send(client: BoundedClient, method: str, path: str, body: Json | None) -> _Reply:
     data = b"" if body is None else msgspec.json.encode(body)
     try:
         response = client.request(method, path, body=data, headers=_JSON_HEADERS)
@@ -247,25 +315,30 @@
         answer = _answer_decoder.decode(content or b"{}")
     except MALFORMED_ERRORS as error:
         raise LostAnswerError(f"cannot decode the store's answer: {error}") from error
-    return status, answer
+    return _Reply(status, _era(response), answer)
 
 
-def _required(field: _Field | None, name: str) -> _Field:
-    if field is None:
-        raise LostAnswerError(f"the store's answer has no field {name}")
-    return field
+def _era(response: HTTPSocketPoolResponse) -> int:
+    """Return the era that an answer states; 0 if it states none."""
+    text = str(response.get(ERA_HEADER, "0"))
+    if not (text.isascii() and text.isdigit() and int(text) <= MAX_ERA):
+        raise LostAnswerError(f"the store's answer has the era {text!r}")
+    return int(text)
 
 
-def _decode_item(item: _Item) -> KvItem:
-    try:
-        value = base64.b64decode(_required(item.value, "value"), validate=True)
-    except (ValueError, binascii.Error) as error:
-        raise LostAnswerError(f"cannot decode a value of the store: {error}") from error
-    return KvItem(key=item.key, value=value, revision=_required(item.rev, "rev"))
+def _check_same_era(reply: _Reply, revision: int) -> None:
+    if reply.era != era_of(revision):
+        raise LostAnswerError("the store has returned from an older copy")
+
+
+def _conflict(current: KvItem | None) -> SwapResult:
+    """Return the result of a swap that another write has prevented."""
+    if current is None:
+        return SwapResult(False, None, 0)
+    return SwapResult(False, current.value, current.revision)
 
 
-def _decode_event(event: _Item) -> WatchEvent:
-    if event.removed:
-        return WatchEvent(event.key, None, _required(event.rev, "rev"))
-    item = _decode_item(event)
-    return WatchEvent(item.key, item.value, item.revision)
+def _required(field: _Field | None, name: str) -> _Field:
+    if field is None:
+        raise LostAnswerError(f"the store's answer has no field {name}")
+    return field
--- a/src/siskinspool/standins/gateway_site.py
+++ b/src/siskinspool/standins/gateway_site.py
@@ -115,6 +115,18 @@
         """Set faults of the store."""
         call_json(self.store.port, "POST", "/admin/faults", faults)
 
+    def keep_store_copy(self) -> None:
+        """Keep a copy of the store, from which it may return."""
+        call_json(self.store.port, "POST", "/admin/copy", {})
+
+    def return_store(self, *, rewrites: bool = True) -> None:
+        """Let the store return from the copy that was kept last.
+
+        Unless ``rewrites`` is false, what the operator and the servers have written
+        since is written again.
+        """
+        call_json(self.store.port, "POST", "/admin/return", {"rewrites": rewrites})
+
     def add_server(
         self,
         server_id: str,
--- a/src/siskinspool/standins/kv_store.py
+++ b/src/siskinspool/standins/kv_store.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections import deque
 from typing import Final
 
@@ -15,6 +14,7 @@
 from gevent.queue import Queue
 
 HISTORY_CHANGES: Final = 100_000
+FIRST_LEASE_ID: Final = 7_000
 
 
 @attrs.frozen
@@ -37,6 +37,16 @@
     expires_at: float
 
 
+@attrs.frozen
+class StoreCopy:
+    """The state of a store at one moment."""
+
+    revision: int
+    entry_by_key: dict[bytes, Entry]
+    ttl_s_by_lease_id: dict[int, float]
+    next_lease_id: int
+
+
 @attrs.define(eq=False)
 class Watch:
     """An open watch on a key range."""
@@ -57,7 +67,7 @@
         self.revision = 1
         self._entry_by_key: dict[bytes, Entry] = {}
         self._lease_by_id: dict[int, Lease] = {}
-        self._lease_ids = itertools.count(7_000)
+        self._next_lease_id = FIRST_LEASE_ID
         self._history: deque[Entry] = deque(maxlen=HISTORY_CHANGES)
         self._watches: set[Watch] = set()
 
@@ -93,7 +103,8 @@
 
     def grant_lease(self, ttl_s: float, now: float) -> int:
         """Create a lease and return its id."""
-        lease_id = next(self._lease_ids)
+        lease_id = self._next_lease_id
+        self._next_lease_id += 1
         self._lease_by_id[lease_id] = Lease(lease_id, ttl_s, now + ttl_s)
         return lease_id
 
@@ -118,6 +129,30 @@
             if lease.expires_at <= now:
                 self.revoke_lease(lease.lease_id)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(
+            self.revision,
+            dict(self._entry_by_key),
+            {lease.lease_id: lease.ttl_s for lease in self._lease_by_id.values()},
+            self._next_lease_id,
+        )
+
+    def return_from(self, copy: StoreCopy, now: float) -> None:
+        """Go back to a copy: revisions and lease ids are given out again.
+
+        The leases of the copy run for their whole time again.
+        """
+        self.revision = copy.revision
+        self._entry_by_key = dict(copy.entry_by_key)
+        self._lease_by_id = {
+            lease_id: Lease(lease_id, ttl_s, now + ttl_s)
+            for lease_id, ttl_s in copy.ttl_s_by_lease_id.items()
+        }
+        self._next_lease_id = copy.next_lease_id
+        kept = (one for one in self._history if one.mod_revision <= copy.revision)
+        self._history = deque(kept, maxlen=HISTORY_CHANGES)
+
     def open_watch(self, start: bytes, end: bytes, from_revision: int) -> Watch:
         """Open a watch whose queue starts with the changes since a revision.
 
--- a/src/siskinspool/standins/platform_store.py
+++ b/src/siskinspool/standins/platform_store.py
@@ -5,6 +5,9 @@
 write as the operator and the servers do. ``POST /admin/faults`` sets ``down`` (status
 503), ``lose_answers`` (this many writes take effect but get no response) and
 ``forget_history`` (watches from before the current revision get status 410).
+``POST /admin/copy`` keeps a copy of the state; ``/admin/return`` goes back to it as a
+restored store does. What the operator and the servers have written since is then
+written again, unless ``rewrites`` is false.
 """
 
 from __future__ import annotations
@@ -14,16 +17,20 @@
 from typing import Any, Final
 from urllib.parse import parse_qs
 
+import attrs
 import click
 import gevent
 from gevent.queue import Empty
 
-from .kv_store import Entry, KvStore
+from .kv_store import Entry, KvStore, StoreCopy
 from .wsgi import App, CloseConnection, Json, Request, Response, serve
 
 PAGE_ITEMS: Final = 50
 EXPIRY_INTERVAL_S: Final = 0.05
 MAX_WAIT_MS: Final = 30_000
+ERA_HEADER: Final = "Store-Era"
+# Keys that others than the system write.
+FOREIGN_PREFIXES: Final = (b"op/", b"servers/")
 
 
 class PlatformStoreApp(App):
@@ -36,6 +43,9 @@
         # Watches that start before this revision get status 410.
         self._first_watch_revision = 0
         self.call_count = 0
+        # Counts the returns from a copy.
+        self._era = 1
+        self._copy: StoreCopy | None = None
 
     def run_lease_expiry(self) -> None:
         """Expire leases at a fixed interval; runs forever in its own greenlet."""
@@ -50,14 +60,18 @@
         self.call_count += 1
         if self._down:
             return Response.from_json({}, 503)
+        era = self._era
         response = self._handle_call(request)
+        if era != self._era:
+            # A watch that waited while the store returned: its history is gone.
+            response = Response.from_json({}, 410)
         if self._down:
             # The store went down while a watch waited, so the watch reports no change.
             return Response.from_json({}, 503)
         if self._lose_answers and request.method != "GET":
             self._lose_answers -= 1
             raise CloseConnection
-        return response
+        return attrs.evolve(response, headers=((ERA_HEADER, str(self._era)),))
 
     def _handle_call(self, request: Request) -> Response:
         query = {name: values[0] for name, values in parse_qs(request.query).items()}
@@ -106,7 +120,7 @@
 
     def _watch(self, query: dict[str, str]) -> Response:
         after = int(query["after"])
-        if after < self._first_watch_revision:
+        if not self._first_watch_revision <= after <= self._store.revision:
             return Response.from_json({}, 410)
         prefix = query["prefix"].encode()
         watch = self._store.open_watch(prefix, prefix + b"\xff", after + 1)
@@ -154,6 +168,10 @@
                 self._store.put(body["key"].encode(), value, 0)
             case "/admin/remove":
                 self._store.delete(body["key"].encode())
+            case "/admin/copy":
+                self._copy = self._store.copy()
+            case "/admin/return":
+                self._return(rewrites=bool(body.get("rewrites", True)))
             case "/admin/faults":
                 self._down = bool(body.get("down", self._down))
                 self._lose_answers = int(body.get("lose_answers", self._lose_answers))
@@ -161,6 +179,30 @@
                     self._first_watch_revision = self._store.revision + 1
         return Response.from_json({"calls": self.call_count} | self._current_revision())
 
+    def _return(self, *, rewrites: bool) -> None:
+        """Go back to the copy that was kept, and begin a new era."""
+        assert self._copy is not None, "no copy was kept"
+        written = self._foreign_values()
+        self._store.return_from(self._copy, time.monotonic())
+        self._era += 1
+        if not rewrites:
+            return
+        kept = self._foreign_values()
+        for key in kept.keys() - written.keys():
+            self._store.delete(key)
+        for key, value in written.items():
+            if kept.get(key) != value:
+                self._store.put(key, value, 0)
+
+    def _foreign_values(self) -> dict[bytes, bytes]:
+        """Return the keys that the operator and the servers have written."""
+        return {
+            entry.key: entry.value
+            for prefix in FOREIGN_PREFIXES
+            for entry in self._store.range(prefix, prefix + b"\xff")
+            if entry.value is not None
+        }
+
 
 def _entry_to_json(entry: Entry) -> dict[str, Any]:
     return {
--- a/src/siskinspool/store/kv.py
+++ b/src/siskinspool/store/kv.py
@@ -3,8 +3,8 @@
 Decisions use the service through messages to the task ``kv``: each request has a
 ``request_id`` chosen by the sender and gets exactly one reply: `KvValue`, `KvListing`,
 `KvSwapped`, `KvDeleted`, `KvConflict`, `KvAnswerLost` or `KvUnavailable`. The service
-only needs to support compare-and-swap on one key. Revisions are positive; 0 means that
-the key does not exist.
+only needs to support compare-and-swap on one key. Revisions are positive and contain
+the service's era (`siskinspool.store.revision`); 0 means that the key does not exist.
 
 `KeyValueService` is the adapter interface; `siskinspool.store.etcd` implements it.
 """
@@ -207,6 +207,15 @@
     effect unknown). Times are in seconds.
     """
 
+    @property
+    def era(self) -> int:
+        """The era of the service's last answer; 0 if the service has no eras.
+
+        It rises when the service returns from an older copy. What was written since
+        that copy is lost, and leases may be gone or belong to others.
+        """
+        return 0
+
     @abstractmethod
     def get(self, key: str) -> KvItem | None:
         """Return a key, or None if it does not exist."""
@@ -244,4 +253,7 @@
 
     @abstractmethod
     def watch(self, prefix: str, from_revision: int) -> Iterator[WatchEvent]:
-        """Yield changes under a prefix from a revision on, until the link fails."""
+        """Yield changes under a prefix from a revision on, until the link fails.
+
+        It fails, too, if the service returns from an older copy.
+        """
--- a/src/siskinspool/store/kv_events.py
+++ b/src/siskinspool/store/kv_events.py
@@ -24,6 +24,8 @@
     # accepted before `sent_at`: leases are renewed even while a broken watch
     # misses changes.
     head_read: bool = False
+    # The era of the service at its answer (`KeyValueService.era`).
+    era: int = 0
 
 
 @attrs.frozen
--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -187,7 +187,7 @@
                 log_event(logger, logging.ERROR, "kv_failed", error=repr(error))
             self._report_health(KvReachability(False, sent_at))
             return KvAnswerLost(request.request_id, _request_key(request))
-        self._report_health(KvReachability(True, sent_at))
+        self._report_health(KvReachability(True, sent_at, era=self._service.era))
         return reply
 
     def _execute(self, job: _PendingRequest) -> KvReply:
@@ -242,7 +242,8 @@
                 continue
             if item is not None:
                 self._watch.publish_if_newer(item)
-            self._report_health(KvReachability(True, sent_at, head_read=True))
+            era = self._service.era
+            self._report_health(KvReachability(True, sent_at, True, era))
 
     def _on_session_report(self, message: Message) -> None:
         """Forward a message of the session keeper; runs in the keeper's greenlet."""
--- a/src/siskinspool/store/leases.py
+++ b/src/siskinspool/store/leases.py
@@ -27,6 +27,8 @@
     lock: BoundedSemaphore = attrs.field(factory=lambda: BoundedSemaphore(1))
     lease_id: int | None = None
     use_until: float = 0.0
+    # The service's era at the grant; after a return the id may be another lease's.
+    era: int = 0
 
 
 class SharedLeases:
@@ -45,9 +47,10 @@
         )
         with lease.lock:
             sent_at = self._clock.now()
-            if lease.lease_id is None or sent_at >= lease.use_until:
+            is_usable = lease.era == self._service.era and sent_at < lease.use_until
+            if lease.lease_id is None or not is_usable:
                 granted = self._service.grant_lease(ttl_s + LEASE_SHARING_S)
-                lease.lease_id = granted.lease_id
+                lease.lease_id, lease.era = granted.lease_id, self._service.era
                 # Each write must live for its whole time.
                 lease.use_until = sent_at + min(granted.ttl_s - ttl_s, LEASE_SHARING_S)
             return lease.lease_id
--- a/src/siskinspool/store/session_keeper.py
+++ b/src/siskinspool/store/session_keeper.py
@@ -8,6 +8,10 @@
 an earlier process with the same name has to expire first, unless the keeper takes over:
 its holder may be paused and would otherwise lose partitions that it still considers its
 own.
+
+A service that returns from an older copy may lack the lease and give its id to another
+instance. A renewal that finds the service in a new era therefore counts only if the
+session key still names the lease.
 """
 
 from __future__ import annotations
@@ -111,6 +115,8 @@
         self._renew_interval_s = renew_interval_s
         self._retry_s = min(RETRY_INTERVAL_S, renew_interval_s / 2)
         self._lease_id: int | None = None
+        # The service's era in which the lease is known to be this instance's.
+        self._era = 0
         self._takes_over = takes_over
         self._end_requested = Event()
 
@@ -139,7 +145,7 @@
                 log_event(logger, logging.ERROR, "session_failed", error=repr(error))
             self._report(KvReachability(False, sent_at))
             return False
-        self._report(KvReachability(True, sent_at))
+        self._report(KvReachability(True, sent_at, era=self._service.era))
         return is_open
 
     def _open(self) -> bool:
@@ -147,12 +153,16 @@
         sent_at = self._clock.now()
         lease = self._service.grant_lease(self._ttl_s)
         lease_id = lease.lease_id
+        era = self._service.era
         if not self._write_key(lease_id):
             log_event(logger, logging.INFO, "session_waits", reason="key_in_use")
             # Otherwise each attempt would leave an unused lease.
             self._service.revoke_lease(lease_id)
             return False
-        self._lease_id = lease_id
+        if self._service.era != era:
+            # The id may be another instance's now; it is not revoked.
+            return False
+        self._lease_id, self._era = lease_id, era
         log_event(logger, logging.INFO, "session_opened", lease=lease_id)
         self._report_renewed(lease_id, sent_at, lease.ttl_s)
         return True
@@ -177,7 +187,7 @@
         lease_id = self._lease_id
         assert lease_id is not None
         ttl_s = self._service.keep_alive(lease_id)
-        if ttl_s is None:
+        if ttl_s is None or not self._is_own(lease_id):
             log_event(logger, logging.WARNING, "session_lost", lease=lease_id)
             self._lease_id = None
             self._report(SessionGone())
@@ -185,6 +195,19 @@
         self._report_renewed(lease_id, sent_at, ttl_s)
         return True
 
+    def _is_own(self, lease_id: int) -> bool:
+        """Return whether a lease that was renewed is that of the session key."""
+        era = self._service.era
+        if era != self._era:
+            written = self._service.get(session_key(self._member.instance_id))
+            expected = encode_session(self._member, lease_id)
+            if written is None or written.value != expected:
+                return False
+            if self._service.era != era:
+                return False
+            self._era = era
+        return True
+
     def _report_renewed(self, lease_id: int, sent_at: float, ttl_s: float) -> None:
         """Report a session that lasts for the applied time to live.
 
--- a/tests/builders_change_feed.py
+++ b/tests/builders_change_feed.py
@@ -34,6 +34,7 @@
 from siskinspool.links.compressing_codec import CompressingCodec
 from siskinspool.store.kv import KvChanged, KvItem, WatchBroken, WatchListed
 from siskinspool.store.kv_events import KvReachability
+from siskinspool.store.revision import era_of, make_revision, number_of
 
 LINK_S: Final = 0.002
 CALL_S: Final = 0.005
@@ -50,6 +51,14 @@
 SESSIONS: Final = "shared/session/"
 
 
+@attrs.frozen
+class ServiceCopy:
+    """An earlier state of the service, from which it may return."""
+
+    revision: int
+    value_by_key: dict[str, tuple[bytes, int]]
+
+
 @attrs.define
 class ModelService:
     """Keys with revisions, and a history that may be forgotten."""
@@ -89,6 +98,20 @@
             if change.revision > revision and change.key.startswith(prefix)
         )
 
+    def copy(self) -> ServiceCopy:
+        """Return a copy of the present state."""
+        return ServiceCopy(self.revision, dict(self.value_by_key))
+
+    def return_from(self, copy: ServiceCopy) -> None:
+        """Lose what was written since a copy, and begin a new era."""
+        era = era_of(self.revision) + 1
+        self.revision = make_revision(era, number_of(copy.revision))
+        self.value_by_key = {
+            key: (value, make_revision(era, number_of(revision)))
+            for key, (value, revision) in copy.value_by_key.items()
+        }
+        self.history.clear()
+
     def forget_history(self) -> None:
         """Refuse watches that start before the present revision."""
         self.forgotten_until = self.revision
@@ -160,6 +183,9 @@
         # Pairs (sender, receiver) whose messages wait until the cut ends.
         self.cuts: set[tuple[str, str]] = set()
         self.bytes_by_name: dict[str, int] = {}
+        # How long a watch that waits when the service returns from a copy goes on
+        # before it is refused.
+        self.return_notice_s = 0.0
         # Called for each message between instances; False drops it.
         self.passes: Callable[[str, str, Message], bool] = lambda *_: True
         self._waiting: list[tuple[str, str, Incoming]] = []
@@ -401,7 +427,8 @@
     def _renewed(
         self, instance: FeedInstance, sent_at: float, is_reached: bool
     ) -> None:
-        self._post(instance, KvReachability(is_reached, sent_at))
+        era = era_of(self.service.revision) if is_reached else 0
+        self._post(instance, KvReachability(is_reached, sent_at, era=era))
         interval_s = RENEW_S if is_reached else RENEW_RETRY_S
         self._at(interval_s, lambda: self._renew(instance))
 
@@ -469,7 +496,10 @@
             listed = PrefixListed(watch.prefix, items, watch.revision, self.now)
             self._post(instance, listed)
             return CALL_S
-        if watch.revision < self.service.forgotten_until:
+        is_other_era = era_of(watch.revision) != era_of(self.service.revision)
+        if is_other_era and self.now - watch.answered_at < self.return_notice_s:
+            return 0.02
+        if is_other_era or watch.revision < self.service.forgotten_until:
             self.service.calls += 1
             self._break(instance, watch)
             # Listings of one watch are some time apart.
--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -8,6 +8,7 @@
 
 from siskinspool.core.member import Member
 from siskinspool.core.message import Address, Incoming, Message
+from siskinspool.feed.change_feed import REWRITE_GRACE_S
 from siskinspool.feed.feed_messages import (
     FeedProof,
     FeedSubscribe,
@@ -27,6 +28,7 @@
     PREFIXES,
     SESSION_S,
     WATCH_TIMEOUT_S,
+    WATCH_WAIT_S,
     FeedFleet,
 )
 from .builders_gateway import encode, entry_document
@@ -199,6 +201,66 @@
     assert all(CONFIG not in one.value_by_key for one in fleet.alive())
 
 
+@pytest.mark.parametrize("count", [1, 3, 9, 48])
+@pytest.mark.parametrize("notice_s", [0.0, WATCH_WAIT_S])
+def test_return_from_an_older_copy_hides_no_change(count: int, notice_s: float) -> None:
+    """Guards against changes that are dropped since their revisions were given before.
+
+    Keys that were written since the copy are gone, and keys removed since are back.
+    """
+    fleet = settled(count)
+    fleet.service.put("servers/s1", b"1")
+    fleet.service.put("servers/s2", b"1")
+    fleet.run(1.0)
+    copy = fleet.service.copy()
+    change(fleet)
+    fleet.service.put("servers/s3", b"1")
+    fleet.service.remove("servers/s1")
+    fleet.run(8.0)
+    fleet.return_notice_s = notice_s
+    fleet.service.return_from(copy)
+    fleet.run(3.2)
+    revision, since = change(fleet, b"3")
+    assert_seen_in_time(fleet, revision, since)
+    fleet.run(SETTLE_S)
+    assert [one.name for one in fleet.alive() if not fleet.knows_all(one)] == []
+    assert len(fleet.reading()) <= max(2, count // MEMBERS_PER_READER)
+
+
+def test_subscriber_that_knew_more_than_its_reader_lists_after_a_return() -> None:
+    """Guards against a lost key that only some instances had seen."""
+    fleet = settled()
+    copy = fleet.service.copy()
+    ahead, *readers = sorted(
+        (one.name for one in fleet.alive()), key=lambda name: name in fleet.reading()
+    )
+    fleet.suspended.update(readers)
+    fleet.service.put("servers/lost", b"1")
+    fleet.run(3 * BOUND_S)
+    assert "servers/lost" in fleet.by_name[ahead].value_by_key
+    fleet.service.return_from(copy)
+    for name in readers:
+        fleet.resume(name)
+    fleet.run(2 * SETTLE_S)
+    assert [one.name for one in fleet.alive() if not fleet.knows_all(one)] == []
+
+
+def test_changes_of_a_return_are_few_on_the_wire() -> None:
+    """Guards against a return after which each reader sends all keys to everybody."""
+    fleet = settled(48)
+    for number in range(500):
+        fleet.service.put(f"servers/s{number}", b"x" * 300)
+    fleet.run(SETTLE_S)
+    copy = fleet.service.copy()
+    change(fleet)
+    fleet.run(1.0)
+    sent = dict(fleet.bytes_by_name)
+    fleet.service.return_from(copy)
+    fleet.run(1.0)
+    grown = [total - sent.get(name, 0) for name, total in fleet.bytes_by_name.items()]
+    assert max(grown) < 48 * 2_000
+
+
 def test_few_read_again_soon_after_an_outage_for_all() -> None:
     """Guards against followers that stay with other instances than the readers."""
     fleet = settled(30)
@@ -443,3 +505,20 @@
     Guards against tests that pass because every instance reads for itself.
     """
     assert WATCH_TIMEOUT_S > BOUND_S
+
+
+def test_key_that_is_written_again_after_a_return_is_not_removed() -> None:
+    """Guards against evacuations and members that are gone for a moment."""
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.service.put("op/evacuate/z2", b"1")
+    fleet.run(1.0)
+    fleet.service.return_from(copy)
+    for _ in range(10):
+        fleet.run(0.1)
+        assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(REWRITE_GRACE_S + BOUND_S)
+    assert all(fleet.knows_all(one) for one in fleet.alive())
+    assert "op/evacuate/z2" not in fleet.by_name["g000"].value_by_key
--- a/tests/test_change_feed_machine.py
+++ b/tests/test_change_feed_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from .builders_change_feed import BOUND_S, FeedFleet
+from .builders_change_feed import BOUND_S, WATCH_WAIT_S, FeedFleet
 
 COUNT = 7
 NAMES = [f"g{number:03}" for number in range(COUNT)]
@@ -24,6 +24,7 @@
         self.fleet.run(2.0)
         self.writes = 0
         self.written_at_by_key: dict[str, float] = {}
+        self.copy = self.fleet.service.copy()
         # The end of the last fault.
         self.calm_since = self.fleet.now
 
@@ -76,6 +77,19 @@
     def forget(self) -> None:
         self.fleet.service.forget_history()
 
+    @rule()
+    def keep_copy(self) -> None:
+        self.copy = self.fleet.service.copy()
+
+    @rule(notice_s=st.sampled_from([0.0, WATCH_WAIT_S]))
+    def return_from_copy(self, notice_s: float) -> None:
+        """Lose what was written to the service since the copy."""
+        self.fleet.return_notice_s = notice_s
+        self.fleet.service.return_from(self.copy)
+        self.copy = self.fleet.service.copy()
+        self.written_at_by_key = dict.fromkeys(KEYS, self.fleet.now)
+        self.calm_since = self.fleet.now
+
     @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 3.0]))
     def wait(self, seconds: float) -> None:
         self.fleet.run(seconds)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
 from siskinspool.core.message import Message
 from siskinspool.gateway.bounds import OrderBounds
@@ -30,6 +31,7 @@
     WatchListed,
 )
 from siskinspool.store.kv_events import KvReachability, SessionGone, SessionRenewed
+from siskinspool.store.revision import make_revision
 
 from .builders_gateway import bounds, incoming, member, membership, messages
 
@@ -56,6 +58,7 @@
             ("watcher",),
             self.now,
             session_silence_s=SILENCE_S,
+            session_ttl_s=TTL_S,
             first_start=first_start,
         )
         self.send(membership(name))
@@ -259,3 +262,37 @@
     swap = leader.attempt()
     term = held(leader.send(KvSwapped(swap.request_id, LEADER_KEY, 10)))
     assert term.from_s > leader.now
+
+
+@pytest.mark.parametrize("epochs_checked", [True, False])
+def test_successor_after_a_return_of_the_store_waits_longer(
+    epochs_checked: bool,
+) -> None:
+    """Guards against orders beside those of a leader whose key the return has lost.
+
+    It does not know of the return yet, and its session has not run out.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=epochs_checked)
+    candidate = Candidate(orders=orders)
+    candidate.renew()
+    held_at = make_revision(1, 90)
+    candidate.send(KvChanged(LEADER_KEY, record("g2"), held_at))
+    candidate.send(WatchListed("shared"))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 50)))
+    swap = candidate.attempt()
+    epoch = make_revision(2, 51)
+    term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, epoch)))
+    assert term.epoch > held_at
+    longest_s = 0.0 if epochs_checked else TTL_S
+    assert term.from_s >= candidate.now + orders.lease_s + longest_s
+
+
+def test_stopping_leader_deletes_the_key_that_a_return_has_brought_back() -> None:
+    """Guards against a stopped leader whose key stays until its lease ends."""
+    candidate = Candidate()
+    candidate.elect(make_revision(1, 5))
+    (end,) = (m for m in candidate.send(StopLeading()) if isinstance(m, KvDelete))
+    revision = make_revision(2, 5)
+    own = record("g1", "1")
+    conflict = KvConflict(end.request_id, LEADER_KEY, own, revision)
+    assert KvDelete("leader-end", LEADER_KEY, revision) in candidate.send(conflict)
--- a/tests/test_gateway_load_ledger.py
+++ b/tests/test_gateway_load_ledger.py
@@ -24,7 +24,9 @@
     ModelExpected,
     OrderResult,
 )
+from siskinspool.gateway.servers import RegistryInterrupted, RegistryListed
 from siskinspool.store.kv import KvAnswerLost, KvGet, KvSwap, KvSwapped, KvValue
+from siskinspool.store.revision import make_revision
 
 from .builders_gateway import desired_state, engine, holdings
 from .builders_placement_harness import PlacementHarness, orders
@@ -328,3 +330,25 @@
         requesters.add(name, number, 100.0)
     largest = requesters.largest(names, 100.0)
     assert set(largest) == set(names[-MAX_RECORDED_MODELS:])
+
+
+def test_record_that_the_store_has_lost_is_written_again() -> None:
+    """Guards against loads that no successor knows after a return of the store."""
+    harness = harness_with_servers(busy=False)
+    begin_term_with_ledger(harness, ServiceRecord(2, frozenset()))
+    harness.request("m1", reach_s=(11.0,))
+    write = requests(harness.advance_time(0.5))[-1]
+    assert isinstance(write, KvSwap)
+    harness.send(KvSwapped(write.request_id, LEDGER_KEY, make_revision(1, 20)))
+    assert requests(harness.advance_time(0.5)) == []
+    harness.send(RegistryInterrupted())
+    harness.send(RegistryListed())
+    (read,) = requests(harness.advance_time(0.5))
+    assert isinstance(read, KvGet)
+    lost = make_revision(2, 9)
+    empty = encode_loads({"writers": ServiceRecord(2, frozenset())})
+    harness.send(KvValue(read.request_id, LEDGER_KEY, empty, lost))
+    (again,) = requests(harness.advance_time(0.5))
+    assert isinstance(again, KvSwap)
+    assert again.expected_revision == lost
+    assert decode_loads(again.value)["writers"].loads
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -118,6 +118,19 @@
     assert harness.assigned_server("r2") is None
 
 
+def test_leaving_server_is_not_ready_again_in_an_older_registry() -> None:
+    """Guards against requests for a leaving server after a return of the store.
+
+    The older copy still calls it ready, until the server writes its entry again.
+    """
+    harness = RoutingHarness()
+    harness.send(server("s1", "m0", state=ServerState.DRAINING))
+    harness.send(RegistryInterrupted())
+    harness.send(server("s1", "m0"))
+    harness.send(RegistryListed())
+    assert harness.assigned_server() is None
+
+
 def test_removed_entry_takes_effect_at_once() -> None:
     """Guards against requests for a server that has left (rule DRAIN)."""
     harness = RoutingHarness()
