Let a leader order at once only if no other can have ordered lately

Cause: "I was the last holder" and "nobody has led" were beliefs without an age and an era. A gateway that had led, lost its session and heard nothing for 9 s took the free key and ordered at once; so did one to which a returned store showed its own old key; a successor counted on the silence of an ending session also if the holder had deleted its key a moment after an order.

Change: `Succession` decides on the wait, from what is known, and the log names it (`leader_began ... basis=`). No wait only on the first start (for 2 s), after an earlier process on the same machine whose key was never free, or if the key was held until a moment ago, within the shortest wait of any other. The record of the key states its era; a term ends with the era, and the leader takes its key again at once, so that a return costs no seconds without a leader. Where the end of another's key may have been missed, or its session goes on, the whole lease time is waited for. A session attaches no key until a renewal has shown in the present era whose lease it is.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -2,14 +2,14 @@
 
 The leader holds one key in the platform's store, which is bound to its session. The
 revision of the write that took the key is the epoch number of the leadership term, so a
-later leader has a higher number. A new leader waits for the time that the platform
-requires between the orders of two holders, unless it was the last holder itself or
-there was no holder before. An instance that starts after the first start of the system
-may not have seen the last holder, whose key has ended already.
+later leader has a higher number. A new leader waits before its first order, unless no
+other can have ordered lately (`Succession`).
 
-A store that returns from an older copy may lack the leader's key while its holder still
-gives orders. A successor then waits until that holder's session has certainly ended.
-Revisions contain the store's era, so epoch numbers rise across a return.
+A store that returns from an older copy may lack the leader's key, or show an earlier
+leader's. A term therefore ends with the store's era: the leader takes the key again,
+and as it has held it until a moment ago, it need not wait. Revisions contain the era,
+so epoch numbers rise across a return. A key from the copy is held by nobody until its
+holder has taken it again, in the new era.
 
 The leader may give orders while its session is valid. Where servers check epoch
 numbers, it may also continue while the store does not answer: a successor has a higher
@@ -22,10 +22,8 @@
 from typing import Final
 
 import attrs
-import msgspec
 
 from ..core.decision import Decision
-from ..core.malformed import MALFORMED_ERRORS
 from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
@@ -48,6 +46,7 @@
 from ..store.revision import era_of
 from ..telemetry.logs import log_event
 from .bounds import Bounds
+from .leader_record import LeaderRecord, decode_record, encode_record
 from .messages import (
     LEADERSHIP_TASK,
     LeaderChanged,
@@ -57,6 +56,7 @@
     LeadershipLost,
     LeaderSucceeded,
 )
+from .succession import Succession
 
 logger = logging.getLogger(__name__)
 
@@ -65,8 +65,6 @@
 # them find the key taken without a call.
 ATTEMPT_STEP_S: Final = 0.1
 RETRY_INTERVAL_S: Final = 0.5
-# Allows for the network delay of the last holder's last order.
-WAIT_MARGIN_S: Final = 0.1
 # While a leader is cut off from the store, a failed renewal is reported at least this
 # often.
 OUTAGE_SIGNAL_TTL_S: Final = 2.5
@@ -75,27 +73,25 @@
 MAX_DETACHED_S: Final = 30.0
 
 
-@attrs.frozen
-class _LeaderRecord:
-    """The decoded value of the leader's key."""
-
-    instance_id: str
-    incarnation: str
-
-
-class _Record(msgspec.Struct):
-    instance_id: str
-    incarnation: str
-
-
 @attrs.define
 class _Term:
     """The leadership term of this instance."""
 
     epoch: int
+    # When the first order may be given.
     from_s: float
 
 
+@attrs.frozen
+class _Attempt:
+    """An attempt to take the key."""
+
+    record: LeaderRecord
+    sent_at: float
+    # The key that it replaces was held by an earlier process on this machine.
+    follows_predecessor: bool
+
+
 class Leadership(Decision):
     """Acquires and keeps the leader's key."""
 
@@ -116,25 +112,30 @@
         A session ends between ``session_silence_s`` and ``session_ttl_s`` after its
         holder's last renewal, and the leader's key ends with it.
         """
-        self._session_ttl_s = session_ttl_s
-        self._session_silence_s = session_silence_s
-        self._first_start = first_start
+        self._succession = Succession(
+            orders=bounds.orders,
+            session_silence_s=session_silence_s,
+            session_ttl_s=session_ttl_s,
+            first_start=first_start,
+            started_at=now,
+        )
         self._own = own
         self._bounds = bounds
         self._watchers = watchers
         self._session = SessionValidity()
+        self._member_ids: tuple[str, ...] = (own.instance_id,)
         self._rank = 0
+        # The store's era, as far as it is known.
+        self._era = 0
         # The state of the key is unknown until the watch has listed it.
         self._is_key_listed = False
-        self._holder: _LeaderRecord | None = None
+        self._holder: LeaderRecord | None = None
         self._revision = 0
-        self._last_holder_id: str | None = None
-        # The revision at which the last holder's key was seen.
-        self._last_held_revision = 0
         self._term: _Term | None = None
         # When the next attempt to take the key is due.
         self._attempt_at: float | None = None
         self._is_request_pending = False
+        self._last_attempt: _Attempt | None = None
         self._next_request = 0
         # The last and the first unanswered store call of the present outage.
         self._last_unanswered_at: float | None = None
@@ -149,12 +150,18 @@
                 return self._handle_record(value, revision, now)
             case WatchListed():
                 self._is_key_listed = True
+                if self._holder is None:
+                    # A listing shows no holder that has come and gone before it.
+                    self._succession.record_gap()
                 return self._schedule_attempt(now)
             case SessionRenewed() as renewed:
-                self._session.record_renewal(renewed)
-                return self._schedule_attempt(now) + self._extend_term(now)
+                batch = self._record_renewal(renewed)
+                return batch + self._schedule_attempt(now) + self._extend_term(now)
             case SessionGone():
                 self._session.record_end()
+                if self._term is not None:
+                    # The key has ended with the session.
+                    self._holder = None
                 return self._end_term("session_gone")
             case KvReachability() as reachable:
                 return self._record_reachability(reachable, now)
@@ -168,7 +175,8 @@
                     # The store has not reported the successor. Requests of this
                     # instance are sent to it from now on, and a later term waits for
                     # its orders.
-                    self._holder = _LeaderRecord(successor_id, "")
+                    self._holder = LeaderRecord(successor_id, "")
+                    self._succession.record_other(successor_id, epoch)
                     return batch + self._notify_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
@@ -184,24 +192,35 @@
         if self._attempt_at is None or now < self._attempt_at:
             return []
         self._attempt_at = None
-        expected = 0 if self._holder is None else self._revision
-        can_take = self._holder is None or self._is_predecessor(self._holder)
-        if not can_take or self._is_request_pending or self._is_leaving:
+        is_free = self._may_take() and self._term is None
+        if not is_free or self._is_request_pending or self._is_leaving:
             return []
         if self._session.valid_lease_id(now) is None:
             self._attempt_at = now + RETRY_INTERVAL_S
             return []
+        return [self._take_key(now)]
+
+    def _take_key(self, now: float) -> Outgoing:
+        """Return the request that writes the key, unless another has changed it."""
+        holder = self._holder
+        expected = 0 if holder is None else self._revision
         self._is_request_pending = True
         self._next_request += 1
-        record = _Record(self._own.instance_id, self._own.incarnation)
+        follows_predecessor = (
+            holder is not None
+            and holder.is_of_predecessor(self._own)
+            and holder.is_current(self._revision)
+        )
+        own = LeaderRecord(self._own.instance_id, self._own.incarnation, self._era)
+        self._last_attempt = _Attempt(own, now, follows_predecessor)
         swap = KvSwap(
             f"leader-{self._next_request}",
             LEADER_KEY,
             expected,
-            msgspec.json.encode(record),
+            encode_record(own),
             with_session=True,
         )
-        return [self._to_store(swap)]
+        return self._to_store(swap)
 
     def wake_at(self) -> float | None:
         """Return when the next attempt is due."""
@@ -220,76 +239,98 @@
     ) -> list[Outgoing]:
         if revision < self._revision:
             return []
-        known_revision, self._revision = self._revision, revision
-        if self._holder is not None:
-            self._last_holder_id = self._holder.instance_id
-            self._last_held_revision = known_revision
-        self._holder = None if value is None else _decode(value)
+        self._revision = revision
+        batch = self._enter_era(era_of(revision))
+        self._holder = None if value is None else decode_record(value)
         if value is not None and self._holder is None:
             log_event(logger, logging.WARNING, "leader_record_unreadable")
-        batch = self._notify_leader()
-        if self._holder is not None and self._is_own(self._holder):
+        batch += self._notify_leader()
+        if self._holds_key():
             if self._is_leaving:
                 # The store has returned from a copy that has the key once more.
                 return [*batch, self._delete_key(revision)]
             return batch + self._begin_term(revision, now)
+        self._record_other_holder(revision)
         if self._term is not None:
             batch += self._end_term("replaced")
         return batch + self._schedule_attempt(now)
 
-    def _is_own(self, record: _LeaderRecord) -> bool:
-        return (record.instance_id, record.incarnation) == (
-            self._own.instance_id,
-            self._own.incarnation,
-        )
+    def _record_other_holder(self, revision: int) -> None:
+        holder = self._holder
+        if holder is None or holder.instance_id == self._own.instance_id:
+            return
+        self._succession.record_other(holder.instance_id, revision)
+        if not holder.is_current(revision):
+            # Others may have led since the copy was made.
+            self._succession.record_gap()
 
-    def _is_predecessor(self, record: _LeaderRecord) -> bool:
-        """Return whether an earlier process on this machine holds the key.
+    def _holds_key(self) -> bool:
+        """Return whether this process has the key, by a write of the present era.
 
-        A machine runs one process at a time, so that process has ended and there is no
-        need to wait for its session.
+        While it is leaving, a key that a return has brought back counts, too.
         """
-        return record.instance_id == self._own.instance_id and not self._is_own(record)
+        holder = self._holder
+        if holder is None or not holder.is_of(self._own):
+            return False
+        return self._is_leaving or holder.is_current(self._revision)
+
+    def _may_take(self) -> bool:
+        """Return whether no other machine has the key, and this one must take it."""
+        holder = self._holder
+        if holder is None or holder.is_of_predecessor(self._own):
+            return True
+        return holder.is_of(self._own) and not holder.is_current(self._revision)
+
+    def _enter_era(self, era: int) -> list[Outgoing]:
+        """End a term of an earlier era, as the store may have lost the key since."""
+        if era <= self._era:
+            return []
+        self._era = era
+        if self._term is None or era_of(self._term.epoch) >= era:
+            return []
+        batch = self._end_term("store_returned")
+        # The key is read by the attempt to take it.
+        self._holder = None
+        return batch
 
     def _begin_term(self, epoch: int, now: float) -> list[Outgoing]:
         if self._term is not None and self._term.epoch == epoch:
             return []
-        wait_s = self._successor_wait_s(epoch) if self._follows_another() else 0.0
+        attempt = self._last_attempt
+        basis = self._succession.basis(
+            epoch,
+            self._member_ids,
+            now,
+            follows_predecessor=attempt is not None and attempt.follows_predecessor,
+        )
+        wait_s = self._succession.wait_s(basis)
+        last_holder_id = self._succession.last_holder_id
         self._term = _Term(epoch, now + wait_s)
         log_event(
-            logger, logging.INFO, "leader_began", epoch=epoch, orders_after_s=wait_s
+            logger,
+            logging.INFO,
+            "leader_began",
+            epoch=epoch,
+            orders_after_s=wait_s,
+            basis=basis,
+            last_holder=last_holder_id,
         )
         batch = self._notify(LeadershipHeld(epoch, now + wait_s))
-        if self._last_holder_id not in (None, self._own.instance_id):
+        if last_holder_id is not None:
             # The last holder may be cut off from the store only and still give orders.
-            last_holder = Address(self._last_holder_id, LEADERSHIP_TASK)
+            last_holder = Address(last_holder_id, LEADERSHIP_TASK)
             batch.append(Outgoing(last_holder, LeaderSucceeded(epoch)))
+        if attempt is not None and wait_s == 0.0:
+            self._succession.record_held(epoch, attempt.sent_at)
         return batch + self._extend_term(now)
 
-    def _follows_another(self) -> bool:
-        """Return whether another instance may have been the last holder."""
-        if self._last_holder_id is None:
-            return not self._first_start
-        return self._last_holder_id != self._own.instance_id
-
-    def _successor_wait_s(self, epoch: int) -> float:
-        """Return how long the last holder's orders may still be recent.
-
-        A holder that died gave its last order before its session began to run out. A
-        holder that is cut off from the store may give orders for longer, but servers
-        that check epoch numbers refuse them after the first order of its successor.
-
-        A return of the store may have removed the key of a holder that does not know it
-        yet, so its session may still last for its whole time.
-        """
-        lease_s = self._bounds.orders.lease_s
-        last_revision = self._last_held_revision
-        is_after_return = last_revision > 0 and era_of(last_revision) < era_of(epoch)
-        if not self._bounds.orders.epochs_checked:
-            return lease_s + (self._session_ttl_s if is_after_return else 0.0)
-        if is_after_return:
-            return lease_s + WAIT_MARGIN_S
-        return max(lease_s - self._session_silence_s, 0.0) + WAIT_MARGIN_S
+    def _record_renewal(self, renewed: SessionRenewed) -> list[Outgoing]:
+        self._session.record_renewal(renewed)
+        batch = self._enter_era(renewed.era)
+        # The key lasts as long as the session.
+        if self._term is not None and renewed.sent_at >= self._term.from_s:
+            self._succession.record_held(self._term.epoch, renewed.sent_at)
+        return batch
 
     def _end_term(self, reason: str, successor_id: str = "") -> list[Outgoing]:
         if self._term is None:
@@ -297,7 +338,6 @@
         log_event(
             logger, logging.INFO, "leader_ended", epoch=self._term.epoch, reason=reason
         )
-        self._last_holder_id = self._own.instance_id
         self._term = None
         return self._notify(LeadershipLost(successor_id))
 
@@ -333,7 +373,8 @@
     ) -> list[Outgoing]:
         if reachable.is_reachable:
             self._last_unanswered_at = self._first_unanswered_at = None
-            return []
+            ended = self._enter_era(reachable.era)
+            return ended + self._schedule_attempt(now) if ended else []
         self._last_unanswered_at = now
         if self._first_unanswered_at is None:
             self._first_unanswered_at = now
@@ -342,13 +383,14 @@
     def _handle_reply(self, reply: KvReply, now: float) -> list[Outgoing]:
         match reply:
             case KvSwapped(_, key, revision) if key == LEADER_KEY:
-                return self._handle_record(
-                    msgspec.json.encode(
-                        _Record(self._own.instance_id, self._own.incarnation)
-                    ),
-                    revision,
-                    now,
-                )
+                assert self._last_attempt is not None
+                record = encode_record(self._last_attempt.record)
+                return self._handle_record(record, revision, now)
+            case KvConflict(_, key, None, _) if key == LEADER_KEY:
+                # The key has ended, which the watch has not reported yet.
+                self._holder = None
+                self._succession.record_gap()
+                self._attempt_at = now + ATTEMPT_STEP_S
             case KvConflict(_, key, value, revision) if key == LEADER_KEY:
                 return self._handle_record(value, revision, now)
             case KvAnswerLost() | KvUnavailable():
@@ -358,15 +400,18 @@
 
     def _schedule_attempt(self, now: float) -> list[Outgoing]:
         """Schedule an attempt to take the key if it is free."""
-        holder = self._holder
-        is_free = holder is None or self._is_predecessor(holder)
-        should_attempt = self._is_key_listed and is_free and not self._is_leaving
-        if should_attempt and self._attempt_at is None and not self._is_request_pending:
-            delay_steps = 0 if holder is not None else self._rank
-            self._attempt_at = now + delay_steps * ATTEMPT_STEP_S
+        if not self._is_key_listed or not self._may_take() or self._is_leaving:
+            return []
+        if self._term is not None or self._is_request_pending:
+            return []
+        is_first = self._holder is not None or self._succession.was_held_lately(now)
+        due = now + (0 if is_first else self._rank) * ATTEMPT_STEP_S
+        if self._attempt_at is None or is_first:
+            self._attempt_at = due
         return []
 
     def _update_rank(self, member_ids: tuple[str, ...]) -> None:
+        self._member_ids = member_ids
         ranked = sorted(member_ids, key=lambda name: score(LEADER_KEY, name))
         own = self._own.instance_id
         self._rank = ranked.index(own) if own in ranked else len(ranked)
@@ -402,11 +447,3 @@
 @attrs.frozen
 class StopLeading(Message):
     """The process is stopping; another gateway may lead."""
-
-
-def _decode(value: bytes) -> _LeaderRecord | None:
-    try:
-        record = msgspec.json.decode(value, type=_Record)
-    except MALFORMED_ERRORS:
-        return None
-    return _LeaderRecord(record.instance_id, record.incarnation)
--- a/src/siskinspool/machines/session_validity.py
+++ b/src/siskinspool/machines/session_validity.py
@@ -40,6 +40,11 @@
         """Mark the session as ended."""
         self._last_renewal = None
 
+    @property
+    def era(self) -> int:
+        """The service's era at the last renewal; 0 if there is none."""
+        return 0 if self._last_renewal is None else self._last_renewal.era
+
     def valid_until(self) -> float | None:
         """Return when the session becomes invalid; None if there is none."""
         if self._last_renewal is None:
--- a/src/siskinspool/store/kv_events.py
+++ b/src/siskinspool/store/kv_events.py
@@ -42,6 +42,8 @@
     # Monotonic seconds at which the grant or renewal was sent.
     sent_at: float
     ttl_s: float
+    # The era of the service in which the lease is known to be this instance's.
+    era: int = 0
 
 
 @attrs.frozen
--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -156,7 +156,7 @@
     def _queue_request(self, sender: Address, request: KvRequest) -> None:
         lease_id = None
         if isinstance(request, KvSwap) and request.with_session:
-            lease_id = self._session.valid_lease_id(self.clock.now())
+            lease_id = self._session_lease_id()
             if lease_id is None:
                 self._send(sender, KvUnavailable(request.request_id, request.key))
                 return
@@ -168,6 +168,15 @@
             log_event(logger, logging.WARNING, "kv_queue_full")
             self._send(sender, KvUnavailable(request.request_id, _request_key(request)))
 
+    def _session_lease_id(self) -> int | None:
+        """Return the session's lease, or None if it is not known to be valid.
+
+        After a return of the service the lease's id may be another instance's.
+        """
+        if self._session.era != self._service.era:
+            return None
+        return self._session.valid_lease_id(self.clock.now())
+
     def _process_requests(self) -> None:
         for job in self._pending_requests:
             if job is not None:
--- a/src/siskinspool/store/session_keeper.py
+++ b/src/siskinspool/store/session_keeper.py
@@ -214,7 +214,8 @@
         A longer one than requested is not used, as other instances do not expect it.
         """
         ttl_s = min(ttl_s, self._ttl_s)
-        renewed = SessionRenewed(self._member.incarnation, lease_id, sent_at, ttl_s)
+        incarnation = self._member.incarnation
+        renewed = SessionRenewed(incarnation, lease_id, sent_at, ttl_s, self._era)
         self._report(renewed)
 
     def _revoke(self) -> None:
--- a/tests/builders_kv_service.py
+++ b/tests/builders_kv_service.py
@@ -37,6 +37,7 @@
     # Longer times to live are not granted.
     longest_ttl_s: float = float("inf")
     answers_to_lose: int = 0
+    era: int = 0
     # Calls block while this event is not set.
     unblocked: Event = attrs.field(factory=Event)
     _changed: Event = attrs.field(factory=Event)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import msgspec
 import pytest
 
 from siskinspool.core.message import Message
 from siskinspool.gateway.bounds import OrderBounds
+from siskinspool.gateway.leader_record import LeaderRecord, encode_record
 from siskinspool.gateway.leadership import (
     LEADER_KEY,
     OUTAGE_SIGNAL_TTL_S,
@@ -31,7 +31,7 @@
     WatchListed,
 )
 from siskinspool.store.kv_events import KvReachability, SessionGone, SessionRenewed
-from siskinspool.store.revision import make_revision
+from siskinspool.store.revision import era_of, make_revision
 
 from .builders_gateway import bounds, incoming, member, membership, messages
 
@@ -66,8 +66,9 @@
     def send(self, message: Message) -> list[Message]:
         return messages(self.decision.handle(incoming(message), self.now))
 
-    def renew(self) -> list[Message]:
-        return self.send(SessionRenewed(self.own.incarnation, 7, self.now, TTL_S))
+    def renew(self, era: int = 0) -> list[Message]:
+        renewed = SessionRenewed(self.own.incarnation, 7, self.now, TTL_S, era)
+        return self.send(renewed)
 
     def attempt(self) -> KvSwap:
         """Let the decision try to take the key."""
@@ -79,17 +80,21 @@
         assert isinstance(found[0], KvSwap)
         return found[0]
 
+    def take(self, revision: int) -> LeadershipHeld:
+        """Take the key, which is free or an earlier process's; return the new term."""
+        swap = self.attempt()
+        return held(self.send(KvSwapped(swap.request_id, LEADER_KEY, revision)))
+
     def elect(self, revision: int = 5) -> list[Message]:
         """Take the key."""
-        self.renew()
+        self.renew(era_of(revision))
         self.send(WatchListed("shared"))
         swap = self.attempt()
         return self.send(KvSwapped(swap.request_id, LEADER_KEY, revision))
 
 
-def record(name: str, incarnation: str = "1") -> bytes:
-    document = {"instance_id": name, "incarnation": f"{name}-{incarnation}"}
-    return msgspec.json.encode(document)
+def record(name: str, incarnation: str = "1", era: int = 0) -> bytes:
+    return encode_record(LeaderRecord(name, f"{name}-{incarnation}", era))
 
 
 def held(found: list[Message]) -> LeadershipHeld:
@@ -296,3 +301,115 @@
     own = record("g1", "1")
     conflict = KvConflict(end.request_id, LEADER_KEY, own, revision)
     assert KvDelete("leader-end", LEADER_KEY, revision) in candidate.send(conflict)
+
+
+def test_leader_that_heard_nothing_for_long_waits() -> None:
+    """Guards against orders beside those of a leader that has come and gone unseen."""
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.elect(revision=5)
+    candidate.send(SessionGone())
+    candidate.now += 9.0
+    candidate.renew()
+    candidate.send(KvChanged(LEADER_KEY, None, 40))
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(revision=41)
+    assert term.from_s >= candidate.now + orders.lease_s
+
+
+def test_key_of_an_earlier_era_is_not_held() -> None:
+    """Guards against a leader by a key that a return of the store has brought back.
+
+    Another may have led since the copy was made, and may still be ordering.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.elect(make_revision(1, 5))
+    candidate.send(SessionGone())
+    candidate.now += 9.0
+    candidate.renew(era=2)
+    stale = record("g1", era=1)
+    found = candidate.send(KvChanged(LEADER_KEY, stale, make_revision(2, 5)))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    swap = candidate.attempt()
+    assert swap.expected_revision == make_revision(2, 5)
+    taken = KvSwapped(swap.request_id, LEADER_KEY, make_revision(2, 9))
+    term = held(candidate.send(taken))
+    assert term.from_s >= candidate.now + orders.lease_s + TTL_S
+
+
+def test_key_of_an_earlier_process_in_a_returned_store_is_no_proof() -> None:
+    """Guards against a started process that orders beside the last leader.
+
+    The copy shows its machine's key, but another machine has led since.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate("g1", "2", first_start=False, orders=orders)
+    candidate.renew(era=2)
+    stale = record("g1", "1", era=1)
+    candidate.send(KvChanged(LEADER_KEY, stale, make_revision(2, 5)))
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(make_revision(2, 9))
+    assert term.from_s >= candidate.now + orders.lease_s
+
+
+def test_leader_takes_its_key_again_at_once_after_a_return() -> None:
+    """Guards against seconds without a leader after each return of the store."""
+    candidate = Candidate()
+    candidate.elect(make_revision(1, 90))
+    candidate.now += 0.7
+    candidate.renew(era=1)
+    candidate.now += 0.4
+    found = candidate.renew(era=2)
+    assert LeadershipLost() in found
+    assert candidate.decision.wake_at() == candidate.now
+    term = candidate.take(make_revision(2, 50))
+    assert term == LeadershipHeld(make_revision(2, 50), candidate.now)
+
+
+def test_key_whose_end_was_not_reported_is_taken_when_free() -> None:
+    """Guards against a leader that waits for the watch though its key has ended."""
+    candidate = Candidate()
+    candidate.renew()
+    candidate.send(KvChanged(LEADER_KEY, record("g1", "0"), 6))
+    candidate.send(WatchListed("shared"))
+    swap = candidate.attempt()
+    candidate.send(KvConflict(swap.request_id, LEADER_KEY, None, 0))
+    assert candidate.attempt().expected_revision == 0
+
+
+def test_successor_of_a_stopping_leader_waits_for_the_whole_bound() -> None:
+    """Guards against orders beside the last one of a leader that deletes its key.
+
+    A leader that stops gives its last order a moment before, and its session goes on.
+    """
+    candidate = Candidate()
+    candidate.renew()
+    candidate.send(membership("g1", "g2"))
+    candidate.send(KvChanged(LEADER_KEY, record("g2"), 3))
+    candidate.send(WatchListed("shared"))
+    candidate.send(KvChanged(LEADER_KEY, None, 8))
+    term = candidate.take(revision=9)
+    assert term.from_s >= candidate.now + bounds().orders.lease_s
+
+
+def test_successor_waits_longer_if_changes_may_have_been_missed() -> None:
+    """Guards against a wait for the session of one leader that another has followed."""
+    candidate = Candidate()
+    candidate.renew()
+    candidate.send(KvChanged(LEADER_KEY, record("g2"), 3))
+    candidate.send(WatchListed("shared"))
+    candidate.send(KvChanged(LEADER_KEY, None, 80))
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(revision=81)
+    assert term.from_s >= candidate.now + bounds().orders.lease_s
+
+
+def test_first_start_is_over_after_some_seconds() -> None:
+    """Guards against a first leader that has missed a whole term of another."""
+    candidate = Candidate()
+    candidate.now += 30.0
+    candidate.renew()
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(revision=70)
+    assert term.from_s >= candidate.now + bounds().orders.lease_s
--- a/tests/test_kv_task.py
+++ b/tests/test_kv_task.py
@@ -140,6 +140,23 @@
         assert refused == KvUnavailable("2", "s")
 
 
+def test_session_of_an_earlier_era_is_attached_to_no_key() -> None:
+    """Guards against a key that lives with another instance's session.
+
+    After a return of the service, the id of the session's lease may be another's.
+    """
+    with running_kv_task() as harness:
+        harness.service.era = 1
+        # No renewal shows yet whose lease it is.
+        harness.service.unblocked.clear()
+        refused = harness.ask(KvSwap("1", "s", 0, b"v", with_session=True))
+        assert refused == KvUnavailable("1", "s")
+        harness.service.unblocked.set()
+        wait_until(lambda: harness.received(SessionRenewed)[-1].era == 1)
+        swapped = harness.ask(KvSwap("2", "s", 0, b"v", with_session=True))
+        assert isinstance(swapped, KvSwapped)
+
+
 def test_broken_watch_reports_what_it_missed() -> None:
     """Guards against missed deletions of members while the watch is broken."""
     with running_kv_task() as harness:
