Do not use a server that has left when an older registry shows it

Cause: the first listing of an era is believed item by item. Only an entry of a server that was known to be draining was refused; of one whose entry had been removed nothing was remembered. Entries count their writes since the server's start, which nothing read.

Change: `RegistryHistory` compares this count before any task hears of an entry; an entry that is not newer than the last one of a removed start, or older than one seen, is dropped and logged (server_entry_outdated). A sound server writes its entry again with a higher count.

--- a/src/siskinspool/gateway/servers.py
+++ b/src/siskinspool/gateway/servers.py
@@ -60,6 +60,8 @@
     # How much longer the server is cold, from the time the entry was written.
     cold_s: float
     holdings: Holdings
+    # How often the server has written the entry since its start; None if not stated.
+    write_count: int | None = None
 
     @property
     def start(self) -> ServerStart:
--- a/src/siskinspool/platform/feeds.py
+++ b/src/siskinspool/platform/feeds.py
@@ -12,6 +12,7 @@
 from ..core.dispatcher import Dispatcher
 from ..core.message import Incoming, Message, Outgoing
 from ..core.task import Task
+from ..gateway.registry_history import RegistryHistory
 from ..gateway.servers import (
     RegistryInterrupted,
     RegistryListed,
@@ -43,6 +44,7 @@
         super().__init__(FEED_TASK, dispatcher, clock)
         self._listeners = listeners
         self._version = 0
+        self._history = RegistryHistory()
 
     def handle(self, incoming: Incoming) -> None:
         """Decode one change."""
@@ -91,6 +93,7 @@
     ) -> None:
         server_id = key.removeprefix(SERVERS_PREFIX)
         if value is None:
+            self._history.record_removed(server_id)
             self._notify_listeners(ServerRemoved(server_id))
             return
         record = decode_server_entry(key, value)
@@ -106,6 +109,17 @@
             # The previous entry is outdated, so the server must not be used.
             self._notify_listeners(ServerRemoved(server_id))
             return
+        if not self._history.accepts(record):
+            log_event(
+                logger,
+                logging.WARNING,
+                "server_entry_outdated",
+                server=server_id,
+                revision=revision,
+                state=record.state,
+                write_count=record.write_count,
+            )
+            return
         self._notify_listeners(record)
 
     def _notify_listeners(self, message: Message) -> None:
--- a/src/siskinspool/platform/server_entries.py
+++ b/src/siskinspool/platform/server_entries.py
@@ -61,11 +61,12 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0
+    # Counts the writes of the entry.
+    seq: Count | None = None
 
 
 class _Report(_SelfDescription, kw_only=True):
-    # Orders accepted since the start. In registry entries, the field of the same name
-    # counts the writes of the entry.
+    # Orders accepted since the start.
     seq: Count
     busy: bool = False
     # Adapters that are being loaded, as MODEL/NAME@VERSION.
@@ -96,6 +97,7 @@
         state=ServerState(entry.state),
         cold_s=max(entry.cold_ms, 0) / MS_PER_S,
         holdings=_holdings(entry, None, busy=False, loading=[]),
+        write_count=entry.seq,
     )
 
 
--- a/src/siskinspool/standins/platform_server.py
+++ b/src/siskinspool/standins/platform_server.py
@@ -9,6 +9,7 @@
 ``event_s`` (seconds between events), ``retry_after`` (a pause of this many seconds is
 stated to each request), ``crashing_part`` (id of a prompt part; the process ends as it
 begins to answer a request with it), ``dies_silently`` (without a byte of that answer),
+``unregistered`` (the registry entry is not written any more),
 ``answer_bytes`` (size of plain responses), ``event_bytes`` (least size of an event),
 ``event_count`` (events of a stream) and ``endless`` (a key of `ENDLESS_ANSWERS`: what
 each response has without end).
@@ -81,6 +82,8 @@
     retry_after: str = ""
     crashing_part: str = ""
     dies_silently: bool = False
+    # The registry entry is not written any more.
+    unregistered: bool = False
     answer_bytes: int = 0
     event_bytes: int = 0
     event_count: int = STREAM_EVENTS
@@ -112,7 +115,8 @@
         """Write the registry entry at a fixed interval; runs forever."""
         self._port = port
         while True:
-            self.register()
+            if not self._faults.unregistered:
+                self.register()
             gevent.sleep(HEARTBEAT_S)
 
     def register(self) -> None:
--- a/tests/integration/test_gateway_store_return.py
+++ b/tests/integration/test_gateway_store_return.py
@@ -10,7 +10,7 @@
 
 from siskinspool.standins.gateway_site import Gateway, GatewaySite, wait_until
 
-from .builders_gateway_site import gateway_site, routes, site_config
+from .builders_gateway_site import gateway_site, routes, seen, set_faults, site_config
 
 # What the system writes until the return, so that the revisions go back.
 WRITES_BEFORE_RETURN = 30
@@ -103,3 +103,27 @@
     site.wait_ready("w1", "d1")
     wait_until(lambda: late.knows_members("g0", "g1", "late"))
     assert late.send("GET", "/status/1")[0] == 200
+
+
+def test_server_that_has_left_gets_nothing_after_a_return(site: GatewaySite) -> None:
+    """Guards against a server that is ready again by an entry of the copy.
+
+    It has left without being drained, and still serves.
+    """
+    gateways = started(site)
+    leaving = site.add_server("d2", "desk")
+    site.wait_ready("d1", "d2")
+    site.keep_store_copy()
+    set_faults(leaving, unregistered=True)
+    site.remove("servers/d2")
+    for gateway in gateways:
+        wait_until(
+            lambda gateway=gateway: "d2" not in gateway.status()["routing"]["servers"]
+        )
+    before = len(seen(leaving))
+    site.return_store(rewrites=False)
+    for _ in range(30):
+        for gateway in gateways:
+            assert gateway.send("GET", "/status/1")[0] == 200
+        gevent.sleep(0.1)
+    assert len(seen(leaving)) == before
