Show that a gateway without paths to servers serves nobody

RECOVER: callers of gateways that are partitioned from all servers are refused, though the rest of the site has room. `standins/partitioned_gateway.py` cuts the paths in the gateway's process, so that a new connection hangs as it does behind a partition, which a proxy that accepts cannot show.

--- a/src/siskinspool/standins/gateway_site.py
+++ b/src/siskinspool/standins/gateway_site.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, Final
 
@@ -17,6 +17,7 @@
 import gevent
 from gevent.subprocess import Popen
 
+from .partitioned_gateway import Form, write_partition
 from .processes import Process, TrialProcesses, call, call_json
 
 Answer = tuple[int, dict[str, str], bytes]
@@ -98,6 +99,8 @@
     bench: TrialProcesses
     folder: Path
     store: Process
+    # The gateways' paths to servers can be cut.
+    partitionable: bool = False
     gateways: dict[str, Gateway] = attrs.field(factory=dict)
 
     def put(self, key: str, document: dict[str, Any] | bytes) -> None:
@@ -175,9 +178,25 @@
         """Start the process of a gateway again, with its settings."""
         gateway.popen = self._start_process(gateway.name)
 
+    def partition(
+        self, gateway: Gateway, form: Form | None, servers: Iterable[Process]
+    ) -> None:
+        """Cut a gateway's paths to servers off; None ends that.
+
+        The site must have been made with ``partitionable``.
+        """
+        ports = [server.port for server in servers]
+        write_partition(self._control_path(gateway.name), form, ports)
+
+    def _control_path(self, name: str) -> Path:
+        return self.folder / f"{name}.partition.json"
+
     def _start_process(self, name: str) -> Popen[bytes]:
         settings = self.folder / f"{name}.toml"
         command = [sys.executable, "-m", "siskinspool.platform.daemon", str(settings)]
+        if self.partitionable:
+            command[2] = "siskinspool.standins.partitioned_gateway"
+            command.append(str(self._control_path(name)))
         with (self.folder / f"{name}.log").open("ab") as log:
             return Popen(command, stdout=log, stderr=log)
 
