Reach servers through another gateway when the own paths are lost

Cause: a gateway had one way to a server, its own connection, and took each failure for the server's: 0.3 s for one server after the other, then all servers paused. The log of the incident shows `not_sent ... timed out` for all servers at the gateways that are cut off, while others send to them.

Change: package `relay/`. A `ServerLink` opens the connection through another gateway if its own fails and no server was reached just before; that gateway connecting is the evidence that the server is sound. Only the connection is made there, so choice of the server, retry budget, caps, positions in streams and at-most-once stay where they are. The relay asks its own routing before it connects, and hears what the head of the answer states. A leader without paths gives its key up: relayed orders would count as those of another leader.

--- a/src/siskinspool/core/member.py
+++ b/src/siskinspool/core/member.py
@@ -22,6 +22,8 @@
     # Address to which callers and operators connect.
     listen_host: str = ""
     listen_port: int = 0
+    # For calls that this instance relays to servers; 0 if it relays none.
+    relay_port: int = 0
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -42,6 +42,10 @@
 from ..links.server_link import HttpServerLink
 from ..protection.caller_protection import CallerProtection
 from ..protection.settings import MachineLimits, ProtectionSettings
+from ..relay.relay_messages import RELAY_TASK
+from ..relay.relay_task import RelayTask
+from ..relay.relaying_link import RelayingServerLink
+from ..relay.server_paths import ServerPaths
 from ..settings import Endpoint
 from ..store.keys import SHARED_PREFIX
 from ..store.kv import KeyValueService
@@ -113,6 +117,7 @@
     PLACEMENT_TASK,
     QUARANTINE_TASK,
     STREAMS_TASK,
+    RELAY_TASK,
     *DUTY_TASKS,
 )
 
@@ -141,6 +146,8 @@
     # Where other gateways connect, and where metrics are served.
     peer: Endpoint
     metrics: Endpoint
+    # Ports of the peer's host for relayed calls; the first free one is used.
+    relay_ports: tuple[int, ...] = ()
     # Shortest time to live of a lease that the store grants.
     least_lease_s: float
     # The whole system starts for the first time.
@@ -190,12 +197,23 @@
         protection = CallerProtection.from_settings(
             settings.machine, settings.protection, clock
         )
+        direct = HttpServerLink.from_protection(
+            protection, CONNECT_TIMEOUT_S, ends_by_close=True
+        )
+        paths = ServerPaths(settings.instance_id, settings.zone, random.Random())
+        self._relay = RelayTask(
+            self._dispatcher,
+            clock,
+            paths,
+            settings.peer.host,
+            settings.relay_ports,
+            ROUTING_TASK,
+            (LEADERSHIP_TASK,),
+        )
         self._context = RequestContext(
             dispatcher=self._dispatcher,
             clock=clock,
-            link=HttpServerLink.from_protection(
-                protection, CONNECT_TIMEOUT_S, ends_by_close=True
-            ),
+            link=RelayingServerLink(direct, paths, self._dispatcher, clock),
             codec=parts.codec,
             metrics=GatewayMetrics(),
         )
@@ -216,6 +234,7 @@
             port=peers.port,
             listen_host=settings.front.host,
             listen_port=self._front.port,
+            relay_port=self._relay.port,
         )
         sources = (
             *parts.sources,
@@ -227,6 +246,7 @@
             WatchTask(self._dispatcher, clock, sources),
             OrdersTask(self._dispatcher, clock, parts.server_control),
             self._front,
+            self._relay,
             self._pages,
             self._build_store_task(parts.store, own_member),
             parts.make_feed(self._dispatcher, clock, FEED_LISTENERS),
@@ -267,11 +287,13 @@
         self._dispatcher.send(leadership, Outgoing(leadership, StopLeading()))
         feed = self._dispatcher.address(CHANGE_FEED_TASK)
         self._dispatcher.send(feed, Outgoing(feed, StopFeeding()))
+        self._relay.refuse_new()
         gevent.sleep(DRAIN_NOTICE_S)
         self._front.refuse_new()
         if not self._front.wait_idle(stop_at - self._clock.now()):
             self._front.end_requests()
             self._front.wait_idle(STOP_MARGIN_S / 2)
+        self._relay.wait_idle(stop_at - self._clock.now())
         counts = self._dispatcher.address(USAGE_COUNTS_TASK)
         self._dispatcher.send(counts, Outgoing(counts, FinishCounting()))
         self._dispatcher.ask(
@@ -300,6 +322,7 @@
                     QUARANTINE_TASK,
                     STREAMS_TASK,
                     CHANGE_FEED_TASK,
+                    RELAY_TASK,
                     *DUTY_TASKS,
                 ),
             ),
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -11,6 +11,9 @@
 so epoch numbers rise across a return. A key from the copy is held by nobody until its
 holder has taken it again, in the new era.
 
+A leader that has lost its paths to the servers gives the key up, and does not take it
+until it has them again.
+
 The leader may give orders while its session is valid. Where servers check epoch
 numbers, it may also continue while the store does not answer: a successor has a higher
 number, and the first order refused with FENCED ends the term.
@@ -29,6 +32,7 @@
 from ..core.status import Status
 from ..machines.rendezvous import score
 from ..machines.session_validity import SessionValidity
+from ..relay.relay_messages import ReachChanged
 from ..store.keys import owner_key
 from ..store.kv import (
     KvAnswerLost,
@@ -141,6 +145,8 @@
         self._last_unanswered_at: float | None = None
         self._first_unanswered_at: float | None = None
         self._is_leaving = False
+        # This instance has no path to the servers.
+        self._is_cut_off = False
         self._announced_until = now
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
@@ -183,8 +189,11 @@
                     return self._end_term("fenced")
             case MembershipChanged(member_by_id):
                 self._update_rank(tuple(member_by_id))
+            case ReachChanged(is_cut_off):
+                return self._update_reach(is_cut_off, now)
             case StopLeading():
-                return self._stop_leading()
+                self._is_leaving = True
+                return self._give_up("leaving")
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
@@ -277,6 +286,8 @@
     def _may_take(self) -> bool:
         """Return whether no other machine has the key, and this one must take it."""
         holder = self._holder
+        if self._is_cut_off:
+            return False
         if holder is None or holder.is_of_predecessor(self._own):
             return True
         return holder.is_of(self._own) and not holder.is_current(self._revision)
@@ -416,13 +427,18 @@
         own = self._own.instance_id
         self._rank = ranked.index(own) if own in ranked else len(ranked)
 
-    def _stop_leading(self) -> list[Outgoing]:
+    def _update_reach(self, is_cut_off: bool, now: float) -> list[Outgoing]:
+        self._is_cut_off = is_cut_off
+        if is_cut_off:
+            return self._give_up("cut_off")
+        return self._schedule_attempt(now)
+
+    def _give_up(self, reason: str) -> list[Outgoing]:
         """Delete the key, so that a successor need not wait for the session to end."""
-        self._is_leaving = True
         if self._term is None:
             return []
         epoch = self._term.epoch
-        batch = self._end_term("leaving")
+        batch = self._end_term(reason)
         return [*batch, self._delete_key(epoch)]
 
     def _delete_key(self, revision: int) -> Outgoing:
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -25,6 +25,7 @@
 from ..links.answer_sink import AnswerSink
 from ..links.guarded_sink import GuardedSink
 from ..links.server_link import Answer, Lost, NotSent, ServerRequest
+from ..relay.relay_messages import RelayedSignal
 from .answer_classification import NotRunAnswer, SentRequest, classify_answer
 from .desired_state import RouteKind
 from .event_stream import StreamPosition
@@ -304,7 +305,7 @@
             answer_head = self._context.codec.decode_answer(
                 answer.status, answer.headers
             ).for_server(assigned.server_id)
-            self._report_head(assigned, answer_head)
+            self._report_head(assigned, answer_head, answer.relay_id)
             rejection = classify_answer(answer_head, self._describe_sent(assigned))
             if isinstance(rejection, NotRunAnswer):
                 # This server does not count toward the route's limit, which limits
@@ -348,15 +349,37 @@
             headers=self._context.codec.server_headers(head, plan),
             body=self.request.body,
             host_header=head.headers.get("host"),
+            start=assigned.start,
         )
         return self._context.link.open_call(request, remaining_s)
 
-    def _report_head(self, assigned: ServerAssigned, head: AnswerHead) -> None:
-        """Report what an answer's head states about its server as it arrives."""
+    def _report_head(
+        self, assigned: ServerAssigned, head: AnswerHead, relay_id: str
+    ) -> None:
+        """Report what an answer's head states about its server as it arrives.
+
+        The server means the gateway that is connected to it, which may be a relay.
+        """
         stated = head.observation(assigned.start, self._now())
         if stated is not None:
             request_id = self.request.head.request_id
             self._notify_routing(AnswerHeadReceived(request_id, stated))
+        if stated is not None and relay_id and head.has_signal:
+            self._notify_relay(relay_id, assigned, head)
+
+    def _notify_relay(
+        self, relay_id: str, assigned: ServerAssigned, head: AnswerHead
+    ) -> None:
+        signal = RelayedSignal(
+            assigned.server_id,
+            assigned.born_ms,
+            assigned.start.boot_id,
+            head.is_leaving,
+            head.retry_after_s,
+        )
+        dispatcher = self._context.dispatcher
+        sender = Address(dispatcher.instance_id, "request")
+        dispatcher.send(sender, Outgoing(Address(relay_id, ROUTING_TASK), signal))
 
     def _attempt_ended(
         self, assigned: ServerAssigned, result: AttemptResult, head: AnswerHead | None
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -34,7 +34,13 @@
 from ..fairness.server_places import StatedLoad
 from ..fairness.usage_messages import TeamUsageReport
 from ..fairness.waiting_order import WaitingEntry
-from ..server_signals.observations import Observation
+from ..relay.relay_messages import (
+    RelayDenied,
+    RelayedSignal,
+    RelayGranted,
+    RelayQuery,
+)
+from ..server_signals.observations import Observation, observation
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .choice_explanation import ExplainChoice
@@ -152,8 +158,12 @@
             case TeamUsageReport() as report:
                 self._policy.record_report(report, now)
                 return []
-            case AnswerHeadReceived(_, observation):
-                return self._on_answer_head(observation, now)
+            case AnswerHeadReceived(_, stated):
+                return self._on_answer_head(stated, now)
+            case RelayQuery() as query:
+                return [Outgoing(incoming.sender, self._answer_query(query, now))]
+            case RelayedSignal() as signal:
+                return self._on_relayed_signal(signal, now)
             case GetWork():
                 return [Outgoing(incoming.sender, self._observe_work())]
             case AttemptEnded() as ended:
@@ -376,6 +386,31 @@
         batch = [Outgoing(Address(self._id, PLACEMENT_TASK), blocked)]
         return batch + self._refuse_paused(now) + self._serve_waiting(now)
 
+    def _answer_query(
+        self, query: RelayQuery, now: float
+    ) -> RelayGranted | RelayDenied:
+        """Return whether another gateway's request may go out from here."""
+        view = self._views.by_id.get(query.server_id)
+        if view is None or not query.is_about(view.start):
+            return RelayDenied("the server is not known")
+        if not view.is_open(now) or view.record.zone in self._views.evacuated_zones:
+            return RelayDenied("the server is not open")
+        self._views.signals.record_sent(view.start, now)
+        return RelayGranted(view.record.host, view.record.port)
+
+    def _on_relayed_signal(self, signal: RelayedSignal, now: float) -> list[Outgoing]:
+        """Handle what a server has stated to this gateway in a relayed answer."""
+        view = self._views.by_id.get(signal.server_id)
+        if view is None or view.start.born_ms != signal.born_ms:
+            return []
+        stated = observation(
+            view.start,
+            now,
+            is_leaving=signal.is_leaving,
+            retry_after_s=signal.retry_after_s,
+        )
+        return self._on_answer_head(stated, now)
+
     def _refuse_paused(self, now: float) -> list[Outgoing]:
         """Refuse the waiting requests that no server can take in time."""
         waiting_requests = list(self._requesters.waiting_by_id.values())
--- a/src/siskinspool/links/answer_socket.py
+++ b/src/siskinspool/links/answer_socket.py
@@ -10,10 +10,10 @@
 
 from __future__ import annotations
 
-from typing import Final
+from abc import abstractmethod
+from typing import Final, Protocol
 
 import gevent
-from gevent import socket
 
 from ..protection.receive_limit import ReceiveLimit
 from .answer_budget import AnswerAllowance
@@ -26,6 +26,30 @@
 CHUNK_COST_BYTES: Final = 64
 
 
+class Connection(Protocol):
+    """What a call needs of its connection; a gevent socket has it."""
+
+    @abstractmethod
+    def recv(self, size: int, /) -> bytes:
+        """Receive some bytes; none after the server has ended the connection.
+
+        Raises ConnectionError if the server has reset it, other errors of class
+        OSError if it failed otherwise.
+        """
+
+    @abstractmethod
+    def sendall(self, data: bytes, /) -> None:
+        """Send all bytes; raises errors of class OSError."""
+
+    @abstractmethod
+    def settimeout(self, timeout_s: float, /) -> None:
+        """Set the limit on the time that one call may block."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection."""
+
+
 class AnswerSocket:
     """A socket for `ServerResponse` that limits what is received.
 
@@ -33,7 +57,7 @@
     reset the connection.
     """
 
-    def __init__(self, sock: socket.socket, allowance: AnswerAllowance) -> None:
+    def __init__(self, sock: Connection, allowance: AnswerAllowance) -> None:
         """Set the connection, and the answer's part of the budget of all answers."""
         self._sock = sock
         self._allowance = allowance
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -24,8 +24,9 @@
 from gevent import socket
 
 from ..protection.caller_protection import CallerProtection
+from ..server_signals.observations import ServerStart
 from .answer_budget import AnswerBudget
-from .answer_socket import AnswerSocket
+from .answer_socket import AnswerSocket, Connection
 from .server_response import ServerResponse
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -51,6 +52,8 @@
     body: bytes = attrs.field(repr=False)
     # Value of the `Host` header; None for the server's address.
     host_header: str | None = None
+    # The start of the server that is meant; None if nothing else identifies it.
+    start: ServerStart | None = None
 
 
 @dataclass(frozen=True)
@@ -76,6 +79,8 @@
 
     status: int
     headers: dict[str, str]
+    # The instance through which the call was sent; empty for a direct connection.
+    relay_id: str = ""
 
     @abstractmethod
     def read_all(self, max_bytes: int = MAX_BODY_BYTES) -> bytes | Lost:
@@ -215,21 +220,39 @@
         may_send: Callable[[], bool] = lambda: True,
     ) -> Answer | NotSent | Lost:
         """Send a request once and return the answer's head."""
+        connection = self.connect(request, timeout_s)
+        if isinstance(connection, NotSent):
+            return connection
+        return self.exchange(connection, request, timeout_s, may_send)
+
+    def connect(self, request: ServerRequest, timeout_s: float) -> Connection | NotSent:
+        """Open a connection to the server of a request."""
+        address = request.host, request.port
         try:
             sock = socket.create_connection(
-                (request.host, request.port), min(self._connect_timeout_s, timeout_s)
+                address, min(self._connect_timeout_s, timeout_s)
             )
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except Exception as error:
             # Also for a host that cannot be encoded for a look-up.
             return NotSent(_reason(error))
+        return sock
+
+    def exchange(
+        self,
+        connection: Connection,
+        request: ServerRequest,
+        timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> Answer | NotSent | Lost:
+        """Send a request on an open connection and return the answer's head."""
         if not may_send():
-            sock.close()
+            connection.close()
             return NotSent("the permission to send has ended")
         allowance = self._budget.new_allowance(f"{request.host}:{request.port}")
-        answer_sock = AnswerSocket(sock, allowance)
+        answer_sock = AnswerSocket(connection, allowance)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(timeout_s)
+            connection.settimeout(timeout_s)
             for part in encode_request(request):
                 answer_sock.send_all(part)
             answer_sock.set_limit(MAX_HEAD_BYTES)
--- a/src/siskinspool/platform/settings.py
+++ b/src/siskinspool/platform/settings.py
@@ -42,6 +42,8 @@
 # The environment variable with the path of the file; set by the platform.
 SETTINGS_VARIABLE: Final = "SISKINSPOOL_CONFIG"
 MS_PER_S: Final = 1000.0
+# Ports between those of the peers and the metrics that are tried for relayed calls.
+MAX_RELAY_PORTS: Final = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -154,6 +156,7 @@
         ready=reader.endpoint("listen.ready"),
         peer=Endpoint(host=ip, port=ports[0]),
         metrics=Endpoint(host=ip, port=ports[1]),
+        relay_ports=tuple(range(ports[0] + 1, ports[1]))[:MAX_RELAY_PORTS],
         store=reader.endpoint("platform.addr"),
         least_lease_s=reader.seconds("platform.ttl_min_ms"),
         heartbeat_s=reader.seconds("heartbeat_ms"),
--- /dev/null
+++ b/src/siskinspool/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to servers through another instance, while there is no direct path."""
--- a/src/siskinspool/store/session_keeper.py
+++ b/src/siskinspool/store/session_keeper.py
@@ -55,6 +55,8 @@
     # Where callers and operators connect.
     listen_host: str = ""
     listen_port: int = 0
+    # Absent if the instance relays no calls.
+    relay_port: int | msgspec.UnsetType = msgspec.UNSET
 
 
 def encode_session(member: Member, lease_id: int) -> bytes:
@@ -68,6 +70,7 @@
             lease_id,
             member.listen_host,
             member.listen_port,
+            member.relay_port or msgspec.UNSET,
         )
     )
 
@@ -86,6 +89,7 @@
         record.port,
         listen_host=record.listen_host,
         listen_port=record.listen_port,
+        relay_port=record.relay_port or 0,
     )
 
 
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -21,6 +21,7 @@
     LeadershipLost,
     LeaderSucceeded,
 )
+from siskinspool.relay.relay_messages import ReachChanged
 from siskinspool.store.kv import (
     KvAnswerLost,
     KvChanged,
@@ -413,3 +414,17 @@
     candidate.send(WatchListed("shared"))
     term = candidate.take(revision=70)
     assert term.from_s >= candidate.now + bounds().orders.lease_s
+
+
+def test_leader_without_paths_to_servers_gives_the_key_up() -> None:
+    """Guards against models that nobody loads while the leader reaches no server."""
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    found = candidate.send(ReachChanged(True))
+    assert LeadershipLost() in found
+    assert any(isinstance(one, KvDelete) and one.key == LEADER_KEY for one in found)
+    candidate.send(KvChanged(LEADER_KEY, None, 6))
+    candidate.renew()
+    assert candidate.decision.wake_at() is None
+    candidate.send(ReachChanged(False))
+    assert candidate.attempt().expected_revision == 0
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -29,6 +29,12 @@
     ServerState,
     ZoneEvacuated,
 )
+from siskinspool.relay.relay_messages import (
+    RelayDenied,
+    RelayedSignal,
+    RelayGranted,
+    RelayQuery,
+)
 
 from .builders_gateway import (
     RETRY_BOUNDS,
@@ -478,3 +484,45 @@
     found = harness.send(server("s3", "m0", software_version="v1"))
     assigned = [one for one in found if isinstance(one, ServerAssigned)]
     assert [one.server_id for one in assigned] == ["s3"]
+
+
+QUERY = RelayQuery("w1", 1, "")
+
+
+def test_relayed_call_goes_to_an_open_server_only() -> None:
+    """Guards against a detour to a server that wants no request from this gateway."""
+    harness = RoutingHarness()
+    assert isinstance(harness.send(QUERY)[0], RelayDenied)
+    harness.send(server("w1", "m0"))
+    assert harness.send(QUERY) == [RelayGranted("127.0.0.1", 1000)]
+    assert isinstance(harness.send(RelayQuery("w1", 2, ""))[0], RelayDenied)
+    harness.send(ZoneEvacuated("a", True))
+    assert isinstance(harness.send(QUERY)[0], RelayDenied)
+    harness.send(ZoneEvacuated("a", False))
+    harness.send(server("w1", "m0", state=ServerState.DRAINING))
+    assert isinstance(harness.send(QUERY)[0], RelayDenied)
+
+
+@pytest.mark.parametrize(
+    "signal",
+    [
+        RelayedSignal("w1", 1, "", True, None),
+        RelayedSignal("w1", 1, "", False, 5.0),
+    ],
+    ids=["leaving", "pause"],
+)
+def test_signal_in_a_relayed_answer_binds_the_relay(signal: RelayedSignal) -> None:
+    """Guards against requests of the gateway that the server has turned away."""
+    harness = RoutingHarness()
+    harness.send(server("w1", "m0"))
+    harness.send(signal)
+    assert isinstance(harness.send(QUERY)[0], RelayDenied)
+    assert harness.assigned_server() is None
+
+
+def test_signal_of_an_earlier_start_is_ignored() -> None:
+    """Guards against a restarted server that stays unused."""
+    harness = RoutingHarness()
+    harness.send(server("w1", "m0"))
+    harness.send(RelayedSignal("w1", 0, "", True, None))
+    assert harness.assigned_server() == "w1"
