Ask other instances for a connection only after two failures in a row

With one server dark, a call at a quiet gateway asked two others for a connection first and went to another server only some 0.6 s later.

Change: the first failed connection since a success is taken for the server's, as before; from the second in a row on, others are asked. A server that they cannot reach either counts as lost for 2 s, in which nobody is asked for it.

--- a/src/siskinspool/relay/relaying_link.py
+++ b/src/siskinspool/relay/relaying_link.py
@@ -67,11 +67,12 @@
             if not isinstance(connection, NotSent):
                 self._record_connected(start)
                 return self._direct.exchange(connection, request, timeout_s, may_send)
-            if self._paths.is_server_at_fault(began_at):
+            if not self._paths.record_failed(start, self._clock.now()):
                 return connection
             failure = connection
         relayed = self._open_relayed(start, began_at + timeout_s)
         if relayed is None:
+            self._paths.record_lost_server(start, self._clock.now())
             return failure
         relay, connection = relayed
         remaining_s = began_at + timeout_s - self._clock.now()
--- a/src/siskinspool/relay/server_paths.py
+++ b/src/siskinspool/relay/server_paths.py
@@ -1,10 +1,12 @@
 """The decision on the way to each server: direct, or through another instance.
 
-A failed connection does not tell whose fault it is. If this instance has connected to
-some server a moment before, the fault is taken for the server's. Otherwise another
-instance is asked to connect: if it can, the server is sound and this instance has no
-path to it (an *indirect* server). Calls to an indirect server go through others at
-once, until a probe has connected to it.
+A failed connection does not tell whose fault it is. The first one is taken for the
+server's, as servers fail more often than networks, and the call is free to go to
+another server. From the second one on without a connection in between, another instance
+is asked to connect: if it can, the server is sound and this instance has no path to it
+(an *indirect* server). Calls to an indirect server go through others at once, until a
+probe has connected to it. If nobody can, the server is *lost*, and others are not asked
+for it again for some time.
 
 If several servers are indirect and no connection has succeeded since, the instance is
 cut off: calls to all servers go through others.
@@ -28,8 +30,11 @@
 from ..machines.rendezvous import score
 from ..server_signals.observations import ServerStart
 
-# A connection to any server within this time before shows that the own path works.
-RECENT_CONNECT_S: Final = 0.5
+# Failed connections in a row, to any servers, from which on others are asked.
+MIN_FAILURES: Final = 2
+# How long a server counts as lost to all.
+LOST_TTL_S: Final = 2.0
+MAX_LOST: Final = 1_024
 # Indirect servers without any connection in between that show a cut.
 MIN_INDIRECT_OF_CUT: Final = 2
 # Instances that are asked for one call.
@@ -78,6 +83,9 @@
         # The least recently used first.
         self._indirect_by_id: OrderedDict[str, _IndirectServer] = OrderedDict()
         self._connected_at = float("-inf")
+        self._failures = 0
+        # Until when a server counts as lost; the first to end first.
+        self._lost_until_by_id: OrderedDict[str, float] = OrderedDict()
         self._probe_at = float("-inf")
         self.relayed_count = 0
 
@@ -108,12 +116,18 @@
         """Return whether a call to a server is first tried directly."""
         return start.server_id not in self._indirect_by_id and not self.is_cut_off
 
-    def is_server_at_fault(self, since: float) -> bool:
-        """Return whether a connection that failed shows a fault of its server.
+    def record_failed(self, start: ServerStart, now: float) -> bool:
+        """Record a failed connection; return whether to ask others for one."""
+        self._failures += 1
+        lost_until = self._lost_until_by_id.get(start.server_id, now)
+        return self._failures >= MIN_FAILURES and now >= lost_until
 
-        ``since`` is when the attempt began.
-        """
-        return self._connected_at >= since - RECENT_CONNECT_S
+    def record_lost_server(self, start: ServerStart, now: float) -> None:
+        """Record a server to which the others that were asked could not connect."""
+        self._lost_until_by_id.pop(start.server_id, None)
+        self._lost_until_by_id[start.server_id] = now + LOST_TTL_S
+        if len(self._lost_until_by_id) > MAX_LOST:
+            self._lost_until_by_id.popitem(last=False)
 
     def relays(self, start: ServerStart, now: float) -> tuple[Member, ...]:
         """Return the instances to ask for a connection, the preferred one first."""
@@ -136,6 +150,7 @@
         """Record a direct connection; return whether any path has changed."""
         was_cut_off = self.is_cut_off
         self._connected_at = now
+        self._failures = 0
         if was_cut_off:
             self._indirect_by_id.clear()
             return True
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -94,6 +94,8 @@
         for number, relay in enumerate(relays, start=2)
     ]
     paths = server_paths(*members)
+    # Another server was not reached just before.
+    paths.record_failed(start_of("other"), 0.0)
     link = RelayingServerLink(
         HttpServerLink(0.2, ends_by_close=True),
         paths,
