Apply the changes across a return of the store in their order

The removals that a return shows are held for two seconds, as the keys are written again. The writes in the same changes were published first, so the removal of a key that had been written again was held after its write, and then published. The changes are now taken in their order: a later write drops the held removal.

--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -308,14 +308,14 @@
             revision=self._copy_by_prefix[prefix].revision,
             changes=len(changes),
         )
-        present = [change for change in changes if change.value is not None]
         batch = self._notify(prefix, WatchBroken(prefix, "returned"))
-        batch += self._publish(prefix, present)
+        # In order: the changes may contain both the loss of a key and its next write.
         for change in changes:
-            if change.value is None:
-                due_at = now + REWRITE_GRACE_S
-                held = _HeldRemoval(prefix, change, due_at)
-                self._held_removal_by_key[change.key] = held
+            if change.value is not None:
+                batch += self._publish(prefix, [change])
+                continue
+            held = _HeldRemoval(prefix, change, now + REWRITE_GRACE_S)
+            self._held_removal_by_key[change.key] = held
         return batch
 
     def _publish_held_removals(self, now: float) -> list[Outgoing]:
