Test the removal of a key that a return of the store has lost

An instance whose reader is silent lists the keys up to 1.2 s after the return and holds the removals for two seconds from then on. It knows of the return from its session before, and after 3 s it counts as in touch again.

--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -542,3 +542,18 @@
     fleet.passes = lambda *_: True
     fleet.run(REWRITE_GRACE_S + BOUND_S)
     assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
+
+
+def test_key_lost_by_a_return_is_removed_in_time_without_the_readers() -> None:
+    """Guards against requests to a server that is gone, as its removal is held longer.
+
+    The others hear of the return from the service before they list the keys.
+    """
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("servers/s1", b"1")
+    fleet.run(0.5)
+    fleet.passes = lambda *_: False
+    fleet.service.return_from(copy)
+    fleet.run(CONTACT_S)
+    assert not any("servers/s1" in one.value_by_key for one in fleet.alive())
