Hold removals until the keys are rewritten after the last return

A removal that a listing shows after a return of the store was held for two seconds from the listing. The listing may come more than a second after the return, so the removal of a server could take effect later than 3 s after it; and a second return did not renew the time, though the keys are then written again once more. All held removals now wait until two seconds after this instance first knew of the last return, by an answer of the store or by another instance.

--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -17,7 +17,8 @@
 nothing about copies of the era before: a reader lists all prefixes again as soon as any
 call shows the new era, and tells its subscribers the differences. To the listeners a
 return is an outage, since keys may be missing until their writers write them again: a
-removal that the first listing of an era shows is published after `REWRITE_GRACE_S`.
+removal that the first listing of an era shows is published `REWRITE_GRACE_S` after
+this instance first knew of the last return.
 """
 
 from __future__ import annotations
@@ -71,11 +72,10 @@
 
 @attrs.frozen
 class _HeldRemoval:
-    """A key that is missing since a return, and when it counts as removed."""
+    """A key that is missing since a return."""
 
     prefix: str
     removal: KeyChange
-    due_at: float
 
 
 class ChangeFeed(Decision):
@@ -117,6 +117,9 @@
         self._era = 0
         self._relisted_era = 0
         self._outage = OutageDetector()
+        # The latest era that any message has shown, and when it first did.
+        self._known_era = 0
+        self._era_known_at = _NEVER
         self._held_removal_by_key: dict[str, _HeldRemoval] = {}
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
@@ -164,8 +167,7 @@
         if not self._is_listed():
             return None if self._is_listing else _NEVER
         due = self._subscription.wake_at()
-        held = self._held_removal_by_key.values()
-        removal_due = min((one.due_at for one in held), default=float("inf"))
+        removal_due = self._rewritten_at() if self._held_removal_by_key else math.inf
         if self._must_read() and self._has_open_watches():
             due = max(due, self._reached_at + self._times.silence_s)
             due = min(due, self._subscribers.wake_at(self._reached_at))
@@ -300,12 +302,15 @@
         self, prefix: str, changes: list[KeyChange], now: float
     ) -> list[Outgoing]:
         """Publish the first changes of an era, after the notice of an interruption."""
+        revision = self._copy_by_prefix[prefix].revision
+        assert revision is not None
+        self._record_era(era_of(revision), now)
         log_event(
             logger,
             logging.WARNING,
             "store_returned",
             prefix=prefix,
-            revision=self._copy_by_prefix[prefix].revision,
+            revision=revision,
             changes=len(changes),
         )
         batch = self._notify(prefix, WatchBroken(prefix, "returned"))
@@ -314,18 +319,28 @@
             if change.value is not None:
                 batch += self._publish(prefix, [change])
                 continue
-            held = _HeldRemoval(prefix, change, now + REWRITE_GRACE_S)
-            self._held_removal_by_key[change.key] = held
+            self._held_removal_by_key[change.key] = _HeldRemoval(prefix, change)
         return batch
 
     def _publish_held_removals(self, now: float) -> list[Outgoing]:
         """Publish the removals whose keys have not been written again in time."""
+        if now < self._rewritten_at():
+            return []
         batch: list[Outgoing] = []
         for held in list(self._held_removal_by_key.values()):
-            if now >= held.due_at:
-                batch += self._publish(held.prefix, [held.removal])
+            batch += self._publish(held.prefix, [held.removal])
         return batch
 
+    def _record_era(self, era: int, now: float) -> None:
+        """Record when an era of the service was first known."""
+        if era > self._known_era:
+            self._known_era = era
+            self._era_known_at = now
+
+    def _rewritten_at(self) -> float:
+        """Return when the keys that the last return has lost are there again."""
+        return self._era_known_at + REWRITE_GRACE_S
+
     def _publish(self, prefix: str, changes: Iterable[KeyChange]) -> list[Outgoing]:
         batch = []
         for change in changes:
@@ -458,6 +473,7 @@
         self._is_answered = reachability.is_reachable
         if reachability.is_reachable:
             self._era = max(self._era, reachability.era)
+            self._record_era(reachability.era, now)
             if self._is_of_era():
                 self._reached_at = max(self._reached_at, reachability.sent_at)
             self._outage.record_answer()
