Test an entry that is written again after its removal was believed

A return of the store has lost the entry of a sound server. Its writer puts it back more than two seconds later, as it was (the same seq), and the gateways refuse it as an old one (server_entry_outdated) until the server writes a higher count. RecordingFeed moves to a builder module.

--- a/tests/test_gateway_registry_history.py
+++ b/tests/test_gateway_registry_history.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 from siskinspool.gateway.registry_history import MAX_REMOVED, RegistryHistory
+from siskinspool.gateway.servers import ServerRecord, ServerRemoved
+from siskinspool.store.kv import KvChanged
+from siskinspool.store.revision import make_revision
 
-from .builders_gateway import holdings, server
+from .builders_gateway import encode, entry_document, holdings, incoming, server
+from .builders_registry_feed import RecordingFeed
 
 
 def test_entry_of_a_server_that_is_gone_is_not_believed() -> None:
@@ -60,3 +64,23 @@
         history.record_removed(f"w{number}")
     assert len(history._write_count_by_removed_start) == MAX_REMOVED
     assert not history._seen_by_id
+
+
+def test_entry_that_a_return_has_lost_is_believed_when_it_is_written_again() -> None:
+    """Guards against a sound server that stays unused after a return of the registry.
+
+    Its entry is written again as it was, after its removal was believed.
+    """
+    feed = RecordingFeed()
+    entry = encode(entry_document(seq=9))
+    for value, revision in (
+        (entry, make_revision(1, 20)),
+        (None, make_revision(2, 15)),
+        (entry, make_revision(2, 16)),
+    ):
+        feed.handle(incoming(KvChanged("servers/w1", value, revision)))
+    assert [type(one) for one in feed.sent_messages] == [
+        ServerRecord,
+        ServerRemoved,
+        ServerRecord,
+    ]
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -7,9 +7,6 @@
 
 import pytest
 
-from siskinspool.core.clock import MonotonicClock
-from siskinspool.core.dispatcher import Dispatcher
-from siskinspool.core.message import Message
 from siskinspool.gateway.leadership import LEADER_KEY, Leadership
 from siskinspool.gateway.load_ledger import decode_loads
 from siskinspool.gateway.messages import LeaderChanged
@@ -17,7 +14,6 @@
 from siskinspool.links.codec import Malformed, MsgpackCodec
 from siskinspool.links.server_link import HttpServerLink, NotSent, ServerRequest
 from siskinspool.platform.desired_state import UnreadableValue, decode_desired_state
-from siskinspool.platform.feeds import FeedTask
 from siskinspool.platform.server_entries import decode_report, decode_server_entry
 from siskinspool.store.kv import KvChanged
 from siskinspool.store.session_keeper import decode_session
@@ -31,6 +27,7 @@
     messages,
     report_document,
 )
+from .builders_registry_feed import RecordingFeed
 
 DEPTH = 100_000
 DEEP = b'{"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
@@ -131,20 +128,9 @@
     assert decode_loads(b'{"writers":{"limit":1' + b"0" * 40 + b',"loads":[]}}') == {}
 
 
-class _RecordingFeed(FeedTask):
-    """A feed task that records the messages it sends."""
-
-    def __init__(self) -> None:
-        super().__init__(Dispatcher("g1"), MonotonicClock(), ())
-        self.sent_messages: list[Message] = []
-
-    def _notify_listeners(self, message: Message) -> None:
-        self.sent_messages.append(message)
-
-
 def test_list_of_servers_is_followed_past_an_odd_entry() -> None:
     """Guards against a feed that stops or crashes at one invalid entry."""
-    feed = _RecordingFeed()
+    feed = RecordingFeed()
     good = encode(entry_document())
     for number, data in enumerate(
         (good, DEEP, entry_with("addr", b'"h:' + DIGITS + b'"'), good)
