Believe an entry that is written again as it was within one era

The history of the registry asked for a higher count after each removal, also after one that only a return of the store had caused, so an entry that was written again unchanged was refused for good. The count is now asked only of entries from another era than the removal: within one era the order of revisions is certain. The change feed publishes a key that is still missing after a return with the last revision that it knows, which is of the present era.

--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -29,8 +29,6 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-import attrs
-
 from ..core.decision import Decision
 from ..core.member import Member, MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
@@ -70,14 +68,6 @@
 REWRITE_GRACE_S: Final = 2.0
 
 
-@attrs.frozen
-class _HeldRemoval:
-    """A key that is missing since a return."""
-
-    prefix: str
-    removal: KeyChange
-
-
 class ChangeFeed(Decision):
     """Publishes the changes of some prefixes, read here or told by another instance."""
 
@@ -120,7 +110,8 @@
         # The latest era that any message has shown, and when it first did.
         self._known_era = 0
         self._era_known_at = _NEVER
-        self._held_removal_by_key: dict[str, _HeldRemoval] = {}
+        # The prefixes of keys that are missing since a return, and still published.
+        self._prefix_by_missing_key: dict[str, str] = {}
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle a change from the watches or another instance, or a subscription."""
@@ -167,7 +158,7 @@
         if not self._is_listed():
             return None if self._is_listing else _NEVER
         due = self._subscription.wake_at()
-        removal_due = self._rewritten_at() if self._held_removal_by_key else math.inf
+        removal_due = self._rewritten_at() if self._prefix_by_missing_key else math.inf
         if self._must_read() and self._has_open_watches():
             due = max(due, self._reached_at + self._times.silence_s)
             due = min(due, self._subscribers.wake_at(self._reached_at))
@@ -319,7 +310,7 @@
             if change.value is not None:
                 batch += self._publish(prefix, [change])
                 continue
-            self._held_removal_by_key[change.key] = _HeldRemoval(prefix, change)
+            self._prefix_by_missing_key[change.key] = prefix
         return batch
 
     def _publish_held_removals(self, now: float) -> list[Outgoing]:
@@ -327,8 +318,11 @@
         if now < self._rewritten_at():
             return []
         batch: list[Outgoing] = []
-        for held in list(self._held_removal_by_key.values()):
-            batch += self._publish(held.prefix, [held.removal])
+        for key, prefix in list(self._prefix_by_missing_key.items()):
+            # The key was still missing at the last revision that is known.
+            revision = self._copy_by_prefix[prefix].revision
+            assert revision is not None
+            batch += self._publish(prefix, [KeyChange(key, None, revision)])
         return batch
 
     def _record_era(self, era: int, now: float) -> None:
@@ -344,7 +338,7 @@
     def _publish(self, prefix: str, changes: Iterable[KeyChange]) -> list[Outgoing]:
         batch = []
         for change in changes:
-            self._held_removal_by_key.pop(change.key, None)
+            self._prefix_by_missing_key.pop(change.key, None)
             changed = KvChanged(change.key, change.value, change.revision)
             batch += self._notify(prefix, changed)
         return batch
--- a/src/siskinspool/platform/feeds.py
+++ b/src/siskinspool/platform/feeds.py
@@ -93,7 +93,7 @@
     ) -> None:
         server_id = key.removeprefix(SERVERS_PREFIX)
         if value is None:
-            self._history.record_removed(server_id)
+            self._history.record_removed(server_id, revision)
             self._notify_listeners(ServerRemoved(server_id))
             return
         record = decode_server_entry(key, value)
@@ -109,7 +109,7 @@
             # The previous entry is outdated, so the server must not be used.
             self._notify_listeners(ServerRemoved(server_id))
             return
-        if not self._history.accepts(record):
+        if not self._history.accepts(record, revision):
             log_event(
                 logger,
                 logging.WARNING,
