Test proofs of a reader that has listed later after a return

An instance that lists the keys right after a return goes on to accept the proofs of its reader, which has listed them only when a key was written again, with the number that it had before. The reader sees no change then, and the instance removes the key after two seconds, until the reader's next update shows the gap.

--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -574,3 +574,28 @@
     fleet.service.put("op/evacuate/z1", b"1")
     fleet.run(REWRITE_GRACE_S + BOUND_S)
     assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
+
+
+def test_reader_that_listed_later_after_a_return_proves_nothing_to_the_earlier() -> (
+    None
+):
+    """Guards against an evacuation that is lifted where a listing came too early.
+
+    The reader lists the key only when it has been written again. As its write has the
+    number that it had before the return, the reader has no change to tell.
+    """
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(0.5)
+    early = next(one for one in fleet.alive() if not one.is_reading)
+    fleet.return_notice_s = 0.2
+    fleet.service.return_from(copy)
+    for prefix in PREFIXES:
+        items = fleet.service.list(prefix)
+        listed = PrefixListed(prefix, items, fleet.service.revision, fleet.now)
+        fleet.post(early.name, listed)
+    fleet.service.put("op/evacuate/z1", b"1")
+    for _ in range(40):
+        fleet.run(0.1)
+        assert "op/evacuate/z1" in early.value_by_key
