Rely on no proof from before the own listing of a new era

A proof says that nothing has changed since the last update, which for the reader may lie before its own listing of the new era. An instance that has listed the keys itself goes on to read, or begins to, until an update continues what it knows.

--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -209,6 +209,7 @@
             listed, is_after_outage=is_after_outage or is_return
         )
         if is_return:
+            self._subscription.record_return(now)
             batch = self._publish_return(prefix, changes, now)
         else:
             batch = self._publish(prefix, changes)
--- a/src/siskinspool/feed/subscription.py
+++ b/src/siskinspool/feed/subscription.py
@@ -93,6 +93,15 @@
         self.current_at = current_at
         self._last_update_at = now
 
+    def record_return(self, now: float) -> None:
+        """Record that this instance itself has listed the keys of a new era.
+
+        What the feeder proves starts from its own listing, which may be another.
+        """
+        self._last_update = None
+        self._first_update_at = None
+        self.request_renewal(now)
+
     def request_renewal(self, now: float) -> None:
         """Subscribe again soon, since changes are missing."""
         self._renew_at = min(self._renew_at, now + self._times.update_s / 2)
