--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -522,3 +522,80 @@
     fleet.run(REWRITE_GRACE_S + BOUND_S)
     assert all(fleet.knows_all(one) for one in fleet.alive())
     assert "op/evacuate/z2" not in fleet.by_name["g000"].value_by_key
+
+
+def test_key_that_is_written_again_before_the_return_is_told_is_not_removed() -> None:
+    """Guards against evacuations and members that are gone for good.
+
+    One update tells that the return has lost the key and that it was written again.
+    """
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(0.5)
+    fleet.passes = lambda *_: False
+    fleet.service.return_from(copy)
+    # The readers list the keys; the others do not yet read for themselves.
+    fleet.run(0.2)
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(0.1)
+    fleet.passes = lambda *_: True
+    fleet.run(REWRITE_GRACE_S + BOUND_S)
+    assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
+
+
+def test_key_lost_by_a_return_is_removed_in_time_without_the_readers() -> None:
+    """Guards against requests to a server that is gone, as its removal is held longer.
+
+    The others hear of the return from the service before they list the keys.
+    """
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("servers/s1", b"1")
+    fleet.run(0.5)
+    fleet.passes = lambda *_: False
+    fleet.service.return_from(copy)
+    fleet.run(CONTACT_S)
+    assert not any("servers/s1" in one.value_by_key for one in fleet.alive())
+
+
+def test_key_is_not_removed_between_two_returns() -> None:
+    """Guards against an evacuation that is lifted before it is written again."""
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(1.0)
+    fleet.service.return_from(copy)
+    fleet.run(1.5)
+    fleet.service.return_from(copy)
+    for _ in range(10):
+        fleet.run(0.1)
+        assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(REWRITE_GRACE_S + BOUND_S)
+    assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
+
+
+def test_reader_that_listed_later_after_a_return_proves_nothing_to_the_earlier() -> (
+    None
+):
+    """Guards against an evacuation that is lifted where a listing came too early.
+
+    The reader lists the key only when it has been written again. As its write has the
+    number that it had before the return, the reader has no change to tell.
+    """
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(0.5)
+    early = next(one for one in fleet.alive() if not one.is_reading)
+    fleet.return_notice_s = 0.2
+    fleet.service.return_from(copy)
+    for prefix in PREFIXES:
+        items = fleet.service.list(prefix)
+        listed = PrefixListed(prefix, items, fleet.service.revision, fleet.now)
+        fleet.post(early.name, listed)
+    fleet.service.put("op/evacuate/z1", b"1")
+    for _ in range(40):
+        fleet.run(0.1)
+        assert "op/evacuate/z1" in early.value_by_key
