Keep the rejections of brittle servers below what they bear

Servers may say that they fall over if they have to reject more than N requests a second (`Server-Brittle`, rule LIMIT). Nothing read the header, and each gateway filled a server's queue on its own.

Change: `server_signals.BrittleServers`. While a server says so, its slots are divided among the gateways, so that together they do not fill its queue, and a gateway pauses after a rejection for so long that one of each keeps to N. No message and no call are added. The product's own front end does not use it: its servers state no such thing.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -130,6 +130,8 @@
     # What the answer states; see `AnswerHeadReceived`, which has reported it before.
     is_leaving: bool = False
     retry_after_s: float | None = None
+    # Rejections a second that the server bears; None if it has stated no limit.
+    max_rejections_per_s: int | None = None
 
     @property
     def has_signal(self) -> bool:
@@ -144,6 +146,8 @@
     # Empty for an order or a report.
     request_id: str
     observation: Observation
+    # Rejections a second that the server bears; None if it has stated no limit.
+    max_rejections_per_s: int | None = None
 
 
 @attrs.frozen
--- a/src/siskinspool/gateway/request.py
+++ b/src/siskinspool/gateway/request.py
@@ -107,12 +107,16 @@
     is_leaving: bool = False
     # How long the server wants no request; None if it has stated no pause.
     retry_after_s: float | None = None
+    # Rejections a second that the server bears; None if it has stated no limit.
+    max_rejections_per_s: int | None = None
 
     def for_server(self, server_id: str) -> AnswerHead:
         """Return the head without the signals of another server at the address."""
         if self.server_id in ("", server_id):
             return self
-        return attrs.evolve(self, is_leaving=False, retry_after_s=None)
+        return attrs.evolve(
+            self, is_leaving=False, retry_after_s=None, max_rejections_per_s=None
+        )
 
     @property
     def has_signal(self) -> bool:
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -363,7 +363,8 @@
         stated = head.observation(assigned.start, self._now())
         if stated is not None:
             request_id = self.request.head.request_id
-            self._notify_routing(AnswerHeadReceived(request_id, stated))
+            received = AnswerHeadReceived(request_id, stated, head.max_rejections_per_s)
+            self._notify_routing(received)
         if stated is not None and relay_id and head.has_signal:
             self._notify_relay(relay_id, assigned, head)
 
@@ -391,6 +392,7 @@
             load=None if head is None else head.load,
             is_leaving=head is not None and head.is_leaving,
             retry_after_s=None if head is None else head.retry_after_s,
+            max_rejections_per_s=None if head is None else head.max_rejections_per_s,
             event_count=self._prompt.event_count,
         )
 
--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -158,8 +158,12 @@
             case TeamUsageReport() as report:
                 self._policy.record_report(report, now)
                 return []
-            case AnswerHeadReceived(_, stated):
-                return self._on_answer_head(stated, now)
+            case AnswerHeadReceived() as received:
+                if received.request_id:
+                    self._views.brittle.observe(
+                        received.observation.start, received.max_rejections_per_s
+                    )
+                return self._on_answer_head(received.observation, now)
             case RelayQuery() as query:
                 return [Outgoing(incoming.sender, self._answer_query(query, now))]
             case RelayedSignal() as signal:
@@ -230,6 +234,7 @@
             "routing.waiting": float(len(self._requesters.waiting_by_id)),
             "routing.paused_refusals": float(self._paused_refusals),
             **self._views.signals.gauges(),
+            **self._views.brittle.gauges(),
             **self._policy.gauges(),
         }
 
@@ -368,6 +373,7 @@
             ended.event_count,
             has_signal=ended.has_signal,
         )
+        self._record_rejection(view, ended, now)
         stated = None
         if (load := ended.load) is not None:
             count = load.running + load.waiting
@@ -377,6 +383,16 @@
         has_run = ended.result is AttemptResult.ANSWERED
         self._policy.record_end(ended.request_id, stated, now, has_run=has_run)
 
+    def _record_rejection(
+        self, view: ServerView, ended: AttemptEnded, now: float
+    ) -> None:
+        """Record a rejection for want of room, which brittle servers count."""
+        if ended.result is not AttemptResult.REJECTED:
+            return
+        self._views.brittle.observe(view.start, ended.max_rejections_per_s)
+        member_count = len(self._views.member_ids)
+        self._views.brittle.record_rejected(view.start, member_count, now)
+
     def _on_answer_head(self, observation: Observation, now: float) -> list[Outgoing]:
         signals = self._views.signals
         if not signals.observe(observation):
--- a/src/siskinspool/gateway/server_candidates.py
+++ b/src/siskinspool/gateway/server_candidates.py
@@ -42,6 +42,7 @@
             and record.server_id not in call.excluded
             and record.zone not in self._views.evacuated_zones
             and view.is_open(now)
+            and self._views.brittle_allows_next(view, now)
             and (not call.model or view.holds(call.model, call.adapter, now))
             and (not view.is_cold(now) or view.cold_bucket.can_take(1, now))
             and (not self._has_pace_limit or view.estimate.may_send(now))
--- a/src/siskinspool/gateway/server_views.py
+++ b/src/siskinspool/gateway/server_views.py
@@ -10,6 +10,7 @@
 
 from ..machines.rendezvous import score
 from ..pace.server_estimate import FleetEstimate, ServerEstimate
+from ..server_signals.brittle_servers import BrittleServers
 from ..server_signals.server_signals import ServerSignals
 from ..telemetry.logs import log_event
 from .bounds import Bounds
@@ -47,6 +48,7 @@
         self._ramp_members = RampMembers(instance_id)
         # Seeded with the id, so that gateways try a server at different times.
         self.signals = ServerSignals(random.Random(instance_id))
+        self.brittle = BrittleServers(instance_id)
         # Changes of the registry do not arrive at the moment.
         self.is_interrupted = False
 
@@ -201,6 +203,16 @@
         )
         return opens_at if now < opens_at < math.inf else None
 
+    def brittle_allows_next(self, view: ServerView, now: float) -> bool:
+        """Return whether a server bears another request of this gateway."""
+        return self.brittle.allows_next(
+            view.start,
+            view.record.slots,
+            len(view.in_flight_by_request),
+            self.member_ids,
+            now,
+        )
+
     def has_holder_of_version(self, call: AssignServer, now: float) -> bool:
         """Return whether a stream may go on, now or after a pause of its servers.
 
--- a/src/siskinspool/platform/headers.py
+++ b/src/siskinspool/platform/headers.py
@@ -14,7 +14,11 @@
 
 from ..gateway.request import AnswerHead, PromptPart, RequestHead, SendPlan
 from ..gateway.servers import ServerLoad
-from ..server_signals.headers import stated_pause_s, states_leaving
+from ..server_signals.headers import (
+    stated_pause_s,
+    stated_rejections_per_s,
+    states_leaving,
+)
 
 REQUEST_ID: Final = "request-id"
 DEADLINE_MS: Final = "deadline-ms"
@@ -160,6 +164,7 @@
         load=_server_load(headers.get(SERVER_LOAD, "")),
         is_leaving=states_leaving(headers),
         retry_after_s=stated_pause_s(status, headers),
+        max_rejections_per_s=stated_rejections_per_s(headers),
     )
 
 
--- a/src/siskinspool/server_signals/headers.py
+++ b/src/siskinspool/server_signals/headers.py
@@ -8,8 +8,10 @@
 
 SERVER_LEAVING: Final = "server-leaving"
 RETRY_AFTER: Final = "retry-after"
+SERVER_BRITTLE: Final = "server-brittle"
 # The status with which a server may state a pause.
 UNAVAILABLE_STATUS: Final = 503
+_COUNT: Final = re.compile(r"[0-9]{1,9}", re.ASCII)
 # Seconds, with at most as many digits as a float keeps exactly. Dates, signs and lists
 # of values do not match.
 _SECONDS: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?", re.ASCII)
@@ -28,3 +30,11 @@
     if status != UNAVAILABLE_STATUS or _SECONDS.fullmatch(text) is None:
         return None
     return float(text) or None
+
+
+def stated_rejections_per_s(headers: Mapping[str, str]) -> int | None:
+    """Return how many rejections a second a brittle server bears; None for others."""
+    text = headers.get(SERVER_BRITTLE, "").strip()
+    if _COUNT.fullmatch(text) is None:
+        return None
+    return int(text) or None
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -78,9 +78,14 @@
         server_id: str,
         result: AttemptResult = AttemptResult.ANSWERED,
         load: ServerLoad | None = None,
+        max_rejections_per_s: int | None = None,
     ) -> list[Message]:
         ended = AttemptEnded(
-            request_id=request_id, server_id=server_id, result=result, load=load
+            request_id=request_id,
+            server_id=server_id,
+            result=result,
+            load=load,
+            max_rejections_per_s=max_rejections_per_s,
         )
         return self.send(ended)
 
@@ -526,3 +531,17 @@
     harness.send(server("w1", "m0"))
     harness.send(RelayedSignal("w1", 0, "", True, None))
     assert harness.assigned_server() == "w1"
+
+
+def test_gateway_keeps_to_its_part_of_a_brittle_server() -> None:
+    """Guards against a gateway that fills the queue of a brittle server."""
+    harness = RoutingHarness("g2", "g3")
+    harness.send(server("w1", "m0", slots=6))
+    assert harness.assigned_server("first") == "w1"
+    full = ServerLoad(running=6, waiting=0, slots=6)
+    harness.end_attempt("first", "w1", AttemptResult.REJECTED, full, 1)
+    assert harness.assigned_server("second") is None
+    # A third of the slots: the request that has waited, and one more.
+    harness.advance(10.0)
+    assert harness.assigned_server("third") == "w1"
+    assert harness.assigned_server("fourth") is None
