Refuse requests at once while no instance reaches a server

Three servers that neither this instance nor those that it asked could reach, without any connection in between, show that none of them has a path. Calls to these servers then fail without being tried, except for one attempt every 0.5 s, and the request is refused with 503 and Retry-After. The failure is no evidence against a server, so servers are not paused beyond the end of the partition.

Two servers that are lost are not enough, since several servers may crash at once and the request can still be served by another one.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -111,6 +111,8 @@
     WRONG_SERVER = "wrong_server"
     # No connection; nothing was sent.
     NOT_SENT = "not_sent"
+    # No connection, as this gateway has lost its paths to all servers.
+    ISOLATED = "isolated"
     # Sent, but no complete answer arrived.
     LOST = "lost"
     # The requester disconnected, or its deadline passed.
--- a/src/siskinspool/gateway/request_refusals.py
+++ b/src/siskinspool/gateway/request_refusals.py
@@ -15,6 +15,8 @@
 
 RETRY_AFTER_S: Final = 0.3
 UNKNOWN_ORIGIN_RETRY_S: Final = 5.0
+# An isolated gateway finds out about the end of a partition within this time.
+ISOLATED_RETRY_S: Final = 1.0
 
 
 def deadline_refusal(detail: str, *, may_have_run: bool) -> Refusal:
@@ -85,6 +87,18 @@
     )
 
 
+def isolated_refusal(detail: str, *, may_have_run: bool) -> Refusal:
+    """Return the refusal of a request at an instance that reaches no server."""
+    if may_have_run:
+        return _unknown_outcome(502, ErrorCode.OUTCOME_UNKNOWN, detail)
+    return Refusal(
+        503,
+        ErrorCode.NO_SERVER,
+        f"no server can be reached: {detail}",
+        retry_after_s=ISOLATED_RETRY_S,
+    )
+
+
 def failure_refusal(detail: str, *, may_have_run: bool, in_time: bool) -> Refusal:
     """Return the refusal of a request that may not be sent again."""
     if may_have_run and not in_time:
--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -54,6 +54,7 @@
     deadline_refusal,
     failure_refusal,
     internal_refusal,
+    isolated_refusal,
     no_server_refusal,
     stopping_refusal,
 )
@@ -77,6 +78,8 @@
     """The send returned no usable answer; a further send may succeed."""
 
     detail: str
+    # No other server can be reached either.
+    is_isolated: bool = False
 
 
 class _AnswerDelivered:
@@ -231,6 +234,8 @@
             if isinstance(outcome, _AnswerDelivered):
                 return None
             detail = outcome.detail
+            if outcome.is_isolated:
+                return isolated_refusal(detail, may_have_run=self._may_have_run)
             limit = self.request.admission.route.max_attempts
             if self._run_count >= limit or self._send_count >= limit + MAX_REJECTIONS:
                 return self._final_failure(detail)
@@ -293,6 +298,8 @@
             call_result = self._open_call(assigned)
             if isinstance(call_result, NotSent):
                 result = AttemptResult.NOT_SENT
+                if call_result.is_isolated:
+                    result = AttemptResult.ISOLATED
                 self._usage.record_not_run()
                 self._run_count -= 1
                 self._may_have_run = may_have_run_before
@@ -513,7 +520,7 @@
             event_count=self._prompt.event_count,
             may_have_run=self._may_have_run,
         )
-        return _FailedSend(detail)
+        return _FailedSend(detail, is_isolated=result is AttemptResult.ISOLATED)
 
     def _report_lost(self, assigned: ServerAssigned, lost: Lost) -> _FailedSend:
         self._prompt.record_lost(assigned, lost)
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -61,6 +61,8 @@
     """No byte of the request left this instance."""
 
     reason: str
+    # No server can be reached, so the failure shows nothing of this one.
+    is_isolated: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/siskinspool/relay/relaying_link.py
+++ b/src/siskinspool/relay/relaying_link.py
@@ -61,6 +61,8 @@
         if start is None:
             return self._direct.open_call(request, timeout_s, may_send)
         began_at = self._clock.now()
+        if not self._paths.may_try(start, began_at):
+            return NotSent("there is no path to any server", is_isolated=True)
         failure = NotSent("there is no path to the server")
         if self._paths.goes_direct(start):
             connection = self._direct.connect(request, timeout_s)
@@ -68,12 +70,12 @@
                 self._record_connected(start)
                 return self._direct.exchange(connection, request, timeout_s, may_send)
             if not self._paths.record_failed(start, self._clock.now()):
-                return connection
+                return self._failed(connection)
             failure = connection
         relayed = self._open_relayed(start, began_at + timeout_s)
         if relayed is None:
-            self._paths.record_lost_server(start, self._clock.now())
-            return failure
+            self._notify(self._paths.record_lost_server(start, self._clock.now()))
+            return self._failed(failure)
         relay, connection = relayed
         remaining_s = began_at + timeout_s - self._clock.now()
         answer = self._direct.exchange(connection, request, remaining_s, may_send)
@@ -106,6 +108,10 @@
                 unable_ids.append(relay.instance_id)
         return None
 
+    def _failed(self, failure: NotSent) -> NotSent:
+        """Return the failure of a call, with what is known of the other servers."""
+        return NotSent(failure.reason, is_isolated=self._paths.is_isolated)
+
     def _record_connected(self, start: ServerStart) -> None:
         self._notify(self._paths.record_connected(start, self._clock.now()))
 
--- a/src/siskinspool/relay/server_paths.py
+++ b/src/siskinspool/relay/server_paths.py
@@ -11,6 +11,10 @@
 If several servers are indirect and no connection has succeeded since, the instance is
 cut off: calls to all servers go through others.
 
+If several servers are lost and no connection has succeeded since, this instance and
+those that it asks have no path: it is *isolated*. Calls to the lost servers then fail
+at once, except for one attempt at a time that finds out about the end.
+
 An instance that could not connect, although another one could, is probably cut off as
 well and is avoided for some time. Others are chosen in the own zone first, and differ
 from server to server, which spreads the calls.
@@ -47,6 +51,11 @@
 UNUSED_TTL_S: Final = 10.0
 MAX_INDIRECT: Final = 1_024
 PROBE_INTERVAL_S: Final = 0.5
+# Lost servers without any connection in between that show an isolation. More than for a
+# cut, as nobody has shown that these servers are sound.
+MIN_LOST_OF_ISOLATION: Final = 3
+# The shortest time between two attempts at lost servers during an isolation.
+ATTEMPT_INTERVAL_S: Final = 0.5
 # Instances of other zones that are compared for one call.
 COMPARED_MEMBERS: Final = 8
 
@@ -86,6 +95,10 @@
         self._failures = 0
         # Until when a server counts as lost; the first to end first.
         self._lost_until_by_id: OrderedDict[str, float] = OrderedDict()
+        # The servers that were lost since the last connection, and when the last was.
+        self._lost_start_by_id: dict[str, ServerStart] = {}
+        self._lost_at = float("-inf")
+        self._attempt_at = float("-inf")
         self._probe_at = float("-inf")
         self.relayed_count = 0
 
@@ -112,6 +125,23 @@
         found_at = min(one.found_at for one in self._indirect_by_id.values())
         return self._connected_at < found_at
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether neither this instance nor those that it asks reach the servers."""
+        return len(self._lost_start_by_id) >= MIN_LOST_OF_ISOLATION
+
+    def may_try(self, start: ServerStart, now: float) -> bool:
+        """Return whether a call to a server may be tried, directly or through others.
+
+        During an isolation, True for a lost server reserves the next attempt.
+        """
+        if not self.is_isolated or start.server_id not in self._lost_start_by_id:
+            return True
+        if now < self._attempt_at:
+            return False
+        self._attempt_at = now + ATTEMPT_INTERVAL_S
+        return True
+
     def goes_direct(self, start: ServerStart) -> bool:
         """Return whether a call to a server is first tried directly."""
         return start.server_id not in self._indirect_by_id and not self.is_cut_off
@@ -122,12 +152,20 @@
         lost_until = self._lost_until_by_id.get(start.server_id, now)
         return self._failures >= MIN_FAILURES and now >= lost_until
 
-    def record_lost_server(self, start: ServerStart, now: float) -> None:
-        """Record a server to which the others that were asked could not connect."""
+    def record_lost_server(self, start: ServerStart, now: float) -> bool:
+        """Record a server to which the others that were asked could not connect.
+
+        Returns whether this instance has become isolated.
+        """
+        was_isolated = self.is_isolated
+        self._lost_at = now
+        if len(self._lost_start_by_id) < MAX_LOST:
+            self._lost_start_by_id[start.server_id] = start
         self._lost_until_by_id.pop(start.server_id, None)
         self._lost_until_by_id[start.server_id] = now + LOST_TTL_S
         if len(self._lost_until_by_id) > MAX_LOST:
             self._lost_until_by_id.popitem(last=False)
+        return self.is_isolated and not was_isolated
 
     def relays(self, start: ServerStart, now: float) -> tuple[Member, ...]:
         """Return the instances to ask for a connection, the preferred one first."""
@@ -151,6 +189,7 @@
         was_cut_off = self.is_cut_off
         self._connected_at = now
         self._failures = 0
+        self._lost_start_by_id.clear()
         if was_cut_off:
             self._indirect_by_id.clear()
             return True
@@ -164,6 +203,7 @@
         ``failed_ids`` are the instances that could not connect before.
         """
         self.relayed_count += 1
+        self._lost_start_by_id.clear()
         self._avoidance_by_id.pop(relay_id, None)
         for instance_id in failed_ids:
             self._avoid(instance_id, now)
@@ -184,19 +224,23 @@
     def pop_probe(self, now: float) -> ServerStart | None:
         """Return the server to probe now, if one is due."""
         self._drop_unused(now)
-        if not self._indirect_by_id or now < self._probe_at:
+        starts = [one.start for one in self._indirect_by_id.values()]
+        if self.is_isolated:
+            starts += self._lost_start_by_id.values()
+        if not starts or now < self._probe_at:
             return None
         self._probe_at = now + PROBE_INTERVAL_S
-        return self._random.choice(list(self._indirect_by_id.values())).start
+        return self._random.choice(starts)
 
     def wake_at(self) -> float | None:
         """Return when the next probe is due."""
-        return self._probe_at if self._indirect_by_id else None
+        return self._probe_at if self._indirect_by_id or self.is_isolated else None
 
     def status(self) -> Status:
         """Return the servers that are reached through others only."""
         return {
             "cut_off": self.is_cut_off,
+            "isolated": self.is_isolated,
             "indirect": sorted(self._indirect_by_id),
             "avoided": sorted(self._avoidance_by_id),
         }
@@ -205,6 +249,7 @@
         """Return how many servers have no direct path, and the relayed calls."""
         return {
             "relay.cut_off": float(self.is_cut_off),
+            "relay.isolated": float(self.is_isolated),
             "relay.indirect_servers": float(len(self._indirect_by_id)),
             "relay.calls_sent": float(self.relayed_count),
         }
@@ -220,6 +265,8 @@
         self._avoidance_by_id[instance_id] = _Avoidance(now + duration_s, next_s)
 
     def _drop_unused(self, now: float) -> None:
+        if now - self._lost_at >= UNUSED_TTL_S:
+            self._lost_start_by_id.clear()
         while self._indirect_by_id:
             oldest = next(iter(self._indirect_by_id.values()))
             if now - oldest.used_at < UNUSED_TTL_S:
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from siskinspool.relay.server_paths import (
+    ATTEMPT_INTERVAL_S,
     LOST_TTL_S,
     MAX_AVOID_S,
     MAX_INDIRECT,
     MAX_RELAYS_PER_CALL,
     MIN_AVOID_S,
+    MIN_LOST_OF_ISOLATION,
     PROBE_INTERVAL_S,
     UNUSED_TTL_S,
     ServerPaths,
@@ -153,3 +155,55 @@
     for number in range(MAX_INDIRECT + 10):
         paths.record_relayed(start_of(f"s{number}"), "g2", [], NOW)
     assert len(paths) == MAX_INDIRECT
+
+
+def isolated_paths() -> ServerPaths:
+    """Return the paths of an instance that has found no way to several servers."""
+    paths = server_paths(relay_member("g2"))
+    starts = [start_of(f"s{number}") for number in range(1, MIN_LOST_OF_ISOLATION + 1)]
+    assert [paths.record_lost_server(start, NOW) for start in starts[:-1]] == [
+        False
+    ] * (MIN_LOST_OF_ISOLATION - 1)
+    assert paths.may_try(starts[0], NOW)
+    assert paths.record_lost_server(starts[-1], NOW)
+    return paths
+
+
+def test_isolated_instance_makes_one_attempt_at_a_time_at_lost_servers() -> None:
+    """Guards against callers that all wait for a connection that fails."""
+    paths = isolated_paths()
+    assert paths.is_isolated
+    assert paths.may_try(S1, NOW)
+    assert not paths.may_try(S1, NOW + ATTEMPT_INTERVAL_S / 2)
+    assert not paths.may_try(S2, NOW + ATTEMPT_INTERVAL_S / 2)
+    assert paths.may_try(start_of("unknown"), NOW + ATTEMPT_INTERVAL_S / 2)
+    assert paths.may_try(S2, NOW + ATTEMPT_INTERVAL_S)
+    assert paths.pop_probe(NOW) is not None
+    assert paths.wake_at() == NOW + PROBE_INTERVAL_S
+
+
+def test_any_connection_ends_an_isolation() -> None:
+    """Guards against refused callers after the paths are back."""
+    for is_direct in (True, False):
+        paths = isolated_paths()
+        if is_direct:
+            paths.record_connected(S1, NOW + 1)
+        else:
+            paths.record_relayed(S1, "g2", [], NOW + 1)
+        assert not paths.is_isolated
+        assert paths.may_try(S2, NOW + 1)
+
+
+def test_lost_servers_between_connections_are_no_isolation() -> None:
+    """Guards against refused callers because several servers have crashed."""
+    paths = server_paths(relay_member("g2"))
+    for number in range(2 * MIN_LOST_OF_ISOLATION):
+        assert not paths.record_lost_server(start_of(f"s{number}"), NOW + number)
+        paths.record_connected(S3, NOW + number)
+
+
+def test_isolation_without_calls_is_forgotten() -> None:
+    """Guards against probes of servers that are gone."""
+    paths = isolated_paths()
+    assert paths.pop_probe(NOW + UNUSED_TTL_S) is None
+    assert not paths.is_isolated
