Show that a partition that resets connections quarantines sound prompts

Connections that a partition resets look like crashes of their servers: the gateway reports crash_suspected for each, with begun=false, and the part that the broken prompts share is quarantined at all gateways. The same happens if the connections of a relay are reset, which tells its caller so (RESET_FRAME).

The stand-in now raises ConnectionResetError on connections that it resets, as the kernel does; until now the code saw an error of another class.

--- a/src/siskinspool/standins/partitioned_gateway.py
+++ b/src/siskinspool/standins/partitioned_gateway.py
@@ -64,21 +64,29 @@
     def __init__(self, sock: socket.socket, port: int) -> None:
         self._sock = sock
         self._port = port
+        self._is_reset = False
         _open_connections.add(self)
 
     def recv(self, size: int, /) -> bytes:
         """Receive some bytes, once no partition holds them back."""
-        data = bytes(self._sock.recv(size))
+        try:
+            data = bytes(self._sock.recv(size))
+        except OSError:
+            self._raise_if_reset()
+            raise
+        self._raise_if_reset()
         self._wait_for(Form.HANG, Form.ONE_WAY)
         return data
 
     def sendall(self, data: bytes, /) -> None:
         """Send all bytes, once no partition holds them back."""
         self._wait_for(Form.HANG)
+        self._raise_if_reset()
         self._sock.sendall(data)
 
     def reset(self) -> None:
         """Reset the connection on both sides."""
+        self._is_reset = True
         linger = struct.pack("ii", 1, 0)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self._sock.shutdown(socket.SHUT_RDWR)
@@ -88,6 +96,14 @@
         """Return whether a form of partition is in force for its server."""
         return _partition.form_for(self._port) is form
 
+    def _raise_if_reset(self) -> None:
+        """Raise the error of a connection that was reset from outside.
+
+        Closing the socket in this process shows in another way.
+        """
+        if self._is_reset:
+            raise ConnectionResetError("Connection reset by peer")
+
     def _wait_for(self, *forms: Form) -> None:
         if _partition.form_for(self._port) not in forms:
             return
