Report a crash only if no other instance reaches the server

A connection that was lost before the prompt was served is reported as a crash of its server. Before the report, the gateway now connects to the server and, if that fails, asks other instances to. If another one can connect, the own path was lost, or the relay's, and nothing is reported.

A server that has crashed refuses all of them, so its crash is reported a few milliseconds later than before. If no instance reaches the server because all are partitioned, the crash is still reported.

--- a/src/siskinspool/gateway/request_task.py
+++ b/src/siskinspool/gateway/request_task.py
@@ -96,7 +96,7 @@
         self._context = context
         self._sink = GuardedSink(sink)
         self._log = RequestLog(request, context)
-        self._prompt = PromptOutcome(request.head, context.dispatcher)
+        self._prompt = PromptOutcome(request.head, context)
         self._usage = UsageMark(
             request.admission.team,
             context.dispatcher,
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -180,6 +180,14 @@
         been paused since the caller decided to send.
         """
 
+    def has_lost_path(self, start: ServerStart) -> bool:
+        """Return whether this instance does not reach a server that others reach.
+
+        A connection to the server that was lost then shows no fault of the server.
+        Takes the time of some connections.
+        """
+        return False
+
 
 class HttpServerLink(ServerLink):
     """HTTP/1.1 over TCP."""
--- a/src/siskinspool/relay/relaying_link.py
+++ b/src/siskinspool/relay/relaying_link.py
@@ -24,11 +24,15 @@
     ServerRequest,
 )
 from ..server_signals.observations import ServerStart
+from ..settings import Endpoint
+from .relay_listener import connect_directly
 from .relay_messages import RELAY_TASK, PathsChanged
 from .relay_protocol import RelayOpen
 from .relayed_socket import RelayedSocket, open_relayed
-from .server_paths import ServerPaths
+from .server_paths import MAX_RELAYS_PER_CALL, ServerPaths
 
+# Of a direct connection that only shows whether there is a path.
+CHECK_TIMEOUT_S: Final = 0.3
 # The other instance connects within its own timeout; this one also finds out that it
 # does not answer.
 RELAY_TIMEOUT_S: Final = 0.4
@@ -83,6 +87,25 @@
             answer.relay_id = relay.instance_id
         return answer
 
+    def has_lost_path(self, start: ServerStart) -> bool:
+        """Return whether this instance does not reach a server that others reach."""
+        if self._paths.goes_direct(start):
+            endpoint = Endpoint(host=start.host, port=start.port)
+            sock = connect_directly(endpoint, CHECK_TIMEOUT_S)
+            if sock is not None:
+                sock.close()
+                self._record_connected(start)
+                return False
+        now = self._clock.now()
+        if self._paths.is_lost(start, now):
+            return False
+        relayed = self._open_relayed(start, now + MAX_RELAYS_PER_CALL * RELAY_TIMEOUT_S)
+        if relayed is None:
+            self._notify(self._paths.record_lost_server(start, self._clock.now()))
+            return False
+        relayed[1].close()
+        return True
+
     def _open_relayed(
         self, start: ServerStart, until: float
     ) -> tuple[Member, RelayedSocket] | None:
--- a/src/siskinspool/relay/server_paths.py
+++ b/src/siskinspool/relay/server_paths.py
@@ -149,8 +149,11 @@
     def record_failed(self, start: ServerStart, now: float) -> bool:
         """Record a failed connection; return whether to ask others for one."""
         self._failures += 1
-        lost_until = self._lost_until_by_id.get(start.server_id, now)
-        return self._failures >= MIN_FAILURES and now >= lost_until
+        return self._failures >= MIN_FAILURES and not self.is_lost(start, now)
+
+    def is_lost(self, start: ServerStart, now: float) -> bool:
+        """Return whether others could not connect to a server a short time ago."""
+        return now < self._lost_until_by_id.get(start.server_id, now)
 
     def record_lost_server(self, start: ServerStart, now: float) -> bool:
         """Record a server to which the others that were asked could not connect.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -130,6 +130,24 @@
         assert paths.goes_direct(start_of("s1"))
 
 
+def test_path_is_lost_if_only_others_reach_the_server() -> None:
+    """Guards against a server that is blamed for connections that a partition reset."""
+    with (
+        scripted_server(answer(200, b"")) as server,
+        running_relay(server.port) as one,
+    ):
+        link, _ = relaying_link(one)
+        assert link.has_lost_path(start_of("s1"))
+        assert server.requests == []
+        wait_until(lambda: one.open_count == 0)
+        assert not link.has_lost_path(start_of("s2", server.port))
+    with running_relay(CLOSED_PORT) as one:
+        link, _ = relaying_link(one)
+        assert not link.has_lost_path(start_of("s1"))
+        assert not link.has_lost_path(start_of("s1"))
+        assert len(one.asked) == 1
+
+
 def test_cancelled_call_closes_the_connection_to_the_server() -> None:
     """Guards against servers that work on for a caller that has left."""
     listener = socket.socket()
