--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -61,6 +61,8 @@
     """No byte of the request left this instance."""
 
     reason: str
+    # No server can be reached, so the failure shows nothing of this one.
+    is_isolated: bool = False
 
 
 @dataclass(frozen=True)
@@ -178,6 +180,14 @@
         been paused since the caller decided to send.
         """
 
+    def has_lost_path(self, start: ServerStart) -> bool:
+        """Return whether this instance does not reach a server that others reach.
+
+        A connection to the server that was lost then shows no fault of the server.
+        Takes the time of some connections.
+        """
+        return False
+
 
 class HttpServerLink(ServerLink):
     """HTTP/1.1 over TCP."""
