Relay calls between entry instances, as between gateways

Callers of an entry instance that has lost its connections to servers were refused or waited out their time, while other instances reached the servers.

Cause: only the gateway was assembled with the package `relay/`; the entry instance sent calls through `HttpServerLink` alone and named no start in its requests.

Change: the entry instance has a `RelayTask`, announces `relay_port` in its session record, and sends calls through `RelayingServerLink`. `CallTask` names the start and tells the relay what the head of a relayed answer states. `Routing` answers `RelayQuery` and applies `RelayedSignal`. Orders keep the direct link. A connection may take 0.3 s instead of 1 s, as at the gateway. A planned stop refuses new relayed calls at once and waits for those in progress.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -47,6 +47,10 @@
 from .machines.speed_choices import SpeedChoices
 from .manifest.revisions import Revisions
 from .protection.caller_protection import CallerProtection
+from .relay.relay_messages import RELAY_TASK
+from .relay.relay_task import RelayTask
+from .relay.relaying_link import RelayingServerLink
+from .relay.server_paths import ServerPaths
 from .settings import Settings
 from .store.etcd import EtcdKeyValueService
 from .store.instance_list import HttpInstanceList, InstanceListTask
@@ -59,6 +63,9 @@
 PARTITIONS_PER_KIND: Final = 16
 # Maximum duration of a drain after the last deadline of the running calls.
 DRAIN_MARGIN_S: Final = 90.0
+# A server accepts a connection within a round trip or, if its accept queue is full,
+# after seconds; another server or another instance is the better choice then.
+CONNECT_TIMEOUT_S: Final = 0.3
 # Calls that may wait for a server at one instance; further calls are refused.
 QUEUE_CAPACITY_CALLS: Final = 2_000
 
@@ -85,7 +92,7 @@
     "reports",
     "telemetry",
 )
-GAUGE_TASKS: Final = ("routing", "placement", "limits", "patient")
+GAUGE_TASKS: Final = ("routing", "placement", "limits", "patient", RELAY_TASK)
 STATUS_TASKS: Final = (
     "membership",
     "ownership",
@@ -94,6 +101,7 @@
     "limits",
     "mint",
     "patient",
+    RELAY_TASK,
 )
 
 
@@ -127,10 +135,15 @@
         self._protection = CallerProtection.from_settings(
             settings.limits, settings.protection, clock
         )
+        paths = ServerPaths(settings.instance_id, settings.zone, random.Random())
+        self._relay = self._build_relay(paths)
+        self._direct_link = HttpServerLink.from_protection(
+            self._protection, CONNECT_TIMEOUT_S
+        )
         self._call_context = CallContext(
             dispatcher=self._dispatcher,
             clock=clock,
-            link=HttpServerLink.from_protection(self._protection),
+            link=RelayingServerLink(self._direct_link, paths, self._dispatcher, clock),
             retry_budget=self._retry_budget,
         )
         self._frontend = self._build_frontend()
@@ -156,19 +169,35 @@
             task.on_crash(on_crash)
 
     def drain(self) -> None:
-        """Drain the instance; return when no call is running any more (R12)."""
+        """Drain the instance; return when no call is running any more (R12).
+
+        Calls that are relayed for other instances may finish as well.
+        """
         longest_s = self._frontend.longest_remaining_s()
-        self._dispatcher.ask(
-            self._dispatcher.address("drain"),
-            StartDrain(longest_s),
-            longest_s + DRAIN_MARGIN_S,
-        )
+        limit_s = longest_s + DRAIN_MARGIN_S
+        stop_at = self._clock.now() + limit_s
+        self._relay.refuse_new()
+        drain = self._dispatcher.address("drain")
+        self._dispatcher.ask(drain, StartDrain(longest_s), limit_s)
+        self._relay.wait_idle(stop_at - self._clock.now())
 
     def stop(self) -> None:
         """Stop all tasks in reverse order."""
         for task in reversed(self._tasks):
             task.stop()
 
+    def _build_relay(self, paths: ServerPaths) -> RelayTask:
+        settings = self._settings
+        return RelayTask(
+            self._dispatcher,
+            self._clock,
+            paths,
+            settings.peer.host,
+            (settings.relay_port,),
+            "routing",
+            watchers=(),
+        )
+
     def _build_frontend(self) -> Frontend:
         settings = self._settings
         pages = StatusPages(
@@ -201,6 +230,7 @@
             port=self._peer_link.port,
             listen_host=settings.listen.host,
             listen_port=self._frontend.port,
+            relay_port=self._relay.port,
         )
 
     def _build_platform(self) -> list[Task]:
@@ -240,6 +270,7 @@
                         "patient",
                         "reports",
                         "telemetry",
+                        RELAY_TASK,
                     ),
                     freshness=("frontend", "limits", "mint"),
                     leaving=("routing", "placement"),
@@ -283,9 +314,11 @@
 
     def _build_workers(self) -> list[Task]:
         metrics = Metrics.from_settings(self._settings.statsd)
-        link = self._call_context.link
+        link = self._direct_link
         return [
+            self._relay,
             ReportPoller(self._dispatcher, self._clock, link),
+            # Never relayed: a server would take the relay for the sender.
             OrdersTask(self._dispatcher, self._clock, link),
             TelemetryTask(self._dispatcher, self._clock, metrics, GAUGE_TASKS),
             PatientRunner(
--- a/src/siskinspool/links/call_task.py
+++ b/src/siskinspool/links/call_task.py
@@ -52,6 +52,7 @@
     CallResult,
     RouteCall,
 )
+from ..relay.relay_messages import RelayedSignal
 from ..server_signals.headers import (
     UNAVAILABLE_STATUS,
     stated_pause_s,
@@ -232,9 +233,11 @@
         return context.dispatcher.ask(context.address(task), message, timeout_s)
 
     def _notify(self, task: str, message: Message) -> None:
-        context = self._context
-        sender = context.address(f"call:{self.call.id}")
-        context.dispatcher.send(sender, Outgoing(context.address(task), message))
+        self._send_to(self._context.address(task), message)
+
+    def _send_to(self, recipient: Address, message: Message) -> None:
+        sender = self._context.address(f"call:{self.call.id}")
+        self._context.dispatcher.send(sender, Outgoing(recipient, message))
 
     def _claim_and_run(self) -> Refusal | None:
         if not self.call.idempotency_key:
@@ -427,6 +430,7 @@
             uri=self.call.uri,
             headers=headers,
             body=self.call.body,
+            start=dispatched.start,
         )
         self._context.retry_budget.count_request(
             self.call.target, self._context.clock.now()
@@ -454,15 +458,30 @@
             self._notify("routing", CallEnded(self.call.id, result, None))
 
     def _report_head(self, dispatched: CallDispatched, answer: Answer) -> None:
-        """Report whether the server states that it is leaving or wants a pause."""
+        """Report whether the server states that it is leaving or wants a pause.
+
+        The server means the instance that is connected to it, which may be a relay.
+        """
+        is_leaving = states_leaving(answer.headers)
+        retry_after_s = stated_pause_s(answer.status, answer.headers)
         stated = observation(
             dispatched.start,
             self._context.clock.now(),
-            is_leaving=states_leaving(answer.headers),
-            retry_after_s=stated_pause_s(answer.status, answer.headers),
+            is_leaving=is_leaving,
+            retry_after_s=retry_after_s,
         )
-        if answer.status != UNAVAILABLE_STATUS or not isinstance(stated, AnswerStarted):
+        has_signal = not isinstance(stated, AnswerStarted)
+        if has_signal or answer.status != UNAVAILABLE_STATUS:
             self._notify("routing", CallAnswered(stated))
+        if has_signal and answer.relay_id:
+            signal = RelayedSignal(
+                dispatched.server_id,
+                dispatched.start.born_ms,
+                dispatched.boot_id,
+                is_leaving,
+                retry_after_s,
+            )
+            self._send_to(Address(answer.relay_id, "routing"), signal)
 
     def _timeout_s(self) -> float:
         if self.call.is_streamed:
--- a/src/siskinspool/machines/known_servers.py
+++ b/src/siskinspool/machines/known_servers.py
@@ -150,6 +150,32 @@
         server = self.catalog.server_by_id[backend_id]
         return Backend(server, self._server_by_id[backend_id])
 
+    def known_start(self, server_id: str, boot_id: str) -> Backend | None:
+        """Return a server with the start that a boot id names, if it is the present.
+
+        An empty boot id means a plain service.
+        """
+        if not boot_id:
+            service = self.catalog.service_by_id.get(server_id)
+            if service is None:
+                return None
+            return Backend(service, self._service_by_id[server_id])
+        server = self.catalog.server_by_id.get(server_id)
+        state = self._server_by_id.get(server_id)
+        if server is None or state is None or state.boot_id != boot_id:
+            return None
+        return Backend(server, state)
+
+    def wants_requests(self, backend: Backend, now: float) -> bool:
+        """Return whether a server's zone, the platform and its signals allow requests.
+
+        The load and the circuit breaker are not considered.
+        """
+        entity = backend.entity
+        if not self._permits.server_accepts_work(entity.id, entity.zone):
+            return False
+        return self.signals.permission(backend.start, now).allows_next
+
     def status(self, now: float) -> Status:
         """Return the servers and services of the catalog for the status page."""
         servers = [
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -24,6 +24,13 @@
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
 from ..manifest.model import Catalog, RequestClass
+from ..relay.relay_messages import (
+    RelayDenied,
+    RelayedSignal,
+    RelayGranted,
+    RelayQuery,
+)
+from ..server_signals.observations import Observation, observation
 from .call_targets import ReplicaTarget, Target, resolve_target
 from .candidate import CandidateChooser, ServerRun, TwoRandomChoices
 from .known_servers import Backend, KnownServers
@@ -118,10 +125,12 @@
                 return self._handle_route_call(message, incoming.sender, now)
             case CallEnded():
                 return self._handle_call_ended(message, now)
-            case CallAnswered(observation):
-                if self._servers.signals.observe(observation):
-                    return self._dispatch_all(now)
-                return []
+            case CallAnswered(stated):
+                return self._handle_stated(stated, now)
+            case RelayedSignal():
+                return self._handle_relayed_signal(message, now)
+            case RelayQuery():
+                return [Outgoing(incoming.sender, self._answer_query(message, now))]
             case CallCancelled():
                 return self._handle_cancelled(message, now)
             case CatalogChanged():
@@ -279,6 +288,43 @@
             out for call_id in lost for out in self._release_call(call_id, None, now)
         ]
 
+    # Signals of servers, and calls that are relayed for other instances
+
+    def _handle_stated(self, stated: Observation, now: float) -> list[Outgoing]:
+        """Apply what the head of an answer states."""
+        return self._dispatch_all(now) if self._servers.signals.observe(stated) else []
+
+    def _answer_query(
+        self, query: RelayQuery, now: float
+    ) -> RelayGranted | RelayDenied:
+        """Return whether another instance's call may go out from here.
+
+        The circuit breaker is not asked: it opens also if this instance has lost its
+        path, which the other one learns only from an attempt to connect.
+        """
+        backend = self._servers.known_start(query.server_id, query.boot_id)
+        if backend is None or not query.is_about(backend.start):
+            return RelayDenied("the server is not known")
+        if not self._servers.wants_requests(backend, now):
+            return RelayDenied("the server is not open")
+        self._servers.signals.record_sent(backend.start, now)
+        return RelayGranted(backend.entity.host, backend.entity.port)
+
+    def _handle_relayed_signal(
+        self, signal: RelayedSignal, now: float
+    ) -> list[Outgoing]:
+        """Apply what a server has stated to this instance in a relayed answer."""
+        backend = self._servers.known_start(signal.server_id, signal.boot_id)
+        if backend is None:
+            return []
+        stated = observation(
+            backend.start,
+            now,
+            is_leaving=signal.is_leaving,
+            retry_after_s=signal.retry_after_s,
+        )
+        return self._handle_stated(stated, now)
+
     # Queues
 
     def _dispatch_all(self, now: float) -> list[Outgoing]:
--- a/src/siskinspool/settings.py
+++ b/src/siskinspool/settings.py
@@ -46,6 +46,9 @@
     key_value: Endpoint
     # Platform service that lists live and leaving instances.
     instance_list: Endpoint
+    # Port of the peer's host for the calls that this instance relays to servers. With
+    # 0, or if it is in use, the kernel chooses one.
+    relay_port: int = 0
     # Statsd server for metrics; None disables them.
     statsd: Endpoint | None = None
     # Bearer token of operators for the status pages; if empty, nobody can read them.
--- a/src/siskinspool/settings_rules.py
+++ b/src/siskinspool/settings_rules.py
@@ -56,10 +56,9 @@
     for field in LISTENER_FIELDS:
         remedy = "others connect to it; use an address of this machine"
         yield SettingsRule(f"{field}.host", str, _is_specific_address, remedy)
+    for path in (*(f"{field}.port" for field in LISTENER_FIELDS), "relay_port"):
         remedy = f"use 0 (the kernel chooses) to {MAX_PORT}"
-        yield SettingsRule(
-            f"{field}.port", int, lambda port: 0 <= port <= MAX_PORT, remedy
-        )
+        yield SettingsRule(path, int, lambda port: 0 <= port <= MAX_PORT, remedy)
     for field in SERVICES:
         remedy = f"use 1 to {MAX_PORT}"
         yield SettingsRule(
--- a/src/siskinspool/settings_schema.py
+++ b/src/siskinspool/settings_schema.py
@@ -34,6 +34,7 @@
     fields["session_ttl_s"] |= {"minimum": low, "maximum": high}
     fields["session_renew_s"]["exclusiveMinimum"] = 0
     fields["balancer_wait_s"] |= {"minimum": 0, "maximum": MAX_BALANCER_WAIT_S}
+    fields["relay_port"] |= {"minimum": 0, "maximum": MAX_PORT}
     port = schema["$defs"]["Endpoint"]["properties"]["port"]
     port |= {"minimum": 0, "maximum": MAX_PORT}
     return {"$schema": "https://json-schema.org/draft/2020-12/schema", **schema}
--- a/tests/builders_front_ends.py
+++ b/tests/builders_front_ends.py
@@ -40,7 +40,7 @@
 from siskinspool.gateway.stream_origins import StreamOrigins
 from siskinspool.links.call_task import CallContext, CallTask
 from siskinspool.links.caller import CallerSink, CutStreamError, respond
-from siskinspool.links.server_link import HttpServerLink
+from siskinspool.links.server_link import HttpServerLink, ServerLink
 from siskinspool.machines.routing_messages import (
     CallDispatched,
     CallRefused,
@@ -51,6 +51,7 @@
 from siskinspool.streams.stream_messages import STREAMS_TASK
 
 from .builders_gateway import head, route
+from .builders_relay import Relay, SentToPeers, link_around
 
 # A test that waits for longer is considered hung.
 TIMEOUT_S = 5.0
@@ -163,6 +164,17 @@
 
     # Injected into the next requests.
     fault: TaskFault | None = None
+    # Other instances through which servers without a direct path are reached.
+    relays: tuple[Relay, ...] = ()
+
+    def __init__(self) -> None:
+        """Keep the messages to other instances."""
+        self.peers = SentToPeers()
+
+    def make_link(self, direct: HttpServerLink, dispatcher: Dispatcher) -> ServerLink:
+        """Return the link to servers, as an instance assembles it."""
+        dispatcher.attach_peer_transport(self.peers)
+        return link_around(direct, dispatcher, *self.relays)[0]
 
     def inject_fault(self, task: RequestTask | CallTask) -> None:
         """End the greenlet of a task that has just been started, if a fault is set."""
@@ -205,7 +217,7 @@
         context = RequestContext(
             dispatcher=dispatcher,
             clock=clock,
-            link=HttpServerLink(ends_by_close=True),
+            link=self.make_link(HttpServerLink(ends_by_close=True), dispatcher),
             codec=codec,
             metrics=GatewayMetrics(),
         )
@@ -232,6 +244,7 @@
 
     def __init__(self, idempotency_key: str = "") -> None:
         """Set the idempotency key of each call; empty for none."""
+        super().__init__()
         self._idempotency_key = idempotency_key
         # The outcomes recorded for later calls with the key.
         self.finished: list[FinishClaim] = []
@@ -250,7 +263,7 @@
         context = CallContext(
             dispatcher=dispatcher,
             clock=clock,
-            link=HttpServerLink(),
+            link=self.make_link(HttpServerLink(), dispatcher),
             retry_budget=RetryBudget(),
         )
         sink = CallerSink()
--- a/tests/builders_relay.py
+++ b/tests/builders_relay.py
@@ -9,8 +9,9 @@
 import attrs
 
 from siskinspool.core.clock import MonotonicClock
-from siskinspool.core.dispatcher import Dispatcher
+from siskinspool.core.dispatcher import Dispatcher, PeerTransport
 from siskinspool.core.member import Member
+from siskinspool.core.message import Address, Outgoing
 from siskinspool.links.server_link import HttpServerLink, ServerRequest
 from siskinspool.relay.relay_listener import RelayListener
 from siskinspool.relay.relay_messages import RelayDenied, RelayGranted
@@ -87,17 +88,34 @@
         relay.listener.stop()
 
 
+class SentToPeers(PeerTransport):
+    """Keeps the messages to other instances."""
+
+    def __init__(self) -> None:
+        self.sent: list[Outgoing] = []
+
+    def send_to_peer(self, sender: Address, outgoing: Outgoing) -> bool:
+        """Keep a message."""
+        self.sent.append(outgoing)
+        return True
+
+
 def relaying_link(*relays: Relay) -> tuple[RelayingServerLink, ServerPaths]:
     """Return the link of an instance without a path to servers, and its paths."""
+    direct = HttpServerLink(0.2, ends_by_close=True)
+    return link_around(direct, Dispatcher(OWN_ID), *relays)
+
+
+def link_around(
+    direct: HttpServerLink, dispatcher: Dispatcher, *relays: Relay
+) -> tuple[RelayingServerLink, ServerPaths]:
+    """Return a link that goes through relays where the direct one has no path.
+
+    The relays are the instances ``g2``, ``g3`` and so on.
+    """
     members = [
         relay_member(f"g{number}", "b", relay.listener.port)
         for number, relay in enumerate(relays, start=2)
     ]
     paths = server_paths(*members)
-    link = RelayingServerLink(
-        HttpServerLink(0.2, ends_by_close=True),
-        paths,
-        Dispatcher(OWN_ID),
-        MonotonicClock(),
-    )
-    return link, paths
+    return RelayingServerLink(direct, paths, dispatcher, MonotonicClock()), paths
--- a/tests/test_routing_signals.py
+++ b/tests/test_routing_signals.py
@@ -3,11 +3,34 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
-from siskinspool.machines.routing_messages import CallAnswered, CallDispatched
+from siskinspool.core.message import Message
+from siskinspool.machines.messages import CatalogChanged
+from siskinspool.machines.routing_messages import (
+    CallAnswered,
+    CallDispatched,
+    CallEnded,
+    CallResult,
+)
+from siskinspool.relay.relay_messages import (
+    RelayDenied,
+    RelayedSignal,
+    RelayGranted,
+    RelayQuery,
+)
 from siskinspool.server_signals.observations import ServerStart
 
-from .builders_routing import RoutingHarness, call, report, slots
+from .builders_routing import (
+    RoutingHarness,
+    call,
+    catalog,
+    report,
+    slots,
+)
+from .builders_routing import (
+    leaving as leaving_servers,
+)
 from .builders_signals import answer, leaving, pause
 
 
@@ -49,3 +72,103 @@
     tried = start_of(harness, list(harness.dispatched())[-1])
     harness.send(CallAnswered(answer(tried, harness.now)))
     assert len(harness.dispatched()) > 4
+
+
+QUERY = RelayQuery("s1", None, "b1")
+
+
+def grants(harness: RoutingHarness, query: RelayQuery = QUERY) -> bool:
+    """Return whether a call of another instance may go out."""
+    (reply,) = harness.send(query)
+    assert isinstance(reply, RelayGranted | RelayDenied)
+    return isinstance(reply, RelayGranted)
+
+
+def test_relayed_call_goes_to_a_known_start_only() -> None:
+    """Guards against a detour to a server that has restarted, or is none of the site.
+
+    An empty boot id means a plain service, and no server that has not reported yet.
+    """
+    harness = RoutingHarness()
+    assert not grants(harness)
+    assert not grants(harness, RelayQuery("s1", None, ""))
+    harness.make_ready("s1")
+    entity = catalog().server_by_id["s1"]
+    assert harness.send(QUERY) == [RelayGranted(entity.host, entity.port)]
+    assert not grants(harness, RelayQuery("s1", None, "b2"))
+    assert not grants(harness, RelayQuery("s1", 5, "b1"))
+    assert not grants(harness, RelayQuery("s9", None, "b1"))
+    assert harness.send(RelayQuery("v1", None, "")) == [RelayGranted("127.0.0.1", 2)]
+
+
+@pytest.mark.parametrize("query", [QUERY, RelayQuery("v1", None, "")])
+@pytest.mark.parametrize(
+    ("closing", "opening"),
+    [
+        (leaving_servers("s1", "v1"), leaving_servers()),
+        (CatalogChanged(catalog(frozenset("a"))), CatalogChanged(catalog())),
+    ],
+    ids=["leaving", "zone"],
+)
+def test_relayed_call_goes_to_no_server_that_is_out_of_service(
+    query: RelayQuery, closing: Message, opening: Message
+) -> None:
+    """Guards against a detour around a zone's state or the platform's notice."""
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    harness.send(closing)
+    assert not grants(harness, query)
+    harness.send(opening)
+    assert grants(harness, query)
+
+
+def test_relayed_call_takes_a_trial_of_the_relay() -> None:
+    """Guards against more requests after a pause than the server is tried with."""
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    harness.send(call("c0"))
+    harness.send(CallAnswered(pause(start_of(harness, "c0"), harness.now, 1.0)))
+    assert not grants(harness)
+    harness.advance(1.5)
+    assert grants(harness)
+    assert not grants(harness)
+    assert not any(isinstance(m, CallDispatched) for m in harness.send(call("c1")))
+
+
+def test_failures_of_the_relay_deny_no_call() -> None:
+    """Guards against an instance without paths that passes for one that could connect.
+
+    It says that it is unable only if it tries, and is avoided then.
+    """
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    for number in range(10):
+        harness.send(call(f"c{number}"))
+        harness.send(CallEnded(f"c{number}", CallResult.FAILED_BEFORE_SEND))
+    assert not any(isinstance(m, CallDispatched) for m in harness.send(call("c10")))
+    assert grants(harness)
+
+
+@pytest.mark.parametrize(
+    "signal",
+    [
+        RelayedSignal("s1", None, "b1", True, None),
+        RelayedSignal("s1", None, "b1", False, 5.0),
+    ],
+    ids=["leaving", "pause"],
+)
+def test_signal_in_a_relayed_answer_binds_the_relay(signal: RelayedSignal) -> None:
+    """Guards against calls of the instance that the server has turned away."""
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    harness.send(signal)
+    assert not grants(harness)
+    assert not any(isinstance(m, CallDispatched) for m in harness.send(call("c1")))
+
+
+def test_relayed_signal_of_an_earlier_start_is_ignored() -> None:
+    """Guards against a restarted server that stays unused."""
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    harness.send(RelayedSignal("s1", None, "b0", True, None))
+    assert any(isinstance(m, CallDispatched) for m in harness.send(call("c1")))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -60,6 +60,7 @@
         ("session_ttl_s", 0.5, ("0.5", "2 to 60")),
         ("session_renew_s", 6, ("6", "half of session_ttl_s")),
         ("balancer_wait_s", -1, ("-1", "0 to 60")),
+        ("relay_port", 70_000, ("70000", "0 ", "65535")),
         ("colour", "red", ("unknown", "colour")),
     ],
 )
