Poll servers' reports through another instance as well

While an instance had no path to the servers, no instance sent calls to the models of the servers whose reports it distributes.

Cause: one instance polls each server for the whole site, and a server whose last report is older than 3 s gets no calls anywhere. `ReportPoller` had only the direct connection.

Change: a poll names the start of the last report, and `ReportPoller` uses the relaying link. The stand-in `partitioned_entry` cuts an entry instance off from servers, as `partitioned_gateway` does for a gateway.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -314,12 +314,11 @@
 
     def _build_workers(self) -> list[Task]:
         metrics = Metrics.from_settings(self._settings.statsd)
-        link = self._direct_link
         return [
             self._relay,
-            ReportPoller(self._dispatcher, self._clock, link),
+            ReportPoller(self._dispatcher, self._clock, self._call_context.link),
             # Never relayed: a server would take the relay for the sender.
-            OrdersTask(self._dispatcher, self._clock, link),
+            OrdersTask(self._dispatcher, self._clock, self._direct_link),
             TelemetryTask(self._dispatcher, self._clock, metrics, GAUGE_TASKS),
             PatientRunner(
                 self._dispatcher, self._clock, self._call_context, self._incarnation
--- a/src/siskinspool/machines/report_poller.py
+++ b/src/siskinspool/machines/report_poller.py
@@ -73,6 +73,7 @@
         uri="/v1/report",
         headers={},
         body=b"",
+        start=poll.start,
     )
     # Bytes may arrive one at a time, each within the connection's own timeout.
     with gevent.Timeout(poll.timeout_s, TimeoutError("no report in time")):
--- a/src/siskinspool/machines/reporting.py
+++ b/src/siskinspool/machines/reporting.py
@@ -89,7 +89,8 @@
             polled.due_at = now + POLL_INTERVAL_S
             if not polled.is_waiting:
                 polled.is_waiting = True
-                batch.append(self._poll(self._catalog.server_by_id[server_id]))
+                server = self._catalog.server_by_id[server_id]
+                batch.append(self._poll(server, polled.last_sent))
         return batch
 
     def wake_at(self) -> float | None:
@@ -107,8 +108,14 @@
             for server_id in sorted(assigned)
         }
 
-    def _poll(self, server: Server) -> Outgoing:
-        message = PollServer(server.id, server.host, server.port, POLL_TIMEOUT_S)
+    def _poll(self, server: Server, last: ServerReport | None) -> Outgoing:
+        message = PollServer(
+            server.id,
+            server.host,
+            server.port,
+            POLL_TIMEOUT_S,
+            "" if last is None else last.boot_id,
+        )
         return self._local_message("report_poller", message)
 
     def _mark_answered(self, server_id: str) -> _PolledServer | None:
--- a/src/siskinspool/standins/partitioned_gateway.py
+++ b/src/siskinspool/standins/partitioned_gateway.py
@@ -143,12 +143,17 @@
     new.replace(control)
 
 
+def follow_partition(control: Path) -> None:
+    """Cut this process off from servers as the control file says."""
+    # Type checkers see the module's function; only this process replaces it.
+    setattr(socket, "create_connection", _connect)  # noqa: B010
+    gevent.spawn(_follow, control)
+
+
 def main() -> None:
     """Run the gateway daemon with cuts as the control file says."""
     settings, control = sys.argv[1:]
-    # Type checkers see the module's function; only this process replaces it.
-    setattr(socket, "create_connection", _connect)  # noqa: B010
-    gevent.spawn(_follow, Path(control))
+    follow_partition(Path(control))
     run_daemon([settings])
 
 
--- a/src/siskinspool/standins/site.py
+++ b/src/siskinspool/standins/site.py
@@ -33,6 +33,7 @@
 )
 from ..manifest.publisher import Publisher, PublishSucceeded, PublishUnchanged
 from ..store.etcd import EtcdKeyValueService
+from .partitioned_gateway import Form, write_partition
 from .processes import Process, ProcessError, TrialProcesses, call, call_json
 
 READY_TIMEOUT_S: Final = 30.0
@@ -76,6 +77,8 @@
     operator_token: str = "trial-operator-token"
     # UDP port on loopback that metrics are sent to; None sends none.
     statsd_port: int | None = None
+    # The instances' paths to servers can be cut.
+    partitionable: bool = False
 
 
 @attrs.define
@@ -272,11 +275,30 @@
             settings["statsd"] = statsd
         path = self.processes.folder / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        process = self.processes.start(name, "siskinspool.daemon", str(path))
+        process = self._start_daemon(name, str(path))
         self.instance_by_id[name] = process
         self.port_by_name[name] = process.port
         return process
 
+    def partition(self, instance: str, form: Form | None) -> None:
+        """Cut an instance off from all engines and services; None ends that.
+
+        The plan must be ``partitionable``.
+        """
+        backends = self.engine_by_id | self.service_by_id
+        ports = [process.port for process in backends.values()]
+        write_partition(self._control_path(instance), form, ports)
+
+    def _start_daemon(self, name: str, settings: str) -> Process:
+        if not self.plan.partitionable:
+            return self.processes.start(name, "siskinspool.daemon", settings)
+        control = str(self._control_path(name))
+        module = "siskinspool.standins.partitioned_entry"
+        return self.processes.start(name, module, settings, control)
+
+    def _control_path(self, instance: str) -> Path:
+        return self.processes.folder / f"{instance}.partition.json"
+
     def wait_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait until all running instances are ready."""
         for name, process in self.instance_by_id.items():
--- a/tests/test_reporting.py
+++ b/tests/test_reporting.py
@@ -9,6 +9,7 @@
 from siskinspool.machines.messages import CatalogChanged, ReplicaState, ReportedReplica
 from siskinspool.machines.report_messages import PollServer
 from siskinspool.machines.reporting import Reporting
+from siskinspool.server_signals.observations import ServerStart
 from tests import builders
 
 
@@ -31,3 +32,23 @@
     assert reporting.wake_at() == pytest.approx(due_in_s)
     assert reporting.on_time(due_in_s - 0.01) == []
     assert [type(out.message) for out in reporting.on_time(due_in_s)] == [PollServer]
+
+
+def test_poll_names_the_start_of_the_last_report() -> None:
+    """Guards against polls that others cannot relay for an instance without paths.
+
+    All instances would lose the servers whose reports it distributes.
+    """
+    reporting = Reporting("i1", "site")
+    server = builders.server("s1")
+    catalog = builders.catalog(servers=(server,))
+    reporting.handle(builders.incoming(CatalogChanged(catalog)), 0.0)
+    members = MembershipChanged({"i1": builders.member("i1")})
+    reporting.handle(builders.incoming(members), 0.0)
+    (first,) = (out.message for out in reporting.on_time(0.0))
+    assert isinstance(first, PollServer) and first.start is None
+    report = attrs.evolve(builders.report(), boot_id="b2")
+    reporting.handle(builders.incoming(report), 0.0)
+    (second,) = (out.message for out in reporting.on_time(0.5))
+    assert isinstance(second, PollServer)
+    assert second.start == ServerStart("s1", None, server.host, server.port, "b2")
