Test that a stopping entry instance lets relayed streams end

A planned stop that ends the process after its own calls would cut the calls that it relays; no test with real instances guarded against that.

Measured: without the wait for relayed connections in `EntryInstance.drain` the stream ends early with an error event; with it the stream is whole.

--- a/tests/integration/test_entry_server_partition.py
+++ b/tests/integration/test_entry_server_partition.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from collections.abc import Iterator
 from functools import partial
@@ -12,7 +13,7 @@
 from siskinspool.standins.partitioned_gateway import Form
 from siskinspool.standins.site import SitePlan, TrialSite, wait_until
 
-from .builders_site import ask, run_concurrently, running_site
+from .builders_site import ask, open_stream, run_concurrently, running_site
 
 # As the users state: from this time after the beginning of a partition, callers are
 # served at least this share as often there as elsewhere.
@@ -30,10 +31,19 @@
 # The winners for the reports of three engines, and for the placement.
 CUT_OFF = (1, 2)
 REACHING = 0
+# Takes 6 s; the stop of an idle instance takes 3 s.
+STREAM_TOKENS = 1_200
 CHAT = "/v1/chat/completions"
 PROMPT = {"model": "quote", "max_tokens": 2, "messages": []}
 
 
+def is_cut_off(site: TrialSite, instance: int) -> bool:
+    """Return whether an instance has found out that it has no path to servers."""
+    headers = {"Authorization": f"Bearer {PLAN.operator_token}"}
+    reply = ask(site, instance, "GET", "/v1/status", team="", headers=headers)
+    return bool(reply.document["tasks"]["relay"].get("cut_off"))
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[TrialSite]:
     with running_site(PLAN, tmp_path) as made:
@@ -83,3 +93,19 @@
     assert shares[REACHING] > 1 / 2, shares
     for instance in CUT_OFF:
         assert shares[instance] >= LEAST_SHARE * shares[REACHING], shares
+
+
+def test_stop_of_a_relay_lets_its_stream_end(site: TrialSite) -> None:
+    """Guards against a planned stop that cuts the calls of other instances."""
+    assert ask(site, 0, "POST", CHAT, PROMPT, deadline_ms=20_000).status == 200
+    wait_until(lambda: min(served_shares(site, 1.0)) == 1, "all serve", 30.0)
+    for instance in CUT_OFF:
+        site.partition(f"instance-{instance}", Form.HANG)
+    wait_until(lambda: is_cut_off(site, CUT_OFF[0]), "the cut is in force", 5.0)
+    stream = open_stream(site, CUT_OFF[0], "guild", "quote", STREAM_TOKENS)
+    assert stream.status == 200
+    relay = site.instance_by_id[f"instance-{REACHING}"]
+    relay.signal(signal.SIGTERM)
+    assert relay.wait(20.0) == 0
+    wait_until(lambda: bool(stream.ended_at), "the stream ends", 10.0)
+    assert stream.is_whole
