Show that a late report of the leader's key begins an ended term again

The watch reports the write that took the key after the answer to that write. If the term has ended in between (no paths to servers, session gone), the report begins a second term with the same epoch number; if the gateway is cut off from the servers, it leads without them. The same happens if the store executes an unanswered write of the key after the key was given up.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -428,3 +428,33 @@
     assert candidate.decision.wake_at() is None
     candidate.send(ReachChanged(False))
     assert candidate.attempt().expected_revision == 0
+
+
+def test_late_report_of_the_own_key_begins_no_term() -> None:
+    """Guards against a second term with the epoch number of one that has ended.
+
+    The watch reports the write that took the key after the term has ended.
+    """
+    cut_off, expired = Candidate(), Candidate()
+    cut_off.elect(revision=5)
+    cut_off.send(ReachChanged(True))
+    found = cut_off.send(KvChanged(LEADER_KEY, record("g1"), 5))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    expired.elect(revision=5)
+    expired.send(SessionGone())
+    found = expired.send(KvChanged(LEADER_KEY, record("g1"), 5))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+
+
+def test_late_write_of_the_key_begins_no_term_without_paths_to_servers() -> None:
+    """Guards against a leader that reaches no server.
+
+    The store has executed an unanswered write after the key was given up.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    candidate.send(ReachChanged(True))
+    candidate.send(KvChanged(LEADER_KEY, None, 6))
+    found = candidate.send(KvChanged(LEADER_KEY, record("g1"), 7))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    assert KvDelete("leader-end", LEADER_KEY, 7) in found
