Begin no term by a late report of the leader's key

A write of the key counts for one term: a report of it after the term has ended is not held, and the key is taken again with a new epoch number if it is still there (so also after an order was refused with FENCED, which left the key with a gateway that no longer led; it then waits as for an unknown holder). A gateway that is cut off from the servers deletes a key that a late write brings back.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -136,6 +136,9 @@
         self._holder: LeaderRecord | None = None
         self._revision = 0
         self._term: _Term | None = None
+        # Epoch number of the last own term that has ended; the write that began it may
+        # be reported later.
+        self._ended_epoch = 0
         # When the next attempt to take the key is due.
         self._attempt_at: float | None = None
         self._is_request_pending = False
@@ -186,6 +189,7 @@
                     return batch + self._notify_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
+                    self._succession.record_fenced()
                     return self._end_term("fenced")
             case MembershipChanged(member_by_id):
                 self._update_rank(tuple(member_by_id))
@@ -255,8 +259,9 @@
             log_event(logger, logging.WARNING, "leader_record_unreadable")
         batch += self._notify_leader()
         if self._holds_key():
-            if self._is_leaving:
-                # The store has returned from a copy that has the key once more.
+            if self._must_give_up:
+                # The store has returned from a copy that has the key once more, or has
+                # executed an unanswered write.
                 return [*batch, self._delete_key(revision)]
             return batch + self._begin_term(revision, now)
         self._record_other_holder(revision)
@@ -273,15 +278,25 @@
             # Others may have led since the copy was made.
             self._succession.record_gap()
 
+    @property
+    def _must_give_up(self) -> bool:
+        """Whether this process must not have the key."""
+        return self._is_leaving or self._is_cut_off
+
     def _holds_key(self) -> bool:
-        """Return whether this process has the key, by a write of the present era.
+        """Return whether this process has the key, and its term has not ended.
 
-        While it is leaving, a key that a return has brought back counts, too.
+        If it must give the key up, one that a return has brought back counts, too.
         """
         holder = self._holder
         if holder is None or not holder.is_of(self._own):
             return False
-        return self._is_leaving or holder.is_current(self._revision)
+        return self._must_give_up or self._is_valid_key(holder)
+
+    def _is_valid_key(self, holder: LeaderRecord) -> bool:
+        """Return whether the own key is of the present era and of no ended term."""
+        is_current = holder.is_current(self._revision)
+        return is_current and self._revision > self._ended_epoch
 
     def _may_take(self) -> bool:
         """Return whether no other machine has the key, and this one must take it."""
@@ -290,7 +305,7 @@
             return False
         if holder is None or holder.is_of_predecessor(self._own):
             return True
-        return holder.is_of(self._own) and not holder.is_current(self._revision)
+        return holder.is_of(self._own) and not self._is_valid_key(holder)
 
     def _enter_era(self, era: int) -> list[Outgoing]:
         """End a term of an earlier era, as the store may have lost the key since."""
@@ -349,6 +364,7 @@
         log_event(
             logger, logging.INFO, "leader_ended", epoch=self._term.epoch, reason=reason
         )
+        self._ended_epoch = self._term.epoch
         self._term = None
         return self._notify(LeadershipLost(successor_id))
 
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -83,6 +83,11 @@
         self._seen_era = era_of(epoch)
         self._held_at = max(self._held_at, at)
 
+    def record_fenced(self) -> None:
+        """Record that another has ordered with a higher epoch number."""
+        self._is_end_uncertain = True
+        self._held_at = float("-inf")
+
     def was_held_lately(self, now: float) -> bool:
         """Return whether any successor of this instance would still have to wait."""
         return now - self._held_at < self.wait_s(Basis.EXPIRED)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -458,3 +458,18 @@
     found = candidate.send(KvChanged(LEADER_KEY, record("g1"), 7))
     assert not any(isinstance(one, LeadershipHeld) for one in found)
     assert KvDelete("leader-end", LEADER_KEY, 7) in found
+
+
+def test_fenced_leader_waits_before_its_next_term() -> None:
+    """Guards against orders beside those of the leader with the higher epoch number.
+
+    The own key is still there, so it is taken again for a new number.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    candidate.send(LeadershipFenced(5))
+    candidate.renew()
+    swap = candidate.attempt()
+    assert swap.expected_revision == 5
+    term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9)))
+    assert term.from_s >= candidate.now + bounds().orders.lease_s
