Show that a leader that is cut off from the servers may keep its key

It deletes the key once. If the store refuses the delete or the call is lost, the key lives on with the session, no other gateway can lead, and this one does not.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -29,6 +29,7 @@
     KvDelete,
     KvSwap,
     KvSwapped,
+    KvUnavailable,
     WatchListed,
 )
 from siskinspool.store.kv_events import KvReachability, SessionGone, SessionRenewed
@@ -473,3 +474,39 @@
     assert swap.expected_revision == 5
     term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9)))
     assert term.from_s >= candidate.now + bounds().orders.lease_s
+
+
+def test_key_that_could_not_be_given_up_is_deleted_later() -> None:
+    """Guards against a site without a leader while its last one reaches no server.
+
+    The store has refused the delete, and the key lives as long as the session.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    (end,) = (m for m in candidate.send(ReachChanged(True)) if isinstance(m, KvDelete))
+    candidate.send(KvUnavailable(end.request_id, LEADER_KEY))
+    due = candidate.decision.wake_at()
+    assert due is not None
+    candidate.now = due
+    candidate.renew()
+    assert messages(candidate.decision.on_time(due)) == [
+        KvDelete("leader-end", LEADER_KEY, 5)
+    ]
+
+
+def test_key_that_was_not_given_up_is_taken_again() -> None:
+    """Guards against a site without a leader after its last one reaches servers again.
+
+    The delete was lost, so the key still names this gateway, whose term has ended.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    candidate.send(ReachChanged(True))
+    candidate.send(KvAnswerLost("leader-end", LEADER_KEY))
+    candidate.now += 1.0
+    candidate.renew()
+    candidate.send(ReachChanged(False))
+    swap = candidate.attempt()
+    assert swap.expected_revision == 5
+    term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9)))
+    assert term.epoch == 9
