--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -205,8 +205,10 @@
         if self._attempt_at is None or now < self._attempt_at:
             return []
         self._attempt_at = None
+        if self._must_give_up:
+            return self._delete_left_key()
         is_free = self._may_take() and self._term is None
-        if not is_free or self._is_request_pending or self._is_leaving:
+        if not is_free or self._is_request_pending:
             return []
         if self._session.valid_lease_id(now) is None:
             self._attempt_at = now + RETRY_INTERVAL_S
@@ -457,6 +459,12 @@
         batch = self._end_term(reason)
         return [*batch, self._delete_key(epoch)]
 
+    def _delete_left_key(self) -> list[Outgoing]:
+        """Delete the key again if the store has not executed the first request."""
+        if self._holder is None or not self._holder.is_of(self._own):
+            return []
+        return [self._delete_key(self._revision)]
+
     def _delete_key(self, revision: int) -> Outgoing:
         return self._to_store(KvDelete("leader-end", LEADER_KEY, revision))
 
