Show that a restarted leader orders before its predecessor could have

A leader that has just taken the key waits for the orders of the one before it to be old enough.

test_restarted_leader_waits_as_long_as_its_predecessor_had_to fails on this commit.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -510,3 +510,42 @@
     assert swap.expected_revision == 5
     term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9)))
     assert term.epoch == 9
+
+
+def test_restarted_leader_waits_as_long_as_its_predecessor_had_to() -> None:
+    """Guards against orders of two holders within the bound after a kill.
+
+    The killed process had the key, but was still waiting for the orders of the leader
+    before it to be old enough.
+    """
+    killed = Candidate("g2", "1")
+    killed.renew()
+    killed.send(membership("g1", "g2"))
+    killed.send(KvChanged(LEADER_KEY, record("g1"), 3))
+    killed.send(WatchListed("shared"))
+    last_order_at = killed.now
+    killed.send(KvChanged(LEADER_KEY, None, 8))
+    swap = killed.attempt()
+    killed.send(KvSwapped(swap.request_id, LEADER_KEY, 9))
+    restarted = Candidate("g2", "2", first_start=False)
+    restarted.now = killed.now + 1.0
+    restarted.renew()
+    restarted.send(KvChanged(LEADER_KEY, swap.value, 9))
+    restarted.send(WatchListed("shared"))
+    term = restarted.take(revision=10)
+    assert term.from_s >= last_order_at + bounds().orders.lease_s
+
+
+def test_restarted_leader_whose_predecessor_could_order_does_not_wait() -> None:
+    """Guards against seconds without a leader after each restart."""
+    killed = Candidate("g2", "1", first_start=False)
+    killed.renew()
+    killed.send(WatchListed("shared"))
+    swap = killed.attempt()
+    killed.send(KvSwapped(swap.request_id, LEADER_KEY, 9))
+    restarted = Candidate("g2", "2", first_start=False)
+    restarted.now = killed.now + 10.0
+    restarted.renew()
+    restarted.send(KvChanged(LEADER_KEY, swap.value, 9))
+    restarted.send(WatchListed("shared"))
+    assert restarted.take(revision=10) == LeadershipHeld(10, restarted.now)
