Let a restarted leader wait as long as its predecessor had to

The record of the key states when the orders of all holders before it are old enough, on the clock of the machine, which the processes of a machine share. The next process of the machine waits until then, at most lease time and two session times if the clock has begun anew. A write may take effect late, as long as the session lives, so this time is added to the wait.

--- a/src/siskinspool/gateway/leader_record.py
+++ b/src/siskinspool/gateway/leader_record.py
@@ -23,6 +23,9 @@
     incarnation: str
     # Records of earlier builds state none.
     era: int = 0
+    # When the orders of all holders before it are old enough, in seconds on its
+    # machine's clock.
+    orders_from_s: float = 0.0
 
     def is_of(self, member: Member) -> bool:
         """Return whether this process of a member has written the record."""
@@ -47,11 +50,14 @@
     instance_id: str
     incarnation: str
     era: int = 0
+    orders_from_s: float = 0.0
 
 
 def encode_record(record: LeaderRecord) -> bytes:
     """Return the value of the leader's key."""
-    encoded = _Record(record.instance_id, record.incarnation, record.era)
+    encoded = _Record(
+        record.instance_id, record.incarnation, record.era, record.orders_from_s
+    )
     return msgspec.json.encode(encoded)
 
 
@@ -61,4 +67,6 @@
         record = msgspec.json.decode(value, type=_Record)
     except MALFORMED_ERRORS:
         return None
-    return LeaderRecord(record.instance_id, record.incarnation, record.era)
+    return LeaderRecord(
+        record.instance_id, record.incarnation, record.era, record.orders_from_s
+    )
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -47,7 +47,7 @@
 )
 from ..store.kv_events import KvReachability, SessionGone, SessionRenewed
 from ..store.kv_task import KV_TASK
-from ..store.revision import era_of
+from ..store.revision import era_of, make_revision
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .leader_record import LeaderRecord, decode_record, encode_record
@@ -92,8 +92,8 @@
 
     record: LeaderRecord
     sent_at: float
-    # The key that it replaces was held by an earlier process on this machine.
-    follows_predecessor: bool
+    # The record that it replaces, if an earlier process on this machine held the key.
+    predecessor: LeaderRecord | None
 
 
 class Leadership(Decision):
@@ -221,13 +221,14 @@
         expected = 0 if holder is None else self._revision
         self._is_request_pending = True
         self._next_request += 1
-        follows_predecessor = (
-            holder is not None
-            and holder.is_of_predecessor(self._own)
-            and holder.is_current(self._revision)
+        predecessor = self._current_predecessor()
+        own = LeaderRecord(
+            self._own.instance_id,
+            self._own.incarnation,
+            self._era,
+            self._orders_from_s(predecessor, now),
         )
-        own = LeaderRecord(self._own.instance_id, self._own.incarnation, self._era)
-        self._last_attempt = _Attempt(own, now, follows_predecessor)
+        self._last_attempt = _Attempt(own, now, predecessor)
         swap = KvSwap(
             f"leader-{self._next_request}",
             LEADER_KEY,
@@ -237,6 +238,23 @@
         )
         return self._to_store(swap)
 
+    def _current_predecessor(self) -> LeaderRecord | None:
+        """Return the record of an earlier process on this machine that has the key."""
+        holder = self._holder
+        if holder is None or not holder.is_of_predecessor(self._own):
+            return None
+        return holder if holder.is_current(self._revision) else None
+
+    def _orders_from_s(self, predecessor: LeaderRecord | None, now: float) -> float:
+        """Return when the orders of others are old enough if the key is taken."""
+        if predecessor is not None:
+            return now + self._succession.remaining_s(predecessor.orders_from_s, now)
+        epoch = make_revision(self._era, 0)
+        basis = self._succession.basis(
+            epoch, self._member_ids, now, follows_predecessor=False
+        )
+        return now + self._succession.longest_wait_s(basis)
+
     def wake_at(self) -> float | None:
         """Return when the next attempt is due."""
         return self._attempt_at
@@ -325,13 +343,17 @@
         if self._term is not None and self._term.epoch == epoch:
             return []
         attempt = self._last_attempt
+        predecessor = None if attempt is None else attempt.predecessor
         basis = self._succession.basis(
             epoch,
             self._member_ids,
             now,
-            follows_predecessor=attempt is not None and attempt.follows_predecessor,
+            follows_predecessor=predecessor is not None,
         )
-        wait_s = self._succession.wait_s(basis)
+        if predecessor is not None:
+            wait_s = self._succession.remaining_s(predecessor.orders_from_s, now)
+        else:
+            wait_s = self._succession.wait_s(basis)
         last_holder_id = self._succession.last_holder_id
         self._term = _Term(epoch, now + wait_s)
         log_event(
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -7,9 +7,10 @@
 from an older copy may have removed all traces of it.
 
 So a leader orders at once only if no other can have ordered in between: it has held the
-key until a moment ago, an earlier process on its machine has held it without a break,
-or the system is starting for the first time. Otherwise it waits; less long if it has
-seen the session of the last leader run out, since that leader gave no order meanwhile.
+key until a moment ago, an earlier process on its machine could order and has held it
+without a break, or the system is starting for the first time. Otherwise it waits; less
+long if it has seen the session of the last leader run out, since that leader gave no
+order meanwhile.
 """
 
 from __future__ import annotations
@@ -133,3 +134,19 @@
                 # The last holder's session may not have run out yet.
                 return lease_s + self.session_ttl_s
         return lease_s + (WAIT_MARGIN_S if self.orders.epochs_checked else 0.0)
+
+    def longest_wait_s(self, basis: Basis) -> float:
+        """Return how long the orders of others may be recent after a write is sent.
+
+        An unanswered write may take effect as long as the session lasts.
+        """
+        wait_s = self.wait_s(basis)
+        return wait_s + self.session_ttl_s if wait_s else 0.0
+
+    def remaining_s(self, orders_from_s: float, now: float) -> float:
+        """Return how long an earlier process on this machine would still have to wait.
+
+        If the machine has started anew, its clock has as well, and the time is unknown.
+        """
+        longest_s = self.orders.lease_s + 2 * self.session_ttl_s
+        return min(max(orders_from_s - now, 0.0), longest_s)
