Show that an old key in a returned store shortens a successor's wait

The copy shows the key of a gateway that led before the last leader. It was recorded as a holder of the present era, so the successor took the end of that key for the end of the last leader, and waited for the lease time only. Where epoch numbers are not checked, the last leader may order until its session has run out: 1.5 s after the return, where the successor orders 3.0 s after it.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -549,3 +549,21 @@
     restarted.send(KvChanged(LEADER_KEY, swap.value, 9))
     restarted.send(WatchListed("shared"))
     assert restarted.take(revision=10) == LeadershipHeld(10, restarted.now)
+
+
+def test_other_key_in_a_returned_store_hides_no_leader() -> None:
+    """Guards against orders beside those of a leader that does not know of a return.
+
+    The copy shows the key of one that led before it; the last leader's session has not
+    run out.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.renew(era=1)
+    candidate.send(KvChanged(LEADER_KEY, record("g2", era=1), make_revision(1, 90)))
+    candidate.send(WatchListed("shared"))
+    candidate.renew(era=2)
+    candidate.send(KvChanged(LEADER_KEY, record("g3", era=1), make_revision(2, 50)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= candidate.now + orders.lease_s + TTL_S
