--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -293,10 +293,10 @@
         holder = self._holder
         if holder is None or holder.instance_id == self._own.instance_id:
             return
-        self._succession.record_other(holder.instance_id, revision)
-        if not holder.is_current(revision):
-            # Others may have led since the copy was made.
-            self._succession.record_gap()
+        if holder.is_current(revision):
+            self._succession.record_other(holder.instance_id, revision)
+        else:
+            self._succession.record_copied(holder.instance_id, holder.era)
 
     @property
     def _must_give_up(self) -> bool:
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -74,6 +74,15 @@
         self._seen_era = era_of(revision)
         self._is_end_uncertain = False
 
+    def record_copied(self, instance_id: str, era: int) -> None:
+        """Record that a return has brought back the key of another, of an earlier era.
+
+        Others may have led since the copy was made.
+        """
+        self._is_end_uncertain = True
+        if self._seen_era is None or self._seen_era < era:
+            self.last_holder_id, self._seen_era = instance_id, era
+
     def record_gap(self) -> None:
         """Record that holders may have come and gone unseen."""
         self._is_end_uncertain = True
