Show two more waits that are too short after a return of the store

Where epoch numbers are not checked, a leader that does not know of a return may order until its session has run out. A process that has started after the return waits for the lease time only; so does one that has seen another holder of the new era, which has ended before it could order.

Both new tests fail on this commit.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -567,3 +567,34 @@
     candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
     term = candidate.take(make_revision(2, 52))
     assert term.from_s >= candidate.now + orders.lease_s + TTL_S
+
+
+def test_started_leader_waits_for_one_that_does_not_know_of_a_return() -> None:
+    """Guards against orders beside those of a leader whose key a return has lost.
+
+    The process has started after the return, and its session opens in the new era.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(first_start=False, orders=orders)
+    candidate.renew(era=2)
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= candidate.now + orders.lease_s + TTL_S
+
+
+def test_successor_of_a_short_term_waits_for_the_leader_before_it() -> None:
+    """Guards against orders beside those of a leader that does not know of a return.
+
+    Another has taken the key since, and has ended before its first order.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.renew(era=1)
+    candidate.send(KvChanged(LEADER_KEY, record("g2", era=1), make_revision(1, 90)))
+    candidate.send(WatchListed("shared"))
+    candidate.renew(era=2)
+    returned_at = candidate.now
+    candidate.send(KvChanged(LEADER_KEY, record("g3", era=2), make_revision(2, 50)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= returned_at + orders.lease_s + TTL_S
