Count the waits that earlier holders and an unseen return ask for

A process that has seen no holder cannot know whether the store has returned, so unless the store is of its first era (0) it waits as after a return. What a new holder had to wait for when it was seen still counts if it ends before it orders. Both change a wait only where epoch numbers are not checked, or where two holders end within three seconds of each other.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -185,7 +185,9 @@
                     # instance are sent to it from now on, and a later term waits for
                     # its orders.
                     self._holder = LeaderRecord(successor_id, "")
-                    self._succession.record_other(successor_id, epoch)
+                    self._succession.record_other(
+                        successor_id, epoch, self._member_ids, now
+                    )
                     return batch + self._notify_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
@@ -253,7 +255,7 @@
         basis = self._succession.basis(
             epoch, self._member_ids, now, follows_predecessor=False
         )
-        return now + self._succession.longest_wait_s(basis)
+        return now + self._succession.longest_wait_s(basis, now)
 
     def wake_at(self) -> float | None:
         """Return when the next attempt is due."""
@@ -284,17 +286,19 @@
                 # executed an unanswered write.
                 return [*batch, self._delete_key(revision)]
             return batch + self._begin_term(revision, now)
-        self._record_other_holder(revision)
+        self._record_other_holder(revision, now)
         if self._term is not None:
             batch += self._end_term("replaced")
         return batch + self._schedule_attempt(now)
 
-    def _record_other_holder(self, revision: int) -> None:
+    def _record_other_holder(self, revision: int, now: float) -> None:
         holder = self._holder
         if holder is None or holder.instance_id == self._own.instance_id:
             return
         if holder.is_current(revision):
-            self._succession.record_other(holder.instance_id, revision)
+            self._succession.record_other(
+                holder.instance_id, revision, self._member_ids, now
+            )
         else:
             self._succession.record_copied(holder.instance_id, holder.era)
 
@@ -353,7 +357,7 @@
         if predecessor is not None:
             wait_s = self._succession.remaining_s(predecessor.orders_from_s, now)
         else:
-            wait_s = self._succession.wait_s(basis)
+            wait_s = self._succession.wait_from_s(basis, now)
         last_holder_id = self._succession.last_holder_id
         self._term = _Term(epoch, now + wait_s)
         log_event(
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -44,7 +44,8 @@
     EXPIRED = "expired"
     # The last holder may have ordered until the key was free.
     UNKNOWN = "unknown"
-    # The store has returned since the last holder was seen, which may still order.
+    # The store may have returned since the last holder was elected, which may still
+    # order.
     RETURNED = "returned"
 
 
@@ -63,13 +64,24 @@
     last_holder_id: str | None = None
     # The era in which a holder was last seen; None if none was.
     _seen_era: int | None = None
+    # Until then, orders of holders before the last one may be recent.
+    _earlier_until: float = float("-inf")
     # The key became free while changes may have been missed.
     _is_end_uncertain: bool = False
     # When this instance last had the key and was allowed to order.
     _held_at: float = float("-inf")
 
-    def record_other(self, instance_id: str, revision: int) -> None:
-        """Record that another instance holds the key."""
+    def record_other(
+        self, instance_id: str, revision: int, member_ids: Collection[str], now: float
+    ) -> None:
+        """Record that another instance holds the key.
+
+        It may end before its first order; what it has to wait for then still counts.
+        """
+        if instance_id != self.last_holder_id:
+            basis = self.basis(revision, member_ids, now, follows_predecessor=False)
+            until = now + self.wait_s(basis)
+            self._earlier_until = max(self._earlier_until, until)
         self.last_holder_id = instance_id
         self._seen_era = era_of(revision)
         self._is_end_uncertain = False
@@ -118,7 +130,10 @@
         if self._seen_era is None:
             is_starting = now - self.started_at < FIRST_START_S
             is_first = self.first_start and is_starting
-            return Basis.FIRST_START if is_first else Basis.UNKNOWN
+            if is_first:
+                return Basis.FIRST_START
+            # A store of the first era has not returned.
+            return Basis.RETURNED if era_of(epoch) else Basis.UNKNOWN
         if self._seen_era < era_of(epoch):
             return Basis.RETURNED
         # A holder that stops deletes the key while its session goes on.
@@ -144,12 +159,17 @@
                 return lease_s + self.session_ttl_s
         return lease_s + (WAIT_MARGIN_S if self.orders.epochs_checked else 0.0)
 
-    def longest_wait_s(self, basis: Basis) -> float:
+    def wait_from_s(self, basis: Basis, now: float) -> float:
+        """Return how long this instance has to wait if it has got the key now."""
+        wait_s = self.wait_s(basis)
+        return max(wait_s, self._earlier_until - now) if wait_s else 0.0
+
+    def longest_wait_s(self, basis: Basis, now: float) -> float:
         """Return how long the orders of others may be recent after a write is sent.
 
         An unanswered write may take effect as long as the session lasts.
         """
-        wait_s = self.wait_s(basis)
+        wait_s = self.wait_from_s(basis, now)
         return wait_s + self.session_ttl_s if wait_s else 0.0
 
     def remaining_s(self, orders_from_s: float, now: float) -> float:
