Show that a queued write may get another instance's session

The session's lease is read when a write is queued. If the store returns before a worker takes the write, the id of the lease may be another instance's, and the key lives as long as that instance does.

test_queued_write_is_not_attached_to_a_session_of_an_earlier_era fails on this commit.

--- a/tests/test_kv_task.py
+++ b/tests/test_kv_task.py
@@ -19,6 +19,7 @@
     KvChanged,
     KvGet,
     KvItem,
+    KvReply,
     KvSwap,
     KvSwapped,
     KvUnavailable,
@@ -157,6 +158,23 @@
         assert isinstance(swapped, KvSwapped)
 
 
+def test_queued_write_is_not_attached_to_a_session_of_an_earlier_era() -> None:
+    """Guards against a key that lives with another instance's session.
+
+    The service returns while the write waits for a free worker.
+    """
+    with running_kv_task(workers=1) as harness:
+        harness.service.unblocked.clear()
+        harness.send(KvGet("1", "k"))
+        harness.send(KvSwap("2", "s", 0, b"v", with_session=True))
+        wait_until(lambda: harness.task._pending_requests.qsize() == 1)
+        harness.service.era = 1
+        harness.service.unblocked.set()
+        wait_until(lambda: len(harness.received(KvReply)) == 2)
+        assert harness.received(KvUnavailable) == [KvUnavailable("2", "s")]
+        assert "s" not in harness.service.items
+
+
 def test_broken_watch_reports_what_it_missed() -> None:
     """Guards against missed deletions of members while the watch is broken."""
     with running_kv_task() as harness:
