Do not execute a queued write for a session of an earlier era

The era is checked again when a worker takes the write. A call that is on its way when the store returns may still be executed; the record of the leader's key states the era, so such a key is not held.

--- a/src/siskinspool/store/kv_task.py
+++ b/src/siskinspool/store/kv_task.py
@@ -73,6 +73,8 @@
     sender: Address
     request: KvRequest
     session_lease_id: int | None
+    # The service's era when it was queued.
+    era: int
 
 
 class KvTask(Task):
@@ -162,7 +164,7 @@
                 return
         try:
             self._pending_requests.put_nowait(
-                _PendingRequest(sender, request, lease_id)
+                _PendingRequest(sender, request, lease_id, self._service.era)
             )
         except Full:
             log_event(logger, logging.WARNING, "kv_queue_full")
@@ -208,6 +210,8 @@
                 return KvValue(request_id, key, item.value, item.revision)
             case KvList(request_id, prefix):
                 return KvListing(request_id, prefix, self._service.list(prefix))
+            case KvSwap() if job.session_lease_id is not None and self._is_late(job):
+                raise UnavailableError("the service has returned from an older copy")
             case KvSwap() as swap:
                 return self._swap(swap, job.session_lease_id)
             case KvDelete(request_id, key, expected):
@@ -218,6 +222,10 @@
             case _:
                 raise UnavailableError("unknown request")
 
+    def _is_late(self, job: _PendingRequest) -> bool:
+        """Return whether the service has returned since a request was queued."""
+        return job.era != self._service.era
+
     def _swap(self, swap: KvSwap, lease_id: int | None) -> KvReply:
         if swap.ttl_s is not None and lease_id is None:
             try:
