Guard the immediate attempt of a leader after a return, and the entry count

The test of the immediate attempt passed without it, as the candidate was alone; nothing failed if the count of a removed start was kept after it was back.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -359,6 +359,10 @@
     """Guards against seconds without a leader after each return of the store."""
     candidate = Candidate()
     candidate.elect(make_revision(1, 90))
+    # As many others as it takes for this one not to be the first that may try.
+    others = [f"g{number}" for number in range(2, 12)]
+    candidate.send(membership("g1", *others))
+    assert candidate.decision._rank > 0
     candidate.now += 0.7
     candidate.renew(era=1)
     candidate.now += 0.4
@@ -598,3 +602,20 @@
     candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
     term = candidate.take(make_revision(2, 52))
     assert term.from_s >= returned_at + orders.lease_s + TTL_S
+
+
+def test_leader_waits_for_no_older_one_that_a_return_shows() -> None:
+    """Guards against seconds without a leader after a return.
+
+    The copy shows the key of one that led before it, and the key ends.
+    """
+    candidate = Candidate()
+    candidate.elect(make_revision(1, 90))
+    candidate.now += 0.7
+    candidate.renew(era=1)
+    candidate.renew(era=2)
+    older = record("g3", era=1)
+    candidate.send(KvChanged(LEADER_KEY, older, make_revision(2, 50)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    epoch = make_revision(2, 52)
+    assert candidate.take(epoch) == LeadershipHeld(epoch, candidate.now)
--- a/tests/test_gateway_registry_history.py
+++ b/tests/test_gateway_registry_history.py
@@ -22,8 +22,9 @@
     history = RegistryHistory()
     assert history.accepts(server("w1", write_count=9))
     history.record_removed("w1")
-    assert history.accepts(server("w1", write_count=10))
-    assert history.accepts(server("w1", write_count=10))
+    assert history.accepts(server("w1", write_count=12))
+    assert history.accepts(server("w1", write_count=12))
+    assert not history.accepts(server("w1", write_count=11))
 
 
 def test_older_entry_of_a_server_that_is_there_is_not_believed() -> None:
