Show that a return of the store changes the counts of reported windows

The counts of a window are forgotten by all gateways once it is decided. If the store returns from a copy without the decision, the window is decided again and reported a second time, without any counts: one window if the copy is 8 s old and another gateway leads, two if it is 12 s old.

--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -137,6 +138,39 @@
     assert simulation.counts(window) == {"smiths": 50}
 
 
+@pytest.mark.parametrize("successor", ["g1", "g2"])
+@pytest.mark.parametrize("age_s", [4, 8, 12])
+def test_window_has_the_same_counts_after_a_return_of_the_store(
+    successor: str, age_s: int
+) -> None:
+    """Guards against a second report, without counts, of a window that was lost.
+
+    The store returns from a copy of this age, and a term begins.
+    """
+    simulation = DutySimulation(NAMES)
+    simulation.elect("g1")
+    simulation.run(3.0)
+    run_requests_for(simulation, 30)
+    copied = dict(simulation.store.item_by_key)
+    run_requests_for(simulation, age_s)
+    simulation.store.item_by_key = copied
+    simulation.elect(successor)
+    run_requests_for(simulation, 30)
+    simulation.run(SETTLE_S)
+    for window, bodies in simulation.bodies_by_window.items():
+        assert len(set(bodies)) == 1
+        expected = simulation.truth_by_window[window]
+        assert sum(simulation.counts(window).values()) == expected
+
+
+def run_requests_for(simulation: DutySimulation, seconds: int) -> None:
+    """Let each gateway begin a request every second."""
+    for _ in range(seconds):
+        for name in NAMES:
+            simulation.run_request(name)
+        simulation.run(1.0)
+
+
 def test_stopped_gateway_reports_its_last_counts() -> None:
     """Guards against counts lost in a planned stop, and windows that wait for them."""
     simulation = DutySimulation(NAMES)
