Keep the counts of decided windows for a return of the store

Sources, witnesses and the holder keep the counts of the last six decided windows (30 s with windows of 5 s), so that a window whose decision the store has lost is decided again with the same counts. Requests that are withdrawn after the decision of their window are still not in its report.

--- a/src/siskinspool/duties/usage_windows.py
+++ b/src/siskinspool/duties/usage_windows.py
@@ -47,6 +47,9 @@
 # A new holder gets the counts of all gateways and witnesses within this time, also
 # those of its predecessor, which may have lost its session.
 COLLECT_S: Final = 1.5
+# The counts of the last decided windows are kept: a store that returns from an older
+# copy has lost the decisions, and the windows are decided again.
+KEPT_DECIDED_WINDOWS: Final = 6
 # An order that was lost between the tasks is given again after this time.
 ORDER_REPEAT_S: Final = 5.0
 
@@ -131,7 +134,11 @@
             if not is_final and not counts.misses_part_of(report):
                 return []
         received = UsageReceived(
-            report.source, report.window, total, is_final, decided_through
+            report.source,
+            report.window,
+            total,
+            is_final,
+            decided_through=max(decided_through - KEPT_DECIDED_WINDOWS, 0),
         )
         return [Outgoing(sender, received)]
 
@@ -153,7 +160,7 @@
         window = self._next_window(now + self._offset_s)
         if window is None or not self._can_decide(window, now):
             return None
-        self._counts.drop_through(window - 1)
+        self._counts.drop_through(window - 1 - KEPT_DECIDED_WINDOWS)
         return window, self._encoding.encode(window, self._counts.count_by_team(window))
 
     def _next_window(self, unix_s: float) -> int | None:
