--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -14,6 +14,7 @@
     UsageReport,
 )
 from siskinspool.links.codec import MsgpackCodec
+from siskinspool.store.kv import KvItem
 
 from .builders_duties import DutySimulation
 
@@ -27,6 +28,10 @@
 SETTLE_MESSAGES_S = 8.0
 
 
+# The store returns from copies that are at most this old.
+MAX_COPY_AGE_S = 20.0
+
+
 class UsageMachine(RuleBasedStateMachine):
     """Requests, elections and faults in any order."""
 
@@ -35,6 +40,8 @@
         self.simulation = DutySimulation(NAMES)
         self.simulation.elect("g1")
         self.simulation.run(1.5)
+        self.copied: dict[str, KvItem] = {}
+        self.copied_at = float("-inf")
 
     @rule(name=st.sampled_from(NAMES), count=st.integers(1, 20))
     def run_requests(self, name: str, count: int) -> None:
@@ -60,6 +67,20 @@
     def fail_store(self, is_down: bool) -> None:
         self.simulation.store.is_down = is_down
 
+    @rule()
+    def keep_copy(self) -> None:
+        self.copied = dict(self.simulation.store.item_by_key)
+        self.copied_at = self.simulation.now
+
+    @rule(name=st.sampled_from(NAMES))
+    def return_store(self, name: str) -> None:
+        if self.simulation.now - self.copied_at > MAX_COPY_AGE_S:
+            return
+        self.simulation.store.item_by_key = dict(self.copied)
+        # A return ends the term; the same gateway or another begins the next one.
+        is_alive = name in self.simulation.alive_ids()
+        self.simulation.elect(name if is_alive else self.simulation.holder_id)
+
     @rule(answers=st.integers(0, 3), calls=st.integers(0, 2))
     def lose(self, answers: int, calls: int) -> None:
         self.simulation.store.lose_answers = answers
