Show that the second leader of a first start does not wait

On the first start of the system a gateway that has seen no holder orders at once for 2 s. The first leader may have ordered and deleted its key (stopped, or no paths to servers) before the other has listed it.

A leader that kept its key for the first seconds would mend it, against two tests that ask for the delete at once.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -619,3 +619,18 @@
     candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
     epoch = make_revision(2, 52)
     assert candidate.take(epoch) == LeadershipHeld(epoch, candidate.now)
+
+
+def test_second_leader_of_a_first_start_waits_for_the_first_one() -> None:
+    """Guards against orders of two holders within the bound on the first start.
+
+    The first leader has stopped before the other has listed the key.
+    """
+    first, second = Candidate("g1"), Candidate("g2")
+    first.elect(revision=5)
+    first.send(StopLeading())
+    second.now += 0.5
+    second.renew()
+    second.send(WatchListed("shared"))
+    term = second.take(revision=7)
+    assert term.from_s >= first.now + bounds().orders.lease_s
