--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -47,7 +47,7 @@
 )
 from ..store.kv_events import KvReachability, SessionGone, SessionRenewed
 from ..store.kv_task import KV_TASK
-from ..store.revision import era_of
+from ..store.revision import era_of, make_revision
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .leader_record import LeaderRecord, decode_record, encode_record
@@ -92,8 +92,8 @@
 
     record: LeaderRecord
     sent_at: float
-    # The key that it replaces was held by an earlier process on this machine.
-    follows_predecessor: bool
+    # The record that it replaces, if an earlier process on this machine held the key.
+    predecessor: LeaderRecord | None
 
 
 class Leadership(Decision):
@@ -136,6 +136,9 @@
         self._holder: LeaderRecord | None = None
         self._revision = 0
         self._term: _Term | None = None
+        # Epoch number of the last own term that has ended; the write that began it may
+        # be reported later.
+        self._ended_epoch = 0
         # When the next attempt to take the key is due.
         self._attempt_at: float | None = None
         self._is_request_pending = False
@@ -182,10 +185,13 @@
                     # instance are sent to it from now on, and a later term waits for
                     # its orders.
                     self._holder = LeaderRecord(successor_id, "")
-                    self._succession.record_other(successor_id, epoch)
+                    self._succession.record_other(
+                        successor_id, epoch, self._member_ids, now
+                    )
                     return batch + self._notify_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
+                    self._succession.record_fenced()
                     return self._end_term("fenced")
             case MembershipChanged(member_by_id):
                 self._update_rank(tuple(member_by_id))
@@ -201,8 +207,10 @@
         if self._attempt_at is None or now < self._attempt_at:
             return []
         self._attempt_at = None
+        if self._must_give_up:
+            return self._delete_left_key()
         is_free = self._may_take() and self._term is None
-        if not is_free or self._is_request_pending or self._is_leaving:
+        if not is_free or self._is_request_pending:
             return []
         if self._session.valid_lease_id(now) is None:
             self._attempt_at = now + RETRY_INTERVAL_S
@@ -215,13 +223,14 @@
         expected = 0 if holder is None else self._revision
         self._is_request_pending = True
         self._next_request += 1
-        follows_predecessor = (
-            holder is not None
-            and holder.is_of_predecessor(self._own)
-            and holder.is_current(self._revision)
+        predecessor = self._current_predecessor()
+        own = LeaderRecord(
+            self._own.instance_id,
+            self._own.incarnation,
+            self._era,
+            self._orders_from_s(predecessor, now),
         )
-        own = LeaderRecord(self._own.instance_id, self._own.incarnation, self._era)
-        self._last_attempt = _Attempt(own, now, follows_predecessor)
+        self._last_attempt = _Attempt(own, now, predecessor)
         swap = KvSwap(
             f"leader-{self._next_request}",
             LEADER_KEY,
@@ -231,6 +240,23 @@
         )
         return self._to_store(swap)
 
+    def _current_predecessor(self) -> LeaderRecord | None:
+        """Return the record of an earlier process on this machine that has the key."""
+        holder = self._holder
+        if holder is None or not holder.is_of_predecessor(self._own):
+            return None
+        return holder if holder.is_current(self._revision) else None
+
+    def _orders_from_s(self, predecessor: LeaderRecord | None, now: float) -> float:
+        """Return when the orders of others are old enough if the key is taken."""
+        if predecessor is not None:
+            return now + self._succession.remaining_s(predecessor.orders_from_s, now)
+        epoch = make_revision(self._era, 0)
+        basis = self._succession.basis(
+            epoch, self._member_ids, now, follows_predecessor=False
+        )
+        return now + self._succession.longest_wait_s(basis, now)
+
     def wake_at(self) -> float | None:
         """Return when the next attempt is due."""
         return self._attempt_at
@@ -255,33 +281,46 @@
             log_event(logger, logging.WARNING, "leader_record_unreadable")
         batch += self._notify_leader()
         if self._holds_key():
-            if self._is_leaving:
-                # The store has returned from a copy that has the key once more.
+            if self._must_give_up:
+                # The store has returned from a copy that has the key once more, or has
+                # executed an unanswered write.
                 return [*batch, self._delete_key(revision)]
             return batch + self._begin_term(revision, now)
-        self._record_other_holder(revision)
+        self._record_other_holder(revision, now)
         if self._term is not None:
             batch += self._end_term("replaced")
         return batch + self._schedule_attempt(now)
 
-    def _record_other_holder(self, revision: int) -> None:
+    def _record_other_holder(self, revision: int, now: float) -> None:
         holder = self._holder
         if holder is None or holder.instance_id == self._own.instance_id:
             return
-        self._succession.record_other(holder.instance_id, revision)
-        if not holder.is_current(revision):
-            # Others may have led since the copy was made.
-            self._succession.record_gap()
+        if holder.is_current(revision):
+            self._succession.record_other(
+                holder.instance_id, revision, self._member_ids, now
+            )
+        else:
+            self._succession.record_copied(holder.instance_id, holder.era)
+
+    @property
+    def _must_give_up(self) -> bool:
+        """Whether this process must not have the key."""
+        return self._is_leaving or self._is_cut_off
 
     def _holds_key(self) -> bool:
-        """Return whether this process has the key, by a write of the present era.
+        """Return whether this process has the key, and its term has not ended.
 
-        While it is leaving, a key that a return has brought back counts, too.
+        If it must give the key up, one that a return has brought back counts, too.
         """
         holder = self._holder
         if holder is None or not holder.is_of(self._own):
             return False
-        return self._is_leaving or holder.is_current(self._revision)
+        return self._must_give_up or self._is_valid_key(holder)
+
+    def _is_valid_key(self, holder: LeaderRecord) -> bool:
+        """Return whether the own key is of the present era and of no ended term."""
+        is_current = holder.is_current(self._revision)
+        return is_current and self._revision > self._ended_epoch
 
     def _may_take(self) -> bool:
         """Return whether no other machine has the key, and this one must take it."""
@@ -290,7 +329,7 @@
             return False
         if holder is None or holder.is_of_predecessor(self._own):
             return True
-        return holder.is_of(self._own) and not holder.is_current(self._revision)
+        return holder.is_of(self._own) and not self._is_valid_key(holder)
 
     def _enter_era(self, era: int) -> list[Outgoing]:
         """End a term of an earlier era, as the store may have lost the key since."""
@@ -308,13 +347,17 @@
         if self._term is not None and self._term.epoch == epoch:
             return []
         attempt = self._last_attempt
+        predecessor = None if attempt is None else attempt.predecessor
         basis = self._succession.basis(
             epoch,
             self._member_ids,
             now,
-            follows_predecessor=attempt is not None and attempt.follows_predecessor,
+            follows_predecessor=predecessor is not None,
         )
-        wait_s = self._succession.wait_s(basis)
+        if predecessor is not None:
+            wait_s = self._succession.remaining_s(predecessor.orders_from_s, now)
+        else:
+            wait_s = self._succession.wait_from_s(basis, now)
         last_holder_id = self._succession.last_holder_id
         self._term = _Term(epoch, now + wait_s)
         log_event(
@@ -349,6 +392,7 @@
         log_event(
             logger, logging.INFO, "leader_ended", epoch=self._term.epoch, reason=reason
         )
+        self._ended_epoch = self._term.epoch
         self._term = None
         return self._notify(LeadershipLost(successor_id))
 
@@ -441,6 +485,12 @@
         batch = self._end_term(reason)
         return [*batch, self._delete_key(epoch)]
 
+    def _delete_left_key(self) -> list[Outgoing]:
+        """Delete the key again if the store has not executed the first request."""
+        if self._holder is None or not self._holder.is_of(self._own):
+            return []
+        return [self._delete_key(self._revision)]
+
     def _delete_key(self, revision: int) -> Outgoing:
         return self._to_store(KvDelete("leader-end", LEADER_KEY, revision))
 
--- a/tests/test_duties_usage.py
+++ b/tests/test_duties_usage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -13,6 +14,7 @@
     UsageReport,
 )
 from siskinspool.links.codec import MsgpackCodec
+from siskinspool.store.kv import KvItem
 
 from .builders_duties import DutySimulation
 
@@ -26,6 +28,10 @@
 SETTLE_MESSAGES_S = 8.0
 
 
+# The store returns from copies that are at most this old.
+MAX_COPY_AGE_S = 20.0
+
+
 class UsageMachine(RuleBasedStateMachine):
     """Requests, elections and faults in any order."""
 
@@ -34,6 +40,8 @@
         self.simulation = DutySimulation(NAMES)
         self.simulation.elect("g1")
         self.simulation.run(1.5)
+        self.copied: dict[str, KvItem] = {}
+        self.copied_at = float("-inf")
 
     @rule(name=st.sampled_from(NAMES), count=st.integers(1, 20))
     def run_requests(self, name: str, count: int) -> None:
@@ -59,6 +67,20 @@
     def fail_store(self, is_down: bool) -> None:
         self.simulation.store.is_down = is_down
 
+    @rule()
+    def keep_copy(self) -> None:
+        self.copied = dict(self.simulation.store.item_by_key)
+        self.copied_at = self.simulation.now
+
+    @rule(name=st.sampled_from(NAMES))
+    def return_store(self, name: str) -> None:
+        if self.simulation.now - self.copied_at > MAX_COPY_AGE_S:
+            return
+        self.simulation.store.item_by_key = dict(self.copied)
+        # A return ends the term; the same gateway or another begins the next one.
+        is_alive = name in self.simulation.alive_ids()
+        self.simulation.elect(name if is_alive else self.simulation.holder_id)
+
     @rule(answers=st.integers(0, 3), calls=st.integers(0, 2))
     def lose(self, answers: int, calls: int) -> None:
         self.simulation.store.lose_answers = answers
@@ -137,6 +159,39 @@
     assert simulation.counts(window) == {"smiths": 50}
 
 
+@pytest.mark.parametrize("successor", ["g1", "g2"])
+@pytest.mark.parametrize("age_s", [4, 8, 12])
+def test_window_has_the_same_counts_after_a_return_of_the_store(
+    successor: str, age_s: int
+) -> None:
+    """Guards against a second report, without counts, of a window that was lost.
+
+    The store returns from a copy of this age, and a term begins.
+    """
+    simulation = DutySimulation(NAMES)
+    simulation.elect("g1")
+    simulation.run(3.0)
+    run_requests_for(simulation, 30)
+    copied = dict(simulation.store.item_by_key)
+    run_requests_for(simulation, age_s)
+    simulation.store.item_by_key = copied
+    simulation.elect(successor)
+    run_requests_for(simulation, 30)
+    simulation.run(SETTLE_S)
+    for window, bodies in simulation.bodies_by_window.items():
+        assert len(set(bodies)) == 1
+        expected = simulation.truth_by_window[window]
+        assert sum(simulation.counts(window).values()) == expected
+
+
+def run_requests_for(simulation: DutySimulation, seconds: int) -> None:
+    """Let each gateway begin a request every second."""
+    for _ in range(seconds):
+        for name in NAMES:
+            simulation.run_request(name)
+        simulation.run(1.0)
+
+
 def test_stopped_gateway_reports_its_last_counts() -> None:
     """Guards against counts lost in a planned stop, and windows that wait for them."""
     simulation = DutySimulation(NAMES)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -29,6 +29,7 @@
     KvDelete,
     KvSwap,
     KvSwapped,
+    KvUnavailable,
     WatchListed,
 )
 from siskinspool.store.kv_events import KvReachability, SessionGone, SessionRenewed
@@ -358,6 +359,10 @@
     """Guards against seconds without a leader after each return of the store."""
     candidate = Candidate()
     candidate.elect(make_revision(1, 90))
+    # As many others as it takes for this one not to be the first that may try.
+    others = [f"g{number}" for number in range(2, 12)]
+    candidate.send(membership("g1", *others))
+    assert candidate.decision._rank > 0
     candidate.now += 0.7
     candidate.renew(era=1)
     candidate.now += 0.4
@@ -428,3 +433,204 @@
     assert candidate.decision.wake_at() is None
     candidate.send(ReachChanged(False))
     assert candidate.attempt().expected_revision == 0
+
+
+def test_late_report_of_the_own_key_begins_no_term() -> None:
+    """Guards against a second term with the epoch number of one that has ended.
+
+    The watch reports the write that took the key after the term has ended.
+    """
+    cut_off, expired = Candidate(), Candidate()
+    cut_off.elect(revision=5)
+    cut_off.send(ReachChanged(True))
+    found = cut_off.send(KvChanged(LEADER_KEY, record("g1"), 5))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    expired.elect(revision=5)
+    expired.send(SessionGone())
+    found = expired.send(KvChanged(LEADER_KEY, record("g1"), 5))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+
+
+def test_late_write_of_the_key_begins_no_term_without_paths_to_servers() -> None:
+    """Guards against a leader that reaches no server.
+
+    The store has executed an unanswered write after the key was given up.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    candidate.send(ReachChanged(True))
+    candidate.send(KvChanged(LEADER_KEY, None, 6))
+    found = candidate.send(KvChanged(LEADER_KEY, record("g1"), 7))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    assert KvDelete("leader-end", LEADER_KEY, 7) in found
+
+
+def test_fenced_leader_waits_before_its_next_term() -> None:
+    """Guards against orders beside those of the leader with the higher epoch number.
+
+    The own key is still there, so it is taken again for a new number.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    candidate.send(LeadershipFenced(5))
+    candidate.renew()
+    swap = candidate.attempt()
+    assert swap.expected_revision == 5
+    term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9)))
+    assert term.from_s >= candidate.now + bounds().orders.lease_s
+
+
+def test_key_that_could_not_be_given_up_is_deleted_later() -> None:
+    """Guards against a site without a leader while its last one reaches no server.
+
+    The store has refused the delete, and the key lives as long as the session.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    (end,) = (m for m in candidate.send(ReachChanged(True)) if isinstance(m, KvDelete))
+    candidate.send(KvUnavailable(end.request_id, LEADER_KEY))
+    due = candidate.decision.wake_at()
+    assert due is not None
+    candidate.now = due
+    candidate.renew()
+    assert messages(candidate.decision.on_time(due)) == [
+        KvDelete("leader-end", LEADER_KEY, 5)
+    ]
+
+
+def test_key_that_was_not_given_up_is_taken_again() -> None:
+    """Guards against a site without a leader after its last one reaches servers again.
+
+    The delete was lost, so the key still names this gateway, whose term has ended.
+    """
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    candidate.send(ReachChanged(True))
+    candidate.send(KvAnswerLost("leader-end", LEADER_KEY))
+    candidate.now += 1.0
+    candidate.renew()
+    candidate.send(ReachChanged(False))
+    swap = candidate.attempt()
+    assert swap.expected_revision == 5
+    term = held(candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 9)))
+    assert term.epoch == 9
+
+
+def test_restarted_leader_waits_as_long_as_its_predecessor_had_to() -> None:
+    """Guards against orders of two holders within the bound after a kill.
+
+    The killed process had the key, but was still waiting for the orders of the leader
+    before it to be old enough.
+    """
+    killed = Candidate("g2", "1")
+    killed.renew()
+    killed.send(membership("g1", "g2"))
+    killed.send(KvChanged(LEADER_KEY, record("g1"), 3))
+    killed.send(WatchListed("shared"))
+    last_order_at = killed.now
+    killed.send(KvChanged(LEADER_KEY, None, 8))
+    swap = killed.attempt()
+    killed.send(KvSwapped(swap.request_id, LEADER_KEY, 9))
+    restarted = Candidate("g2", "2", first_start=False)
+    restarted.now = killed.now + 1.0
+    restarted.renew()
+    restarted.send(KvChanged(LEADER_KEY, swap.value, 9))
+    restarted.send(WatchListed("shared"))
+    term = restarted.take(revision=10)
+    assert term.from_s >= last_order_at + bounds().orders.lease_s
+
+
+def test_restarted_leader_whose_predecessor_could_order_does_not_wait() -> None:
+    """Guards against seconds without a leader after each restart."""
+    killed = Candidate("g2", "1", first_start=False)
+    killed.renew()
+    killed.send(WatchListed("shared"))
+    swap = killed.attempt()
+    killed.send(KvSwapped(swap.request_id, LEADER_KEY, 9))
+    restarted = Candidate("g2", "2", first_start=False)
+    restarted.now = killed.now + 10.0
+    restarted.renew()
+    restarted.send(KvChanged(LEADER_KEY, swap.value, 9))
+    restarted.send(WatchListed("shared"))
+    assert restarted.take(revision=10) == LeadershipHeld(10, restarted.now)
+
+
+def test_other_key_in_a_returned_store_hides_no_leader() -> None:
+    """Guards against orders beside those of a leader that does not know of a return.
+
+    The copy shows the key of one that led before it; the last leader's session has not
+    run out.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.renew(era=1)
+    candidate.send(KvChanged(LEADER_KEY, record("g2", era=1), make_revision(1, 90)))
+    candidate.send(WatchListed("shared"))
+    candidate.renew(era=2)
+    candidate.send(KvChanged(LEADER_KEY, record("g3", era=1), make_revision(2, 50)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= candidate.now + orders.lease_s + TTL_S
+
+
+def test_started_leader_waits_for_one_that_does_not_know_of_a_return() -> None:
+    """Guards against orders beside those of a leader whose key a return has lost.
+
+    The process has started after the return, and its session opens in the new era.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(first_start=False, orders=orders)
+    candidate.renew(era=2)
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= candidate.now + orders.lease_s + TTL_S
+
+
+def test_successor_of_a_short_term_waits_for_the_leader_before_it() -> None:
+    """Guards against orders beside those of a leader that does not know of a return.
+
+    Another has taken the key since, and has ended before its first order.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.renew(era=1)
+    candidate.send(KvChanged(LEADER_KEY, record("g2", era=1), make_revision(1, 90)))
+    candidate.send(WatchListed("shared"))
+    candidate.renew(era=2)
+    returned_at = candidate.now
+    candidate.send(KvChanged(LEADER_KEY, record("g3", era=2), make_revision(2, 50)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= returned_at + orders.lease_s + TTL_S
+
+
+def test_leader_waits_for_no_older_one_that_a_return_shows() -> None:
+    """Guards against seconds without a leader after a return.
+
+    The copy shows the key of one that led before it, and the key ends.
+    """
+    candidate = Candidate()
+    candidate.elect(make_revision(1, 90))
+    candidate.now += 0.7
+    candidate.renew(era=1)
+    candidate.renew(era=2)
+    older = record("g3", era=1)
+    candidate.send(KvChanged(LEADER_KEY, older, make_revision(2, 50)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    epoch = make_revision(2, 52)
+    assert candidate.take(epoch) == LeadershipHeld(epoch, candidate.now)
+
+
+def test_second_leader_of_a_first_start_waits_for_the_first_one() -> None:
+    """Guards against orders of two holders within the bound on the first start.
+
+    The first leader has stopped before the other has listed the key.
+    """
+    first, second = Candidate("g1"), Candidate("g2")
+    first.elect(revision=5)
+    first.send(StopLeading())
+    second.now += 0.5
+    second.renew()
+    second.send(WatchListed("shared"))
+    term = second.take(revision=7)
+    assert term.from_s >= first.now + bounds().orders.lease_s
--- a/tests/test_gateway_registry_history.py
+++ b/tests/test_gateway_registry_history.py
@@ -30,8 +30,9 @@
     history = RegistryHistory()
     assert history.accepts(server("w1", write_count=9), BEFORE)
     history.record_removed("w1", BEFORE)
-    assert history.accepts(server("w1", write_count=10), AFTER)
-    assert history.accepts(server("w1", write_count=10), AFTER)
+    assert history.accepts(server("w1", write_count=12), AFTER)
+    assert history.accepts(server("w1", write_count=12), AFTER)
+    assert not history.accepts(server("w1", write_count=11), AFTER)
 
 
 def test_older_entry_of_a_server_that_is_there_is_not_believed() -> None:
