Wait again after a restart if the earlier process was waiting

The record of the leader's key states whether its writer waits for the last orders of another. A process that takes over such a key from an earlier process on its machine waits for the lease time. If a wait becomes necessary between the write and its answer, the key is written again, so that the record is right before the term begins.

A leader whose wait is over does not rewrite its key: if its process is started again, it waits once more.

--- a/src/siskinspool/gateway/leader_record.py
+++ b/src/siskinspool/gateway/leader_record.py
@@ -3,6 +3,10 @@
 The record states the era of the store for which it was written. After the store has
 returned from an older copy, a record in that copy is of an earlier era: it shows who
 led when the copy was made, not who has led since.
+
+The record also states whether its writer had to wait for the orders of another. A
+process that is started again on the writer's machine does not know when that wait
+began, and waits again.
 """
 
 from __future__ import annotations
@@ -23,6 +27,8 @@
     incarnation: str
     # Records of earlier builds state none.
     era: int = 0
+    # The writer waits for the last orders of another before its first one.
+    is_waiting: bool = False
 
     def is_of(self, member: Member) -> bool:
         """Return whether this process of a member has written the record."""
@@ -47,11 +53,14 @@
     instance_id: str
     incarnation: str
     era: int = 0
+    is_waiting: bool = False
 
 
 def encode_record(record: LeaderRecord) -> bytes:
     """Return the value of the leader's key."""
-    encoded = _Record(record.instance_id, record.incarnation, record.era)
+    encoded = _Record(
+        record.instance_id, record.incarnation, record.era, record.is_waiting
+    )
     return msgspec.json.encode(encoded)
 
 
@@ -61,4 +70,6 @@
         record = msgspec.json.decode(value, type=_Record)
     except MALFORMED_ERRORS:
         return None
-    return LeaderRecord(record.instance_id, record.incarnation, record.era)
+    return LeaderRecord(
+        record.instance_id, record.incarnation, record.era, record.is_waiting
+    )
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -60,7 +60,7 @@
     LeadershipLost,
     LeaderSucceeded,
 )
-from .succession import Succession
+from .succession import Basis, Succession
 
 logger = logging.getLogger(__name__)
 
@@ -92,7 +92,8 @@
 
     record: LeaderRecord
     sent_at: float
-    # The key that it replaces was held by an earlier process on this machine.
+    # The key that it replaces was held by an earlier process on this machine, which
+    # was allowed to order.
     follows_predecessor: bool
 
 
@@ -135,6 +136,8 @@
         self._is_key_listed = False
         self._holder: LeaderRecord | None = None
         self._revision = 0
+        # The own key must state that its holder waits.
+        self._needs_rewrite = False
         self._term: _Term | None = None
         # When the next attempt to take the key is due.
         self._attempt_at: float | None = None
@@ -219,8 +222,15 @@
             holder is not None
             and holder.is_of_predecessor(self._own)
             and holder.is_current(self._revision)
+            and not holder.is_waiting
+        )
+        basis = self._basis(self._era, now, follows_predecessor)
+        own = LeaderRecord(
+            self._own.instance_id,
+            self._own.incarnation,
+            self._era,
+            is_waiting=self._succession.wait_s(basis) > 0.0,
         )
-        own = LeaderRecord(self._own.instance_id, self._own.incarnation, self._era)
         self._last_attempt = _Attempt(own, now, follows_predecessor)
         swap = KvSwap(
             f"leader-{self._next_request}",
@@ -249,6 +259,7 @@
         if revision < self._revision:
             return []
         self._revision = revision
+        self._needs_rewrite = False
         batch = self._enter_era(era_of(revision))
         self._holder = None if value is None else decode_record(value)
         if value is not None and self._holder is None:
@@ -290,7 +301,9 @@
             return False
         if holder is None or holder.is_of_predecessor(self._own):
             return True
-        return holder.is_of(self._own) and not holder.is_current(self._revision)
+        return holder.is_of(self._own) and (
+            self._needs_rewrite or not holder.is_current(self._revision)
+        )
 
     def _enter_era(self, era: int) -> list[Outgoing]:
         """End a term of an earlier era, as the store may have lost the key since."""
@@ -308,13 +321,13 @@
         if self._term is not None and self._term.epoch == epoch:
             return []
         attempt = self._last_attempt
-        basis = self._succession.basis(
-            epoch,
-            self._member_ids,
-            now,
-            follows_predecessor=attempt is not None and attempt.follows_predecessor,
-        )
+        follows_predecessor = attempt is not None and attempt.follows_predecessor
+        basis = self._basis(era_of(epoch), now, follows_predecessor)
         wait_s = self._succession.wait_s(basis)
+        if wait_s > 0.0 and self._holder is not None and not self._holder.is_waiting:
+            # The wait has become necessary since the key was written.
+            self._needs_rewrite = True
+            return self._schedule_attempt(now)
         last_holder_id = self._succession.last_holder_id
         self._term = _Term(epoch, now + wait_s)
         log_event(
@@ -335,6 +348,11 @@
             self._succession.record_held(epoch, attempt.sent_at)
         return batch + self._extend_term(now)
 
+    def _basis(self, era: int, now: float, follows_predecessor: bool) -> Basis:
+        return self._succession.basis(
+            era, self._member_ids, now, follows_predecessor=follows_predecessor
+        )
+
     def _record_renewal(self, renewed: SessionRenewed) -> list[Outgoing]:
         self._session.record_renewal(renewed)
         batch = self._enter_era(renewed.era)
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -7,9 +7,10 @@
 from an older copy may have removed all traces of it.
 
 So a leader orders at once only if no other can have ordered in between: it has held the
-key until a moment ago, an earlier process on its machine has held it without a break,
-or the system is starting for the first time. Otherwise it waits; less long if it has
-seen the session of the last leader run out, since that leader gave no order meanwhile.
+key until a moment ago, an earlier process on its machine has held it without a break
+and was allowed to order, or the system is starting for the first time. Otherwise it
+waits; less long if it has seen the session of the last leader run out, since that
+leader gave no order meanwhile.
 """
 
 from __future__ import annotations
@@ -89,13 +90,13 @@
 
     def basis(
         self,
-        epoch: int,
+        era: int,
         member_ids: Collection[str],
         now: float,
         *,
         follows_predecessor: bool,
     ) -> Basis:
-        """Return what is known when this instance has got the key with an epoch."""
+        """Return what is known when this instance has got the key in an era."""
         if follows_predecessor:
             return Basis.PREDECESSOR
         if self.last_holder_id is None and self.was_held_lately(now):
@@ -104,7 +105,7 @@
             is_starting = now - self.started_at < FIRST_START_S
             is_first = self.first_start and is_starting
             return Basis.FIRST_START if is_first else Basis.UNKNOWN
-        if self._seen_era < era_of(epoch):
+        if self._seen_era < era:
             return Basis.RETURNED
         # A holder that stops deletes the key while its session goes on.
         has_session = self.last_holder_id in member_ids
