Test the wait after a key that a return of the store has brought back

A holder that is shown by a key of the copy counts as seen in the new era, so that the successor does not allow for a leader that has led since the copy was made and does not know of the return until its session has run out.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -449,3 +449,21 @@
     later.send(WatchListed("shared"))
     term = later.take(revision=10)
     assert term.from_s >= later.now + orders.lease_s
+
+
+def test_successor_of_a_key_from_the_copy_waits_for_the_holders_after_it() -> None:
+    """Guards against orders beside a leader of the era before a return.
+
+    The copy has the key of an earlier leader, which deletes it at once as it is
+    stopping. Another had led since and does not know of the return yet.
+    """
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate("g1", orders=orders)
+    candidate.renew(era=1)
+    candidate.send(KvChanged(LEADER_KEY, record("g2", era=1), make_revision(1, 80)))
+    candidate.send(WatchListed("shared"))
+    stale = record("g3", era=1)
+    candidate.send(KvChanged(LEADER_KEY, stale, make_revision(2, 20)))
+    candidate.send(KvChanged(LEADER_KEY, None, make_revision(2, 51)))
+    term = candidate.take(make_revision(2, 52))
+    assert term.from_s >= candidate.now + orders.lease_s + TTL_S
