Count a holder as seen in the era in which it has taken the key

A key that a return of the store has brought back states an earlier era. Its holder says nothing about who has led in between, so the successor waits as after any return.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -185,7 +185,7 @@
                     # instance are sent to it from now on, and a later term waits for
                     # its orders.
                     self._holder = LeaderRecord(successor_id, "")
-                    self._succession.record_other(successor_id, epoch)
+                    self._succession.record_other(successor_id, era_of(epoch))
                     return batch + self._notify_leader()
             case LeadershipFenced(epoch):
                 if self._term is not None and self._term.epoch == epoch:
@@ -279,7 +279,8 @@
         holder = self._holder
         if holder is None or holder.instance_id == self._own.instance_id:
             return
-        self._succession.record_other(holder.instance_id, revision)
+        # A key of the copy is no sign of who has led in the present era.
+        self._succession.record_other(holder.instance_id, holder.era)
         if not holder.is_current(revision):
             # Others may have led since the copy was made.
             self._succession.record_gap()
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -68,10 +68,10 @@
     # When this instance last had the key and was allowed to order.
     _held_at: float = float("-inf")
 
-    def record_other(self, instance_id: str, revision: int) -> None:
-        """Record that another instance holds the key."""
+    def record_other(self, instance_id: str, era: int) -> None:
+        """Record that another instance has taken the key in an era."""
         self.last_holder_id = instance_id
-        self._seen_era = era_of(revision)
+        self._seen_era = era
         self._is_end_uncertain = False
 
     def record_gap(self) -> None:
