Allow for a leader of an earlier era if no holder has been seen

A process that starts after a return of the store has not seen who led before it. Where servers do not check epoch numbers, it waits as one that has seen the return. After a restart of all gateways of such a site the first order therefore comes up to a session's time (2.5 s) later, unless the leader's own machine takes its key over. A store without eras cannot have returned.

--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -44,7 +44,8 @@
     EXPIRED = "expired"
     # The last holder may have ordered until the key was free.
     UNKNOWN = "unknown"
-    # The store has returned since the last holder was seen, which may still order.
+    # The store may have returned since the last holder took the key, which may still
+    # order.
     RETURNED = "returned"
 
 
@@ -101,11 +102,10 @@
             return Basis.PREDECESSOR
         if self.last_holder_id is None and self.was_held_lately(now):
             return Basis.HELD_LATELY
-        if self._seen_era is None:
-            is_starting = now - self.started_at < FIRST_START_S
-            is_first = self.first_start and is_starting
-            return Basis.FIRST_START if is_first else Basis.UNKNOWN
-        if self._seen_era < era:
+        is_starting = now - self.started_at < FIRST_START_S
+        if self._seen_era is None and self.first_start and is_starting:
+            return Basis.FIRST_START
+        if (self._seen_era or 0) < era:
             return Basis.RETURNED
         # A holder that stops deletes the key while its session goes on.
         has_session = self.last_holder_id in member_ids
