Test that a leader without paths to servers does not keep the key

The four tests fail on: such a leader begins a term if the answer to its attempt comes after the loss, deletes its key only once, though the deletion may be lost, neither leads nor takes its key again when its paths are back, and keeps a key that a return of the store has brought back.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -486,3 +486,51 @@
     candidate.send(WatchListed("shared"))
     term = candidate.take(make_revision(2, 9))
     assert term.from_s >= candidate.now + orders.lease_s + TTL_S
+
+
+def test_instance_that_has_lost_the_servers_during_its_attempt_does_not_lead() -> None:
+    """Guards against a leader without paths to servers, which nobody replaces."""
+    candidate = Candidate()
+    candidate.renew()
+    candidate.send(WatchListed("shared"))
+    swap = candidate.attempt()
+    candidate.send(ReachChanged(True))
+    found = candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 5))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    assert KvDelete("leader-end", LEADER_KEY, 5) in found
+
+
+def test_lost_deletion_is_repeated_while_the_servers_are_lost() -> None:
+    """Guards against a key that stays with the session of a leader without paths."""
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    (end,) = (m for m in candidate.send(ReachChanged(True)) if isinstance(m, KvDelete))
+    candidate.send(KvAnswerLost(end.request_id, LEADER_KEY))
+    due = candidate.decision.wake_at()
+    assert due is not None
+    assert messages(candidate.decision.on_time(due)) == [end]
+
+
+def test_leader_whose_deletion_was_lost_leads_again_with_its_paths() -> None:
+    """Guards against a key whose holder neither leads nor takes it again."""
+    candidate = Candidate()
+    candidate.elect(revision=5)
+    (end,) = (m for m in candidate.send(ReachChanged(True)) if isinstance(m, KvDelete))
+    candidate.send(KvAnswerLost(end.request_id, LEADER_KEY))
+    candidate.now += 0.4
+    candidate.send(ReachChanged(False))
+    assert candidate.take(revision=6).epoch == 6
+
+
+def test_key_of_the_copy_is_deleted_while_the_servers_are_lost() -> None:
+    """Guards against a key that a return brings back to a leader without paths.
+
+    The session of the copy goes on, and the key with it.
+    """
+    candidate = Candidate()
+    candidate.elect(make_revision(1, 5))
+    candidate.send(ReachChanged(True))
+    candidate.renew(era=2)
+    revision = make_revision(2, 5)
+    found = candidate.send(KvChanged(LEADER_KEY, record("g1", era=1), revision))
+    assert KvDelete("leader-end", LEADER_KEY, revision) in found
