Delete the leader's key until it is gone if its holder must not lead

An instance that is leaving or has lost its paths to the servers deletes every own key that it sees, also one that an attempt under way or a return of the store has brought, and repeats a deletion whose answer is lost. An own key without a term is written again as soon as the instance may lead.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -136,10 +136,8 @@
         self._is_key_listed = False
         self._holder: LeaderRecord | None = None
         self._revision = 0
-        # The own key must state that its holder waits.
-        self._needs_rewrite = False
         self._term: _Term | None = None
-        # When the next attempt to take the key is due.
+        # When the next attempt to take or to delete the key is due.
         self._attempt_at: float | None = None
         self._is_request_pending = False
         self._last_attempt: _Attempt | None = None
@@ -200,12 +198,13 @@
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
-        """Try to take the key if an attempt is due."""
+        """Try to take or to delete the key if an attempt is due."""
         if self._attempt_at is None or now < self._attempt_at:
             return []
         self._attempt_at = None
-        is_free = self._may_take() and self._term is None
-        if not is_free or self._is_request_pending or self._is_leaving:
+        if self._must_delete_key():
+            return [self._delete_key(self._revision)]
+        if not self._may_take() or self._term is not None or self._is_request_pending:
             return []
         if self._session.valid_lease_id(now) is None:
             self._attempt_at = now + RETRY_INTERVAL_S
@@ -242,7 +241,7 @@
         return self._to_store(swap)
 
     def wake_at(self) -> float | None:
-        """Return when the next attempt is due."""
+        """Return when the next attempt to take or to delete the key is due."""
         return self._attempt_at
 
     def status(self, now: float) -> Status:
@@ -259,16 +258,15 @@
         if revision < self._revision:
             return []
         self._revision = revision
-        self._needs_rewrite = False
         batch = self._enter_era(era_of(revision))
         self._holder = None if value is None else decode_record(value)
         if value is not None and self._holder is None:
             log_event(logger, logging.WARNING, "leader_record_unreadable")
         batch += self._notify_leader()
+        if self._must_delete_key():
+            # An attempt has succeeded since, or a return has brought the key back.
+            return [*batch, *self._end_term("leaving"), self._delete_key(revision)]
         if self._holds_key():
-            if self._is_leaving:
-                # The store has returned from a copy that has the key once more.
-                return [*batch, self._delete_key(revision)]
             return batch + self._begin_term(revision, now)
         self._record_other_holder(revision)
         if self._term is not None:
@@ -286,25 +284,31 @@
             self._succession.record_gap()
 
     def _holds_key(self) -> bool:
-        """Return whether this process has the key, by a write of the present era.
+        """Return whether this process has the key, by a write of the present era."""
+        holder = self._holder
+        return (
+            holder is not None
+            and holder.is_of(self._own)
+            and holder.is_current(self._revision)
+        )
+
+    def _may_take(self) -> bool:
+        """Return whether this instance may lead and no other has the key.
 
-        While it is leaving, a key that a return has brought back counts, too.
+        An own key without a term is written again: it may be of an earlier era.
         """
-        holder = self._holder
-        if holder is None or not holder.is_of(self._own):
+        if self._must_not_lead():
             return False
-        return self._is_leaving or holder.is_current(self._revision)
+        holder = self._holder
+        return holder is None or holder.instance_id == self._own.instance_id
 
-    def _may_take(self) -> bool:
-        """Return whether no other machine has the key, and this one must take it."""
+    def _must_not_lead(self) -> bool:
+        return self._is_leaving or self._is_cut_off
+
+    def _must_delete_key(self) -> bool:
+        """Return whether the key has to be free for another instance."""
         holder = self._holder
-        if self._is_cut_off:
-            return False
-        if holder is None or holder.is_of_predecessor(self._own):
-            return True
-        return holder.is_of(self._own) and (
-            self._needs_rewrite or not holder.is_current(self._revision)
-        )
+        return self._must_not_lead() and holder is not None and holder.is_of(self._own)
 
     def _enter_era(self, era: int) -> list[Outgoing]:
         """End a term of an earlier era, as the store may have lost the key since."""
@@ -327,7 +331,6 @@
         wait_s = self._succession.wait_s(basis)
         if wait_s > 0.0 and self._holder is not None and not self._holder.is_waiting:
             # The wait has become necessary since the key was written.
-            self._needs_rewrite = True
             return self._schedule_attempt(now)
         last_holder_id = self._succession.last_holder_id
         self._term = _Term(epoch, now + wait_s)
@@ -424,13 +427,13 @@
             case KvConflict(_, key, value, revision) if key == LEADER_KEY:
                 return self._handle_record(value, revision, now)
             case KvAnswerLost() | KvUnavailable():
-                # If the write took effect, the watch reports the record.
+                # If the call took effect, the watch reports it.
                 self._attempt_at = now + RETRY_INTERVAL_S
         return []
 
     def _schedule_attempt(self, now: float) -> list[Outgoing]:
         """Schedule an attempt to take the key if it is free."""
-        if not self._is_key_listed or not self._may_take() or self._is_leaving:
+        if not self._is_key_listed or not self._may_take():
             return []
         if self._term is not None or self._is_request_pending:
             return []
