Test the first leader's wait after a key that has ended unseen

Fails on: the wait is 0.0 s where 3.1 s are owed. Seen with real gateways: the first leader gets SIGTERM 0.02 s after its term has begun, and another begins 0.17 s later with basis=first_start, as it has seen no holder.

--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -534,3 +534,16 @@
     revision = make_revision(2, 5)
     found = candidate.send(KvChanged(LEADER_KEY, record("g1", era=1), revision))
     assert KvDelete("leader-end", LEADER_KEY, revision) in found
+
+
+def test_first_leader_waits_if_the_key_has_ended_before() -> None:
+    """Guards against orders beside the last one of a leader that came and went unseen.
+
+    The watch reports only the last of several changes of a key within a short time.
+    """
+    candidate = Candidate()
+    candidate.renew()
+    candidate.send(WatchListed("shared"))
+    candidate.send(KvChanged(LEADER_KEY, None, 7))
+    term = candidate.take(revision=8)
+    assert term.from_s >= candidate.now + bounds().orders.lease_s
