Take no leadership for the first if the key has ended before

The end of a key shows that there was a holder, also if its write was not reported. An instance that lists the key only after its end sees neither and still begins at once in the first 2 s of the system.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -275,7 +275,10 @@
 
     def _record_other_holder(self, revision: int) -> None:
         holder = self._holder
-        if holder is None or holder.instance_id == self._own.instance_id:
+        if holder is None:
+            self._succession.record_end(era_of(revision))
+            return
+        if holder.instance_id == self._own.instance_id:
             return
         # A key of the copy is no sign of who has led in the present era.
         self._succession.record_other(holder.instance_id, holder.era)
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -75,6 +75,12 @@
         self._seen_era = era
         self._is_end_uncertain = False
 
+    def record_end(self, era: int) -> None:
+        """Record that the key has ended, whether its holder was seen or not."""
+        if self._seen_era is None:
+            self._seen_era = era
+            self._is_end_uncertain = True
+
     def record_gap(self) -> None:
         """Record that holders may have come and gone unseen."""
         self._is_end_uncertain = True
