--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -65,6 +65,7 @@
     ISOLATION_TASK,
     LEADERSHIP_TASK,
     MEMBERS_TASK,
+    ORDERS_TASK,
     PLACEMENT_TASK,
     ROUTING_TASK,
 )
@@ -336,7 +337,7 @@
             LEADERSHIP_TASK: Leadership(
                 own_member,
                 bounds,
-                (ROUTING_TASK, PLACEMENT_TASK, *DUTY_TASKS),
+                (ROUTING_TASK, PLACEMENT_TASK, ORDERS_TASK, *DUTY_TASKS),
                 now,
                 session_silence_s=SESSION_TTL_S - RENEW_INTERVAL_S,
                 session_ttl_s=max(SESSION_TTL_S, settings.least_lease_s),
--- a/src/siskinspool/gateway/server_control.py
+++ b/src/siskinspool/gateway/server_control.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import gevent
 
@@ -20,6 +21,8 @@
     ROUTING_TASK,
     AnswerHeadReceived,
     HoldingsRead,
+    LeadershipHeld,
+    LeadershipLost,
     OrderEnded,
     OrderResult,
     ReadHoldings,
@@ -42,8 +45,16 @@
     _listener: SignalListener | None = None
 
     @abstractmethod
-    def send_order(self, order: ServerOrder, holder: str) -> OrderResult:
-        """Send an order with an instance as its holder; return the result."""
+    def send_order(
+        self,
+        order: ServerOrder,
+        holder: str,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> OrderResult:
+        """Send an order with an instance as its holder; return the result.
+
+        ``may_send`` is asked right before the order is sent.
+        """
 
     @abstractmethod
     def read_holdings(self, server: ServerStart) -> Holdings | None:
@@ -67,11 +78,17 @@
     ) -> None:
         super().__init__(ORDERS_TASK, dispatcher, clock)
         self._control = control
+        # Of the present leadership term; None while this instance does not lead.
+        self._epoch: int | None = None
         control.listen(self)
 
     def handle(self, incoming: Incoming) -> None:
-        """Start one call."""
+        """Start one call, or record the beginning or end of a leadership term."""
         match incoming.message:
+            case LeadershipHeld(epoch):
+                self._epoch = epoch
+            case LeadershipLost():
+                self._epoch = None
             case ServerOrder() as order:
                 gevent.spawn(self._order, incoming.sender, order)
             case ReadHoldings() as read:
@@ -84,7 +101,10 @@
         self.dispatcher.send(self.address, Outgoing(routing, received))
 
     def _order(self, sender: Address, order: ServerOrder) -> None:
-        result = self._control.send_order(order, self.dispatcher.instance_id)
+        # The connection may take longer than the term lasts.
+        result = self._control.send_order(
+            order, self.dispatcher.instance_id, lambda: self._epoch == order.epoch
+        )
         self._answer(sender, OrderEnded(order, result))
 
     def _read(self, sender: Address, read: ReadHoldings) -> None:
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -50,7 +50,12 @@
         self._link = HttpServerLink()
         self._clock = clock
 
-    def send_order(self, order: ServerOrder, holder: str) -> OrderResult:
+    def send_order(
+        self,
+        order: ServerOrder,
+        holder: str,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> OrderResult:
         """Send an order to its server, with an instance as its holder."""
         body: dict[str, object] = {
             "op": order.kind.value,
@@ -68,7 +73,7 @@
             "/-/order",
             order.start,
             body,
-            lambda: self._clock.now() < order.until_s,
+            lambda: self._clock.now() < order.until_s and may_send(),
         )
         if isinstance(answer, NotSent):
             return OrderResult.NOT_SENT
