--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -199,7 +199,7 @@
                 return self._update_reach(is_cut_off, now)
             case StopLeading():
                 self._is_leaving = True
-                return self._give_up("leaving")
+                return self._give_up("leaving", now)
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
@@ -293,7 +293,10 @@
 
     def _record_other_holder(self, revision: int, now: float) -> None:
         holder = self._holder
-        if holder is None or holder.instance_id == self._own.instance_id:
+        if holder is None:
+            self._succession.record_end(era_of(revision))
+            return
+        if holder.instance_id == self._own.instance_id:
             return
         if holder.is_current(revision):
             self._succession.record_other(
@@ -474,15 +477,23 @@
     def _update_reach(self, is_cut_off: bool, now: float) -> list[Outgoing]:
         self._is_cut_off = is_cut_off
         if is_cut_off:
-            return self._give_up("cut_off")
+            return self._give_up("cut_off", now)
         return self._schedule_attempt(now)
 
-    def _give_up(self, reason: str) -> list[Outgoing]:
-        """Delete the key, so that a successor need not wait for the session to end."""
+    def _give_up(self, reason: str, now: float) -> list[Outgoing]:
+        """Delete the key, so that a successor need not wait for the session to end.
+
+        On the first start it stays until nobody believes any more that there has been
+        no leader.
+        """
         if self._term is None:
             return []
         epoch = self._term.epoch
         batch = self._end_term(reason)
+        is_over_at = self._succession.first_start_over_at
+        if now < is_over_at:
+            self._attempt_at = is_over_at
+            return batch
         return [*batch, self._delete_key(epoch)]
 
     def _delete_left_key(self) -> list[Outgoing]:
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -29,6 +29,7 @@
 # At the first start of the system all instances start within a second. Who has not led
 # by then may have missed a whole term of another.
 FIRST_START_S: Final = 2.0
+FIRST_START_SPREAD_S: Final = 1.0
 
 
 class Basis(StrEnum):
@@ -71,6 +72,13 @@
     # When this instance last had the key and was allowed to order.
     _held_at: float = float("-inf")
 
+    @property
+    def first_start_over_at(self) -> float:
+        """When no instance may take itself for the first leader any more."""
+        if not self.first_start:
+            return self.started_at
+        return self.started_at + FIRST_START_S + FIRST_START_SPREAD_S
+
     def record_other(
         self, instance_id: str, revision: int, member_ids: Collection[str], now: float
     ) -> None:
@@ -95,6 +103,12 @@
         if self._seen_era is None or self._seen_era < era:
             self.last_holder_id, self._seen_era = instance_id, era
 
+    def record_end(self, era: int) -> None:
+        """Record that the key has ended, whether its holder was seen or not."""
+        if self._seen_era is None:
+            self._seen_era = era
+            self._is_end_uncertain = True
+
     def record_gap(self) -> None:
         """Record that holders may have come and gone unseen."""
         self._is_end_uncertain = True
