Test a key that is written again two seconds after a return

The reader pauses between two calls, so it hears of the write when the removal has already been published.

--- a/tests/test_change_feed.py
+++ b/tests/test_change_feed.py
@@ -599,3 +599,22 @@
     for _ in range(40):
         fleet.run(0.1)
         assert "op/evacuate/z1" in early.value_by_key
+
+
+def test_key_that_is_written_again_after_two_seconds_is_not_removed() -> None:
+    """Guards against an evacuation that is lifted until the reader's next call.
+
+    The reader pauses after an answer that it gets just before the key is written.
+    """
+    fleet = settled()
+    copy = fleet.service.copy()
+    fleet.service.put("op/evacuate/z1", b"1")
+    fleet.run(1.0)
+    fleet.service.return_from(copy)
+    fleet.run(1.9)
+    fleet.service.put("op/other", b"1")
+    fleet.run(0.05)
+    fleet.service.put("op/evacuate/z1", b"1")
+    for _ in range(20):
+        fleet.run(0.05)
+        assert all("op/evacuate/z1" in one.value_by_key for one in fleet.alive())
