Hold the removals of a return until the reader has heard of rewrites

Keys are written again within two seconds of a return, and the reader pauses up to 0.3 s between two calls. Removals were published after two seconds, so a key that was written again late was removed for a moment.

--- a/src/siskinspool/feed/change_feed.py
+++ b/src/siskinspool/feed/change_feed.py
@@ -64,8 +64,8 @@
 
 _NEVER: Final = float("-inf")
 # After the service has returned from an older copy, the writers of the keys that it
-# lacks write them again within this time.
-REWRITE_GRACE_S: Final = 2.0
+# lacks write them again within two seconds; a reader pauses before it hears of that.
+REWRITE_GRACE_S: Final = 2.3
 
 
 class ChangeFeed(Decision):
