--- a/src/siskinspool/standins/gateway_site.py
+++ b/src/siskinspool/standins/gateway_site.py
@@ -79,6 +79,10 @@
         """Return whether this gateway's members are exactly the given ones."""
         return bool(self.status()["members"]["members"] == sorted(names))
 
+    def knows_servers(self, *server_ids: str) -> bool:
+        """Return whether this gateway knows all of these servers."""
+        return set(server_ids) <= set(self.status()["routing"]["servers"])
+
     def log(self) -> str:
         """Return the log of the process."""
         return self.log_path.read_text(encoding="utf-8", errors="replace")
@@ -204,11 +208,7 @@
         """Wait until all gateways are ready and know these servers."""
         for gateway in self.gateways.values():
             wait_until(gateway.is_ready)
-
-            def knows(gateway: Gateway = gateway) -> bool:
-                return set(servers) <= set(gateway.status()["routing"]["servers"])
-
-            wait_until(knows)
+            wait_until(lambda gateway=gateway: gateway.knows_servers(*servers))
 
     def leader(self) -> Gateway | None:
         """Return the gateway that gives orders."""
--- a/tests/integration/test_gateway_store_return.py
+++ b/tests/integration/test_gateway_store_return.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -9,6 +10,7 @@
 import pytest
 
 from siskinspool.standins.gateway_site import Gateway, GatewaySite, wait_until
+from siskinspool.standins.processes import call_json
 
 from .builders_gateway_site import gateway_site, routes, seen, set_faults, site_config
 
@@ -117,9 +119,7 @@
     set_faults(leaving, unregistered=True)
     site.remove("servers/d2")
     for gateway in gateways:
-        wait_until(
-            lambda gateway=gateway: "d2" not in gateway.status()["routing"]["servers"]
-        )
+        wait_until(lambda gateway=gateway: not gateway.knows_servers("d2"))
     before = len(seen(leaving))
     site.return_store(rewrites=False)
     for _ in range(30):
@@ -127,3 +127,24 @@
             assert gateway.send("GET", "/status/1")[0] == 200
         gevent.sleep(0.1)
     assert len(seen(leaving)) == before
+
+
+def test_server_whose_entry_is_written_again_late_is_used(site: GatewaySite) -> None:
+    """Guards against a sound server that no gateway uses after a return.
+
+    Its entry comes back as it was, when the gateways have already removed it.
+    """
+    gateways = started(site)
+    site.keep_store_copy()
+    site.add_server("d2", "desk")
+    site.wait_ready("d1", "d2")
+    set_faults(site.bench.process_by_name["d2"], unregistered=True)
+    # A write that is under way.
+    gevent.sleep(0.5)
+    item = call_json(site.store.port, "GET", "/-/kv-key?key=servers/d2")
+    site.return_store(rewrites=False)
+    for gateway in gateways:
+        wait_until(lambda gateway=gateway: not gateway.knows_servers("d2"))
+    site.put("servers/d2", base64.b64decode(item["value"]))
+    for gateway in gateways:
+        wait_until(lambda gateway=gateway: gateway.knows_servers("d2"))
