Show that an idle leader without paths to servers goes on leading

A gateway learns of its lost paths from the calls of its own requesters alone. A leader that has none reads the report of one server after the other (report_unread, TimeoutError), drops each plan (plan_dropped, server_silent) and goes on leading.

The test fails on: no request for an adapter was served in 10 s.

--- a/tests/integration/test_gateway_server_partition.py
+++ b/tests/integration/test_gateway_server_partition.py
@@ -23,6 +23,9 @@
 LEAST_SHARE = 2 / 3
 CALLERS_PER_GATEWAY = 4
 SERVED_FOR_S = 4.0
+# The partition is known after CONTACT_S, a successor waits for 3 s (`lease_ms`), and
+# each request that is refused before has waited for 2.5 s.
+HAND_OVER_S = 10.0
 
 
 @pytest.fixture
@@ -104,3 +107,28 @@
     assert tries_by_name["g2"].served > 0
     for gateway in cut_off:
         assert tries_by_name[gateway.name].share >= least, tries_by_name
+
+
+def test_leader_that_reaches_no_server_hands_over(site: GatewaySite) -> None:
+    """Guards against adapters that nobody loads while an idle leader is partitioned.
+
+    The leader gets no requests of its own, so only its reads and orders fail.
+    """
+    servers = [site.add_server(f"w{number}", "writers", "m0") for number in range(3)]
+    gateways = [site.add_gateway(f"g{n}", zone) for n, zone in enumerate("ab")]
+    site.wait_ready("w0", "w1", "w2")
+    for gateway in gateways:
+        wait_until(lambda gateway=gateway: gateway.knows_members("g0", "g1"))
+    wait_until(lambda: site.leader() is not None)
+    leader = site.leader()
+    assert leader is not None
+    (other,) = (gateway for gateway in gateways if gateway is not leader)
+    site.partition(leader, Form.HANG, servers)
+    wait_until(lambda: is_served(other), HAND_OVER_S)
+    assert site.leader() is other
+
+
+def is_served(gateway: Gateway) -> bool:
+    """Return whether a prompt for an adapter that must be loaded is served."""
+    headers = prompt_headers("p1", "p2") | {"Model": "m0/a1"}
+    return gateway.send("POST", "/quote/1", headers=headers)[0] == 200
