Check the paths to servers after failed orders and reads of reports

The leader asks other instances for a connection when an order was not sent or a report was not read.

--- a/src/siskinspool/gateway/instance.py
+++ b/src/siskinspool/gateway/instance.py
@@ -244,7 +244,9 @@
             peers,
             *self._build_decisions(own_member, sources),
             WatchTask(self._dispatcher, clock, sources),
-            OrdersTask(self._dispatcher, clock, parts.server_control),
+            OrdersTask(
+                self._dispatcher, clock, parts.server_control, self._context.link
+            ),
             self._front,
             self._relay,
             self._pages,
--- a/src/siskinspool/gateway/server_control.py
+++ b/src/siskinspool/gateway/server_control.py
@@ -2,10 +2,13 @@
 
 `ServerControl` is the interface to a platform's calls, and `OrdersTask` owns it. Each
 call runs in a greenlet of its own, so a silent server does not delay other servers.
+A call that fails is followed by a check of the path to its server, since an instance
+without requests of its own would not notice that it has lost its paths.
 """
 
 from __future__ import annotations
 
+import logging
 from abc import ABC, abstractmethod
 
 import gevent
@@ -14,7 +17,9 @@
 from ..core.dispatcher import Dispatcher
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.task import Task
+from ..links.server_link import ServerLink
 from ..server_signals.observations import Observation, ServerStart
+from ..telemetry.logs import log_event
 from .messages import (
     ORDERS_TASK,
     ROUTING_TASK,
@@ -27,6 +32,8 @@
 )
 from .servers import Holdings
 
+logger = logging.getLogger(__name__)
+
 
 class SignalListener(ABC):
     """Is told what the heads of servers' answers to orders and reads state."""
@@ -63,10 +70,16 @@
     """Carries out the calls of the placement decision; task name ``orders``."""
 
     def __init__(
-        self, dispatcher: Dispatcher, clock: Clock, control: ServerControl
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        control: ServerControl,
+        link: ServerLink,
     ) -> None:
+        """Initialize with the calls, and the link that knows the paths to servers."""
         super().__init__(ORDERS_TASK, dispatcher, clock)
         self._control = control
+        self._link = link
         control.listen(self)
 
     def handle(self, incoming: Incoming) -> None:
@@ -86,10 +99,19 @@
     def _order(self, sender: Address, order: ServerOrder) -> None:
         result = self._control.send_order(order, self.dispatcher.instance_id)
         self._answer(sender, OrderEnded(order, result))
+        if result is OrderResult.NOT_SENT:
+            self._check_path(order.start)
 
     def _read(self, sender: Address, read: ReadHoldings) -> None:
         holdings = self._control.read_holdings(read.start)
         self._answer(sender, HoldingsRead(read.server_id, holdings))
+        if holdings is None:
+            self._check_path(read.start)
+
+    def _check_path(self, start: ServerStart) -> None:
+        """Let the link find out whether this instance has lost its path to a server."""
+        if self._link.has_lost_path(start):
+            log_event(logger, logging.INFO, "path_lost", server=start.server_id)
 
     def _answer(self, sender: Address, message: Message) -> None:
         self.dispatcher.send(self.address, Outgoing(sender, message))
