Hold lost paths of an entry instance against no server

Five calls that were lost at a cut opened the circuit breaker of a server for 5 s or more at the instance that was cut off, although others reached it.

Cause: the breaker counts each lost call, and `Routing` did not know that the instance was cut off.

Change: `RelayTask` reports `ReachChanged` to `Routing`, which then closes all breakers, and counts no lost answers until the cut ends. A server that no relay can connect to still counts as failed.

Measured: the decision test of this kept the server set aside before and dispatches the waiting call now.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -195,7 +195,7 @@
             settings.peer.host,
             (settings.relay_port,),
             "routing",
-            watchers=(),
+            watchers=("routing",),
         )
 
     def _build_frontend(self) -> Frontend:
--- a/src/siskinspool/machines/circuit_breaker.py
+++ b/src/siskinspool/machines/circuit_breaker.py
@@ -71,6 +71,11 @@
         if call_id == self._probe_call_id:
             self._probe_call_id = None
 
+    def forget_failures(self) -> None:
+        """Close the breaker: the failures were not the server's."""
+        self._probe_call_id = None
+        self._close()
+
     def _update_window(self, failed: bool, now: float) -> None:
         self._recent_failures.append(failed)
         self._consecutive_failures = self._consecutive_failures + 1 if failed else 0
@@ -86,6 +91,9 @@
             self._open_duration_s = min(self._open_duration_s * 2, MAX_OPEN_S)
             self._open_until = now + self._open_duration_s
             return
+        self._close()
+
+    def _close(self) -> None:
         self._open_until = None
         self._open_duration_s = INITIAL_OPEN_S
         self._consecutive_failures = 0
--- a/src/siskinspool/machines/known_servers.py
+++ b/src/siskinspool/machines/known_servers.py
@@ -176,6 +176,13 @@
             return False
         return self.signals.permission(backend.start, now).allows_next
 
+    def forget_failures(self) -> None:
+        """Close all circuit breakers, as this instance's own path was at fault."""
+        for server in self._server_by_id.values():
+            server.breaker.forget_failures()
+        for service in self._service_by_id.values():
+            service.breaker.forget_failures()
+
     def status(self, now: float) -> Status:
         """Return the servers and services of the catalog for the status page."""
         servers = [
--- a/src/siskinspool/machines/routing.py
+++ b/src/siskinspool/machines/routing.py
@@ -25,6 +25,7 @@
 from ..core.status import Status
 from ..manifest.model import Catalog, RequestClass
 from ..relay.relay_messages import (
+    ReachChanged,
     RelayDenied,
     RelayedSignal,
     RelayGranted,
@@ -103,6 +104,8 @@
         self._owner_by_partition: dict[str, str] = {}
         self._expected_wait = WaitEstimator(self._servers, self._waiting, self._demands)
         self._next_sweep_at = 0.0
+        # All calls go through other instances.
+        self._is_cut_off = False
         # Time of the last step, to compare with the probe times of circuit breakers.
         self._last_step_at = 0.0
 
@@ -127,6 +130,8 @@
                 return self._handle_call_ended(message, now)
             case CallAnswered(stated):
                 return self._handle_stated(stated, now)
+            case ReachChanged():
+                return self._handle_reach(message, now)
             case RelayedSignal():
                 return self._handle_relayed_signal(message, now)
             case RelayQuery():
@@ -233,7 +238,9 @@
         failed = {
             CallResult.OK: False,
             CallResult.CANCELLED: None,
-            CallResult.FAILED: True,
+            # Without paths to the servers, the loss of an answer shows no fault of one:
+            # it was sent before the cut, or the instance that relayed it has ended.
+            CallResult.FAILED: None if self._is_cut_off else True,
             CallResult.FAILED_BEFORE_SEND: True,
         }[message.result]
         return self._release_call(message.call_id, failed, now)
@@ -294,6 +301,14 @@
         """Apply what the head of an answer states."""
         return self._dispatch_all(now) if self._servers.signals.observe(stated) else []
 
+    def _handle_reach(self, change: ReachChanged, now: float) -> list[Outgoing]:
+        """Use all servers again once it shows that the own paths were at fault."""
+        self._is_cut_off = change.is_cut_off
+        if not change.is_cut_off:
+            return []
+        self._servers.forget_failures()
+        return self._dispatch_all(now)
+
     def _answer_query(
         self, query: RelayQuery, now: float
     ) -> RelayGranted | RelayDenied:
--- a/tests/test_routing_signals.py
+++ b/tests/test_routing_signals.py
@@ -6,6 +6,7 @@
 import pytest
 
 from siskinspool.core.message import Message
+from siskinspool.machines.circuit_breaker import MAX_CONSECUTIVE_FAILURES
 from siskinspool.machines.messages import CatalogChanged
 from siskinspool.machines.routing_messages import (
     CallAnswered,
@@ -14,6 +15,7 @@
     CallResult,
 )
 from siskinspool.relay.relay_messages import (
+    ReachChanged,
     RelayDenied,
     RelayedSignal,
     RelayGranted,
@@ -172,3 +174,44 @@
     harness.make_ready("s1")
     harness.send(RelayedSignal("s1", None, "b0", True, None))
     assert any(isinstance(m, CallDispatched) for m in harness.send(call("c1")))
+
+
+def fail_calls(harness: RoutingHarness, first: int, result: CallResult) -> None:
+    """Let as many calls fail as open a circuit breaker."""
+    for number in range(first, first + MAX_CONSECUTIVE_FAILURES):
+        harness.send(call(f"c{number}"))
+        harness.send(CallEnded(f"c{number}", result))
+
+
+def test_lost_paths_are_held_against_no_server() -> None:
+    """Guards against servers that stay unused for seconds though others reach them.
+
+    The calls in progress at the cut are all lost at once.
+    """
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    fail_calls(harness, 0, CallResult.FAILED)
+    assert not any(isinstance(m, CallDispatched) for m in harness.send(call("c90")))
+    sent = harness.send(ReachChanged(is_cut_off=True))
+    assert any(isinstance(m, CallDispatched) for m in sent)
+    harness.send(CallEnded("c90", CallResult.FAILED))
+    fail_calls(harness, 10, CallResult.FAILED)
+    assert any(isinstance(m, CallDispatched) for m in harness.send(call("c91")))
+
+
+def test_server_that_nobody_reaches_is_set_aside_during_a_cut() -> None:
+    """Guards against calls that try a dead server again and again."""
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    harness.send(ReachChanged(is_cut_off=True))
+    fail_calls(harness, 0, CallResult.FAILED_BEFORE_SEND)
+    assert not any(isinstance(m, CallDispatched) for m in harness.send(call("c90")))
+
+
+def test_failures_count_again_after_a_cut() -> None:
+    """Guards against a faulty server that is never set aside after a cut."""
+    harness = RoutingHarness()
+    harness.make_ready("s1")
+    harness.send(ReachChanged(is_cut_off=True), ReachChanged(is_cut_off=False))
+    fail_calls(harness, 0, CallResult.FAILED)
+    assert not any(isinstance(m, CallDispatched) for m in harness.send(call("c90")))
