Hand the placement over if its owner cannot reach the servers

While the owner of the placement partition had no path to the servers, no model was loaded at the site.

Cause: orders are never relayed, and ownership moved only with the session, which such an owner keeps.

Change: `RelayTask` reports `ReachChanged` to `Ownership`, which then gives up the partitions whose owner sends orders, and claims them only with paths. The rendezvous winner gets them back after the cut by the usual handover.

Measured with real instances, the owner and another one cut off (hang, refuse): a call to a model that is not loaded yet got 504 after 10 s at an instance that was cut off before; both such instances answer 200 now. In the simulation the placement has another owner within 2.5 s.

--- a/src/siskinspool/entry.py
+++ b/src/siskinspool/entry.py
@@ -105,13 +105,18 @@
 )
 
 
+def placement_partition(site: str) -> str:
+    """Return the name of the partition whose owner places models on servers."""
+    return f"placement/{site}"
+
+
 def partition_names(site: str) -> tuple[str, ...]:
     """Return the names of all partitions of a site."""
     kinds = ("limits", "claims", "patient")
     numbered = [
         f"{kind}/{number}" for kind in kinds for number in range(PARTITIONS_PER_KIND)
     ]
-    return (f"placement/{site}", *numbered)
+    return (placement_partition(site), *numbered)
 
 
 class EntryInstance:
@@ -195,7 +200,7 @@
             settings.peer.host,
             (settings.relay_port,),
             "routing",
-            watchers=("routing",),
+            watchers=("routing", "ownership"),
         )
 
     def _build_frontend(self) -> Frontend:
@@ -281,6 +286,7 @@
                 incarnation,
                 partition_names(settings.site),
                 OWNERSHIP_SUBSCRIBERS,
+                frozenset({placement_partition(settings.site)}),
             ),
             "revisions": Revisions(instance_id, CATALOG_SUBSCRIBERS),
             "claims": Claims(
--- a/src/siskinspool/machines/ownership.py
+++ b/src/siskinspool/machines/ownership.py
@@ -18,6 +18,9 @@
 following rank after a further delay, so that the partition does not stay free if the
 winner does not respond. An owner that is not the winner hands over, one partition at a
 time.
+
+An instance without paths to the servers gives up the partitions whose owner sends them
+orders, which are never relayed, and claims them only when it has paths again.
 """
 
 from __future__ import annotations
@@ -30,6 +33,7 @@
 from ..core.member import MembershipChanged
 from ..core.message import Address, Incoming, Message, Outgoing
 from ..core.status import Status
+from ..relay.relay_messages import ReachChanged
 from ..store.keys import OWNER_PREFIX, owner_key, session_key
 from ..store.kv import (
     KvAnswerLost,
@@ -79,8 +83,12 @@
         incarnation: str,
         partition_names: tuple[str, ...],
         subscribers: tuple[str, ...],
+        ordering_partitions: frozenset[str] = frozenset(),
     ) -> None:
-        """Initialize with the partitions and the tasks to notify."""
+        """Initialize with the partitions and the tasks to notify.
+
+        The owners of ``ordering_partitions`` send orders to servers.
+        """
         self._id = instance_id
         self._incarnation = incarnation
         self._subscribers = subscribers
@@ -90,6 +98,8 @@
         self._members_changed_at = 0.0
         self._next_handover_at = 0.0
         self._is_releasing = False
+        self._ordering_partitions = ordering_partitions
+        self._is_cut_off = False
         self._request_count = 0
         self._published_owners: dict[str, str] = {}
         self._wake_at: float | None = None
@@ -115,6 +125,8 @@
                 self._members_changed_at = now
             case ReleaseOwnership():
                 self._is_releasing = True
+            case ReachChanged(is_cut_off):
+                self._is_cut_off = is_cut_off
             case KvChanged(key, value, revision) if key.startswith(OWNER_PREFIX):
                 partition = self._partition_by_name.get(key[len(OWNER_PREFIX) :])
                 if partition is not None:
@@ -267,7 +279,7 @@
         for partition in self._partition_by_name.values():
             if partition.pending_request is not None:
                 batch += self._follow_up(partition, partition.pending_request, now)
-            elif self._is_releasing:
+            elif self._gives_up(partition):
                 batch += self._release(partition, now)
             elif partition.owned_by_lease is not None:
                 batch += self._hand_over(partition, settled_at, now)
@@ -288,7 +300,7 @@
             return (
                 partition.retry_at if is_waiting else request.sent_at + ANSWER_TIMEOUT_S
             )
-        if self._session.valid_lease_id(now) is None or self._is_releasing:
+        if self._session.valid_lease_id(now) is None or self._gives_up(partition):
             return partition.retry_at if partition.retry_at > now else None
         if partition.owned_by_lease is not None:
             if not self._candidates.is_outranked(partition.name):
@@ -336,7 +348,7 @@
 
     def _claim(self, partition: Partition, now: float) -> list[Outgoing]:
         lease_id = self._session.valid_lease_id(now)
-        if lease_id is None or self._is_releasing:
+        if lease_id is None or self._gives_up(partition):
             return []
         return [
             self._write_record(
@@ -344,6 +356,11 @@
             )
         ]
 
+    def _gives_up(self, partition: Partition) -> bool:
+        """Return whether this instance must not own a partition now."""
+        is_unable = self._is_cut_off and partition.name in self._ordering_partitions
+        return self._is_releasing or is_unable
+
     def _release(self, partition: Partition, now: float) -> list[Outgoing]:
         is_own = partition.is_recorded_owner(self._id, self._incarnation)
         if not is_own or now < partition.retry_at:
--- a/tests/builders_ownership.py
+++ b/tests/builders_ownership.py
@@ -13,6 +13,7 @@
 from siskinspool.core.message import Message, Outgoing
 from siskinspool.machines.messages import OwnershipGained, ReleaseOwnership
 from siskinspool.machines.ownership import Ownership
+from siskinspool.relay.relay_messages import ReachChanged
 from siskinspool.store.keys import OWNER_PREFIX, SESSION_PREFIX, session_key
 from siskinspool.store.kv import (
     KvAnswerLost,
@@ -32,7 +33,8 @@
 from .builders import incoming, member
 from .builders_kv_service import InMemoryKeyValueService
 
-PARTITIONS = ("claims/0", "placement/lagos")
+PLACEMENT = "placement/lagos"
+PARTITIONS = ("claims/0", PLACEMENT)
 TTL_S = 10.0
 
 
@@ -81,7 +83,9 @@
     def start_process(self) -> None:
         """Start a new process without state."""
         incarnation = self.member.incarnation
-        self.decision = Ownership(self.name, incarnation, PARTITIONS, ("watcher",))
+        self.decision = Ownership(
+            self.name, incarnation, PARTITIONS, ("watcher",), frozenset({PLACEMENT})
+        )
         self.unanswered_requests += self.requests
         self.requests, self.answers, self.renewals, self.renewal_answers = (
             [],
@@ -218,6 +222,11 @@
         if not instance.paused:
             self._deliver(instance, ReleaseOwnership())
 
+    def change_reach(self, instance: PartitionInstance, is_cut_off: bool) -> None:
+        """Tell an instance that it has lost its paths to servers, or has them again."""
+        if not instance.paused:
+            self._deliver(instance, ReachChanged(is_cut_off))
+
     def settle(self, seconds: float, live: list[PartitionInstance]) -> None:
         """Deliver all messages at once and renew sessions for a while."""
         for step in range(int(seconds * 10)):
--- a/tests/integration/test_entry_server_partition.py
+++ b/tests/integration/test_entry_server_partition.py
@@ -93,6 +93,11 @@
     assert shares[REACHING] > 1 / 2, shares
     for instance in CUT_OFF:
         assert shares[instance] >= LEAST_SHARE * shares[REACHING], shares
+    # The placement has moved to an instance that can send orders.
+    body = {**PROMPT, "model": "estimate"}
+    for instance in CUT_OFF:
+        reply = ask(site, instance, "POST", CHAT, body, deadline_ms=10_000)
+        assert reply.status == 200, reply.body
 
 
 def test_stop_of_a_relay_lets_its_stream_end(site: TrialSite) -> None:
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -10,7 +10,7 @@
 
 from siskinspool.store.kv import KvGet, KvRequest, KvSwap
 
-from .builders_ownership import PARTITIONS, OwnershipSimulation
+from .builders_ownership import PARTITIONS, PLACEMENT, OwnershipSimulation
 
 INSTANCE_NUMBERS = st.integers(0, 2)
 INDEX = st.integers(0, 5)
@@ -81,11 +81,18 @@
     def restart(self, number: int) -> None:
         self.simulation.restart(self.simulation.instances[number])
 
+    @rule(number=INSTANCE_NUMBERS, is_cut_off=st.booleans())
+    def change_reach(self, number: int, is_cut_off: bool) -> None:
+        self.simulation.change_reach(self.simulation.instances[number], is_cut_off)
+
     @invariant()
     def no_two_owners(self) -> None:
         self.simulation.check()
 
     def teardown(self) -> None:
+        for instance in self.simulation.instances:
+            instance.paused = False
+            self.simulation.change_reach(instance, is_cut_off=False)
         self.simulation.settle(40.0, self.simulation.instances)
         for partition in PARTITIONS:
             assert len(self.simulation.owners(partition)) == 1
@@ -193,6 +200,41 @@
         assert draining.name not in simulation.owners(partition)
 
 
+def test_owner_without_paths_to_servers_gives_the_placement_up() -> None:
+    """Guards against models that nobody loads, as orders are never relayed.
+
+    The other partitions stay, and the winner gets the placement back after the cut.
+    """
+    simulation = OwnershipSimulation()
+    simulation.settle(20.0, simulation.instances)
+    before = {name: simulation.owners(name) for name in PARTITIONS}
+    cut_off = next(n for n in simulation.instances if n.name in before[PLACEMENT])
+    simulation.change_reach(cut_off, is_cut_off=True)
+    simulation.settle(2.5, simulation.instances)
+    (owner,) = simulation.owners(PLACEMENT)
+    assert owner != cut_off.name
+    for _ in range(30):
+        simulation.settle(1.0, simulation.instances)
+        assert cut_off.name not in simulation.owners(PLACEMENT)
+    assert simulation.owners(PARTITIONS[0]) == before[PARTITIONS[0]]
+    simulation.change_reach(cut_off, is_cut_off=False)
+    simulation.settle(70.0, simulation.instances)
+    assert {name: simulation.owners(name) for name in PARTITIONS} == before
+
+
+def test_placement_without_an_instance_that_reaches_servers_is_free() -> None:
+    """Guards against a placement that stays free after a cut of the whole site."""
+    simulation = OwnershipSimulation()
+    simulation.settle(20.0, simulation.instances)
+    for instance in simulation.instances:
+        simulation.change_reach(instance, is_cut_off=True)
+    simulation.settle(10.0, simulation.instances)
+    assert simulation.owners(PLACEMENT) == []
+    simulation.change_reach(simulation.instances[0], is_cut_off=False)
+    simulation.settle(10.0, simulation.instances)
+    assert simulation.owners(PLACEMENT) == [simulation.instances[0].name]
+
+
 def test_joining_winner_gets_its_partitions() -> None:
     """Guards against owners that do not hand over to the rendezvous winner."""
     simulation = OwnershipSimulation(6)
