Test that a succeeded leader takes its key again after a return

Fails on: the leader is cut off from the store, its successor announces itself, and the store returns from a copy with the old leader's key, whose session goes on. The old leader goes on believing in the successor, and all others wait for it, so that nobody leads.

--- a/tests/builders_leadership.py
+++ b/tests/builders_leadership.py
@@ -14,6 +14,7 @@
 
 from siskinspool.core.member import Member, MembershipChanged
 from siskinspool.core.message import Message, Outgoing
+from siskinspool.feed.change_feed import REWRITE_GRACE_S
 from siskinspool.gateway.bounds import OrderBounds
 from siskinspool.gateway.leadership import LEADER_KEY, Leadership, StopLeading
 from siskinspool.gateway.leadership_term import LeadershipTerm
@@ -224,6 +225,9 @@
     position: int | None = None
     watch_era: int = 0
     revision_by_key: dict[str, int] = attrs.field(factory=dict)
+    value_by_key: dict[str, bytes] = attrs.field(factory=dict)
+    # Removals that a return has shown, with the times when they are reported.
+    held_removals: list[tuple[float, str, int]] = attrs.field(factory=list)
     member_by_id: dict[str, Member] = attrs.field(factory=dict)
 
     def learn_era(self, era: int) -> bool:
@@ -590,6 +594,10 @@
             return
         if process.position is None or process.watch_era != self.store.era:
             self._list(process)
+        due = [one for one in process.held_removals if one[0] <= self.now]
+        for one in due:
+            process.held_removals.remove(one)
+            self._report(process, one[1], None, one[2])
         assert process.position is not None
         for change in self.store.changes[process.position :]:
             if change.at + process.machine.lag_s > self.now:
@@ -598,16 +606,24 @@
             self._publish(process, change.key, change.value, change.revision)
 
     def _list(self, process: Process) -> None:
+        """List the keys; after a return, as `ChangeFeed` does."""
         process.learn_era(self.store.era)
         process.position = len(self.store.changes)
+        is_return = process.watch_era not in (0, self.store.era)
         process.watch_era = self.store.era
         known = dict(process.revision_by_key)
         for key, stored in self.store.stored_by_key.items():
             revision = make_revision(self.store.era, stored.number)
-            self._publish(process, key, stored.value, revision)
+            is_kept = process.value_by_key.get(key) == stored.value
+            if is_kept and number_of(known.get(key, 0)) == stored.number:
+                process.revision_by_key[key] = revision
+            else:
+                self._publish(process, key, stored.value, revision)
         for key in known.keys() - self.store.stored_by_key.keys():
             del process.revision_by_key[key]
-            self._report(process, key, None, known[key])
+            grace_s = REWRITE_GRACE_S if is_return else 0.0
+            removal = self.now + grace_s, key, self.store.revision
+            process.held_removals.append(removal)
         self._deliver(process, WatchListed("shared"))
 
     def _publish(
@@ -615,9 +631,13 @@
     ) -> None:
         if revision <= process.revision_by_key.get(key, 0):
             return
+        process.held_removals = [one for one in process.held_removals if one[1] != key]
         process.revision_by_key[key] = revision
         if value is None:
             del process.revision_by_key[key]
+            process.value_by_key.pop(key, None)
+        else:
+            process.value_by_key[key] = value
         self._report(process, key, value, revision)
 
     def _report(
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -547,3 +547,24 @@
     candidate.send(KvChanged(LEADER_KEY, None, 7))
     term = candidate.take(revision=8)
     assert term.from_s >= candidate.now + bounds().orders.lease_s
+
+
+def test_succeeded_leader_takes_the_key_that_a_return_has_given_back() -> None:
+    """Guards against a key whose holder believes that another has it.
+
+    The successor's key is lost with the return. The key of the copy is the one that
+    this instance knew last, so that no watch reports it.
+    """
+    leader = Candidate("g1")
+    leader.elect(make_revision(1, 5))
+    succeeded = LeaderSucceeded(make_revision(1, 90))
+    found = messages(leader.decision.handle(incoming(succeeded, "g2"), leader.now))
+    assert LeaderChanged("g2") in found
+    leader.now += 1.0
+    leader.renew(era=2)
+    leader.send(WatchListed("shared"))
+    swap = leader.attempt()
+    revision = make_revision(2, 5)
+    own = record("g1", era=1)
+    leader.send(KvConflict(swap.request_id, LEADER_KEY, own, revision))
+    assert leader.attempt().expected_revision == revision
