Let a succeeded leader read the key instead of trusting the announcement

The store's record of the key and the successor that has announced itself are kept apart. An own record without a term is written again, and the conflict shows the successor, or the swap takes back a key that a return of the store has restored.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -136,6 +136,8 @@
         self._is_key_listed = False
         self._holder: LeaderRecord | None = None
         self._revision = 0
+        # Has announced its term; the store has not reported it yet.
+        self._successor_id: str | None = None
         self._term: _Term | None = None
         # When the next attempt to take or to delete the key is due.
         self._attempt_at: float | None = None
@@ -181,8 +183,8 @@
                     batch = self._end_term("succeeded", successor_id)
                     # The store has not reported the successor. Requests of this
                     # instance are sent to it from now on, and a later term waits for
-                    # its orders.
-                    self._holder = LeaderRecord(successor_id, "")
+                    # its orders. An attempt to write the key again reads the key.
+                    self._successor_id = successor_id
                     self._succession.record_other(successor_id, era_of(epoch))
                     return batch + self._notify_leader()
             case LeadershipFenced(epoch):
@@ -246,9 +248,8 @@
 
     def status(self, now: float) -> Status:
         """Return the current leader and the epoch of the own term."""
-        holder = self._holder
         return {
-            "leader": None if holder is None else holder.instance_id,
+            "leader": self._leader_id(),
             "epoch": None if self._term is None else self._term.epoch,
         }
 
@@ -258,6 +259,7 @@
         if revision < self._revision:
             return []
         self._revision = revision
+        self._successor_id = None
         batch = self._enter_era(era_of(revision))
         self._holder = None if value is None else decode_record(value)
         if value is not None and self._holder is None:
@@ -470,10 +472,12 @@
         return self._to_store(KvDelete("leader-end", LEADER_KEY, revision))
 
     def _notify_leader(self) -> list[Outgoing]:
-        holder = self._holder
-        return self._notify(
-            LeaderChanged(None if holder is None else holder.instance_id)
-        )
+        return self._notify(LeaderChanged(self._leader_id()))
+
+    def _leader_id(self) -> str | None:
+        if self._successor_id is not None:
+            return self._successor_id
+        return None if self._holder is None else self._holder.instance_id
 
     def _notify(self, message: Message) -> list[Outgoing]:
         return [
