--- a/tests/test_order_permission.py
+++ b/tests/test_order_permission.py
@@ -25,6 +25,7 @@
 )
 from siskinspool.gateway.server_control import OrdersTask, ServerControl
 from siskinspool.gateway.servers import Holdings
+from siskinspool.links.server_link import HttpServerLink
 from siskinspool.platform.server_calls import PlatformServerControl
 from siskinspool.server_signals.observations import ServerStart
 
@@ -108,7 +109,7 @@
     """Return how an order ends that is given before some messages are handled."""
     dispatcher = Dispatcher("g1")
     control = SlowControl()
-    task = OrdersTask(dispatcher, SteppedClock(1.0), control)
+    task = OrdersTask(dispatcher, SteppedClock(1.0), control, HttpServerLink())
     sender = Address("g1", "leadership")
     given: tuple[Message, ...] = (LeadershipHeld(3, 0.0), order(port=1), *messages)
     for message in given:
