--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -60,6 +60,7 @@
     LeadershipLost,
     LeaderSucceeded,
 )
+from .store_outage import OUTAGE_SIGNAL_TTL_S, StoreOutage
 from .succession import Succession
 
 logger = logging.getLogger(__name__)
@@ -69,12 +70,6 @@
 # them find the key taken without a call.
 ATTEMPT_STEP_S: Final = 0.1
 RETRY_INTERVAL_S: Final = 0.5
-# While a leader is cut off from the store, a failed renewal is reported at least this
-# often.
-OUTAGE_SIGNAL_TTL_S: Final = 2.5
-# A successor is elected within seconds. An outage that lasts longer probably affects
-# the whole store, so a leader may continue up to this time.
-MAX_DETACHED_S: Final = 30.0
 
 
 @attrs.define
@@ -146,9 +141,7 @@
         self._is_request_pending = False
         self._last_attempt: _Attempt | None = None
         self._next_request = 0
-        # The last and the first unanswered store call of the present outage.
-        self._last_unanswered_at: float | None = None
-        self._first_unanswered_at: float | None = None
+        self._outage = StoreOutage()
         self._is_leaving = False
         # This instance has no path to the servers.
         self._is_cut_off = False
@@ -419,25 +412,17 @@
         return self._notify(LeadershipExtended(until, detached))
 
     def _can_continue_detached(self, now: float) -> bool:
-        if not self._bounds.orders.epochs_checked or self._last_unanswered_at is None:
-            return False
-        since = self._first_unanswered_at
-        return (
-            now - self._last_unanswered_at < OUTAGE_SIGNAL_TTL_S
-            and since is not None
-            and now - since < MAX_DETACHED_S
-        )
+        is_checked = self._bounds.orders.epochs_checked
+        return is_checked and self._outage.allows_detached_term(now)
 
     def _record_reachability(
         self, reachable: KvReachability, now: float
     ) -> list[Outgoing]:
         if reachable.is_reachable:
-            self._last_unanswered_at = self._first_unanswered_at = None
+            self._outage.record_answer()
             ended = self._enter_era(reachable.era)
             return ended + self._schedule_attempt(now) if ended else []
-        self._last_unanswered_at = now
-        if self._first_unanswered_at is None:
-            self._first_unanswered_at = now
+        self._outage.record_failure(now)
         return self._extend_term(now)
 
     def _handle_reply(self, reply: KvReply, now: float) -> list[Outgoing]:
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -9,7 +9,6 @@
 from siskinspool.gateway.leader_record import LeaderRecord, encode_record
 from siskinspool.gateway.leadership import (
     LEADER_KEY,
-    OUTAGE_SIGNAL_TTL_S,
     Leadership,
     StopLeading,
 )
@@ -21,6 +20,7 @@
     LeadershipLost,
     LeaderSucceeded,
 )
+from siskinspool.gateway.store_outage import OUTAGE_SIGNAL_TTL_S
 from siskinspool.gateway.succession import FIRST_START_S, FIRST_START_SPREAD_S
 from siskinspool.relay.relay_messages import ReachChanged
 from siskinspool.store.kv import (
