--- a/src/siskinspool/relay/server_paths.py
+++ b/src/siskinspool/relay/server_paths.py
@@ -109,7 +109,9 @@
         others = [
             member
             for member in member_by_id.values()
-            if member.instance_id != self._id and member.relay_port
+            if member.instance_id != self._id
+            and member.relay_port
+            and not member.draining
         ]
         self._near = tuple(one for one in others if one.zone == self._zone)
         self._far = tuple(one for one in others if one.zone != self._zone)
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from siskinspool.relay.server_paths import (
     ATTEMPT_INTERVAL_S,
     LOST_TTL_S,
@@ -108,6 +110,14 @@
     assert len(chosen) == 5
 
 
+def test_instances_that_are_stopping_are_not_asked() -> None:
+    """Guards against asking only instances that refuse new calls."""
+    stopping = attrs.evolve(relay_member("g2"), draining=True)
+    paths = server_paths(stopping, relay_member("g3"), relay_member("g4", "b"))
+    relays = paths.relays(S1, NOW)
+    assert [one.instance_id for one in relays] == ["g3", "g4"]
+
+
 def test_instances_without_a_relay_are_not_asked() -> None:
     """Guards against calls to an earlier build, or to itself."""
     paths = server_paths(relay_member("g2", relay_port=0), relay_member(OWN_ID))
