Show three faults of the paths to servers around the ends of partitions

- A gateway that is not seen as cut off has 0.5 s of relayed calls for each indirect server after the end: four servers were still indirect 1.2 s later.
- is_cut_off compares the last connection with the oldest indirect server, so one that is left over hides the next partitions: a gateway was not seen as cut off in six partitions within 28 s (no reach_changed line), and would have gone on leading.

The three new tests fail.

--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -207,3 +207,45 @@
     paths = isolated_paths()
     assert paths.pop_probe(NOW + UNUSED_TTL_S) is None
     assert not paths.is_isolated
+
+
+def test_indirect_servers_are_probed_at_once_after_one_is_back() -> None:
+    """Guards against detours that last longer the more servers there are."""
+    paths = server_paths(relay_member("g2"))
+    starts = [start_of(f"s{number}") for number in range(20)]
+    for start in starts:
+        paths.record_relayed(start, "g2", [], NOW + 2)
+        paths.record_connected(start_of("other"), NOW + 2)
+    assert len(paths) == len(starts)
+    assert not paths.is_cut_off
+    later = NOW + 3
+    while (probed := paths.pop_probe(later)) is not None:
+        paths.record_connected(probed, later)
+    assert len(paths) == 0
+
+
+def test_cut_is_found_beside_servers_that_were_indirect_before() -> None:
+    """Guards against a leader that keeps the leadership in a second partition.
+
+    A server that was found indirect in the first one has not been probed since.
+    """
+    paths = server_paths(relay_member("g2"))
+    paths.record_relayed(S1, "g2", [], NOW)
+    paths.record_connected(S3, NOW + 1)
+    paths.record_relayed(S2, "g2", [], NOW + 2)
+    assert not paths.is_cut_off
+    paths.record_relayed(S3, "g2", [], NOW + 2)
+    assert paths.is_cut_off
+
+
+def test_call_that_began_before_a_connection_shows_no_cut() -> None:
+    """Guards against a cut that begins anew at its end.
+
+    Calls through others are under way when a probe connects.
+    """
+    paths = cut_off_paths()
+    paths.record_connected(S1, NOW + 1)
+    for start in (S1, S2, S3):
+        assert not paths.record_relayed(start, "g2", [], NOW + 1.1, began_at=NOW + 0.9)
+    assert not paths.is_cut_off
+    assert paths.goes_direct(S1)
