Judge a partition by what was found since the last direct connection

An instance is cut off if two servers were found indirect since its last direct connection, whatever is left over from before. Relayed connections of calls that began before that connection are not counted.

--- a/src/siskinspool/relay/relaying_link.py
+++ b/src/siskinspool/relay/relaying_link.py
@@ -76,7 +76,7 @@
             if not self._paths.record_failed(start, self._clock.now()):
                 return self._failed(connection)
             failure = connection
-        relayed = self._open_relayed(start, began_at + timeout_s)
+        relayed = self._open_relayed(start, began_at, began_at + timeout_s)
         if relayed is None:
             self._notify(self._paths.record_lost_server(start, self._clock.now()))
             return self._failed(failure)
@@ -89,6 +89,7 @@
 
     def has_lost_path(self, start: ServerStart) -> bool:
         """Return whether this instance does not reach a server that others reach."""
+        began_at = self._clock.now()
         if self._paths.goes_direct(start):
             endpoint = Endpoint(host=start.host, port=start.port)
             sock = connect_directly(endpoint, CHECK_TIMEOUT_S)
@@ -99,7 +100,8 @@
         now = self._clock.now()
         if self._paths.is_lost(start, now):
             return False
-        relayed = self._open_relayed(start, now + MAX_RELAYS_PER_CALL * RELAY_TIMEOUT_S)
+        until = now + MAX_RELAYS_PER_CALL * RELAY_TIMEOUT_S
+        relayed = self._open_relayed(start, began_at, until)
         if relayed is None:
             self._notify(self._paths.record_lost_server(start, self._clock.now()))
             return False
@@ -107,7 +109,7 @@
         return True
 
     def _open_relayed(
-        self, start: ServerStart, until: float
+        self, start: ServerStart, began_at: float, until: float
     ) -> tuple[Member, RelayedSocket] | None:
         """Return a connection through another instance; None if none can connect."""
         unable_ids: list[str] = []
@@ -121,7 +123,7 @@
             now = self._clock.now()
             if isinstance(opened, RelayedSocket):
                 is_new = self._paths.record_relayed(
-                    start, relay.instance_id, unable_ids, now
+                    start, relay.instance_id, unable_ids, now, began_at=began_at
                 )
                 self._notify(is_new)
                 return relay, opened
--- a/src/siskinspool/relay/server_paths.py
+++ b/src/siskinspool/relay/server_paths.py
@@ -22,6 +22,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Mapping
@@ -65,7 +66,6 @@
     """A server that only other instances reach; times in seconds."""
 
     start: ServerStart
-    found_at: float
     used_at: float
 
 
@@ -91,6 +91,8 @@
         self._avoidance_by_id: dict[str, _Avoidance] = {}
         # The least recently used first.
         self._indirect_by_id: OrderedDict[str, _IndirectServer] = OrderedDict()
+        # Those that were found since the last direct connection.
+        self._found_ids: set[str] = set()
         self._connected_at = float("-inf")
         self._failures = 0
         # Until when a server counts as lost; the first to end first.
@@ -120,10 +122,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether this instance has no direct path to the servers."""
-        if len(self._indirect_by_id) < MIN_INDIRECT_OF_CUT:
-            return False
-        found_at = min(one.found_at for one in self._indirect_by_id.values())
-        return self._connected_at < found_at
+        return len(self._found_ids) >= MIN_INDIRECT_OF_CUT
 
     @property
     def is_isolated(self) -> bool:
@@ -191,19 +190,31 @@
         """Record a direct connection; return whether any path has changed."""
         was_cut_off = self.is_cut_off
         self._connected_at = now
+        self._found_ids.clear()
         self._failures = 0
         self._lost_start_by_id.clear()
         if was_cut_off:
             self._indirect_by_id.clear()
             return True
-        return self._indirect_by_id.pop(start.server_id, None) is not None
+        if self._indirect_by_id.pop(start.server_id, None) is None:
+            return False
+        # The others are probably back, too.
+        self._probe_at = now
+        return True
 
     def record_relayed(
-        self, start: ServerStart, relay_id: str, failed_ids: list[str], now: float
+        self,
+        start: ServerStart,
+        relay_id: str,
+        failed_ids: list[str],
+        now: float,
+        *,
+        began_at: float = math.inf,
     ) -> bool:
         """Record a connection through another instance; return whether it is news.
 
-        ``failed_ids`` are the instances that could not connect before.
+        ``failed_ids`` are the instances that could not connect before. A call that
+        began before the last direct connection does not show that the path is lost.
         """
         self.relayed_count += 1
         self._lost_start_by_id.clear()
@@ -215,9 +226,13 @@
             known.used_at = now
             self._indirect_by_id.move_to_end(start.server_id)
             return False
-        self._indirect_by_id[start.server_id] = _IndirectServer(start, now, now)
+        if began_at < self._connected_at:
+            return False
+        self._found_ids.add(start.server_id)
+        self._indirect_by_id[start.server_id] = _IndirectServer(start, now)
         if len(self._indirect_by_id) > MAX_INDIRECT:
-            self._indirect_by_id.popitem(last=False)
+            server_id, _ = self._indirect_by_id.popitem(last=False)
+            self._found_ids.discard(server_id)
         return True
 
     def record_lost_relay(self, relay_id: str, now: float) -> None:
@@ -274,4 +289,5 @@
             oldest = next(iter(self._indirect_by_id.values()))
             if now - oldest.used_at < UNUSED_TTL_S:
                 return
-            self._indirect_by_id.popitem(last=False)
+            server_id, _ = self._indirect_by_id.popitem(last=False)
+            self._found_ids.discard(server_id)
