--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -6,7 +6,11 @@
 
 from siskinspool.core.message import Message
 from siskinspool.gateway.bounds import OrderBounds
-from siskinspool.gateway.leader_record import LeaderRecord, encode_record
+from siskinspool.gateway.leader_record import (
+    LeaderRecord,
+    decode_record,
+    encode_record,
+)
 from siskinspool.gateway.leadership import (
     LEADER_KEY,
     OUTAGE_SIGNAL_TTL_S,
@@ -568,3 +572,24 @@
     own = record("g1", era=1)
     leader.send(KvConflict(swap.request_id, LEADER_KEY, own, revision))
     assert leader.attempt().expected_revision == revision
+
+
+def test_key_is_written_again_if_a_wait_has_become_necessary() -> None:
+    """Guards against a record that lets a later process order without the wait."""
+    orders = OrderBounds(lease_s=3.0, epochs_checked=False)
+    candidate = Candidate(orders=orders)
+    candidate.elect(revision=5)
+    candidate.send(SessionGone())
+    candidate.now += 2.8
+    candidate.renew()
+    candidate.send(KvChanged(LEADER_KEY, None, 40))
+    late = candidate.attempt()
+    assert decode_record(late.value) == LeaderRecord("g1", "g1-1")
+    candidate.now += 0.9
+    found = candidate.send(KvSwapped(late.request_id, LEADER_KEY, 41))
+    assert not any(isinstance(one, LeadershipHeld) for one in found)
+    again = candidate.attempt()
+    assert again.expected_revision == 41
+    assert decode_record(again.value) == LeaderRecord("g1", "g1-1", is_waiting=True)
+    term = held(candidate.send(KvSwapped(again.request_id, LEADER_KEY, 42)))
+    assert term.from_s >= candidate.now + orders.lease_s
