Let a relay that could not connect lately say so

A gateway that is cut off itself had paused its servers and answered "the server is not open", so the one that asked did not avoid it. The pause after a failed connection now counts as unable.

--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -409,8 +409,11 @@
         view = self._views.by_id.get(query.server_id)
         if view is None or not query.is_about(view.start):
             return RelayDenied("the server is not known")
-        if not view.is_open(now) or view.record.zone in self._views.evacuated_zones:
+        is_evacuated = view.record.zone in self._views.evacuated_zones
+        if is_evacuated or now < view.opens_at(now):
             return RelayDenied("the server is not open")
+        if not view.is_open(now):
+            return RelayDenied("no connection lately", is_unable=True)
         self._views.signals.record_sent(view.start, now)
         return RelayGranted(view.record.host, view.record.port)
 
--- a/src/siskinspool/relay/relay_listener.py
+++ b/src/siskinspool/relay/relay_listener.py
@@ -129,7 +129,8 @@
         """Answer the caller's opening frame; return the connection to the server."""
         permission = self._permission(opening)
         if isinstance(permission, RelayDenied):
-            self._refuse(caller, opening, permission.reason)
+            is_unable = permission.is_unable
+            self._refuse(caller, opening, permission.reason, is_unable=is_unable)
             return None
         server = _connect(permission)
         if server is None:
--- a/src/siskinspool/relay/relay_messages.py
+++ b/src/siskinspool/relay/relay_messages.py
@@ -46,6 +46,8 @@
     """The server must not get a request from this instance."""
 
     reason: str
+    # This instance could not connect a moment ago, which may be its own fault.
+    is_unable: bool = False
 
 
 @attrs.frozen
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -508,6 +508,17 @@
     assert isinstance(harness.send(QUERY)[0], RelayDenied)
 
 
+def test_relay_that_could_not_connect_says_so() -> None:
+    """Guards against asking an instance that is cut off, too, before each call."""
+    harness = RoutingHarness()
+    harness.send(server("w1", "m0"))
+    harness.request("r1")
+    harness.end_attempt("r1", "w1", AttemptResult.NOT_SENT)
+    (denied,) = harness.send(QUERY)
+    assert isinstance(denied, RelayDenied)
+    assert denied.is_unable
+
+
 @pytest.mark.parametrize(
     "signal",
     [
