--- a/src/siskinspool/gateway/routing.py
+++ b/src/siskinspool/gateway/routing.py
@@ -34,13 +34,8 @@
 from ..fairness.server_places import StatedLoad
 from ..fairness.usage_messages import TeamUsageReport
 from ..fairness.waiting_order import WaitingEntry
-from ..relay.relay_messages import (
-    RelayDenied,
-    RelayedSignal,
-    RelayGranted,
-    RelayQuery,
-)
-from ..server_signals.observations import Observation, observation
+from ..relay.relay_messages import RelayedSignal, RelayQuery
+from ..server_signals.observations import Observation
 from ..telemetry.logs import log_event
 from .bounds import Bounds
 from .choice_explanation import ExplainChoice
@@ -64,6 +59,7 @@
     ServerAssigned,
     ServerBlocked,
 )
+from .relay_requests import RelayRequests
 from .requester_tracker import RequesterTracker, pop_fresh_reach, requests_waiting_for
 from .scheduling_settings import SchedulingSettings
 from .server_candidates import ServerCandidates
@@ -121,6 +117,7 @@
         self._id = instance_id
         self._retry_budget = SharedRetryBudget(bounds.retry)
         self._views = ServerViews(instance_id, bounds)
+        self._relay_requests = RelayRequests(self._views)
         rng = rng or random.Random(instance_id)
         self._candidates = ServerCandidates(
             self._views, selection_for(scheduling, zone, rng), scheduling.adaptive_pace
@@ -165,9 +162,11 @@
                     )
                 return self._on_answer_head(received.observation, now)
             case RelayQuery() as query:
-                return [Outgoing(incoming.sender, self._answer_query(query, now))]
+                answer = self._relay_requests.answer(query, now)
+                return [Outgoing(incoming.sender, answer)]
             case RelayedSignal() as signal:
-                return self._on_relayed_signal(signal, now)
+                stated = self._relay_requests.stated(signal, now)
+                return [] if stated is None else self._on_answer_head(stated, now)
             case GetWork():
                 return [Outgoing(incoming.sender, self._observe_work())]
             case AttemptEnded() as ended:
@@ -402,34 +401,6 @@
         batch = [Outgoing(Address(self._id, PLACEMENT_TASK), blocked)]
         return batch + self._refuse_paused(now) + self._serve_waiting(now)
 
-    def _answer_query(
-        self, query: RelayQuery, now: float
-    ) -> RelayGranted | RelayDenied:
-        """Return whether another gateway's request may go out from here."""
-        view = self._views.by_id.get(query.server_id)
-        if view is None or not query.is_about(view.start):
-            return RelayDenied("the server is not known")
-        is_evacuated = view.record.zone in self._views.evacuated_zones
-        if is_evacuated or now < view.opens_at(now):
-            return RelayDenied("the server is not open")
-        if not view.is_open(now):
-            return RelayDenied("no connection lately", is_unable=True)
-        self._views.signals.record_sent(view.start, now)
-        return RelayGranted(view.record.host, view.record.port)
-
-    def _on_relayed_signal(self, signal: RelayedSignal, now: float) -> list[Outgoing]:
-        """Handle what a server has stated to this gateway in a relayed answer."""
-        view = self._views.by_id.get(signal.server_id)
-        if view is None or view.start.born_ms != signal.born_ms:
-            return []
-        stated = observation(
-            view.start,
-            now,
-            is_leaving=signal.is_leaving,
-            retry_after_s=signal.retry_after_s,
-        )
-        return self._on_answer_head(stated, now)
-
     def _refuse_paused(self, now: float) -> list[Outgoing]:
         """Refuse the waiting requests that no server can take in time."""
         waiting_requests = list(self._requesters.waiting_by_id.values())
