Begin the term by the first write of the key if its record is right

An answer always takes time, so a leader that need not wait wrote its key over and over, for as long as it need not wait (2 s at the first start), and led only after that, with a wait. The key is now written again only if a wait is due that the record does not state.

Found on reading the diff; the decisions' tests answered without delay. test_leader_leads_by_its_first_write failed on the commit before for answers after 4 ms and 0.4 s.

--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -356,9 +356,9 @@
             wait_s = self._succession.remaining_s(predecessor.orders_from_s, now)
         else:
             wait_s = self._succession.wait_from_s(basis, now)
-        if attempt is not None and wait_s > attempt.record.orders_from_s - now:
-            # The wait has become necessary since the write. The next process on this
-            # machine reads it from the record, which is therefore written again first.
+        if predecessor is None and self._hides_wait(wait_s, now):
+            # The next process on this machine reads the wait from the record, which is
+            # therefore written again first.
             self._ended_epoch = epoch
             return self._schedule_attempt(now)
         last_holder_id = self._succession.last_holder_id
@@ -381,6 +381,16 @@
             self._succession.record_held(epoch, attempt.sent_at)
         return batch + self._extend_term(now)
 
+    def _hides_wait(self, wait_s: float, now: float) -> bool:
+        """Return whether the own record states an earlier first order than is due.
+
+        The wait may have become necessary since the write.
+        """
+        attempt = self._last_attempt
+        if attempt is None or wait_s == 0.0:
+            return False
+        return attempt.record.orders_from_s < now + wait_s
+
     def _record_renewal(self, renewed: SessionRenewed) -> list[Outgoing]:
         self._session.record_renewal(renewed)
         batch = self._enter_era(renewed.era)
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -819,3 +819,29 @@
     assert orders_from_s(again) >= candidate.now + orders.lease_s
     term = held(candidate.send(KvSwapped(again.request_id, LEADER_KEY, 42)))
     assert term.from_s >= candidate.now + orders.lease_s
+
+
+@pytest.mark.parametrize("answer_s", [0.004, 0.4])
+def test_leader_leads_by_its_first_write(answer_s: float) -> None:
+    """Guards against a key that is written again and again, as each answer takes time.
+
+    The store would get a write for each answer, and nobody would lead.
+    """
+    first = Candidate()
+    first.renew()
+    first.send(WatchListed("shared"))
+    restarted = Candidate("g1", "2", first_start=False)
+    restarted.renew()
+    restarted.send(KvChanged(LEADER_KEY, record("g1", "1"), 6))
+    restarted.send(WatchListed("shared"))
+    successor = Candidate("g3")
+    successor.renew()
+    successor.send(KvChanged(LEADER_KEY, record("g2"), 6))
+    successor.send(WatchListed("shared"))
+    successor.send(KvChanged(LEADER_KEY, None, 7))
+    for candidate in (first, restarted, successor):
+        swap = candidate.attempt()
+        candidate.now += answer_s
+        found = candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 8))
+        assert held(found).epoch == 8
+        assert candidate.decision.wake_at() is None
