Wait after a machine's restart only for what was left at the write

Cause: after a loss of power of all machines the clock of each begins anew.

Change: the record states when it was written; a time before that means that the clock has begun anew, and what was left at the write counts. No wait exceeds the longest that any basis states.

Measured: the new test fails before and passes now; the unit tests pass.

--- a/src/siskinspool/gateway/leader_record.py
+++ b/src/siskinspool/gateway/leader_record.py
@@ -23,9 +23,10 @@
     incarnation: str
     # Records of earlier builds state none.
     era: int = 0
-    # When the orders of all holders before it are old enough, in seconds on its
-    # machine's clock.
+    # On its machine's clock in seconds: when the orders of all holders before it are
+    # old enough, and when the record was written.
     orders_from_s: float = 0.0
+    written_at_s: float = 0.0
 
     def is_of(self, member: Member) -> bool:
         """Return whether this process of a member has written the record."""
@@ -51,12 +52,17 @@
     incarnation: str
     era: int = 0
     orders_from_s: float = 0.0
+    written_at_s: float = 0.0
 
 
 def encode_record(record: LeaderRecord) -> bytes:
     """Return the value of the leader's key."""
     encoded = _Record(
-        record.instance_id, record.incarnation, record.era, record.orders_from_s
+        record.instance_id,
+        record.incarnation,
+        record.era,
+        record.orders_from_s,
+        record.written_at_s,
     )
     return msgspec.json.encode(encoded)
 
@@ -68,5 +74,9 @@
     except MALFORMED_ERRORS:
         return None
     return LeaderRecord(
-        record.instance_id, record.incarnation, record.era, record.orders_from_s
+        record.instance_id,
+        record.incarnation,
+        record.era,
+        record.orders_from_s,
+        record.written_at_s,
     )
--- a/src/siskinspool/gateway/leadership.py
+++ b/src/siskinspool/gateway/leadership.py
@@ -224,6 +224,7 @@
             self._own.incarnation,
             self._era,
             self._orders_from_s(predecessor, now),
+            now,
         )
         self._last_attempt = _Attempt(own, now, predecessor)
         swap = KvSwap(
@@ -245,7 +246,7 @@
     def _orders_from_s(self, predecessor: LeaderRecord | None, now: float) -> float:
         """Return when the orders of others are old enough if the key is taken."""
         if predecessor is not None:
-            return now + self._succession.remaining_s(predecessor.orders_from_s, now)
+            return now + self._succession.remaining_s(predecessor, now)
         epoch = make_revision(self._era, 0)
         basis = self._succession.basis(
             epoch, self._member_ids, now, follows_predecessor=False
@@ -353,7 +354,7 @@
             follows_predecessor=predecessor is not None,
         )
         if predecessor is not None:
-            wait_s = self._succession.remaining_s(predecessor.orders_from_s, now)
+            wait_s = self._succession.remaining_s(predecessor, now)
         else:
             wait_s = self._succession.wait_from_s(basis, now)
         if predecessor is None and self._hides_wait(wait_s, now):
--- a/src/siskinspool/gateway/succession.py
+++ b/src/siskinspool/gateway/succession.py
@@ -23,6 +23,7 @@
 
 from ..store.revision import era_of
 from .bounds import OrderBounds
+from .leader_record import LeaderRecord
 
 # Allows for the network delay of the last holder's last order.
 WAIT_MARGIN_S: Final = 0.1
@@ -186,10 +187,14 @@
         wait_s = self.wait_from_s(basis, now)
         return wait_s + self.session_ttl_s if wait_s else 0.0
 
-    def remaining_s(self, orders_from_s: float, now: float) -> float:
+    def remaining_s(self, predecessor: LeaderRecord, now: float) -> float:
         """Return how long an earlier process on this machine would still have to wait.
 
-        If the machine has started anew, its clock has as well, and the time is unknown.
+        If the machine has started anew, its clock has as well. The time since the write
+        is then unknown, and what was left at the write counts.
         """
-        longest_s = self.orders.lease_s + 2 * self.session_ttl_s
-        return min(max(orders_from_s - now, 0.0), longest_s)
+        has_restarted = now < predecessor.written_at_s
+        since = predecessor.written_at_s if has_restarted else now
+        left_s = max(predecessor.orders_from_s - since, 0.0)
+        # The longest wait, if it had begun only now.
+        return min(left_s, self.wait_s(Basis.RETURNED))
--- a/tests/test_gateway_leadership.py
+++ b/tests/test_gateway_leadership.py
@@ -845,3 +845,21 @@
         found = candidate.send(KvSwapped(swap.request_id, LEADER_KEY, 8))
         assert held(found).epoch == 8
         assert candidate.decision.wake_at() is None
+
+
+@pytest.mark.parametrize(("left_s", "owed_s"), [(0.0, 0.0), (2.0, 2.0), (9.0, 3.1)])
+def test_leader_whose_machine_has_started_anew_waits_for_what_was_left(
+    left_s: float, owed_s: float
+) -> None:
+    """Guards against seconds without orders after a loss of power.
+
+    The machine's clock has begun anew, so times in the record lie in its future.
+    """
+    candidate = Candidate("g1", "2", first_start=False)
+    written_at_s = candidate.now + 500.0
+    before = LeaderRecord("g1", "g1-1", 0, written_at_s + left_s, written_at_s)
+    candidate.renew()
+    candidate.send(KvChanged(LEADER_KEY, encode_record(before), 6))
+    candidate.send(WatchListed("shared"))
+    term = candidate.take(revision=7)
+    assert term.from_s - candidate.now == pytest.approx(owed_s)
