Log what a busy or late task takes, and why an order failed

Change: each task measures how late its wake-ups are, and a deciding task its processor time; a task that takes a tenth of a core or wakes a quarter of a second late logs one line task_load a second. Both are gauges too. An order that fails names the reason of its call in order_failed.

--- a/src/siskinspool/core/task.py
+++ b/src/siskinspool/core/task.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Final
@@ -22,6 +23,7 @@
 from .errors import InvariantError
 from .message import Address, Incoming, Message, Outgoing
 from .status import GaugesReply, GetGauges, GetStatus, StatusReply
+from .task_load import TaskLoad
 
 logger = logging.getLogger(__name__)
 
@@ -35,6 +37,7 @@
         self.name = name
         self.dispatcher = dispatcher
         self.clock = clock
+        self.load = TaskLoad(name)
         self._queue: Queue[Incoming | None] = Queue(INBOX_CAPACITY_MESSAGES)
         self._greenlet: gevent.Greenlet[..., None] | None = None
         dispatcher.register(name, self)
@@ -77,9 +80,12 @@
 
     def _run(self) -> None:
         while True:
+            due = self.wake_at()
             try:
-                incoming = self._queue.get(timeout=self._wait_s())
+                incoming = self._queue.get(timeout=self._wait_s(due))
             except Empty:
+                if due is not None:
+                    self.load.record_wake(self.clock.now() - due)
                 self._on_time_guarded()
                 continue
             if incoming is None:
@@ -89,8 +95,7 @@
             if wake_at is not None and wake_at <= self.clock.now():
                 self._on_time_guarded()
 
-    def _wait_s(self) -> float | None:
-        wake_at = self.wake_at()
+    def _wait_s(self, wake_at: float | None) -> float | None:
         if wake_at is None:
             return None
         # Avoids a busy loop if on_time does not advance a wake-up time in the past.
@@ -150,20 +155,31 @@
         if answer is not None:
             self.dispatcher.send(self.address, Outgoing(incoming.sender, answer))
             return
+        self.load.record_message()
+        began_s = time.thread_time()
         batch = self.decision.handle(incoming, self.clock.now())
+        self._record_work(began_s)
         self.dispatcher.send_all(self.address, batch)
 
+    def _record_work(self, began_s: float) -> None:
+        """Add the processor time since ``began_s``; a decision never yields."""
+        processor_s = time.thread_time() - began_s
+        queued = self._queue.qsize()
+        self.load.record_work(processor_s, self.clock.now(), queued)
+
     def _build_inspection_reply(self, query: Message) -> Message | None:
         match query:
             case GetStatus():
                 return StatusReply(self.decision.status(self.clock.now()))
             case GetGauges():
-                return GaugesReply(self.decision.gauges())
+                return GaugesReply(self.decision.gauges() | self.load.gauges())
         return None
 
     def on_time(self) -> None:
         """Run the decision's due work and send its output."""
+        began_s = time.thread_time()
         batch = self.decision.on_time(self.clock.now())
+        self._record_work(began_s)
         self.dispatcher.send_all(self.address, batch)
 
     def wake_at(self) -> float | None:
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -75,10 +75,10 @@
             body,
             lambda: self._clock.now() < order.until_s and may_send(),
         )
-        if isinstance(answer, NotSent):
-            return OrderResult.NOT_SENT
-        if isinstance(answer, Lost):
-            return OrderResult.UNKNOWN
+        if isinstance(answer, NotSent | Lost):
+            _log_failed_order(order, answer.reason)
+            is_sent = isinstance(answer, Lost)
+            return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT
         answer.close()
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
 
@@ -136,5 +136,18 @@
             self.report_signals(stated)
 
 
+def _log_failed_order(order: ServerOrder, reason: str) -> None:
+    log_event(
+        logger,
+        logging.WARNING,
+        "order_failed",
+        server=order.server_id,
+        kind=order.kind,
+        model=order.model,
+        epoch=order.epoch,
+        reason=reason,
+    )
+
+
 def _log_unreadable_report(server_id: str, reason: str) -> None:
     log_event(logger, logging.WARNING, "report_unread", server=server_id, reason=reason)
