--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -34,9 +34,9 @@
     RequestersReport,
     ServerOrder,
 )
-from .placement_choice import ServiceFleet
 from .server_times import REPORT_LAG_S
 from .servers import ServerRecord, ServerRemoved, ServerState, ZoneEvacuated
+from .service_fleet import ServiceFleet
 from .shortage import Shortages
 from .store_limit import StoreLoads
 
--- a/src/siskinspool/gateway/order_planner.py
+++ b/src/siskinspool/gateway/order_planner.py
@@ -17,8 +17,8 @@
 from .leadership_term import OrderPermit
 from .managed_server import ManagedServer
 from .messages import OrderKind, ServerOrder
-from .placement_choice import ServiceFleet
 from .placement_plan import PlacementPlan
+from .service_fleet import ServiceFleet
 from .token_bucket import TokenBucket
 
 # Loads that may start at once; see `_load_bucket`.
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -40,7 +40,7 @@
     ServerBlocked,
 )
 from .order_planner import OrderPlanner
-from .placement_choice import ServiceFleet
+from .placement_choice import choose_server, find_sooner_choice
 from .placement_log import PlacementLog
 from .placement_plan import PlacementPlan
 from .plan_moves import plan_moves
@@ -49,6 +49,7 @@
 from .scheduling_settings import SchedulingSettings
 from .server_orders import ServerOrders
 from .servers import RegistryListed
+from .service_fleet import ServiceFleet
 
 logger = logging.getLogger(__name__)
 
@@ -205,7 +206,7 @@
             batch: list[Outgoing] = []
             sooner = None
             if server.loading_model != model:
-                sooner = fleet.find_sooner_choice(server, plan, now)
+                sooner = find_sooner_choice(fleet, server, plan, now)
             if sooner is not None:
                 server.plans.remove(plan)
                 self._orders.add_plan(fleet, plan, sooner, "sooner", now)
@@ -218,8 +219,8 @@
             for server in fleet.servers
             if not server.holds_model(model) and server.loading_model != model
         ]
-        choice = fleet.choose(
-            fleet.engine.model_by_name[model], servers, now, request.waiting
+        choice = choose_server(
+            fleet, fleet.engine.model_by_name[model], servers, now, request.waiting
         )
         if choice is None:
             log_event(logger, logging.WARNING, "model_has_no_room", model=model)
--- a/src/siskinspool/gateway/placement_log.py
+++ b/src/siskinspool/gateway/placement_log.py
@@ -10,9 +10,9 @@
 from ..telemetry.logs import log_event
 from .managed_server import ManagedServer
 from .messages import OrderEnded, OrderKind, ServerOrder
-from .placement_choice import ServiceFleet
 from .placement_plan import PlacementPlan
 from .server_choice import ServerChoice
+from .service_fleet import ServiceFleet
 from .shortage import Shortages
 
 logger = logging.getLogger(__name__)
--- a/src/siskinspool/gateway/plan_moves.py
+++ b/src/siskinspool/gateway/plan_moves.py
@@ -13,9 +13,10 @@
 
 from .fleet_copies import FleetCopies
 from .managed_server import ManagedServer
-from .placement_choice import ServiceFleet
+from .placement_choice import find_idle_choice, find_sooner_choice
 from .placement_plan import PlacementPlan
 from .server_choice import ServerChoice
+from .service_fleet import ServiceFleet
 
 
 @attrs.frozen
@@ -34,7 +35,7 @@
     for server, plan in fleet.store_queue.due_plans_on_busy_servers(now):
         if not _is_unstarted(server, plan):
             continue
-        choice = fleet.find_idle_choice(plan, now)
+        choice = find_idle_choice(fleet, plan, now)
         if choice is not None:
             yield PlanMove(server, plan, choice, "server_busy")
     # A copy on a server that is briefly silent is of no use now.
@@ -47,7 +48,7 @@
             or not copies.count(plan.model)
         ):
             continue
-        choice = fleet.find_sooner_choice(server, plan, now)
+        choice = find_sooner_choice(fleet, server, plan, now)
         if choice is not None and not choice.server.needs_store(plan.model):
             yield PlanMove(server, plan, choice, "copy_there")
 
--- a/src/siskinspool/gateway/preload.py
+++ b/src/siskinspool/gateway/preload.py
@@ -11,10 +11,11 @@
 
 import attrs
 
-from .placement_choice import ServiceFleet
+from .placement_choice import choose_server
 from .placement_plan import PlacementPlan
 from .replica_candidates import OVERLOAD_TOKENS_PER_S, ReplicaCandidates
 from .server_choice import ServerChoice
+from .service_fleet import ServiceFleet
 from .weight_store_queue import QUIET_TOKENS_PER_S
 
 # A preload of a model without a copy may cost at most this much in evictions.
@@ -90,7 +91,8 @@
         if model is None or not queue.is_next(model, now):
             return None
         idle = [server for server in fleet.servers if server.is_idle]
-        choice = fleet.choose(fleet.engine.model_by_name[model], idle, now, waiting=1)
+        spec = fleet.engine.model_by_name[model]
+        choice = choose_server(fleet, spec, idle, now, waiting=1)
         if choice is None:
             return None
         return PlannedPreload(
@@ -131,7 +133,7 @@
         # Counted as one waiting request, because the next requester would have to wait
         # for the whole load.
         spec = fleet.engine.model_by_name[model]
-        choice = fleet.choose(spec, idle, now, waiting=1)
+        choice = choose_server(fleet, spec, idle, now, waiting=1)
         if choice is None or choice.eviction_cost_s > MAX_COPY_COST_S:
             return None
         return PlannedPreload(
@@ -187,6 +189,6 @@
         )
     ]
     in_other_zones = [s for s in candidates if s.record.zone not in zones]
-    return fleet.choose(
-        fleet.engine.model_by_name[model], in_other_zones or candidates, now
+    return choose_server(
+        fleet, fleet.engine.model_by_name[model], in_other_zones or candidates, now
     )
--- a/src/siskinspool/gateway/replica_candidates.py
+++ b/src/siskinspool/gateway/replica_candidates.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection
 from typing import Final
 
-from .placement_choice import ServiceFleet
+from .service_fleet import ServiceFleet
 
 # Prompt tokens per second of each replica above which another is added. Requests start
 # to queue well below the rate at which a server processes prompts.
--- a/src/siskinspool/gateway/server_orders.py
+++ b/src/siskinspool/gateway/server_orders.py
@@ -28,11 +28,12 @@
     ServerOrder,
 )
 from .order_planner import NextStep, OrderDue, OrderPlanner, PlanVoid, PlanWaits
-from .placement_choice import ServiceFleet
+from .placement_choice import choose_server
 from .placement_log import PlacementLog, log_order_result
 from .placement_plan import PlacementPlan
 from .server_choice import ServerChoice
 from .server_times import SILENCE_S
+from .service_fleet import ServiceFleet
 
 
 class ServerOrders:
@@ -131,7 +132,7 @@
             # A later desired state has removed the model.
             return []
         servers = [s for s in fleet.servers if plan.model not in s.planned_models()]
-        choice = fleet.choose(spec, servers, now, plan.waiting_requests)
+        choice = choose_server(fleet, spec, servers, now, plan.waiting_requests)
         if choice is None:
             return []
         self.add_plan(fleet, plan, choice, "plan_void", now)
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -8,7 +8,6 @@
 from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.managed_site import JOIN_SETTLE_S, LAPSED_SERVER_TTL_S
 from siskinspool.gateway.messages import OrderKind, OrderResult, ServerOrder
-from siskinspool.gateway.placement_choice import ServiceFleet
 from siskinspool.gateway.plan_moves import plan_moves
 from siskinspool.gateway.servers import ServerRemoved
 
@@ -171,8 +170,7 @@
     harness.request("m9", reach_s=(30.0,))
     compared: list[str] = []
     monkeypatch.setattr(
-        ServiceFleet,
-        "find_sooner_choice",
+        "siskinspool.gateway.plan_moves.find_sooner_choice",
         lambda fleet, server, target, now: compared.append(""),
     )
     fleet = harness.decision._site.fleets(harness.now)[0]
--- a/tests/test_gateway_placement_plans.py
+++ b/tests/test_gateway_placement_plans.py
@@ -13,10 +13,10 @@
     OrderResult,
     ServerOrder,
 )
-from siskinspool.gateway.placement_choice import ServiceFleet
 from siskinspool.gateway.placement_plan import PlacementPlan
 from siskinspool.gateway.plan_moves import plan_moves
 from siskinspool.gateway.servers import ZoneEvacuated
+from siskinspool.gateway.service_fleet import ServiceFleet
 
 from .builders_gateway import desired_state, engine, holdings, server
 from .builders_placement_harness import PlacementHarness, orders
