Price only the servers that can win the choice for a model

Cause: for each placement request the leader priced all servers of the service.

Change: servers are priced in the order of the least time that they need, and no more of them once that time exceeds the lowest cost. A plan is compared with other servers only if one of them can be ready sooner at all. The result is the same server.

--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import Final
 
@@ -69,7 +70,11 @@
     if expected_s < MIN_TIME_GAIN_S or len(others) < len(fleet.servers) - 1:
         return None
     spec = fleet.engine.model_by_name[model]
-    choice = choose_server(fleet, spec, others, now, plan.waiting_requests)
+    comparison = ServerComparison(fleet, spec, plan.waiting_requests, now)
+    least_s = min(map(comparison.least_ready_s, others), default=math.inf)
+    if least_s + MIN_TIME_GAIN_S > expected_s:
+        return None
+    choice = comparison.cheapest(others)
     if choice is None or choice.ready_in_s + MIN_TIME_GAIN_S > expected_s:
         return None
     return choice
@@ -104,21 +109,45 @@
     # Number of requests that the demand does not include yet.
     _waiting: int
     _now: float
+    # Number of servers whose costs have been computed.
+    priced_servers: int = attrs.field(default=0, init=False)
     # Delay until a store slot is free; None until a server needs one.
     _slot_in_s: float | None = attrs.field(default=None, init=False)
 
     def cheapest(self, servers: Iterable[ManagedServer]) -> ServerChoice | None:
-        """Return the server with the lowest cost, or None if the model fits nowhere."""
-        choices = [
-            choice
+        """Return the server with the lowest cost, or None if the model fits nowhere.
+
+        Servers are priced in the order of the least time that they need, and no more of
+        them once that time alone exceeds the lowest cost. Hence the work grows with the
+        servers that have a copy, not with all servers.
+        """
+        ordered = sorted(
+            (self._least_unqueued_s(server), server.record.server_id, server)
             for server in servers
-            if (choice := self._evaluate(server)) is not None
-        ]
-        return min(
-            choices,
-            key=lambda choice: (choice.cost_s, choice.server.record.server_id),
-            default=None,
         )
+        best: ServerChoice | None = None
+        for least_s, _, server in ordered:
+            if best is not None:
+                if least_s > best.cost_s:
+                    break
+                if self.least_ready_s(server) > best.cost_s:
+                    continue
+            choice = self._evaluate(server)
+            if choice is not None and (
+                best is None or choice.preference < best.preference
+            ):
+                best = choice
+        return best
+
+    def least_ready_s(self, server: ManagedServer) -> float:
+        """Return the least time until the model can be ready on a server."""
+        busy_s = server.remaining_busy_s(self._fleet.engine, self._now)
+        return server.load_s(self._spec) + max(busy_s, self._store_wait_s(server))
+
+    def _least_unqueued_s(self, server: ManagedServer) -> float:
+        """Return the same time without the wait for the weight store."""
+        busy_s = server.remaining_busy_s(self._fleet.engine, self._now)
+        return server.load_s(self._spec) + busy_s
 
     def _store_wait_s(self, server: ManagedServer) -> float:
         """Return the delay until the load may use the weight store, if it needs it."""
@@ -133,6 +162,7 @@
     def _evaluate(self, server: ManagedServer) -> ServerChoice | None:
         """Return a server with its costs, or None if the model does not fit."""
         fleet, spec, now = self._fleet, self._spec, self._now
+        self.priced_servers += 1
         slot_in_s = self._store_wait_s(server)
         evictions = self._eviction_candidates(server)
         if evictions is None:
--- a/src/siskinspool/gateway/server_choice.py
+++ b/src/siskinspool/gateway/server_choice.py
@@ -18,3 +18,8 @@
     cost_s: float
     # Part of the cost that is caused by the evictions.
     eviction_cost_s: float
+
+    @property
+    def preference(self) -> tuple[float, str]:
+        """Return the sort key of choices; the lowest is best."""
+        return self.cost_s, self.server.record.server_id
