Advance only the servers that are due between two ticks of the leader

Change: between ticks (0.25 s) only servers with a step that is due are advanced; a store slot that is about to be free is looked for every 0.05 s at most; the time of the next wake-up is kept until something changes.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -54,6 +54,8 @@
 logger = logging.getLogger(__name__)
 
 TICK_S: Final = 0.25
+# Between ticks, a store slot that is about to be free is looked for at most this often.
+SLOT_CHECK_INTERVAL_S: Final = 0.05
 # If all holders of a model are busy for longer than this, another server loads it.
 MAX_ADAPTER_WAIT_S: Final = 1.0
 
@@ -74,6 +76,9 @@
         self._site = ManagedSite()
         self._term = LeadershipTerm()
         self._next_tick_at = 0.0
+        self._next_slot_check_at = 0.0
+        # When a server is due next; None if that has to be found out.
+        self._attention_at: float | None = None
         self._log = PlacementLog()
         self._ledger = LoadLedger()
         self._orders = ServerOrders(
@@ -85,6 +90,7 @@
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle a placement request, the end of an order or a change."""
+        self._attention_at = None
         sender = incoming.sender.instance_id
         match incoming.message:
             case PlacementRequest() as request:
@@ -108,11 +114,11 @@
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
-        """Advance all servers.
+        """Give the orders that are due, and plan loads that no request asks for.
 
-        Plans are made at each tick, and at any time when a store slot is about to be
-        free.
+        All servers are advanced at each tick, between ticks only those that are due.
         """
+        self._attention_at = None
         is_tick = now >= self._next_tick_at
         if is_tick:
             self._next_tick_at = now + TICK_S
@@ -120,12 +126,15 @@
         if not self._term.allows_orders(now):
             return []
         batch: list[Outgoing] = []
-        for fleet in self._site.fleets(now):
-            if is_tick or fleet.store_queue.has_slot_soon(now):
-                batch += self._move_plans(fleet, now)
-                batch += self._plan_preloads(fleet, now)
+        if is_tick or now >= self._next_slot_check_at:
+            self._next_slot_check_at = now + SLOT_CHECK_INTERVAL_S
+            for fleet in self._site.fleets(now):
+                if is_tick or fleet.store_queue.has_slot_soon(now):
+                    batch += self._move_plans(fleet, now)
+                    batch += self._plan_preloads(fleet, now)
         for server in list(self._site.server_by_id.values()):
-            if server.record.service in self._site.engine_by_service:
+            is_due = is_tick or server.attention_at() <= now
+            if is_due and server.record.service in self._site.engine_by_service:
                 batch += self._orders.advance(server, now)
         loads = self._site.in_flight_loads(now)
         if due := self._ledger.write(loads, now, partial(self._site.record, now=now)):
@@ -136,7 +145,9 @@
         """Return when a server needs attention."""
         if self._term.epoch is None:
             return None
-        return min(self._next_tick_at, self._site.attention_at())
+        if self._attention_at is None:
+            self._attention_at = self._site.attention_at()
+        return min(self._next_tick_at, self._attention_at)
 
     def status(self, now: float) -> Status:
         """Return the state of the servers as known to the leader."""
