Bound a leader's work for plans, and handle requests for a model together

Cause: each placement request was handled as it came, with work in proportion to the servers and the waiting plans. Nothing bounded the sum. The leader's orders, and the renewals of its session, are of the same process.

Change: plans have a budget of 2,000 units of work a second, a unit being the price of one server. While it is spent, requests wait in a table with one entry for each gateway and model, the model that has waited longest first; all requests for a model are handled together. Orders that are due go first, preloads and moves last. Requests that wait for the reports of servers are taken up once, when all have reported, not again for each report. The answers to requests and the plans without one are modules of their own.

Without the budget test_work_for_plans_has_a_bound_and_reaches_every_model (32,717 units in 4 s, 8,560 allowed) and two more fail.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -34,6 +34,7 @@
     RequestersReport,
     ServerOrder,
 )
+from .planning_budget import PlanningBudget
 from .server_times import REPORT_LAG_S
 from .servers import ServerRecord, ServerRemoved, ServerState, ZoneEvacuated
 from .service_fleet import ServiceFleet
@@ -60,7 +61,9 @@
 class ManagedSite:
     """All model servers with the demand for their models; times are in seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: PlanningBudget) -> None:
+        """Create a site; choices for its fleets are charged to ``budget``."""
+        self._budget = budget
         self.engine_by_service: dict[str, EngineSpec] = {}
         self.server_by_id: dict[str, ManagedServer] = {}
         self.model_users = ModelUsers()
@@ -225,6 +228,7 @@
             copies_cache=self._copies_by_service.setdefault(
                 service, FleetCopiesCache()
             ),
+            budget=self._budget,
             is_complete=self._is_complete(service, len(staying), now),
         )
 
--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -23,7 +23,6 @@
 from ..core.status import Status
 from ..store.kv import KvReply
 from ..store.kv_task import KV_TASK
-from ..telemetry.logs import log_event
 from .leadership_term import LeadershipTerm
 from .load_ledger import LoadLedger, LoadsHandedOver
 from .managed_site import ManagedSite
@@ -33,31 +32,26 @@
     LeadershipExtended,
     LeadershipHeld,
     LeadershipLost,
-    ModelExpected,
-    ModelReady,
     OrderEnded,
     PlacementRequest,
     ServerBlocked,
 )
 from .order_planner import OrderPlanner
-from .placement_choice import choose_server, find_sooner_choice
 from .placement_log import PlacementLog
-from .placement_plan import PlacementPlan
-from .plan_moves import plan_moves
-from .preload import MAX_EXPECTED_PRELOADS, PlannedPreload, PreloadPlanner
+from .planning_budget import PlanningBudget
+from .preload import PreloadPlanner
 from .replica_candidates import AllBusyModels, BusiestModel
+from .requested_plans import RequestedPlans
 from .scheduling_settings import SchedulingSettings
 from .server_orders import ServerOrders
 from .servers import RegistryListed
-from .service_fleet import ServiceFleet
+from .unrequested_plans import UnrequestedPlans
 
 logger = logging.getLogger(__name__)
 
 TICK_S: Final = 0.25
 # Between ticks, a store slot that is about to be free is looked for at most this often.
 SLOT_CHECK_INTERVAL_S: Final = 0.05
-# If all holders of a model are busy for longer than this, another server loads it.
-MAX_ADAPTER_WAIT_S: Final = 1.0
 
 
 class Placement(Decision):
@@ -69,11 +63,8 @@
         """Create the decision; ``first_start`` is true on the system's first start."""
         self._id = instance_id
         self._planner = OrderPlanner(first_start)
-        self._preload_planner = PreloadPlanner(
-            instance_id,
-            AllBusyModels() if scheduling.replica_scaling else BusiestModel(),
-        )
-        self._site = ManagedSite()
+        self._budget = PlanningBudget()
+        self._site = ManagedSite(self._budget)
         self._term = LeadershipTerm()
         self._next_tick_at = 0.0
         self._next_slot_check_at = 0.0
@@ -84,9 +75,18 @@
         self._orders = ServerOrders(
             instance_id, self._site, self._term, self._planner, self._log
         )
-        # Placement requests that wait for the first reports, by (model, adapter,
-        # gateway).
-        self._pending_requests: dict[tuple[str, str, str], PlacementRequest] = {}
+        candidates = AllBusyModels() if scheduling.replica_scaling else BusiestModel()
+        self._unrequested = UnrequestedPlans(
+            PreloadPlanner(instance_id, candidates), self._term, self._orders
+        )
+        self._requested = RequestedPlans(
+            self._site,
+            self._term,
+            self._orders,
+            self._unrequested,
+            self._log,
+            self._budget,
+        )
 
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle a placement request, the end of an order or a change."""
@@ -95,7 +95,7 @@
         match incoming.message:
             case PlacementRequest() as request:
                 self._site.update_requesters(request, sender, now)
-                return self._handle_request(request, sender, now)
+                return self._requested.handle(request, sender, now)
             case OrderEnded() as ended:
                 return self._orders.handle_order_end(ended, now)
             case HoldingsRead() as read:
@@ -114,7 +114,7 @@
         return []
 
     def on_time(self, now: float) -> list[Outgoing]:
-        """Give the orders that are due, and plan loads that no request asks for.
+        """Give the orders that are due, then make plans.
 
         All servers are advanced at each tick, between ticks only those that are due.
         """
@@ -125,29 +125,46 @@
         self._site.update_store_loads(now)
         if not self._term.allows_orders(now):
             return []
-        batch: list[Outgoing] = []
+        batch = self._advance_servers(now, is_tick)
+        batch += self._requested.handle_waiting(now)
         if is_tick or now >= self._next_slot_check_at:
             self._next_slot_check_at = now + SLOT_CHECK_INTERVAL_S
-            for fleet in self._site.fleets(now):
-                if is_tick or fleet.store_queue.has_slot_soon(now):
-                    batch += self._move_plans(fleet, now)
-                    batch += self._plan_preloads(fleet, now)
-        for server in list(self._site.server_by_id.values()):
-            is_due = is_tick or server.attention_at() <= now
-            if is_due and server.record.service in self._site.engine_by_service:
-                batch += self._orders.advance(server, now)
+            batch += self._plan_unrequested(now, is_tick)
         loads = self._site.in_flight_loads(now)
         if due := self._ledger.write(loads, now, partial(self._site.record, now=now)):
             batch.append(Outgoing(Address(self._id, KV_TASK), due))
         return batch
 
+    def _advance_servers(self, now: float, is_tick: bool) -> list[Outgoing]:
+        """Give the orders that are due."""
+        batch: list[Outgoing] = []
+        for server in list(self._site.server_by_id.values()):
+            if server.record.service not in self._site.engine_by_service:
+                continue
+            if is_tick:
+                self._orders.drop_stale(server, now)
+            if is_tick or server.attention_at() <= now:
+                batch += self._orders.advance(server, now)
+        return batch
+
+    def _plan_unrequested(self, now: float, is_tick: bool) -> list[Outgoing]:
+        """Move plans and plan preloads, after the requests and as the budget goes."""
+        batch: list[Outgoing] = []
+        for fleet in self._site.fleets(now):
+            if not self._budget.is_available(now):
+                break
+            if is_tick or fleet.store_queue.has_slot_soon(now):
+                batch += self._unrequested.move_plans(fleet, now)
+                batch += self._unrequested.plan_preloads(fleet, now)
+        return batch
+
     def wake_at(self) -> float | None:
         """Return when a server needs attention."""
         if self._term.epoch is None:
             return None
         if self._attention_at is None:
             self._attention_at = self._site.attention_at()
-        return min(self._next_tick_at, self._attention_at)
+        return min(self._next_tick_at, self._attention_at, self._requested.due_at)
 
     def status(self, now: float) -> Status:
         """Return the state of the servers as known to the leader."""
@@ -163,171 +180,10 @@
     def gauges(self) -> dict[str, float]:
         """Return counts of plans and unloads since the start of the process."""
         return self._log.gauges() | {
-            "placement.models_short": float(self._site.count_shortages())
+            "placement.models_short": float(self._site.count_shortages()),
+            "placement.work": self._budget.work_done,
         }
 
-    # Placement requests
-
-    def _handle_request(
-        self, request: PlacementRequest, gateway: str, now: float
-    ) -> list[Outgoing]:
-        fleet = self._site.fleet(request.service, now)
-        if fleet is None or request.model not in fleet.engine.model_by_name:
-            return []
-        if not self._term.allows_orders(now):
-            return []
-        self._site.model_users.record_request(request.model, gateway, now)
-        batch: list[Outgoing] = []
-        for server in self._site.servers_to_check(request.silent_servers, now):
-            batch += self._orders.read_report(server, now)
-        unread = [server for server in fleet.servers if server.order_count is None]
-        if unread:
-            # Without the reports a plan might load what is already there.
-            self._pending_requests[(request.model, request.adapter, gateway)] = request
-            for server in unread:
-                batch += self._orders.advance(server, now)
-            return batch
-        if request.adapter:
-            return batch + self._request_adapter(fleet, request, gateway, now)
-        return batch + self._request_model(fleet, request, gateway, now)
-
-    def _request_model(
-        self, fleet: ServiceFleet, request: PlacementRequest, gateway: str, now: float
-    ) -> list[Outgoing]:
-        model = request.model
-        for server in fleet.servers:
-            self._orders.drop_stale(server, now)
-        silent = set(request.silent_servers)
-        for server in fleet.servers:
-            if server.needs_report and model in server.holdings.model_by_name:
-                # Read the report first; the gateway repeats its request.
-                return self._orders.advance(server, now)
-            if server.holds_model(model) and server.record.server_id not in silent:
-                self._log.log_shortage_end(server, model, fleet.shortages, now)
-                ready = ModelReady(model, request.adapter, server.record.server_id)
-                return (
-                    [] if request.adapter else [self._orders.to_routing(gateway, ready)]
-                )
-        for server in fleet.servers:
-            plan = server.find_or_restore_plan(model, now)
-            if plan is None:
-                continue
-            plan.record_request(gateway, request.waiting, now)
-            fleet.sort_plans(server, now)
-            batch: list[Outgoing] = []
-            sooner = None
-            if server.loading_model != model:
-                sooner = find_sooner_choice(fleet, server, plan, now)
-            if sooner is not None:
-                server.plans.remove(plan)
-                self._orders.add_plan(fleet, plan, sooner, "sooner", now)
-                server = sooner.server
-                batch = self._orders.advance(server, now)
-            expected = fleet.model_expected(request, server, now)
-            return [self._orders.to_routing(gateway, expected), *batch]
-        servers = [
-            server
-            for server in fleet.servers
-            if not server.holds_model(model) and server.loading_model != model
-        ]
-        choice = choose_server(
-            fleet, fleet.engine.model_by_name[model], servers, now, request.waiting
-        )
-        if choice is None:
-            log_event(logger, logging.WARNING, "model_has_no_room", model=model)
-            return []
-        plan = PlacementPlan(model, "", {gateway: request.waiting}, now)
-        self._orders.add_plan(fleet, plan, choice, "wanted", now)
-        reply = self._orders.to_routing(
-            gateway, fleet.model_expected(request, choice.server, now)
-        )
-        return [reply, *self._orders.advance(choice.server, now)]
-
-    def _request_adapter(
-        self, fleet: ServiceFleet, request: PlacementRequest, gateway: str, now: float
-    ) -> list[Outgoing]:
-        model, adapter = request.model, request.adapter
-        batch: list[Outgoing] = []
-        holders = [server for server in fleet.servers if server.holds_model(model)]
-        if not holders:
-            return self._request_model(fleet, request, gateway, now)
-        for server in holders:
-            plan = server.find_plan(model, adapter)
-            if plan is not None:
-                plan.record_request(gateway, request.waiting, now)
-                return []
-            adapter_load = server.load_by_adapter.get((model, adapter))
-            if adapter_load is not None:
-                adapter_load.waiting_gateways.add(gateway)
-                return []
-            if server.holds_adapter(model, adapter) and not server.needs_report:
-                ready = ModelReady(model, adapter, server.record.server_id)
-                return [self._orders.to_routing(gateway, ready)]
-        chosen = fleet.choose_holder(holders, request.near_server, now)
-        if not fleet.has_adapter_slot(chosen, now):
-            # Requests use all adapters of all holders.
-            if model not in self._preload_planner.pending_models(fleet):
-                batch += self._add_replica(fleet, model, now)
-            return batch
-        chosen.plans.append(
-            PlacementPlan(model, adapter, {gateway: request.waiting}, now)
-        )
-        batch += self._orders.advance(chosen, now)
-        if chosen.busy_until is not None:
-            in_s = chosen.remaining_busy_s(fleet.engine, now)
-            batch.append(
-                self._orders.to_routing(gateway, ModelExpected(model, adapter, in_s))
-            )
-            if (
-                in_s > MAX_ADAPTER_WAIT_S
-                and model not in self._preload_planner.pending_models(fleet)
-            ):
-                # No holder can load an adapter soon, but another server can load the
-                # model.
-                batch += self._add_replica(fleet, model, now)
-        return batch
-
-    # Preloads
-
-    def _plan_preloads(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
-        """Plan preloads, but not while a successor may be giving orders."""
-        if self._term.is_detached or any(s.order_count is None for s in fleet.servers):
-            return []
-        batch: list[Outgoing] = []
-        for _ in range(MAX_EXPECTED_PRELOADS):
-            if (
-                preload := self._preload_planner.plan_expected_model(fleet, now)
-            ) is None:
-                break
-            batch += self._start_preload(fleet, preload, now)
-        preload = self._preload_planner.next_preload(fleet, now)
-        return batch + self._start_preload(fleet, preload, now)
-
-    def _start_preload(
-        self, fleet: ServiceFleet, preload: PlannedPreload | None, now: float
-    ) -> list[Outgoing]:
-        if preload is None:
-            return []
-        self._orders.add_plan(fleet, preload.plan, preload.choice, preload.reason, now)
-        return self._orders.advance(preload.choice.server, now)
-
-    def _add_replica(
-        self, fleet: ServiceFleet, model: str, now: float
-    ) -> list[Outgoing]:
-        replica = self._preload_planner.plan_replica(fleet, model, now)
-        return self._start_preload(fleet, replica, now)
-
-    def _move_plans(self, fleet: ServiceFleet, now: float) -> list[Outgoing]:
-        """Move plans to other servers where store slots would be unused or wasted."""
-        batch: list[Outgoing] = []
-        for plan_move in plan_moves(fleet, now):
-            plan_move.server.plans.remove(plan_move.plan)
-            self._orders.add_plan(
-                fleet, plan_move.plan, plan_move.choice, plan_move.reason, now
-            )
-            batch += self._orders.advance(plan_move.choice.server, now)
-        return batch
-
     # Reports
 
     def _handle_report(self, read: HoldingsRead, now: float) -> list[Outgoing]:
@@ -336,15 +192,10 @@
             return []
         batch = self._orders.handle_report(server, read, now)
         # A silent server's report unblocks no request.
-        return batch if read.holdings is None else batch + self._handle_pending(now)
-
-    def _handle_pending(self, now: float) -> list[Outgoing]:
-        """Handle the placement requests that were waiting for reports."""
-        pending, self._pending_requests = self._pending_requests, {}
-        batch: list[Outgoing] = []
-        for (_, _, gateway), request in pending.items():
-            batch += self._handle_request(request, gateway, now)
-        return batch
+        if read.holdings is None:
+            # A silent server's report unblocks no request.
+            return batch
+        return batch + self._requested.resume(server.record.service, now)
 
     # Leadership
 
@@ -354,6 +205,7 @@
                 self._term.begin(epoch, from_s)
                 self._planner.begin_term()
                 self._site.reset_plans(now)
+                self._requested.clear()
                 self._next_tick_at = now
                 read = self._ledger.begin_term(now)
                 return [Outgoing(Address(self._id, KV_TASK), read)]
--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -109,8 +109,6 @@
     # Number of requests that the demand does not include yet.
     _waiting: int
     _now: float
-    # Number of servers whose costs have been computed.
-    priced_servers: int = attrs.field(default=0, init=False)
     # Delay until a store slot is free; None until a server needs one.
     _slot_in_s: float | None = attrs.field(default=None, init=False)
 
@@ -162,7 +160,7 @@
     def _evaluate(self, server: ManagedServer) -> ServerChoice | None:
         """Return a server with its costs, or None if the model does not fit."""
         fleet, spec, now = self._fleet, self._spec, self._now
-        self.priced_servers += 1
+        fleet.budget.spend(1.0)
         slot_in_s = self._store_wait_s(server)
         evictions = self._eviction_candidates(server)
         if evictions is None:
--- a/src/siskinspool/gateway/service_fleet.py
+++ b/src/siskinspool/gateway/service_fleet.py
@@ -18,8 +18,9 @@
 from .desired_state import EngineSpec, ModelSpec
 from .fleet_copies import FleetCopies, FleetCopiesCache
 from .managed_server import ManagedServer
-from .messages import ModelExpected, PlacementRequest
+from .messages import ModelExpected
 from .placement_plan import PlacementPlan
+from .planning_budget import PlanningBudget
 from .server_times import SWAP_S
 from .shortage import Shortages
 from .store_limit import StoreLoads
@@ -55,6 +56,7 @@
     # Servers whose entries have just lapsed and that may return with their disks.
     lapsed: list[ManagedServer] = attrs.field(factory=list)
     copies_cache: FleetCopiesCache = attrs.field(factory=FleetCopiesCache)
+    budget: PlanningBudget = attrs.field(factory=PlanningBudget)
     # No more servers are about to register, so a model without a copy here has none.
     is_complete: bool = True
 
@@ -221,16 +223,19 @@
         )
 
     def model_expected(
-        self, request: PlacementRequest, server: ManagedServer, now: float
+        self, model: str, adapter: str, server: ManagedServer, waiting: int, now: float
     ) -> ModelExpected:
-        """Return the estimate for a gateway of when a planned model is ready."""
-        plan = server.find_plan(request.model, "")
-        waiting = request.waiting if plan is None else plan.waiting_requests
-        in_s = self.ready_in_s(server, request.model, waiting, now)
+        """Return the estimate for gateways of when a planned model is ready.
+
+        ``waiting`` is the number of requests, for a model without a plan.
+        """
+        plan = server.find_plan(model, "")
+        if plan is not None:
+            waiting = plan.waiting_requests
+        in_s = self.ready_in_s(server, model, waiting, now)
         if plan is not None:
             plan.estimated_ready_at = now + in_s
-        is_loading = server.loading_model == request.model
-        return ModelExpected(request.model, request.adapter, in_s, is_loading)
+        return ModelExpected(model, adapter, in_s, server.loading_model == model)
 
     def ready_in_s(
         self, server: ManagedServer, model: str, waiting: int, now: float
--- a/tests/test_gateway_leader_work.py
+++ b/tests/test_gateway_leader_work.py
@@ -4,14 +4,18 @@
 
 import pytest
 
+from siskinspool.core.message import Message
 from siskinspool.gateway.managed_server import ManagedServer
-from siskinspool.gateway.messages import OrderResult
+from siskinspool.gateway.messages import ModelExpected, ModelReady, OrderResult
+from siskinspool.gateway.planning_budget import BURST_WORK, REQUEST_WORK, WORK_PER_S
 from siskinspool.gateway.server_orders import ServerOrders
 
 from .builders_gateway import desired_state, engine
-from .builders_placement_harness import PlacementHarness, orders
+from .builders_placement_harness import PlacementHarness, accept_orders, orders
 
 MODELS = tuple(f"m{number}" for number in range(40))
+# No server has a copy of these.
+RARE_MODELS = tuple(f"r{number}" for number in range(10))
 
 
 def large_harness(servers: int) -> PlacementHarness:
@@ -48,3 +52,54 @@
     assert len(advanced) == 1
     harness.advance_time(0.1)
     assert len(advanced) == 81
+
+
+def test_work_for_plans_has_a_bound_and_reaches_every_model() -> None:
+    """Guards against a leader that spends all its time on plans.
+
+    Twenty gateways request ten models that no server has, four times a second.
+    """
+    harness = large_harness(60)
+    spec = engine(*MODELS, *RARE_MODELS, weights_mb=145_000.0, disk_mb=900_000.0)
+    harness.send(desired_state(engine_spec=spec))
+    budget = harness.decision._budget
+    work_before = budget.work_done
+    answered: set[str] = set()
+    for step in range(16 * 20):
+        found: list[Message] = []
+        for model in RARE_MODELS:
+            found += harness.request(model, gateway=f"g{step % 20}")
+        found += harness.advance_time(0.25 / 20)
+        answered |= {one.model for one in found if isinstance(one, ModelExpected)}
+    assert answered == set(RARE_MODELS)
+    # One choice of a server may overdraw the budget.
+    most = BURST_WORK + 4.0 * WORK_PER_S + 60
+    assert budget.work_done - work_before <= most
+
+
+def test_orders_continue_while_the_budget_for_plans_is_spent() -> None:
+    """Guards against orders that wait behind plans."""
+    harness = large_harness(60)
+    order = orders(harness.request("m0"))[0]
+    harness.decision._budget.spend(10 * WORK_PER_S)
+    assert not orders(harness.request("m1"))
+    accept_orders(harness, [order])
+    ready = harness.finish_load(order, 2.0)
+    assert any(isinstance(one, ModelReady) for one in ready)
+
+
+def test_waiting_requests_for_one_model_are_handled_together() -> None:
+    """Guards against the same work once for each gateway."""
+    harness = large_harness(60)
+    budget = harness.decision._budget
+    budget.spend(BURST_WORK + WORK_PER_S)
+    gateways = {f"g{number}" for number in range(2, 30)}
+    for gateway in gateways:
+        assert not harness.request("m0", gateway=gateway)
+    work_before = budget.work_done
+    harness.now += 1.1
+    batch = harness.decision.on_time(harness.now)
+    answers = [one for one in batch if isinstance(one.message, ModelExpected)]
+    assert {one.recipient.instance_id for one in answers} == gateways
+    assert len(answers) == len(gateways)
+    assert budget.work_done - work_before < 2 * REQUEST_WORK
--- a/tests/test_gateway_placement_choice.py
+++ b/tests/test_gateway_placement_choice.py
@@ -70,7 +70,7 @@
     priced = []
     for servers in (50, 200, 800):
         fleet = random_fleet(7, servers, copies_of_wanted=6)
-        comparison = ServerComparison(fleet, fleet.engine.model_by_name[WANTED], 3, NOW)
-        assert comparison.cheapest(fleet.servers)
-        priced.append(comparison.priced_servers)
+        spec = fleet.engine.model_by_name[WANTED]
+        assert ServerComparison(fleet, spec, 3, NOW).cheapest(fleet.servers)
+        priced.append(fleet.budget.work_done)
     assert max(priced) <= 12
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -17,6 +17,7 @@
     RequestCancelled,
     RequestersReport,
 )
+from siskinspool.gateway.planning_budget import PlanningBudget
 from siskinspool.gateway.routing import Routing
 from siskinspool.gateway.shortage import Shortages
 
@@ -222,7 +223,7 @@
 
 def test_leader_drops_requesters_that_have_left() -> None:
     """Guards against a leader that counts a requester after it has got a server."""
-    site = ManagedSite()
+    site = ManagedSite(PlanningBudget())
     site.handle_change(desired_state(), "g1", 100.0)
     for gateway, reach_s in (("g2", (11.0, 11.0)), ("g3", (11.0,))):
         request = PlacementRequest(*MODEL, "", reach_s=reach_s, fresh_reach_s=reach_s)
@@ -283,7 +284,7 @@
 
 def test_requesters_of_a_model_that_is_ready_are_not_short() -> None:
     """Guards against a shortage that never ends, as nothing is loaded for it."""
-    site = ManagedSite()
+    site = ManagedSite(PlanningBudget())
     site.handle_change(desired_state(), "g1", 100.0)
     site.handle_change(server("s1", "m1"), "g1", 100.0)
     site.handle_change(RequestersReport(*MODEL, (10.9,)), "g2", 100.0)
