Keep the leader's view of a service instead of building it for each message

For each message the leader filtered all servers anew, and after each order counted the copies of all servers again.

Change: the servers that stay are kept until a registry entry or an evacuation changes; copies are counted again for changed servers only; a server's copies are kept with its holdings.

--- a/src/siskinspool/gateway/fleet_copies.py
+++ b/src/siskinspool/gateway/fleet_copies.py
@@ -18,10 +18,28 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from operator import is_
+
+import attrs
 
 from .desired_state import EngineSpec
 from .managed_server import ManagedServer
+from .servers import Holdings
+
+
+@attrs.frozen
+class _Contribution:
+    """What one server adds to the copies of a fleet."""
+
+    copies: frozenset[str]
+    # It does not load from the weight store.
+    is_free: bool
+
+    @classmethod
+    def from_server(cls, server: ManagedServer) -> _Contribution:
+        """Return the copies of a server that stays."""
+        loading = server.loading_model
+        is_free = loading is None or not server.needs_store(loading)
+        return cls(server.holdings.copies, is_free)
 
 
 class FleetCopies:
@@ -34,17 +52,25 @@
         lapsed: Iterable[ManagedServer] = (),
     ) -> None:
         self._engine = engine
-        self._servers_by_model = Counter(
-            name for server in (*servers, *lapsed) for name in server.copies()
-        )
-
-        self._free_servers_by_model = Counter(
-            name
-            for server in servers
-            if server.loading_model is None
-            or not server.needs_store(server.loading_model)
-            for name in server.copies()
-        )
+        self._servers_by_model: Counter[str] = Counter()
+        # Servers that do not load from the weight store.
+        self._free_servers_by_model: Counter[str] = Counter()
+        for server in servers:
+            self.add(_Contribution.from_server(server))
+        for server in lapsed:
+            self.add(_Contribution(server.holdings.copies, is_free=False))
+
+    def add(self, contribution: _Contribution) -> None:
+        """Count the copies of a server."""
+        self._servers_by_model.update(contribution.copies)
+        if contribution.is_free:
+            self._free_servers_by_model.update(contribution.copies)
+
+    def remove(self, contribution: _Contribution) -> None:
+        """Count the copies of a server no more."""
+        self._servers_by_model.subtract(contribution.copies)
+        if contribution.is_free:
+            self._free_servers_by_model.subtract(contribution.copies)
 
     def models_blocked_by_load(
         self, server: ManagedServer, model: str, evictions: tuple[str, ...]
@@ -102,13 +128,31 @@
         return used_mb <= self._engine.disk_mb
 
 
+@attrs.define
+class _KnownServer:
+    """A server as it was counted last."""
+
+    holdings: Holdings
+    loading_model: str | None
+    is_lapsed: bool
+    contribution: _Contribution
+
+    def is_current(self, server: ManagedServer, is_lapsed: bool) -> bool:
+        """Return whether nothing has changed since; holdings are never modified."""
+        return (
+            self.holdings is server.holdings
+            and self.loading_model == server.loading_model
+            and self.is_lapsed == is_lapsed
+        )
+
+
 class FleetCopiesCache:
-    """Caches the `FleetCopies` of a service until its servers' holdings change."""
+    """Keeps the `FleetCopies` of a service up to date as its servers change."""
 
     def __init__(self) -> None:
         self._engine: EngineSpec | None = None
-        self._cache_key: list[object] = []
         self._copies: FleetCopies | None = None
+        self._known_by_id: dict[str, _KnownServer] = {}
 
     def copies(
         self,
@@ -116,18 +160,33 @@
         servers: list[ManagedServer],
         lapsed: list[ManagedServer],
     ) -> FleetCopies:
-        """Return the copies on the servers, recounted only after a change.
+        """Return the copies on the servers; only changed servers are counted again."""
+        if self._copies is None or engine is not self._engine:
+            self._engine, self._copies = engine, FleetCopies(engine, [])
+            self._known_by_id.clear()
+        for server in servers:
+            self._update(self._copies, server, is_lapsed=False)
+        for server in lapsed:
+            self._update(self._copies, server, is_lapsed=True)
+        if len(self._known_by_id) > len(servers) + len(lapsed):
+            present = {one.record.server_id for one in (*servers, *lapsed)}
+            for server_id in self._known_by_id.keys() - present:
+                self._copies.remove(self._known_by_id.pop(server_id).contribution)
+        return self._copies
 
-        Changes are detected by identity, since servers replace their holdings rather
-        than modify them.
-        """
-        cache_key: list[object] = [server.holdings for server in servers]
-        cache_key += [server.loading_model for server in servers]
-        cache_key += [server.holdings for server in lapsed]
-        unchanged = len(cache_key) == len(self._cache_key) and all(
-            map(is_, cache_key, self._cache_key)
+    def _update(
+        self, copies: FleetCopies, server: ManagedServer, *, is_lapsed: bool
+    ) -> None:
+        server_id = server.record.server_id
+        known = self._known_by_id.get(server_id)
+        if known is not None:
+            if known.is_current(server, is_lapsed):
+                return
+            copies.remove(known.contribution)
+        contribution = _Contribution.from_server(server)
+        if is_lapsed:
+            contribution = attrs.evolve(contribution, is_free=False)
+        copies.add(contribution)
+        self._known_by_id[server_id] = _KnownServer(
+            server.holdings, server.loading_model, is_lapsed, contribution
         )
-        if self._copies is None or engine is not self._engine or not unchanged:
-            self._engine, self._cache_key = engine, cache_key
-            self._copies = FleetCopies(engine, servers, lapsed)
-        return self._copies
--- a/src/siskinspool/gateway/managed_server.py
+++ b/src/siskinspool/gateway/managed_server.py
@@ -116,7 +116,11 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the server is ready, and neither silent nor blocked."""
-        return self.record.state is ServerState.READY and now >= self.unavailable_until
+        return self.record.state is ServerState.READY and self.is_available(now)
+
+    def is_available(self, now: float) -> bool:
+        """Return whether orders and reads may be sent: neither silent nor blocked."""
+        return now >= self.silent_until and now >= self.blocked_until
 
     @property
     def unavailable_until(self) -> float:
@@ -143,8 +147,7 @@
 
     def copies(self) -> frozenset[str]:
         """Return the models with a weight copy here, loaded or not."""
-        holdings = self.holdings
-        return holdings.in_memory | holdings.on_disk | holdings.model_by_name.keys()
+        return self.holdings.copies
 
     def planned_models(self) -> set[str]:
         """Return the models that are loaded, loading or planned to be loaded here."""
--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -68,6 +68,9 @@
         self.server_by_id: dict[str, ManagedServer] = {}
         self.model_users = ModelUsers()
         self._evacuated_zones: set[str] = set()
+        # The servers that are ready and not in an evacuated zone, by service, until a
+        # registry entry or an evacuation changes.
+        self._staying_by_service: dict[str, list[ManagedServer]] = {}
         self._demand_by_service: dict[str, TokenDemand] = {}
         self._requesters_by_service: dict[str, RequesterCounts] = {}
         self._store_by_service: dict[str, StoreLoads] = {}
@@ -88,10 +91,13 @@
             case RequestersReport() as report:
                 self.update_requesters(report, sender, now)
             case ServerRecord() as record:
+                self._staying_by_service.clear()
                 self._handle_record(record, now)
             case ServerRemoved(server_id):
+                self._staying_by_service.clear()
                 self._remove_server(server_id, now)
             case ZoneEvacuated(zone, evacuated):
+                self._staying_by_service.clear()
                 zones = self._evacuated_zones
                 zones.add(zone) if evacuated else zones.discard(zone)
             case DesiredState() as desired:
@@ -209,16 +215,10 @@
         engine = self.engine_by_service.get(service)
         if engine is None:
             return None
-        staying = [
-            server
-            for server in self.server_by_id.values()
-            if server.record.service == service
-            and server.record.state is ServerState.READY
-            and server.record.zone not in self._evacuated_zones
-        ]
+        staying = self._staying(service)
         return ServiceFleet(
             engine,
-            [server for server in staying if server.is_usable(now)],
+            [server for server in staying if server.is_available(now)],
             self._demand_by_service.setdefault(service, TokenDemand()),
             self.store_loads(service),
             self.shortages(service),
@@ -232,6 +232,20 @@
             is_complete=self._is_complete(service, len(staying), now),
         )
 
+    def _staying(self, service: str) -> list[ManagedServer]:
+        """Return the servers of a service that are not about to leave."""
+        staying = self._staying_by_service.get(service)
+        if staying is None:
+            staying = [
+                server
+                for server in self.server_by_id.values()
+                if server.record.service == service
+                and server.record.state is ServerState.READY
+                and server.record.zone not in self._evacuated_zones
+            ]
+            self._staying_by_service[service] = staying
+        return staying
+
     def _lapsed(self, service: str, now: float) -> list[ManagedServer]:
         """Return the lapsed servers that may return with the copies on their disks."""
         return [
--- a/src/siskinspool/gateway/servers.py
+++ b/src/siskinspool/gateway/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from functools import cached_property
 
 import attrs
 
@@ -43,6 +44,11 @@
     # Adapters that are being loaded, as (model, adapter).
     loading_adapters: frozenset[tuple[str, str]] = frozenset()
 
+    @cached_property
+    def copies(self) -> frozenset[str]:
+        """The models with a weight copy here, loaded or not."""
+        return self.in_memory | self.on_disk | self.model_by_name.keys()
+
 
 @attrs.frozen(kw_only=True)
 class ServerRecord(Message):
--- a/src/siskinspool/gateway/service_fleet.py
+++ b/src/siskinspool/gateway/service_fleet.py
@@ -65,6 +65,7 @@
     _ready_by_model: Counter[str] | None = attrs.field(default=None, init=False)
     _planned_by_model: Counter[str] | None = attrs.field(default=None, init=False)
     _copies: FleetCopies | None = attrs.field(default=None, init=False)
+    _store_queue: WeightStoreQueue | None = attrs.field(default=None, init=False)
     # Demand at the time of a choice, cached since a choice needs it for each server.
     _tokens_by_model: dict[str, float] = attrs.field(factory=dict, init=False)
     _tokens_at: float = attrs.field(default=float("-inf"), init=False)
@@ -72,15 +73,17 @@
     @property
     def store_queue(self) -> WeightStoreQueue:
         """Return the queue of loads from the weight store."""
-        return WeightStoreQueue(
-            self.engine,
-            self.servers,
-            self.demand,
-            self.store,
-            self.shortages,
-            self.requesters,
-            self.copies,
-        )
+        if self._store_queue is None:
+            self._store_queue = WeightStoreQueue(
+                self.engine,
+                self.servers,
+                self.demand,
+                self.store,
+                self.shortages,
+                self.requesters,
+                self.copies,
+            )
+        return self._store_queue
 
     def invalidate_counts(self) -> None:
         """Discard the cached counts after a change of plans or holdings."""
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from siskinspool.gateway.fleet_copies import FleetCopies
+from siskinspool.gateway.fleet_copies import FleetCopies, FleetCopiesCache
 from siskinspool.gateway.managed_server import ManagedServer
 from siskinspool.gateway.managed_site import JOIN_SETTLE_S, LAPSED_SERVER_TTL_S
 from siskinspool.gateway.messages import OrderKind, OrderResult, ServerOrder
@@ -177,3 +179,38 @@
     assert fleet.store_queue.unstarted_plans()
     assert not list(plan_moves(fleet, harness.now))
     assert not compared
+
+
+def test_copies_are_right_after_any_changes_of_the_servers() -> None:
+    """Guards against counts that drift as servers load, lapse and return."""
+    rng = random.Random(5)
+    names = tuple(f"m{number}" for number in range(12))
+    spec = engine(*names)
+    cache = FleetCopiesCache()
+    staying: list[ManagedServer] = []
+    lapsed: list[ManagedServer] = []
+    for step in range(300):
+        if len(staying) < 3 or rng.random() < 0.2:
+            staying.append(
+                ManagedServer(record=server(f"s{step}"), holdings=holdings(count=0))
+            )
+        changed = rng.choice(staying)
+        changed.holdings = holdings(
+            count=step, on_disk=frozenset(rng.sample(names, rng.randrange(6)))
+        )
+        changed.loading_model = rng.choice([None, rng.choice(names)])
+        if rng.random() < 0.2:
+            lapsed.append(staying.pop(rng.randrange(len(staying))))
+        if lapsed and rng.random() < 0.2:
+            staying.append(lapsed.pop())
+        if lapsed and rng.random() < 0.1:
+            lapsed.clear()
+        found = cache.copies(spec, staying, lapsed)
+        counted = FleetCopies(spec, staying, lapsed)
+        for name in names:
+            assert found.count(name) == counted.count(name)
+            assert found.has_single_copy(name) == counted.has_single_copy(name)
+        for one in staying:
+            found_blocked = found.models_blocked_by_load(one, names[0], ())
+            counted_blocked = counted.models_blocked_by_load(one, names[0], ())
+            assert set(found_blocked) == set(counted_blocked)
