Look no host name up at the start of a listener

Cause: gevent's pywsgi asks the resolver for the name of its listener at the start, and loads gevent's thread pool and concurrent.futures for it. Where the resolver is slow the start waits.

Change: the listener's address is its name.

--- a/src/siskinspool/links/http_server.py
+++ b/src/siskinspool/links/http_server.py
@@ -91,6 +91,9 @@
             log=None,
             error_log=None,
             handler_class=handler_class,
+            # Otherwise the base class looks the name of the host up, which may take
+            # seconds, and loads a thread pool for it.
+            environ={"SERVER_NAME": listener[0]},
         )
         self.protection = protection
         if connections is None:
