Count lateness from the time at which a task began to wait

Cause: a task that is due from its start on, or overdue, has a deadline in the past; the first play with task_load lines showed lateness of hours.

Change: the wake-up is late from the deadline or the begin of the wait, whichever is later.

Measured: test_task_that_is_due_from_the_start_is_not_late failed before (inf).

--- a/src/siskinspool/core/task.py
+++ b/src/siskinspool/core/task.py
@@ -81,11 +81,12 @@
     def _run(self) -> None:
         while True:
             due = self.wake_at()
+            waits_since = self.clock.now()
             try:
                 incoming = self._queue.get(timeout=self._wait_s(due))
             except Empty:
                 if due is not None:
-                    self.load.record_wake(self.clock.now() - due)
+                    self.load.record_wake(self.clock.now() - max(due, waits_since))
                 self._on_time_guarded()
                 continue
             if incoming is None:
