Do not take the lateness of the leader for silence of a server

Cause: an order whose permission (the leadership term less a margin) had ended by the time it would have been sent ended as not_sent, as if its server could not be reached. Then all plans of the server were dropped, the server was left out for two seconds, and its path was checked with one more connection.

Change: such an order ends as withheld. The plan and its server stay, and the order is given again once the term is extended.

--- a/src/siskinspool/gateway/messages.py
+++ b/src/siskinspool/gateway/messages.py
@@ -365,8 +365,10 @@
     FENCED = "fenced"
     # The server cannot carry it out, or another server has the address.
     INVALID = "invalid"
-    # Nothing was sent.
+    # There was no connection to the server.
     NOT_SENT = "not_sent"
+    # The permission to send it had ended, since this instance was late.
+    WITHHELD = "withheld"
     # No usable answer; the order may still be carried out.
     UNKNOWN = "unknown"
 
--- a/src/siskinspool/gateway/server_orders.py
+++ b/src/siskinspool/gateway/server_orders.py
@@ -199,7 +199,7 @@
             self._site.record_accepted(server, order, result, now)
         elif result in (OrderResult.NOT_SENT, OrderResult.INVALID):
             self._mark_silent(server, now)
-        else:
+        elif result is not OrderResult.WITHHELD:
             server.record_uncertain_order(now)
         return batch + self.advance(server, now)
 
--- a/src/siskinspool/links/server_link.py
+++ b/src/siskinspool/links/server_link.py
@@ -63,6 +63,8 @@
     reason: str
     # No server can be reached, so the failure shows nothing of this one.
     is_isolated: bool = False
+    # The permission to send had ended, which shows nothing of the server either.
+    is_withheld: bool = False
 
 
 @dataclass(frozen=True)
@@ -258,7 +260,7 @@
         """Send a request on an open connection and return the answer's head."""
         if not may_send():
             connection.close()
-            return NotSent("the permission to send has ended")
+            return NotSent("the permission to send has ended", is_withheld=True)
         allowance = self._budget.new_allowance(f"{request.host}:{request.port}")
         answer_sock = AnswerSocket(connection, allowance)
         try:
--- a/src/siskinspool/platform/server_calls.py
+++ b/src/siskinspool/platform/server_calls.py
@@ -77,8 +77,7 @@
         )
         if isinstance(answer, NotSent | Lost):
             _log_failed_order(order, answer.reason)
-            is_sent = isinstance(answer, Lost)
-            return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT
+            return _result_of_failure(answer)
         answer.close()
         return _RESULT_BY_STATUS.get(answer.status, OrderResult.UNKNOWN)
 
@@ -136,6 +135,12 @@
             self.report_signals(stated)
 
 
+def _result_of_failure(failure: NotSent | Lost) -> OrderResult:
+    if isinstance(failure, Lost):
+        return OrderResult.UNKNOWN
+    return OrderResult.WITHHELD if failure.is_withheld else OrderResult.NOT_SENT
+
+
 def _log_failed_order(order: ServerOrder, reason: str) -> None:
     log_event(
         logger,
--- a/tests/test_gateway_leader_work.py
+++ b/tests/test_gateway_leader_work.py
@@ -6,7 +6,12 @@
 
 from siskinspool.core.message import Message
 from siskinspool.gateway.managed_server import ManagedServer
-from siskinspool.gateway.messages import ModelExpected, ModelReady, OrderResult
+from siskinspool.gateway.messages import (
+    LeadershipExtended,
+    ModelExpected,
+    ModelReady,
+    OrderResult,
+)
 from siskinspool.gateway.planning_budget import BURST_WORK, REQUEST_WORK, WORK_PER_S
 from siskinspool.gateway.server_orders import ServerOrders
 
@@ -103,3 +108,32 @@
     assert {one.recipient.instance_id for one in answers} == gateways
     assert len(answers) == len(gateways)
     assert budget.work_done - work_before < 2 * REQUEST_WORK
+
+
+def test_order_of_a_late_leader_is_no_silence_of_its_server() -> None:
+    """Guards against plans that are dropped because the leader is out of time.
+
+    Orders whose permission had ended before they were sent counted as silence of their
+    servers. Each plan was dropped, planned again elsewhere, and the leader had still
+    less time to send.
+    """
+    harness = large_harness(12)
+    order = orders(harness.request("m1"))[0]
+    again = orders(harness.end(order, OrderResult.WITHHELD))
+    assert [(one.server_id, one.model) for one in again] == [
+        (order.server_id, order.model)
+    ]
+    assert harness.decision.gauges()["placement.plans_dropped"] == 0
+
+
+def test_withheld_order_waits_for_the_term_to_be_extended() -> None:
+    """Guards against an order that is given over and over without permission."""
+    harness = large_harness(12)
+    order = orders(harness.request("m0"))[0]
+    harness.send(LeadershipExtended(harness.now + 0.1))
+    assert not orders(harness.end(order, OrderResult.WITHHELD))
+    harness.send(LeadershipExtended(harness.now + 10.0))
+    again = orders(harness.advance_time(0.25))
+    assert [(one.server_id, one.model) for one in again] == [
+        (order.server_id, order.model)
+    ]
