--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -168,12 +168,12 @@
         new_requesters = (
             len(message.fresh_reach_s) if isinstance(message, PlacementRequest) else 0
         )
-        fleet = self.fleet(message.service, now)
-        if fleet is None or any(
+        if message.service not in self.engine_by_service or any(
             server.holds_model(message.model)
+            and server.is_available(now)
             and not (is_request and server.needs_report)
-            for server in fleet.servers
-            if server.record.server_id not in silent
+            and server.record.server_id not in silent
+            for server in self._staying(message.service)
         ):
             # The model is ready for these requesters, or they wait for an adapter only.
             return
