Price at most 32 servers for a model that no server has a copy of

Change: the servers with the least time, and of these with the least demand, are priced first, 32 at most unless the model fits on none of them.

--- a/src/siskinspool/gateway/placement_choice.py
+++ b/src/siskinspool/gateway/placement_choice.py
@@ -30,6 +30,8 @@
 # Additional value of a model in use, so that among models with little demand it is
 # evicted last.
 IN_USE_REQUESTS_PER_S: Final = 0.1
+# Servers that a choice prices, unless the model fits on none of them.
+MAX_PRICED_SERVERS: Final = 32
 # A plan is moved if another server would have the model ready this much sooner.
 MIN_TIME_GAIN_S: Final = 1.5
 # A plan is compared with other servers at most this often.
@@ -116,17 +118,24 @@
         """Return the server with the lowest cost, or None if the model fits nowhere.
 
         Servers are priced in the order of the least time that they need, and no more of
-        them once that time alone exceeds the lowest cost. Hence the work grows with the
-        servers that have a copy, not with all servers.
+        them once that time alone exceeds the lowest cost. Of those that need the same
+        time, such as all idle servers for a model that none of them has a copy of, the
+        ones with the least demand are priced first, and the rest is left out.
         """
+        fleet, now = self._fleet, self._now
         ordered = sorted(
-            (self._least_unqueued_s(server), server.record.server_id, server)
+            (
+                self._least_unqueued_s(server),
+                fleet.server_demand(server, now),
+                server.record.server_id,
+                server,
+            )
             for server in servers
         )
         best: ServerChoice | None = None
-        for least_s, _, server in ordered:
+        for priced, (least_s, _, _, server) in enumerate(ordered):
             if best is not None:
-                if least_s > best.cost_s:
+                if least_s > best.cost_s or priced >= MAX_PRICED_SERVERS:
                     break
                 if self.least_ready_s(server) > best.cost_s:
                     continue
--- a/tests/test_gateway_placement_choice.py
+++ b/tests/test_gateway_placement_choice.py
@@ -8,7 +8,7 @@
 
 from siskinspool.gateway.demand import TokenDemand
 from siskinspool.gateway.managed_server import ManagedServer
-from siskinspool.gateway.placement_choice import ServerComparison
+from siskinspool.gateway.placement_choice import MAX_PRICED_SERVERS, ServerComparison
 from siskinspool.gateway.placement_plan import PlacementPlan
 from siskinspool.gateway.service_fleet import ServiceFleet
 
@@ -74,3 +74,12 @@
         assert ServerComparison(fleet, spec, 3, NOW).cheapest(fleet.servers)
         priced.append(fleet.budget.work_done)
     assert max(priced) <= 12
+
+
+def test_choice_without_any_copy_prices_a_bounded_number_of_servers() -> None:
+    """Guards against a price of every server for each model that none has a copy of."""
+    for servers in (50, 200, 800):
+        fleet = random_fleet(7, servers, copies_of_wanted=0)
+        spec = fleet.engine.model_by_name[WANTED]
+        assert ServerComparison(fleet, spec, 3, NOW).cheapest(fleet.servers)
+        assert fleet.budget.work_done <= MAX_PRICED_SERVERS
