Keep the value of a store slot for each model instead of for each estimate

Cause: each estimate of when a load can start, and each check whether one may start, computed the value of a slot for all models that wait for the store, and the number of started loads for each of them. With 100 models that wait the leader's work was in proportion to requests times models.

Change: the value of a model is kept for 0.2 s, and dropped at once when its requesters change or it gets its first copy or loses its last one; the started loads are counted once for a check, and only if there is a free slot.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -40,6 +40,7 @@
 from .service_fleet import ServiceFleet
 from .shortage import Shortages
 from .store_limit import StoreLoads
+from .store_slot_rank import RankCache
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +78,7 @@
         self._shortages_by_service: dict[str, Shortages] = {}
         # Loads that an earlier leader started.
         self._inherited = InheritedLoads()
+        self._ranks_by_service: dict[str, RankCache] = {}
         self._copies_by_service: dict[str, FleetCopiesCache] = {}
         # Servers whose entries have lapsed, with the time until which they may return.
         self._lapsed_by_id: dict[str, tuple[ManagedServer, float]] = {}
@@ -135,6 +137,7 @@
         return sum(at > now for at in known) <= MAX_JOINING_SHARE * servers
 
     def _handle_desired_state(self, desired: DesiredState) -> None:
+        self._ranks_by_service.clear()
         self.engine_by_service = {
             service.name: service.engine
             for service in desired.service_by_name.values()
@@ -158,6 +161,7 @@
         requesters = self.requesters(report.service)
         for model, count in report.requesters_by_model.items():
             requesters.add(model, count, now)
+            self._ranks(report.service).forget(model)
 
     def update_requesters(
         self, message: PlacementRequest | RequestersReport, sender: str, now: float
@@ -178,6 +182,7 @@
             # The model is ready for these requesters, or they wait for an adapter only.
             return
         source = (sender, message.adapter)
+        self._ranks(message.service).forget(message.model)
         shortages = self.shortages(message.service)
         shortages.update(message.model, source, message.reach_s, new_requesters, now)
 
@@ -228,6 +233,7 @@
             copies_cache=self._copies_by_service.setdefault(
                 service, FleetCopiesCache()
             ),
+            ranks=self._ranks(service),
             budget=self._budget,
             is_complete=self._is_complete(service, len(staying), now),
         )
@@ -246,6 +252,9 @@
             self._staying_by_service[service] = staying
         return staying
 
+    def _ranks(self, service: str) -> RankCache:
+        return self._ranks_by_service.setdefault(service, RankCache())
+
     def _lapsed(self, service: str, now: float) -> list[ManagedServer]:
         """Return the lapsed servers that may return with the copies on their disks."""
         return [
@@ -467,6 +476,7 @@
     def reset_plans(self, now: float) -> None:
         """Reset the plans for a new leadership term."""
         self._store_by_service.clear()
+        self._ranks_by_service.clear()
         # The others are kept: gateways may see the leader's key before this instance
         # does, and they report each new requester only once.
         for shortages in self._shortages_by_service.values():
--- a/src/siskinspool/gateway/service_fleet.py
+++ b/src/siskinspool/gateway/service_fleet.py
@@ -24,6 +24,7 @@
 from .server_times import SWAP_S
 from .shortage import Shortages
 from .store_limit import StoreLoads
+from .store_slot_rank import RankCache
 from .weight_store_queue import WeightStoreQueue
 
 # Cost in seconds of evictions that lose the whole demand.
@@ -56,6 +57,7 @@
     # Servers whose entries have just lapsed and that may return with their disks.
     lapsed: list[ManagedServer] = attrs.field(factory=list)
     copies_cache: FleetCopiesCache = attrs.field(factory=FleetCopiesCache)
+    ranks: RankCache = attrs.field(factory=RankCache)
     budget: PlanningBudget = attrs.field(factory=PlanningBudget)
     # No more servers are about to register, so a model without a copy here has none.
     is_complete: bool = True
@@ -82,6 +84,7 @@
                 self.shortages,
                 self.requesters,
                 self.copies,
+                self.ranks,
             )
         return self._store_queue
 
--- a/src/siskinspool/gateway/weight_store_queue.py
+++ b/src/siskinspool/gateway/weight_store_queue.py
@@ -28,6 +28,7 @@
 from .server_times import SWAP_S
 from .shortage import Shortages
 from .store_limit import StoreLoads
+from .store_slot_rank import RankCache, StoreSlotRank
 
 # Share of the servers that may load from the weight store at a time.
 STORE_SERVERS_SHARE: Final = 0.5
@@ -50,22 +51,6 @@
 FIRST_EVENT_S: Final = 0.5
 
 
-@attrs.frozen(order=True)
-class StoreSlotRank:
-    """The value of a store slot for a model; the greatest is first."""
-
-    # Requesters that the load is expected to serve.
-    requesters: float
-    # Duration of the model's shortage, in seconds.
-    shortage_s: float
-    tokens_per_s: float
-
-    @property
-    def is_worth_slot(self) -> bool:
-        """Return whether the load is worth a slot."""
-        return self.requesters >= MIN_REQUESTERS
-
-
 @attrs.frozen
 class StoreSlotUse:
     """The value of the slot of a plan, and of the best waiting alternative."""
@@ -88,6 +73,7 @@
     # All requesters so far, by model.
     requesters: RequesterCounts
     copies: FleetCopies
+    ranks: RankCache = attrs.field(factory=RankCache)
 
     def wait_s(
         self, spec: ModelSpec, server: ManagedServer, waiting: int, now: float
@@ -98,7 +84,7 @@
             server.ordered_store_load,
         ):
             return 0.0
-        rank = self._rank(spec.name, waiting, now)
+        key = self._rank(spec.name, waiting, now).key
         ordered = {
             model
             for fleet_server in self.servers
@@ -112,7 +98,7 @@
             if plan.model not in excluded
             and (
                 plan.is_started
-                or self._rank(plan.model, plan.waiting_requests, now) >= rank
+                or self._rank(plan.model, plan.waiting_requests, now).key >= key
             )
         )
         # Loads that `StoreLoads` has not recorded yet.
@@ -147,9 +133,10 @@
 
     def has_requested_plan(self, now: float) -> bool:
         """Return whether a load that waits for a slot would serve a requester."""
+        has_spare_servers = self._has_spare_servers(now)
         return any(
-            self._rank(plan.model, plan.waiting_requests, now).is_worth_slot
-            and self._can_occupy_server(plan, now)
+            _can_occupy_server(plan, has_spare_servers)
+            and self._is_plan_worth_slot(plan, now)
             for _, plan in self._plans()
         )
 
@@ -165,37 +152,35 @@
             # Its own slot is included in the count.
             return self._free_slots(now, now + server.eviction_s(plan, now)) >= 0
         free_slots = self._free_slots(now, now + server.eviction_s(plan, now))
-        if free_slots <= 0 or not self._can_occupy_server(plan, now):
+        if free_slots <= 0:
             return False
-        rank = self._rank(plan.model, plan.waiting_requests, now)
-        if not rank.is_worth_slot and self.has_requested_plan(now):
+        has_spare_servers = self._has_spare_servers(now)
+        if not _can_occupy_server(plan, has_spare_servers):
             return False
+        if not self._is_plan_worth_slot(plan, now) and self.has_requested_plan(now):
+            return False
+        key = self._rank(plan.model, plan.waiting_requests, now).key
         preceding = {
             other.model
             for fleet_server, other in self.unstarted_plans()
             if other is not plan
             and fleet_server.is_idle
-            and self._can_occupy_server(other, now)
-            and self._rank(other.model, other.waiting_requests, now) > rank
+            and _can_occupy_server(other, has_spare_servers)
+            and self._rank(other.model, other.waiting_requests, now).key > key
         }
         return free_slots > len(preceding - {plan.model})
 
-    def _can_occupy_server(self, plan: PlacementPlan, now: float) -> bool:
-        """Return whether a plan may block a server for all other loads for seconds.
-
-        It may if it needs no eviction, if many requests wait, or if most servers remain
-        for loads from disk.
-        """
-        if (
-            plan.waiting_requests >= MANY_WAITING_REQUESTS
-            or not plan.eviction_candidates
-        ):
-            return True
+    def _has_spare_servers(self, now: float) -> bool:
+        """Return whether most servers would remain for loads from disk."""
         if self.demand.total_tokens_per_s(now) < QUIET_TOKENS_PER_S:
             return True
         started = self.started_loads(now)
         return started + 1 <= len(self.servers) * STORE_SERVERS_SHARE
 
+    def _is_plan_worth_slot(self, plan: PlacementPlan, now: float) -> bool:
+        rank = self._rank(plan.model, plan.waiting_requests, now)
+        return rank.requesters >= MIN_REQUESTERS
+
     def due_plans_on_busy_servers(
         self, now: float
     ) -> list[tuple[ManagedServer, PlacementPlan]]:
@@ -205,7 +190,9 @@
             return []
         ordered = sorted(
             self.unstarted_plans(),
-            key=lambda pair: self._rank(pair[1].model, pair[1].waiting_requests, now),
+            key=lambda pair: (
+                self._rank(pair[1].model, pair[1].waiting_requests, now).key
+            ),
             reverse=True,
         )
         return [pair for pair in ordered[:free_slots] if not pair[0].is_idle]
@@ -240,7 +227,8 @@
             >= rank.requesters
         }
         free_slots = self._free_slots(now, now + SLOT_LEAD_S)
-        return rank.is_worth_slot and len(preceding) < free_slots
+        is_worth_slot = rank.requesters >= MIN_REQUESTERS
+        return is_worth_slot and len(preceding) < free_slots
 
     def started_loads(self, now: float) -> int:
         """Return the number of loads in flight, with those about to start."""
@@ -259,12 +247,17 @@
         )
 
     def _rank(self, model: str, waiting: int, now: float) -> StoreSlotRank:
-        return StoreSlotRank(
-            # Smaller differences are not significant.
-            round(self.expected_requesters(model, now), 1),
-            self.shortages.shortage_s(model, now),
-            self.demand.load_demand_per_s(model, waiting, now),
-        )
+        has_copy = self.copies.count(model) > 0
+        rank = self.ranks.find(model, waiting, has_copy=has_copy, now=now)
+        if rank is None:
+            rank = StoreSlotRank(
+                # Smaller differences are not significant.
+                round(self.expected_requesters(model, now), 1),
+                self.shortages.shortage_s(model, now),
+                self.demand.load_demand_per_s(model, waiting, now),
+            )
+            self.ranks.add(model, waiting, rank, has_copy=has_copy, now=now)
+        return rank
 
     def _starting_loads(self) -> int:
         """Return the number of loads that hold a slot but are not recorded yet.
@@ -275,7 +268,10 @@
         return sum(
             bool(server.ordered_store_load)
             or server.has_unknown_order
-            or any(plan.is_started for plan in self._plans_of(server))
+            or any(
+                plan.is_started and _is_store_plan(server, plan)
+                for plan in server.plans
+            )
             for server in self.servers
             if server.plans or not server.is_idle
         )
@@ -292,14 +288,30 @@
     def _plans(self) -> list[tuple[ManagedServer, PlacementPlan]]:
         """Return the plans that are still to be loaded from the weight store."""
         return [
-            (server, plan) for server in self.servers for plan in self._plans_of(server)
-        ]
-
-    def _plans_of(self, server: ManagedServer) -> list[PlacementPlan]:
-        return [
-            plan
+            (server, plan)
+            for server in self.servers
             for plan in server.plans
-            if not plan.adapter
-            and server.loading_model != plan.model
-            and server.needs_store(plan.model)
+            if _is_store_plan(server, plan)
         ]
+
+
+def _is_store_plan(server: ManagedServer, plan: PlacementPlan) -> bool:
+    """Return whether a plan is still to be loaded from the weight store."""
+    return (
+        not plan.adapter
+        and server.loading_model != plan.model
+        and server.needs_store(plan.model)
+    )
+
+
+def _can_occupy_server(plan: PlacementPlan, has_spare_servers: bool) -> bool:
+    """Return whether a plan may block a server for all other loads for seconds.
+
+    It may if it needs no eviction, if many requests wait, or if most servers remain for
+    loads from disk.
+    """
+    return (
+        has_spare_servers
+        or not plan.eviction_candidates
+        or plan.waiting_requests >= MANY_WAITING_REQUESTS
+    )
