Charge a look at the servers to the budget of plans by their number

Cause: the budget of plans counted prices of servers and a fixed amount for a request. At 6,400 servers a request whose model has a plan takes 15 ms without a price, so the budget was no bound there.

Change: each look at the servers is charged by their number.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -153,6 +153,7 @@
         for fleet in self._site.fleets(now):
             if not self._budget.is_available(now):
                 break
+            self._budget.spend_for_look(len(fleet.servers))
             if is_tick or fleet.store_queue.has_slot_soon(now):
                 batch += self._unrequested.move_plans(fleet, now)
                 batch += self._unrequested.plan_preloads(fleet, now)
--- a/src/siskinspool/gateway/planning_budget.py
+++ b/src/siskinspool/gateway/planning_budget.py
@@ -16,8 +16,10 @@
 # Work for plans per second, and at once.
 WORK_PER_S: Final = 2_000.0
 BURST_WORK: Final = 500.0
-# Work for a request whose model needs no choice.
-REQUEST_WORK: Final = 10.0
+# Work for a look at the servers without a price, such as for a request whose model has
+# a plan: at least this, and more for each server.
+MIN_LOOK_WORK: Final = 5.0
+LOOK_WORK_PER_SERVER: Final = 1.0 / 32.0
 
 
 class PlanningBudget:
@@ -39,6 +41,10 @@
         self.work_done += work
         self._unpaid += work
 
+    def spend_for_look(self, servers: int) -> None:
+        """Record the work for a look at this many servers."""
+        self.spend(MIN_LOOK_WORK + servers * LOOK_WORK_PER_SERVER)
+
     def is_available(self, now: float) -> bool:
         """Return whether more work may be done now."""
         return self.wait_s(now) <= 0.0
--- a/src/siskinspool/gateway/requested_plans.py
+++ b/src/siskinspool/gateway/requested_plans.py
@@ -19,7 +19,7 @@
 from .placement_choice import choose_server, find_sooner_choice
 from .placement_log import PlacementLog
 from .placement_plan import PlacementPlan
-from .planning_budget import REQUEST_WORK, PlanningBudget
+from .planning_budget import PlanningBudget
 from .request_table import RequestTable, TargetRequests
 from .server_orders import ServerOrders
 from .service_fleet import ServiceFleet
@@ -74,7 +74,6 @@
             requests = self._table.pop_first(now)
             if requests is None:
                 return batch
-            self._budget.spend(REQUEST_WORK)
             batch += self._handle_target(requests, now)
         self._due_at = now + self._budget.wait_s(now)
         return batch
@@ -105,6 +104,7 @@
         fleet = self._site.fleet(target.service, now)
         if fleet is None or target.model not in fleet.engine.model_by_name:
             return []
+        self._budget.spend_for_look(len(fleet.servers))
         for gateway in requests.request_by_gateway:
             self._site.model_users.record_request(target.model, gateway, now)
         unread = [server for server in fleet.servers if server.order_count is None]
--- a/tests/test_gateway_leader_work.py
+++ b/tests/test_gateway_leader_work.py
@@ -12,7 +12,12 @@
     ModelReady,
     OrderResult,
 )
-from siskinspool.gateway.planning_budget import BURST_WORK, REQUEST_WORK, WORK_PER_S
+from siskinspool.gateway.planning_budget import (
+    BURST_WORK,
+    MIN_LOOK_WORK,
+    WORK_PER_S,
+    PlanningBudget,
+)
 from siskinspool.gateway.server_orders import ServerOrders
 
 from .builders_gateway import desired_state, engine
@@ -107,7 +112,21 @@
     answers = [one for one in batch if isinstance(one.message, ModelExpected)]
     assert {one.recipient.instance_id for one in answers} == gateways
     assert len(answers) == len(gateways)
-    assert budget.work_done - work_before < 2 * REQUEST_WORK
+    # Not one look at the servers for each gateway.
+    assert budget.work_done - work_before < len(gateways) * MIN_LOOK_WORK / 4
+
+
+def test_look_at_many_servers_uses_up_the_budget_sooner() -> None:
+    """Guards against a budget that is no bound where a request costs 15 ms."""
+    looks = []
+    for servers in (143, 6_400):
+        budget = PlanningBudget()
+        count = 0
+        while budget.is_available(1.0):
+            budget.spend_for_look(servers)
+            count += 1
+        looks.append(count)
+    assert looks[0] > 15 * looks[1]
 
 
 def test_order_of_a_late_leader_is_no_silence_of_its_server() -> None:
