--- a/tests/builders_store_simulation.py
+++ b/tests/builders_store_simulation.py
@@ -129,20 +129,26 @@
         while self._events and self._now < end_at:
             wakes = [
                 (wake, address)
-                for address, decision in self._decision_by_address.items()
-                if (wake := decision.wake_at()) is not None
+                for address in self._decision_by_address
+                if (wake := self._wake_at(address)) is not None
             ]
             wake_at, address = min(wakes, default=(float("inf"), ("", "")))
             if wake_at <= self._events[0][0]:
                 self._now = max(self._now + 0.001, wake_at)
-                decision = self._decision_by_address[address]
-                self._send(address[0], decision.on_time(self._now))
+                self._wake(address)
             else:
                 at, _, action = heapq.heappop(self._events)
                 self._now = max(self._now, at)
                 action()
         return self._result()
 
+    def _wake_at(self, address: tuple[str, str]) -> float | None:
+        return self._decision_by_address[address].wake_at()
+
+    def _wake(self, address: tuple[str, str]) -> None:
+        decision = self._decision_by_address[address]
+        self._send(address[0], decision.on_time(self._now))
+
     # Setup and events
 
     def _schedule_at(self, at: float, action: Callable[[], None]) -> None:
@@ -321,8 +327,13 @@
         elif to.task == "requester":
             self._handle_answer(to.instance_id, message)
         elif decision := self._decision_by_address.get((to.instance_id, to.task)):
-            incoming = Incoming(Address(sender, "peer"), message)
-            self._send(to.instance_id, decision.handle(incoming, self._now))
+            self._handle_from_peer(sender, to, decision, message)
+
+    def _handle_from_peer(
+        self, sender: str, to: Address, decision: Decision, message: Message
+    ) -> None:
+        incoming = Incoming(Address(sender, "peer"), message)
+        self._send(to.instance_id, decision.handle(incoming, self._now))
 
     def _answer_ledger(self, request: KvGet | KvSwap) -> KvReply:
         value, revision = self._ledger
