Move the registry's servers out of the leader's site

Change: SiteServers knows the servers, the evacuated zones and the servers that may return; ManagedSite adds demand, loads and shortages. No logic changes.

--- a/src/siskinspool/gateway/managed_site.py
+++ b/src/siskinspool/gateway/managed_site.py
@@ -36,25 +36,15 @@
 )
 from .planning_budget import PlanningBudget
 from .server_times import REPORT_LAG_S
-from .servers import ServerRecord, ServerRemoved, ServerState, ZoneEvacuated
+from .servers import ServerRecord, ServerRemoved, ZoneEvacuated
 from .service_fleet import ServiceFleet
 from .shortage import Shortages
+from .site_servers import SiteServers
 from .store_limit import StoreLoads
 from .store_slot_rank import RankCache
 
 logger = logging.getLogger(__name__)
 
-# After a start servers register one by one, each with its next heartbeat, and gateways
-# read the registry at intervals of about the same length. The fleet counts as complete
-# once a read brings hardly any new servers.
-JOIN_SETTLE_S: Final = 1.25
-# A crashed server usually returns within this time after its entry has lapsed. A server
-# whose entry lapsed during an outage of the platform's store is back within two
-# seconds.
-LAPSED_SERVER_TTL_S: Final = 4.0
-# The fleet counts as complete despite this share of new servers, since in a large fleet
-# some server restarts at any time.
-MAX_JOINING_SHARE: Final = 0.05
 # The report of a server that a gateway finds silent is read at most this often.
 SILENT_READ_INTERVAL_S: Final = 0.5
 
@@ -66,12 +56,8 @@
         """Create a site; choices for its fleets are charged to ``budget``."""
         self._budget = budget
         self.engine_by_service: dict[str, EngineSpec] = {}
-        self.server_by_id: dict[str, ManagedServer] = {}
+        self._servers = SiteServers()
         self.model_users = ModelUsers()
-        self._evacuated_zones: set[str] = set()
-        # The servers that are ready and not in an evacuated zone, by service, until a
-        # registry entry or an evacuation changes.
-        self._staying_by_service: dict[str, list[ManagedServer]] = {}
         self._demand_by_service: dict[str, TokenDemand] = {}
         self._requesters_by_service: dict[str, RequesterCounts] = {}
         self._store_by_service: dict[str, StoreLoads] = {}
@@ -80,10 +66,11 @@
         self._inherited = InheritedLoads()
         self._ranks_by_service: dict[str, RankCache] = {}
         self._copies_by_service: dict[str, FleetCopiesCache] = {}
-        # Servers whose entries have lapsed, with the time until which they may return.
-        self._lapsed_by_id: dict[str, tuple[ManagedServer, float]] = {}
-        # For each service, the times until which its new servers count as just joined.
-        self._join_ends_by_service: dict[str, list[float]] = {}
+
+    @property
+    def server_by_id(self) -> dict[str, ManagedServer]:
+        """The known servers."""
+        return self._servers.by_id
 
     def handle_change(self, change: object, sender: str, now: float) -> bool:
         """Handle a change of the servers or the demand; return whether it was one."""
@@ -92,50 +79,14 @@
                 self._handle_demand(report, sender, now)
             case RequestersReport() as report:
                 self.update_requesters(report, sender, now)
-            case ServerRecord() as record:
-                self._staying_by_service.clear()
-                self._handle_record(record, now)
-            case ServerRemoved(server_id):
-                self._staying_by_service.clear()
-                self._remove_server(server_id, now)
-            case ZoneEvacuated(zone, evacuated):
-                self._staying_by_service.clear()
-                zones = self._evacuated_zones
-                zones.add(zone) if evacuated else zones.discard(zone)
+            case ServerRecord() | ServerRemoved() | ZoneEvacuated():
+                self._servers.handle_change(change, now)
             case DesiredState() as desired:
                 self._handle_desired_state(desired)
             case _:
                 return False
         return True
 
-    def _handle_record(self, record: ServerRecord, now: float) -> None:
-        # The registry may be read before the desired state, which names the services
-        # with engines. Records of other services are kept and not used.
-        server = self.server_by_id.get(record.server_id)
-        if server is None:
-            server = ManagedServer(record=record, holdings=record.holdings)
-            self.server_by_id[record.server_id] = server
-            self._lapsed_by_id.pop(record.server_id, None)
-            self._record_join(record.service, now)
-        else:
-            server.update_record(record, now)
-
-    def _remove_server(self, server_id: str, now: float) -> None:
-        server = self.server_by_id.pop(server_id, None)
-        if server is not None and server.record.state is ServerState.READY:
-            self._lapsed_by_id[server_id] = (server, now + LAPSED_SERVER_TTL_S)
-
-    def _record_join(self, service: str, now: float) -> None:
-        """Record that a server has joined."""
-        known = self._join_ends_by_service.get(service, [])
-        until = now + JOIN_SETTLE_S
-        self._join_ends_by_service[service] = [at for at in known if at > now] + [until]
-
-    def _is_complete(self, service: str, servers: int, now: float) -> bool:
-        """Return whether hardly any more servers of a service are about to register."""
-        known = self._join_ends_by_service.get(service, [])
-        return sum(at > now for at in known) <= MAX_JOINING_SHARE * servers
-
     def _handle_desired_state(self, desired: DesiredState) -> None:
         self._ranks_by_service.clear()
         self.engine_by_service = {
@@ -177,7 +128,7 @@
             and server.is_available(now)
             and not (is_request and server.needs_report)
             and server.record.server_id not in silent
-            for server in self._staying(message.service)
+            for server in self._servers.staying(message.service)
         ):
             # The model is ready for these requesters, or they wait for an adapter only.
             return
@@ -220,7 +171,7 @@
         engine = self.engine_by_service.get(service)
         if engine is None:
             return None
-        staying = self._staying(service)
+        staying = self._servers.staying(service)
         return ServiceFleet(
             engine,
             [server for server in staying if server.is_available(now)],
@@ -229,42 +180,18 @@
             self.shortages(service),
             self.requesters(service),
             staying=staying,
-            lapsed=self._lapsed(service, now),
+            lapsed=self._servers.lapsed(service, now),
             copies_cache=self._copies_by_service.setdefault(
                 service, FleetCopiesCache()
             ),
             ranks=self._ranks(service),
             budget=self._budget,
-            is_complete=self._is_complete(service, len(staying), now),
+            is_complete=self._servers.is_complete(service, now),
         )
 
-    def _staying(self, service: str) -> list[ManagedServer]:
-        """Return the servers of a service that are not about to leave."""
-        staying = self._staying_by_service.get(service)
-        if staying is None:
-            staying = [
-                server
-                for server in self.server_by_id.values()
-                if server.record.service == service
-                and server.record.state is ServerState.READY
-                and server.record.zone not in self._evacuated_zones
-            ]
-            self._staying_by_service[service] = staying
-        return staying
-
     def _ranks(self, service: str) -> RankCache:
         return self._ranks_by_service.setdefault(service, RankCache())
 
-    def _lapsed(self, service: str, now: float) -> list[ManagedServer]:
-        """Return the lapsed servers that may return with the copies on their disks."""
-        return [
-            server
-            for server, until in self._lapsed_by_id.values()
-            if until > now
-            and server.record.service == service
-            and server.record.zone not in self._evacuated_zones
-        ]
-
     def fleets(self, now: float) -> list[ServiceFleet]:
         """Return the fleets of all services with engines."""
         found = [self.fleet(service, now) for service in self.engine_by_service]
@@ -451,11 +378,7 @@
 
         Late loads lower the estimate of how many loads the store can carry.
         """
-        self._lapsed_by_id = {
-            server_id: (server, until)
-            for server_id, (server, until) in self._lapsed_by_id.items()
-            if until > now
-        }
+        self._servers.drop_lapsed(now)
         for store in self._store_by_service.values():
             store.drop_ended_loads(now)
             for server_id in store.servers():
--- a/tests/test_gateway_fleet_copies.py
+++ b/tests/test_gateway_fleet_copies.py
@@ -8,10 +8,10 @@
 
 from siskinspool.gateway.fleet_copies import FleetCopies, FleetCopiesCache
 from siskinspool.gateway.managed_server import ManagedServer
-from siskinspool.gateway.managed_site import JOIN_SETTLE_S, LAPSED_SERVER_TTL_S
 from siskinspool.gateway.messages import OrderKind, OrderResult, ServerOrder
 from siskinspool.gateway.plan_moves import plan_moves
 from siskinspool.gateway.servers import ServerRemoved
+from siskinspool.gateway.site_servers import JOIN_SETTLE_S, LAPSED_SERVER_TTL_S
 
 from .builders_gateway import desired_state, engine, holdings, server
 from .builders_placement_harness import PlacementHarness, orders
--- a/tests/test_gateway_store_demand.py
+++ b/tests/test_gateway_store_demand.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from siskinspool.gateway.managed_site import LAPSED_SERVER_TTL_S
 from siskinspool.gateway.messages import (
     DemandReport,
     LeaderChanged,
@@ -11,6 +10,7 @@
 )
 from siskinspool.gateway.routing import Routing
 from siskinspool.gateway.servers import ServerRemoved
+from siskinspool.gateway.site_servers import LAPSED_SERVER_TTL_S
 from siskinspool.gateway.store_limit import StoreLoads
 
 from .builders_gateway import (
