Do not wake a leader up each millisecond while it may not order

Cause: while the term's remaining time was too short for an order, a server with a due step stayed due, and the task woke up each millisecond.

Change: until the next message or tick the task sleeps.

Measured: test_leader_that_may_not_order_wakes_up_at_ticks_only failed before (some 700 wake-ups in a second, 6 allowed).

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -68,6 +68,8 @@
         self._term = LeadershipTerm()
         self._next_tick_at = 0.0
         self._next_slot_check_at = 0.0
+        # No order may be given before the next message or tick.
+        self._is_suspended = False
         # When a server is due next; None if that has to be found out.
         self._attention_at: float | None = None
         self._log = PlacementLog()
@@ -91,6 +93,7 @@
     def handle(self, incoming: Incoming, now: float) -> list[Outgoing]:
         """Handle a placement request, the end of an order or a change."""
         self._attention_at = None
+        self._is_suspended = False
         sender = incoming.sender.instance_id
         match incoming.message:
             case PlacementRequest() as request:
@@ -123,7 +126,8 @@
         if is_tick:
             self._next_tick_at = now + TICK_S
         self._site.update_store_loads(now)
-        if not self._term.allows_orders(now):
+        self._is_suspended = not self._term.allows_orders(now)
+        if self._is_suspended:
             return []
         batch = self._advance_servers(now, is_tick)
         batch += self._requested.handle_waiting(now)
@@ -163,6 +167,8 @@
         """Return when a server needs attention."""
         if self._term.epoch is None:
             return None
+        if self._is_suspended:
+            return self._next_tick_at
         if self._attention_at is None:
             self._attention_at = self._site.attention_at()
         return min(self._next_tick_at, self._attention_at, self._requested.due_at)
--- a/tests/test_gateway_leader_work.py
+++ b/tests/test_gateway_leader_work.py
@@ -156,3 +156,22 @@
     assert [(one.server_id, one.model) for one in again] == [
         (order.server_id, order.model)
     ]
+
+
+def test_leader_that_may_not_order_wakes_up_at_ticks_only() -> None:
+    """Guards against a wake-up each millisecond until the term is extended."""
+    harness = large_harness(12)
+    order = orders(harness.request("m0"))[0]
+    harness.send(LeadershipExtended(harness.now + 0.1))
+    harness.end(order, OrderResult.CONFLICT)
+    wakes = 0
+    end = harness.now + 1.0
+    while harness.now < end:
+        due = harness.decision.wake_at()
+        assert due is not None
+        harness.now = max(due, harness.now + 0.001)
+        harness.decision.on_time(harness.now)
+        wakes += 1
+    assert wakes <= 6
+    harness.send(LeadershipExtended(harness.now + 10.0))
+    assert orders(harness.request("m1"))
