Take waiting placement requests up in groups

Cause: while the budget of plans is spent, the leader was woken up for each request that it could handle, some 300 times a second with 40 models waiting and a pass over all servers each time.

Change: requests that wait are taken up again once a twentieth of a second's work may be done.

--- a/src/siskinspool/gateway/placement.py
+++ b/src/siskinspool/gateway/placement.py
@@ -198,7 +198,6 @@
         if server is None:
             return []
         batch = self._orders.handle_report(server, read, now)
-        # A silent server's report unblocks no request.
         if read.holdings is None:
             # A silent server's report unblocks no request.
             return batch
--- a/src/siskinspool/gateway/planning_budget.py
+++ b/src/siskinspool/gateway/planning_budget.py
@@ -16,6 +16,9 @@
 # Work for plans per second, and at once.
 WORK_PER_S: Final = 2_000.0
 BURST_WORK: Final = 500.0
+# Requests that wait are taken up again once this much may be done, so that the leader
+# is not woken up for each of them.
+RESUME_WORK: Final = 100.0
 # Work for a look at the servers without a price, such as for a request whose model has
 # a plan: at least this, and more for each server.
 MIN_LOOK_WORK: Final = 5.0
@@ -47,10 +50,14 @@
 
     def is_available(self, now: float) -> bool:
         """Return whether more work may be done now."""
-        return self.wait_s(now) <= 0.0
+        self._pay(now)
+        return self._bucket.can_take(1.0, now)
 
-    def wait_s(self, now: float) -> float:
-        """Return the delay until more work may be done."""
+    def resume_in_s(self, now: float) -> float:
+        """Return the delay until requests that wait are to be taken up again."""
+        self._pay(now)
+        return self._bucket.wait_s(RESUME_WORK, now)
+
+    def _pay(self, now: float) -> None:
         self._bucket.try_take(self._unpaid, now, debt=float("inf"))
         self._unpaid = 0.0
-        return self._bucket.wait_s(1.0, now)
--- a/src/siskinspool/gateway/requested_plans.py
+++ b/src/siskinspool/gateway/requested_plans.py
@@ -75,7 +75,7 @@
             if requests is None:
                 return batch
             batch += self._handle_target(requests, now)
-        self._due_at = now + self._budget.wait_s(now)
+        self._due_at = now + self._budget.resume_in_s(now)
         return batch
 
     def resume(self, service: str, now: float) -> list[Outgoing]:
--- a/tests/test_gateway_leader_work.py
+++ b/tests/test_gateway_leader_work.py
@@ -175,3 +175,18 @@
     assert wakes <= 6
     harness.send(LeadershipExtended(harness.now + 10.0))
     assert orders(harness.request("m1"))
+
+
+def test_waiting_requests_are_taken_up_in_groups() -> None:
+    """Guards against a wake-up for each of many requests that wait for the budget."""
+    harness = large_harness(60)
+    harness.decision._budget.spend(BURST_WORK)
+    for model in MODELS:
+        harness.request(model)
+    wakes = 0
+    end = harness.now + 0.2
+    while (due := harness.decision.wake_at()) is not None and due < end:
+        harness.now = max(due, harness.now + 0.001)
+        harness.decision.on_time(harness.now)
+        wakes += 1
+    assert 1 <= wakes <= 6
