Choose the ports of gateways in tests below the kernel's range

Cause: free_ports took ports that the kernel had given and given back, so another process may be given them before the gateway binds them.

Change: ports from 12,000 to 32,000, apart for two runs at once.

--- a/src/siskinspool/standins/gateway_site.py
+++ b/src/siskinspool/standins/gateway_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import itertools
 import json
 import os
 import signal
@@ -25,17 +26,37 @@
 KEY: Final = "k1"
 
 
+# Ports that the kernel gives to nobody by itself, by default.
+FIRST_PORT: Final = 12_000
+LAST_PORT: Final = 32_000
+# Distance of the first ports of two runs at once.
+PORTS_PER_PROCESS: Final = 500
+_numbers: Final = itertools.count(os.getpid() * PORTS_PER_PROCESS)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return ports that nothing listens on.
+
+    A gateway binds them later. Until then any process could be given a port of the
+    kernel's range, so these are chosen below it.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_numbers) % (LAST_PORT - FIRST_PORT)
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 @attrs.define
 class Gateway:
     """One gateway process with its ports."""
